--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# `make demo` and `make test` need nothing but Python 3.11 and pip.
+PYTHON ?= python3.11
+DEPLOYMENT ?= pacifico
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint clean
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m standins.demo --deployment $(DEPLOYMENT)
+
+test: $(VENV)/.installed
+	$(BIN)/python -m nose2 --start-dir briartack/test --top-level-directory .
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 .
+	$(BIN)/mypy
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with real processes; see `python -m benchmarks --help`."""
--- /dev/null
+++ b/briartack/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh."""
--- /dev/null
+++ b/briartack/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of the daemon, free of input, output and clocks."""
--- /dev/null
+++ b/briartack/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of briartack; tables of cases are in `test-data`."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for the platform; the product never imports them."""
