--- /dev/null
+++ b/standins/http_server.py
@@ -0,0 +1,215 @@
+"""HTTP server that the stand-ins share, able to misbehave on request.
+
+An application is a function from `Request` to `Response` or `Broken`; the
+latter ends the connection in the middle, which WSGI itself has no word for.
+"""
+
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from errno import ECONNRESET
+from http import HTTPStatus
+from typing import Any, Final, TypeAlias, final
+from urllib.parse import parse_qsl
+
+import gevent
+import msgspec
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+MAX_CONNECTIONS: Final = 10_000
+BACKLOG: Final = 1024
+LINGER_AND_RESET: Final = struct.pack('ii', 1, 0)
+Address: TypeAlias = tuple[str, int]
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """Hold one request, its body still unread."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    environ: dict[str, Any]
+    connection: Any  # gevent socket
+
+    def header(self, name: str) -> str:
+        """Return a header, empty if it is missing."""
+        key = name.upper().replace('-', '_')
+        return str(self.environ.get(f'HTTP_{key}', ''))
+
+    def body(self) -> bytes:
+        """Read the whole body; raise OSError if it breaks off."""
+        return bytes(self.environ['wsgi.input'].read())
+
+    def is_abandoned(self) -> bool:
+        """Tell whether the client has closed its side."""
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        try:
+            return not self.connection.recv(1, flags)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def wait(self, seconds: float) -> bool:
+        """Wait for a time; return early with False if the client closes."""
+        if seconds <= 0:
+            return not self.is_abandoned()
+        try:
+            gevent.socket.wait_read(self.connection.fileno(), timeout=seconds)
+        except TimeoutError:
+            return True
+        if self.is_abandoned():
+            return False
+        # A pipelined request is readable too; the client is still there.
+        gevent.sleep(seconds)
+        return not self.is_abandoned()
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Response:
+    """Hold one complete answer."""
+
+    status: int = HTTPStatus.OK
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Broken:
+    """Send some bytes as they are and end the connection."""
+
+    sent: bytes = b''
+    is_reset: bool = False
+
+
+Application: TypeAlias = Callable[[Request], Response | Broken]
+
+
+def json_response(content: object, *, status: int = HTTPStatus.OK) -> Response:
+    """Encode a JSON answer."""
+    return Response(
+        status=status,
+        body=msgspec.json.encode(content),
+        headers=(('Content-Type', 'application/json'),),
+    )
+
+
+def parse_address(text: str) -> Address:
+    """Split `IP:PORT`; raise ValueError if it has another form."""
+    host, colon, port = text.rpartition(':')
+    if not colon or not host:
+        raise ValueError(f'address {text!r} is not of the form IP:PORT')
+    return host, int(port)
+
+
+@final
+class _Handler(WSGIHandler):  # type: ignore[misc]
+    """Give the application its connection."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Add the connection to the WSGI environment."""
+        environ: dict[str, Any] = super().get_environ()
+        environ['standins.connection'] = self.socket
+        return environ
+
+
+@final
+class _Server(WSGIServer):  # type: ignore[misc]
+    """Send answers without delay and count connections."""
+
+    def __init__(self, listener: Address, application: Any) -> None:
+        super().__init__(
+            listener,
+            application,
+            backlog=BACKLOG,
+            spawn=Pool(MAX_CONNECTIONS),
+            log=None,
+            error_log=None,
+            handler_class=_Handler,
+        )
+
+    def handle(self, sock: Any, address: Address) -> None:
+        """Serve one connection."""
+        # Without TCP_NODELAY an answer in two writes waits for 40 ms.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
+
+
+@final
+class HttpServer:
+    """Serve an application at one address, with stops in between."""
+
+    __slots__ = ('_address', '_application', '_server')
+
+    def __init__(self, *, address: str, application: Application) -> None:
+        self._address = parse_address(address)
+        self._application = application
+        self._server: _Server | None = None
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server.pool) if self._server else 0
+
+    @property
+    def address(self) -> str:
+        """Return the address, with the real port once it has started."""
+        host, port = self._address
+        return f'{host}:{port}'
+
+    def start(self) -> None:
+        """Begin to accept connections; raise OSError if the port is taken."""
+        if self._server is None:
+            self._server = _Server(self._address, self._answer)
+            self._server.start()
+            self._address = (self._server.server_host, self._server.server_port)
+
+    def stop(self, *, grace_seconds: float = 0) -> None:
+        """Refuse connections, and cut the open ones after a time."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop(timeout=grace_seconds)
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket and keep the open connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def _answer(self, environ: dict[str, Any], start: Any) -> list[bytes]:
+        request = Request(
+            method=environ['REQUEST_METHOD'],
+            path=environ['PATH_INFO'],
+            query=dict(parse_qsl(environ['QUERY_STRING'])),
+            environ=environ,
+            connection=environ['standins.connection'],
+        )
+        response = self._application(request)
+        if isinstance(response, Broken):
+            _end_connection(request.connection, response)
+        headers = [*response.headers, ('Content-Length', _length(response))]
+        start(f'{response.status} {HTTPStatus(response.status).phrase}', headers)
+        return [response.body]
+
+
+def _length(response: Response) -> str:
+    return str(len(response.body))
+
+
+def _end_connection(connection: Any, broken: Broken) -> None:
+    connection.sendall(broken.sent)
+    if broken.is_reset:
+        connection.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            LINGER_AND_RESET,
+        )
+    else:
+        connection.shutdown(socket.SHUT_RDWR)
+    # The server ends a connection without an answer on this error.
+    raise ConnectionResetError(ECONNRESET, 'ended on request')
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,326 @@
+"""Stand-in for the platform's configuration store.
+
+It serves the read-only protocol of docs/design.md, section 5, and for tests
+only a control surface under `/control/`.
+"""
+
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any, Final, final
+
+import defopt
+import gevent
+import msgspec
+from gevent.event import Event
+
+from standins.http_server import (
+    Broken,
+    HttpServer,
+    Request,
+    Response,
+    json_response,
+)
+from standins.store_faults import StoreFaults
+from standins.store_files import StoreFiles
+from standins.store_state import CallWindow, StoreState
+
+DEFAULT_LIMIT: Final = 2000
+MAX_VALUE_BYTES: Final = 1_000_000
+MAX_WAIT_SECONDS: Final = 60.0
+RETRY_AFTER_SECONDS: Final = 1
+INSTANCE_PREFIX: Final = 'instances/'
+
+
+class Control(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Hold the body of any request to the control surface."""
+
+    key: str = ''
+    value: str | None = None
+    mode: str = ''
+    revision: int | None = None
+    count: int = 1
+    seconds: float = 0
+
+
+@final
+class Store:
+    """Answer reads and watches under the limit, with faults on request."""
+
+    __slots__ = (
+        '_state',
+        '_faults',
+        '_limit',
+        '_accepted',
+        '_arrived',
+        '_counts',
+        '_changed',
+        '_waiting',
+        '_encoded',
+        '_server',
+        '_commands',
+    )
+
+    def __init__(self, *, address: str, limit: int = DEFAULT_LIMIT) -> None:
+        self._state = StoreState()
+        self._faults = StoreFaults()
+        self._limit = limit
+        self._accepted = CallWindow()
+        self._arrived = CallWindow()
+        self._counts: Counter[str] = Counter()
+        self._changed = Event()
+        self._waiting = 0
+        self._encoded: tuple[object, bytes] = (None, b'')
+        self._server = HttpServer(address=address, application=self.answer)
+        self._commands: dict[str, Callable[[Control], object]] = {
+            'put': self._put,
+            'delete': self._delete,
+            'outage': self._set_outage,
+            'stale': self._set_stale,
+            'cross': self._set_cross,
+            'late': self._set_late,
+            'instance-lag': self._set_instance_lag,
+            'stats': self._stats,
+            'reset-stats': self._reset_stats,
+        }
+
+    @property
+    def server(self) -> HttpServer:
+        """Return the server of the protocol."""
+        return self._server
+
+    def put(self, key: str, value: str | None) -> int:
+        """Set or delete a key and wake the watches; return the revision."""
+        before = self._state.revision
+        revision = self._state.put(key, value)
+        if revision != before:
+            self._wake()
+        return revision
+
+    def put_instance(self, key: str, value: str | None) -> None:
+        """Change the list of instances after its present lag."""
+        lag_seconds = self._faults.instance_lag_seconds
+        if lag_seconds:
+            gevent.spawn_later(lag_seconds, self.put, key, value)
+        else:
+            self.put(key, value)
+
+    def answer(self, request: Request) -> Response | Broken:
+        """Answer a request of the protocol."""
+        if request.path.startswith('/control/'):
+            return self.answer_control(request)
+        now = time.monotonic()
+        kind = request.path.removeprefix('/v1/')
+        self._counts[f'calls_{kind}'] += 1
+        self._arrived.add(now)
+        if self._faults.outage:
+            self._counts['calls_in_outage'] += 1
+            return json_response(
+                {'error': 'outage'},
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+            )
+        if self._accepted.count(now) >= self._limit:
+            return self._refuse()
+        self._accepted.add(now)
+        return self._answer_call(kind, request.query)
+
+    def answer_control(self, request: Request) -> Response:
+        """Answer a request of the control surface."""
+        command = self._commands.get(request.path.removeprefix('/control/'))
+        if command is None:
+            return json_response(
+                {'error': 'unknown command', 'known': sorted(self._commands)},
+                status=HTTPStatus.NOT_FOUND,
+            )
+        try:
+            control = msgspec.json.decode(request.body() or b'{}', type=Control)
+            return json_response(command(control))
+        except (msgspec.MsgspecError, ValueError) as error:
+            return json_response(
+                {'error': str(error)},
+                status=HTTPStatus.BAD_REQUEST,
+            )
+
+    def _refuse(self) -> Response:
+        self._counts['calls_refused'] += 1
+        return Response(
+            status=HTTPStatus.TOO_MANY_REQUESTS,
+            headers=(('Retry-After', str(RETRY_AFTER_SECONDS)),),
+        )
+
+    def _answer_call(self, kind: str, query: dict[str, str]) -> Response:
+        try:
+            if kind == 'entries':
+                return self._send(kind, self._read(query))
+            if kind == 'watch':
+                return self._send(kind, self._watch(query))
+        except ValueError as error:
+            return json_response(
+                {'error': str(error)},
+                status=HTTPStatus.BAD_REQUEST,
+            )
+        return json_response(
+            {'error': 'no such path'},
+            status=HTTPStatus.NOT_FOUND,
+        )
+
+    def _visible_revision(self) -> int:
+        stale = self._faults.stale_revision
+        return self._state.revision if stale is None else stale
+
+    def _read(self, query: dict[str, str]) -> bytes:
+        as_of = self._visible_revision()
+        prefix = query.get('prefix', '')
+        if self._faults.late_seconds:
+            gevent.sleep(self._faults.late_seconds)
+        entries = self._state.read(prefix, as_of=as_of)
+        return msgspec.json.encode({'revision': as_of, 'entries': entries})
+
+    def _watch(self, query: dict[str, str]) -> bytes:
+        after = int(query['after']) if 'after' in query else 0
+        wait_seconds = min(float(query.get('wait', 0)), MAX_WAIT_SECONDS)
+        self._waiting += 1
+        try:
+            self._wait_for_change(after, time.monotonic() + wait_seconds)
+        finally:
+            self._waiting -= 1
+        as_of = self._visible_revision()
+        encoded = self._encode_changes(after, as_of)
+        if after < as_of:
+            self._faults.hold_answer(as_of)
+            gevent.spawn_later(0.05, self._faults.release_older, as_of)
+        return encoded
+
+    def _wait_for_change(self, after: int, until: float) -> None:
+        while self._visible_revision() <= after:
+            remaining = until - time.monotonic()
+            if remaining <= 0:
+                return
+            self._changed.wait(remaining)
+
+    def _encode_changes(self, after: int, as_of: int) -> bytes:
+        # A change wakes every watch at once, mostly with the same answer.
+        request = (after, as_of)
+        if self._encoded[0] != request:
+            entries = self._state.changes(after, as_of=as_of)
+            answer = {'revision': as_of, 'entries': entries}
+            self._encoded = (request, msgspec.json.encode(answer))
+        return self._encoded[1]
+
+    def _send(self, kind: str, body: bytes) -> Response:
+        self._counts['bytes_out'] += len(body)
+        self._counts[f'bytes_out_{kind}'] += len(body)
+        return Response(
+            body=body,
+            headers=(('Content-Type', 'application/json'),),
+        )
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    def _put(self, control: Control) -> object:
+        if not control.key or control.value is None:
+            raise ValueError('put needs a key and a value')
+        if len(control.value.encode()) > MAX_VALUE_BYTES:
+            raise ValueError(f'the value of {control.key} exceeds 1 MB')
+        return self._change(control.key, control.value)
+
+    def _delete(self, control: Control) -> object:
+        return self._change(control.key, None)
+
+    def _change(self, key: str, value: str | None) -> object:
+        if key.startswith(INSTANCE_PREFIX):
+            self.put_instance(key, value)
+        else:
+            self.put(key, value)
+        return {'revision': self._state.revision}
+
+    def _set_outage(self, control: Control) -> object:
+        if control.mode not in {'', '503', 'refuse'}:
+            raise ValueError('mode must be empty, 503 or refuse')
+        self._faults.outage = control.mode
+        if control.mode == 'refuse':
+            # The answer to this request leaves before the server stops.
+            gevent.spawn_later(0.01, self._server.stop)
+        else:
+            self._server.start()
+        return {'outage': control.mode}
+
+    def _set_stale(self, control: Control) -> object:
+        self._faults.stale_revision = control.revision
+        self._wake()
+        return {'revision': self._visible_revision()}
+
+    def _set_cross(self, control: Control) -> object:
+        self._faults.cross(control.count)
+        return {'count': control.count}
+
+    def _set_late(self, control: Control) -> object:
+        self._faults.late_seconds = control.seconds
+        return {'seconds': control.seconds}
+
+    def _set_instance_lag(self, control: Control) -> object:
+        self._faults.instance_lag_seconds = control.seconds
+        return {'seconds': control.seconds}
+
+    def _stats(self, _control: Control) -> object:
+        return {
+            **self._counts,
+            'revision': self._state.revision,
+            'waiting': self._waiting,
+            'peak_calls_per_second': self._arrived.peak,
+            'peak_accepted_per_second': self._accepted.peak,
+            'calls_refused': self._counts['calls_refused'],
+            'bytes_out': self._counts['bytes_out'],
+        }
+
+    def _reset_stats(self, _control: Control) -> object:
+        self._counts.clear()
+        self._accepted = CallWindow()
+        self._arrived = CallWindow()
+        return {}
+
+
+def run(
+    *,
+    address: str,
+    tree: Path,
+    instances: Path | None = None,
+    limit: int = DEFAULT_LIMIT,
+    control_address: str = '',
+) -> None:
+    """Serve a tree of settings until SIGTERM.
+
+    :param address: IP:PORT of the protocol, with `/control/` beside it
+    :param tree: directory with teams/NAME.json and platform.json
+    :param instances: JSON file with the platform's list of instances
+    :param limit: calls per second over all readers
+    :param control_address: IP:PORT of `/control/` alone, which stays up
+        during an outage that refuses connections
+    """
+    store = Store(address=address, limit=limit)
+    StoreFiles(tree=tree, instances=instances, store=store).start()
+    servers = [store.server]
+    if control_address:
+        control: Any = store.answer_control
+        servers.append(
+            HttpServer(address=control_address, application=control),
+        )
+    stopped = Event()
+    gevent.signal_handler(signal.SIGTERM, stopped.set)
+    gevent.signal_handler(signal.SIGINT, stopped.set)
+    for server in servers:
+        server.start()
+    sys.stderr.write(f'store at {address}, tree {tree}\n')
+    stopped.wait()
+    for running in servers:
+        running.stop()
+
+
+if __name__ == '__main__':
+    defopt.run(run)
--- /dev/null
+++ b/standins/store_faults.py
@@ -0,0 +1,53 @@
+"""Faults of the stand-in store that tests switch on and off."""
+
+from typing import Final, final
+
+import gevent
+from gevent.event import Event
+
+MAX_HOLD_SECONDS: Final = 10.0
+
+
+@final
+class StoreFaults:
+    """Hold the faults in force and the answers that they hold back."""
+
+    __slots__ = (
+        'outage',
+        'stale_revision',
+        'late_seconds',
+        'instance_lag_seconds',
+        '_answers_to_cross',
+        '_crossed',
+    )
+
+    def __init__(self) -> None:
+        self.outage = ''  # empty, `503` or `refuse`
+        self.stale_revision: int | None = None
+        self.late_seconds = 0.0
+        self.instance_lag_seconds = 0.0
+        self._answers_to_cross = 0
+        self._crossed: list[tuple[int, Event]] = []
+
+    def cross(self, count: int) -> None:
+        """Hold each of the next watch answers behind a later one."""
+        self._answers_to_cross = count
+
+    def hold_answer(self, revision: int) -> None:
+        """Wait until the answer may leave, and release older ones after it."""
+        if self.late_seconds:
+            gevent.sleep(self.late_seconds)
+        if self._answers_to_cross:
+            self._answers_to_cross -= 1
+            released = Event()
+            self._crossed.append((revision, released))
+            released.wait(MAX_HOLD_SECONDS)
+
+    def release_older(self, revision: int) -> None:
+        """Let held answers follow, now that a later one has left."""
+        for held_revision, released in self._crossed:
+            if held_revision < revision:
+                released.set()
+        self._crossed = [
+            held for held in self._crossed if not held[1].is_set()
+        ]
--- /dev/null
+++ b/standins/store_files.py
@@ -0,0 +1,95 @@
+"""Watches the files of a tree of settings for the stand-in store."""
+
+from pathlib import Path
+from typing import Final, Protocol, TypeAlias, final
+
+import gevent
+import msgspec
+
+POLL_SECONDS: Final = 0.2
+Stamp: TypeAlias = tuple[int, int, int]
+
+
+class Receiver(Protocol):
+    """Take changed values."""
+
+    def put(self, key: str, value: str | None) -> int:
+        """Set or delete a key."""
+
+    def put_instance(self, key: str, value: str | None) -> None:
+        """Change the list of instances."""
+
+
+@final
+class StoreFiles:
+    """Copy edits of files into the store."""
+
+    __slots__ = ('_tree', '_instances', '_store', '_stamps', '_listed')
+
+    def __init__(
+        self,
+        *,
+        tree: Path,
+        instances: Path | None,
+        store: Receiver,
+    ) -> None:
+        self._tree = tree
+        self._instances = instances
+        self._store = store
+        self._stamps: dict[Path, Stamp] = {}
+        self._listed: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Read all files now and follow their edits in a greenlet."""
+        self.poll()
+        gevent.spawn(self._follow)
+
+    def poll(self) -> None:
+        """Read the files that have changed since the last poll."""
+        present = self._stamps_now()
+        for path in sorted(self._stamps.keys() - present.keys()):
+            if path != self._instances:
+                self._store.put(self._key(path), None)
+        for changed, stamp in sorted(present.items()):
+            if self._stamps.get(changed) != stamp:
+                self._read(changed)
+        self._stamps = present
+
+    def _follow(self) -> None:
+        while True:
+            gevent.sleep(POLL_SECONDS)
+            self.poll()
+
+    def _stamps_now(self) -> dict[Path, Stamp]:
+        paths = [*self._tree.glob('teams/*.json'), self._tree / 'platform.json']
+        if self._instances is not None:
+            paths.append(self._instances)
+        stamps = {}
+        for path in paths:
+            try:
+                found = path.stat()
+            except FileNotFoundError:
+                continue
+            stamps[path] = (found.st_mtime_ns, found.st_size, found.st_ino)
+        return stamps
+
+    def _key(self, path: Path) -> str:
+        return str(path.relative_to(self._tree).with_suffix(''))
+
+    def _read(self, path: Path) -> None:
+        # The store takes any text; refusing a bad value is the daemons' task.
+        text = path.read_text(encoding='utf-8', errors='replace')
+        if path == self._instances:
+            self._read_instances(text)
+        else:
+            self._store.put(self._key(path), text)
+
+    def _read_instances(self, text: str) -> None:
+        records = msgspec.json.decode(text, type=dict[str, msgspec.Raw])
+        listed = {name: bytes(raw).decode() for name, raw in records.items()}
+        for gone in sorted(self._listed.keys() - listed.keys()):
+            self._store.put_instance(f'instances/{gone}', None)
+        for name, value in sorted(listed.items()):
+            if self._listed.get(name) != value:
+                self._store.put_instance(f'instances/{name}', value)
+        self._listed = listed
--- /dev/null
+++ b/standins/store_state.py
@@ -0,0 +1,99 @@
+"""What the stand-in store holds: versioned entries and their history."""
+
+from collections import deque
+from typing import Final, TypeAlias, final
+
+import msgspec
+
+MAX_VERSIONS_PER_KEY: Final = 100
+WINDOW_SECONDS: Final = 1.0
+Version: TypeAlias = tuple[int, str | None]
+
+
+class StoredEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """Carry one entry as the protocol shows it; a deletion has no value."""
+
+    key: str
+    revision: int
+    value: str | None
+
+
+@final
+class StoreState:
+    """Keep the versions of each key and number the changes."""
+
+    __slots__ = ('_versions', '_revision')
+
+    def __init__(self) -> None:
+        self._revision = 0
+        self._versions: dict[str, deque[Version]] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last change."""
+        return self._revision
+
+    def put(self, key: str, value: str | None) -> int:
+        """Set or delete a key; the same value again makes no revision."""
+        versions = self._versions.setdefault(
+            key,
+            deque(maxlen=MAX_VERSIONS_PER_KEY),
+        )
+        current = versions[-1][1] if versions else None
+        if current != value:
+            self._revision += 1
+            versions.append((self._revision, value))
+        return self._revision
+
+    def read(self, prefix: str, *, as_of: int) -> list[StoredEntry]:
+        """List the entries under a prefix as of a revision."""
+        return [
+            entry
+            for entry in self.changes(0, as_of=as_of)
+            if entry.value is not None and entry.key.startswith(prefix)
+        ]
+
+    def changes(self, after: int, *, as_of: int) -> list[StoredEntry]:
+        """List the last change of each key in (after, as_of], in order."""
+        found = []
+        for key, versions in self._versions.items():
+            last = _last_version(versions, as_of)
+            if last is not None and last[0] > after:
+                found.append(
+                    StoredEntry(key=key, revision=last[0], value=last[1]),
+                )
+        return sorted(found, key=lambda entry: entry.revision)
+
+
+def _last_version(versions: deque[Version], as_of: int) -> Version | None:
+    for version in reversed(versions):
+        if version[0] <= as_of:
+            return version
+    return None
+
+
+@final
+class CallWindow:
+    """Count the calls of the last second exactly."""
+
+    __slots__ = ('_times', '_peak')
+
+    def __init__(self) -> None:
+        self._times: deque[float] = deque()
+        self._peak = 0
+
+    @property
+    def peak(self) -> int:
+        """Return the most calls in any one second so far."""
+        return self._peak
+
+    def count(self, now: float) -> int:
+        """Return the calls in the second before now."""
+        while self._times and self._times[0] <= now - WINDOW_SECONDS:
+            self._times.popleft()
+        return len(self._times)
+
+    def add(self, now: float) -> None:
+        """Record a call."""
+        self._times.append(now)
+        self._peak = max(self._peak, self.count(now))
