--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -64,7 +64,8 @@
             return True
         if self.is_abandoned():
             return False
-        # A pipelined request is readable too; the client is still there.
+        # A pipelined request is readable too; the client is still there, and
+        # the full time again keeps this simple.
         gevent.sleep(seconds)
         return not self.is_abandoned()
 
@@ -112,7 +113,9 @@
 class _Handler(WSGIHandler):  # type: ignore[misc]
     """Give the application its connection."""
 
-    def get_environ(self) -> dict[str, Any]:
+    def get_environ(  # noqa: WPS615, the name is that of the base class
+        self,
+    ) -> dict[str, Any]:
         """Add the connection to the WSGI environment."""
         environ: dict[str, Any] = super().get_environ()
         environ['standins.connection'] = self.socket
@@ -172,7 +175,8 @@
 
     def stop(self, *, grace_seconds: float = 0) -> None:
         """Refuse connections, and cut the open ones after a time."""
-        server, self._server = self._server, None
+        server = self._server
+        self._server = None
         if server is not None:
             server.stop(timeout=grace_seconds)
 
@@ -192,15 +196,16 @@
         response = self._application(request)
         if isinstance(response, Broken):
             _end_connection(request.connection, response)
-        headers = [*response.headers, ('Content-Length', _length(response))]
-        start(f'{response.status} {HTTPStatus(response.status).phrase}', headers)
+            # The server ends a connection without an answer on this error.
+            raise ConnectionResetError(ECONNRESET, 'ended on request')
+        length = str(len(response.body))
+        start(
+            f'{response.status} {HTTPStatus(response.status).phrase}',
+            [*response.headers, ('Content-Length', length)],
+        )
         return [response.body]
 
 
-def _length(response: Response) -> str:
-    return str(len(response.body))
-
-
 def _end_connection(connection: Any, broken: Broken) -> None:
     connection.sendall(broken.sent)
     if broken.is_reset:
@@ -211,5 +216,3 @@
         )
     else:
         connection.shutdown(socket.SHUT_RDWR)
-    # The server ends a connection without an answer on this error.
-    raise ConnectionResetError(ECONNRESET, 'ended on request')
--- a/standins/store.py
+++ b/standins/store.py
@@ -8,10 +8,9 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Callable
 from http import HTTPStatus
 from pathlib import Path
-from typing import Any, Final, final
+from typing import Final, final
 
 import defopt
 import gevent
@@ -25,26 +24,14 @@
     Response,
     json_response,
 )
+from standins.store_control import StoreControl
 from standins.store_faults import StoreFaults
 from standins.store_files import StoreFiles
 from standins.store_state import CallWindow, StoreState
 
 DEFAULT_LIMIT: Final = 2000
-MAX_VALUE_BYTES: Final = 1_000_000
 MAX_WAIT_SECONDS: Final = 60.0
 RETRY_AFTER_SECONDS: Final = 1
-INSTANCE_PREFIX: Final = 'instances/'
-
-
-class Control(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """Hold the body of any request to the control surface."""
-
-    key: str = ''
-    value: str | None = None
-    mode: str = ''
-    revision: int | None = None
-    count: int = 1
-    seconds: float = 0
 
 
 @final
@@ -52,8 +39,8 @@
     """Answer reads and watches under the limit, with faults on request."""
 
     __slots__ = (
+        'faults',
         '_state',
-        '_faults',
         '_limit',
         '_accepted',
         '_arrived',
@@ -62,12 +49,12 @@
         '_waiting',
         '_encoded',
         '_server',
-        '_commands',
+        '_control',
     )
 
     def __init__(self, *, address: str, limit: int = DEFAULT_LIMIT) -> None:
         self._state = StoreState()
-        self._faults = StoreFaults()
+        self.faults = StoreFaults()
         self._limit = limit
         self._accepted = CallWindow()
         self._arrived = CallWindow()
@@ -76,34 +63,53 @@
         self._waiting = 0
         self._encoded: tuple[object, bytes] = (None, b'')
         self._server = HttpServer(address=address, application=self.answer)
-        self._commands: dict[str, Callable[[Control], object]] = {
-            'put': self._put,
-            'delete': self._delete,
-            'outage': self._set_outage,
-            'stale': self._set_stale,
-            'cross': self._set_cross,
-            'late': self._set_late,
-            'instance-lag': self._set_instance_lag,
-            'stats': self._stats,
-            'reset-stats': self._reset_stats,
-        }
+        self._control = StoreControl(store=self)
 
     @property
     def server(self) -> HttpServer:
         """Return the server of the protocol."""
         return self._server
 
+    @property
+    def control(self) -> StoreControl:
+        """Return the control surface."""
+        return self._control
+
     def put(self, key: str, value: str | None) -> int:
         """Set or delete a key and wake the watches; return the revision."""
         before = self._state.revision
         revision = self._state.put(key, value)
         if revision != before:
-            self._wake()
+            self.wake()
         return revision
 
+    def wake(self) -> None:
+        """Let every waiting watch look again."""
+        changed = self._changed
+        self._changed = Event()
+        changed.set()
+
+    def stats(self) -> dict[str, int]:
+        """Return the counts since the last reset."""
+        return {
+            'calls_refused': 0,
+            'bytes_out': 0,
+            **self._counts,
+            'revision': self._state.revision,
+            'waiting': self._waiting,
+            'peak_calls_per_second': self._arrived.peak,
+            'peak_accepted_per_second': self._accepted.peak,
+        }
+
+    def reset_stats(self) -> None:
+        """Count from zero again."""
+        self._counts.clear()
+        self._accepted = CallWindow()
+        self._arrived = CallWindow()
+
     def put_instance(self, key: str, value: str | None) -> None:
         """Change the list of instances after its present lag."""
-        lag_seconds = self._faults.instance_lag_seconds
+        lag_seconds = self.faults.instance_lag_seconds
         if lag_seconds:
             gevent.spawn_later(lag_seconds, self.put, key, value)
         else:
@@ -112,38 +118,24 @@
     def answer(self, request: Request) -> Response | Broken:
         """Answer a request of the protocol."""
         if request.path.startswith('/control/'):
-            return self.answer_control(request)
+            return self._control.answer(request)
         now = time.monotonic()
         kind = request.path.removeprefix('/v1/')
         self._counts[f'calls_{kind}'] += 1
         self._arrived.add(now)
-        if self._faults.outage:
-            self._counts['calls_in_outage'] += 1
-            return json_response(
-                {'error': 'outage'},
-                status=HTTPStatus.SERVICE_UNAVAILABLE,
-            )
+        if self.faults.outage:
+            return self._fail()
         if self._accepted.count(now) >= self._limit:
             return self._refuse()
         self._accepted.add(now)
         return self._answer_call(kind, request.query)
 
-    def answer_control(self, request: Request) -> Response:
-        """Answer a request of the control surface."""
-        command = self._commands.get(request.path.removeprefix('/control/'))
-        if command is None:
-            return json_response(
-                {'error': 'unknown command', 'known': sorted(self._commands)},
-                status=HTTPStatus.NOT_FOUND,
-            )
-        try:
-            control = msgspec.json.decode(request.body() or b'{}', type=Control)
-            return json_response(command(control))
-        except (msgspec.MsgspecError, ValueError) as error:
-            return json_response(
-                {'error': str(error)},
-                status=HTTPStatus.BAD_REQUEST,
-            )
+    def _fail(self) -> Response:
+        self._counts['calls_in_outage'] += 1
+        return json_response(
+            {'error': 'outage'},
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+        )
 
     def _refuse(self) -> Response:
         self._counts['calls_refused'] += 1
@@ -169,14 +161,14 @@
         )
 
     def _visible_revision(self) -> int:
-        stale = self._faults.stale_revision
+        stale = self.faults.stale_revision
         return self._state.revision if stale is None else stale
 
     def _read(self, query: dict[str, str]) -> bytes:
         as_of = self._visible_revision()
         prefix = query.get('prefix', '')
-        if self._faults.late_seconds:
-            gevent.sleep(self._faults.late_seconds)
+        if self.faults.late_seconds:
+            gevent.sleep(self.faults.late_seconds)
         entries = self._state.read(prefix, as_of=as_of)
         return msgspec.json.encode({'revision': as_of, 'entries': entries})
 
@@ -191,14 +183,14 @@
         as_of = self._visible_revision()
         encoded = self._encode_changes(after, as_of)
         if after < as_of:
-            self._faults.hold_answer(as_of)
-            gevent.spawn_later(0.05, self._faults.release_older, as_of)
+            self.faults.hold_answer(as_of)
+            gevent.spawn_later(0.05, self.faults.release_older, as_of)
         return encoded
 
     def _wait_for_change(self, after: int, until: float) -> None:
         while self._visible_revision() <= after:
             remaining = until - time.monotonic()
-            if remaining <= 0:
+            if remaining <= 0 or self.faults.outage:
                 return
             self._changed.wait(remaining)
 
@@ -212,6 +204,8 @@
         return self._encoded[1]
 
     def _send(self, kind: str, body: bytes) -> Response:
+        if self.faults.outage:
+            return self._fail()
         self._counts['bytes_out'] += len(body)
         self._counts[f'bytes_out_{kind}'] += len(body)
         return Response(
@@ -219,72 +213,6 @@
             headers=(('Content-Type', 'application/json'),),
         )
 
-    def _wake(self) -> None:
-        changed, self._changed = self._changed, Event()
-        changed.set()
-
-    def _put(self, control: Control) -> object:
-        if not control.key or control.value is None:
-            raise ValueError('put needs a key and a value')
-        if len(control.value.encode()) > MAX_VALUE_BYTES:
-            raise ValueError(f'the value of {control.key} exceeds 1 MB')
-        return self._change(control.key, control.value)
-
-    def _delete(self, control: Control) -> object:
-        return self._change(control.key, None)
-
-    def _change(self, key: str, value: str | None) -> object:
-        if key.startswith(INSTANCE_PREFIX):
-            self.put_instance(key, value)
-        else:
-            self.put(key, value)
-        return {'revision': self._state.revision}
-
-    def _set_outage(self, control: Control) -> object:
-        if control.mode not in {'', '503', 'refuse'}:
-            raise ValueError('mode must be empty, 503 or refuse')
-        self._faults.outage = control.mode
-        if control.mode == 'refuse':
-            # The answer to this request leaves before the server stops.
-            gevent.spawn_later(0.01, self._server.stop)
-        else:
-            self._server.start()
-        return {'outage': control.mode}
-
-    def _set_stale(self, control: Control) -> object:
-        self._faults.stale_revision = control.revision
-        self._wake()
-        return {'revision': self._visible_revision()}
-
-    def _set_cross(self, control: Control) -> object:
-        self._faults.cross(control.count)
-        return {'count': control.count}
-
-    def _set_late(self, control: Control) -> object:
-        self._faults.late_seconds = control.seconds
-        return {'seconds': control.seconds}
-
-    def _set_instance_lag(self, control: Control) -> object:
-        self._faults.instance_lag_seconds = control.seconds
-        return {'seconds': control.seconds}
-
-    def _stats(self, _control: Control) -> object:
-        return {
-            **self._counts,
-            'revision': self._state.revision,
-            'waiting': self._waiting,
-            'peak_calls_per_second': self._arrived.peak,
-            'peak_accepted_per_second': self._accepted.peak,
-            'calls_refused': self._counts['calls_refused'],
-            'bytes_out': self._counts['bytes_out'],
-        }
-
-    def _reset_stats(self, _control: Control) -> object:
-        self._counts.clear()
-        self._accepted = CallWindow()
-        self._arrived = CallWindow()
-        return {}
-
 
 def run(
     *,
@@ -307,7 +235,7 @@
     StoreFiles(tree=tree, instances=instances, store=store).start()
     servers = [store.server]
     if control_address:
-        control: Any = store.answer_control
+        control = store.control.answer
         servers.append(
             HttpServer(address=control_address, application=control),
         )
--- a/standins/store_faults.py
+++ b/standins/store_faults.py
@@ -24,8 +24,8 @@
     def __init__(self) -> None:
         self.outage = ''  # empty, `503` or `refuse`
         self.stale_revision: int | None = None
-        self.late_seconds = 0.0
-        self.instance_lag_seconds = 0.0
+        self.late_seconds: float = 0
+        self.instance_lag_seconds: float = 0
         self._answers_to_cross = 0
         self._crossed: list[tuple[int, Event]] = []
 
@@ -48,6 +48,4 @@
         for held_revision, released in self._crossed:
             if held_revision < revision:
                 released.set()
-        self._crossed = [
-            held for held in self._crossed if not held[1].is_set()
-        ]
+        self._crossed = [held for held in self._crossed if not held[1].is_set()]
