--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -166,6 +166,10 @@
         host, port = self._address
         return f'{host}:{port}'
 
+    def use(self, application: Application) -> None:
+        """Serve another application, such as one around the first."""
+        self._application = application
+
     def start(self) -> None:
         """Begin to accept connections; raise OSError if the port is taken."""
         if self._server is None:
--- /dev/null
+++ b/standins/upstream_control.py
@@ -0,0 +1,143 @@
+"""Probe and control surface of a stand-in upstream."""
+
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final, TypeAlias, final
+
+import gevent
+import msgspec
+
+from standins.http_server import Request, Response, json_response
+from standins.upstream_faults import Fault, Health
+from standins.upstream_server import Reply, Upstream
+
+# The answer to the request that stops the server leaves before it does.
+STOP_DELAY_SECONDS: Final = 0.01
+Command: TypeAlias = Callable[[bytes], object]
+
+
+@final
+class Switch(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Hold the body of the simple commands."""
+
+    on: bool = True
+    new_identity: bool = False
+    seconds: float = 1
+
+
+@final
+class UpstreamControl:
+    """Answer probes, change an upstream on request and pass on the rest."""
+
+    __slots__ = ('_upstream', '_commands')
+
+    def __init__(self, *, upstream: Upstream) -> None:
+        self._upstream = upstream
+        self._commands: dict[str, Command] = {
+            'stats': self._stats,
+            'runs': self._runs,
+            'reset-stats': self._reset_stats,
+            'cold': self._go_cold,
+            'drain': self._drain,
+            'down': self._go_down,
+            'health': self._set_health,
+            'fault': self._add_fault,
+            'clear-faults': self._clear_faults,
+        }
+
+    def answer(self, request: Request) -> Reply:
+        """Answer any request to the upstream's address."""
+        if request.path == '/healthz':
+            return self._report()
+        if request.path.startswith('/control/'):
+            return self._control(request)
+        return self._upstream.answer(request)
+
+    def _report(self) -> Response:
+        upstream = self._upstream
+        health = upstream.faults.health
+        if health.delay_seconds:
+            gevent.sleep(health.delay_seconds)
+        load = upstream.load
+        if health.lag_seconds:
+            load = upstream.stats.load_before(health.lag_seconds)
+        status = 'draining' if upstream.is_draining else 'ok'
+        return json_response(
+            {
+                'status': health.status or status,
+                'identity': health.identity or upstream.identity,
+                'load': load if health.load is None else health.load,
+            },
+        )
+
+    def _control(self, request: Request) -> Response:
+        command = self._commands.get(request.path.removeprefix('/control/'))
+        if command is None:
+            return json_response(
+                {'error': 'unknown command', 'known': sorted(self._commands)},
+                status=HTTPStatus.NOT_FOUND,
+            )
+        try:
+            return json_response(command(request.body() or b'{}'))
+        except (msgspec.MsgspecError, ValueError) as error:
+            return json_response(
+                {'error': str(error)},
+                status=HTTPStatus.BAD_REQUEST,
+            )
+
+    def _stats(self, _body: bytes) -> object:
+        upstream = self._upstream
+        return {
+            **upstream.stats.summary(),
+            'identity': upstream.identity,
+            'connections': upstream.server.connections,
+            'is_draining': upstream.is_draining,
+            'warm_share': upstream.warmth.share(time.monotonic()),
+        }
+
+    def _runs(self, _body: bytes) -> object:
+        return self._upstream.stats.runs
+
+    def _reset_stats(self, _body: bytes) -> object:
+        self._upstream.stats.restart_peaks()
+        return {}
+
+    def _go_cold(self, body: bytes) -> object:
+        switch = msgspec.json.decode(body, type=Switch)
+        self._upstream.warmth.restart(time.monotonic())
+        self._upstream.stats.restart_peaks()
+        if switch.new_identity:
+            self._upstream.renew_identity()
+        return {'identity': self._upstream.identity}
+
+    def _drain(self, body: bytes) -> object:
+        switch = msgspec.json.decode(body, type=Switch)
+        self._upstream.is_draining = switch.on
+        return {'is_draining': switch.on}
+
+    def _go_down(self, body: bytes) -> object:
+        switch = msgspec.json.decode(body, type=Switch)
+        server = self._upstream.server
+        gevent.spawn_later(STOP_DELAY_SECONDS, server.stop)
+        gevent.spawn_later(STOP_DELAY_SECONDS + switch.seconds, self._come_up)
+        return {'seconds': switch.seconds}
+
+    def _come_up(self) -> None:
+        self._upstream.warmth.restart(time.monotonic())
+        self._upstream.stats.restart_peaks()
+        self._upstream.renew_identity()
+        self._upstream.server.start()
+
+    def _set_health(self, body: bytes) -> object:
+        self._upstream.faults.health = msgspec.json.decode(body, type=Health)
+        return self._upstream.faults.health
+
+    def _add_fault(self, body: bytes) -> object:
+        fault = msgspec.json.decode(body, type=Fault)
+        self._upstream.faults.add(fault)
+        return fault
+
+    def _clear_faults(self, _body: bytes) -> object:
+        self._upstream.faults.clear()
+        return {}
--- /dev/null
+++ b/standins/upstream_faults.py
@@ -0,0 +1,65 @@
+"""Faults and misleading reports of a stand-in upstream."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class Health(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Override parts of the health report; None reports the truth."""
+
+    load: float | None = None
+    status: str | None = None
+    identity: str | None = None
+    lag_seconds: float = 0
+    delay_seconds: float = 0
+
+
+@final
+class Fault(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Describe what goes wrong with the next requests under a path.
+
+    Kinds: `cut` and `reset` end the connection after the request has run,
+    `cut-before` does so before it runs, `late` answers after some seconds,
+    `truncate` sends half of the answer, `error` answers 500.
+    """
+
+    kind: str = ''
+    count: int = 1
+    seconds: float = 0
+    path: str = ''
+
+
+KINDS = frozenset(('cut', 'reset', 'cut-before', 'late', 'truncate', 'error'))
+
+
+@final
+class UpstreamFaults:
+    """Hold the faults that are still to happen."""
+
+    __slots__ = ('health', '_pending')
+
+    def __init__(self) -> None:
+        self.health = Health()
+        self._pending: list[Fault] = []
+
+    def add(self, fault: Fault) -> None:
+        """Let a fault happen; raise ValueError if its kind is unknown."""
+        if fault.kind not in KINDS:
+            raise ValueError(f'fault {fault.kind!r} is not in {sorted(KINDS)}')
+        self._pending.append(fault)
+
+    def clear(self) -> None:
+        """Forget the faults that have not happened."""
+        self._pending.clear()
+
+    def take(self, path: str) -> Fault:
+        """Return the next fault for a path; its kind is empty if none."""
+        for fault in self._pending:
+            if path.startswith(fault.path):
+                fault.count -= 1
+                if fault.count <= 0:
+                    self._pending.remove(fault)
+                return fault
+        return Fault()
--- /dev/null
+++ b/standins/upstream_server.py
@@ -0,0 +1,235 @@
+"""One stand-in upstream: slots, queue, cold start, drain and faults."""
+
+import hashlib
+import math
+import time
+import uuid
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final, TypeAlias, final
+
+import gevent
+import msgspec
+from gevent.lock import BoundedSemaphore
+
+from standins.cold_start import ColdStart, Warmth
+from standins.http_server import (
+    Broken,
+    HttpServer,
+    Request,
+    Response,
+    json_response,
+)
+from standins.upstream_faults import Fault, UpstreamFaults
+from standins.upstream_stats import UpstreamStats
+
+MS_PER_SECOND: Final = 1000.0
+WARM_COLD_START: Final = ColdStart()
+Reply: TypeAlias = Response | Broken
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamOptions:
+    """Hold what all upstreams of a process have in common."""
+
+    slots: int = 20
+    connections: int = 130
+    service_ms: float = 2
+    collapses_by_reset: bool = False
+    cold_start: ColdStart = WARM_COLD_START
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Job:
+    """Hold a request that has been read as a whole."""
+
+    request: Request
+    body: bytes
+    request_id: str
+    until: float  # monotonic seconds
+    fault: Fault
+
+
+@final
+class Upstream:
+    """Serve requests at one address."""
+
+    __slots__ = (
+        'faults',
+        'stats',
+        'identity',
+        'is_draining',
+        'warmth',
+        '_name',
+        '_options',
+        '_slots',
+        '_server',
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        options: UpstreamOptions,
+    ) -> None:
+        self.faults = UpstreamFaults()
+        self.stats = UpstreamStats()
+        self.is_draining = False
+        self.warmth = Warmth(
+            cold_start=options.cold_start,
+            slots=options.slots,
+            now=time.monotonic(),
+        )
+        self._name = name
+        self._options = options
+        self._slots = BoundedSemaphore(options.slots)
+        self._server = HttpServer(address=address, application=self.answer)
+        self.renew_identity()
+
+    @property
+    def server(self) -> HttpServer:
+        """Return the server of this upstream."""
+        return self._server
+
+    @property
+    def load(self) -> float:
+        """Return the share of the slots that requests take or wait for."""
+        return min(1, self.stats.in_system / self._options.slots)
+
+    def renew_identity(self) -> None:
+        """Report another identity, as a restarted upstream does."""
+        self.identity = f'{self._name}.{uuid.uuid4().hex[:8]}'
+
+    def answer(self, request: Request) -> Reply:
+        """Answer a request that is neither a probe nor for control."""
+        if self._server.connections > self._options.connections:
+            return self._refuse('shed', HTTPStatus.SERVICE_UNAVAILABLE)
+        if self.is_draining:
+            return self._refuse('refused', HTTPStatus.SERVICE_UNAVAILABLE)
+        try:
+            body = request.body()
+        except OSError:
+            self.stats.counts['uploads_broken'] += 1
+            return Broken()
+        return self._enter(
+            Job(
+                request=request,
+                body=body,
+                request_id=request.header('X-Request-Id'),
+                until=_deadline(request),
+                fault=self.faults.take(request.path),
+            ),
+        )
+
+    def _refuse(self, kind: str, status: int) -> Response:
+        self.stats.counts[kind] += 1
+        return json_response(
+            {'error': kind, 'identity': self.identity},
+            status=status,
+        )
+
+    def _enter(self, job: Job) -> Reply:
+        now = time.monotonic()
+        self.stats.enter(is_cold=self.warmth.share(now) < 1)
+        try:
+            return self._queue(job, now)
+        finally:
+            self.stats.in_system -= 1
+
+    def _queue(self, job: Job, now: float) -> Reply:
+        if self.stats.in_system > self.warmth.safe_requests(now):
+            return self._collapse()
+        if job.fault.kind == 'cut-before':
+            return Broken()
+        remaining = None if math.isinf(job.until) else job.until - now
+        if not self._slots.acquire(timeout=remaining):
+            return self._refuse('expired', HTTPStatus.GATEWAY_TIMEOUT)
+        self.stats.in_service += 1
+        try:
+            return self._work(job)
+        finally:
+            self.stats.in_service -= 1
+            self._slots.release()
+
+    def _collapse(self) -> Reply:
+        if self._options.collapses_by_reset:
+            self.stats.counts['collapsed'] += 1
+            return Broken(is_reset=True)
+        return self._refuse('collapsed', HTTPStatus.INTERNAL_SERVER_ERROR)
+
+    def _work(self, job: Job) -> Reply:
+        if job.request.is_abandoned():
+            self.stats.counts['cancelled_in_queue'] += 1
+            return Broken()
+        now = time.monotonic()
+        self.stats.run(job.request_id, time.time())
+        service_seconds = self._service_seconds(job.request, now)
+        if not job.request.wait(min(service_seconds, job.until - now)):
+            self.stats.counts['cancelled'] += 1
+            return Broken()
+        if now + service_seconds > job.until:
+            return self._refuse('expired', HTTPStatus.GATEWAY_TIMEOUT)
+        return self._complete(job)
+
+    def _service_seconds(self, request: Request, now: float) -> float:
+        wanted = request.header('X-Service-Ms') or request.query.get(
+            'service_ms'
+        )
+        service_ms = float(wanted) if wanted else self._options.service_ms
+        return service_ms * self.warmth.factor(now) / MS_PER_SECOND
+
+    def _complete(self, job: Job) -> Reply:
+        self.warmth.record_answer()
+        self.stats.counts['answered'] += 1
+        if job.body:
+            self.stats.counts['uploads_completed'] += 1
+        kind = job.fault.kind
+        if kind in {'cut', 'reset'}:
+            return Broken(is_reset=kind == 'reset')
+        if kind == 'error':
+            return self._refuse('errors', HTTPStatus.INTERNAL_SERVER_ERROR)
+        if kind == 'late':
+            gevent.sleep(job.fault.seconds)
+        response = self._echo(job)
+        return _truncate(response) if kind == 'truncate' else response
+
+    def _echo(self, job: Job) -> Response:
+        request = job.request
+        answer = {
+            'identity': self.identity,
+            'method': request.method,
+            'path': request.path,
+            'bytes': len(job.body),
+            'sha256': hashlib.sha256(job.body).hexdigest(),
+            'request_id': job.request_id,
+        }
+        wanted = request.header('X-Answer-Bytes') or request.query.get(
+            'answer_bytes',
+            '0',
+        )
+        body = msgspec.json.encode(answer)
+        return Response(
+            # JSON allows white space after the value.
+            body=body.ljust(int(wanted)),
+            headers=(
+                ('Content-Type', 'application/json'),
+                ('X-Request-Id', job.request_id),
+                ('X-Upstream-Identity', self.identity),
+            ),
+        )
+
+
+def _deadline(request: Request) -> float:
+    header = request.header('Briartack-Deadline-Ms')
+    if not header:
+        return float('inf')
+    return time.monotonic() + float(header) / MS_PER_SECOND
+
+
+def _truncate(response: Response) -> Broken:
+    length = len(response.body)
+    head = f'HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n'
+    return Broken(sent=head.encode() + response.body[: length // 2])
--- /dev/null
+++ b/standins/upstream_stats.py
@@ -0,0 +1,83 @@
+"""Figures that a stand-in upstream keeps, to show what really ran."""
+
+from collections import Counter, deque
+from typing import Final, final
+
+SAMPLES: Final = 600
+SAMPLE_SECONDS: Final = 0.1
+
+
+@final
+class UpstreamStats:
+    """Count runs by request id, concurrency and broken transfers."""
+
+    __slots__ = (
+        'counts',
+        'runs',
+        'in_system',
+        'in_service',
+        'peak_concurrency',
+        'peak_cold_concurrency',
+        'last_run_at',
+        '_loads',
+    )
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.runs: Counter[str] = Counter()
+        self.in_system = 0
+        self.in_service = 0
+        self.peak_concurrency = 0
+        self.peak_cold_concurrency = 0
+        self.last_run_at: float = 0  # wall-clock seconds
+        self._loads: deque[float] = deque(maxlen=SAMPLES)
+
+    def enter(self, *, is_cold: bool) -> None:
+        """Record a request that has been read."""
+        self.in_system += 1
+        self.peak_concurrency = max(self.peak_concurrency, self.in_system)
+        if is_cold:
+            self.peak_cold_concurrency = max(
+                self.peak_cold_concurrency,
+                self.in_system,
+            )
+
+    def run(self, request_id: str, wall_time: float) -> None:
+        """Record that the work on a request begins."""
+        self.counts['runs'] += 1
+        self.runs[request_id] += 1
+        self.last_run_at = wall_time
+
+    def sample(self, load: float) -> None:
+        """Keep the load for reports that lag."""
+        self._loads.append(load)
+
+    def load_before(self, seconds: float) -> float:
+        """Return the load of some seconds ago, at most a minute."""
+        position = int(seconds / SAMPLE_SECONDS) + 1
+        if not self._loads:
+            return 0
+        return self._loads[-min(position, len(self._loads))]
+
+    def restart_peaks(self) -> None:
+        """Measure concurrency from now."""
+        self.peak_concurrency = self.in_system
+        self.peak_cold_concurrency = 0
+
+    def summary(self) -> dict[str, object]:
+        """Return all figures but the runs of single requests."""
+        doubled = {name: runs for name, runs in self.runs.items() if runs > 1}
+        doubled.pop('', None)
+        return {
+            **self.counts,
+            'runs': self.counts['runs'],
+            'doubled': doubled,
+            'in_system': self.in_system,
+            'in_service': self.in_service,
+            'peak_concurrency': self.peak_concurrency,
+            'peak_cold_concurrency': self.peak_cold_concurrency,
+            'last_run_at': self.last_run_at,
+            'uploads_completed': self.counts['uploads_completed'],
+            'uploads_broken': self.counts['uploads_broken'],
+            'collapsed': self.counts['collapsed'],
+        }
