Look for an abandoned request without waiting for the client

A gevent socket's recv() waits even with MSG_DONTWAIT, so every request to the upstream stand-in hung until its client closed the connection.

--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -4,6 +4,7 @@
 latter ends the connection in the middle, which WSGI itself has no word for.
 """
 
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -46,11 +47,12 @@
 
     def is_abandoned(self) -> bool:
         """Tell whether the client has closed its side."""
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        try:
-            return not self.connection.recv(1, flags)
-        except BlockingIOError:
+        # A gevent socket waits in recv() even with MSG_DONTWAIT.
+        readable, _, _ = select.select([self.connection.fileno()], [], [], 0)
+        if not readable:
             return False
+        try:
+            return not self.connection.recv(1, socket.MSG_PEEK)
         except OSError:
             return True
 
