--- /dev/null
+++ b/briartack/caller_connection.py
@@ -0,0 +1,398 @@
+"""One caller's connection: pywsgi reads requests, calls are answered here."""
+
+import os
+import select
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final, Protocol, final
+from urllib.parse import parse_qs
+
+import gevent
+import gevent.socket
+from gevent.hub import Waiter, get_hub
+from gevent.pywsgi import Input, WSGIHandler
+
+from briartack.caller_answers import answer_of, refusal
+from briartack.caller_headers import (
+    RequestError,
+    RequestHeaders,
+    check_request_line,
+)
+from briartack.core.effects import AnswerCall
+from briartack.core.messages import MAX_BODY_BYTES, Headers
+from briartack.error_texts import MALFORMED_REQUEST, TOO_LARGE
+from briartack.headers import ATTEMPT, IDEMPOTENCY_KEY, TENANT, end_to_end
+from briartack.ports import Observer
+
+_KEYS_PATH: Final = '/.briartack/keys'
+_READ_BYTES: Final = 65536
+_READABLE: Final = 1
+# A caller that sends nothing for this long loses its connection.
+_IDLE_SECONDS: Final = 75.0
+_LINGER_SECONDS: Final = 1.0
+_BAD_REQUEST: Final = 400
+_TOO_LARGE: Final = 413
+
+
+@final
+class _AnsweredError(OSError):
+    """Interrupt the reading of a body that nothing needs any more."""
+
+
+class _Calls(Protocol):
+    @property
+    def observer(self) -> Observer:
+        """Return what counts malformed requests."""
+
+    def arrive(self, call: 'InboundCall') -> None:
+        """Report a call whose head has been read."""
+
+    def body_read(self, call: 'InboundCall', body: bytes) -> None:
+        """Report that the body of a call is whole."""
+
+    def cancel(self, call: 'InboundCall') -> None:
+        """Report that the caller went away."""
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestHead:
+    """Hold what the head of a request says."""
+
+    method: str
+    target: str
+    headers: Headers
+    tenant: str
+    idempotency_key: str
+    deadline_ms: float | None
+    is_nested: bool
+    body_bytes: int | None
+    key_service: str  # not empty when the caller asks for a key
+
+
+@final
+class InboundCall:
+    """Hold one call from its head to its answer."""
+
+    __slots__ = (
+        'call_id',
+        'arrived',
+        'head',
+        'is_answered',
+        'unsent',
+        '_descriptor',
+        '_connection',
+        '_wants_body',
+        '_waiter',
+        'is_body_read',
+        'reader',
+    )
+
+    def __init__(
+        self,
+        *,
+        head: RequestHead,
+        descriptor: int,
+        connection: str,
+    ) -> None:
+        """Start unanswered; `connection` is the Connection header to send."""
+        self.call_id = ''
+        self.arrived = 0.0
+        self.head = head
+        self.is_answered = False
+        self.unsent: bytes | memoryview = b''
+        self.is_body_read = head.body_bytes == 0
+        self.reader: gevent.Greenlet | None = None
+        self._descriptor = descriptor
+        self._connection = connection
+        self._wants_body = False
+        self._waiter: Waiter | None = None
+
+    @property
+    def must_read_body(self) -> bool:
+        """Tell whether the core waits for the body."""
+        return self._wants_body and not self.is_body_read
+
+    def want_body(self) -> None:
+        """Let the connection read the body next."""
+        self._wants_body = True
+        self.wake()
+
+    def answer(self, effect: AnswerCall, body: bytes) -> None:
+        """Write the answer without waiting for the connection's greenlet."""
+        connection = self._connection if self.is_body_read else 'close'
+        whole = answer_of(
+            effect,
+            body=body,
+            method=self.head.method,
+            connection=connection,
+        )
+        self.is_answered = True
+        self.unsent = _write_now(self._descriptor, whole)
+        if self.reader is not None:
+            gevent.kill(self.reader, _AnsweredError(), block=False)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the waiting greenlet of the connection go on."""
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None:
+            get_hub().loop.run_callback(waiter.switch, None)
+
+    def wait(self) -> None:
+        """Wait until the core decides something or the caller stirs."""
+        waiter = Waiter()
+        self._waiter = waiter
+        try:
+            waiter.get()
+        finally:
+            self._waiter = None
+
+
+def _write_now(descriptor: int, whole: bytes) -> bytes | memoryview:
+    # The descriptor is non-blocking, as those of all gevent sockets are.
+    try:
+        written = os.write(descriptor, whole)
+    except BlockingIOError:
+        return whole
+    except OSError:
+        # The connection's greenlet meets the same error and ends.
+        return whole
+    return b'' if written == len(whole) else memoryview(whole)[written:]
+
+
+class CallerHandler(WSGIHandler):  # type: ignore[misc]
+    """Read requests with pywsgi and hand them over as calls."""
+
+    MessageClass = RequestHeaders
+
+    def __init__(self, sock: Any, address: Any, server: Any) -> None:
+        """Set the socket up for small writes and for watching."""
+        sock.setsockopt(
+            gevent.socket.IPPROTO_TCP,
+            gevent.socket.TCP_NODELAY,
+            1,
+        )
+        sock.settimeout(_IDLE_SECONDS)
+        super().__init__(sock, address, server)
+        self._calls: _Calls = server.application.callers
+        self._watcher = get_hub().loop.io(sock.fileno(), _READABLE)
+        self._is_gone = False
+
+    def handle(self) -> None:
+        """Serve the connection until one side closes it."""
+        try:
+            super().handle()
+        finally:
+            self._watcher.stop()
+            self._watcher.close()
+
+    def get_environ(self) -> dict[str, object]:
+        """Prepare the body's stream; there is no WSGI application."""
+        expects = self.headers.get('expect', '').lower() == '100-continue'
+        self.wsgi_input = Input(
+            self.rfile,
+            self.content_length,
+            socket=self.socket if expects else None,
+            chunked_input=self._is_chunked,
+        )
+        return {}
+
+    def log_error(self, msg: str, *args: object) -> None:
+        """Count a malformed request; its text goes to the caller only."""
+        self._calls.observer.count('calls.malformed')
+
+    def handle_one_response(self) -> None:
+        """Carry one call from its head to its answer."""
+        try:
+            head = self._head()
+        except RequestError as error:
+            self._refuse(_BAD_REQUEST, MALFORMED_REQUEST, str(error))
+            return
+        if head.body_bytes is not None and head.body_bytes > MAX_BODY_BYTES:
+            self._refuse(_TOO_LARGE, TOO_LARGE, '')
+            return
+        call = InboundCall(
+            head=head,
+            descriptor=self.socket.fileno(),
+            connection=self._connection_header(),
+        )
+        self._calls.arrive(call)
+        self._carry(call)
+
+    @property
+    def _is_chunked(self) -> bool:
+        return self.headers.get('transfer-encoding') is not None
+
+    def _carry(self, call: InboundCall) -> None:
+        while not call.is_answered:
+            if call.must_read_body:
+                if not self._read_body(call):
+                    return
+                continue
+            self._wait(call)
+            if self._is_gone and not call.is_answered:
+                self.close_connection = True
+                self._calls.cancel(call)
+                return
+        self._finish(call)
+
+    def _wait(self, call: InboundCall) -> None:
+        self._watcher.start(self._stirred, call)
+        try:
+            call.wait()
+        finally:
+            self._watcher.stop()
+
+    def _stirred(self, call: InboundCall) -> None:
+        # Runs in the hub, so it must not block.
+        self._watcher.stop()
+        if _is_closed(self.socket.fileno()):
+            self._is_gone = True
+            call.wake()
+        # Otherwise a body or the next request is waiting in the socket.
+
+    def _read_body(self, call: InboundCall) -> bool:
+        call.reader = gevent.getcurrent()
+        try:
+            body = self._whole_body(call)
+        except (OSError, ValueError) as error:
+            # pywsgi reports malformed chunks as OSError too.
+            self._broken_body(call, error)
+            return False
+        finally:
+            call.reader = None
+        if body is None:
+            self._calls.cancel(call)
+            self._refuse(_TOO_LARGE, TOO_LARGE, '')
+            return False
+        if not call.is_answered:
+            call.is_body_read = True
+            self._calls.body_read(call, body)
+        return True
+
+    def _whole_body(self, call: InboundCall) -> bytes | None:
+        parts: list[bytes] = []
+        received = 0
+        while not call.is_answered:
+            part = self.wsgi_input.read(_READ_BYTES)
+            if not part:
+                break
+            received += len(part)
+            if received > MAX_BODY_BYTES:
+                return None
+            parts.append(part)
+            if received == call.head.body_bytes:
+                break
+        return b''.join(parts)
+
+    def _broken_body(self, call: InboundCall, error: Exception) -> None:
+        self.close_connection = True
+        if call.is_answered:
+            self._finish(call)
+            return
+        self._calls.cancel(call)
+        self._calls.observer.count('calls.malformed')
+        self._refuse(
+            _BAD_REQUEST,
+            MALFORMED_REQUEST,
+            f'The body is cut off or malformed: {error}',
+        )
+
+    def _finish(self, call: InboundCall) -> None:
+        if call.unsent:
+            self._send(call.unsent)
+        if not call.is_body_read:
+            self.close_connection = True
+            self._linger()
+
+    def _refuse(self, status: int, code: str, detail: str) -> None:
+        self.close_connection = True
+        self._send(
+            refusal(
+                status=status,
+                code=code,
+                detail=detail,
+                method=self.command,
+            ),
+        )
+        self._linger()
+
+    def _send(self, whole: bytes | memoryview) -> None:
+        try:
+            self.socket.sendall(whole)
+        except OSError:
+            self.close_connection = True
+
+    def _linger(self) -> None:
+        # Closing with unread bytes would reset the connection and could
+        # destroy the answer before the caller reads it.
+        with gevent.Timeout(_LINGER_SECONDS, exception=False):
+            _ignore_os_error(
+                lambda: self.socket.shutdown(gevent.socket.SHUT_WR),
+            )
+            _ignore_os_error(self._discard)
+
+    def _discard(self) -> None:
+        left = MAX_BODY_BYTES
+        while left > 0:
+            received = self.socket.recv(_READ_BYTES)
+            if not received:
+                return
+            left -= len(received)
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        self._calls.observer.count('calls.malformed')
+        return '400', refusal(
+            status=_BAD_REQUEST,
+            code=MALFORMED_REQUEST,
+            detail=str(ex),
+            method='',
+        )
+
+    def _connection_header(self) -> str:
+        if self.close_connection:
+            return 'close'
+        return 'keep-alive' if self.request_version == 'HTTP/1.0' else ''
+
+    def _head(self) -> RequestHead:
+        check_request_line(self.command, self.path)
+        headers: RequestHeaders = self.headers
+        return RequestHead(
+            method=self.command,
+            target=self.path,
+            headers=end_to_end(headers.pairs),
+            tenant=headers.get(TENANT) or '',
+            idempotency_key=headers.get(IDEMPOTENCY_KEY) or '',
+            deadline_ms=headers.deadline_ms(),
+            is_nested=headers.get(ATTEMPT) is not None,
+            body_bytes=None if self._is_chunked else self.content_length or 0,
+            key_service=_key_service(self.command, self.path),
+        )
+
+
+def _key_service(method: str, target: str) -> str:
+    path, _, query = target.partition('?')
+    if path != _KEYS_PATH:
+        return ''
+    services = parse_qs(query).get('service', [])
+    if method != 'POST' or len(services) != 1:
+        raise RequestError(
+            f'Ask for a key with POST {_KEYS_PATH}?service=SERVICE.',
+        )
+    return services[0]
+
+
+def _is_closed(descriptor: int) -> bool:
+    # A caller that closes only its sending side counts as gone, as with
+    # other proxies.
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def _ignore_os_error(action: Callable[[], None]) -> None:
+    try:
+        action()
+    except OSError:
+        return
--- /dev/null
+++ b/briartack/caller_headers.py
@@ -0,0 +1,143 @@
+"""Strict and fast parsing of the head of a caller's request.
+
+pywsgi parses headers with the `email` package, which takes longer than all
+other work on a call. It also accepts lengths that other servers read
+differently, which request smuggling builds on.
+"""
+
+import math
+import re
+from typing import BinaryIO, Final, final
+
+from briartack.core.messages import Headers
+from briartack.headers import CONTENT_LENGTH, DEADLINE
+
+_MAX_LINE_BYTES: Final = 16384
+_MAX_HEAD_BYTES: Final = 65536
+_MAX_HEADERS: Final = 128
+_TOKEN: Final = re.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_CONTROL: Final = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
+_TARGET: Final = re.compile('/[\x21-\x7e\x80-\xff]*')
+_MAX_LENGTH_DIGITS: Final = 15
+
+
+@final
+class RequestError(ValueError):
+    """Report a malformed request with a text for the caller."""
+
+
+@final
+class RequestHeaders:
+    """Hold the headers of one request; pywsgi reads some through `get`."""
+
+    __slots__ = ('status', '_pairs', '_first')
+
+    def __init__(self, stream: BinaryIO, seekable: int = 0) -> None:
+        """Read up to the empty line.
+
+        Raises RequestError.
+        """
+        self.status = ''  # pywsgi refuses the request if this is set
+        self._pairs = _read_pairs(stream)
+        self._first: dict[str, str] = {}
+        for name, text in self._pairs:
+            lower = name.lower()
+            if lower == CONTENT_LENGTH and lower in self._first:
+                raise RequestError('Content-Length is given more than once.')
+            self._first.setdefault(lower, text)
+        self._check_framing()
+
+    def __delitem__(self, name: str) -> None:
+        """Remove a header as pywsgi does, given in lower case."""
+        del self._first[name]
+
+    @property
+    def pairs(self) -> Headers:
+        """Return all headers in order."""
+        return self._pairs
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Return the first value of a header."""
+        return self._first.get(name.lower(), default)
+
+    def deadline_ms(self) -> float | None:
+        """Return the remaining time of the call.
+
+        Raises RequestError.
+        """
+        text = self._first.get(DEADLINE)
+        if text is None:
+            return None
+        try:
+            remaining = float(text)
+        except ValueError:
+            remaining = math.nan
+        if not 0 <= remaining < math.inf:
+            raise RequestError(
+                f'Briartack-Deadline-Ms is {text[:32]!r}; '
+                'give the remaining milliseconds as a number.',
+            )
+        return remaining
+
+    def _check_framing(self) -> None:
+        length = self._first.get(CONTENT_LENGTH)
+        coding = self._first.get('transfer-encoding')
+        if length is not None and not _is_length(length):
+            raise RequestError(
+                f'Content-Length is {length[:32]!r}; give a decimal number.',
+            )
+        if coding is None:
+            return
+        if length is not None:
+            raise RequestError(
+                'Content-Length and Transfer-Encoding are both given; '
+                'send only one of them.',
+            )
+        if coding.lower() != 'chunked':
+            raise RequestError(
+                f'Transfer-Encoding is {coding[:32]!r}; use only chunked.',
+            )
+
+
+def check_request_line(method: str, target: str) -> None:
+    """Check what pywsgi splits without looking at it.
+
+    Raises RequestError.
+    """
+    if _TOKEN.fullmatch(method) is None:
+        raise RequestError(f'The method {method[:32]!r} is not a token.')
+    if _TARGET.fullmatch(target) is None or target.startswith('//'):
+        raise RequestError(
+            'The target must be a path that begins with one slash.',
+        )
+
+
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_LENGTH_DIGITS
+
+
+def _read_pairs(stream: BinaryIO) -> Headers:
+    pairs: list[tuple[str, str]] = []
+    total = 0
+    while True:
+        line = stream.readline(_MAX_LINE_BYTES + 1)
+        if line in {b'\r\n', b'\n'}:
+            return tuple(pairs)
+        total += len(line)
+        if len(line) > _MAX_LINE_BYTES or total > _MAX_HEAD_BYTES:
+            raise RequestError('The headers are larger than 64 KiB.')
+        if len(pairs) == _MAX_HEADERS:
+            raise RequestError(f'There are more than {_MAX_HEADERS} headers.')
+        pairs.append(_split(line))
+
+
+def _split(line: bytes) -> tuple[str, str]:
+    if not line.endswith(b'\n'):
+        raise RequestError('The request ends within its headers.')
+    name, separator, text = line.decode('latin-1').partition(':')
+    if not separator or _TOKEN.fullmatch(name) is None:
+        raise RequestError(f'The header line {name[:32]!r} has no valid name.')
+    text = text.strip(' \t\r\n')
+    if _CONTROL.search(text) is not None:
+        raise RequestError(f'The header {name!r} has a control character.')
+    return name, text
--- /dev/null
+++ b/briartack/callers.py
@@ -0,0 +1,155 @@
+"""HTTP from callers: calls in flight and the effects that concern them."""
+
+import itertools
+from typing import Final, final
+
+from gevent.pywsgi import WSGIServer
+
+from briartack.addresses import Address
+from briartack.bodies import Bodies
+from briartack.caller_connection import CallerHandler, InboundCall
+from briartack.core.effects import AnswerCall, ReadBody
+from briartack.core.events import (
+    CallArrived,
+    CallBodyRead,
+    CallCancelled,
+    KeyRequested,
+)
+from briartack.core.units import BodyId, CallId
+from briartack.framing import digest_of
+from briartack.ports import BACKLOG, Clock, Deliver, Observer
+
+
+@final
+class Callers:
+    """Turn requests of callers into events and answer them."""
+
+    __slots__ = (
+        '_bodies',
+        '_deliver',
+        '_clock',
+        '_observer',
+        '_calls',
+        '_numbers',
+    )
+
+    def __init__(
+        self,
+        *,
+        bodies: Bodies,
+        deliver: Deliver,
+        clock: Clock,
+        observer: Observer,
+    ) -> None:
+        """Start without calls."""
+        self._bodies = bodies
+        self._deliver = deliver
+        self._clock = clock
+        self._observer = observer
+        self._calls: dict[str, InboundCall] = {}
+        self._numbers = itertools.count(1)
+
+    @property
+    def in_flight(self) -> int:
+        """Count the calls that have no answer yet."""
+        return len(self._calls)
+
+    @property
+    def observer(self) -> Observer:
+        """Return what counts malformed requests."""
+        return self._observer
+
+    def server(self, address: Address) -> WSGIServer:
+        """Make the server for callers; it does not listen yet."""
+        return WSGIServer(
+            address,
+            _CallerEntry(callers=self),
+            backlog=BACKLOG,
+            log=None,
+            error_log=None,
+            handler_class=CallerHandler,
+            # Without these, pywsgi asks the resolver for the host name.
+            environ={'SERVER_NAME': address[0], 'SERVER_PORT': address[1]},
+        )
+
+    def arrive(self, call: InboundCall) -> None:
+        """Report a call whose head has been read."""
+        call_id = CallId(f'c{next(self._numbers)}')
+        call.call_id = call_id
+        call.arrived = self._clock()
+        self._calls[call_id] = call
+        head = call.head
+        if head.key_service:
+            self._deliver(
+                KeyRequested(
+                    now=call.arrived,
+                    call_id=call_id,
+                    service=head.key_service,
+                ),
+            )
+            return
+        self._deliver(
+            CallArrived(
+                now=call.arrived,
+                call_id=call_id,
+                method=head.method,
+                target=head.target,
+                headers=head.headers,
+                tenant=head.tenant,
+                idempotency_key=head.idempotency_key,
+                deadline_ms=head.deadline_ms,
+                is_nested=head.is_nested,
+                body_bytes=head.body_bytes,
+            ),
+        )
+
+    def body_read(self, call: InboundCall, body: bytes) -> None:
+        """Report that the body of a call is whole."""
+        self._bodies.put_request(call.call_id, body)
+        self._deliver(
+            CallBodyRead(
+                now=self._clock(),
+                call_id=CallId(call.call_id),
+                body_bytes=len(body),
+                body_digest=digest_of(body),
+            ),
+        )
+
+    def cancel(self, call: InboundCall) -> None:
+        """Report that the caller went away or broke off its body."""
+        if self._calls.pop(call.call_id, None) is None:
+            return
+        self._observer.count('calls.cancelled')
+        self._deliver(
+            CallCancelled(now=self._clock(), call_id=CallId(call.call_id)),
+        )
+
+    def read_body(self, effect: ReadBody) -> None:
+        """Let the connection of a call read its body."""
+        call = self._calls.get(effect.call_id)
+        if call is None:
+            return
+        if call.head.body_bytes == 0:
+            # The event is queued behind the one that is being applied.
+            self.body_read(call, b'')
+        else:
+            call.want_body()
+
+    def answer(self, effect: AnswerCall) -> None:
+        """Answer a caller at once, from whatever greenlet runs this."""
+        call = self._calls.pop(effect.call_id, None)
+        if call is None:
+            return
+        call.answer(effect, self._bodies.answer(effect.body_id))
+        self._bodies.drop(BodyId(effect.call_id))
+        self._observer.observe('call.seconds', self._clock() - call.arrived)
+
+
+@final
+class _CallerEntry:
+    """Give the handler of a connection access to the calls."""
+
+    __slots__ = ('callers',)
+
+    def __init__(self, *, callers: Callers) -> None:
+        self.callers: Final = callers
--- /dev/null
+++ b/briartack/daemon.py
@@ -0,0 +1,231 @@
+"""The parts of a daemon, wired together."""
+
+import time
+from typing import Final, Generic, TypeVar, final
+
+import gevent
+from gevent.baseserver import BaseServer
+from gevent.event import AsyncResult
+
+from briartack.bodies import Bodies
+from briartack.callers import Callers
+from briartack.core import effects
+from briartack.core.events import Started, StopRequested
+from briartack.core.identity import Identity
+from briartack.error_texts import LISTENING, STOPPED
+from briartack.event_loop import EventLoop, Handlers, Reduce
+from briartack.logs import AuditTrail, write_log
+from briartack.metrics import Metrics
+from briartack.operator_port import Describe, OperatorPort
+from briartack.options import Options
+from briartack.peers import Peers
+from briartack.recorder import Recorder
+from briartack.store_client import StoreClient
+from briartack.upstream import Upstream
+
+StateT = TypeVar('StateT')
+
+_FLUSH_SECONDS: Final = 1.0
+# Streams get this long to write what is queued when the daemon exits.
+_EXIT_SECONDS: Final = 1.0
+_EXIT_STEP_SECONDS: Final = 0.01
+
+
+class ShellObserver:
+    """Send counts to the metrics and lines to the log."""
+
+    __slots__ = ('_metrics',)
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Count in `metrics`."""
+        self._metrics = metrics
+
+    def count(self, name: str, **attributes: str) -> None:
+        """Add one to a counter."""
+        self._metrics.add(name, 1, tuple(attributes.items()))
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram."""
+        self._metrics.observe(name, seconds)
+
+    def log(self, level: effects.LogLevel, code: str, **fields: str) -> None:
+        """Write one log line."""
+        write_log(level, code, fields)
+
+
+@final
+class Daemon(Generic[StateT]):
+    """Run one daemon until its reducer asks to exit."""
+
+    __slots__ = (
+        '_options',
+        '_identity',
+        '_metrics',
+        '_audit',
+        '_loop',
+        '_bodies',
+        '_callers',
+        '_peers',
+        '_store',
+        '_upstream',
+        '_operator_port',
+        '_servers',
+        '_background',
+        '_exit_code',
+    )
+
+    def __init__(
+        self,
+        *,
+        options: Options,
+        identity: Identity,
+        state: StateT,
+        reduce: Reduce[StateT],
+        describe: Describe[StateT],
+        audit: AuditTrail,
+        recorder: Recorder | None = None,
+    ) -> None:
+        """Make all parts; nothing listens or dials yet."""
+        clock = time.monotonic
+        self._options = options
+        self._identity = identity
+        self._audit = audit
+        self._metrics = Metrics()
+        observer = ShellObserver(self._metrics)
+        self._loop: EventLoop[StateT] = EventLoop(
+            state=state,
+            reduce=reduce,
+            clock=clock,
+            recorder=recorder,
+        )
+        self._bodies = Bodies()
+        self._callers = Callers(
+            bodies=self._bodies,
+            deliver=self._loop.deliver,
+            clock=clock,
+            observer=observer,
+        )
+        self._peers = Peers(
+            identity=identity,
+            bodies=self._bodies,
+            deliver=self._loop.deliver,
+            clock=clock,
+            observer=observer,
+        )
+        self._store = StoreClient(
+            address=options.store_address,
+            deliver=self._loop.deliver,
+            clock=clock,
+            observer=observer,
+        )
+        self._upstream = Upstream(
+            address=options.upstream_address,
+            bodies=self._bodies,
+            deliver=self._loop.deliver,
+            clock=clock,
+            observer=observer,
+        )
+        self._operator_port = OperatorPort(
+            describe=lambda: describe(self._loop.state),
+            metrics=self._metrics,
+        )
+        self._servers: list[BaseServer] = []
+        self._background: list[gevent.Greenlet] = []
+        self._exit_code: AsyncResult[int] = AsyncResult()
+        self._loop.connect(
+            self._handlers(),
+            after_event=self._peers.flush,
+        )
+
+    def start(self) -> None:
+        """Listen on all addresses and begin.
+
+        Raises OSError.
+        """
+        options = self._options
+        self._servers = [
+            self._operator_port.server(options.operator_address),
+            self._peers.server(options.peer_address),
+            self._callers.server(options.caller_address),
+        ]
+        for server in self._servers:
+            server.start()
+        write_log(effects.LogLevel.INFO, LISTENING, options.as_fields())
+        self._loop.deliver(
+            Started(
+                now=time.monotonic(),
+                incarnation=self._identity.incarnation,
+            ),
+        )
+        self._background = [
+            gevent.spawn(self._loop.tick_forever),
+            gevent.spawn(self._upstream.probe_forever),
+            gevent.spawn(self._flush_metrics),
+        ]
+
+    def request_stop(self) -> None:
+        """Ask the reducer for a planned stop."""
+        self._loop.deliver(StopRequested(now=time.monotonic()))
+
+    def wait(self) -> int:
+        """Wait for the end and return the exit code."""
+        code: int = self._exit_code.get()
+        self.stop()
+        return code
+
+    def stop(self) -> None:
+        """Close all servers and streams after what is queued."""
+        self._peers.end_all()
+        with gevent.Timeout(_EXIT_SECONDS, exception=False):
+            while self._peers.queued_bytes:
+                gevent.sleep(_EXIT_STEP_SECONDS)
+        for server in self._servers:
+            server.stop(timeout=0)
+        gevent.killall(self._background)
+        self._loop.close()
+        write_log(effects.LogLevel.INFO, STOPPED, {})
+
+    def _flush_metrics(self) -> None:
+        while True:
+            self._metrics.flush()
+            gevent.sleep(_FLUSH_SECONDS)
+
+    def _handlers(self) -> Handlers:
+        return {
+            effects.ReadStore: self._store.read,
+            effects.WatchStore: self._store.watch,
+            effects.CancelWatch: self._store.cancel_watch,
+            effects.Connect: self._peers.connect,
+            effects.Disconnect: self._peers.disconnect,
+            effects.SendMessage: self._peers.send_message,
+            effects.SendAttempt: self._peers.send_attempt,
+            effects.SendAnswer: self._peers.send_answer,
+            effects.ReadBody: self._callers.read_body,
+            effects.AnswerCall: self._callers.answer,
+            effects.Dispatch: self._upstream.dispatch,
+            effects.AbortDispatch: self._upstream.abort,
+            effects.DropBody: self._drop_body,
+            effects.WakeAt: self._wake_at,
+            effects.WriteAudit: self._write_audit,
+            effects.WriteLog: self._write_log,
+            effects.Count: self._count,
+            effects.Exit: self._exit,
+        }
+
+    def _drop_body(self, effect: effects.DropBody) -> None:
+        self._bodies.drop(effect.body_id)
+
+    def _wake_at(self, effect: effects.WakeAt) -> None:
+        self._loop.wake_at(effect.at)
+
+    def _write_audit(self, effect: effects.WriteAudit) -> None:
+        self._audit.write(effect.record)
+
+    def _write_log(self, effect: effects.WriteLog) -> None:
+        write_log(effect.level, effect.code, dict(effect.fields))
+
+    def _count(self, effect: effects.Count) -> None:
+        self._metrics.add(effect.name, effect.amount, effect.attributes)
+
+    def _exit(self, effect: effects.Exit) -> None:
+        self._exit_code.set(effect.code)
--- /dev/null
+++ b/briartack/headers.py
@@ -0,0 +1,47 @@
+"""Which HTTP headers a proxy passes on, and which it sets itself."""
+
+from typing import Final
+
+from briartack.core.messages import Headers
+
+DEADLINE: Final = 'briartack-deadline-ms'
+ATTEMPT: Final = 'briartack-attempt'
+VERDICT: Final = 'briartack-verdict'
+TENANT: Final = 'x-tenant'
+IDEMPOTENCY_KEY: Final = 'idempotency-key'
+CONTENT_LENGTH: Final = 'content-length'
+
+_HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        CONTENT_LENGTH,
+    ),
+)
+_SET_BY_DAEMONS: Final = frozenset((DEADLINE, ATTEMPT, VERDICT))
+_DROPPED: Final = _HOP_BY_HOP | _SET_BY_DAEMONS
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that travel on, without those of one connection."""
+    dropped = _DROPPED
+    for name, text in headers:
+        if name.lower() == 'connection':
+            dropped |= {token.strip().lower() for token in text.split(',')}
+    return tuple(pair for pair in headers if pair[0].lower() not in dropped)
+
+
+def first_value(headers: Headers, name: str) -> str | None:
+    """Return the first value of a header, given in lower case."""
+    for candidate, text in headers:
+        if candidate.lower() == name:
+            return text
+    return None
--- /dev/null
+++ b/briartack/http_exchange.py
@@ -0,0 +1,224 @@
+"""One HTTP request and its answer over a pooled connection.
+
+The pool and the parser are those of geventhttpclient. Its `HTTPClient` is not
+used, because it repeats idempotent requests by itself: a repeat here would
+escape the retry budget, and a read of the store would count twice.
+"""
+
+import errno
+import select
+from typing import Any, Final, TypeAlias, final
+
+import gevent.socket
+from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import HTTPParseError, HTTPResponse
+
+from briartack.addresses import Address
+from briartack.core.messages import Headers
+
+_SocketAddress: TypeAlias = tuple[str, int] | tuple[str, int, int, int]
+
+_RECEIVE_BYTES: Final = 65536
+_CONNECT_SECONDS: Final = 2.0
+_IDLE_SECONDS: Final = 4000.0
+_FIRST_FINAL_STATUS: Final = 200
+_RESET_ERRORS: Final = frozenset(
+    (errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE),
+)
+
+
+class ExchangeError(Exception):
+    """Report an exchange without a whole answer."""
+
+    def __init__(
+        self,
+        reason: str,
+        *,
+        may_have_run: bool,
+        is_reset: bool = False,
+    ) -> None:
+        """Keep whether the request may have been read at the other side."""
+        super().__init__(reason)
+        self.may_have_run = may_have_run
+        self.is_reset = is_reset
+
+
+@final
+class HttpAnswer(HTTPResponse):
+    """Collect one answer up to a size."""
+
+    def __init__(self, *, method: str, max_body_bytes: int) -> None:
+        """Start before the status line."""
+        super().__init__(method=method)
+        self._parts: list[bytes] = []
+        self._received = 0
+        self._max_body_bytes = max_body_bytes
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the final answer is complete."""
+        return self.message_complete and self.get_code() >= _FIRST_FINAL_STATUS
+
+    @property
+    def is_oversize(self) -> bool:
+        """Tell whether the body is larger than allowed."""
+        return self._received > self._max_body_bytes
+
+    @property
+    def body(self) -> bytes:
+        """Return what was received of the body."""
+        return b''.join(self._parts)
+
+    @property
+    def header_pairs(self) -> Headers:
+        """Return the headers in the order of arrival."""
+        return tuple(self.items())
+
+    def _on_body(self, buf: bytearray) -> None:
+        self._received += len(buf)
+        if not self.is_oversize:
+            self._parts.append(bytes(buf))
+
+
+@final
+class Connections(ConnectionPool):
+    """Keep connections to one address alive, with TCP_NODELAY."""
+
+    def __init__(self, address: Address, *, size: int) -> None:
+        """Allow `size` connections at once."""
+        super().__init__(
+            *address,
+            *address,
+            size=size,
+            connection_timeout=_CONNECT_SECONDS,
+            # Deadlines are kept by the callers of `exchange`; this one only
+            # has to be longer than the longest.
+            network_timeout=_IDLE_SECONDS,
+        )
+
+    def after_connect(self, sock: gevent.socket.socket) -> None:
+        """Send small writes at once."""
+        sock.setsockopt(
+            gevent.socket.IPPROTO_TCP,
+            gevent.socket.TCP_NODELAY,
+            1,
+        )
+
+    def _is_socket_alive(self, sock: gevent.socket.socket | None) -> bool:
+        # An idle connection that is readable was closed by the other side.
+        # `select` as in the base class refuses descriptors above 1023.
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def _resolve(self) -> list[tuple[Any, Any, int, str, _SocketAddress]]:
+        # Every address is an IP address; a resolver would only cost time.
+        host, port = self._connection_host, self._connection_port
+        family = (
+            gevent.socket.AF_INET6 if ':' in host else gevent.socket.AF_INET
+        )
+        return [(family, gevent.socket.SOCK_STREAM, 0, '', (host, port))]
+
+
+def exchange(
+    pool: Connections,
+    *,
+    method: str,
+    request: bytes,
+    max_body_bytes: int,
+) -> HttpAnswer:
+    """Send a whole request and receive the whole answer.
+
+    Raises ExchangeError.
+    """
+    try:
+        sock = pool.get_socket()
+    except OSError as error:
+        raise ExchangeError(
+            _describe('connect', error),
+            may_have_run=False,
+            is_reset=error.errno in _RESET_ERRORS,
+        ) from None
+    answer = HttpAnswer(method=method, max_body_bytes=max_body_bytes)
+    is_reusable = False
+    try:  # noqa: WPS501 (the socket goes back on every path, kill included)
+        _send(sock, request)
+        _receive(sock, answer)
+        is_reusable = not answer.should_close()
+    finally:
+        _give_back(pool, sock, is_reusable=is_reusable)
+    return answer
+
+
+def _give_back(
+    pool: Connections,
+    sock: gevent.socket.socket,
+    *,
+    is_reusable: bool,
+) -> None:
+    if is_reusable:
+        pool.return_socket(sock)
+    else:
+        pool.release_socket(sock)
+
+
+def _send(sock: gevent.socket.socket, request: bytes) -> None:
+    try:
+        sent = sock.send(request)
+    except OSError as error:
+        # The first write failed as a whole, so no byte went out.
+        raise ExchangeError(
+            _describe('write', error),
+            may_have_run=False,
+            is_reset=error.errno in _RESET_ERRORS,
+        ) from None
+    if sent == len(request):
+        return
+    try:
+        sock.sendall(memoryview(request)[sent:])
+    except OSError as error:
+        raise ExchangeError(
+            _describe('write', error),
+            may_have_run=True,
+            is_reset=error.errno in _RESET_ERRORS,
+        ) from None
+
+
+def _receive(sock: gevent.socket.socket, answer: HttpAnswer) -> None:
+    while not answer.is_whole:
+        try:
+            received = sock.recv(_RECEIVE_BYTES)
+        except OSError as error:
+            raise ExchangeError(
+                _describe('read', error),
+                may_have_run=True,
+                is_reset=error.errno in _RESET_ERRORS,
+            ) from None
+        _feed(answer, received)
+
+
+def _feed(answer: HttpAnswer, received: bytes) -> None:
+    try:
+        answer.feed(received)
+    except HTTPParseError as error:
+        reason = f'malformed answer: {error}' if received else 'answer cut off'
+        raise ExchangeError(
+            reason,
+            may_have_run=True,
+            is_reset=not received,
+        ) from None
+    if answer.is_oversize:
+        raise ExchangeError('answer is too large', may_have_run=True)
+    if not received and not answer.is_whole:
+        raise ExchangeError(
+            'answer cut off',
+            may_have_run=True,
+            is_reset=True,
+        )
+
+
+def _describe(step: str, error: OSError) -> str:
+    name = errno.errorcode.get(error.errno or 0, type(error).__name__)
+    return f'{step} failed: {name}'
--- /dev/null
+++ b/briartack/main.py
@@ -0,0 +1,121 @@
+"""The entry point of briartackd."""
+
+import gc
+import os
+import secrets
+import signal
+import sys
+from random import Random
+from typing import Final
+
+import gevent
+
+from briartack.core.effects import LogLevel
+from briartack.core.identity import Identity
+from briartack.core.reducer import reduce
+from briartack.core.state import State
+from briartack.core.status import describe
+from briartack.core.units import Incarnation, InstanceId
+from briartack.daemon import Daemon
+from briartack.error_texts import BAD_OPTION, CANNOT_LISTEN, error_text
+from briartack.logs import AuditTrail, set_up_logs, write_log
+from briartack.options import Options, read_options
+from briartack.recorder import Recorder, TraceHeader
+
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+_INCARNATION_BYTES: Final = 8
+_SEED_BITS: Final = 63
+# A collection of the youngest generation at every 700 allocations, as is the
+# default, would fall into most calls.
+_GC_THRESHOLDS: Final = (20_000, 20, 50)
+
+
+def main() -> None:
+    """Run a daemon until it stops."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: list[str]) -> int:
+    """Run a daemon and return its exit code."""
+    try:
+        options = read_options(arguments, os.environ)
+    except ExceptionGroup as group:
+        _print_errors(group)
+        return EXIT_USAGE
+    identity = Identity(
+        instance=InstanceId(options.instance_id),
+        incarnation=Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
+        service=options.service,
+        data_centre=options.data_centre,
+        region=options.region,
+    )
+    set_up_logs(level=options.log_level, identity=identity, stream=sys.stderr)
+    try:
+        return _serve(options, identity)
+    except OSError as error:
+        write_log(LogLevel.ERROR, CANNOT_LISTEN, {'error': str(error)})
+        return EXIT_FAILED
+
+
+def _serve(options: Options, identity: Identity) -> int:
+    seed = secrets.randbits(_SEED_BITS)
+    daemon = Daemon(
+        options=options,
+        identity=identity,
+        state=State(
+            identity=identity,
+            random=Random(seed),
+            drain_seconds=options.drain_seconds,
+        ),
+        reduce=reduce,
+        describe=describe,
+        audit=AuditTrail(sys.stdout),
+        recorder=_recorder(options, identity, seed),
+    )
+    signals = _Signals(daemon)
+    gevent.signal_handler(signal.SIGTERM, signals.handle)
+    gevent.signal_handler(signal.SIGINT, signals.handle)
+    # What was imported and made so far lives as long as the process.
+    gc.freeze()
+    gc.set_threshold(*_GC_THRESHOLDS)
+    daemon.start()
+    return daemon.wait()
+
+
+class _Signals:
+    """Stop in good order at the first signal and at once at the second."""
+
+    __slots__ = ('_daemon', '_is_stopping')
+
+    def __init__(self, daemon: Daemon[State]) -> None:
+        self._daemon = daemon
+        self._is_stopping = False
+
+    def handle(self) -> None:
+        if self._is_stopping:
+            os._exit(EXIT_FAILED)
+        self._is_stopping = True
+        self._daemon.request_stop()
+
+
+def _recorder(
+    options: Options,
+    identity: Identity,
+    seed: int,
+) -> Recorder | None:
+    if options.record is None:
+        return None
+    header = TraceHeader(
+        identity=identity,
+        seed=seed,
+        drain_seconds=options.drain_seconds,
+    )
+    return Recorder(trace=options.record.open('wb'), header=header)
+
+
+def _print_errors(group: ExceptionGroup[Exception]) -> None:
+    known = error_text(BAD_OPTION)
+    sys.stderr.write(f'briartackd: {known.text} {known.fix}\n')
+    for error in group.exceptions:
+        sys.stderr.write(f'  {error}\n')
--- /dev/null
+++ b/briartack/recorder.py
@@ -0,0 +1,150 @@
+"""The event trace: each event of a daemon as one JSON line.
+
+`briartack replay` feeds a trace to the reducer, so the first line holds what
+else the reducer needs: the identity, the seed and the drain time.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import BinaryIO, Final, TypeVar, final
+
+import msgspec
+
+from briartack.core import events
+from briartack.core.identity import Identity
+
+_EVENT_CLASSES: Final[dict[str, type[events.Event]]] = {
+    event_class.__name__: event_class
+    for event_class in (
+        events.Started,
+        events.Tick,
+        events.StoreRead,
+        events.StoreWatched,
+        events.StoreFailed,
+        events.PeerConnected,
+        events.PeerDisconnected,
+        events.PeerMessageReceived,
+        events.AttemptBodyRead,
+        events.CallArrived,
+        events.CallBodyRead,
+        events.CallCancelled,
+        events.KeyRequested,
+        events.UpstreamAnswered,
+        events.UpstreamFailed,
+        events.UpstreamProbed,
+        events.StopRequested,
+    )
+}
+_HEADER_TYPE: Final = 'TraceHeader'
+_Record = TypeVar('_Record')
+
+
+@final
+class TraceError(Exception):
+    """Report a line of a trace that cannot be read, with its place."""
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TraceHeader:
+    """Hold what the reducer needs besides the events."""
+
+    identity: Identity
+    seed: int
+    drain_seconds: float
+
+
+class _Line(msgspec.Struct, frozen=True):
+    type: str
+    data: msgspec.Raw
+
+
+@final
+class Recorder:
+    """Write events to a file."""
+
+    __slots__ = ('_file', '_encoder')
+
+    def __init__(self, *, trace: BinaryIO, header: TraceHeader) -> None:
+        """Begin the trace with its header.
+
+        Raises OSError.
+        """
+        self._file = trace
+        self._encoder = msgspec.json.Encoder()
+        self._write(_HEADER_TYPE, header)
+
+    def write(self, event: events.Event) -> None:
+        """Append one event.
+
+        Raises OSError.
+        """
+        self._write(type(event).__name__, event)
+
+    def close(self) -> None:
+        """Write out what is buffered."""
+        self._file.close()
+
+    def flush(self) -> None:
+        """Write out what is buffered, so that little is lost with a kill."""
+        self._file.flush()
+
+    def _write(self, type_name: str, record: object) -> None:
+        encoded = self._encoder.encode(record)
+        self._file.write(
+            b'{"type":"%b","data":%b}\n'
+            % (
+                type_name.encode(),
+                encoded,
+            )
+        )
+
+
+def read_header(path: Path) -> TraceHeader:
+    """Read the first line of a trace.
+
+    Raises TraceError and OSError.
+    """
+    with path.open('rb') as trace:
+        line = _decode_line(path, 1, trace.readline())
+    if line.type != _HEADER_TYPE:
+        raise TraceError(f'{path}:1: the trace does not begin with a header')
+    return _decode_data(path, 1, line, TraceHeader)
+
+
+def read(path: Path) -> Iterator[events.Event]:
+    """Yield the events of a trace in order.
+
+    Raises TraceError and OSError.
+    """
+    with path.open('rb') as trace:
+        for number, text in enumerate(trace, start=1):
+            line = _decode_line(path, number, text)
+            if line.type == _HEADER_TYPE:
+                continue
+            event_class = _EVENT_CLASSES.get(line.type)
+            if event_class is None:
+                raise TraceError(
+                    f'{path}:{number}: unknown event {line.type!r}',
+                )
+            yield _decode_data(path, number, line, event_class)
+
+
+def _decode_line(path: Path, number: int, text: bytes) -> _Line:
+    try:
+        return msgspec.json.decode(text, type=_Line)
+    except msgspec.MsgspecError as error:
+        raise TraceError(f'{path}:{number}: {error}') from None
+
+
+def _decode_data(
+    path: Path,
+    number: int,
+    line: _Line,
+    record_class: type[_Record],
+) -> _Record:
+    try:
+        return msgspec.json.decode(line.data, type=record_class)
+    except msgspec.MsgspecError as error:
+        raise TraceError(f'{path}:{number}: {line.type}: {error}') from None
--- /dev/null
+++ b/briartack/upstream.py
@@ -0,0 +1,234 @@
+"""HTTP to the local upstream: requests of attempts, and probes."""
+
+from typing import Final, TypeAlias, final
+
+import gevent
+import msgspec
+from gevent.greenlet import Greenlet
+
+from briartack.addresses import Address
+from briartack.bodies import Bodies
+from briartack.core.effects import AbortDispatch, Dispatch
+from briartack.core.events import (
+    UpstreamAnswered,
+    UpstreamFailed,
+    UpstreamProbed,
+)
+from briartack.core.messages import MAX_BODY_BYTES, Headers
+from briartack.framing import digest_of
+from briartack.headers import CONTENT_LENGTH, end_to_end, first_value
+from briartack.http_exchange import (
+    Connections,
+    ExchangeError,
+    HttpAnswer,
+    exchange,
+)
+from briartack.ports import Clock, Deliver, Observer
+
+# Admission bounds what runs at once; this bound only stops a runaway.
+_MAX_CONNECTIONS: Final = 4096
+_PROBE_INTERVAL_SECONDS: Final = 1.0
+_PROBE_TIMEOUT_SECONDS: Final = 1.0
+_MAX_PROBE_BYTES: Final = 65536
+_STATUS_OK: Final = 200
+_MILLISECONDS: Final = 1000
+_CRLF: Final = b'\r\n'
+_METHODS_WITH_BODY: Final = frozenset(('POST', 'PUT', 'PATCH'))
+
+_Running: TypeAlias = dict[str, Greenlet]
+
+
+class _ProbeAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Decode the health endpoint; every field may be missing."""
+
+    status: str = 'ok'
+    identity: str = ''
+    load: float | None = None
+
+
+@final
+class Upstream:
+    """Run attempts at the local upstream and watch its health."""
+
+    __slots__ = (
+        '_pool',
+        '_probe_pool',
+        '_host_header',
+        '_bodies',
+        '_deliver',
+        '_clock',
+        '_observer',
+        '_running',
+    )
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        bodies: Bodies,
+        deliver: Deliver,
+        clock: Clock,
+        observer: Observer,
+    ) -> None:
+        """Prepare a pool of connections; nothing is dialled yet."""
+        self._pool = Connections(address, size=_MAX_CONNECTIONS)
+        self._probe_pool = Connections(address, size=1)
+        host, port = address
+        self._host_header = (
+            f'[{host}]:{port}' if ':' in host else (f'{host}:{port}')
+        )
+        self._bodies = bodies
+        self._deliver = deliver
+        self._clock = clock
+        self._observer = observer
+        self._running: _Running = {}
+
+    def dispatch(self, effect: Dispatch) -> None:
+        """Start an attempt."""
+        attempt_id = effect.attempt_id
+        self._running[attempt_id] = gevent.spawn(self._run, effect)
+
+    def abort(self, effect: AbortDispatch) -> None:
+        """Close the connection of an attempt; no event follows."""
+        greenlet = self._running.pop(effect.attempt_id, None)
+        if greenlet is not None:
+            greenlet.kill(block=False)
+
+    def probe_forever(self) -> None:
+        """Probe the upstream each second until killed."""
+        while True:
+            self._deliver(self._probe())
+            gevent.sleep(_PROBE_INTERVAL_SECONDS)
+
+    def _run(self, effect: Dispatch) -> None:
+        started = self._clock()
+        event = self._outcome(effect, started)
+        # An aborted attempt must not report an outcome any more.
+        if self._running.pop(effect.attempt_id, None) is not None:
+            self._deliver(event)
+
+    def _outcome(
+        self,
+        effect: Dispatch,
+        started: float,
+    ) -> UpstreamAnswered | UpstreamFailed:
+        request = self._request(effect)
+        timeout = gevent.Timeout.start_new(effect.timeout_seconds)
+        try:
+            answer = exchange(
+                self._pool,
+                method=effect.method,
+                request=request,
+                max_body_bytes=MAX_BODY_BYTES,
+            )
+        except ExchangeError as error:
+            return self._failed(effect, error)
+        except gevent.Timeout as expired:
+            if expired is not timeout:
+                raise
+            return self._failed(
+                effect,
+                ExchangeError('timeout', may_have_run=True),
+            )
+        finally:
+            timeout.close()
+        return self._answered(effect, answer, started)
+
+    def _answered(
+        self,
+        effect: Dispatch,
+        answer: HttpAnswer,
+        started: float,
+    ) -> UpstreamAnswered:
+        now = self._clock()
+        self._observer.observe('upstream.seconds', now - started)
+        body = answer.body
+        self._bodies.put_answer(effect.attempt_id, body)
+        return UpstreamAnswered(
+            now=now,
+            attempt_id=effect.attempt_id,
+            status=answer.get_code(),
+            headers=_answer_headers(effect.method, answer.header_pairs),
+            body_bytes=len(body),
+            body_digest=digest_of(body),
+            elapsed_seconds=now - started,
+        )
+
+    def _failed(
+        self,
+        effect: Dispatch,
+        error: ExchangeError,
+    ) -> UpstreamFailed:
+        reason = str(error)
+        self._observer.count('upstream.failures', reason=reason)
+        return UpstreamFailed(
+            now=self._clock(),
+            attempt_id=effect.attempt_id,
+            may_have_run=error.may_have_run,
+            is_reset=error.is_reset,
+            reason=reason,
+        )
+
+    def _request(self, effect: Dispatch) -> bytes:
+        body = self._bodies.request(effect.body_id)
+        lines = [f'{effect.method} {effect.target} HTTP/1.1']
+        headers = end_to_end(effect.headers)
+        if first_value(headers, 'host') is None:
+            lines.append(f'Host: {self._host_header}')
+        lines.extend(f'{name}: {text}' for name, text in headers)
+        remaining_ms = int(effect.timeout_seconds * _MILLISECONDS)
+        lines.append(f'Briartack-Deadline-Ms: {remaining_ms}')
+        lines.append(f'Briartack-Attempt: {effect.attempt_id}')
+        if body or effect.method in _METHODS_WITH_BODY:
+            lines.append(f'Content-Length: {len(body)}')
+        head = '\r\n'.join(lines).encode('latin-1', 'replace')
+        return b''.join((head, _CRLF, _CRLF, body))
+
+    def _probe(self) -> UpstreamProbed:
+        request = f'GET /healthz HTTP/1.1\r\nHost: {self._host_header}\r\n\r\n'
+        answer: HttpAnswer | None = None
+        with gevent.Timeout(_PROBE_TIMEOUT_SECONDS, exception=False):
+            try:
+                answer = exchange(
+                    self._probe_pool,
+                    method='GET',
+                    request=request.encode(),
+                    max_body_bytes=_MAX_PROBE_BYTES,
+                )
+            except ExchangeError:
+                self._observer.count('upstream.probe_failures')
+        return _probed(self._clock(), answer)
+
+
+def _probed(now: float, answer: HttpAnswer | None) -> UpstreamProbed:
+    if answer is None:
+        health, code = _ProbeAnswer(status=''), 0
+    else:
+        health, code = _decode_probe(answer.body), answer.get_code()
+    return UpstreamProbed(
+        now=now,
+        is_healthy=code == _STATUS_OK and health.status in {'ok', 'draining'},
+        is_draining=health.status == 'draining',
+        identity=health.identity,
+        reported_load=health.load,
+    )
+
+
+def _decode_probe(body: bytes) -> _ProbeAnswer:
+    try:
+        health = msgspec.json.decode(body, type=_ProbeAnswer)
+    except msgspec.MsgspecError:
+        # An answer in another form still says that the upstream is up.
+        return _ProbeAnswer()
+    if health.load is not None and not 0 <= health.load <= 1:
+        return msgspec.structs.replace(health, load=None)
+    return health
+
+
+def _answer_headers(method: str, headers: Headers) -> Headers:
+    kept = end_to_end(headers)
+    if method != 'HEAD':
+        return kept
+    # The answer to HEAD names the length that GET would have.
+    length = first_value(headers, CONTENT_LENGTH)
+    return kept if length is None else (*kept, ('Content-Length', length))
