--- a/briartack/addresses.py
+++ b/briartack/addresses.py
@@ -30,3 +30,9 @@
     if not 0 < port <= _MAX_PORT:
         raise ValueError(f'port {port} is not in 1 to {_MAX_PORT}')
     return host, port
+
+
+def format_address(address: Address) -> str:
+    """Join an address; an IPv6 address gets brackets."""
+    host, port = address
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -1,166 +1,60 @@
 """One caller's connection: pywsgi reads requests, calls are answered here."""
 
-import os
 import select
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any, Final, Protocol, final
+from typing import Any, Final, Protocol
 from urllib.parse import parse_qs
 
 import gevent
-import gevent.socket
-from gevent.hub import Waiter, get_hub
+from gevent import socket
+from gevent.hub import get_hub
 from gevent.pywsgi import Input, WSGIHandler
 
-from briartack.caller_answers import answer_of, refusal
+from briartack.caller_answers import refusal
 from briartack.caller_headers import (
     RequestError,
     RequestHeaders,
     check_request_line,
 )
-from briartack.core.effects import AnswerCall
-from briartack.core.messages import MAX_BODY_BYTES, Headers
+from briartack.core.messages import MAX_BODY_BYTES
 from briartack.error_texts import MALFORMED_REQUEST, TOO_LARGE
 from briartack.headers import ATTEMPT, IDEMPOTENCY_KEY, TENANT, end_to_end
+from briartack.inbound_call import (
+    ConnectionControl,
+    InboundCall,
+    RequestHead,
+)
 from briartack.ports import Observer
 
 _KEYS_PATH: Final = '/.briartack/keys'
 _READ_BYTES: Final = 65536
 _READABLE: Final = 1
-# A caller that sends nothing for this long loses its connection.
-_IDLE_SECONDS: Final = 75.0
 _LINGER_SECONDS: Final = 1.0
 _BAD_REQUEST: Final = 400
 _TOO_LARGE: Final = 413
 
 
-@final
-class _AnsweredError(OSError):
-    """Interrupt the reading of a body that nothing needs any more."""
-
-
 class _Calls(Protocol):
     @property
     def observer(self) -> Observer:
         """Return what counts malformed requests."""
 
-    def arrive(self, call: 'InboundCall') -> None:
+    def opened(self, connection: ConnectionControl) -> None:
+        """Watch a connection for idleness."""
+
+    def closed(self, connection: ConnectionControl) -> None:
+        """Forget a connection that has ended."""
+
+    def arrive(self, call: InboundCall) -> None:
         """Report a call whose head has been read."""
 
-    def body_read(self, call: 'InboundCall', body: bytes) -> None:
+    def body_read(self, call: InboundCall, body: bytes) -> None:
         """Report that the body of a call is whole."""
 
-    def cancel(self, call: 'InboundCall') -> None:
+    def cancel(self, call: InboundCall) -> None:
         """Report that the caller went away."""
 
 
-@final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RequestHead:
-    """Hold what the head of a request says."""
-
-    method: str
-    target: str
-    headers: Headers
-    tenant: str
-    idempotency_key: str
-    deadline_ms: float | None
-    is_nested: bool
-    body_bytes: int | None
-    key_service: str  # not empty when the caller asks for a key
-
-
-@final
-class InboundCall:
-    """Hold one call from its head to its answer."""
-
-    __slots__ = (
-        'call_id',
-        'arrived',
-        'head',
-        'is_answered',
-        'unsent',
-        '_descriptor',
-        '_connection',
-        '_wants_body',
-        '_waiter',
-        'is_body_read',
-        'reader',
-    )
-
-    def __init__(
-        self,
-        *,
-        head: RequestHead,
-        descriptor: int,
-        connection: str,
-    ) -> None:
-        """Start unanswered; `connection` is the Connection header to send."""
-        self.call_id = ''
-        self.arrived = 0.0
-        self.head = head
-        self.is_answered = False
-        self.unsent: bytes | memoryview = b''
-        self.is_body_read = head.body_bytes == 0
-        self.reader: gevent.Greenlet | None = None
-        self._descriptor = descriptor
-        self._connection = connection
-        self._wants_body = False
-        self._waiter: Waiter | None = None
-
-    @property
-    def must_read_body(self) -> bool:
-        """Tell whether the core waits for the body."""
-        return self._wants_body and not self.is_body_read
-
-    def want_body(self) -> None:
-        """Let the connection read the body next."""
-        self._wants_body = True
-        self.wake()
-
-    def answer(self, effect: AnswerCall, body: bytes) -> None:
-        """Write the answer without waiting for the connection's greenlet."""
-        connection = self._connection if self.is_body_read else 'close'
-        whole = answer_of(
-            effect,
-            body=body,
-            method=self.head.method,
-            connection=connection,
-        )
-        self.is_answered = True
-        self.unsent = _write_now(self._descriptor, whole)
-        if self.reader is not None:
-            gevent.kill(self.reader, _AnsweredError(), block=False)
-        self.wake()
-
-    def wake(self) -> None:
-        """Let the waiting greenlet of the connection go on."""
-        waiter, self._waiter = self._waiter, None
-        if waiter is not None:
-            get_hub().loop.run_callback(waiter.switch, None)
-
-    def wait(self) -> None:
-        """Wait until the core decides something or the caller stirs."""
-        waiter = Waiter()
-        self._waiter = waiter
-        try:
-            waiter.get()
-        finally:
-            self._waiter = None
-
-
-def _write_now(descriptor: int, whole: bytes) -> bytes | memoryview:
-    # The descriptor is non-blocking, as those of all gevent sockets are.
-    try:
-        written = os.write(descriptor, whole)
-    except BlockingIOError:
-        return whole
-    except OSError:
-        # The connection's greenlet meets the same error and ends.
-        return whole
-    return b'' if written == len(whole) else memoryview(whole)[written:]
-
-
 class CallerHandler(WSGIHandler):  # type: ignore[misc]
     """Read requests with pywsgi and hand them over as calls."""
 
@@ -169,21 +63,23 @@
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
         """Set the socket up for small writes and for watching."""
         sock.setsockopt(
-            gevent.socket.IPPROTO_TCP,
-            gevent.socket.TCP_NODELAY,
+            socket.IPPROTO_TCP,
+            socket.TCP_NODELAY,
             1,
         )
-        sock.settimeout(_IDLE_SECONDS)
         super().__init__(sock, address, server)
         self._calls: _Calls = server.application.callers
         self._watcher = get_hub().loop.io(sock.fileno(), _READABLE)
         self._is_gone = False
+        self._control = ConnectionControl(sock)
 
     def handle(self) -> None:
         """Serve the connection until one side closes it."""
+        self._calls.opened(self._control)
         try:
             super().handle()
         finally:
+            self._calls.closed(self._control)
             self._watcher.stop()
             self._watcher.close()
 
@@ -214,11 +110,16 @@
             return
         call = InboundCall(
             head=head,
+            control=self._control,
             descriptor=self.socket.fileno(),
             connection=self._connection_header(),
         )
-        self._calls.arrive(call)
-        self._carry(call)
+        self._control.has_call = True
+        try:
+            self._calls.arrive(call)
+            self._carry(call)
+        finally:
+            self._control.has_call = False
 
     @property
     def _is_chunked(self) -> bool:
@@ -329,7 +230,7 @@
         # destroy the answer before the caller reads it.
         with gevent.Timeout(_LINGER_SECONDS, exception=False):
             _ignore_os_error(
-                lambda: self.socket.shutdown(gevent.socket.SHUT_WR),
+                lambda: self.socket.shutdown(socket.SHUT_WR),
             )
             _ignore_os_error(self._discard)
 
--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -16,7 +16,12 @@
 _MAX_HEAD_BYTES: Final = 65536
 _MAX_HEADERS: Final = 128
 _TOKEN: Final = re.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_CONTROL: Final = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
+# Values hold no control characters but tabs, and no line breaks.
+_HEADER_LINE: Final = re.compile(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):"
+    rb'[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r?\n',
+)
+_SHOWN_BYTES: Final = 32
 _TARGET: Final = re.compile('/[\x21-\x7e\x80-\xff]*')
 _MAX_LENGTH_DIGITS: Final = 15
 
@@ -132,12 +137,11 @@
 
 
 def _split(line: bytes) -> tuple[str, str]:
-    if not line.endswith(b'\n'):
-        raise RequestError('The request ends within its headers.')
-    name, separator, text = line.decode('latin-1').partition(':')
-    if not separator or _TOKEN.fullmatch(name) is None:
-        raise RequestError(f'The header line {name[:32]!r} has no valid name.')
-    text = text.strip(' \t\r\n')
-    if _CONTROL.search(text) is not None:
-        raise RequestError(f'The header {name!r} has a control character.')
-    return name, text
+    match = _HEADER_LINE.fullmatch(line)
+    if match is None:
+        shown = line[:_SHOWN_BYTES].decode('latin-1')
+        raise RequestError(
+            f'The header line {shown!r} is not NAME: VALUE in one line.',
+        )
+    name, text = match.groups()
+    return name.decode(), text.decode('latin-1')
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -7,7 +7,7 @@
 
 from briartack.addresses import Address
 from briartack.bodies import Bodies
-from briartack.caller_connection import CallerHandler, InboundCall
+from briartack.caller_connection import CallerHandler
 from briartack.core.effects import AnswerCall, ReadBody
 from briartack.core.events import (
     CallArrived,
@@ -17,8 +17,12 @@
 )
 from briartack.core.units import BodyId, CallId
 from briartack.framing import digest_of
+from briartack.inbound_call import ConnectionControl, InboundCall
 from briartack.ports import BACKLOG, Clock, Deliver, Observer
 
+# A caller whose connection carries no call for this long loses it.
+IDLE_SECONDS: Final = 75.0
+
 
 @final
 class Callers:
@@ -31,6 +35,7 @@
         '_observer',
         '_calls',
         '_numbers',
+        '_connections',
     )
 
     def __init__(
@@ -48,6 +53,7 @@
         self._observer = observer
         self._calls: dict[str, InboundCall] = {}
         self._numbers = itertools.count(1)
+        self._connections: set[ConnectionControl] = set()
 
     @property
     def in_flight(self) -> int:
@@ -72,6 +78,22 @@
             environ={'SERVER_NAME': address[0], 'SERVER_PORT': address[1]},
         )
 
+    def opened(self, connection: ConnectionControl) -> None:
+        """Watch a connection for idleness."""
+        connection.last_active = self._clock()
+        self._connections.add(connection)
+
+    def closed(self, connection: ConnectionControl) -> None:
+        """Forget a connection that has ended."""
+        self._connections.discard(connection)
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no call for too long."""
+        oldest = self._clock() - IDLE_SECONDS
+        for connection in tuple(self._connections):
+            if not connection.has_call and connection.last_active < oldest:
+                connection.shut_down()
+
     def arrive(self, call: InboundCall) -> None:
         """Report a call whose head has been read."""
         call_id = CallId(f'c{next(self._numbers)}')
@@ -142,7 +164,9 @@
             return
         call.answer(effect, self._bodies.answer(effect.body_id))
         self._bodies.drop(BodyId(effect.call_id))
-        self._observer.observe('call.seconds', self._clock() - call.arrived)
+        now = self._clock()
+        call.control.last_active = now
+        self._observer.observe('call.seconds', now - call.arrived)
 
 
 @final
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -25,7 +25,7 @@
 
 StateT = TypeVar('StateT')
 
-_FLUSH_SECONDS: Final = 1.0
+_SWEEP_SECONDS: Final = 5.0
 # Streams get this long to write what is queued when the daemon exits.
 _EXIT_SECONDS: Final = 1.0
 _EXIT_STEP_SECONDS: Final = 0.01
@@ -160,7 +160,7 @@
         self._background = [
             gevent.spawn(self._loop.tick_forever),
             gevent.spawn(self._upstream.probe_forever),
-            gevent.spawn(self._flush_metrics),
+            gevent.spawn(self._sweep_callers),
         ]
 
     def request_stop(self) -> None:
@@ -185,10 +185,10 @@
         self._loop.close()
         write_log(effects.LogLevel.INFO, STOPPED, {})
 
-    def _flush_metrics(self) -> None:
+    def _sweep_callers(self) -> None:
         while True:
-            self._metrics.flush()
-            gevent.sleep(_FLUSH_SECONDS)
+            gevent.sleep(_SWEEP_SECONDS)
+            self._callers.close_idle()
 
     def _handlers(self) -> Handlers:
         return {
--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -9,7 +9,8 @@
 import select
 from typing import Any, Final, TypeAlias, final
 
-import gevent.socket
+import gevent
+from gevent import socket
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
@@ -20,7 +21,6 @@
 
 _RECEIVE_BYTES: Final = 65536
 _CONNECT_SECONDS: Final = 2.0
-_IDLE_SECONDS: Final = 4000.0
 _FIRST_FINAL_STATUS: Final = 200
 _RESET_ERRORS: Final = frozenset(
     (errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE),
@@ -50,6 +50,7 @@
     def __init__(self, *, method: str, max_body_bytes: int) -> None:
         """Start before the status line."""
         super().__init__(method=method)
+        self.is_requested = False  # some of the request has been sent
         self._parts: list[bytes] = []
         self._received = 0
         self._max_body_bytes = max_body_bytes
@@ -91,20 +92,24 @@
             *address,
             size=size,
             connection_timeout=_CONNECT_SECONDS,
-            # Deadlines are kept by the callers of `exchange`; this one only
-            # has to be longer than the longest.
-            network_timeout=_IDLE_SECONDS,
         )
 
-    def after_connect(self, sock: gevent.socket.socket) -> None:
+    def after_connect(self, sock: socket.socket) -> None:
         """Send small writes at once."""
         sock.setsockopt(
-            gevent.socket.IPPROTO_TCP,
-            gevent.socket.TCP_NODELAY,
+            socket.IPPROTO_TCP,
+            socket.TCP_NODELAY,
             1,
         )
 
-    def _is_socket_alive(self, sock: gevent.socket.socket | None) -> bool:
+    def _create_socket(self) -> socket.socket:
+        sock = super()._create_socket()
+        # Those who call `exchange` keep one deadline for it; a timeout here
+        # would start a timer for each read and write.
+        sock.settimeout(None)
+        return sock
+
+    def _is_socket_alive(self, sock: socket.socket | None) -> bool:
         # An idle connection that is readable was closed by the other side.
         # `select` as in the base class refuses descriptors above 1023.
         if sock is None or sock.fileno() < 0:
@@ -116,10 +121,8 @@
     def _resolve(self) -> list[tuple[Any, Any, int, str, _SocketAddress]]:
         # Every address is an IP address; a resolver would only cost time.
         host, port = self._connection_host, self._connection_port
-        family = (
-            gevent.socket.AF_INET6 if ':' in host else gevent.socket.AF_INET
-        )
-        return [(family, gevent.socket.SOCK_STREAM, 0, '', (host, port))]
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        return [(family, socket.SOCK_STREAM, 0, '', (host, port))]
 
 
 def exchange(
@@ -128,33 +131,58 @@
     method: str,
     request: bytes,
     max_body_bytes: int,
+    timeout_seconds: float,
 ) -> HttpAnswer:
     """Send a whole request and receive the whole answer.
 
     Raises ExchangeError.
     """
+    answer = HttpAnswer(method=method, max_body_bytes=max_body_bytes)
+    timeout = gevent.Timeout.start_new(timeout_seconds)
+    try:
+        _exchange_over(_connected(pool), pool, request, answer)
+    except gevent.Timeout as expired:
+        if expired is not timeout:
+            raise
+        raise ExchangeError(
+            'timeout',
+            may_have_run=answer.is_requested,
+        ) from None
+    finally:
+        timeout.close()
+    return answer
+
+
+def _connected(pool: Connections) -> socket.socket:
     try:
-        sock = pool.get_socket()
+        return pool.get_socket()
     except OSError as error:
         raise ExchangeError(
             _describe('connect', error),
             may_have_run=False,
             is_reset=error.errno in _RESET_ERRORS,
         ) from None
-    answer = HttpAnswer(method=method, max_body_bytes=max_body_bytes)
+
+
+def _exchange_over(
+    sock: socket.socket,
+    pool: Connections,
+    request: bytes,
+    answer: HttpAnswer,
+) -> None:
     is_reusable = False
-    try:  # noqa: WPS501 (the socket goes back on every path, kill included)
-        _send(sock, request)
+    # The socket goes back on every path, also when the greenlet is killed.
+    try:
+        _send(sock, request, answer)
         _receive(sock, answer)
         is_reusable = not answer.should_close()
     finally:
         _give_back(pool, sock, is_reusable=is_reusable)
-    return answer
 
 
 def _give_back(
     pool: Connections,
-    sock: gevent.socket.socket,
+    sock: socket.socket,
     *,
     is_reusable: bool,
 ) -> None:
@@ -164,7 +192,11 @@
         pool.release_socket(sock)
 
 
-def _send(sock: gevent.socket.socket, request: bytes) -> None:
+def _send(
+    sock: socket.socket,
+    request: bytes,
+    answer: HttpAnswer,
+) -> None:
     try:
         sent = sock.send(request)
     except OSError as error:
@@ -174,6 +206,7 @@
             may_have_run=False,
             is_reset=error.errno in _RESET_ERRORS,
         ) from None
+    answer.is_requested = True
     if sent == len(request):
         return
     try:
@@ -186,7 +219,7 @@
         ) from None
 
 
-def _receive(sock: gevent.socket.socket, answer: HttpAnswer) -> None:
+def _receive(sock: socket.socket, answer: HttpAnswer) -> None:
     while not answer.is_whole:
         try:
             received = sock.recv(_RECEIVE_BYTES)
--- a/briartack/metrics.py
+++ b/briartack/metrics.py
@@ -1,21 +1,18 @@
 """Metrics by OpenTelemetry, kept off the path of calls.
 
-An OpenTelemetry counter costs several microseconds for each addition. So
-counts are added to a dict that observable counters report on demand, and
-durations wait in a list until the next tick.
+An addition to an OpenTelemetry counter or histogram costs several
+microseconds. So sums are kept in dicts that observable counters report on
+demand, and a histogram is a counter with its upper bounds as attributes.
 """
 
+import bisect
+import itertools
 from collections.abc import Iterable, Iterator
 from typing import Final, TypeAlias, final
 
-from opentelemetry.metrics import (
-    CallbackOptions,
-    Histogram,
-    Observation,
-)
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import (
-    HistogramDataPoint,
     InMemoryMetricReader,
     Metric,
     NumberDataPoint,
@@ -24,9 +21,13 @@
 Attributes: TypeAlias = tuple[tuple[str, str], ...]
 
 _PREFIX: Final = 'briartack.'
-# Exponential buckets from 50 µs to 13 s.
-_BOUNDS_SECONDS: Final = tuple(50e-6 * 2**power for power in range(19))
-_MAX_WAITING_DURATIONS: Final = 10_000
+_FIRST_BOUND_MICROSECONDS: Final = 50
+_BUCKETS: Final = 18  # the last bound is 6.6 s
+_BOUNDS_SECONDS: Final = tuple(
+    _FIRST_BOUND_MICROSECONDS * 2**power / 1_000_000
+    for power in range(_BUCKETS)
+)
+_BOUND_TEXTS: Final = (*(f'{bound:.6g}' for bound in _BOUNDS_SECONDS), '+Inf')
 
 
 @final
@@ -48,18 +49,36 @@
         ]
 
 
+@final
+class _Durations:
+    """Hold how many durations fell below each bound."""
+
+    __slots__ = ('_buckets', '_total_seconds')
+
+    def __init__(self) -> None:
+        self._buckets = [0] * len(_BOUND_TEXTS)
+        self._total_seconds = 0.0
+
+    def add(self, seconds: float) -> None:
+        self._buckets[bisect.bisect_left(_BOUNDS_SECONDS, seconds)] += 1
+        self._total_seconds += seconds
+
+    def buckets(self, options: CallbackOptions) -> Iterable[Observation]:
+        totals = itertools.accumulate(self._buckets)
+        return [
+            Observation(total, {'le': text})
+            for text, total in zip(_BOUND_TEXTS, totals, strict=True)
+        ]
+
+    def sums(self, options: CallbackOptions) -> Iterable[Observation]:
+        return [Observation(self._total_seconds)]
+
+
 @final
 class Metrics:
     """Make instruments by name on first use and print them as text."""
 
-    __slots__ = (
-        '_reader',
-        '_provider',
-        '_meter',
-        '_counters',
-        '_histograms',
-        '_durations',
-    )
+    __slots__ = ('_reader', '_provider', '_meter', '_counters', '_durations')
 
     def __init__(self) -> None:
         """Start without instruments."""
@@ -70,8 +89,7 @@
         )
         self._meter = self._provider.get_meter('briartack')
         self._counters: dict[str, _Counter] = {}
-        self._histograms: dict[str, Histogram] = {}
-        self._durations: list[tuple[str, float]] = []
+        self._durations: dict[str, _Durations] = {}
 
     def add(
         self,
@@ -86,19 +104,14 @@
         counter.add(amount, attributes)
 
     def observe(self, name: str, seconds: float) -> None:
-        """Keep a duration for the next flush."""
-        if len(self._durations) < _MAX_WAITING_DURATIONS:
-            self._durations.append((name, seconds))
-
-    def flush(self) -> None:
-        """Move the durations into their histograms."""
-        durations, self._durations = self._durations, []
-        for name, seconds in durations:
-            self._histogram(name).record(seconds)
+        """Add a duration to a histogram."""
+        durations = self._durations.get(name)
+        if durations is None:
+            durations = self._make_durations(name)
+        durations.add(seconds)
 
     def lines(self) -> Iterator[str]:
         """Yield `name{attributes} value` for every data point."""
-        self.flush()
         collected = self._reader.get_metrics_data()
         if collected is None:
             return
@@ -116,42 +129,29 @@
         )
         return counter
 
-    def _histogram(self, name: str) -> Histogram:
-        histogram = self._histograms.get(name)
-        if histogram is None:
-            histogram = self._meter.create_histogram(
-                _PREFIX + name,
-                unit='s',
-                explicit_bucket_boundaries_advisory=_BOUNDS_SECONDS,
-            )
-            self._histograms[name] = histogram
-        return histogram
+    def _make_durations(self, name: str) -> _Durations:
+        durations = _Durations()
+        self._durations[name] = durations
+        self._meter.create_observable_counter(
+            f'{_PREFIX}{name}_bucket',
+            callbacks=[durations.buckets],
+        )
+        self._meter.create_observable_counter(
+            f'{_PREFIX}{name}_sum',
+            callbacks=[durations.sums],
+            unit='s',
+        )
+        return durations
 
 
 def _metric_lines(metric: Metric) -> Iterator[str]:
     name = metric.name.replace('.', '_').replace('-', '_')
     for point in metric.data.data_points:
         attributes = _attribute_text(point.attributes or {})
-        if isinstance(point, HistogramDataPoint):
-            yield from _histogram_lines(name, attributes, point)
-        elif isinstance(point, NumberDataPoint):
+        if isinstance(point, NumberDataPoint):
             yield f'{name}{attributes} {point.value}'
 
 
-def _histogram_lines(
-    name: str,
-    attributes: str,
-    point: HistogramDataPoint,
-) -> Iterator[str]:
-    yield f'{name}_count{attributes} {point.count}'
-    yield f'{name}_sum{attributes} {point.sum:.6f}'
-    total = 0
-    bounds = (*(f'{bound:.6g}' for bound in point.explicit_bounds), '+Inf')
-    for bound, number in zip(bounds, point.bucket_counts, strict=True):
-        total += number
-        yield f'{name}_bucket{{le="{bound}"}} {total}'
-
-
 def _attribute_text(attributes: object) -> str:
     if not isinstance(attributes, dict) or not attributes:
         return ''
@@ -163,5 +163,5 @@
 
 
 def _escape(text: str) -> str:
-    escaped = text.replace('\\', '\\\\').replace('"', '\\"')
-    return escaped.replace('\n', '\\n')
+    escaped = text.replace('\\', r'\\').replace('"', r'\"')
+    return escaped.replace('\n', r'\n')
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -8,7 +8,7 @@
 from gevent.greenlet import Greenlet
 from msgspec import Meta
 
-from briartack.addresses import Address
+from briartack.addresses import Address, format_address
 from briartack.core.effects import CancelWatch, ReadStore, WatchStore
 from briartack.core.entries import Entry
 from briartack.core.events import (
@@ -86,10 +86,7 @@
     ) -> None:
         """Prepare a pool of connections; nothing is dialled yet."""
         self._pool = Connections(address, size=_POOL_SIZE)
-        host, port = address
-        self._host_header = f'[{host}]:{port}'
-        if ':' not in host:
-            self._host_header = f'{host}:{port}'
+        self._host_header = format_address(address)
         self._deliver = deliver
         self._clock = clock
         self._observer = observer
@@ -159,17 +156,15 @@
         self._observer.count('store.calls', operation=operation.value)
         request = f'GET {target} HTTP/1.1\r\nHost: {self._host_header}\r\n\r\n'
         try:
-            with gevent.Timeout(timeout_seconds):
-                answer = exchange(
-                    self._pool,
-                    method='GET',
-                    request=request.encode(),
-                    max_body_bytes=MAX_ANSWER_BYTES,
-                )
+            answer = exchange(
+                self._pool,
+                method='GET',
+                request=request.encode(),
+                max_body_bytes=MAX_ANSWER_BYTES,
+                timeout_seconds=timeout_seconds,
+            )
         except ExchangeError as error:
             raise _StoreError(str(error)) from None
-        except gevent.Timeout:
-            raise _StoreError('timeout') from None
         return _decode(answer)
 
     def _failed(
--- a/briartack/test/fake_reducer.py
+++ b/briartack/test/fake_reducer.py
@@ -45,6 +45,7 @@
 
 
 def identity(name: str, incarnation: str = 'i1') -> Identity:
+    """Name a daemon of the tests."""
     return Identity(
         instance=InstanceId(name),
         incarnation=Incarnation(incarnation),
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -6,7 +6,7 @@
 import msgspec
 from gevent.greenlet import Greenlet
 
-from briartack.addresses import Address
+from briartack.addresses import Address, format_address
 from briartack.bodies import Bodies
 from briartack.core.effects import AbortDispatch, Dispatch
 from briartack.core.events import (
@@ -73,10 +73,7 @@
         """Prepare a pool of connections; nothing is dialled yet."""
         self._pool = Connections(address, size=_MAX_CONNECTIONS)
         self._probe_pool = Connections(address, size=1)
-        host, port = address
-        self._host_header = (
-            f'[{host}]:{port}' if ':' in host else (f'{host}:{port}')
-        )
+        self._host_header = format_address(address)
         self._bodies = bodies
         self._deliver = deliver
         self._clock = clock
@@ -112,26 +109,16 @@
         effect: Dispatch,
         started: float,
     ) -> UpstreamAnswered | UpstreamFailed:
-        request = self._request(effect)
-        timeout = gevent.Timeout.start_new(effect.timeout_seconds)
         try:
             answer = exchange(
                 self._pool,
                 method=effect.method,
-                request=request,
+                request=self._request(effect),
                 max_body_bytes=MAX_BODY_BYTES,
+                timeout_seconds=effect.timeout_seconds,
             )
         except ExchangeError as error:
             return self._failed(effect, error)
-        except gevent.Timeout as expired:
-            if expired is not timeout:
-                raise
-            return self._failed(
-                effect,
-                ExchangeError('timeout', may_have_run=True),
-            )
-        finally:
-            timeout.close()
         return self._answered(effect, answer, started)
 
     def _answered(
@@ -143,7 +130,8 @@
         now = self._clock()
         self._observer.observe('upstream.seconds', now - started)
         body = answer.body
-        self._bodies.put_answer(effect.attempt_id, body)
+        if effect.attempt_id in self._running:
+            self._bodies.put_answer(effect.attempt_id, body)
         return UpstreamAnswered(
             now=now,
             attempt_id=effect.attempt_id,
@@ -172,7 +160,8 @@
     def _request(self, effect: Dispatch) -> bytes:
         body = self._bodies.request(effect.body_id)
         lines = [f'{effect.method} {effect.target} HTTP/1.1']
-        headers = end_to_end(effect.headers)
+        # The headers of a call are end-to-end since its arrival.
+        headers = effect.headers
         if first_value(headers, 'host') is None:
             lines.append(f'Host: {self._host_header}')
         lines.extend(f'{name}: {text}' for name, text in headers)
@@ -186,17 +175,17 @@
 
     def _probe(self) -> UpstreamProbed:
         request = f'GET /healthz HTTP/1.1\r\nHost: {self._host_header}\r\n\r\n'
-        answer: HttpAnswer | None = None
-        with gevent.Timeout(_PROBE_TIMEOUT_SECONDS, exception=False):
-            try:
-                answer = exchange(
-                    self._probe_pool,
-                    method='GET',
-                    request=request.encode(),
-                    max_body_bytes=_MAX_PROBE_BYTES,
-                )
-            except ExchangeError:
-                self._observer.count('upstream.probe_failures')
+        try:
+            answer = exchange(
+                self._probe_pool,
+                method='GET',
+                request=request.encode(),
+                max_body_bytes=_MAX_PROBE_BYTES,
+                timeout_seconds=_PROBE_TIMEOUT_SECONDS,
+            )
+        except ExchangeError:
+            self._observer.count('upstream.probe_failures')
+            return _probed(self._clock(), None)
         return _probed(self._clock(), answer)
 
 
