--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -87,9 +87,9 @@
         """Forget a connection that has ended."""
         self._connections.discard(connection)
 
-    def close_idle(self) -> None:
+    def close_idle(self, idle_seconds: float = IDLE_SECONDS) -> None:
         """Close the connections that carry no call for too long."""
-        oldest = self._clock() - IDLE_SECONDS
+        oldest = self._clock() - idle_seconds
         for connection in tuple(self._connections):
             if not connection.has_call and connection.last_active < oldest:
                 connection.shut_down()
--- /dev/null
+++ b/briartack/test/small_shell.py
@@ -0,0 +1,121 @@
+"""The parts of the shell wired to the fake reducer on free ports."""
+
+import time
+from typing import Any
+
+from gevent import socket
+
+from briartack.addresses import Address
+from briartack.bodies import Bodies
+from briartack.callers import Callers
+from briartack.core import effects
+from briartack.core.units import InstanceId
+from briartack.event_loop import EventLoop
+from briartack.peers import Peers
+from briartack.store_client import StoreClient
+from briartack.test.fake_reducer import (
+    LOCAL,
+    CountingObserver,
+    FakeState,
+    identity,
+    reduce,
+)
+from briartack.upstream import Upstream
+
+
+class SmallShell:
+    """Run callers, upstream, peers and store client of one daemon."""
+
+    def __init__(
+        self,
+        name: str = 'saldo-1',
+        *,
+        upstream: Address = (LOCAL, 1),
+        peer: InstanceId | None = None,
+        incarnation: str = 'i1',
+    ) -> None:
+        self.name = InstanceId(name)
+        self.state = FakeState(peer=peer)
+        self.observer = CountingObserver()
+        self.bodies = Bodies()
+        self.loop = EventLoop(
+            state=self.state,
+            reduce=reduce,
+            clock=time.monotonic,
+            recorder=None,
+        )
+        common: dict[str, Any] = {
+            'deliver': self.loop.deliver,
+            'clock': time.monotonic,
+            'observer': self.observer,
+        }
+        self.callers = Callers(bodies=self.bodies, **common)
+        self.peers = Peers(
+            identity=identity(name, incarnation),
+            bodies=self.bodies,
+            **common,
+        )
+        self.upstream = Upstream(
+            address=upstream,
+            bodies=self.bodies,
+            **common,
+        )
+        self.store = StoreClient(address=upstream, **common)
+        self.loop.connect(
+            {
+                effects.ReadBody: self.callers.read_body,
+                effects.AnswerCall: self.callers.answer,
+                effects.Dispatch: self.upstream.dispatch,
+                effects.AbortDispatch: self.upstream.abort,
+                effects.SendMessage: self.peers.send_message,
+                effects.SendAttempt: self.peers.send_attempt,
+                effects.SendAnswer: self.peers.send_answer,
+            },
+            after_event=self.peers.flush,
+        )
+        self.caller_server = self.callers.server((LOCAL, 0))
+        self.peer_server = self.peers.server((LOCAL, 0))
+        self.caller_server.start()
+        self.peer_server.start()
+
+    @property
+    def peer_address(self) -> str:
+        return f'{LOCAL}:{self.peer_server.server_port}'
+
+    def dial(self, other: 'SmallShell') -> None:
+        self.peers.connect(
+            effects.Connect(peer=other.name, address=other.peer_address),
+        )
+
+    def execute(self, *several: effects.Effect) -> None:
+        """Send messages as the reducer would."""
+        for effect in several:
+            if isinstance(effect, effects.SendMessage):
+                self.peers.send_message(effect)
+        self.peers.flush()
+
+    def caller(self) -> Any:
+        """Connect as a caller."""
+        return socket.create_connection(
+            (LOCAL, self.caller_server.server_port),
+        )
+
+    def stop(self) -> None:
+        self.caller_server.stop(timeout=0)
+        self.peer_server.stop(timeout=0)
+
+
+def read_answer(sock: Any) -> tuple[int, bytes, bytes]:
+    """Read one answer as status, head and body."""
+    sock.settimeout(10)
+    received = b''
+    while b'\r\n\r\n' not in received:
+        part = sock.recv(65536)
+        if not part:
+            raise EOFError(received)
+        received += part
+    head, _, body = received.partition(b'\r\n\r\n')
+    length = int(head.lower().split(b'content-length: ')[1].split(b'\r\n')[0])
+    while len(body) < length:
+        body += sock.recv(65536)
+    return int(head.split(b' ')[1]), head, body
--- /dev/null
+++ b/briartack/test/test_callers.py
@@ -0,0 +1,161 @@
+"""Callers and the local upstream over real sockets."""
+
+import json
+import unittest
+from typing import Any
+
+import gevent
+from nose2.tools import params
+
+from briartack.core import events
+from briartack.core.messages import MAX_BODY_BYTES
+from briartack.test.fake_reducer import LOCAL, read_request, serve
+from briartack.test.small_shell import SmallShell, read_answer
+
+
+class CallersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.requests: list[bytes] = []
+        self.upstream = serve(self._upstream)
+        self.addCleanup(self.upstream.stop, timeout=0)
+        self.shell = SmallShell(upstream=(LOCAL, self.upstream.server_port))
+        self.addCleanup(self.shell.stop)
+        self.caller = self.shell.caller()
+        self.addCleanup(self.caller.close)
+
+    def test_call_is_carried_both_ways(self) -> None:
+        """Guards against lost headers, and hop-by-hop headers passed on."""
+        self.caller.sendall(
+            b'POST /saldo/1?x=%20 HTTP/1.1\r\nHost: h\r\nX-Tenant: t\r\n'
+            b'Connection: X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n'
+            b'Briartack-Deadline-Ms: 250\r\nContent-Length: 3\r\n\r\nabc',
+        )
+        status, head, body = read_answer(self.caller)
+        self.assertEqual((status, body), (200, b'POST /saldo/1?x=%20'))
+        self.assertIn(b'Briartack-Verdict: ran', head)
+        arrived = self.shell.state.seen(events.CallArrived)[0]
+        self.assertEqual(arrived.headers, (('Host', 'h'), ('X-Tenant', 't')))
+        self.assertEqual((arrived.tenant, arrived.deadline_ms), ('t', 250))
+        sent = self.requests[0]
+        self.assertTrue(sent.endswith(b'\r\n\r\nabc'))
+        self.assertIn(b'Briartack-Deadline-Ms: 5000\r\n', sent)
+        self.assertNotIn(b'Hop', sent)
+
+    def test_chunked_slow_body_and_keep_alive(self) -> None:
+        """Guards against a request that is sent before it is complete."""
+        for _ in range(2):
+            self.caller.sendall(
+                b'PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n',
+            )
+            for part in (b'3\r\nab', b'c\r\n', b'2\r\nde\r\n', b'0\r\n\r\n'):
+                gevent.sleep(0.002)
+                self.caller.sendall(part)
+            self.assertEqual(read_answer(self.caller)[0], 200)
+        self.assertTrue(self.requests[1].endswith(b'\r\n\r\nabcde'))
+
+    def test_largest_body_passes_and_larger_is_refused(self) -> None:
+        """Guards against a wrong limit, and against memory without bound."""
+        body = b'x' * MAX_BODY_BYTES
+        head = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n'
+        self.caller.sendall(head % len(body) + body)
+        self.assertEqual(read_answer(self.caller)[0], 200)
+        self.caller.sendall(head % (len(body) + 1))
+        status, answer_head, refusal = read_answer(self.caller)
+        self.assertEqual(status, 413)
+        self.assertIn(b'Briartack-Verdict: not-run', answer_head)
+        self.assertEqual(json.loads(refusal)['code'], 'body-too-large')
+
+    def test_oversize_chunked_body(self) -> None:
+        """Guards against chunks that get round the limit."""
+        self.caller.sendall(
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000001\r\n',
+        )
+        writer = gevent.spawn(self.caller.sendall, b'x' * 0x1000001)
+        self.assertEqual(read_answer(self.caller)[0], 413)
+        writer.kill()
+        self.assertEqual(len(self.shell.state.seen(events.CallCancelled)), 1)
+
+    @params(
+        b'GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: 1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n',
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n',
+        b'GET / HTTP/1.1\r\nA: b\r\n folded\r\n\r\n',
+        b'GET / HTTP/1.1\r\nA : b\r\n\r\n',
+        b'GET / HTTP/1.1\r\nA: \0\r\n\r\n',
+        b'GET / HTTP/1.1\r\nBriartack-Deadline-Ms: soon\r\n\r\n',
+        b'GET / HTTP/1.1\r\nA: ' + b'x' * 70_000 + b'\r\n\r\n',
+        b'GET / HTTP/1.1\r\n' + b'A: b\r\n' * 200 + b'\r\n',
+        b'GET http://other/ HTTP/1.1\r\n\r\n',
+        b'G(T / HTTP/1.1\r\n\r\n',
+        b'GET /.briartack/keys?service=s HTTP/1.1\r\n\r\n',
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+    )
+    def test_malformed_request(self, request: bytes) -> None:
+        """Guards against requests that two servers could read differently."""
+        self.caller.sendall(request)
+        status, head, body = read_answer(self.caller)
+        self.assertEqual(status, 400, body)
+        self.assertIn(b'Briartack-Verdict: not-run', head)
+        self.assertEqual(json.loads(body)['code'], 'malformed-request')
+        self.assertEqual(self.requests, [])
+
+    def test_refusal_before_the_body(self) -> None:
+        """Guards against an answer that is lost with an unread body."""
+        self.caller.sendall(
+            b'POST /refused HTTP/1.1\r\nContent-Length: 500000\r\n\r\n'
+            + b'x' * 200_000,
+        )
+        status, head, body = read_answer(self.caller)
+        self.assertEqual(status, 503)
+        self.assertIn(b'Retry-After: 1', head)
+        self.assertEqual(json.loads(body)['code'], 'overload')
+
+    def test_disconnect_cancels(self) -> None:
+        """Guards against work for a caller that went away."""
+        self.shell.state.silent = True
+        self.caller.sendall(b'GET /a HTTP/1.1\r\n\r\n')
+        self.shell.state.wait_for(events.CallBodyRead)
+        self.caller.close()
+        self.shell.state.wait_for(events.CallCancelled)
+        self.assertEqual(self.shell.callers.in_flight, 0)
+
+    def test_disconnect_within_the_body_cancels(self) -> None:
+        """Guards against half an upload that reaches an upstream."""
+        self.caller.sendall(b'POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc')
+        self.shell.state.wait_for(events.CallArrived)
+        self.caller.close()
+        self.shell.state.wait_for(events.CallCancelled)
+        self.assertEqual(self.requests, [])
+
+    def test_key(self) -> None:
+        """Guards against an issued key that the caller cannot read."""
+        self.caller.sendall(
+            b'POST /.briartack/keys?service=saldo HTTP/1.1\r\n'
+            b'Content-Length: 0\r\n\r\n',
+        )
+        _, _, body = read_answer(self.caller)
+        self.assertEqual(json.loads(body), {'key': 'key-of-saldo'})
+
+    def test_idle_connection_is_closed(self) -> None:
+        """Guards against idle connections that pile up, and early closing."""
+        self.caller.sendall(b'GET /a HTTP/1.1\r\n\r\n')
+        read_answer(self.caller)
+        self.shell.callers.close_idle()
+        self.caller.sendall(b'GET /a HTTP/1.1\r\n\r\n')
+        self.assertEqual(read_answer(self.caller)[0], 200)
+        self.shell.callers.close_idle(idle_seconds=-1)
+        self.assertEqual(self.caller.recv(1), b'')
+
+    def _upstream(self, sock: Any) -> None:
+        while True:
+            request = read_request(sock)
+            if not request:
+                return
+            self.requests.append(request)
+            line = b' '.join(request.split(b'\r\n')[0].split(b' ')[:2])
+            sock.sendall(
+                b'HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n'
+                b'Content-Length: %d\r\n\r\n%b' % (len(line), line),
+            )
--- /dev/null
+++ b/briartack/test/test_peers.py
@@ -0,0 +1,181 @@
+"""Streams between daemons over real sockets."""
+
+import unittest
+from typing import Any
+
+import gevent
+import msgpack
+from gevent import socket
+from nose2.tools import params
+
+from briartack.core import effects, events
+from briartack.core.messages import Pull, Summary
+from briartack.core.units import Digest, Incarnation, InstanceId, Revision
+from briartack.framing import encode
+from briartack.test.fake_reducer import LOCAL, read_request, serve
+from briartack.test.small_shell import SmallShell, read_answer
+
+HELLO = ['hello', 1, 'raw', 'i1', 'saldo', 'costa-1', 'costa', 1.0]
+
+
+class PeersTest(unittest.TestCase):
+    def shell(self, name: str, **settings: Any) -> SmallShell:
+        shell = SmallShell(name, **settings)
+        self.addCleanup(shell.stop)
+        return shell
+
+    def test_connect_and_disconnect(self) -> None:
+        """Guards against a stream that only one side knows of."""
+        left, right = self.shell('a'), self.shell('b')
+        left.dial(right)
+        left.dial(right)
+        seen = left.state.wait_for(events.PeerConnected)
+        self.assertEqual(seen[0].hello.instance, 'b')
+        right.state.wait_for(events.PeerConnected)
+        left.peers.disconnect(effects.Disconnect(peer=right.name, reason=''))
+        right.state.wait_for(events.PeerDisconnected)
+        self.assertEqual(len(right.state.seen(events.PeerConnected)), 1)
+
+    @params(('a', 'b'), ('b', 'a'))
+    def test_simultaneous_dial(self, first: str, second: str) -> None:
+        """Guards against two streams, none, or a lost message."""
+        left, right = self.shell(first), self.shell(second)
+        left.dial(right)
+        right.dial(left)
+        for number in range(200):
+            for sender, receiver in ((left, right), (right, left)):
+                sender.execute(
+                    effects.SendMessage(
+                        peer=receiver.name,
+                        message=Pull(after=Revision(number)),
+                    ),
+                )
+            gevent.sleep(0)
+        for shell in (left, right):
+            shell.state.wait_for(events.PeerConnected)
+            with gevent.Timeout(10):
+                while 'peers.simultaneous_dials' not in shell.observer.counts:
+                    gevent.sleep(0.001)
+        sent = left.observer.counts['peers.messages_sent']
+        right.state.wait_for(events.PeerMessageReceived, sent)
+        for shell in (left, right):
+            self.assertEqual(len(shell.state.seen(events.PeerConnected)), 1)
+            self.assertEqual(shell.state.seen(events.PeerDisconnected), [])
+
+    @params(
+        (b'\xc1', 'not msgpack'),
+        (msgpack.packb(['pull', -1.5]), 'pull'),
+        (msgpack.packb(HELLO), 'repeated'),
+        (b'x' * 10, 'not an array'),
+    )
+    def test_malformed_frame_closes_only_its_stream(
+        self,
+        frame: bytes,
+        reason: str,
+    ) -> None:
+        """Guards against one broken peer that cuts off the others."""
+        left, right = self.shell('a'), self.shell('b')
+        left.dial(right)
+        right.state.wait_for(events.PeerConnected)
+        raw = self._raw(right)
+        raw.sendall(msgpack.packb(HELLO))
+        right.state.wait_for(events.PeerConnected, 2)
+        raw.sendall(frame)
+        lost = right.state.wait_for(events.PeerDisconnected)
+        self.assertEqual([event.peer for event in lost], ['raw'])
+        self.assertIn(reason, lost[0].reason)
+        code, fields = right.observer.logs[0]
+        self.assertEqual((code, fields['peer']), ('malformed-frame', 'raw'))
+        left.execute(
+            effects.SendMessage(peer=right.name, message=_summary()),
+        )
+        right.state.wait_for(events.PeerMessageReceived)
+
+    @params(
+        encode(Pull(after=Revision(1))),
+        msgpack.packb(['hello', 99, *HELLO[2:]]),
+    )
+    def test_wrong_greeting(self, frame: bytes) -> None:
+        """Guards against messages from a peer that has not said its name."""
+        shell = self.shell('b')
+        raw = self._raw(shell)
+        raw.sendall(frame)
+        self.assertEqual(raw.recv(1), b'')
+        self.assertEqual(shell.state.events, [])
+
+    def test_failed_dial_is_reported(self) -> None:
+        """Guards against waiting for a peer that is down."""
+        shell = self.shell('a')
+        peer = InstanceId('b')
+        shell.peers.connect(effects.Connect(peer=peer, address=f'{LOCAL}:1'))
+        lost = shell.state.wait_for(events.PeerDisconnected)
+        self.assertEqual(lost[0].peer, 'b')
+
+    def test_restarted_peer_replaces_its_stream(self) -> None:
+        """Guards against messages to a dead incarnation."""
+        shell = self.shell('b')
+        old, new = self._raw(shell), self._raw(shell)
+        old.sendall(msgpack.packb(HELLO))
+        shell.state.wait_for(events.PeerConnected)
+        new.sendall(msgpack.packb([*HELLO[:3], 'i2', *HELLO[4:]]))
+        shell.state.wait_for(events.PeerConnected, 2)
+        kinds = [type(event).__name__ for event in shell.state.events]
+        self.assertEqual(
+            kinds,
+            ['PeerConnected', 'PeerDisconnected', 'PeerConnected'],
+        )
+
+    def test_peer_that_does_not_read_loses_its_stream(self) -> None:
+        """Guards against memory without bound for a frozen peer."""
+        shell = self.shell('b')
+        raw = self._raw(shell)
+        raw.sendall(msgpack.packb(HELLO))
+        shell.state.wait_for(events.PeerConnected)
+        message = _summary(digest=b'x' * 1_000_000)
+        for _ in range(60):
+            shell.execute(
+                effects.SendMessage(peer=InstanceId('raw'), message=message),
+            )
+        lost = shell.state.wait_for(events.PeerDisconnected)
+        self.assertIn('queue is full', lost[0].reason)
+        self.assertEqual(shell.peers.queued_bytes, 0)
+
+    @params(10, 65536, 65537, 5_000_000)
+    def test_bodies_both_ways_over_one_hop(self, size: int) -> None:
+        """Guards against bodies that are cut or mixed with other messages."""
+
+        def echo(sock: Any) -> None:
+            body = read_request(sock).partition(b'\r\n\r\n')[2]
+            head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+            sock.sendall(head % len(body) + body)
+
+        server = serve(echo)
+        self.addCleanup(server.stop, timeout=0)
+        owner = self.shell('b', upstream=(LOCAL, server.server_port))
+        sender = self.shell('a', peer=owner.name)
+        sender.dial(owner)
+        sender.state.wait_for(events.PeerConnected)
+        callers = [sender.caller() for _ in range(3)]
+        bodies = [bytes([65 + number]) * size for number in range(3)]
+        request = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % size
+        for caller, body in zip(callers, bodies, strict=True):
+            gevent.spawn(caller.sendall, request + body)
+        answers = [read_answer(caller)[2] for caller in callers]
+        self.assertEqual(answers, bodies)
+
+    def _raw(self, shell: SmallShell) -> Any:
+        raw = socket.create_connection(
+            (LOCAL, shell.peer_server.server_port),
+        )
+        self.addCleanup(raw.close)
+        return raw
+
+
+def _summary(digest: bytes = b'') -> Summary:
+    return Summary(
+        incarnation=Incarnation('i1'),
+        highest=Revision(1),
+        configuration_digest=Digest(digest),
+        instances_digest=Digest(b''),
+        clock=1,
+    )
--- /dev/null
+++ b/briartack/test/test_recorder.py
@@ -0,0 +1,115 @@
+"""Event traces."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from nose2.tools import params
+
+from briartack.core import events
+from briartack.core.entries import Definition, Entry
+from briartack.core.units import (
+    AttemptId,
+    CallId,
+    Incarnation,
+    InstanceId,
+    Revision,
+)
+from briartack.framing import digest_of
+from briartack.recorder import (
+    Recorder,
+    TraceError,
+    TraceHeader,
+    read,
+    read_header,
+)
+from briartack.test.fake_reducer import identity
+from briartack.test.test_framing import ANSWER, ATTEMPT
+
+ENTRY = Entry(
+    key='teams/a',
+    revision=Revision(4),
+    value='{"é": 1}',
+    definitions=(
+        Definition(
+            team='b',
+            kind='services',
+            name='s',
+            revision=Revision(2),
+            value='{}',
+        ),
+    ),
+)
+HEADER = TraceHeader(identity=identity('saldo-1'), seed=7, drain_seconds=30)
+EVENTS: tuple[events.Event, ...] = (
+    events.Started(now=1.25, incarnation=Incarnation('i1')),
+    events.StoreRead(
+        now=1.5,
+        prefix='',
+        revision=Revision(4),
+        entries=(ENTRY,),
+    ),
+    events.StoreFailed(
+        now=2,
+        operation=events.StoreOperation.WATCH,
+        prefix='',
+        reason='timeout',
+        retry_after_seconds=0.5,
+    ),
+    events.PeerMessageReceived(
+        now=3,
+        peer=InstanceId('saldo-2'),
+        message=ATTEMPT,
+    ),
+    events.PeerMessageReceived(
+        now=3,
+        peer=InstanceId('saldo-2'),
+        message=ANSWER,
+    ),
+    events.CallArrived(
+        now=4,
+        call_id=CallId('c1'),
+        method='GET',
+        target='/',
+        headers=(('A', '\xff'),),
+        body_bytes=None,
+    ),
+    events.UpstreamAnswered(
+        now=5,
+        attempt_id=AttemptId('a1'),
+        status=200,
+        headers=(),
+        body_bytes=1,
+        body_digest=digest_of(b'x'),
+        elapsed_seconds=0.25,
+    ),
+    events.StopRequested(now=6),
+)
+
+
+class RecorderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = Path(directory.name) / 'trace'
+
+    def test_round_trip(self) -> None:
+        """Guards against a replay that sees other events than the daemon."""
+        recorder = Recorder(trace=self.path.open('wb'), header=HEADER)
+        for event in EVENTS:
+            recorder.write(event)
+        recorder.close()
+        self.assertEqual(tuple(read(self.path)), EVENTS)
+        self.assertEqual(read_header(self.path), HEADER)
+
+    @params(
+        b'{"type":"Tick","data":{"now":1}',
+        b'{"type":"Tock","data":{"now":1}}',
+        b'{"type":"Tick","data":{"now":"later"}}',
+        b'\xff',
+    )
+    def test_broken_line_is_named(self, line: bytes) -> None:
+        """Guards against an error that does not tell the place."""
+        self.path.write_bytes(b'{"type":"Tick","data":{"now":1}}\n' + line)
+        with self.assertRaisesRegex(TraceError, 'trace:2: '):
+            list(read(self.path))
