--- a/briartack/caller_answers.py
+++ b/briartack/caller_answers.py
@@ -1,6 +1,7 @@
 """The bytes of answers to callers."""
 
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final
 
 import msgspec
@@ -11,7 +12,9 @@
 from briartack.error_texts import error_text
 from briartack.headers import CONTENT_LENGTH, first_value
 
-_PHRASES: Final = {status.value: status.phrase for status in HTTPStatus}
+_PHRASES: Final = MappingProxyType(
+    {status.value: status.phrase for status in HTTPStatus},
+)
 _STATUSES_WITHOUT_BODY: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED),
 )
--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -21,7 +21,7 @@
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):"
     rb'[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r?\n',
 )
-_SHOWN_BYTES: Final = 32
+_SHOWN_CHARACTERS: Final = 32
 _TARGET: Final = re.compile('/[\x21-\x7e\x80-\xff]*')
 _MAX_LENGTH_DIGITS: Final = 15
 
@@ -54,7 +54,7 @@
 
     def __delitem__(self, name: str) -> None:
         """Remove a header as pywsgi does, given in lower case."""
-        del self._first[name]
+        self._first.pop(name)
 
     @property
     def pairs(self) -> Headers:
@@ -79,7 +79,7 @@
             remaining = math.nan
         if not 0 <= remaining < math.inf:
             raise RequestError(
-                f'Briartack-Deadline-Ms is {text[:32]!r}; '
+                f'Briartack-Deadline-Ms is {text[:_SHOWN_CHARACTERS]!r}; '
                 'give the remaining milliseconds as a number.',
             )
         return remaining
@@ -89,7 +89,7 @@
         coding = self._first.get('transfer-encoding')
         if length is not None and not _is_length(length):
             raise RequestError(
-                f'Content-Length is {length[:32]!r}; give a decimal number.',
+                f'Content-Length is {length[:_SHOWN_CHARACTERS]!r}; give a decimal number.',
             )
         if coding is None:
             return
@@ -100,7 +100,7 @@
             )
         if coding.lower() != 'chunked':
             raise RequestError(
-                f'Transfer-Encoding is {coding[:32]!r}; use only chunked.',
+                f'Transfer-Encoding is {coding[:_SHOWN_CHARACTERS]!r}; use only chunked.',
             )
 
 
@@ -110,7 +110,9 @@
     Raises RequestError.
     """
     if _TOKEN.fullmatch(method) is None:
-        raise RequestError(f'The method {method[:32]!r} is not a token.')
+        raise RequestError(
+            f'The method {method[:_SHOWN_CHARACTERS]!r} is not a token.'
+        )
     if _TARGET.fullmatch(target) is None or target.startswith('//'):
         raise RequestError(
             'The target must be a path that begins with one slash.',
@@ -139,7 +141,7 @@
 def _split(line: bytes) -> tuple[str, str]:
     match = _HEADER_LINE.fullmatch(line)
     if match is None:
-        shown = line[:_SHOWN_BYTES].decode('latin-1')
+        shown = line[:_SHOWN_CHARACTERS].decode('latin-1')
         raise RequestError(
             f'The header line {shown!r} is not NAME: VALUE in one line.',
         )
--- a/briartack/event_loop.py
+++ b/briartack/event_loop.py
@@ -61,7 +61,7 @@
         self._waiting: deque[Event] = deque()
         self._is_busy = False
         self._wake_timer: gevent.Greenlet | None = None
-        self._wake_at = 0.0
+        self._wake_at: float = 0
 
     @property
     def state(self) -> StateT:
@@ -108,7 +108,8 @@
 
     def close(self) -> None:
         """Write out the trace."""
-        recorder, self._recorder = self._recorder, None
+        recorder = self._recorder
+        self._recorder = None
         if recorder is not None:
             recorder.close()
 
--- a/briartack/framing.py
+++ b/briartack/framing.py
@@ -5,7 +5,8 @@
 """
 
 import zlib
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
 from typing import Final, TypeAlias, final
 
 import msgpack
@@ -34,6 +35,7 @@
 _COMPRESSION_LEVEL: Final = 1
 _COMPRESSED_TAG: Final = 'zlib'
 _DIGEST_BYTES: Final = 4
+_SHOWN_CHARACTERS: Final = 32
 _NATIVE_TYPES: Final = (bytes,)
 
 PeerMessageType: TypeAlias = (
@@ -51,19 +53,21 @@
 )
 
 # Converting by concrete class is many times faster than by the union.
-_CLASSES: Final[dict[str, PeerMessageType]] = {
-    'hello': Hello,
-    'summary': Summary,
-    'pull': Pull,
-    'entries': Entries,
-    'inventory': Inventory,
-    'inventory_reply': InventoryReply,
-    'attempt': Attempt,
-    'chunk': Chunk,
-    'answer': Answer,
-    'cancel': Cancel,
-    'goodbye': Goodbye,
-}
+_CLASSES: Final[Mapping[str, PeerMessageType]] = MappingProxyType(
+    {
+        'hello': Hello,
+        'summary': Summary,
+        'pull': Pull,
+        'entries': Entries,
+        'inventory': Inventory,
+        'inventory_reply': InventoryReply,
+        'attempt': Attempt,
+        'chunk': Chunk,
+        'answer': Answer,
+        'cancel': Cancel,
+        'goodbye': Goodbye,
+    }
+)
 
 
 @final
@@ -136,7 +140,9 @@
         return _decode_compressed(frame)
     message_class = _CLASSES.get(tag) if isinstance(tag, str) else None
     if message_class is None:
-        raise MalformedFrameError(f'unknown tag {str(tag)[:32]!r}')
+        raise MalformedFrameError(
+            f'unknown tag {str(tag)[:_SHOWN_CHARACTERS]!r}'
+        )
     try:
         return msgspec.convert(frame, message_class)
     except msgspec.ValidationError as error:
--- a/briartack/metrics.py
+++ b/briartack/metrics.py
@@ -57,7 +57,7 @@
 
     def __init__(self) -> None:
         self._buckets = [0] * len(_BOUND_TEXTS)
-        self._total_seconds = 0.0
+        self._total_seconds: float = 0
 
     def add(self, seconds: float) -> None:
         self._buckets[bisect.bisect_left(_BOUNDS_SECONDS, seconds)] += 1
--- a/briartack/options.py
+++ b/briartack/options.py
@@ -62,15 +62,15 @@
 
     @property
     def flag(self) -> str:
-        return '--' + self.name.replace('_', '-')
+        return f'--{self.name.replace("_", "-")}'
 
     @property
-    def variable(self) -> str:
+    def variable_name(self) -> str:
         return _VARIABLE_PREFIX + self.name.upper()
 
     def error(self, problem: str) -> OptionError:
         return OptionError(
-            f'{self.flag} ({self.variable}): {problem}. {self.fix}',
+            f'{self.flag} ({self.variable_name}): {problem}. {self.fix}',
         )
 
 
@@ -96,7 +96,7 @@
     for setting in _SETTINGS:
         text = given.get(setting.name)
         if text is None:
-            text = environment.get(setting.variable, setting.default)
+            text = environment.get(setting.variable_name, setting.default)
         try:
             checked[setting.name] = _checked(setting, text)
         except OptionError as error:
@@ -121,7 +121,7 @@
             setting.flag,
             nargs='?',
             const='',
-            help=f'{setting.fix} Variable: {setting.variable}.',
+            help=f'{setting.fix} Variable: {setting.variable_name}.',
         )
     try:
         known, unknown = parser.parse_known_args(arguments)
--- a/briartack/peer_inbox.py
+++ b/briartack/peer_inbox.py
@@ -63,8 +63,11 @@
 
     def forget(self, peer: InstanceId) -> None:
         """Drop the unfinished bodies of a peer whose stream ended."""
-        for key in [key for key in self._assemblies if key[0] == peer]:
-            del self._assemblies[key]
+        self._assemblies = {
+            key: assembly
+            for key, assembly in self._assemblies.items()
+            if key[0] != peer
+        }
 
     def _receive_head(
         self,
@@ -98,7 +101,7 @@
         body = assembly.add(chunk)
         if body is None:
             return
-        del self._assemblies[key]
+        self._assemblies.pop(key)
         self._put(assembly.head, body)
         if chunk.of_answer:
             self._report(peer, assembly.head)
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -6,7 +6,7 @@
 from typing import Final, final
 
 import gevent
-import gevent.socket
+from gevent import socket
 
 from briartack.core.messages import (
     MAX_CHUNK_BYTES,
@@ -17,7 +17,7 @@
 from briartack.core.units import AttemptId
 from briartack.framing import FrameReader, encode
 
-MAX_QUEUED_BYTES: Final = 32 << 20
+MAX_QUEUED_BYTES: Final = 33_554_432
 _RECEIVE_BYTES: Final = 262144
 _CLOSE_SECONDS: Final = 5.0
 _DRAIN_STEP_SECONDS: Final = 0.01
@@ -81,13 +81,13 @@
     def __init__(
         self,
         *,
-        sock: gevent.socket.socket,
+        sock: socket.socket,
         is_outgoing: bool,
     ) -> None:
         """Take over a connected socket."""
         sock.setsockopt(
-            gevent.socket.IPPROTO_TCP,
-            gevent.socket.TCP_NODELAY,
+            socket.IPPROTO_TCP,
+            socket.TCP_NODELAY,
             1,
         )
         self.is_outgoing: Final = is_outgoing
@@ -230,7 +230,7 @@
             self._write_all(rest)
         except OSError:
             # The reading greenlet ends the stream.
-            self._shutdown(gevent.socket.SHUT_RDWR)
+            self._shutdown(socket.SHUT_RDWR)
         finally:
             self._is_writing = False
 
@@ -243,7 +243,7 @@
             if self._bulk:
                 self._sock.sendall(self._next_chunk())
         if self._is_ending:
-            self._shutdown(gevent.socket.SHUT_WR)
+            self._shutdown(socket.SHUT_WR)
 
     def _next_chunk(self) -> bytes:
         body = self._bulk.popleft()
@@ -262,7 +262,7 @@
             self.close()
 
 
-def _remote_address(sock: gevent.socket.socket) -> str:
+def _remote_address(sock: socket.socket) -> str:
     try:
         host, port = sock.getpeername()[:2]
     except OSError:
--- a/briartack/peers.py
+++ b/briartack/peers.py
@@ -8,8 +8,8 @@
 from typing import Final, final
 
 import gevent
-import gevent.socket
 import msgspec
+from gevent import socket
 from gevent.server import StreamServer
 
 from briartack.addresses import Address, parse_address
@@ -139,7 +139,8 @@
 
     def flush(self) -> None:
         """Write what the last event queued, one write for each stream."""
-        unflushed, self._unflushed = self._unflushed, []
+        unflushed = self._unflushed
+        self._unflushed = []
         for stream in unflushed:
             stream.flush()
 
@@ -213,7 +214,7 @@
 
     def _dial(self, peer: InstanceId, address: str) -> None:
         try:
-            sock = gevent.socket.create_connection(
+            sock = socket.create_connection(
                 parse_address(address),
                 timeout=_DIAL_SECONDS,
             )
@@ -229,7 +230,7 @@
             self._dialling.discard(peer)
             self._report_lost(peer, reason)
 
-    def _accept(self, sock: gevent.socket.socket, address: Address) -> None:
+    def _accept(self, sock: socket.socket, address: Address) -> None:
         self._run(PeerStream(sock=sock, is_outgoing=False), expected=None)
 
     def _run(self, stream: PeerStream, *, expected: InstanceId | None) -> str:
@@ -310,7 +311,7 @@
             # A spare stream ended; the one in use goes on.
             stream.drain()
             return
-        del self._streams[peer]
+        self._streams.pop(peer)
         self._inbox.forget(peer)
         stream.close()
         self._report_lost(peer, reason)
--- a/briartack/recorder.py
+++ b/briartack/recorder.py
@@ -7,35 +7,21 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import BinaryIO, Final, TypeVar, final
+from types import MappingProxyType
+from typing import BinaryIO, Final, TypeVar, final, get_args
 
 import msgspec
 
 from briartack.core import events
 from briartack.core.identity import Identity
 
-_EVENT_CLASSES: Final[dict[str, type[events.Event]]] = {
-    event_class.__name__: event_class
-    for event_class in (
-        events.Started,
-        events.Tick,
-        events.StoreRead,
-        events.StoreWatched,
-        events.StoreFailed,
-        events.PeerConnected,
-        events.PeerDisconnected,
-        events.PeerMessageReceived,
-        events.AttemptBodyRead,
-        events.CallArrived,
-        events.CallBodyRead,
-        events.CallCancelled,
-        events.KeyRequested,
-        events.UpstreamAnswered,
-        events.UpstreamFailed,
-        events.UpstreamProbed,
-        events.StopRequested,
-    )
-}
+# The tag of a line is the class name of its event.
+_EVENT_CLASSES: Final = MappingProxyType(
+    {
+        event_class.__name__: event_class
+        for event_class in get_args(events.Event)
+    },
+)
 _HEADER_TYPE: Final = 'TraceHeader'
 _Record = TypeVar('_Record')
 
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -106,7 +106,8 @@
         self._end_watch()
 
     def _end_watch(self) -> None:
-        watch, self._watch = self._watch, None
+        watch = self._watch
+        self._watch = None
         if watch is not None:
             watch.kill(block=False)
 
--- a/briartack/test/test_options.py
+++ b/briartack/test/test_options.py
@@ -20,6 +20,7 @@
 
 
 def errors_of(arguments: list[str], environment: dict[str, str]) -> list[str]:
+    """Return the texts of all errors."""
     try:
         read_options(arguments, environment)
     except ExceptionGroup as group:
--- a/briartack/test/test_upstream.py
+++ b/briartack/test/test_upstream.py
@@ -18,6 +18,7 @@
 
 
 def dispatch(number: int, method: str = 'POST') -> effects.Dispatch:
+    """Make an attempt with a short deadline."""
     return effects.Dispatch(
         attempt_id=AttemptId(f'a{number}'),
         body_id=BodyId('none'),
