Validate one value of the store by its own text

The decoder of msgspec stops at the first fault and names no keys of objects, so a refused team is decoded again part by part to list every fault with its path.

--- /dev/null
+++ b/briartack/core/validation.py
@@ -0,0 +1,232 @@
+"""Validation of one value of the store by its own text alone.
+
+Nothing here looks at other keys, so every daemon and the command line come
+to the same verdict on a version, whatever else they hold.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from types import MappingProxyType
+from typing import Final, TypeAlias, TypeVar
+
+import msgspec
+
+from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_KEY, TEAM_PREFIX
+from briartack.core.problems import Code, InvalidValueError, Problem, problem
+from briartack.core.settings import (
+    InstanceRecord,
+    PlatformSettings,
+    Policy,
+    Route,
+    ServiceLimits,
+    TeamSettings,
+    Workspace,
+)
+from briartack.core.shape import (
+    ROOT,
+    is_name,
+    shape_problem,
+    team_shape_problems,
+)
+
+MAX_VALUE_BYTES: Final = 1_048_576  # the store refuses larger values
+FIELD_OF_KIND: Final = MappingProxyType(
+    {'services': 'service', 'policies': 'policy', 'workspaces': 'workspace'},
+)
+_MAX_PORT: Final = 65535
+_DOT_SEGMENTS: Final = frozenset(('.', '..'))
+_BAD_IN_PREFIX: Final = frozenset(('?', '#', '\\', ' '))
+
+Resource: TypeAlias = ServiceLimits | Policy | Workspace
+
+_Decoded = TypeVar('_Decoded')
+_TEAM: Final = msgspec.json.Decoder(TeamSettings)
+_PLATFORM: Final = msgspec.json.Decoder(PlatformSettings)
+_INSTANCE: Final = msgspec.json.Decoder(InstanceRecord)
+
+
+def validate_team(key: str, text: str) -> TeamSettings:
+    """Decode the subtree of a team; raise InvalidValueError."""
+    team = team_of(key)
+    settings = _decode(key, text, _TEAM, team_shape_problems)
+    _refuse(_team_problems(key, team, settings))
+    return settings
+
+
+def validate_platform(key: str, text: str) -> PlatformSettings:
+    """Decode what is out of service; raise InvalidValueError."""
+    if key != PLATFORM_KEY:
+        raise InvalidValueError((problem(key, ROOT, Code.UNKNOWN_KEY),))
+    settings = _decode(key, text, _PLATFORM)
+    _refuse(
+        (
+            *_list_problems(
+                key,
+                f'{ROOT}.data_centres_out',
+                settings.data_centres_out,
+            ),
+            *_list_problems(
+                key,
+                f'{ROOT}.instances_out',
+                settings.instances_out,
+            ),
+        ),
+    )
+    return settings
+
+
+def validate_instance(key: str, text: str) -> InstanceRecord:
+    """Decode the record of an instance; raise InvalidValueError."""
+    name = key.removeprefix(INSTANCE_PREFIX)
+    if name == key:
+        raise InvalidValueError((problem(key, ROOT, Code.UNKNOWN_KEY),))
+    if not name or not name.isprintable() or ' ' in name or '/' in name:
+        raise InvalidValueError((problem(key, ROOT, Code.KEY_NAME, name),))
+    record = _decode(key, text, _INSTANCE)
+    if not is_address(record.peer_address):
+        path = f'{ROOT}.peer_address'
+        address = record.peer_address
+        _refuse((problem(key, path, Code.ADDRESS, address),))
+    return record
+
+
+def team_of(key: str) -> str:
+    """Give the team whose subtree a key holds; raise InvalidValueError."""
+    name = key.removeprefix(TEAM_PREFIX)
+    if name == key:
+        raise InvalidValueError((problem(key, ROOT, Code.UNKNOWN_KEY),))
+    if not is_name(name):
+        raise InvalidValueError((problem(key, ROOT, Code.KEY_NAME, name),))
+    return name
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text has the form IP:PORT."""
+    host, _, port = text.rpartition(':')
+    if not host or ' ' in host or not (port.isascii() and port.isdecimal()):
+        return False
+    return 0 < int(port) <= _MAX_PORT
+
+
+def split_reference(reference: str, own_team: str) -> tuple[str, str]:
+    """Give the team and the name that a reference means."""
+    team, _, name = reference.rpartition('/')
+    return (team or own_team, name)
+
+
+def route_references(route: Route) -> Iterator[tuple[str, str]]:
+    """Give the kind of resource and the reference, for each of a route."""
+    yield 'services', route.service
+    yield 'policies', route.policy
+    if route.workspace is not None:
+        yield 'workspaces', route.workspace
+
+
+def section_of(settings: TeamSettings, kind: str) -> Mapping[str, Resource]:
+    """Give the team's own resources of one kind."""
+    if kind == 'services':
+        return settings.services
+    if kind == 'policies':
+        return settings.policies
+    return settings.workspaces
+
+
+def _decode(
+    key: str,
+    text: str,
+    decoder: msgspec.json.Decoder[_Decoded],
+    explain: Callable[[str, bytes], tuple[Problem, ...]] | None = None,
+) -> _Decoded:
+    payload = _encoded(key, text)
+    try:
+        return decoder.decode(payload)
+    except msgspec.ValidationError as error:
+        found = explain(key, payload) if explain else ()
+        whole = (shape_problem(key, ROOT, str(error)),)
+        raise InvalidValueError(found or whole) from error
+    except (msgspec.DecodeError, RecursionError) as error:
+        wrong = problem(key, ROOT, Code.SYNTAX, str(error))
+        raise InvalidValueError((wrong,)) from error
+
+
+def _encoded(key: str, text: str) -> bytes:
+    try:
+        payload = text.encode()
+    except UnicodeEncodeError as error:
+        wrong = problem(key, ROOT, Code.NOT_UNICODE, error.reason)
+        raise InvalidValueError((wrong,)) from error
+    if len(payload) > MAX_VALUE_BYTES:
+        _refuse((problem(key, ROOT, Code.TOO_LARGE, len(payload)),))
+    return payload
+
+
+def _refuse(problems: Iterable[Problem]) -> None:
+    found = tuple(problems)
+    if found:
+        raise InvalidValueError(found)
+
+
+def _team_problems(
+    key: str,
+    team: str,
+    settings: TeamSettings,
+) -> Iterator[Problem]:
+    for name, workspace in settings.workspaces.items():
+        path = f'{ROOT}.workspaces.{name}'
+        yield from _list_problems(key, f'{path}.tenants', workspace.tenants)
+        yield from _list_problems(
+            key,
+            f'{path}.home_regions',
+            workspace.home_regions,
+        )
+    counts = Counter(route.name for route in settings.routes)
+    for index, route in enumerate(settings.routes):
+        path = f'{ROOT}.routes[{index}]'
+        if counts[route.name] > 1:
+            name = route.name
+            yield problem(key, f'{path}.name', Code.DUPLICATE_ROUTE, name)
+        yield from _route_problems(key, path, route)
+        yield from _own_problems(key, path, route, team, settings)
+
+
+def _route_problems(key: str, path: str, route: Route) -> Iterator[Problem]:
+    prefix = route.path_prefix
+    segments = prefix.split('/')
+    if not _is_plain(prefix) or not _DOT_SEGMENTS.isdisjoint(segments):
+        yield problem(key, f'{path}.path_prefix', Code.PATH_PREFIX, prefix)
+    place = f'{path}.methods'
+    for method in route.methods:
+        if not (method.isascii() and method.isalpha() and method.isupper()):
+            yield problem(key, place, Code.METHOD, method)
+    yield from _list_problems(key, place, route.methods)
+
+
+def _is_plain(prefix: str) -> bool:
+    return prefix.isprintable() and _BAD_IN_PREFIX.isdisjoint(prefix)
+
+
+def _own_problems(
+    key: str,
+    path: str,
+    route: Route,
+    own_team: str,
+    settings: TeamSettings,
+) -> Iterator[Problem]:
+    for kind, reference in route_references(route):
+        team, name = split_reference(reference, own_team)
+        if team == own_team and name not in section_of(settings, kind):
+            missing = f'{kind} {team}/{name}'
+            place = f'{path}.{FIELD_OF_KIND[kind]}'
+            yield problem(key, place, Code.OWN_REFERENCE, missing)
+
+
+def _list_problems(
+    key: str,
+    path: str,
+    names: tuple[str, ...],
+) -> Iterator[Problem]:
+    for listed, count in Counter(names).items():
+        if not listed or listed != listed.strip():
+            yield problem(key, path, Code.EMPTY_ITEM, listed)
+        if count > 1:
+            yield problem(key, path, Code.DUPLICATE_ITEM, listed)
