Accept versions of subtrees as a join

All candidate versions of a batch take part in the greatest fixed point, not only the highest of each key, so that the result does not depend on how entries are batched.

Patterns of names end in \Z, because $ lets a line break at the end pass.

--- /dev/null
+++ b/briartack/core/accepted.py
@@ -0,0 +1,151 @@
+"""The accepted versions and definitions, and how they are chosen.
+
+Applying versions in any order, in any batches and any number of times leads
+to the same state, with two exceptions. A definition that its owner removed is
+forgotten once nobody refers to it, and a version that waits is forgotten when
+a higher one waits. Both end when daemons exchange entries, because entries
+carry the definitions that they resolved to.
+"""
+
+from collections.abc import Iterable
+from typing import final
+
+from briartack.core.entries import TEAM_PREFIX
+from briartack.core.intake import Intake, Slot
+from briartack.core.resolution import DefinitionPool, resolvable
+from briartack.core.units import Revision
+from briartack.core.validation import Resource
+from briartack.core.versions import Held, ResourceId, Version
+
+
+@final
+class Accepted:
+    """Own the slots of all keys and the pool of definitions."""
+
+    __slots__ = ('slots', 'pool')
+
+    def __init__(self) -> None:
+        """Start with nothing accepted."""
+        self.slots: dict[str, Slot] = {}
+        self.pool = DefinitionPool()
+
+    @property
+    def active(self) -> dict[str, Version]:
+        """Give the active version of each key, in the order of keys."""
+        return {
+            key: slot.active
+            for key, slot in sorted(self.slots.items())
+            if slot.active is not None
+        }
+
+    @property
+    def waiting(self) -> tuple[Version, ...]:
+        """Give the versions that wait, in the order of keys."""
+        return tuple(
+            slot.waiting
+            for _, slot in sorted(self.slots.items())
+            if slot.waiting is not None
+        )
+
+    def held(self, name: ResourceId) -> Held | None:
+        """Give the newest definition of a resource, if there is one."""
+        found = [
+            held
+            for held in (self._owned(name), self.pool.get(name))
+            if held is not None
+        ]
+        return max(found, key=lambda held: held.revision, default=None)
+
+    def is_held(self, name: ResourceId) -> bool:
+        """Tell whether a reference to a resource resolves."""
+        return self.held(name) is not None
+
+    def definition(self, name: ResourceId) -> Resource | None:
+        """Give a resource as its newest definition has it."""
+        held = self.held(name)
+        return None if held is None else held.resource
+
+    def resolve(self, intake: Intake) -> tuple[tuple[str, Revision], ...]:
+        """Choose among all candidates; give what became active."""
+        candidates = intake.candidates
+        candidates.extend(self.waiting)
+        resolved = resolvable(candidates, self.is_held)
+        if len(resolved) < len(candidates) and intake.late:
+            intake.take_late()
+            resolved = resolvable(candidates, self.is_held)
+        earlier = tuple(self.active.values())
+        activated = self._settle(candidates, resolved)
+        self._retain((*earlier, *resolved))
+        return activated
+
+    def removed(self) -> list[ResourceId]:
+        """List the definitions whose owner has gone on without them."""
+        return [
+            name
+            for name, held in self.pool.definitions
+            if (slot := self.slots.get(f'{TEAM_PREFIX}{name.team}')) is not None
+            and slot.active is not None
+            and slot.active.revision > held.revision
+        ]
+
+    def _owned(self, name: ResourceId) -> Held | None:
+        slot = self.slots.get(f'{TEAM_PREFIX}{name.team}')
+        if slot is None or slot.active is None:
+            return None
+        return slot.active.held(name)
+
+    def _settle(
+        self,
+        candidates: Iterable[Version],
+        resolved: tuple[Version, ...],
+    ) -> tuple[tuple[str, Revision], ...]:
+        activated = []
+        for key in sorted({version.key for version in candidates}):
+            slot = self.slots.setdefault(key, Slot())
+            before = slot.active
+            active = _highest(key, resolved, before)
+            slot.settle(active, _highest(key, candidates, active))
+            if slot.waiting is active:
+                slot.settle(active, None)
+            if active is not None and active is not before:
+                activated.append((key, active.revision))
+        return tuple(activated)
+
+    def _retain(self, sources: Iterable[Version]) -> None:
+        wanted = {
+            name for slot in self.slots.values() for name in foreign_of(slot)
+        }
+        by_team: dict[str, list[Version]] = {}
+        for version in sources:
+            by_team.setdefault(version.team, []).append(version)
+        for wanted_name in wanted:
+            for source in by_team.get(wanted_name.team, ()):
+                held = source.held(wanted_name)
+                if held is not None:
+                    self.pool.offer(wanted_name, held)
+        self.pool.keep_only(
+            lambda name, kept: name in wanted and self._is_newer(name, kept),
+        )
+
+    def _is_newer(self, name: ResourceId, held: Held) -> bool:
+        owned = self._owned(name)
+        return owned is None or owned.revision < held.revision
+
+
+def foreign_of(slot: Slot) -> frozenset[ResourceId]:
+    """Give the references to other teams of all versions of a key."""
+    names: frozenset[ResourceId] = frozenset()
+    return names.union(*(version.foreign for version in slot.versions))
+
+
+def _highest(
+    key: str,
+    versions: Iterable[Version],
+    least: Version | None,
+) -> Version | None:
+    highest = least
+    for version in versions:
+        if version.key == key:
+            is_higher = highest is None or version.revision > highest.revision
+            highest = version if is_higher else highest
+    return highest
--- /dev/null
+++ b/briartack/core/intake.py
@@ -0,0 +1,167 @@
+"""Sorting of arriving entries, before references are resolved."""
+
+from typing import Final, final
+
+import msgspec
+
+from briartack.core.changes import RefusedVersion
+from briartack.core.entries import Definition, Entry
+from briartack.core.problems import Code, InvalidValueError, Problem, problem
+from briartack.core.resolution import DefinitionPool
+from briartack.core.shape import ROOT
+from briartack.core.units import Revision
+from briartack.core.versions import (
+    ResourceId,
+    Version,
+    decode_definition,
+    decode_version,
+)
+
+_NONE: Final = Revision(0)  # the store counts from 1
+
+
+@final
+class Slot:
+    """Hold the accepted versions of one key."""
+
+    __slots__ = ('active', 'waiting', 'refused')
+
+    def __init__(self) -> None:
+        """Start with no version."""
+        self.active: Version | None = None
+        self.waiting: Version | None = None
+        # Refused revisions above the active one, so that a malformed version
+        # is decoded and reported once.
+        self.refused: set[Revision] = set()
+
+    @property
+    def versions(self) -> tuple[Version, ...]:
+        """Give the active and the waiting version, as far as there are."""
+        both = (self.active, self.waiting)
+        return tuple(version for version in both if version is not None)
+
+    @property
+    def highest(self) -> Revision:
+        """Give the highest accepted revision, or 0."""
+        return max(
+            (version.revision for version in self.versions),
+            default=_NONE,
+        )
+
+    @property
+    def is_deleted(self) -> bool:
+        """Tell whether the highest version, if there is one, is a deletion."""
+        return not self.versions or self.versions[-1].text is None
+
+    def is_below_active(self, revision: Revision) -> bool:
+        """Tell whether a revision is older than the active one."""
+        return self.active is not None and revision < self.active.revision
+
+    def settle(self, active: Version | None, waiting: Version | None) -> None:
+        """Put the versions that resolution has chosen in place."""
+        self.active = active
+        self.waiting = waiting
+        if active is not None:
+            floor = active.revision
+            self.refused = {seen for seen in self.refused if seen > floor}
+
+
+@final
+class Intake:
+    """Decode the entries of one batch that may change something."""
+
+    __slots__ = ('candidates', 'late', 'refused', 'stale', '_slots', '_pool')
+
+    def __init__(
+        self,
+        *,
+        slots: dict[str, Slot],
+        pool: DefinitionPool,
+    ) -> None:
+        """Read and fill the slots and the pool of the state."""
+        self.candidates: list[Version] = []
+        self.late: list[Entry] = []  # older than the active version
+        self.refused: list[RefusedVersion] = []
+        self.stale = 0
+        self._slots = slots
+        self._pool = pool
+
+    def take(self, entry: Entry) -> None:
+        """Sort one entry."""
+        for definition in entry.definitions:
+            self._offer(entry, definition)
+        slot = self._slots.get(entry.key)
+        if slot is None:
+            self._decode(entry)
+        elif slot.is_below_active(entry.revision):
+            self.stale += 1
+            self.late.append(entry)
+        elif not self._is_known(slot, entry):
+            self._decode(entry)
+
+    def take_late(self) -> None:
+        """Decode older versions too, for what they define.
+
+        A version that waits may need a resource that its owner removed before
+        the wait began here, as when versions arrive out of order.
+        """
+        for entry in self.late:
+            try:
+                version = decode_version(
+                    entry.key,
+                    entry.revision,
+                    entry.value,
+                )
+            except InvalidValueError:
+                continue
+            self.candidates.append(version)
+
+    def _is_known(self, slot: Slot, entry: Entry) -> bool:
+        if entry.revision in slot.refused:
+            self.stale += 1
+            return True
+        for version in slot.versions:
+            if version.revision == entry.revision:
+                self.stale += 1
+                if version.text != entry.value:
+                    self._refuse(entry, Code.REVISION_REUSED, entry.revision)
+                return True
+        return False
+
+    def _decode(self, entry: Entry) -> None:
+        try:
+            version = decode_version(entry.key, entry.revision, entry.value)
+        except InvalidValueError as error:
+            self._remember(entry)
+            self._report(entry, error.problems)
+        else:
+            self.candidates.append(version)
+
+    def _remember(self, entry: Entry) -> None:
+        slot = self._slots.setdefault(entry.key, Slot())
+        slot.refused.add(entry.revision)
+
+    def _offer(self, entry: Entry, definition: Definition) -> None:
+        resource_id = ResourceId(
+            definition.kind,
+            definition.team,
+            definition.name,
+        )
+        try:
+            held = decode_definition(definition)
+        except (msgspec.DecodeError, UnicodeEncodeError, RecursionError):
+            self._refuse(entry, Code.DEFINITION, resource_id)
+        else:
+            self._pool.offer(resource_id, held)
+
+    def _refuse(self, entry: Entry, code: Code, detail: object) -> None:
+        self._report(entry, (problem(entry.key, ROOT, code, detail),))
+
+    def _report(self, entry: Entry, problems: tuple[Problem, ...]) -> None:
+        self.refused.append(
+            RefusedVersion(
+                key=entry.key,
+                revision=entry.revision,
+                problems=problems,
+            ),
+        )
--- /dev/null
+++ b/briartack/core/resolved.py
@@ -0,0 +1,219 @@
+"""The configuration in force, as one immutable value.
+
+A proxy swaps one reference to replace it; a call keeps the snapshot that it
+was routed with.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Final, final
+
+from briartack.core.entries import PLATFORM_KEY
+from briartack.core.settings import (
+    PlatformSettings,
+    Policy,
+    Route,
+    ServiceLimits,
+    Workspace,
+)
+from briartack.core.units import Digest, Revision
+from briartack.core.validation import Resource
+from briartack.core.versions import ResourceId, Version, references_of
+
+_NO_PLATFORM: Final = PlatformSettings()
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResolvedRoute:
+    """Hold a route with everything that it refers to."""
+
+    name: str  # TEAM/ROUTE
+    team: str
+    path_prefix: str
+    methods: frozenset[str]  # empty allows every method
+    service: str  # TEAM/NAME
+    limits: ServiceLimits
+    policy_name: str  # TEAM/NAME
+    policy: Policy
+    home_regions: frozenset[str] | None  # none binds the route to no region
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Snapshot:
+    """Hold the active configuration and its version."""
+
+    versions: tuple[tuple[str, Revision], ...]  # of active keys, sorted
+    digest: Digest  # over active versions and the definitions they retain
+    highest: Revision
+    routes: tuple[ResolvedRoute, ...]  # longest prefix first, then by team
+    services: Mapping[str, ServiceLimits]
+    tenant_regions: Mapping[str, frozenset[str]]
+    platform: PlatformSettings
+    retained: tuple[str, ...]  # KIND/TEAM/NAME that the owner has removed
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InForce:
+    """Hold what a snapshot is made of."""
+
+    active: Mapping[str, Version]
+    # Definitions whose owner's active version has none, or an older one.
+    extra: Mapping[ResourceId, Resource]
+    definition: Callable[[ResourceId], Resource | None]
+    digest: Digest
+    retained: tuple[str, ...]
+
+
+@final
+class SnapshotBuilder:
+    """Make snapshots, and resolve again only the routes that changed."""
+
+    __slots__ = ('_resolved',)
+
+    def __init__(self) -> None:
+        """Start with no route resolved."""
+        self._resolved: dict[str, _ResolvedTeam] = {}
+
+    def build(self, parts: InForce) -> Snapshot:
+        """Make the snapshot of what is in force."""
+        self._resolved = {
+            key: self._team(version, parts)
+            for key, version in sorted(parts.active.items())
+        }
+        routes = [
+            route for team in self._resolved.values() for route in team.routes
+        ]
+        # The sort is stable, so the routes of a team keep their order.
+        routes.sort(key=_route_order)
+        platform = parts.active.get(PLATFORM_KEY)
+        return Snapshot(
+            versions=tuple(
+                (key, parts.active[key].revision) for key in self._resolved
+            ),
+            digest=parts.digest,
+            highest=max(version.revision for version in parts.active.values()),
+            routes=tuple(routes),
+            services=MappingProxyType(_services(parts)),
+            tenant_regions=MappingProxyType(_tenant_regions(parts)),
+            platform=_NO_PLATFORM if platform is None else platform.platform,
+            retained=parts.retained,
+        )
+
+    def _team(self, version: Version, parts: InForce) -> '_ResolvedTeam':
+        used = (
+            *(parts.definition(wanted) for wanted in sorted(version.foreign)),
+            *(
+                (name, resource)
+                for name, resource in parts.extra.items()
+                if name.team == version.team
+            ),
+        )
+        present = self._resolved.get(version.key)
+        if present is not None and present.is_of(version, used):
+            return present
+        return _ResolvedTeam(
+            version=version,
+            used=used,
+            routes=tuple(
+                _resolve(version.team, route, parts.definition)
+                for route in version.settings.routes
+            ),
+        )
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True, eq=False)
+class _ResolvedTeam:
+    """Hold the routes of a version and what else they were made of."""
+
+    version: Version
+    used: tuple[object, ...]
+    routes: tuple[ResolvedRoute, ...]
+
+    def is_of(self, version: Version, used: tuple[object, ...]) -> bool:
+        """Tell whether the routes would be the same again."""
+        return self.version is version and self.used == used
+
+
+def _route_order(route: ResolvedRoute) -> tuple[int, str, str]:
+    return (-len(route.path_prefix), route.path_prefix, route.team)
+
+
+def _resolve(
+    team: str,
+    route: Route,
+    definition: Callable[[ResourceId], Resource | None],
+) -> ResolvedRoute:
+    names = references_of(team, route)
+    service, policy = names[:2]
+    limits = definition(service)
+    bounds = definition(policy)
+    # An active version never lacks a resource; see Accepted.
+    assert isinstance(limits, ServiceLimits)  # noqa: S101
+    assert isinstance(bounds, Policy)  # noqa: S101
+    return ResolvedRoute(
+        name=f'{team}/{route.name}',
+        team=team,
+        path_prefix=route.path_prefix,
+        methods=frozenset(route.methods),
+        service=service.qualified,
+        limits=limits,
+        policy_name=policy.qualified,
+        policy=bounds,
+        home_regions=_home_regions(names[2:], definition),
+    )
+
+
+def _home_regions(
+    names: Iterable[ResourceId],
+    definition: Callable[[ResourceId], Resource | None],
+) -> frozenset[str] | None:
+    for name in names:
+        workspace = definition(name)
+        assert isinstance(workspace, Workspace)  # noqa: S101
+        return frozenset(workspace.home_regions)
+    return None
+
+
+def _services(parts: InForce) -> dict[str, ServiceLimits]:
+    names = [
+        ResourceId('services', version.team, name)
+        for version in parts.active.values()
+        for name in version.settings.services
+    ]
+    names.extend(name for name in parts.extra if name.kind == 'services')
+    found = {name.qualified: parts.definition(name) for name in sorted(names)}
+    return {
+        name: limits
+        for name, limits in found.items()
+        if isinstance(limits, ServiceLimits)
+    }
+
+
+def _tenant_regions(parts: InForce) -> dict[str, frozenset[str]]:
+    """Intersect the home regions of all workspaces that name a tenant.
+
+    Retained workspaces bind their tenants too: a request that is refused is
+    safer than one that is served outside its home regions.
+    """
+    regions: dict[str, frozenset[str]] = {}
+    for workspace in _workspaces(parts):
+        own = frozenset(workspace.home_regions)
+        for tenant in workspace.tenants:
+            regions[tenant] = regions.get(tenant, own) & own
+    return dict(sorted(regions.items()))
+
+
+def _workspaces(parts: InForce) -> list[Workspace]:
+    names = {
+        ResourceId('workspaces', version.team, name)
+        for version in parts.active.values()
+        for name in version.settings.workspaces
+    }
+    names.update(name for name in parts.extra if name.kind == 'workspaces')
+    found = (parts.definition(name) for name in names)
+    return [item for item in found if isinstance(item, Workspace)]
--- a/briartack/core/settings.py
+++ b/briartack/core/settings.py
@@ -6,10 +6,11 @@
 import msgspec
 from msgspec import Meta
 
-Name = Annotated[str, Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
+# `\Z` and not `$`, which lets a line break at the end pass.
+Name = Annotated[str, Meta(pattern=r'^[a-z][a-z0-9-]{0,62}\Z')]
 Reference = Annotated[
     str,
-    Meta(pattern='^([a-z][a-z0-9-]{0,62}/)?[a-z][a-z0-9-]{0,62}$'),
+    Meta(pattern=r'^([a-z][a-z0-9-]{0,62}/)?[a-z][a-z0-9-]{0,62}\Z'),
 ]
 PositiveInt = Annotated[int, Meta(ge=1, le=100_000)]
 
--- a/briartack/core/validation.py
+++ b/briartack/core/validation.py
@@ -172,19 +172,19 @@
     settings: TeamSettings,
 ) -> Iterator[Problem]:
     for name, workspace in settings.workspaces.items():
-        path = f'{ROOT}.workspaces.{name}'
-        yield from _list_problems(key, f'{path}.tenants', workspace.tenants)
+        place = f'{ROOT}.workspaces.{name}'
+        yield from _list_problems(key, f'{place}.tenants', workspace.tenants)
         yield from _list_problems(
             key,
-            f'{path}.home_regions',
+            f'{place}.home_regions',
             workspace.home_regions,
         )
     counts = Counter(route.name for route in settings.routes)
     for index, route in enumerate(settings.routes):
         path = f'{ROOT}.routes[{index}]'
         if counts[route.name] > 1:
-            name = route.name
-            yield problem(key, f'{path}.name', Code.DUPLICATE_ROUTE, name)
+            double = route.name
+            yield problem(key, f'{path}.name', Code.DUPLICATE_ROUTE, double)
         yield from _route_problems(key, path, route)
         yield from _own_problems(key, path, route, team, settings)
 
