--- /dev/null
+++ b/models/transitions.py
@@ -0,0 +1,118 @@
+"""Checks a transition system: by induction, and by bounded search for a fault.
+
+Induction proves an invariant for runs of any length. The bounded search gives
+a run that breaks a mutant, so that a proof can be seen to fail.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Final, Protocol, TypeAlias
+
+import z3
+
+Variables: TypeAlias = dict[str, z3.ExprRef]
+Run: TypeAlias = list[dict[str, str]]
+
+# Enough for a send, a restart or a pause, pruning and two deliveries.
+DEFAULT_DEPTH: Final = 7
+
+
+class TransitionSystem(Protocol):
+    """Describe a protocol by formulas over its variables."""
+
+    @property
+    def sorts(self) -> Mapping[str, z3.SortRef]:
+        """Return the sort of each variable."""
+
+    def initial(self, now: Variables) -> z3.BoolRef:
+        """Return the formula of the first states."""
+
+    def step(self, now: Variables, after: Variables) -> z3.BoolRef:
+        """Return the formula of all transitions."""
+
+    def safe(self, now: Variables) -> z3.BoolRef:
+        """Return the property that must always hold."""
+
+    def invariant(self, now: Variables) -> z3.BoolRef:
+        """Return a stronger property that each step keeps."""
+
+
+def proof_gap(system: TransitionSystem) -> str:
+    """Return which part of the induction fails; empty if it is proved."""
+    now = _variables(system, 0)
+    after = _variables(system, 1)
+    holds = system.invariant(now)
+    obligations: dict[str, Callable[[], z3.BoolRef]] = {
+        'initial': lambda: z3.And(system.initial(now), z3.Not(holds)),
+        'step': lambda: z3.And(
+            holds,
+            system.step(now, after),
+            z3.Not(system.invariant(after)),
+        ),
+        'safe': lambda: z3.And(holds, z3.Not(system.safe(now))),
+    }
+    for name, violated in obligations.items():
+        solver = z3.Solver()
+        solver.add(violated())
+        if solver.check() != z3.unsat:
+            return name
+    return ''
+
+
+def find_fault(
+    system: TransitionSystem,
+    depth: int = DEFAULT_DEPTH,
+) -> Run | None:
+    """Return the shortest run to an unsafe state within a depth, if any."""
+    solver = z3.Solver()
+    states = [_variables(system, 0)]
+    solver.add(system.initial(states[0]))
+    for number in range(1, depth + 1):
+        states.append(_variables(system, number))
+        solver.add(system.step(states[-2], states[-1]))
+        solver.push()
+        solver.add(z3.Not(system.safe(states[-1])))
+        if solver.check() == z3.sat:
+            return _run(solver.model(), states)
+        solver.pop()
+    return None
+
+
+def is_reachable(
+    system: TransitionSystem,
+    goal: Callable[[Variables], z3.BoolRef],
+    depth: int = DEFAULT_DEPTH,
+) -> bool:
+    """Tell whether some run reaches a goal, so that a proof is not vacuous."""
+    solver = z3.Solver()
+    before = _variables(system, 0)
+    solver.add(system.initial(before))
+    goals = [goal(before)]
+    for number in range(1, depth + 1):
+        after = _variables(system, number)
+        solver.add(system.step(before, after))
+        goals.append(goal(after))
+        before = after
+    solver.add(z3.Or(*goals))
+    return bool(solver.check() == z3.sat)
+
+
+def unchanged(
+    now: Variables,
+    after: Variables,
+    *changing: str,
+) -> z3.BoolRef:
+    """Return that all variables but some keep their value."""
+    return z3.And(
+        *(after[name] == now[name] for name in now if name not in changing),
+    )
+
+
+def _variables(system: TransitionSystem, number: int) -> Variables:
+    return {
+        name: z3.Const(f'{name}@{number}', sort)
+        for name, sort in system.sorts.items()
+    }
+
+
+def _run(model: z3.ModelRef, states: list[Variables]) -> Run:
+    return [{X for name, variable in state.items()} for state in states]
