--- a/models/transitions.py
+++ b/models/transitions.py
@@ -115,4 +115,10 @@
 
 
 def _run(model: z3.ModelRef, states: list[Variables]) -> Run:
-    return [{X for name, variable in state.items()} for state in states]
+    return [
+        {
+            name: str(model.eval(symbol, model_completion=True))
+            for name, symbol in state.items()
+        }
+        for state in states
+    ]
