--- /dev/null
+++ b/briartack/core/combined_holdings.py
@@ -0,0 +1,72 @@
+"""What a daemon holds, configuration and instances together.
+
+Dissemination exchanges both by the same messages and sees only this view.
+"""
+
+from collections.abc import Iterable
+from typing import final
+
+from briartack.core.entries import Entry, is_instance_key
+from briartack.core.membership import MembershipState
+from briartack.core.snapshot import SnapshotState
+from briartack.core.units import Digest, Revision
+
+
+@final
+class CombinedHoldings:
+    """Join the entries of the snapshot and of the instance list."""
+
+    __slots__ = ('_membership', '_snapshots')
+
+    def __init__(
+        self,
+        *,
+        snapshots: SnapshotState,
+        membership: MembershipState,
+    ) -> None:
+        """Refer to both slices without owning them."""
+        self._snapshots = snapshots
+        self._membership = membership
+
+    @property
+    def highest(self) -> Revision:
+        """Return the highest revision held."""
+        return max(self._snapshots.highest, self._membership.highest)
+
+    @property
+    def configuration_digest(self) -> Digest:
+        """Return the digest over active, waiting and retained versions."""
+        return self._snapshots.digest
+
+    @property
+    def instances_digest(self) -> Digest:
+        """Return the digest over the instance list."""
+        return self._membership.digest
+
+    @property
+    def has_snapshot(self) -> bool:
+        """Tell whether any configuration has been accepted."""
+        return self._snapshots.snapshot is not None
+
+    def entries_after(self, revision: Revision) -> tuple[Entry, ...]:
+        """Return all entries above a revision."""
+        return (
+            *self._snapshots.entries_after(revision),
+            *self._membership.entries_after(revision),
+        )
+
+    def entries_for(self, keys: Iterable[str]) -> tuple[Entry, ...]:
+        """Return the entries of some keys."""
+        wanted = tuple(keys)
+        return (
+            *self._snapshots.entries_for(
+                key for key in wanted if not is_instance_key(key)
+            ),
+            *self._membership.entries_for(
+                key for key in wanted if is_instance_key(key)
+            ),
+        )
+
+    def versions(self) -> dict[str, Revision]:
+        """Return the highest revision held for each key."""
+        return {**self._snapshots.versions(), **self._membership.versions()}
--- /dev/null
+++ b/briartack/core/merging.py
@@ -0,0 +1,176 @@
+"""Takes received entries into what a daemon holds and reports the change.
+
+This is the only path by which configuration or instances change, whether
+they come from the store or from a peer.
+"""
+
+from typing import TYPE_CHECKING, Final
+
+from briartack.core import dissemination
+from briartack.core.effects import (
+    Count,
+    Effects,
+    LogLevel,
+    WriteAudit,
+    WriteLog,
+)
+from briartack.core.entries import INSTANCE_PREFIX, Entry, is_instance_key
+from briartack.core.snapshot import Snapshot, SnapshotChange
+from briartack.core.state import State
+from briartack.core.trail import AuditFields
+
+if TYPE_CHECKING:
+    from briartack.core.dissemination import Received
+
+STORE: Final = 'store'
+
+
+def merge(state: State, now: float, received: 'Received') -> Effects:
+    """Apply entries, then announce and record what they changed."""
+    effects = list(received.effects)
+    if not received.entries and received.full_read_prefix is None:
+        return effects
+    before = state.snapshots.snapshot
+    change = _apply_configuration(state, received)
+    changed_instances = _apply_instances(state, received)
+    effects.extend(_report(state, change, received.source, before))
+    effects.extend(
+        dissemination.on_merged(
+            state.dissemination,
+            now,
+            changed=change.is_changed or bool(changed_instances),
+            holdings=state.holdings,
+            members=state.membership,
+            source=received.source,
+        ),
+    )
+    return effects
+
+
+def held_fields(snapshot: Snapshot) -> AuditFields:
+    """Describe a snapshot for the audit trail, with its whole vector."""
+    return {
+        'highest': snapshot.highest,
+        'digest': snapshot.digest.hex(),
+        'versions': dict(snapshot.versions),
+        'retained': list(snapshot.retained),
+    }
+
+
+def _apply_configuration(state: State, received: 'Received') -> SnapshotChange:
+    entries = [
+        entry for entry in received.entries if not is_instance_key(entry.key)
+    ]
+    prefix = received.full_read_prefix
+    if prefix is None or prefix.startswith(INSTANCE_PREFIX):
+        return state.snapshots.apply(entries)
+    return state.snapshots.apply_full_read(prefix, received.revision, entries)
+
+
+def _apply_instances(state: State, received: 'Received') -> tuple[str, ...]:
+    entries: list[Entry] = [
+        entry for entry in received.entries if is_instance_key(entry.key)
+    ]
+    prefix = received.full_read_prefix
+    if prefix is None or not INSTANCE_PREFIX.startswith(prefix):
+        return tuple(state.membership.apply(entries))
+    return tuple(state.membership.apply_full_read(received.revision, entries))
+
+
+def _report(
+    state: State,
+    change: SnapshotChange,
+    source: str,
+    before: Snapshot | None,
+) -> Effects:
+    effects = _report_refused(state, change, source)
+    effects.extend(_report_waiting(change))
+    effects.extend(_report_retained(change))
+    after = state.snapshots.snapshot
+    if after is not None and change.is_snapshot_new:
+        effects.extend(_record_change(state, before, after, source))
+    return effects
+
+
+def _report_refused(
+    state: State,
+    change: SnapshotChange,
+    source: str,
+) -> Effects:
+    effects: Effects = []
+    for refused in change.refused:
+        fields = {
+            'key': refused.key,
+            'revision': str(refused.revision),
+            'problems': '; '.join(str(found) for found in refused.problems),
+            'cause': _cause(source),
+            'source': source,
+        }
+        record = state.trail.record('refused', dict(fields))
+        effects.append(WriteAudit(record=record))
+        effects.append(
+            WriteLog(
+                level=LogLevel.ERROR,
+                code='version-refused',
+                fields=tuple(fields.items()),
+            ),
+        )
+        effects.append(Count(name='configuration.refused'))
+    return effects
+
+
+def _report_waiting(change: SnapshotChange) -> Effects:
+    return [
+        WriteLog(
+            level=LogLevel.WARNING,
+            code='version-waits',
+            fields=(
+                ('key', waiting.key),
+                ('revision', str(waiting.revision)),
+                ('missing', ', '.join(waiting.missing)),
+            ),
+        )
+        for waiting in change.waiting
+    ]
+
+
+def _report_retained(change: SnapshotChange) -> Effects:
+    return [
+        WriteLog(
+            level=LogLevel.WARNING,
+            code='definition-retained',
+            fields=(('resource', name),),
+        )
+        for name in change.retained
+    ]
+
+
+def _record_change(
+    state: State,
+    before: Snapshot | None,
+    after: Snapshot,
+    source: str,
+) -> Effects:
+    fields = {
+        **held_fields(after),
+        'cause': _cause(source),
+        'source': source,
+    }
+    effects: Effects = [
+        WriteAudit(record=state.trail.record('configuration', fields)),
+        Count(name='configuration.activated'),
+    ]
+    if before is None or before.platform != after.platform:
+        platform: AuditFields = {
+            'data_centres_out': list(after.platform.data_centres_out),
+            'instances_out': list(after.platform.instances_out),
+            'highest': after.highest,
+        }
+        effects.append(
+            WriteAudit(record=state.trail.record('out_of_service', platform)),
+        )
+    return effects
+
+
+def _cause(source: str) -> str:
+    return STORE if source == STORE else 'peer'
--- /dev/null
+++ b/briartack/core/monitors.py
@@ -0,0 +1,210 @@
+"""Checks the invariants on a run of one reducer, event by event.
+
+Monitors see only events, effects and the held snapshot. They share no code
+with the decision modules, so that a fault there can't hide itself here.
+"""
+
+from collections.abc import Iterator
+from typing import final
+
+from briartack.core.effects import (
+    AnswerCall,
+    Dispatch,
+    Effect,
+    Effects,
+    SendAnswer,
+    SendAttempt,
+)
+from briartack.core.events import (
+    Event,
+    PeerMessageReceived,
+    UpstreamAnswered,
+    UpstreamFailed,
+    UpstreamProbed,
+)
+from briartack.core.messages import Answer
+from briartack.core.snapshot import Snapshot
+from briartack.core.state import State
+from briartack.core.units import AttemptId, BodyId, CallId
+from briartack.core.verdict import Verdict
+
+
+@final
+class Violation:
+    """Name an invariant and how a run broke it."""
+
+    __slots__ = ('invariant', 'now', 'text')
+
+    def __init__(self, *, invariant: str, now: float, text: str) -> None:
+        """Bind the violation to the time of its event, in seconds."""
+        self.invariant = invariant
+        self.now = now
+        self.text = text
+
+    def __str__(self) -> str:
+        return f'{self.invariant} at {self.now:.3f}: {self.text}'
+
+
+@final
+class Monitors:
+    """Watch one incarnation of a daemon; `observe` after each event."""
+
+    __slots__ = (
+        '_answered',
+        '_bodies',
+        '_dispatched',
+        '_identity',
+        '_in_flight',
+        '_may_have_run',
+        '_now',
+        '_successes',
+        '_versions',
+    )
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self._now = 0.0
+        self._versions: dict[str, int] = {}
+        self._answered: set[CallId] = set()
+        self._bodies: dict[AttemptId, BodyId] = {}
+        self._dispatched: set[AttemptId] = set()
+        self._in_flight: set[AttemptId] = set()
+        self._may_have_run: dict[BodyId, set[AttemptId]] = {}
+        self._identity = ''
+        self._successes = 0
+
+    def observe(
+        self,
+        state: State,
+        event: Event,
+        effects: Effects,
+    ) -> list[Violation]:
+        """Return what this event and its effects violated."""
+        self._now = event.now
+        self._note_event(event)
+        violations = list(self._check_snapshot(state.snapshots.snapshot))
+        for effect in effects:
+            violations.extend(self._check_effect(state, effect))
+        return violations
+
+    def _note_event(self, event: Event) -> None:
+        match event:
+            case UpstreamAnswered():
+                self._in_flight.discard(event.attempt_id)
+                self._successes += 1
+            case UpstreamFailed():
+                self._note_failure(event)
+            case PeerMessageReceived(message=Answer() as answer):
+                if answer.verdict is Verdict.NOT_RUN:
+                    self._note_not_run(answer.attempt_id)
+            case UpstreamProbed(identity=identity) if identity:
+                self._note_identity(identity)
+
+    def _note_failure(self, event: UpstreamFailed) -> None:
+        self._in_flight.discard(event.attempt_id)
+        if not event.may_have_run:
+            self._note_not_run(event.attempt_id)
+        if event.is_reset:
+            self._successes = 0
+
+    def _note_sent(self, attempt_id: AttemptId, body_id: BodyId) -> None:
+        self._bodies[attempt_id] = body_id
+        self._may_have_run.setdefault(body_id, set()).add(attempt_id)
+
+    def _note_not_run(self, attempt_id: AttemptId) -> None:
+        body_id = self._bodies.get(attempt_id)
+        if body_id is not None:
+            self._may_have_run[body_id].discard(attempt_id)
+
+    def _note_identity(self, identity: str) -> None:
+        if identity != self._identity:
+            self._identity = identity
+            self._successes = 0
+
+    def _check_snapshot(self, snapshot: Snapshot | None) -> Iterator[Violation]:
+        if snapshot is None:
+            return
+        versions = dict(snapshot.versions)
+        for key, revision in self._versions.items():
+            # A deleted subtree has no version in the vector.
+            if versions.get(key, revision) < revision:
+                yield self._violation(
+                    'I1',
+                    f'{key} went from {revision} to {versions[key]}',
+                )
+        self._versions.update(versions)
+        for route in snapshot.routes:
+            if route.service not in snapshot.services:
+                yield self._violation(
+                    'I2',
+                    f'route {route.name} points at missing {route.service}',
+                )
+
+    def _check_effect(
+        self,
+        state: State,
+        effect: Effect,
+    ) -> Iterator[Violation]:
+        match effect:
+            case Dispatch():
+                yield from self._check_dispatch(effect)
+            case SendAttempt():
+                yield from self._check_send(state, effect)
+            case AnswerCall():
+                yield from self._check_answer(effect)
+            case SendAnswer():
+                yield from self._check_verdict(
+                    effect.answer.verdict,
+                    BodyId(f'attempt:{effect.answer.attempt_id}'),
+                )
+
+    def _check_dispatch(self, effect: Dispatch) -> Iterator[Violation]:
+        attempt_id = effect.attempt_id
+        if attempt_id in self._dispatched:
+            yield self._violation('I9', f'{attempt_id} dispatched again')
+        self._dispatched.add(attempt_id)
+        self._note_sent(attempt_id, effect.body_id)
+        self._in_flight.add(attempt_id)
+        # Concurrency may only grow with answered requests: 1, 2, 4 and so on.
+        bound = self._successes + 1
+        if len(self._in_flight) > bound:
+            yield self._violation(
+                'I4',
+                f'{len(self._in_flight)} in flight after {bound - 1} answers',
+            )
+
+    def _check_send(
+        self,
+        state: State,
+        effect: SendAttempt,
+    ) -> Iterator[Violation]:
+        self._note_sent(effect.attempt.attempt_id, effect.body_id)
+        member = state.membership.get(effect.peer)
+        snapshot = state.snapshots.snapshot
+        if member is None or snapshot is None:
+            return
+        homes = effect.attempt.home_regions
+        if homes and member.region not in homes:
+            yield self._violation('I6', f'sent to {member.region}')
+        if member.data_centre in snapshot.platform.data_centres_out:
+            yield self._violation('I5', f'sent to {member.data_centre}')
+
+    def _check_answer(self, effect: AnswerCall) -> Iterator[Violation]:
+        if effect.call_id in self._answered:
+            yield self._violation('I7', f'{effect.call_id} answered again')
+        self._answered.add(effect.call_id)
+        yield from self._check_verdict(
+            effect.verdict,
+            BodyId(f'call:{effect.call_id}'),
+        )
+
+    def _check_verdict(
+        self,
+        verdict: Verdict,
+        body_id: BodyId,
+    ) -> Iterator[Violation]:
+        if verdict is Verdict.NOT_RUN and self._may_have_run.get(body_id):
+            yield self._violation('I8', f'{body_id} may have run')
+
+    def _violation(self, invariant: str, text: str) -> Violation:
+        return Violation(invariant=invariant, now=self._now, text=text)
--- /dev/null
+++ b/briartack/core/reducer.py
@@ -0,0 +1,283 @@
+"""The one reducer: applies an event to the state and returns effects.
+
+It calls the decision modules in turn and hands results from one to the next;
+it decides nothing itself.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from briartack.core import calls, dissemination
+from briartack.core.call_context import CallContext
+from briartack.core.effects import Effects, WriteAudit
+from briartack.core.events import (
+    AttemptBodyRead,
+    CallArrived,
+    CallBodyRead,
+    CallCancelled,
+    Event,
+    KeyRequested,
+    PeerConnected,
+    PeerDisconnected,
+    PeerMessageReceived,
+    Started,
+    StopRequested,
+    StoreFailed,
+    StoreRead,
+    StoreWatched,
+    Tick,
+    UpstreamAnswered,
+    UpstreamFailed,
+    UpstreamProbed,
+)
+from briartack.core.merging import held_fields, merge
+from briartack.core.messages import (
+    Answer,
+    Attempt,
+    Cancel,
+    Entries,
+    Goodbye,
+    Inventory,
+    InventoryReply,
+    PeerMessage,
+    Pull,
+    Summary,
+)
+from briartack.core.state import State
+
+# A process that was paused for longer holds a view that it can't trust.
+MAX_EVENT_GAP_SECONDS: Final = 2.0
+# A lost audit line shows after this time at the latest.
+AUDIT_REPEAT_SECONDS: Final = 10.0
+
+_Handler = Callable[[State, Any], Effects]
+
+
+def reduce(state: State, event: Event) -> Effects:
+    """Apply one event and return what the shell has to do."""
+    effects = _on_time(state, event.now)
+    effects.extend(_HANDLERS[type(event)](state, event))
+    return effects
+
+
+def call_context(state: State) -> CallContext:
+    """Gather what the call path may read of the other slices."""
+    return CallContext(
+        identity=state.identity,
+        snapshot=state.snapshots.snapshot,
+        members=state.membership,
+        random=state.random,
+        is_stopping=state.stopping,
+        is_confirmed=dissemination.is_confirmed(state.dissemination),
+    )
+
+
+def _on_time(state: State, now: float) -> Effects:
+    last = state.last_event_at
+    state.last_event_at = now
+    if last is None or now - last <= MAX_EVENT_GAP_SECONDS:
+        return []
+    return [
+        *dissemination.on_gap(state.dissemination, now),
+        *calls.on_gap(state.calls, call_context(state), now),
+    ]
+
+
+def _on_started(state: State, event: Started) -> Effects:
+    record = state.trail.record(
+        'started',
+        {
+            'service': state.identity.service,
+            'data_centre': state.identity.data_centre,
+            'region': state.identity.region,
+        },
+    )
+    return [
+        WriteAudit(record=record),
+        *dissemination.on_started(state.dissemination, event.now),
+    ]
+
+
+def _on_tick(state: State, event: Tick) -> Effects:
+    effects = dissemination.on_tick(
+        state.dissemination,
+        event.now,
+        state.holdings,
+        state.membership,
+    )
+    effects.extend(calls.on_tick(state.calls, call_context(state), event.now))
+    effects.extend(_repeat_held(state, event.now))
+    return effects
+
+
+def _repeat_held(state: State, now: float) -> Effects:
+    snapshot = state.snapshots.snapshot
+    if snapshot is None or now < state.last_repeat_at + AUDIT_REPEAT_SECONDS:
+        return []
+    state.last_repeat_at = now
+    fields = held_fields(snapshot)
+    # The vector of this digest stands in an earlier line.
+    fields.pop('versions')
+    return [WriteAudit(record=state.trail.record('held', fields))]
+
+
+def _on_store_read(state: State, event: StoreRead) -> Effects:
+    received = dissemination.on_store_read(
+        state.dissemination,
+        event,
+        state.holdings,
+        state.membership,
+    )
+    return merge(state, event.now, received)
+
+
+def _on_store_watched(state: State, event: StoreWatched) -> Effects:
+    received = dissemination.on_store_watched(
+        state.dissemination,
+        event,
+        state.holdings,
+        state.membership,
+    )
+    return merge(state, event.now, received)
+
+
+def _on_store_failed(state: State, event: StoreFailed) -> Effects:
+    return dissemination.on_store_failed(state.dissemination, event)
+
+
+def _on_peer_connected(state: State, event: PeerConnected) -> Effects:
+    return [
+        *dissemination.on_peer_connected(
+            state.dissemination,
+            event,
+            state.holdings,
+            state.membership,
+        ),
+        *calls.on_peer_connected(state.calls, call_context(state), event),
+    ]
+
+
+def _on_peer_disconnected(state: State, event: PeerDisconnected) -> Effects:
+    return [
+        *dissemination.on_peer_disconnected(
+            state.dissemination,
+            event,
+            state.holdings,
+            state.membership,
+        ),
+        *calls.on_peer_disconnected(state.calls, call_context(state), event),
+    ]
+
+
+def _on_peer_message(state: State, event: PeerMessageReceived) -> Effects:
+    return _MESSAGE_HANDLERS[type(event.message)](state, event)
+
+
+def _on_synchronisation(state: State, event: PeerMessageReceived) -> Effects:
+    received = dissemination.on_message(
+        state.dissemination,
+        event,
+        state.holdings,
+        state.membership,
+    )
+    return merge(state, event.now, received)
+
+
+def _on_summary(state: State, event: PeerMessageReceived) -> Effects:
+    effects = calls.on_summary(state.calls, call_context(state), event)
+    effects.extend(_on_synchronisation(state, event))
+    return effects
+
+
+def _on_goodbye(state: State, event: PeerMessageReceived) -> Effects:
+    if isinstance(event.message, Goodbye):
+        state.membership.mark_leaving(event.peer, event.message.incarnation)
+    effects = calls.on_goodbye(state.calls, call_context(state), event)
+    effects.extend(_on_synchronisation(state, event))
+    return effects
+
+
+def _on_attempt(state: State, event: PeerMessageReceived) -> Effects:
+    return calls.on_attempt(state.calls, call_context(state), event)
+
+
+def _on_answer(state: State, event: PeerMessageReceived) -> Effects:
+    return calls.on_answer(state.calls, call_context(state), event)
+
+
+def _on_cancel(state: State, event: PeerMessageReceived) -> Effects:
+    return calls.on_cancel(state.calls, call_context(state), event)
+
+
+def _on_attempt_body_read(state: State, event: AttemptBodyRead) -> Effects:
+    return calls.on_attempt_body_read(state.calls, call_context(state), event)
+
+
+def _on_call_arrived(state: State, event: CallArrived) -> Effects:
+    return calls.on_call_arrived(state.calls, call_context(state), event)
+
+
+def _on_call_body_read(state: State, event: CallBodyRead) -> Effects:
+    return calls.on_call_body_read(state.calls, call_context(state), event)
+
+
+def _on_call_cancelled(state: State, event: CallCancelled) -> Effects:
+    return calls.on_call_cancelled(state.calls, call_context(state), event)
+
+
+def _on_key_requested(state: State, event: KeyRequested) -> Effects:
+    return calls.on_key_requested(state.calls, call_context(state), event)
+
+
+def _on_upstream_answered(state: State, event: UpstreamAnswered) -> Effects:
+    return calls.on_upstream_answered(state.calls, call_context(state), event)
+
+
+def _on_upstream_failed(state: State, event: UpstreamFailed) -> Effects:
+    return calls.on_upstream_failed(state.calls, call_context(state), event)
+
+
+def _on_upstream_probed(state: State, event: UpstreamProbed) -> Effects:
+    return calls.on_upstream_probed(state.calls, call_context(state), event)
+
+
+def _on_stop_requested(state: State, event: StopRequested) -> Effects:
+    state.stopping = True
+    record = state.trail.record('stopping', {})
+    return [
+        WriteAudit(record=record),
+        *calls.on_stop(state.calls, call_context(state), event.now),
+    ]
+
+
+_MESSAGE_HANDLERS: Final[dict[type[PeerMessage], _Handler]] = {
+    Summary: _on_summary,
+    Pull: _on_synchronisation,
+    Entries: _on_synchronisation,
+    Inventory: _on_synchronisation,
+    InventoryReply: _on_synchronisation,
+    Goodbye: _on_goodbye,
+    Attempt: _on_attempt,
+    Answer: _on_answer,
+    Cancel: _on_cancel,
+}
+
+_HANDLERS: Final[dict[type[Event], _Handler]] = {
+    Started: _on_started,
+    Tick: _on_tick,
+    StoreRead: _on_store_read,
+    StoreWatched: _on_store_watched,
+    StoreFailed: _on_store_failed,
+    PeerConnected: _on_peer_connected,
+    PeerDisconnected: _on_peer_disconnected,
+    PeerMessageReceived: _on_peer_message,
+    AttemptBodyRead: _on_attempt_body_read,
+    CallArrived: _on_call_arrived,
+    CallBodyRead: _on_call_body_read,
+    CallCancelled: _on_call_cancelled,
+    KeyRequested: _on_key_requested,
+    UpstreamAnswered: _on_upstream_answered,
+    UpstreamFailed: _on_upstream_failed,
+    UpstreamProbed: _on_upstream_probed,
+    StopRequested: _on_stop_requested,
+}
--- /dev/null
+++ b/briartack/core/state.py
@@ -0,0 +1,60 @@
+"""The whole state of a daemon: one slice for each decision module."""
+
+from random import Random
+from typing import final
+
+from briartack.core.calls import CallsState
+from briartack.core.dissemination import DisseminationState
+from briartack.core.combined_holdings import CombinedHoldings
+from briartack.core.identity import Identity
+from briartack.core.membership import MembershipState
+from briartack.core.snapshot import SnapshotState
+from briartack.core.trail import TrailState
+
+
+@final
+class State:
+    """Hold the slices; only the module that owns a slice changes it."""
+
+    __slots__ = (
+        'calls',
+        'dissemination',
+        'holdings',
+        'identity',
+        'last_event_at',
+        'last_repeat_at',
+        'membership',
+        'random',
+        'snapshots',
+        'stopping',
+        'trail',
+    )
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        random: Random,
+        drain_seconds: float,
+    ) -> None:
+        """Start with nothing held."""
+        self.identity = identity
+        self.random = random
+        self.snapshots = SnapshotState()
+        self.membership = MembershipState()
+        self.holdings = CombinedHoldings(
+            snapshots=self.snapshots,
+            membership=self.membership,
+        )
+        self.dissemination = DisseminationState(
+            identity=identity,
+            random=random,
+        )
+        self.calls = CallsState(drain_seconds=drain_seconds)
+        self.trail = TrailState(
+            instance=identity.instance,
+            incarnation=identity.incarnation,
+        )
+        self.last_event_at: float | None = None
+        self.last_repeat_at = 0.0
+        self.stopping = False
--- /dev/null
+++ b/briartack/core/status.py
@@ -0,0 +1,43 @@
+"""Describes the state of a daemon for operators."""
+
+from briartack.core import calls, dissemination
+from briartack.core.state import State
+
+
+def describe(state: State) -> dict[str, object]:
+    """Describe what this daemon holds and does, as plain values."""
+    identity = state.identity
+    described: dict[str, object] = {
+        'instance': identity.instance,
+        'incarnation': identity.incarnation,
+        'service': identity.service,
+        'data_centre': identity.data_centre,
+        'region': identity.region,
+        'ready': is_ready(state),
+        'stopping': state.stopping,
+        'instances': len(state.membership.live_members()),
+        'waiting': list(state.snapshots.waiting),
+        'dissemination': dissemination.describe(state.dissemination),
+        'calls': calls.describe(state.calls),
+    }
+    described.update(_describe_snapshot(state))
+    return described
+
+
+def is_ready(state: State) -> bool:
+    """Tell whether this daemon takes calls."""
+    return state.snapshots.snapshot is not None and not state.stopping
+
+
+def _describe_snapshot(state: State) -> dict[str, object]:
+    snapshot = state.snapshots.snapshot
+    if snapshot is None:
+        return {'highest': 0, 'digest': '', 'versions': {}}
+    return {
+        'highest': snapshot.highest,
+        'digest': snapshot.digest.hex(),
+        'versions': dict(snapshot.versions),
+        'retained': list(snapshot.retained),
+        'data_centres_out': list(snapshot.platform.data_centres_out),
+        'instances_out': list(snapshot.platform.instances_out),
+    }
