Hold the platform's list of instances by revision

Records, tombstones and goodbyes are merged so that late and crossed answers lose by revision. The digest leaves deletions out, because a daemon that has just read the list knows none and would otherwise differ from all others.

--- /dev/null
+++ b/briartack/core/instance_records.py
@@ -0,0 +1,180 @@
+"""Versioned records of the platform's list, below the live list.
+
+Deletions are kept as tombstones, so that a late answer can't undo them.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Final, final
+
+import msgspec
+
+from briartack.core.entries import INSTANCE_PREFIX, Entry, is_instance_key
+from briartack.core.overlay import Member
+from briartack.core.settings import InstanceRecord, InstanceState
+from briartack.core.units import Digest, InstanceId, Revision
+
+DIGEST_BYTES: Final = 16
+NO_REVISION: Final = Revision(0)
+
+_DECODER: Final = msgspec.json.Decoder(InstanceRecord)
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """Say why a record was refused."""
+
+    key: str
+    revision: Revision
+    reason: str
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldRecord:
+    """Hold one version; a deletion has neither member nor state."""
+
+    entry: Entry
+    member: Member | None = None
+    state: InstanceState | None = None
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordChange:
+    """Name what an entry replaced."""
+
+    instance: InstanceId
+    before: HeldRecord | None
+    after: HeldRecord
+
+
+def instance_of(key: str) -> InstanceId:
+    """Return the instance that a key under `instances/` names."""
+    return InstanceId(key.removeprefix(INSTANCE_PREFIX))
+
+
+@final
+class InstanceRecords:
+    """Merge entries under `instances/` by revision."""
+
+    __slots__ = ('_held', '_highest', '_digest', '_refusals')
+
+    def __init__(self) -> None:
+        """Start without records."""
+        self._held: dict[InstanceId, HeldRecord] = {}
+        self._highest = NO_REVISION
+        self._digest = 0
+        self._refusals: list[Refusal] = []
+
+    @property
+    def highest(self) -> Revision:
+        """Return the highest revision held, deletions included."""
+        return self._highest
+
+    @property
+    def digest(self) -> Digest:
+        """Return a digest of all records that are not deleted.
+
+        Deletions are left out: a daemon that has just read the list knows
+        none of them and still holds the same list.
+        """
+        return Digest(self._digest.to_bytes(DIGEST_BYTES))
+
+    def __iter__(self) -> Iterator[HeldRecord]:
+        """Iterate over all records, deletions included."""
+        return iter(self._held.values())
+
+    def get(self, instance: InstanceId) -> HeldRecord | None:
+        """Return what is held of an instance."""
+        return self._held.get(instance)
+
+    def take_refusals(self) -> tuple[Refusal, ...]:
+        """Return what was refused since the last call."""
+        refusals = tuple(self._refusals)
+        self._refusals.clear()
+        return refusals
+
+    def apply(self, entries: Iterable[Entry]) -> tuple[RecordChange, ...]:
+        """Merge entries and return what they changed."""
+        changes = (
+            self._apply_one(entry)
+            for entry in entries
+            if is_instance_key(entry.key)
+        )
+        return tuple(change for change in changes if change is not None)
+
+    def missing_from(
+        self,
+        revision: Revision,
+        entries: Iterable[Entry],
+    ) -> tuple[Entry, ...]:
+        """Make the deletions that a full read at a revision implies."""
+        present = {entry.key for entry in entries}
+        return tuple(
+            Entry(key=held.entry.key, revision=revision, value=None)
+            for held in self
+            if held.member is not None
+            and held.entry.revision <= revision
+            and held.entry.key not in present
+        )
+
+    def _apply_one(self, entry: Entry) -> RecordChange | None:
+        instance = instance_of(entry.key)
+        before = self._held.get(instance)
+        if before is not None and not _is_newer(entry, before.entry):
+            return None
+        try:
+            after = _decode(instance, entry)
+        except msgspec.MsgspecError as error:
+            self._refuse(entry, str(error))
+            return None
+        self._replace(instance, before, after)
+        return RecordChange(instance=instance, before=before, after=after)
+
+    def _refuse(self, entry: Entry, reason: str) -> None:
+        self._refusals.append(
+            Refusal(key=entry.key, revision=entry.revision, reason=reason),
+        )
+
+    def _replace(
+        self,
+        instance: InstanceId,
+        before: HeldRecord | None,
+        after: HeldRecord,
+    ) -> None:
+        for held in (before, after):
+            if held is not None and held.member is not None:
+                self._digest ^= _version_hash(held.entry)
+        self._held[instance] = after
+        self._highest = max(self._highest, after.entry.revision)
+
+
+def _decode(instance: InstanceId, entry: Entry) -> HeldRecord:
+    if entry.value is None:
+        return HeldRecord(entry=entry)
+    record = _DECODER.decode(entry.value)
+    member = Member(
+        instance=instance,
+        service=record.service,
+        data_centre=record.data_centre,
+        region=record.region,
+        peer_address=record.peer_address,
+    )
+    return HeldRecord(entry=entry, member=member, state=record.state)
+
+
+def _is_newer(entry: Entry, held: Entry) -> bool:
+    # A deletion implied by a full read has the revision of the read, which
+    # may be that of the record itself.
+    is_deletion = entry.value is None and held.value is not None
+    return entry.revision > held.revision or (
+        is_deletion and entry.revision == held.revision
+    )
+
+
+def _version_hash(entry: Entry) -> int:
+    text = f'{entry.revision} {entry.key}'.encode()
+    return int.from_bytes(blake2b(text, digest_size=DIGEST_BYTES).digest())
