Bound the calls to the store and track what they covered

The next watch starts at the revision up to which the store's own answers are complete. A read budget, a watch budget and a jittered backoff bound the calls of a daemon; inventories find gaps that a pull by revision cannot.

--- /dev/null
+++ b/briartack/core/inventory.py
@@ -0,0 +1,93 @@
+"""Comparison of two daemons' versions by digests of buckets of keys.
+
+A pull by revision can't find a gap below the highest revision; this can.
+"""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Final, final
+
+from briartack.core.messages import Inventory, InventoryReply
+from briartack.core.units import Digest, Revision
+
+BUCKET_COUNT: Final = 64
+BUCKET_DIGEST_BYTES: Final = 8
+NO_REVISION: Final = Revision(0)
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Difference:
+    """Hold what two daemons lack of each other's versions."""
+
+    to_send: tuple[str, ...]
+    wanted: tuple[tuple[str, Revision], ...]  # with the version held here
+
+
+def bucket_of(key: str) -> int:
+    """Find the bucket of a key."""
+    return blake2b(key.encode(), digest_size=1).digest()[0] % BUCKET_COUNT
+
+
+def bucket_digests(versions: Mapping[str, Revision]) -> tuple[Digest, ...]:
+    """Digest the versions in each bucket, whatever their order."""
+    sums = [0] * BUCKET_COUNT
+    for key, revision in versions.items():
+        text = f'{revision} {key}'.encode()
+        digest = blake2b(text, digest_size=BUCKET_DIGEST_BYTES).digest()
+        sums[bucket_of(key)] ^= int.from_bytes(digest)
+    return tuple(
+        Digest(bucket_sum.to_bytes(BUCKET_DIGEST_BYTES)) for bucket_sum in sums
+    )
+
+
+def reply_to(
+    inventory: Inventory,
+    versions: Mapping[str, Revision],
+) -> InventoryReply | None:
+    """List the versions in the buckets that differ, if any do."""
+    pairs = zip(inventory.buckets, bucket_digests(versions), strict=False)
+    differing = {
+        bucket for bucket, (theirs, ours) in enumerate(pairs) if theirs != ours
+    }
+    if not differing:
+        return None
+    listed = tuple(
+        (key, revision)
+        for key, revision in versions.items()
+        if bucket_of(key) in differing
+    )
+    return InventoryReply(buckets=tuple(sorted(differing)), versions=listed)
+
+
+def compare(
+    reply: InventoryReply,
+    versions: Mapping[str, Revision],
+) -> Difference:
+    """Find what to send and what to ask for.
+
+    A reply without buckets only asks: it lists the keys that its sender wants
+    with the versions that it holds.
+    """
+    theirs = dict(reply.versions)
+    to_send = tuple(
+        key
+        for key, revision in versions.items()
+        if _is_covered(key, reply.buckets, theirs)
+        and revision > theirs.get(key, NO_REVISION)
+    )
+    wanted = tuple(
+        (key, versions.get(key, NO_REVISION))
+        for key, revision in theirs.items()
+        if revision > versions.get(key, NO_REVISION)
+    )
+    return Difference(to_send=to_send, wanted=wanted)
+
+
+def _is_covered(
+    key: str,
+    buckets: Collection[int],
+    listed: Mapping[str, Revision],
+) -> bool:
+    return key in listed or bool(buckets and bucket_of(key) in buckets)
--- a/briartack/core/membership.py
+++ b/briartack/core/membership.py
@@ -110,7 +110,7 @@
                 self._goodbyes.pop(change.instance, None)
         if changes:
             self._forget_views()
-        return frozenset(change.after.entry.key for change in changes)
+        return frozenset(merged.after.entry.key for merged in changes)
 
     def apply_full_read(
         self,
--- /dev/null
+++ b/briartack/core/store_reads.py
@@ -0,0 +1,214 @@
+"""The calls to the store: which, when, and up to where they are complete."""
+
+from random import Random
+from typing import Final, final
+
+from briartack.core.budget import Backoff, TokenBudget
+from briartack.core.effects import (
+    CancelWatch,
+    Effects,
+    LogLevel,
+    ReadStore,
+    WatchStore,
+    WriteLog,
+)
+from briartack.core.entries import INSTANCE_PREFIX
+from briartack.core.events import (
+    StoreFailed,
+    StoreOperation,
+    StoreRead,
+    StoreWatched,
+)
+from briartack.core.units import Revision
+
+WHOLE_TREE: Final = ''
+WATCH_WAIT_SECONDS: Final = 20.0
+# A call that the shell never reports on counts as failed after this time.
+CALL_DEADLINE_SECONDS: Final = 10.0
+READS_PER_SECOND: Final = 1.0
+READS_BURST: Final = 2
+# One watch ends with each edit, so a lower rate would delay edits that follow
+# each other closely; at this one they are batched to one answer per 200 ms.
+WATCHES_PER_SECOND: Final = 5.0
+WATCHES_BURST: Final = 5
+# 2,600 daemons that start at once make 1,300 reads per second.
+START_JITTER_SECONDS: Final = 2.0
+REVISION_FELL: Final = 'store-revision-fell'
+NO_REVISION: Final = Revision(0)
+
+
+@final
+class StoreReadsState:
+    """Own the calls in flight, their budget and what they covered."""
+
+    __slots__ = (
+        '_random',
+        '_reads',
+        '_watches',
+        '_backoff',
+        '_reading',
+        '_instances_at',
+        '_watch_deadline',
+        '_is_on_duty',
+        '_must_probe',
+        '_complete',
+        '_seen',
+    )
+
+    def __init__(self, *, random: Random) -> None:
+        """Start without calls and without duty."""
+        self._random = random
+        self._reads = TokenBudget(
+            rate_per_second=READS_PER_SECOND,
+            burst=READS_BURST,
+        )
+        self._watches = TokenBudget(
+            rate_per_second=WATCHES_PER_SECOND,
+            burst=WATCHES_BURST,
+        )
+        self._backoff = Backoff(random=random)
+        self._reading: dict[str, float] = {}  # deadlines by prefix
+        self._instances_at: float | None = None
+        self._watch_deadline: float | None = None
+        self._is_on_duty = False
+        self._must_probe = False
+        self._complete: Revision | None = None
+        self._seen = NO_REVISION
+
+    @property
+    def complete(self) -> Revision | None:
+        """Return the revision up to which answers covered the whole tree."""
+        return self._complete
+
+    @property
+    def is_on_duty(self) -> bool:
+        """Tell whether this daemon is to watch the store."""
+        return self._is_on_duty
+
+    def start(self, now: float) -> None:
+        """Plan the read of the list of instances."""
+        jitter = self._random.uniform(0, START_JITTER_SECONDS)
+        self._instances_at = now + jitter
+
+    def set_duty(self, *, is_on_duty: bool) -> Effects:
+        """Begin or end the watch."""
+        self._is_on_duty = is_on_duty
+        if is_on_duty or self._watch_deadline is None:
+            return []
+        self._watch_deadline = None
+        return [CancelWatch()]
+
+    def resume(self) -> Effects:
+        """Drop the calls from before a pause and ask the store anew."""
+        self._reading.clear()
+        if not self._is_on_duty:
+            return []
+        had_watch = self._watch_deadline is not None
+        self._watch_deadline = None
+        # An answer at once confirms what is held; a waiting watch would not.
+        self._must_probe = True
+        return [CancelWatch()] if had_watch else []
+
+    def due(self, now: float, *, needs_tree: bool) -> Effects:
+        """Make the calls that are due and allowed."""
+        self._expire(now)
+        if not self._backoff.is_over(now):
+            return []
+        effects: Effects = []
+        if self._needs_instances(now):
+            effects.extend(self._read(now, INSTANCE_PREFIX))
+        if self._complete is None:
+            if needs_tree or self._is_on_duty:
+                effects.extend(self._read(now, WHOLE_TREE))
+        elif self._is_on_duty:
+            effects.extend(self._watch(now, self._complete))
+        return effects
+
+    def on_read(self, event: StoreRead) -> Effects:
+        """Note an answer to a read."""
+        self._reading.pop(event.prefix, None)
+        self._backoff.succeed()
+        if event.prefix in {WHOLE_TREE, INSTANCE_PREFIX}:
+            self._instances_at = None
+        if event.prefix == WHOLE_TREE:
+            self._advance(event.revision)
+        return self._see(event.revision)
+
+    def on_watched(self, event: StoreWatched) -> Effects:
+        """Note an answer to a watch.
+
+        The next watch starts at the answer's revision and not at what peers
+        announced, so a peer can't make this daemon skip an edit.
+        """
+        self._watch_deadline = None
+        self._backoff.succeed()
+        if self._complete is not None:
+            self._advance(event.revision)
+        effects = self._see(event.revision)
+        if effects:
+            # A store that fell behind may answer each watch at once.
+            self._backoff.fail(event.now)
+        return effects
+
+    def on_failed(self, event: StoreFailed) -> None:
+        """Delay the next call."""
+        if event.operation is StoreOperation.READ:
+            self._reading.pop(event.prefix, None)
+        elif self._watch_deadline is None:
+            return  # The failure of a cancelled watch says nothing.
+        else:
+            self._watch_deadline = None
+        self._backoff.fail(event.now, event.retry_after_seconds)
+
+    def is_behind_seen(self, revision: Revision) -> bool:
+        """Tell whether an answer is older than one seen before."""
+        return revision < self._seen
+
+    def _advance(self, revision: Revision) -> None:
+        self._complete = max(self._complete or NO_REVISION, revision)
+
+    def _see(self, revision: Revision) -> Effects:
+        if self.is_behind_seen(revision):
+            fields = (('seen', str(self._seen)), ('answered', str(revision)))
+            return [
+                WriteLog(
+                    level=LogLevel.WARNING,
+                    code=REVISION_FELL,
+                    fields=fields,
+                ),
+            ]
+        self._seen = revision
+        return []
+
+    def _needs_instances(self, now: float) -> bool:
+        return self._instances_at is not None and now >= self._instances_at
+
+    def _expire(self, now: float) -> None:
+        expired = [
+            prefix
+            for prefix, deadline in self._reading.items()
+            if now >= deadline
+        ]
+        for prefix in expired:
+            self._reading.pop(prefix)
+        is_watch_lost = (
+            self._watch_deadline is not None and now >= self._watch_deadline
+        )
+        if is_watch_lost:
+            self._watch_deadline = None
+        if expired or is_watch_lost:
+            self._backoff.fail(now)
+
+    def _read(self, now: float, prefix: str) -> Effects:
+        if prefix in self._reading or not self._reads.take(now):
+            return []
+        self._reading[prefix] = now + CALL_DEADLINE_SECONDS
+        return [ReadStore(prefix=prefix)]
+
+    def _watch(self, now: float, after: Revision) -> Effects:
+        if self._watch_deadline is not None or not self._watches.take(now):
+            return []
+        wait_seconds = 0 if self._must_probe else WATCH_WAIT_SECONDS
+        self._must_probe = False
+        self._watch_deadline = now + wait_seconds + CALL_DEADLINE_SECONDS
+        return [WatchStore(after=after, wait_seconds=wait_seconds)]
