Choose the peers to dial, to feed and to suspect

Children are known by their summaries, so that a child whose view of the list differs still gets answers. A daemon whose parents are all silent for 1.5 s plus jitter takes its place without them.

--- /dev/null
+++ b/briartack/core/dialling.py
@@ -0,0 +1,57 @@
+"""When to dial which peer."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final, final
+
+from briartack.core.effects import Connect, Effects
+from briartack.core.overlay import Member
+from briartack.core.units import InstanceId
+
+REDIAL_SECONDS: Final = 10.0
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DialWish:
+    """Ask for a stream, at first after a delay and then in intervals."""
+
+    member: Member
+    delay_seconds: float = 0
+    redial_seconds: float = REDIAL_SECONDS
+
+
+@final
+class Dialler:
+    """Own the times of the next tries."""
+
+    __slots__ = ('_after',)
+
+    def __init__(self) -> None:
+        """Start without plans."""
+        self._after: dict[InstanceId, float] = {}
+
+    def plan(self, peer: InstanceId, at: float) -> None:
+        """Set the time of the next try."""
+        self._after[peer] = at
+
+    def due(self, now: float, wishes: Iterable[DialWish]) -> Effects:
+        """Dial the peers whose time has come; the first wish for one counts."""
+        plans: dict[InstanceId, float] = {}
+        effects: Effects = []
+        for wish in wishes:
+            peer = wish.member.instance
+            if peer in plans:
+                continue
+            plans[peer] = self._after.get(peer, now + wish.delay_seconds)
+            if now >= plans[peer]:
+                plans[peer] = now + wish.redial_seconds
+                address = wish.member.peer_address
+                effects.append(Connect(peer=peer, address=address))
+        # Plans of peers that nobody wants now still bound the rate.
+        self._after = plans | {
+            peer: at
+            for peer, at in self._after.items()
+            if peer not in plans and at > now
+        }
+        return effects
--- a/briartack/core/inventory.py
+++ b/briartack/core/inventory.py
@@ -32,7 +32,7 @@
 
 def bucket_digests(versions: Mapping[str, Revision]) -> tuple[Digest, ...]:
     """Digest the versions in each bucket, whatever their order."""
-    sums = [0] * BUCKET_COUNT
+    sums = [0 for _ in range(BUCKET_COUNT)]
     for key, revision in versions.items():
         text = f'{revision} {key}'.encode()
         digest = blake2b(text, digest_size=BUCKET_DIGEST_BYTES).digest()
--- /dev/null
+++ b/briartack/core/links.py
@@ -0,0 +1,170 @@
+"""Which peers to dial and which to send summaries to."""
+
+from collections.abc import Iterable, Iterator
+from random import Random
+from typing import Final, final
+
+from briartack.core.dialling import REDIAL_SECONDS, Dialler, DialWish
+from briartack.core.effects import Effects
+from briartack.core.identity import Identity
+from briartack.core.membership import MembershipState
+from briartack.core.messages import Hello
+from briartack.core.overlay import Member
+from briartack.core.scout import Scout
+from briartack.core.subscribers import Subscribers
+from briartack.core.tree_place import TreePlace
+from briartack.core.units import InstanceId
+
+REDIAL_PARENT_SECONDS: Final = 1.0
+LOST_LINK_JITTER_SECONDS: Final = 0.3
+SECOND_DIALLER_SECONDS: Final = 5.0
+
+
+@final
+class LinksState:
+    """Own the streams, the times to dial and the scout of another region."""
+
+    __slots__ = (
+        '_identity',
+        '_random',
+        '_tree',
+        '_regions',
+        '_subscribers',
+        '_upward',
+        '_dialler',
+        '_scout',
+    )
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        random: Random,
+        tree: TreePlace,
+    ) -> None:
+        """Start without streams."""
+        self._identity = identity
+        self._random = random
+        self._tree = tree
+        self._regions: dict[InstanceId, str] = {}  # of connected peers
+        self._subscribers = Subscribers()
+        self._upward: frozenset[InstanceId] = frozenset()
+        self._dialler = Dialler()
+        self._scout = Scout(region=identity.region, random=random)
+
+    @property
+    def parents(self) -> tuple[InstanceId, ...]:
+        """Return the parents that a stream leads to."""
+        return self._linked(self._tree.place.parents)
+
+    @property
+    def local(self) -> tuple[InstanceId, ...]:
+        """Return the linked parents and subscribers of this region."""
+        peers = (*self.parents, *self._subscribers.current())
+        return tuple(
+            peer for peer in dict.fromkeys(peers) if not self.is_remote(peer)
+        )
+
+    @property
+    def remote(self) -> tuple[InstanceId, ...]:
+        """Return the linked daemons of other regions that this one asks."""
+        return self._linked(self._remote_members())
+
+    def is_linked(self, peer: InstanceId) -> bool:
+        """Tell whether a stream to a peer is up."""
+        return peer in self._regions
+
+    def is_remote(self, peer: InstanceId) -> bool:
+        """Tell whether a connected peer runs in another region."""
+        return self._regions.get(peer) != self._identity.region
+
+    def is_upward(self, peer: InstanceId) -> bool:
+        """Tell whether this daemon counts on a peer."""
+        return peer in self._upward
+
+    def connect(self, peer: InstanceId, hello: Hello) -> bool:
+        """Note a stream and tell whether the tree wants it."""
+        self._regions[peer] = hello.region
+        return any(member.instance == peer for member in self._neighbours())
+
+    def disconnect(self, now: float, peer: InstanceId) -> None:
+        """Note that a stream is down, and plan to dial again soon."""
+        self._subscribers.remove(peer)
+        if self._regions.pop(peer, None) is not None:
+            jitter = self._random.uniform(0, LOST_LINK_JITTER_SECONDS)
+            self._dialler.plan(peer, now + jitter)
+        else:
+            self._scout.fail(peer)
+
+    def subscribe(self, now: float, peer: InstanceId) -> bool:
+        """Note a summary and tell whether its sender is a new subscriber."""
+        if peer in self._upward:
+            return False
+        is_child = any(
+            child.instance == peer for child in self._tree.place.children
+        )
+        return self._subscribers.renew(now, peer, is_child=is_child)
+
+    def unsubscribe(self, peer: InstanceId) -> None:
+        """Forget a subscriber that is about to stop."""
+        self._subscribers.remove(peer)
+
+    def resume(self, now: float) -> None:
+        """Keep the subscribers that a pause kept from being heard."""
+        self._subscribers.extend(now)
+
+    def due(self, now: float, membership: MembershipState) -> Effects:
+        """Follow the place in the tree and dial who is missing."""
+        if self._tree.is_list_known:
+            self._scout.follow(now, membership.live_members())
+        upward = frozenset(
+            member.instance
+            for member in (*self._tree.place.parents, *self._remote_members())
+        )
+        self._subscribers.expire(now)
+        self._subscribers.dismiss(now, self._upward - upward)
+        for peer in upward - self._upward:
+            self._subscribers.remove(peer)
+        self._upward = upward
+        wishes = [
+            wish
+            for wish in self._wishes(membership)
+            if wish.member.instance not in self._regions
+        ]
+        return self._dialler.due(now, wishes)
+
+    def _linked(self, members: Iterable[Member]) -> tuple[InstanceId, ...]:
+        return tuple(
+            member.instance
+            for member in members
+            if member.instance in self._regions
+        )
+
+    def _remote_members(self) -> tuple[Member, ...]:
+        wanted = (*self._tree.place.remote_roots, *self._scout.current())
+        return tuple(dict.fromkeys(wanted))
+
+    def _neighbours(self) -> Iterator[Member]:
+        yield from self._tree.place.parents
+        yield from self._remote_members()
+        yield from self._tree.place.children
+
+    def _wishes(self, membership: MembershipState) -> Iterator[DialWish]:
+        place = self._tree.place
+        for parent in place.parents:
+            yield DialWish(member=parent, redial_seconds=REDIAL_PARENT_SECONDS)
+        for scout in self._scout.current():
+            yield DialWish(member=scout)
+        for root in place.remote_roots:
+            # Two roots that want each other would dial at the same time.
+            is_second = self._identity.instance > root.instance
+            delay_seconds = SECOND_DIALLER_SECONDS if is_second else 0
+            yield DialWish(member=root, delay_seconds=delay_seconds)
+        # Children dial by themselves, unless they have no list: one that
+        # starts while the store is down hears of its parents only by this.
+        for child in place.children:
+            yield DialWish(member=child, delay_seconds=REDIAL_SECONDS)
+        for peer in (*self._tree.suspects, *membership.leaving_marks):
+            doubted = membership.get(peer)
+            if doubted is not None:
+                yield DialWish(member=doubted, delay_seconds=REDIAL_SECONDS)
--- /dev/null
+++ b/briartack/core/tree_place.py
@@ -0,0 +1,154 @@
+"""The place of a daemon in the tree, and the parents that it suspects."""
+
+from random import Random
+from typing import Final, final
+
+from briartack.core.effects import Effects, LogLevel, WriteLog
+from briartack.core.identity import Identity
+from briartack.core.membership import MembershipState
+from briartack.core.overlay import Member, Place, place_of
+from briartack.core.units import InstanceId
+
+SILENCE_SECONDS: Final = 1.5
+SILENCE_JITTER_SECONDS: Final = 0.5
+# A daemon without parents for this long watches the store itself: three
+# rounds of suspicion have passed, and each round only tries two peers.
+ORPHAN_SECONDS: Final = 6.0
+PARENTS_SUSPECTED: Final = 'parents-suspected'
+
+
+@final
+class TreePlace:
+    """Own the place and the suspicions."""
+
+    __slots__ = (
+        '_own',
+        '_random',
+        '_place',
+        '_live',
+        '_is_listed',
+        '_is_stale',
+        '_suspects',
+        '_parents_since',
+        '_silence_limit',
+        '_answered_at',
+    )
+
+    def __init__(self, *, identity: Identity, random: Random) -> None:
+        """Start without a list."""
+        self._own = Member(
+            instance=identity.instance,
+            service=identity.service,
+            data_centre=identity.data_centre,
+            region=identity.region,
+            peer_address='',
+        )
+        self._random = random
+        self._place = Place()
+        self._live: tuple[Member, ...] = ()
+        self._is_listed = False
+        self._is_stale = True
+        self._suspects: frozenset[InstanceId] = frozenset()
+        self._parents_since: dict[InstanceId, float] = {}
+        self._silence_limit = SILENCE_SECONDS
+        self._answered_at: float | None = None
+
+    @property
+    def place(self) -> Place:
+        """Return the neighbours in the tree."""
+        return self._place
+
+    @property
+    def suspects(self) -> frozenset[InstanceId]:
+        """Return the peers that are taken for dead or frozen."""
+        return self._suspects
+
+    @property
+    def is_list_known(self) -> bool:
+        """Tell whether a list has been received, from whomever."""
+        return self._is_listed
+
+    def note_list(self) -> None:
+        """Note that the store has answered with a list, maybe an empty one."""
+        self._is_listed = True
+        self._is_stale = True
+
+    def is_watcher(self, now: float) -> bool:
+        """Tell whether this daemon is to watch the store."""
+        return self._is_listed and (
+            self._place.is_first_root
+            or self.silence_seconds(now) > ORPHAN_SECONDS
+        )
+
+    def silence_seconds(self, now: float) -> float:
+        """Return for how long no parent has answered; 0 without parents."""
+        if self._answered_at is None or not self._place.parents:
+            return 0
+        return now - self._answered_at
+
+    def hear(self, now: float, peer: InstanceId) -> None:
+        """Note a sign of life, which ends a suspicion."""
+        if self._parents_since.get(peer) is not None:
+            self._parents_since[peer] = now
+            self._answered_at = now
+        if peer in self._suspects:
+            self._suspects -= {peer}
+            self._is_stale = True
+
+    def resume(self, now: float) -> None:
+        """Forget the silence during a pause of this process."""
+        self._parents_since = dict.fromkeys(self._parents_since, now)
+        if self._answered_at is not None:
+            self._answered_at = now
+
+    def follow(self, now: float, membership: MembershipState) -> None:
+        """Compute the place again when the list or a suspicion changed."""
+        live = membership.live_members()
+        if live is self._live and not self._is_stale:
+            return
+        self._live = live
+        self._is_listed = self._is_listed or bool(live)
+        self._is_stale = False
+        self._suspects &= {member.instance for member in live}
+        if self._is_listed:
+            self._move(
+                now,
+                place_of(
+                    self._own,
+                    (
+                        member
+                        for member in live
+                        if member.instance not in self._suspects
+                    ),
+                ),
+            )
+
+    def suspect_parents(self, now: float) -> Effects:
+        """Suspect the parents when none of them has answered in time."""
+        if not self._parents_since:
+            return []
+        silence_seconds = now - max(self._parents_since.values())
+        if silence_seconds < self._silence_limit:
+            return []
+        parents = tuple(self._parents_since)
+        self._suspects = self._suspects.union(parents)
+        self._is_stale = True
+        return [
+            WriteLog(
+                level=LogLevel.WARNING,
+                code=PARENTS_SUSPECTED,
+                fields=(('parents', ' '.join(parents)),),
+            ),
+        ]
+
+    def _move(self, now: float, place: Place) -> None:
+        self._place = place
+        self._parents_since = {
+            parent.instance: self._parents_since.get(parent.instance, now)
+            for parent in place.parents
+        }
+        # Drawn anew, so that siblings never act in step.
+        jitter = self._random.uniform(0, SILENCE_JITTER_SECONDS)
+        self._silence_limit = SILENCE_SECONDS + jitter
+        if self._answered_at is None:
+            self._answered_at = now
