Distribute entries by announcements, pulls and inventories

A daemon pulls each change from one of the peers that announced it, compares inventories when digests differ, and watches the store only as the first root of its region or when no parent answers.

--- /dev/null
+++ b/briartack/core/announcer.py
@@ -0,0 +1,61 @@
+"""Summaries to neighbours: after each change and as heartbeats."""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+from briartack.core.effects import Effects, SendMessage
+from briartack.core.holdings import Holdings
+from briartack.core.messages import Summary
+from briartack.core.units import Incarnation, InstanceId
+
+HEARTBEAT_SECONDS: Final = 1.0
+REMOTE_HEARTBEAT_SECONDS: Final = 2.0
+# A daemon of another region that this one does not ask gets answers only,
+# one per summary; the margin keeps two roots from answering each other.
+REMOTE_REPLY_SECONDS: Final = 1.5
+# Both ends of a new stream greet each other with a summary.
+GREETING_SECONDS: Final = 0.5
+
+
+@final
+class Announcer:
+    """Own the times of the last summaries."""
+
+    __slots__ = ('_incarnation', '_sent_at')
+
+    def __init__(self, *, incarnation: Incarnation) -> None:
+        """Start with nothing sent."""
+        self._incarnation = incarnation
+        self._sent_at: dict[InstanceId, float] = {}
+
+    def forget(self, peer: InstanceId) -> None:
+        """Drop a peer whose stream is down."""
+        self._sent_at.pop(peer, None)
+
+    def send(
+        self,
+        now: float,
+        peers: Iterable[InstanceId],
+        holdings: Holdings,
+        *,
+        pause_seconds: float = 0,
+    ) -> Effects:
+        """Send a summary to the peers that got none during the pause."""
+        effects: Effects = []
+        for peer in peers:
+            sent_at = self._sent_at.get(peer)
+            if sent_at is not None and now - sent_at < pause_seconds:
+                continue
+            self._sent_at[peer] = now
+            message = self._summary(now, holdings)
+            effects.append(SendMessage(peer=peer, message=message))
+        return effects
+
+    def _summary(self, now: float, holdings: Holdings) -> Summary:
+        return Summary(
+            incarnation=self._incarnation,
+            highest=holdings.highest,
+            configuration_digest=holdings.configuration_digest,
+            instances_digest=holdings.instances_digest,
+            clock=now,
+        )
--- a/briartack/core/dialling.py
+++ b/briartack/core/dialling.py
@@ -43,7 +43,9 @@
             peer = wish.member.instance
             if peer in plans:
                 continue
-            plans[peer] = self._after.get(peer, now + wish.delay_seconds)
+            planned = self._after.get(peer, now + wish.delay_seconds)
+            # An old plan may be from when the peer was wanted less.
+            plans[peer] = min(planned, now + wish.redial_seconds)
             if now >= plans[peer]:
                 plans[peer] = now + wish.redial_seconds
                 address = wish.member.peer_address
--- /dev/null
+++ b/briartack/core/dissemination_state.py
@@ -0,0 +1,72 @@
+"""The state of dissemination, one part for each kind of decision."""
+
+from random import Random
+from typing import Final, final
+
+from briartack.core.announcer import Announcer
+from briartack.core.confirmation import Confirmation
+from briartack.core.holdings import Holdings
+from briartack.core.identity import Identity
+from briartack.core.links import LinksState
+from briartack.core.peer_sync import PeerSyncState
+from briartack.core.store_reads import StoreReadsState
+from briartack.core.tree_place import TreePlace
+from briartack.core.units import InstanceId
+
+# Without a parent in reach, a daemon that starts reads the tree by itself.
+PARENTLESS_BOOT_SECONDS: Final = 3.0
+# Parents that answer may lack a snapshot too. The jitter spreads the reads
+# of 2,600 daemons below 150 per second.
+SNAPSHOT_PATIENCE_SECONDS: Final = 10.0
+SNAPSHOT_PATIENCE_JITTER_SECONDS: Final = 20.0
+
+
+@final
+class DisseminationState:
+    """Hold the parts that decide on streams, store calls and pulls."""
+
+    __slots__ = (
+        'identity',
+        'tree',
+        'links',
+        'store',
+        'sync',
+        'announcer',
+        'confirmation',
+        'started_at',
+        'snapshot_patience_seconds',
+    )
+
+    def __init__(self, *, identity: Identity, random: Random) -> None:
+        """Start without streams, calls or a list."""
+        self.identity: Final = identity
+        self.tree: Final = TreePlace(identity=identity, random=random)
+        self.links: Final = LinksState(
+            identity=identity,
+            random=random,
+            tree=self.tree,
+        )
+        self.store: Final = StoreReadsState(random=random)
+        self.sync: Final = PeerSyncState()
+        self.announcer: Final = Announcer(incarnation=identity.incarnation)
+        self.confirmation: Final = Confirmation()
+        self.started_at = float(0)
+        self.snapshot_patience_seconds: Final = (
+            SNAPSHOT_PATIENCE_SECONDS
+            + random.uniform(0, SNAPSHOT_PATIENCE_JITTER_SECONDS)
+        )
+
+    def needs_tree(self, now: float, holdings: Holdings) -> bool:
+        """Tell whether to read the tree although others should bring it."""
+        if holdings.has_snapshot or not self.tree.is_list_known:
+            return False
+        return (
+            self.tree.silence_seconds(now) > PARENTLESS_BOOT_SECONDS
+            or now - self.started_at > self.snapshot_patience_seconds
+        )
+
+    def starts_inventories_with(self, peer: InstanceId) -> bool:
+        """Tell which side compares inventories, so that only one does."""
+        if not self.links.is_upward(peer):
+            return False
+        return not self.links.is_remote(peer) or self.identity.instance < peer
--- /dev/null
+++ b/briartack/core/upkeep.py
@@ -0,0 +1,78 @@
+"""What each event and tick makes due, in the order of its decisions."""
+
+from briartack.core.announcer import HEARTBEAT_SECONDS, REMOTE_HEARTBEAT_SECONDS
+from briartack.core.dialling import REDIAL_SECONDS
+from briartack.core.dissemination_state import DisseminationState
+from briartack.core.effects import Effects
+from briartack.core.holdings import Holdings
+from briartack.core.membership import MembershipState
+from briartack.core.peer_views import is_same
+from briartack.core.units import InstanceId
+
+
+def work(
+    state: DisseminationState,
+    now: float,
+    holdings: Holdings,
+    membership: MembershipState,
+) -> Effects:
+    """Keep the place, the streams, the store calls and the entries up."""
+    state.tree.follow(now, membership)
+    effects = state.tree.suspect_parents(now)
+    state.tree.follow(now, membership)
+    effects.extend(state.links.due(now, membership))
+    is_watcher = state.tree.is_watcher(now)
+    effects.extend(state.store.set_duty(is_on_duty=is_watcher))
+    needs_tree = state.needs_tree(now, holdings)
+    effects.extend(state.store.due(now, needs_tree=needs_tree))
+    effects.extend(synchronise(state, now, holdings))
+    effects.extend(_heartbeats(state, now, holdings))
+    return effects
+
+
+def synchronise(
+    state: DisseminationState,
+    now: float,
+    holdings: Holdings,
+) -> Effects:
+    """Pull what peers are ahead with and look for gaps."""
+    return state.sync.due(
+        now,
+        holdings,
+        starts_inventories_with=state.starts_inventories_with,
+    )
+
+
+def _heartbeats(
+    state: DisseminationState,
+    now: float,
+    holdings: Holdings,
+) -> Effects:
+    linked_suspects = filter(state.links.is_linked, sorted(state.tree.suspects))
+    groups = (
+        (state.links.local, HEARTBEAT_SECONDS),
+        (state.links.remote, REMOTE_HEARTBEAT_SECONDS),
+        # A frozen peer keeps its stream, so it is asked instead of dialled.
+        (tuple(linked_suspects), REDIAL_SECONDS),
+    )
+    effects: Effects = []
+    for peers, pause_seconds in groups:
+        effects.extend(
+            state.announcer.send(
+                now,
+                peers,
+                holdings,
+                pause_seconds=pause_seconds,
+            ),
+        )
+    return effects
+
+
+def holds_same(
+    state: DisseminationState,
+    peer: InstanceId,
+    holdings: Holdings,
+) -> bool:
+    """Tell whether a peer has announced the same entries."""
+    summary = state.sync.summary_of(peer)
+    return summary is not None and is_same(summary, holdings)
