--- /dev/null
+++ b/briartack/core/choice.py
@@ -0,0 +1,174 @@
+"""The choice of the endpoint for one attempt of a call."""
+
+import enum
+from dataclasses import dataclass
+from typing import TypeAlias, final
+
+from briartack.core import placement
+from briartack.core.call_context import CallContext, Member, Regions
+from briartack.core.call_table import Call
+from briartack.core.effects import Effects
+from briartack.core.endpoints import EndpointsState
+from briartack.core.local_upstream import LocalUpstream
+from briartack.core.routing import RoutingState, Scopes, choose, rank
+from briartack.core.streams import dial_some
+from briartack.core.units import InstanceId
+
+
+@final
+@enum.unique
+class NoChoice(enum.Enum):
+    """Say why no endpoint can be chosen now or soon."""
+
+    PLACEMENT = enum.auto()
+    KEY_OWNER_GONE = enum.auto()
+    NO_ENDPOINT = enum.auto()
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Chosen:
+    """Name the endpoint and the home regions that it was checked against."""
+
+    member: Member
+    regions: Regions
+
+
+# A list of effects dials peers, whose streams the call then waits for.
+Choice: TypeAlias = Chosen | NoChoice | Effects
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Chooser:
+    """Choose endpoints by what the daemon knows of them."""
+
+    routing: RoutingState
+    endpoints: EndpointsState
+    upstream: LocalUpstream
+
+    def choose_for(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+    ) -> Choice:
+        """Choose where the next attempt of a call goes.
+
+        Placement and what is out of service come from the snapshot in force
+        now, because the call's own snapshot may be minutes old.
+        """
+        snapshot = context.snapshot
+        if snapshot is None:
+            return NoChoice.NO_ENDPOINT
+        regions = placement.home_regions(
+            snapshot,
+            call.route,
+            call.event.tenant,
+        )
+        if not placement.may_hold(regions, context.identity.region):
+            return NoChoice.PLACEMENT
+        scopes = self.routing.candidates(
+            context,
+            snapshot,
+            call.route.service,
+            regions,
+        )
+        if call.event.idempotency_key:
+            return self._key_owner(context, now, call, scopes, regions)
+        return self.among(
+            context,
+            now,
+            scopes,
+            regions,
+            slots=call.route.limits.slots,
+            tried=call.tried,
+        )
+
+    def among(
+        self,
+        context: CallContext,
+        now: float,
+        scopes: Scopes,
+        regions: Regions,
+        *,
+        slots: int,
+        tried: tuple[InstanceId, ...] = (),
+    ) -> Choice:
+        """Choose among candidates, those not yet tried first."""
+
+        def load_of(member: Member) -> float | None:  # noqa: WPS430
+            return self._load_of(context, now, member, slots)
+
+        def untried_load_of(member: Member) -> float | None:  # noqa: WPS430
+            return None if member.instance in tried else load_of(member)
+
+        member = choose(context.random, scopes, untried_load_of)
+        if member is None and tried:
+            member = choose(context.random, scopes, load_of)
+        if member is not None:
+            return Chosen(member=member, regions=regions)
+        dials = dial_some(context, now, scopes, self.endpoints)
+        return NoChoice.NO_ENDPOINT if dials is None else dials
+
+    def _load_of(
+        self,
+        context: CallContext,
+        now: float,
+        member: Member,
+        slots: int,
+    ) -> float | None:
+        if context.members.is_leaving(member.instance):
+            return None
+        if member.instance == context.identity.instance:
+            is_open = self.upstream.is_open
+            return self.upstream.load(now) if is_open else None
+        view = self.endpoints.get(member.instance)
+        if view is None or not view.is_usable(now):
+            return None
+        return view.load_now(now, slots)
+
+    def _key_owner(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        scopes: Scopes,
+        regions: Regions,
+    ) -> Choice:
+        """Find the one instance that may run a call with a key.
+
+        An issued key names it. A caller's own key is hashed over the live
+        list, so views that differ may choose differently.
+        """
+        owner = self._named_owner(context, call)
+        if owner is None:
+            return NoChoice.KEY_OWNER_GONE
+        if not placement.may_hold(regions, owner.region):
+            return NoChoice.PLACEMENT
+        if owner.instance == context.identity.instance:
+            return Chosen(member=owner, regions=regions)
+        if self.endpoints.get(owner.instance) is not None:
+            return Chosen(member=owner, regions=regions)
+        dials = dial_some(context, now, ((owner,),), self.endpoints)
+        return NoChoice.NO_ENDPOINT if dials is None else dials
+
+    def _named_owner(self, context: CallContext, call: Call) -> Member | None:
+        issued = call.issued_key
+        if issued is None:
+            members = context.members.of_service(call.route.service)
+            key = call.event.idempotency_key
+            return min(
+                members,
+                key=lambda member: rank(key, member.instance),
+                default=None,
+            )
+        incarnation = context.identity.incarnation
+        if issued.instance != context.identity.instance:
+            view = self.endpoints.get(issued.instance)
+            incarnation = (
+                issued.incarnation if view is None else view.incarnation
+            )
+        if issued.incarnation != incarnation:
+            return None
+        return context.members.get(issued.instance)
--- /dev/null
+++ b/briartack/core/door.py
@@ -0,0 +1,121 @@
+"""The first checks of a call, before any of its body is read."""
+
+from briartack.core import placement, reasons
+from briartack.core.call_context import CallContext, Regions, RouteView
+from briartack.core.call_headers import (
+    HOME_REGIONS,
+    forwarded,
+    is_background,
+)
+from briartack.core.call_table import Call
+from briartack.core.effects import AnswerCall
+from briartack.core.events import CallArrived
+from briartack.core.idempotency import parse_key
+from briartack.core.messages import MAX_BODY_BYTES, Headers
+from briartack.core.owned_attempts import EMPTY_DIGEST
+from briartack.core.reasons import Reason
+from briartack.core.routing import RoutingState
+from briartack.core.settings import Priority
+from briartack.core.units import CallId
+from briartack.core.verdict import Verdict
+
+MILLISECONDS = 1000
+UNAVAILABLE = 503
+BAD_GATEWAY = 502
+
+
+def refused(
+    call_id: CallId,
+    reason: Reason,
+    verdict: Verdict,
+    headers: Headers = (),
+) -> AnswerCall:
+    """Answer a call that no upstream answered.
+
+    Status 503 promises that nothing ran, so an unknown outcome has 502.
+    """
+    status = reason.status
+    if verdict is not Verdict.NOT_RUN and status == UNAVAILABLE:
+        status = BAD_GATEWAY
+    return AnswerCall(
+        call_id=call_id,
+        verdict=verdict,
+        status=status,
+        headers=headers,
+        reason=reason.code,
+        detail=reason.text,
+    )
+
+
+def closed_reason(context: CallContext) -> Reason | None:
+    """Return why this daemon takes no calls at present, if it does not."""
+    if context.is_stopping:
+        return reasons.STOPPING
+    if context.snapshot is None:
+        return reasons.NO_SNAPSHOT
+    return None if context.is_confirmed else reasons.UNCONFIRMED
+
+
+def enter(
+    context: CallContext,
+    event: CallArrived,
+    routing: RoutingState,
+) -> Call | AnswerCall:
+    """Route a call, or refuse it."""
+    snapshot = context.snapshot
+    reason = closed_reason(context)
+    if reason is not None or snapshot is None:
+        return _refuse(event, reason or reasons.NO_SNAPSHOT)
+    route = routing.match(snapshot, event.method, event.target)
+    if route is None:
+        return _refuse(event, reasons.NO_ROUTE)
+    regions = placement.home_regions(snapshot, route, event.tenant)
+    if not placement.may_hold(regions, context.identity.region):
+        headers = home_headers(regions)
+        return _refuse(event, reasons.PLACEMENT, headers)
+    if (event.body_bytes or 0) > MAX_BODY_BYTES:
+        return _refuse(event, reasons.BODY_TOO_LARGE)
+    call = _call(event, route)
+    if not event.now < call.deadline:
+        return _refuse(event, reasons.DEADLINE)
+    return call
+
+
+def home_headers(regions: Regions) -> Headers:
+    """Say where a call may go that may not stay here."""
+    return ((HOME_REGIONS, ','.join(placement.to_wire(regions))),)
+
+
+def _refuse(
+    event: CallArrived,
+    reason: Reason,
+    headers: Headers = (),
+) -> AnswerCall:
+    """Refuse a call at the door.
+
+    A repeat with a key may have run before, so only its owner can say that
+    it has not.
+    """
+    verdict = Verdict.NOT_RUN
+    if event.idempotency_key:
+        verdict = Verdict.UNKNOWN
+    return refused(event.call_id, reason, verdict, headers)
+
+
+def _call(event: CallArrived, route: RouteView) -> Call:
+    policy = route.policy
+    timeout_ms = float(policy.timeout_ms)
+    if event.deadline_ms is not None:
+        timeout_ms = min(event.deadline_ms, timeout_ms)
+    key = event.idempotency_key
+    is_interactive = policy.priority is Priority.INTERACTIVE
+    return Call(
+        event=event,
+        headers=forwarded(event.headers, event.tenant),
+        route=route,
+        issued_key=parse_key(key) if key else None,
+        interactive=is_interactive and not is_background(event.headers),
+        deadline=event.now + timeout_ms / MILLISECONDS,
+        body_bytes=event.body_bytes or 0,
+        body_digest=EMPTY_DIGEST,
+    )
--- /dev/null
+++ b/briartack/core/drain.py
@@ -0,0 +1,44 @@
+"""Planned stop: what is in flight ends, then the process does."""
+
+from typing import final
+
+
+@final
+class DrainState:
+    """Own the phase of the planned stop."""
+
+    __slots__ = ('_drain_seconds', '_bound', '_is_over')
+
+    def __init__(self, *, drain_seconds: float) -> None:
+        """Start in normal service."""
+        self._drain_seconds = drain_seconds
+        self._bound: float | None = None
+        self._is_over = False
+
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether the stop has begun."""
+        return self._bound is not None
+
+    @property
+    def bound(self) -> float | None:
+        """Return the time at which the stop ends whatever is in flight."""
+        return self._bound
+
+    def begin(self, now: float) -> bool:
+        """Begin the stop; return whether it had not begun before."""
+        if self._bound is not None:
+            return False
+        self._bound = now + self._drain_seconds
+        return True
+
+    def is_bound_over(self, now: float) -> bool:
+        """Tell whether the time of the stop is over."""
+        return self._bound is not None and now >= self._bound
+
+    def finish(self) -> bool:
+        """End the stop; return true only once."""
+        if self._bound is None or self._is_over:
+            return False
+        self._is_over = True
+        return True
--- /dev/null
+++ b/briartack/core/key_issuer.py
@@ -0,0 +1,139 @@
+"""Requests for idempotency keys, from arrival to the issued key."""
+
+from dataclasses import dataclass
+from typing import Final, final
+
+from briartack.core import reasons
+from briartack.core.call_context import CallContext
+from briartack.core.choice import Chooser, Chosen, NoChoice
+from briartack.core.door import closed_reason, refused
+from briartack.core.effects import AnswerCall, Effects
+from briartack.core.events import KeyRequested
+from briartack.core.idempotency import issue_key
+from briartack.core.units import CallId
+from briartack.core.verdict import Verdict
+
+CREATED: Final = 201
+STREAM_WAIT_SECONDS: Final = 0.5
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Request:
+    call_id: CallId
+    service: str
+    until: float
+
+
+@final
+class KeyIssuerState:
+    """Own the requests for keys that wait for a stream."""
+
+    __slots__ = ('_chooser', '_waiting')
+
+    def __init__(self, *, chooser: Chooser) -> None:
+        """Start without requests."""
+        self._chooser = chooser
+        self._waiting: dict[CallId, _Request] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether every request has been answered."""
+        return not self._waiting
+
+    def request(self, context: CallContext, event: KeyRequested) -> Effects:
+        """Issue a key, or wait for a stream to an owner."""
+        reason = closed_reason(context)
+        if reason is not None:
+            return [refused(event.call_id, reason, Verdict.NOT_RUN)]
+        request = _Request(
+            call_id=event.call_id,
+            service=event.service,
+            until=event.now + STREAM_WAIT_SECONDS,
+        )
+        return self._issue(context, event.now, request)
+
+    def cancel(self, call_id: CallId) -> None:
+        """Forget a request whose caller went away."""
+        self._waiting.pop(call_id, None)
+
+    def retry(self, context: CallContext, now: float) -> Effects:
+        """Go on with the requests that wait."""
+        return [
+            effect
+            for request in tuple(self._waiting.values())
+            for effect in self._issue(context, now, request)
+        ]
+
+    def tick(self, now: float) -> Effects:
+        """Refuse the requests that waited too long."""
+        late = [
+            request
+            for request in self._waiting.values()
+            if now >= request.until
+        ]
+        for request in late:
+            self._waiting.pop(request.call_id)
+        return [
+            refused(request.call_id, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
+            for request in late
+        ]
+
+    def _issue(
+        self,
+        context: CallContext,
+        now: float,
+        request: _Request,
+    ) -> Effects:
+        self._waiting.pop(request.call_id, None)
+        snapshot = context.snapshot
+        limits = snapshot.services.get(request.service) if snapshot else None
+        if snapshot is None or limits is None:
+            return [
+                refused(request.call_id, reasons.NO_SERVICE, Verdict.NOT_RUN),
+            ]
+        scopes = self._chooser.routing.candidates(
+            context,
+            snapshot,
+            request.service,
+            None,
+        )
+        choice = self._chooser.among(
+            context,
+            now,
+            scopes,
+            None,
+            slots=limits.slots,
+        )
+        if isinstance(choice, Chosen):
+            return [self._issued(context, now, request, choice)]
+        if isinstance(choice, NoChoice):
+            return [
+                refused(request.call_id, reasons.NO_ENDPOINT, Verdict.NOT_RUN),
+            ]
+        self._waiting[request.call_id] = request
+        return choice
+
+    def _issued(
+        self,
+        context: CallContext,
+        now: float,
+        request: _Request,
+        chosen: Chosen,
+    ) -> AnswerCall:
+        owner = chosen.member.instance
+        view = self._chooser.endpoints.get(owner)
+        key = issue_key(
+            context.random,
+            owner,
+            view.incarnation if view else context.identity.incarnation,
+            view.clock if view else now,
+        )
+        return AnswerCall(
+            call_id=request.call_id,
+            verdict=Verdict.RAN,
+            status=CREATED,
+            headers=(),
+            reason='',
+            detail=key,
+        )
--- /dev/null
+++ b/briartack/core/owner_checks.py
@@ -0,0 +1,47 @@
+"""Why an owner refuses an attempt before it has a slot."""
+
+from briartack.core import placement, reasons
+from briartack.core.call_context import CallContext
+from briartack.core.local_upstream import LocalUpstream
+from briartack.core.messages import MAX_BODY_BYTES, Attempt
+from briartack.core.reasons import Reason
+from briartack.core.settings import PlatformSettings
+
+
+def refusal(
+    context: CallContext,
+    attempt: Attempt,
+    upstream: LocalUpstream,
+    *,
+    is_stopping: bool,
+) -> Reason | None:
+    """Return why the attempt must not start here, if it must not."""
+    if is_stopping:
+        return reasons.STOPPING
+    snapshot = context.snapshot
+    if snapshot is None:
+        return reasons.NO_SNAPSHOT
+    if not context.is_confirmed:
+        return reasons.UNCONFIRMED
+    own = context.identity
+    regions = placement.from_wire(attempt.home_regions)
+    if not placement.may_hold(regions, own.region):
+        return reasons.PLACEMENT
+    limits = snapshot.services.get(own.service)
+    if attempt.service != own.service or limits is None:
+        return reasons.WRONG_SERVICE
+    upstream.configure(limits)
+    if _is_out(context, snapshot.platform):
+        return reasons.OUT_OF_SERVICE
+    if attempt.body_bytes > MAX_BODY_BYTES:
+        return reasons.BODY_TOO_LARGE
+    return None if upstream.is_open else reasons.UPSTREAM_DOWN
+
+
+def _is_out(context: CallContext, platform: PlatformSettings) -> bool:
+    own = context.identity
+    return (
+        own.data_centre in platform.data_centres_out
+        or own.instance in platform.instances_out
+        or context.members.is_leaving(own.instance)
+    )
--- /dev/null
+++ b/briartack/core/placement.py
@@ -0,0 +1,37 @@
+"""Placement: which regions may serve, send or store a request."""
+
+from briartack.core.call_context import Regions, RouteView, SnapshotView
+
+
+def home_regions(
+    snapshot: SnapshotView,
+    route: RouteView,
+    tenant: str,
+) -> Regions:
+    """Intersect the home regions of a route and a tenant."""
+    of_tenant = snapshot.tenant_regions.get(tenant) if tenant else None
+    return intersect(route.home_regions, of_tenant)
+
+
+def intersect(left: Regions, right: Regions) -> Regions:
+    """Keep the regions that both sides allow."""
+    if left is None:
+        return right
+    if right is None:
+        return left
+    return left & right
+
+
+def may_hold(regions: Regions, region: str) -> bool:
+    """Tell whether a region may hold any part of a request."""
+    return regions is None or region in regions
+
+
+def from_wire(regions: tuple[str, ...]) -> Regions:
+    """Read the home regions of an attempt; none listed means no bound."""
+    return frozenset(regions) or None
+
+
+def to_wire(regions: Regions) -> tuple[str, ...]:
+    """List home regions for an attempt or a header."""
+    return tuple(sorted(regions)) if regions else ()
--- /dev/null
+++ b/briartack/core/sender.py
@@ -0,0 +1,450 @@
+"""The sender's side: a caller's call from its arrival to its answer."""
+
+from typing import Final, final
+
+from briartack.core import reasons
+from briartack.core.call_context import CallContext
+from briartack.core.call_table import Call, CallPhase, CallTable
+from briartack.core.choice import Chooser, Chosen, NoChoice
+from briartack.core.door import enter, home_headers, refused
+from briartack.core.effects import (
+    AnswerCall,
+    Count,
+    DropBody,
+    Effects,
+    ReadBody,
+    SendAttempt,
+    SendMessage,
+    WakeAt,
+)
+from briartack.core.endpoints import NO_CLOCK, EndpointsState
+from briartack.core.events import CallArrived, CallBodyRead
+from briartack.core.messages import (
+    MAX_BODY_BYTES,
+    Answer,
+    Attempt,
+    Cancel,
+    Headers,
+)
+from briartack.core.owner import OwnerState
+from briartack.core.placement import home_regions, to_wire
+from briartack.core.reasons import Reason
+from briartack.core.retry import RetryState, backoff_seconds
+from briartack.core.routing import RoutingState
+from briartack.core.streams import StreamsState
+from briartack.core.units import BodyId, CallId, InstanceId
+from briartack.core.verdict import Verdict, may_repeat
+
+MILLISECONDS: Final = 1000
+STREAM_WAIT_SECONDS: Final = 0.5
+# The shell ticks at least this often; nearer times need a wake-up.
+TICK_SECONDS: Final = 0.1
+# Refusals after which a peer gets nothing new for a short time.
+AVOIDED: Final = frozenset(
+    (
+        reasons.UNCONFIRMED.code,
+        reasons.NO_SNAPSHOT.code,
+        reasons.OUT_OF_SERVICE.code,
+        reasons.WRONG_SERVICE.code,
+        reasons.UPSTREAM_DOWN.code,
+        reasons.WINDOW_FULL.code,
+    ),
+)
+
+
+@final
+class SenderState:
+    """Own the calls that callers made to this daemon."""
+
+    __slots__ = (
+        '_table',
+        '_retry',
+        '_routing',
+        '_endpoints',
+        '_streams',
+        '_owner',
+        '_chooser',
+    )
+
+    def __init__(
+        self,
+        *,
+        routing: RoutingState,
+        endpoints: EndpointsState,
+        streams: StreamsState,
+        owner: OwnerState,
+    ) -> None:
+        """Start without calls."""
+        self._table = CallTable()
+        self._retry = RetryState()
+        self._routing = routing
+        self._endpoints = endpoints
+        self._streams = streams
+        self._owner = owner
+        self._chooser = Chooser(
+            routing=routing,
+            endpoints=endpoints,
+            upstream=owner.upstream,
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether every call has been answered."""
+        return not self._table
+
+    @property
+    def chooser(self) -> Chooser:
+        """Return the chooser of endpoints."""
+        return self._chooser
+
+    def arrive(self, context: CallContext, event: CallArrived) -> Effects:
+        """Take the head of a call."""
+        call = enter(context, event, self._routing)
+        if isinstance(call, AnswerCall):
+            return [call]
+        service = call.route.service
+        self._table.add(call)
+        self._streams.touch(service, event.now)
+        self._retry.earn(service, call.route.policy.retry_percent)
+        effects = _wake(event.now, call.deadline)
+        if event.body_bytes == 0:
+            effects.extend(self._next_attempt(context, event.now, call))
+        else:
+            effects.append(ReadBody(call_id=event.call_id))
+        return effects
+
+    def body_read(self, context: CallContext, event: CallBodyRead) -> Effects:
+        """Take the whole body of a call."""
+        call = self._table.get(event.call_id)
+        if call is None:
+            return [DropBody(body_id=BodyId(f'call:{event.call_id}'))]
+        if event.body_bytes > MAX_BODY_BYTES:
+            return self._refuse(call, reasons.BODY_TOO_LARGE, Verdict.NOT_RUN)
+        call.body_bytes = event.body_bytes
+        call.body_digest = event.body_digest
+        return self._next_attempt(context, event.now, call)
+
+    def cancel(
+        self,
+        context: CallContext,
+        now: float,
+        call_id: CallId,
+    ) -> Effects:
+        """Give up a call whose caller went away."""
+        call = self._table.get(call_id)
+        if call is None:
+            return []
+        effects = self._withdraw(context, now, call)
+        self._table.remove(call)
+        effects.append(DropBody(body_id=call.body_id))
+        return effects
+
+    def answered(
+        self,
+        context: CallContext,
+        now: float,
+        peer: InstanceId,
+        answer: Answer,
+        body_id: BodyId | None,
+        *,
+        is_kept: bool = False,
+    ) -> Effects:
+        """Take the answer of an attempt.
+
+        Its body is dropped after use, unless the owner keeps it.
+        """
+        spent_body = _drop(None if is_kept else body_id)
+        call = self._table.of_attempt(answer.attempt_id)
+        if call is None or call.peer != peer:
+            return [Count(name='answers_late'), *spent_body]
+        self._end_attempt(call)
+        if answer.verdict is Verdict.RAN:
+            self._table.remove(call)
+            return [
+                AnswerCall(
+                    call_id=call.event.call_id,
+                    verdict=Verdict.RAN,
+                    status=answer.status,
+                    headers=answer.headers,
+                    reason=answer.reason,
+                    body_id=body_id if answer.body_bytes else None,
+                ),
+                DropBody(body_id=call.body_id),
+                *spent_body,
+            ]
+        reason = reasons.BY_CODE.get(answer.reason, reasons.UPSTREAM_FAILED)
+        self._learn(peer, reason, now)
+        effects = spent_body
+        call.tried = (*call.tried, peer)
+        effects.extend(
+            self._failed(context, now, call, answer.verdict, reason),
+        )
+        return effects
+
+    def peer_lost(
+        self,
+        context: CallContext,
+        now: float,
+        peer: InstanceId,
+    ) -> Effects:
+        """End the attempts at a peer whose stream is down."""
+        effects: Effects = []
+        for call in self._table.sent_to(peer):
+            self._end_attempt(call)
+            call.tried = (*call.tried, peer)
+            effects.extend(
+                self._failed(
+                    context,
+                    now,
+                    call,
+                    Verdict.UNKNOWN,
+                    reasons.CONNECTION_LOST,
+                ),
+            )
+        return effects
+
+    def streams_changed(
+        self,
+        context: CallContext,
+        now: float,
+        service: str,
+    ) -> Effects:
+        """Go on with the calls that wait for a stream."""
+        return [
+            effect
+            for call in self._table.connecting(service)
+            for effect in self._next_attempt(context, now, call)
+        ]
+
+    def tick(self, context: CallContext, now: float) -> Effects:
+        """End calls whose time is over and go on with those that waited."""
+        effects: Effects = []
+        for call in self._table.due(now):
+            effects.extend(self._due(context, now, call))
+        next_at = self._table.next_at
+        if next_at is not None:
+            effects.extend(_wake(now, next_at))
+        return effects
+
+    def end_all(
+        self,
+        context: CallContext,
+        now: float,
+        *,
+        sent: Reason,
+        unsent: Reason,
+    ) -> Effects:
+        """End every call, with an unknown outcome if it was sent."""
+        effects: Effects = []
+        for call in self._table:
+            reason = sent if call.phase is CallPhase.SENT else unsent
+            effects.extend(self._give_up(context, now, call, reason))
+        return effects
+
+    def _due(self, context: CallContext, now: float, call: Call) -> Effects:
+        if now >= call.deadline:
+            return self._give_up(context, now, call, reasons.DEADLINE)
+        if now < call.wait_until:
+            return []
+        if call.phase is CallPhase.CONNECTING:
+            return self._refuse(call, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
+        if call.phase is CallPhase.BACKING_OFF:
+            return self._next_attempt(context, now, call)
+        return []
+
+    def _next_attempt(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+    ) -> Effects:
+        if now >= call.deadline:
+            return self._give_up(context, now, call, reasons.DEADLINE)
+        choice = self._chooser.choose_for(context, now, call)
+        if isinstance(choice, Chosen):
+            return self._send(context, now, call, choice)
+        if isinstance(choice, NoChoice):
+            return self._not_chosen(context, call, choice)
+        if call.phase is CallPhase.CONNECTING:
+            return choice
+        until = now + STREAM_WAIT_SECONDS
+        self._table.wait(call, CallPhase.CONNECTING, until)
+        return choice
+
+    def _send(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        chosen: Chosen,
+    ) -> Effects:
+        own = context.identity
+        peer = chosen.member.instance
+        view = self._endpoints.get(peer)
+        attempt = Attempt(
+            attempt_id=self._table.start_attempt(
+                call,
+                peer,
+                f'{own.instance}.{own.incarnation}',
+            ),
+            owner_incarnation=view.incarnation if view else own.incarnation,
+            owner_clock=view.clock if view else NO_CLOCK,
+            remaining_ms=(call.deadline - now) * MILLISECONDS,
+            service=call.route.service,
+            method=call.event.method,
+            target=call.event.target,
+            headers=call.headers,
+            body_bytes=call.body_bytes,
+            body_digest=call.body_digest,
+            interactive=call.interactive,
+            home_regions=to_wire(chosen.regions),
+            idempotency_key=call.event.idempotency_key,
+        )
+        if peer == own.instance:
+            return self._owner.begin_local(
+                context,
+                now,
+                attempt,
+                call.body_id,
+            )
+        self._endpoints.begin(peer)
+        return [SendAttempt(peer=peer, attempt=attempt, body_id=call.body_id)]
+
+    def _not_chosen(
+        self,
+        context: CallContext,
+        call: Call,
+        choice: NoChoice,
+    ) -> Effects:
+        if choice is NoChoice.KEY_OWNER_GONE:
+            return self._refuse(call, reasons.KEY_OWNER_GONE, Verdict.UNKNOWN)
+        if choice is NoChoice.NO_ENDPOINT or context.snapshot is None:
+            return self._refuse(call, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
+        regions = home_regions(
+            context.snapshot,
+            call.route,
+            call.event.tenant,
+        )
+        return self._refuse(
+            call,
+            reasons.PLACEMENT,
+            Verdict.NOT_RUN,
+            home_headers(regions),
+        )
+
+    def _failed(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        verdict: Verdict,
+        reason: Reason,
+    ) -> Effects:
+        """Retry after a failed attempt, or answer the caller."""
+        if verdict is Verdict.UNKNOWN:
+            call.may_have_run = True
+        if reason is reasons.STALE_CLOCK and not call.has_fresh_clock:
+            call.has_fresh_clock = True
+            call.tried = call.tried[:-1]
+            return self._next_attempt(context, now, call)
+        wait = backoff_seconds(context.random, call.attempts)
+        if now + wait < call.deadline and self._may_retry(
+            call,
+            verdict,
+            reason,
+        ):
+            until = now + wait
+            self._table.wait(call, CallPhase.BACKING_OFF, until)
+            return [Count(name='retries'), *_wake(now, until)]
+        return self._refuse(call, reason, verdict, is_from_owner=True)
+
+    def _may_retry(
+        self,
+        call: Call,
+        verdict: Verdict,
+        reason: Reason,
+    ) -> bool:
+        """Decide on a retry, and take its token.
+
+        A nested call is retried only if its request has not run: whatever
+        ran is retried by the daemon nearest to the failure.
+        """
+        policy = call.route.policy
+        if not reason.is_retried or call.attempts >= policy.max_attempts:
+            return False
+        if call.event.is_nested and verdict is not Verdict.NOT_RUN:
+            return False
+        if not may_repeat(verdict, repeatable=policy.repeatable):
+            return False
+        return self._retry.spend(call.route.service)
+
+    def _refuse(
+        self,
+        call: Call,
+        reason: Reason,
+        verdict: Verdict,
+        headers: Headers = (),
+        *,
+        is_from_owner: bool = False,
+    ) -> Effects:
+        """Answer a call without an upstream's answer.
+
+        `not-run` must hold for all attempts, and for a call with a key only
+        the key's owner can say it.
+        """
+        self._table.remove(call)
+        has_key = bool(call.event.idempotency_key)
+        if call.may_have_run or (has_key and not is_from_owner):
+            verdict = Verdict.UNKNOWN
+        return [
+            refused(call.event.call_id, reason, verdict, headers),
+            DropBody(body_id=call.body_id),
+        ]
+
+    def _give_up(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        reason: Reason,
+    ) -> Effects:
+        effects = self._withdraw(context, now, call)
+        effects.extend(self._refuse(call, reason, Verdict.NOT_RUN))
+        return effects
+
+    def _withdraw(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+    ) -> Effects:
+        """Cancel the attempt that is under way, if there is one."""
+        attempt_id = call.attempt_id
+        peer = call.peer
+        if attempt_id is None or peer is None:
+            return []
+        call.may_have_run = True
+        self._end_attempt(call)
+        if peer == context.identity.instance:
+            return self._owner.cancel(context, now, None, attempt_id)
+        message = Cancel(attempt_id=attempt_id)
+        return [SendMessage(peer=peer, message=message)]
+
+    def _end_attempt(self, call: Call) -> None:
+        if call.peer is not None:
+            self._endpoints.end(call.peer)
+        self._table.end_attempt(call)
+
+    def _learn(self, peer: InstanceId, reason: Reason, now: float) -> None:
+        if reason is reasons.STOPPING:
+            self._endpoints.drain(peer)
+        elif reason.code in AVOIDED:
+            self._endpoints.avoid(peer, now)
+
+
+def _drop(body_id: BodyId | None) -> Effects:
+    return [] if body_id is None else [DropBody(body_id=body_id)]
+
+
+def _wake(now: float, at: float) -> Effects:
+    return [WakeAt(at=at)] if at < now + TICK_SECONDS else []
