--- a/briartack/core/calls.py
+++ b/briartack/core/calls.py
@@ -301,17 +301,17 @@
     return _settle(state, context, event.now, effects)
 
 
-def on_gap(state: CallsState, context: CallContext, event: Tick) -> Effects:
+def on_gap(state: CallsState, context: CallContext, now: float) -> Effects:
     """Drop what is older than a pause of this process."""
-    state.endpoints.forget_news(event.now)
+    state.endpoints.forget_news(now)
     effects = state.sender.end_all(
         context,
-        event.now,
+        now,
         sent=reasons.PAUSED,
         unsent=reasons.UNCONFIRMED,
     )
-    effects.extend(state.owner.expire_all(event.now, reasons.UNCONFIRMED))
-    return _settle(state, context, event.now, effects)
+    effects.extend(state.owner.expire_all(now, reasons.UNCONFIRMED))
+    return _settle(state, context, now, effects)
 
 
 def _peer_lost(
--- a/briartack/core/dissemination.py
+++ b/briartack/core/dissemination.py
@@ -4,7 +4,6 @@
 carries into the holdings, and reports the outcome with `on_merged`.
 """
 
-from collections.abc import Collection
 from dataclasses import dataclass
 from typing import TypeAlias, final
 
@@ -212,7 +211,8 @@
 def on_merged(
     state: DisseminationState,
     now: float,
-    changed: Collection[str],
+    *,
+    changed: bool,
     holdings: Holdings,
     source: Source,
 ) -> Effects:
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -33,14 +33,13 @@
     before = state.snapshots.snapshot
     change = _apply_configuration(state, received)
     changed_instances = _apply_instances(state, received)
-    effects.extend(_report(state, change, received.source, before))
+    effects.extend(_report(state, change, received.source or STORE, before))
     effects.extend(
         dissemination.on_merged(
             state.dissemination,
             now,
             changed=change.is_changed or bool(changed_instances),
             holdings=state.holdings,
-            members=state.membership,
             source=received.source,
         ),
     )
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -75,12 +75,10 @@
 def _on_time(state: State, now: float) -> Effects:
     last = state.last_event_at
     state.last_event_at = now
-    if last is None or now - last <= MAX_EVENT_GAP_SECONDS:
-        return []
-    return [
-        *dissemination.on_gap(state.dissemination, now),
-        *calls.on_gap(state.calls, call_context(state), now),
-    ]
+    effects = dissemination.observe(state.dissemination, now, state.holdings)
+    if last is not None and now - last > MAX_EVENT_GAP_SECONDS:
+        effects.extend(calls.on_gap(state.calls, call_context(state), now))
+    return effects
 
 
 def _on_started(state: State, event: Started) -> Effects:
@@ -94,18 +92,18 @@
     )
     return [
         WriteAudit(record=record),
-        *dissemination.on_started(state.dissemination, event.now),
+        *dissemination.on_started(state.dissemination, event),
     ]
 
 
 def _on_tick(state: State, event: Tick) -> Effects:
     effects = dissemination.on_tick(
         state.dissemination,
-        event.now,
+        event,
         state.holdings,
         state.membership,
     )
-    effects.extend(calls.on_tick(state.calls, call_context(state), event.now))
+    effects.extend(calls.on_tick(state.calls, call_context(state), event))
     effects.extend(_repeat_held(state, event.now))
     return effects
 
@@ -126,7 +124,6 @@
         state.dissemination,
         event,
         state.holdings,
-        state.membership,
     )
     return merge(state, event.now, received)
 
@@ -136,13 +133,16 @@
         state.dissemination,
         event,
         state.holdings,
-        state.membership,
     )
     return merge(state, event.now, received)
 
 
 def _on_store_failed(state: State, event: StoreFailed) -> Effects:
-    return dissemination.on_store_failed(state.dissemination, event)
+    return dissemination.on_store_failed(
+        state.dissemination,
+        event,
+        state.holdings,
+    )
 
 
 def _on_peer_connected(state: State, event: PeerConnected) -> Effects:
@@ -184,29 +184,47 @@
 
 
 def _on_summary(state: State, event: PeerMessageReceived) -> Effects:
-    effects = calls.on_summary(state.calls, call_context(state), event)
+    assert isinstance(event.message, Summary)
+    effects = calls.on_summary(
+        state.calls,
+        call_context(state),
+        event,
+        event.message,
+    )
     effects.extend(_on_synchronisation(state, event))
     return effects
 
 
 def _on_goodbye(state: State, event: PeerMessageReceived) -> Effects:
-    if isinstance(event.message, Goodbye):
-        state.membership.mark_leaving(event.peer, event.message.incarnation)
-    effects = calls.on_goodbye(state.calls, call_context(state), event)
+    message = event.message
+    assert isinstance(message, Goodbye)
+    state.membership.mark_leaving(event.peer, message.incarnation)
+    effects = calls.on_goodbye(
+        state.calls,
+        call_context(state),
+        event,
+        message,
+    )
     effects.extend(_on_synchronisation(state, event))
     return effects
 
 
 def _on_attempt(state: State, event: PeerMessageReceived) -> Effects:
-    return calls.on_attempt(state.calls, call_context(state), event)
+    message = event.message
+    assert isinstance(message, Attempt)
+    return calls.on_attempt(state.calls, call_context(state), event, message)
 
 
 def _on_answer(state: State, event: PeerMessageReceived) -> Effects:
-    return calls.on_answer(state.calls, call_context(state), event)
+    message = event.message
+    assert isinstance(message, Answer)
+    return calls.on_answer(state.calls, call_context(state), event, message)
 
 
 def _on_cancel(state: State, event: PeerMessageReceived) -> Effects:
-    return calls.on_cancel(state.calls, call_context(state), event)
+    message = event.message
+    assert isinstance(message, Cancel)
+    return calls.on_cancel(state.calls, call_context(state), event, message)
 
 
 def _on_attempt_body_read(state: State, event: AttemptBodyRead) -> Effects:
@@ -246,7 +264,7 @@
     record = state.trail.record('stopping', {})
     return [
         WriteAudit(record=record),
-        *calls.on_stop(state.calls, call_context(state), event.now),
+        *calls.on_stop(state.calls, call_context(state), event),
     ]
 
 
--- a/briartack/core/status.py
+++ b/briartack/core/status.py
@@ -1,6 +1,5 @@
 """Describes the state of a daemon for operators."""
 
-from briartack.core import calls, dissemination
 from briartack.core.state import State
 
 
@@ -16,9 +15,16 @@
         'ready': is_ready(state),
         'stopping': state.stopping,
         'instances': len(state.membership.live_members()),
-        'waiting': list(state.snapshots.waiting),
-        'dissemination': dissemination.describe(state.dissemination),
-        'calls': calls.describe(state.calls),
+        'waiting': [
+            {
+                'key': waiting.key,
+                'revision': waiting.revision,
+                'missing': list(waiting.missing),
+            }
+            for waiting in state.snapshots.waiting
+        ],
+        'dissemination': _describe_dissemination(state),
+        'upstream': _describe_upstream(state),
     }
     described.update(_describe_snapshot(state))
     return described
@@ -41,3 +47,23 @@
         'data_centres_out': list(snapshot.platform.data_centres_out),
         'instances_out': list(snapshot.platform.instances_out),
     }
+
+
+def _describe_dissemination(state: State) -> dict[str, object]:
+    part = state.dissemination
+    return {
+        'watches_store': part.store.is_on_duty,
+        'parents': list(part.links.parents),
+        'suspects': sorted(part.tree.suspects),
+        'state_digest': state.holdings.configuration_digest.hex(),
+        'instances_digest': state.holdings.instances_digest.hex(),
+    }
+
+
+def _describe_upstream(state: State) -> dict[str, object]:
+    upstream = state.calls.owner.upstream
+    return {
+        'open': upstream.is_open,
+        'in_flight': upstream.running,
+        'limit': upstream.limit,
+    }
--- a/briartack/recorder.py
+++ b/briartack/recorder.py
@@ -55,9 +55,13 @@
     drain_seconds: float
 
 
-class _Line(msgspec.Struct, frozen=True):
+@final
+class TraceLine(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one line of a trace, with its place for error texts."""
+
     type: str
     data: msgspec.Raw
+    place: str = ''  # PATH:LINE
 
 
 @final
@@ -107,44 +111,57 @@
     Raises TraceError and OSError.
     """
     with path.open('rb') as trace:
-        line = _decode_line(path, 1, trace.readline())
+        line = _decode_line(f'{path}:1', trace.readline())
     if line.type != _HEADER_TYPE:
         raise TraceError(f'{path}:1: the trace does not begin with a header')
-    return _decode_data(path, 1, line, TraceHeader)
+    return decode_data(line, TraceHeader)
 
 
-def read(path: Path) -> Iterator[events.Event]:
-    """Yield the events of a trace in order.
+def read_lines(path: Path) -> Iterator[TraceLine]:
+    """Yield all lines of a trace but the header.
 
     Raises TraceError and OSError.
     """
     with path.open('rb') as trace:
         for number, text in enumerate(trace, start=1):
-            line = _decode_line(path, number, text)
-            if line.type == _HEADER_TYPE:
-                continue
-            event_class = _EVENT_CLASSES.get(line.type)
-            if event_class is None:
-                raise TraceError(
-                    f'{path}:{number}: unknown event {line.type!r}',
-                )
-            yield _decode_data(path, number, line, event_class)
-
-
-def _decode_line(path: Path, number: int, text: bytes) -> _Line:
+            line = _decode_line(f'{path}:{number}', text)
+            if line.type != _HEADER_TYPE:
+                yield line
+
+
+def read(path: Path) -> Iterator[events.Event]:
+    """Yield the events of a trace in order.
+
+    Raises TraceError and OSError.
+    """
+    return map(decode_event, read_lines(path))
+
+
+def decode_event(line: TraceLine) -> events.Event:
+    """Make the event of a line.
+
+    Raises TraceError.
+    """
+    event_class = _EVENT_CLASSES.get(line.type)
+    if event_class is None:
+        raise TraceError(f'{line.place}: unknown event {line.type!r}')
+    return decode_data(line, event_class)
+
+
+def decode_data(line: TraceLine, record_class: type[_Record]) -> _Record:
+    """Make a record of the data of a line.
+
+    Raises TraceError.
+    """
     try:
-        return msgspec.json.decode(text, type=_Line)
+        return msgspec.json.decode(line.data, type=record_class)
     except msgspec.MsgspecError as error:
-        raise TraceError(f'{path}:{number}: {error}') from None
+        raise TraceError(f'{line.place}: {line.type}: {error}') from None
 
 
-def _decode_data(
-    path: Path,
-    number: int,
-    line: _Line,
-    record_class: type[_Record],
-) -> _Record:
+def _decode_line(place: str, text: bytes) -> TraceLine:
     try:
-        return msgspec.json.decode(line.data, type=record_class)
+        line = msgspec.json.decode(text, type=TraceLine)
     except msgspec.MsgspecError as error:
-        raise TraceError(f'{path}:{number}: {line.type}: {error}') from None
+        raise TraceError(f'{place}: {error}') from None
+    return msgspec.structs.replace(line, place=place)
--- a/briartack/replay.py
+++ b/briartack/replay.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 from random import Random
-from typing import Final, TypeVar, final
+from typing import Final, final
 
 import msgspec
 
@@ -16,10 +16,15 @@
 from briartack.core.monitors import Monitors
 from briartack.core.reducer import reduce
 from briartack.core.state import State
-from briartack.recorder import TraceLine, decode_event, read_header, read_lines
+from briartack.recorder import (
+    TraceLine,
+    decode_data,
+    decode_event,
+    read_header,
+    read_lines,
+)
 
 _BINDING: Final = '$'
-_Statement = TypeVar('_Statement')
 
 
 class Expect(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -75,9 +80,9 @@
         """Count one judged outcome."""
         self._statements += 1
 
-    def fail(self, number: int, text: str) -> None:
+    def fail(self, place: str, text: str) -> None:
         """Add a failure at a line of the trace."""
-        self._failures.append(f'{self._path}:{number}: {text}')
+        self._failures.append(f'{place}: {text}')
 
     def to_dict(self) -> dict[str, object]:
         """Describe the result for JSON."""
@@ -139,11 +144,11 @@
         bound = _substitute(line, self._bindings)
         match line.type:
             case 'Expect':
-                self._judge(line.number, _decode(bound, Expect))
+                self._judge(line.place, decode_data(bound, Expect))
             case 'Never':
-                self._judge(line.number, _decode(bound, Never))
+                self._judge(line.place, decode_data(bound, Never))
             case 'Holds':
-                self._judge(line.number, _decode(bound, Holds))
+                self._judge(line.place, decode_data(bound, Holds))
             case _:
                 self._apply(bound)
 
@@ -156,9 +161,9 @@
         self._effects.extend(effects)
         self.result.count_event()
         for violation in self._monitors.observe(self._state, event, effects):
-            self.result.fail(line.number, str(violation))
+            self.result.fail(line.place, str(violation))
 
-    def _judge(self, number: int, outcome: Expect | Never | Holds) -> None:
+    def _judge(self, place: str, outcome: Expect | Never | Holds) -> None:
         self._judging = True
         self.result.count_statement()
         match outcome:
@@ -170,7 +175,7 @@
             case Holds():
                 problem = self._holds(outcome)
         if problem:
-            self.result.fail(number, problem)
+            self.result.fail(place, problem)
 
     def _expect(self, outcome: Expect) -> str:
         found = self._matching(outcome.effect, outcome.fields)
@@ -235,7 +240,3 @@
             msgspec.json.encode(value),
         )
     return msgspec.structs.replace(line, data=msgspec.Raw(data))
-
-
-def _decode(line: TraceLine, kind: type[_Statement]) -> _Statement:
-    return msgspec.json.decode(line.data, type=kind)
