--- /dev/null
+++ b/briartack/core/attempt_sender.py
@@ -0,0 +1,115 @@
+"""One attempt of a call: sent to its owner, or withdrawn from it."""
+
+from typing import Final, final
+
+from briartack.core import reasons
+from briartack.core.call_context import CallContext
+from briartack.core.call_table import Call, CallTable
+from briartack.core.choice import Chosen
+from briartack.core.effects import Effects, SendAttempt, SendMessage
+from briartack.core.endpoints import NO_CLOCK, EndpointsState
+from briartack.core.messages import Attempt, Cancel
+from briartack.core.owner import OwnerState
+from briartack.core.placement import listed_regions
+from briartack.core.reasons import Reason
+from briartack.core.units import InstanceId
+
+MILLISECONDS: Final = 1000
+# Refusals after which a peer gets nothing new for a short time.
+AVOIDED: Final = frozenset(
+    (
+        reasons.UNCONFIRMED.code,
+        reasons.NO_SNAPSHOT.code,
+        reasons.OUT_OF_SERVICE.code,
+        reasons.WRONG_SERVICE.code,
+        reasons.UPSTREAM_DOWN.code,
+        reasons.WINDOW_FULL.code,
+    ),
+)
+
+
+@final
+class AttemptSender:
+    """Send attempts to peers, or directly to this daemon's own upstream."""
+
+    __slots__ = ('_table', '_endpoints', '_owner')
+
+    def __init__(
+        self,
+        *,
+        table: CallTable,
+        endpoints: EndpointsState,
+        owner: OwnerState,
+    ) -> None:
+        """Use the calls, endpoints and owner of this daemon."""
+        self._table = table
+        self._endpoints = endpoints
+        self._owner = owner
+
+    def send(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        chosen: Chosen,
+    ) -> Effects:
+        """Make the next attempt of a call."""
+        own = context.identity
+        peer = chosen.member.instance
+        view = self._endpoints.get(peer)
+        attempt = Attempt(
+            attempt_id=self._table.start_attempt(
+                call,
+                peer,
+                f'{own.instance}.{own.incarnation}',
+            ),
+            owner_incarnation=view.incarnation if view else own.incarnation,
+            owner_clock=view.clock if view else NO_CLOCK,
+            remaining_ms=(call.deadline - now) * MILLISECONDS,
+            service=call.route.service,
+            method=call.event.method,
+            target=call.event.target,
+            headers=call.headers,
+            body_bytes=call.body_bytes,
+            body_digest=call.body_digest,
+            interactive=call.interactive,
+            home_regions=listed_regions(chosen.regions),
+            idempotency_key=call.event.idempotency_key,
+        )
+        body_id = call.body_id
+        if peer == own.instance:
+            return self._owner.begin_local(context, now, attempt, body_id)
+        self._endpoints.begin(peer)
+        return [SendAttempt(peer=peer, attempt=attempt, body_id=body_id)]
+
+    def withdraw(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+    ) -> Effects:
+        """Cancel the attempt that is under way, if there is one."""
+        attempt_id = call.attempt_id
+        peer = call.peer
+        if attempt_id is None or peer is None:
+            return []
+        self.end(call)
+        if peer == context.identity.instance:
+            if self._owner.may_have_run(attempt_id):
+                call.may_have_run = True
+            return self._owner.cancel(now, None, attempt_id)
+        call.may_have_run = True
+        return [SendMessage(peer=peer, message=Cancel(attempt_id=attempt_id))]
+
+    def end(self, call: Call) -> None:
+        """Forget an attempt; its answer is late from now on."""
+        if call.peer is not None:
+            self._endpoints.end(call.peer)
+        self._table.end_attempt(call)
+
+    def learn(self, peer: InstanceId, reason: Reason, now: float) -> None:
+        """Send nothing new to a peer that refused for a lasting cause."""
+        if reason is reasons.STOPPING:
+            self._endpoints.drain(peer)
+        elif reason.code in AVOIDED:
+            self._endpoints.avoid(peer, now)
--- a/briartack/core/calls.py
+++ b/briartack/core/calls.py
@@ -1,5 +1,6 @@
 """The call path's one entrance: each event on its way to sender and owner."""
 
+from dataclasses import replace
 from typing import final
 
 from briartack.core import reasons
@@ -67,8 +68,12 @@
     event: CallArrived,
 ) -> Effects:
     """Route a call, or refuse it before its body is read."""
-    effects = state.sender.arrive(context, event)
-    return _settle(state, context, event.now, effects)
+    return _settle(
+        state,
+        context,
+        event.now,
+        state.sender.arrive(_at_door(state, context), event),
+    )
 
 
 def on_call_body_read(
@@ -77,8 +82,9 @@
     event: CallBodyRead,
 ) -> Effects:
     """Make the first attempt of a call with a body."""
-    effects = state.sender.body_read(context, event)
-    return _settle(state, context, event.now, effects)
+    return _settle(
+        state, context, event.now, state.sender.body_read(context, event)
+    )
 
 
 def on_call_cancelled(
@@ -88,8 +94,12 @@
 ) -> Effects:
     """Withdraw what was begun for a caller that went away."""
     state.keys.cancel(event.call_id)
-    effects = state.sender.cancel(context, event.now, event.call_id)
-    return _settle(state, context, event.now, effects)
+    return _settle(
+        state,
+        context,
+        event.now,
+        state.sender.cancel(context, event.now, event.call_id),
+    )
 
 
 def on_key_requested(
@@ -98,7 +108,7 @@
     event: KeyRequested,
 ) -> Effects:
     """Issue an idempotency key."""
-    return state.keys.request(context, event)
+    return state.keys.request(_at_door(state, context), event)
 
 
 def on_attempt(
@@ -108,14 +118,18 @@
     attempt: Attempt,
 ) -> Effects:
     """Take the head of a peer's attempt."""
-    effects = state.owner.begin(
+    return _settle(
+        state,
         context,
         event.now,
-        event.peer,
-        attempt,
-        is_stopping=context.is_stopping or state.drain.is_draining,
+        state.owner.begin(
+            context,
+            event.now,
+            event.peer,
+            attempt,
+            is_stopping=context.is_stopping or state.drain.is_draining,
+        ),
     )
-    return _settle(state, context, event.now, effects)
 
 
 def on_attempt_body_read(
@@ -124,8 +138,12 @@
     event: AttemptBodyRead,
 ) -> Effects:
     """Ask for a slot for an attempt whose body is complete."""
-    effects = state.owner.body_read(context, event.now, event.attempt_id)
-    return _settle(state, context, event.now, effects)
+    return _settle(
+        state,
+        context,
+        event.now,
+        state.owner.body_read(context, event.now, event.attempt_id),
+    )
 
 
 def on_answer(
@@ -141,14 +159,18 @@
     body_id = None
     if answer.body_bytes:
         body_id = BodyId(f'answer:{answer.attempt_id}')
-    effects = state.sender.answered(
+    return _settle(
+        state,
         context,
         event.now,
-        peer,
-        answer,
-        body_id,
+        state.sender.answered(
+            context,
+            event.now,
+            peer,
+            answer,
+            body_id,
+        ),
     )
-    return _settle(state, context, event.now, effects)
 
 
 def on_cancel(
@@ -158,13 +180,12 @@
     cancel: Cancel,
 ) -> Effects:
     """Give up a peer's attempt."""
-    effects = state.owner.cancel(
+    return _settle(
+        state,
         context,
         event.now,
-        event.peer,
-        cancel.attempt_id,
+        state.owner.cancel(event.now, event.peer, cancel.attempt_id),
     )
-    return _settle(state, context, event.now, effects)
 
 
 def on_goodbye(
@@ -245,8 +266,9 @@
     event: UpstreamAnswered,
 ) -> Effects:
     """Pass the local upstream's answer on."""
-    effects = state.owner.upstream_answered(event)
-    return _settle(state, context, event.now, effects)
+    return _settle(
+        state, context, event.now, state.owner.upstream_answered(event)
+    )
 
 
 def on_upstream_failed(
@@ -255,8 +277,9 @@
     event: UpstreamFailed,
 ) -> Effects:
     """Tell the sender whether a request may have run."""
-    effects = state.owner.upstream_failed(event)
-    return _settle(state, context, event.now, effects)
+    return _settle(
+        state, context, event.now, state.owner.upstream_failed(event)
+    )
 
 
 def on_upstream_probed(
@@ -314,6 +337,13 @@
     return _settle(state, context, event.now, effects)
 
 
+def _at_door(state: CallsState, context: CallContext) -> CallContext:
+    """Close the door to new calls as soon as the stop has begun."""
+    if not state.drain.is_draining:
+        return context
+    return replace(context, is_stopping=True)
+
+
 def _peer_lost(
     state: CallsState,
     context: CallContext,
--- a/briartack/core/choice.py
+++ b/briartack/core/choice.py
@@ -10,7 +10,7 @@
 from briartack.core.effects import Effects
 from briartack.core.endpoints import EndpointsState
 from briartack.core.local_upstream import LocalUpstream
-from briartack.core.routing import RoutingState, Scopes, choose, rank
+from briartack.core.routing import RoutingState, Scopes, choose, is_out, rank
 from briartack.core.streams import dial_some
 from briartack.core.units import InstanceId
 
@@ -68,14 +68,14 @@
         )
         if not placement.may_hold(regions, context.identity.region):
             return NoChoice.PLACEMENT
+        if call.event.idempotency_key:
+            return self._key_owner(context, now, call, regions)
         scopes = self.routing.candidates(
             context,
             snapshot,
             call.route.service,
             regions,
         )
-        if call.event.idempotency_key:
-            return self._key_owner(context, now, call, scopes, regions)
         return self.among(
             context,
             now,
@@ -133,7 +133,6 @@
         context: CallContext,
         now: float,
         call: Call,
-        scopes: Scopes,
         regions: Regions,
     ) -> Choice:
         """Find the one instance that may run a call with a key.
@@ -141,9 +140,12 @@
         An issued key names it. A caller's own key is hashed over the live
         list, so views that differ may choose differently.
         """
-        owner = self._named_owner(context, call)
+        owner = self._named_owner(context, call, regions)
         if owner is None:
-            return NoChoice.KEY_OWNER_GONE
+            is_issued = call.issued_key is not None
+            return (
+                NoChoice.KEY_OWNER_GONE if is_issued else NoChoice.NO_ENDPOINT
+            )
         if not placement.may_hold(regions, owner.region):
             return NoChoice.PLACEMENT
         if owner.instance == context.identity.instance:
@@ -153,22 +155,41 @@
         dials = dial_some(context, now, ((owner,),), self.endpoints)
         return NoChoice.NO_ENDPOINT if dials is None else dials
 
-    def _named_owner(self, context: CallContext, call: Call) -> Member | None:
+    def _named_owner(
+        self,
+        context: CallContext,
+        call: Call,
+        regions: Regions,
+    ) -> Member | None:
         issued = call.issued_key
         if issued is None:
-            members = context.members.of_service(call.route.service)
-            key = call.event.idempotency_key
-            return min(
-                members,
-                key=lambda member: rank(key, member.instance),
-                default=None,
-            )
+            return _hashed_owner(context, call, regions)
         incarnation = context.identity.incarnation
         if issued.instance != context.identity.instance:
             view = self.endpoints.get(issued.instance)
-            incarnation = (
-                issued.incarnation if view is None else view.incarnation
-            )
+            incarnation = view.incarnation if view else issued.incarnation
         if issued.incarnation != incarnation:
             return None
         return context.members.get(issued.instance)
+
+
+def _hashed_owner(
+    context: CallContext,
+    call: Call,
+    regions: Regions,
+) -> Member | None:
+    snapshot = context.snapshot
+    members = context.members
+    key = call.event.idempotency_key
+    return min(
+        (
+            member
+            for member in members.of_service(call.route.service)
+            if snapshot is not None
+            and placement.may_hold(regions, member.region)
+            and not is_out(snapshot.platform, member)
+            and not members.is_leaving(member.instance)
+        ),
+        key=lambda member: rank(key, member.instance),
+        default=None,
+    )
--- a/briartack/core/door.py
+++ b/briartack/core/door.py
@@ -1,5 +1,7 @@
 """The first checks of a call, before any of its body is read."""
 
+from typing import Final
+
 from briartack.core import placement, reasons
 from briartack.core.call_context import CallContext, Regions, RouteView
 from briartack.core.call_headers import (
@@ -19,9 +21,7 @@
 from briartack.core.units import CallId
 from briartack.core.verdict import Verdict
 
-MILLISECONDS = 1000
-UNAVAILABLE = 503
-BAD_GATEWAY = 502
+MILLISECONDS: Final = 1000
 
 
 def refused(
@@ -35,8 +35,8 @@
     Status 503 promises that nothing ran, so an unknown outcome has 502.
     """
     status = reason.status
-    if verdict is not Verdict.NOT_RUN and status == UNAVAILABLE:
-        status = BAD_GATEWAY
+    if verdict is not Verdict.NOT_RUN and status == reasons.UNAVAILABLE:
+        status = reasons.BAD_GATEWAY
     return AnswerCall(
         call_id=call_id,
         verdict=verdict,
@@ -83,7 +83,7 @@
 
 def home_headers(regions: Regions) -> Headers:
     """Say where a call may go that may not stay here."""
-    return ((HOME_REGIONS, ','.join(placement.to_wire(regions))),)
+    return ((HOME_REGIONS, ','.join(placement.listed_regions(regions))),)
 
 
 def _refuse(
--- a/briartack/core/endpoints.py
+++ b/briartack/core/endpoints.py
@@ -114,11 +114,11 @@
         clock: float,
         now: float,
     ) -> None:
-        """Take a newer reading of the peer's clock."""
+        """Take the latest reading of the peer's clock."""
         view = self._views.get(peer)
         if view is None or incarnation not in {None, view.incarnation}:
             return
-        view.clock = max(view.clock, clock)
+        view.clock = clock
         view.heard_at = now
 
     def report_load(self, peer: InstanceId, load: float, now: float) -> None:
--- a/briartack/core/idempotency.py
+++ b/briartack/core/idempotency.py
@@ -19,6 +19,7 @@
 _CLOCK_DIGITS: Final = 12
 _RANDOM_BITS: Final = 64
 _NONCE_DIGITS: Final = _CLOCK_DIGITS + _RANDOM_BITS // 4
+_BASE: Final = 16
 _HEX: Final = frozenset('0123456789abcdef')
 _MILLISECONDS: Final = 1000
 
@@ -76,7 +77,7 @@
     return IssuedKey(
         instance=InstanceId(instance),
         incarnation=Incarnation(incarnation),
-        clock_ms=int(nonce[:_CLOCK_DIGITS], 16),
+        clock_ms=int(nonce[:_CLOCK_DIGITS], _BASE),
     )
 
 
--- a/briartack/core/key_issuer.py
+++ b/briartack/core/key_issuer.py
@@ -67,16 +67,16 @@
 
     def tick(self, now: float) -> Effects:
         """Refuse the requests that waited too long."""
-        late = [
-            request
-            for request in self._waiting.values()
+        late = tuple(
+            call_id
+            for call_id, request in self._waiting.items()
             if now >= request.until
-        ]
-        for request in late:
-            self._waiting.pop(request.call_id)
+        )
+        for call_id in late:
+            self._waiting.pop(call_id)
         return [
-            refused(request.call_id, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
-            for request in late
+            refused(late_id, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
+            for late_id in late
         ]
 
     def _issue(
--- a/briartack/core/owner_checks.py
+++ b/briartack/core/owner_checks.py
@@ -1,21 +1,25 @@
 """Why an owner refuses an attempt before it has a slot."""
 
 from briartack.core import placement, reasons
-from briartack.core.call_context import CallContext
+from briartack.core.call_context import CallContext, SnapshotView
 from briartack.core.local_upstream import LocalUpstream
 from briartack.core.messages import MAX_BODY_BYTES, Attempt
+from briartack.core.owned_attempts import OwnedAttempt
 from briartack.core.reasons import Reason
 from briartack.core.settings import PlatformSettings
 
 
 def refusal(
     context: CallContext,
-    attempt: Attempt,
+    now: float,
+    record: OwnedAttempt,
     upstream: LocalUpstream,
     *,
     is_stopping: bool,
 ) -> Reason | None:
     """Return why the attempt must not start here, if it must not."""
+    if not now < record.deadline:
+        return reasons.DEADLINE
     if is_stopping:
         return reasons.STOPPING
     snapshot = context.snapshot
@@ -23,8 +27,18 @@
         return reasons.NO_SNAPSHOT
     if not context.is_confirmed:
         return reasons.UNCONFIRMED
+    return _unfit(context, snapshot, record.attempt, upstream)
+
+
+def _unfit(
+    context: CallContext,
+    snapshot: SnapshotView,
+    attempt: Attempt,
+    upstream: LocalUpstream,
+) -> Reason | None:
+    """Return why this instance may not run the attempt."""
     own = context.identity
-    regions = placement.from_wire(attempt.home_regions)
+    regions = placement.read_regions(attempt.home_regions)
     if not placement.may_hold(regions, own.region):
         return reasons.PLACEMENT
     limits = snapshot.services.get(own.service)
--- /dev/null
+++ b/briartack/core/owner_runner.py
@@ -0,0 +1,206 @@
+"""Attempts in flight at the owner: slots, dispatch and their ends."""
+
+from collections.abc import Iterator
+from typing import Final, final
+
+from briartack.core import reasons
+from briartack.core.admission import Admission, Waiting
+from briartack.core.call_headers import for_upstream
+from briartack.core.effects import (
+    AbortDispatch,
+    Count,
+    Dispatch,
+    DropBody,
+    Effects,
+)
+from briartack.core.events import UpstreamAnswered, UpstreamFailed
+from briartack.core.local_upstream import LocalUpstream
+from briartack.core.owned_attempts import (
+    OwnedAttempt,
+    OwnedPhase,
+    OwnerAnswers,
+)
+from briartack.core.reasons import Reason
+from briartack.core.timers import Timers
+from briartack.core.units import AttemptId, BodyId
+from briartack.core.verdict import Verdict
+
+# A later status is the upstream's own failure and no reason to send it more.
+SERVER_ERROR: Final = 500
+
+
+@final
+class OwnerRunner:
+    """Own the attempts that were accepted and have not been answered."""
+
+    __slots__ = ('_upstream', '_answers', '_attempts', '_timers')
+
+    def __init__(
+        self,
+        *,
+        upstream: LocalUpstream,
+        answers: OwnerAnswers,
+        attempts: dict[AttemptId, OwnedAttempt],
+    ) -> None:
+        """Start with an idle upstream."""
+        self._upstream = upstream
+        self._answers = answers
+        self._attempts = attempts
+        self._timers: Timers[AttemptId] = Timers()
+
+    def __iter__(self) -> Iterator[OwnedAttempt]:
+        """List the attempts, so that each may end meanwhile."""
+        return iter(tuple(self._attempts.values()))
+
+    def keep(self, record: OwnedAttempt) -> None:
+        """Hold an attempt until it ends or its time is over."""
+        attempt_id = record.attempt.attempt_id
+        self._attempts[attempt_id] = record
+        self._timers.add(record.deadline, attempt_id)
+
+    def take(self, attempt_id: AttemptId) -> OwnedAttempt | None:
+        """Take an attempt out."""
+        return self._attempts.pop(attempt_id, None)
+
+    def offer(self, now: float, record: OwnedAttempt) -> Effects:
+        """Ask for a slot."""
+        record.phase = OwnedPhase.QUEUED
+        self.keep(record)
+        self._answers.start_key(record)
+        waiting = Waiting(
+            attempt_id=record.attempt.attempt_id,
+            deadline=record.deadline,
+            interactive=record.attempt.interactive,
+        )
+        return self._apply(now, self._upstream.offer(waiting, now))
+
+    def cancel(self, now: float, record: OwnedAttempt) -> Effects:
+        """Give up an attempt that nobody waits for.
+
+        A running request with an idempotency key goes on, because a repeat
+        will ask for its outcome.
+        """
+        if record.phase is not OwnedPhase.RUNNING:
+            return self.withdraw(now, record)
+        if record.attempt.idempotency_key:
+            return []
+        attempt_id = record.attempt.attempt_id
+        self.take(attempt_id)
+        self._upstream.abort()
+        return [
+            AbortDispatch(attempt_id=attempt_id),
+            *self._answers.drop_request(record),
+            *self._apply(now, self._upstream.fill(now)),
+        ]
+
+    def withdraw(self, now: float, record: OwnedAttempt) -> Effects:
+        """Forget an attempt that has not started, without an answer."""
+        self.take(record.attempt.attempt_id)
+        effects = self._answers.drop_request(record)
+        if record.phase is OwnedPhase.QUEUED:
+            self._upstream.withdraw(record.attempt.attempt_id)
+            effects.extend(self._answers.release_key(now, record))
+        return effects
+
+    def expire(
+        self,
+        now: float,
+        record: OwnedAttempt,
+        reason: Reason,
+    ) -> Effects:
+        """Refuse an attempt, unless it runs or has ended."""
+        is_over = self._attempts.get(record.attempt.attempt_id) is not record
+        if is_over or record.phase is OwnedPhase.RUNNING:
+            return []
+        self.take(record.attempt.attempt_id)
+        if record.phase is OwnedPhase.QUEUED:
+            self._upstream.withdraw(record.attempt.attempt_id)
+        return self._answers.refuse(now, record, reason)
+
+    def abort(self, now: float, record: OwnedAttempt) -> Effects:
+        """End a running attempt with an unknown outcome."""
+        attempt_id = record.attempt.attempt_id
+        self.take(attempt_id)
+        self._upstream.abort()
+        return [
+            AbortDispatch(attempt_id=attempt_id),
+            *self._answers.fail(now, record, Verdict.UNKNOWN),
+        ]
+
+    def answered(
+        self,
+        event: UpstreamAnswered,
+        record: OwnedAttempt,
+    ) -> tuple[Effects, bool]:
+        """Answer the sender; also tell whether the ramp began again."""
+        has_restarted = self._upstream.answered(
+            event.now,
+            event.elapsed_seconds,
+            generation=record.generation,
+            is_success=event.status < SERVER_ERROR,
+        )
+        effects = self._answers.complete(event, record)
+        effects.extend(self._apply(event.now, self._upstream.fill(event.now)))
+        return effects, has_restarted
+
+    def failed(
+        self,
+        event: UpstreamFailed,
+        record: OwnedAttempt,
+    ) -> tuple[Effects, bool]:
+        """Answer the sender; also tell whether the ramp began again."""
+        has_restarted = self._upstream.failed(
+            event.now,
+            generation=record.generation,
+            is_reset=event.is_reset,
+        )
+        verdict = Verdict.UNKNOWN if event.may_have_run else Verdict.NOT_RUN
+        effects = self._answers.fail(event.now, record, verdict)
+        effects.extend(self._apply(event.now, self._upstream.fill(event.now)))
+        return effects, has_restarted
+
+    def tick(self, now: float) -> Effects:
+        """End attempts whose time is over before they started."""
+        effects: Effects = []
+        for attempt_id in self._timers.due(now):
+            record = self._attempts.get(attempt_id)
+            if record is not None:
+                effects.extend(self.expire(now, record, reasons.DEADLINE))
+        self._timers.compact(len(self._attempts), self._attempts.__contains__)
+        effects.extend(self._apply(now, self._upstream.fill(now)))
+        return effects
+
+    def _apply(self, now: float, admission: Admission) -> Effects:
+        effects: Effects = []
+        for refused in admission.refused:
+            record = self._attempts.pop(refused)
+            reason = reasons.OVERLOAD
+            if now >= record.deadline:
+                reason = reasons.DEADLINE
+            effects.append(Count(name='attempts_shed'))
+            effects.extend(self._answers.refuse(now, record, reason))
+        for started in admission.started:
+            effects.append(self._dispatch(now, self._attempts[started]))
+        return effects
+
+    def _dispatch(self, now: float, record: OwnedAttempt) -> Dispatch:
+        record.phase = OwnedPhase.RUNNING
+        record.generation = self._upstream.generation
+        attempt = record.attempt
+        remaining = record.deadline - now
+        return Dispatch(
+            attempt_id=attempt.attempt_id,
+            body_id=record.body_id,
+            method=attempt.method,
+            target=attempt.target,
+            headers=for_upstream(attempt, remaining),
+            timeout_seconds=remaining,
+        )
+
+
+def late_answer(attempt_id: AttemptId) -> Effects:
+    """Drop an upstream's answer that nobody waits for."""
+    return [
+        Count(name='upstream_answers_late'),
+        DropBody(body_id=BodyId(f'answer:{attempt_id}')),
+    ]
--- a/briartack/core/placement.py
+++ b/briartack/core/placement.py
@@ -27,11 +27,11 @@
     return regions is None or region in regions
 
 
-def from_wire(regions: tuple[str, ...]) -> Regions:
+def read_regions(regions: tuple[str, ...]) -> Regions:
     """Read the home regions of an attempt; none listed means no bound."""
     return frozenset(regions) or None
 
 
-def to_wire(regions: Regions) -> tuple[str, ...]:
+def listed_regions(regions: Regions) -> tuple[str, ...]:
     """List home regions for an attempt or a header."""
     return tuple(sorted(regions)) if regions else ()
--- a/briartack/core/ramp.py
+++ b/briartack/core/ramp.py
@@ -35,7 +35,9 @@
         self._generation = 0
         self._mean = float(0)
         self._answers = 0
-        self._recent: deque[float] = deque(maxlen=JUMP_ANSWERS)
+        # These are not in the long-run mean yet: in it, a jump early in the
+        # life of the upstream would raise the mean and hide itself.
+        self._recent: deque[float] = deque()
         self._identity = ''
 
     @property
@@ -45,7 +47,9 @@
 
     @property
     def mean_seconds(self) -> float:
-        """Return the long-run mean of the answer times, 0 if unknown."""
+        """Return the mean of the latest answer times, 0 if unknown."""
+        if self._recent:
+            return sum(self._recent) / len(self._recent)
         return self._mean
 
     def limit(self, limits: ServiceLimits) -> int:
@@ -58,7 +62,8 @@
         self._successes = 0
         self._grown_at = now
         self._generation += 1
-        self._recent.clear()
+        while self._recent:
+            self._learn(self._recent.popleft())
 
     def identify(self, identity: str, now: float) -> bool:
         """Take the identity of a probe; return whether it restarted."""
@@ -84,11 +89,11 @@
             return False
         is_normal = not self._is_slow(elapsed_seconds)
         self._recent.append(elapsed_seconds)
+        if len(self._recent) > JUMP_ANSWERS:
+            self._learn(self._recent.popleft())
         if self._has_jumped():
-            self._learn(elapsed_seconds)
             self.restart(now)
             return True
-        self._learn(elapsed_seconds)
         if is_success and is_normal:
             self._successes += 1
             self._grow(now, limits)
--- a/briartack/core/sender.py
+++ b/briartack/core/sender.py
@@ -3,6 +3,7 @@
 from typing import Final, final
 
 from briartack.core import reasons
+from briartack.core.attempt_sender import AttemptSender
 from briartack.core.call_context import CallContext
 from briartack.core.call_table import Call, CallPhase, CallTable
 from briartack.core.choice import Chooser, Chosen, NoChoice
@@ -13,21 +14,17 @@
     DropBody,
     Effects,
     ReadBody,
-    SendAttempt,
-    SendMessage,
     WakeAt,
 )
-from briartack.core.endpoints import NO_CLOCK, EndpointsState
+from briartack.core.endpoints import EndpointsState
 from briartack.core.events import CallArrived, CallBodyRead
 from briartack.core.messages import (
     MAX_BODY_BYTES,
     Answer,
-    Attempt,
-    Cancel,
     Headers,
 )
 from briartack.core.owner import OwnerState
-from briartack.core.placement import home_regions, to_wire
+from briartack.core.placement import home_regions
 from briartack.core.reasons import Reason
 from briartack.core.retry import RetryState, backoff_seconds
 from briartack.core.routing import RoutingState
@@ -35,21 +32,9 @@
 from briartack.core.units import BodyId, CallId, InstanceId
 from briartack.core.verdict import Verdict, may_repeat
 
-MILLISECONDS: Final = 1000
 STREAM_WAIT_SECONDS: Final = 0.5
 # The shell ticks at least this often; nearer times need a wake-up.
 TICK_SECONDS: Final = 0.1
-# Refusals after which a peer gets nothing new for a short time.
-AVOIDED: Final = frozenset(
-    (
-        reasons.UNCONFIRMED.code,
-        reasons.NO_SNAPSHOT.code,
-        reasons.OUT_OF_SERVICE.code,
-        reasons.WRONG_SERVICE.code,
-        reasons.UPSTREAM_DOWN.code,
-        reasons.WINDOW_FULL.code,
-    ),
-)
 
 
 @final
@@ -60,10 +45,9 @@
         '_table',
         '_retry',
         '_routing',
-        '_endpoints',
         '_streams',
-        '_owner',
         '_chooser',
+        '_sender',
     )
 
     def __init__(
@@ -78,14 +62,17 @@
         self._table = CallTable()
         self._retry = RetryState()
         self._routing = routing
-        self._endpoints = endpoints
         self._streams = streams
-        self._owner = owner
         self._chooser = Chooser(
             routing=routing,
             endpoints=endpoints,
             upstream=owner.upstream,
         )
+        self._sender = AttemptSender(
+            table=self._table,
+            endpoints=endpoints,
+            owner=owner,
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -116,7 +103,7 @@
     def body_read(self, context: CallContext, event: CallBodyRead) -> Effects:
         """Take the whole body of a call."""
         call = self._table.get(event.call_id)
-        if call is None:
+        if call is None or call.phase is not CallPhase.READING_BODY:
             return [DropBody(body_id=BodyId(f'call:{event.call_id}'))]
         if event.body_bytes > MAX_BODY_BYTES:
             return self._refuse(call, reasons.BODY_TOO_LARGE, Verdict.NOT_RUN)
@@ -134,7 +121,7 @@
         call = self._table.get(call_id)
         if call is None:
             return []
-        effects = self._withdraw(context, now, call)
+        effects = self._sender.withdraw(context, now, call)
         self._table.remove(call)
         effects.append(DropBody(body_id=call.body_id))
         return effects
@@ -157,7 +144,7 @@
         call = self._table.of_attempt(answer.attempt_id)
         if call is None or call.peer != peer:
             return [Count(name='answers_late'), *spent_body]
-        self._end_attempt(call)
+        self._sender.end(call)
         if answer.verdict is Verdict.RAN:
             self._table.remove(call)
             return [
@@ -173,7 +160,7 @@
                 *spent_body,
             ]
         reason = reasons.BY_CODE.get(answer.reason, reasons.UPSTREAM_FAILED)
-        self._learn(peer, reason, now)
+        self._sender.learn(peer, reason, now)
         effects = spent_body
         call.tried = (*call.tried, peer)
         effects.extend(
@@ -190,7 +177,7 @@
         """End the attempts at a peer whose stream is down."""
         effects: Effects = []
         for call in self._table.sent_to(peer):
-            self._end_attempt(call)
+            self._sender.end(call)
             call.tried = (*call.tried, peer)
             effects.extend(
                 self._failed(
@@ -262,7 +249,7 @@
             return self._give_up(context, now, call, reasons.DEADLINE)
         choice = self._chooser.choose_for(context, now, call)
         if isinstance(choice, Chosen):
-            return self._send(context, now, call, choice)
+            return self._sender.send(context, now, call, choice)
         if isinstance(choice, NoChoice):
             return self._not_chosen(context, call, choice)
         if call.phase is CallPhase.CONNECTING:
@@ -271,45 +258,6 @@
         self._table.wait(call, CallPhase.CONNECTING, until)
         return choice
 
-    def _send(
-        self,
-        context: CallContext,
-        now: float,
-        call: Call,
-        chosen: Chosen,
-    ) -> Effects:
-        own = context.identity
-        peer = chosen.member.instance
-        view = self._endpoints.get(peer)
-        attempt = Attempt(
-            attempt_id=self._table.start_attempt(
-                call,
-                peer,
-                f'{own.instance}.{own.incarnation}',
-            ),
-            owner_incarnation=view.incarnation if view else own.incarnation,
-            owner_clock=view.clock if view else NO_CLOCK,
-            remaining_ms=(call.deadline - now) * MILLISECONDS,
-            service=call.route.service,
-            method=call.event.method,
-            target=call.event.target,
-            headers=call.headers,
-            body_bytes=call.body_bytes,
-            body_digest=call.body_digest,
-            interactive=call.interactive,
-            home_regions=to_wire(chosen.regions),
-            idempotency_key=call.event.idempotency_key,
-        )
-        if peer == own.instance:
-            return self._owner.begin_local(
-                context,
-                now,
-                attempt,
-                call.body_id,
-            )
-        self._endpoints.begin(peer)
-        return [SendAttempt(peer=peer, attempt=attempt, body_id=call.body_id)]
-
     def _not_chosen(
         self,
         context: CallContext,
@@ -408,39 +356,10 @@
         call: Call,
         reason: Reason,
     ) -> Effects:
-        effects = self._withdraw(context, now, call)
+        effects = self._sender.withdraw(context, now, call)
         effects.extend(self._refuse(call, reason, Verdict.NOT_RUN))
         return effects
 
-    def _withdraw(
-        self,
-        context: CallContext,
-        now: float,
-        call: Call,
-    ) -> Effects:
-        """Cancel the attempt that is under way, if there is one."""
-        attempt_id = call.attempt_id
-        peer = call.peer
-        if attempt_id is None or peer is None:
-            return []
-        call.may_have_run = True
-        self._end_attempt(call)
-        if peer == context.identity.instance:
-            return self._owner.cancel(context, now, None, attempt_id)
-        message = Cancel(attempt_id=attempt_id)
-        return [SendMessage(peer=peer, message=message)]
-
-    def _end_attempt(self, call: Call) -> None:
-        if call.peer is not None:
-            self._endpoints.end(call.peer)
-        self._table.end_attempt(call)
-
-    def _learn(self, peer: InstanceId, reason: Reason, now: float) -> None:
-        if reason is reasons.STOPPING:
-            self._endpoints.drain(peer)
-        elif reason.code in AVOIDED:
-            self._endpoints.avoid(peer, now)
-
 
 def _drop(body_id: BodyId | None) -> Effects:
     return [] if body_id is None else [DropBody(body_id=body_id)]
--- /dev/null
+++ b/briartack/test/call_bench.py
@@ -0,0 +1,386 @@
+"""A daemon's call path under test, driven by steps and read as text."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from random import Random
+from types import MappingProxyType
+from typing import Any, Final
+
+from briartack.core import calls, effects, events, messages
+from briartack.core.call_context import CallContext, Member, Regions
+from briartack.core.identity import Identity
+from briartack.core.settings import PlatformSettings, Policy, ServiceLimits
+from briartack.core.units import (
+    AttemptId,
+    CallId,
+    Digest,
+    Incarnation,
+    InstanceId,
+    Revision,
+)
+from briartack.core.verdict import Verdict
+
+DIGEST: Final = Digest(b'')
+Step = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BenchMember:
+    """Stand in for one record of the live list."""
+
+    instance: InstanceId
+    data_centre: str
+    region: str
+    service: str = 's'
+    peer_address: str = '127.0.0.1:1'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BenchRoute:
+    """Stand in for a resolved route."""
+
+    name: str = 't/r'
+    path_prefix: str = '/s/'
+    methods: frozenset[str] = frozenset()
+    service: str = 's'
+    limits: ServiceLimits
+    policy: Policy
+    home_regions: Regions = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BenchSnapshot:
+    """Stand in for the snapshot in force."""
+
+    routes: tuple[BenchRoute, ...]
+    services: Mapping[str, ServiceLimits]
+    tenant_regions: Mapping[str, frozenset[str]]
+    platform: PlatformSettings
+
+
+@dataclass(slots=True, kw_only=True)
+class BenchMembers:
+    """Stand in for the live list."""
+
+    members: tuple[Member, ...]
+    leaving: frozenset[str] = frozenset()
+
+    def of_service(self, service: str) -> tuple[Member, ...]:
+        return self.members if service == 's' else ()
+
+    def get(self, instance: InstanceId) -> Member | None:
+        found = [one for one in self.members if one.instance == instance]
+        return found[0] if found else None
+
+    def is_leaving(self, instance: InstanceId) -> bool:
+        return instance in self.leaving
+
+
+PLACES: Final = MappingProxyType(
+    {
+        'a': ('costa-1', 'costa'),
+        'b': ('costa-1', 'costa'),
+        'c': ('costa-2', 'costa'),
+        'd': ('sierra-1', 'sierra'),
+    },
+)
+
+
+def member(name: str) -> BenchMember:
+    """Make the record of one of four known instances."""
+    data_centre, region = PLACES[name]
+    return BenchMember(
+        instance=InstanceId(name),
+        data_centre=data_centre,
+        region=region,
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class Bench:
+    """Hold the call path of instance `a` and what it reads."""
+
+    setup: dict[str, Any]
+    state: calls.CallsState = field(
+        default_factory=lambda: calls.CallsState(drain_seconds=5),
+    )
+    random: Random = field(default_factory=lambda: Random(1))
+    _context: CallContext | None = None
+
+    @property
+    def context(self) -> CallContext:
+        """Make the context that the setup describes, once for each setup."""
+        if self._context is None:
+            self._context = self._make_context()
+        return self._context
+
+    def change(self, setup: Mapping[str, Any]) -> None:
+        """Change the configuration, the list or the phase of the daemon."""
+        self.setup.update(setup)
+        self._context = None
+
+    def run(self, step: Step) -> list[str]:
+        """Apply one step and return its visible effects as text."""
+        if step['do'] == 'change':
+            self.change(step['setup'])
+            return []
+        made = getattr(self, f'_{step["do"]}')(step['at'], step)
+        return [text for text in map(describe, made) if text]
+
+    def _make_context(self) -> CallContext:
+        setup = self.setup
+        limits = ServiceLimits(
+            **{
+                'slots': 4,
+                'connections': 9,
+                'queue_length': 2,
+                'ramp_seconds': 0,
+                **setup.get('limits', {}),
+            },
+        )
+        policy = Policy(**{'max_attempts': 3, **setup.get('policy', {})})
+        homes = setup.get('home_regions')
+        route = BenchRoute(
+            limits=limits,
+            policy=policy,
+            home_regions=None if homes is None else frozenset(homes),
+        )
+        tenants = setup.get('tenant_regions', {})
+        snapshot = BenchSnapshot(
+            routes=(route,),
+            services={'s': limits},
+            tenant_regions={
+                name: frozenset(homes) for name, homes in tenants.items()
+            },
+            platform=PlatformSettings(**setup.get('platform', {})),
+        )
+        data_centre, region = PLACES['a']
+        return CallContext(
+            identity=Identity(
+                instance=InstanceId('a'),
+                incarnation=Incarnation('i1'),
+                service='s',
+                data_centre=data_centre,
+                region=region,
+            ),
+            snapshot=snapshot if setup.get('has_snapshot', True) else None,
+            members=BenchMembers(
+                members=tuple(map(member, setup.get('members', 'a'))),
+                leaving=frozenset(setup.get('leaving', '')),
+            ),
+            random=self.random,
+            is_confirmed=setup.get('is_confirmed', True),
+        )
+
+    def _arrive(self, now: float, step: Step) -> effects.Effects:
+        event = events.CallArrived(
+            now=now,
+            call_id=CallId(step['call']),
+            method='GET',
+            target=step.get('target', '/s/x?q'),
+            headers=tuple(map(tuple, step.get('headers', ()))),
+            tenant=step.get('tenant', ''),
+            idempotency_key=step.get('key', ''),
+            deadline_ms=step.get('deadline_ms'),
+            is_nested=step.get('is_nested', False),
+            body_bytes=step.get('bytes', 0),
+        )
+        return calls.on_call_arrived(self.state, self.context, event)
+
+    def _body(self, now: float, step: Step) -> effects.Effects:
+        event = events.CallBodyRead(
+            now=now,
+            call_id=CallId(step['call']),
+            body_bytes=step.get('bytes', 9),
+            body_digest=DIGEST,
+        )
+        return calls.on_call_body_read(self.state, self.context, event)
+
+    def _leave(self, now: float, step: Step) -> effects.Effects:
+        event = events.CallCancelled(now=now, call_id=CallId(step['call']))
+        return calls.on_call_cancelled(self.state, self.context, event)
+
+    def _key(self, now: float, step: Step) -> effects.Effects:
+        event = events.KeyRequested(
+            now=now,
+            call_id=CallId(step['call']),
+            service=step.get('service', 's'),
+        )
+        return calls.on_key_requested(self.state, self.context, event)
+
+    def _attempt(self, now: float, step: Step) -> effects.Effects:
+        message = messages.Attempt(
+            attempt_id=AttemptId(step['attempt']),
+            owner_incarnation=Incarnation(step.get('incarnation', 'i1')),
+            owner_clock=step.get('clock', now),
+            remaining_ms=step.get('remaining_ms', 1000),
+            service=step.get('service', 's'),
+            method='GET',
+            target='/s/x',
+            headers=(),
+            body_bytes=step.get('bytes', 0),
+            body_digest=DIGEST,
+            interactive=step.get('interactive', True),
+            home_regions=tuple(step.get('home_regions', ())),
+            idempotency_key=step.get('key', ''),
+        )
+        return self._message(calls.on_attempt, now, step, message)
+
+    def _attempt_body(self, now: float, step: Step) -> effects.Effects:
+        event = events.AttemptBodyRead(
+            now=now,
+            peer=InstanceId(step.get('peer', 'b')),
+            attempt_id=AttemptId(step['attempt']),
+        )
+        return calls.on_attempt_body_read(self.state, self.context, event)
+
+    def _answer(self, now: float, step: Step) -> effects.Effects:
+        message = messages.Answer(
+            attempt_id=AttemptId(step['attempt']),
+            verdict=Verdict(step.get('verdict', 'ran')),
+            status=step.get('status', 200),
+            reason=step.get('reason', ''),
+            headers=(),
+            body_bytes=step.get('bytes', 0),
+            body_digest=DIGEST,
+            load=step.get('load', 0),
+            owner_clock=step.get('clock', now),
+        )
+        return self._message(calls.on_answer, now, step, message)
+
+    def _cancel(self, now: float, step: Step) -> effects.Effects:
+        message = messages.Cancel(attempt_id=AttemptId(step['attempt']))
+        return self._message(calls.on_cancel, now, step, message)
+
+    def _goodbye(self, now: float, step: Step) -> effects.Effects:
+        incarnation = Incarnation(step.get('incarnation', 'j1'))
+        message = messages.Goodbye(incarnation=incarnation)
+        return self._message(calls.on_goodbye, now, step, message)
+
+    def _summary(self, now: float, step: Step) -> effects.Effects:
+        message = messages.Summary(
+            incarnation=Incarnation(step.get('incarnation', 'j1')),
+            highest=Revision(1),
+            configuration_digest=DIGEST,
+            instances_digest=DIGEST,
+            clock=step['clock'],
+        )
+        return self._message(calls.on_summary, now, step, message)
+
+    def _connect(self, now: float, step: Step) -> effects.Effects:
+        peer = member(step['peer'])
+        hello = messages.Hello(
+            protocol_version=messages.PROTOCOL_VERSION,
+            instance=peer.instance,
+            incarnation=Incarnation(step.get('incarnation', 'j1')),
+            service=peer.service,
+            data_centre=peer.data_centre,
+            region=peer.region,
+            clock=step.get('clock', now),
+        )
+        event = events.PeerConnected(now=now, peer=peer.instance, hello=hello)
+        return calls.on_peer_connected(self.state, self.context, event)
+
+    def _disconnect(self, now: float, step: Step) -> effects.Effects:
+        event = events.PeerDisconnected(
+            now=now,
+            peer=InstanceId(step['peer']),
+            reason='',
+        )
+        return calls.on_peer_disconnected(self.state, self.context, event)
+
+    def _upstream(self, now: float, step: Step) -> effects.Effects:
+        event = events.UpstreamAnswered(
+            now=now,
+            attempt_id=AttemptId(step['attempt']),
+            status=step.get('status', 200),
+            headers=(),
+            body_bytes=step.get('bytes', 0),
+            body_digest=DIGEST,
+            elapsed_seconds=step.get('elapsed', 0.1),
+        )
+        return calls.on_upstream_answered(self.state, self.context, event)
+
+    def _fail(self, now: float, step: Step) -> effects.Effects:
+        event = events.UpstreamFailed(
+            now=now,
+            attempt_id=AttemptId(step['attempt']),
+            may_have_run=step['may_have_run'],
+            is_reset=step.get('is_reset', False),
+            reason='',
+        )
+        return calls.on_upstream_failed(self.state, self.context, event)
+
+    def _probe(self, now: float, step: Step) -> effects.Effects:
+        event = events.UpstreamProbed(
+            now=now,
+            is_healthy=step.get('is_healthy', True),
+            is_draining=step.get('is_draining', False),
+            identity=step.get('identity', ''),
+            reported_load=step.get('load'),
+        )
+        return calls.on_upstream_probed(self.state, self.context, event)
+
+    def _tick(self, now: float, step: Step) -> effects.Effects:
+        return calls.on_tick(self.state, self.context, events.Tick(now=now))
+
+    def _gap(self, now: float, step: Step) -> effects.Effects:
+        return calls.on_gap(self.state, self.context, events.Tick(now=now))
+
+    def _stop(self, now: float, step: Step) -> effects.Effects:
+        event = events.StopRequested(now=now)
+        return calls.on_stop(self.state, self.context, event)
+
+    def _message(
+        self,
+        handler: Callable[..., effects.Effects],
+        now: float,
+        step: Step,
+        message: messages.PeerMessage,
+    ) -> effects.Effects:
+        event = events.PeerMessageReceived(
+            now=now,
+            peer=InstanceId(step.get('peer', 'b')),
+            message=message,
+        )
+        return handler(self.state, self.context, event, message)
+
+
+def describe(effect: effects.Effect) -> str:  # noqa: WPS212, C901
+    """Write an effect as a short line; what no case looks at is empty."""
+    match effect:
+        case effects.AnswerCall():
+            parts = (
+                'answer',
+                effect.call_id,
+                effect.verdict.value,
+                str(effect.status),
+                effect.reason,
+                effect.body_id or '',
+            )
+            return ' '.join(part for part in parts if part)
+        case effects.SendAnswer():
+            answer = effect.answer
+            return (
+                f'reply {effect.peer} {answer.attempt_id} '
+                f'{answer.verdict.value} {answer.reason or answer.status}'
+            )
+        case effects.SendAttempt():
+            return f'send {effect.peer} {effect.attempt.attempt_id}'
+        case effects.SendMessage():
+            return f'{type(effect.message).__name__.lower()} {effect.peer}'
+        case effects.Dispatch():
+            return f'dispatch {effect.attempt_id}'
+        case effects.AbortDispatch():
+            return f'abort {effect.attempt_id}'
+        case effects.DropBody():
+            return f'drop {effect.body_id}'
+        case effects.ReadBody():
+            return f'read {effect.call_id}'
+        case effects.Connect():
+            return f'connect {effect.peer}'
+        case effects.Exit():
+            return f'exit {effect.code}'
+        case effects.Count():
+            return f'count {effect.name}'
+    return ''
--- /dev/null
+++ b/briartack/test/test_call_bounds.py
@@ -0,0 +1,382 @@
+"""Tests the bounds and choices of the call path that need many steps."""
+
+import unittest
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import cast
+
+from nose2.tools import params
+
+from briartack.core import dedup, idempotency, reasons, retry, routing
+from briartack.core.call_context import Member
+from briartack.core.effects import Dispatch, SendAttempt
+from briartack.core.endpoints import Endpoint, EndpointsState
+from briartack.core.messages import Answer, Attempt
+from briartack.core.timers import Timers
+from briartack.core.units import (
+    AttemptId,
+    BodyId,
+    Incarnation,
+    InstanceId,
+)
+from briartack.core.verdict import Verdict
+from briartack.test.call_bench import DIGEST, Bench, BenchMember, member
+
+OWN = Incarnation('i1')
+
+
+def _attempt(number: int, clock: float) -> Attempt:
+    return Attempt(
+        attempt_id=AttemptId(f'x{number}'),
+        owner_incarnation=OWN,
+        owner_clock=clock,
+        remaining_ms=1000,
+        service='s',
+        method='GET',
+        target='/',
+        headers=(),
+        body_bytes=0,
+        body_digest=DIGEST,
+        interactive=True,
+    )
+
+
+class RampTest(unittest.TestCase):
+    """Guards against more load on a cold upstream than its ramp allows."""
+
+    @params('none', 'reset', 'identity')
+    def test_bound_holds(self, restart: str) -> None:
+        bench = Bench(
+            setup={
+                'limits': {'slots': 16, 'connections': 99, 'ramp_seconds': 4}
+            },
+        )
+        bench.run({'at': 0, 'do': 'probe', 'identity': 'p1'})
+        running: list[str] = []
+        cold_at = float(0)
+        peak = 0
+        for number in range(600):
+            now = number / 50
+            if number == 300:
+                cold_at = self._restart(bench, restart, now, running)
+            # One doubling for each second of the ramp, from one slot.
+            allowed = min(16, 2 ** ((number - int(50 * cold_at)) // 50))
+            for extra in range(12):
+                started = self._offer(bench, 12 * number + extra, now)
+                running.extend(started)
+                self._check(started, running, allowed)
+            peak = max(peak, len(running))
+            for _ in range((len(running) + 1) // 2):
+                started = self._answer(bench, running.pop(0), now)
+                running.extend(started)
+                self._check(started, running, allowed)
+        self.assertEqual(peak, 16)
+
+    def test_growth_needs_success(self) -> None:
+        bench = Bench(setup={'limits': {'slots': 16}})
+        for number in range(20):
+            started = self._offer(bench, number, number)
+            self.assertEqual(len(started), 1)
+            bench.run(
+                {
+                    'at': number,
+                    'do': 'upstream',
+                    'attempt': started[0],
+                    'status': 503,
+                },
+            )
+        self.assertEqual(self._offer(bench, 90, 90), ['x90'])
+        self.assertEqual(self._offer(bench, 91, 90), [])
+
+    def test_latency_jump_restarts_until_it_is_normal(self) -> None:
+        bench = Bench(setup={'limits': {'slots': 1}})
+        restarts: list[int] = []
+        for number in range(200):
+            attempt = f'x{number}'
+            bench.run({'at': number, 'do': 'attempt', 'attempt': attempt})
+            elapsed = 0.01 if number < 60 else 0.3
+            step = {'do': 'upstream', 'attempt': attempt, 'elapsed': elapsed}
+            if 'count ramps_restarted' in bench.run({'at': number, **step}):
+                restarts.append(number)
+        self.assertIn(60, range(restarts[0] - 9, restarts[0] + 1))
+        self.assertLess(restarts[-1], 100)
+
+    def _check(
+        self,
+        started: list[str],
+        running: list[str],
+        allowed: int,
+    ) -> None:
+        if started:
+            self.assertLessEqual(len(running), allowed)
+
+    def _restart(
+        self,
+        bench: Bench,
+        restart: str,
+        now: float,
+        running: list[str],
+    ) -> float:
+        if restart == 'none':
+            return 0
+        if restart == 'identity':
+            bench.run({'at': now, 'do': 'probe', 'identity': 'p2'})
+            return now
+        for attempt in tuple(running):
+            running.remove(attempt)
+            seen = bench.run(
+                {
+                    'at': now,
+                    'do': 'fail',
+                    'attempt': attempt,
+                    'may_have_run': True,
+                    'is_reset': True,
+                },
+            )
+            running.extend(_dispatched(seen))
+        return now
+
+    def _offer(self, bench: Bench, number: int, now: float) -> list[str]:
+        step = {'at': now, 'do': 'attempt', 'attempt': f'x{number}'}
+        return _dispatched(bench.run(step))
+
+    def _answer(self, bench: Bench, attempt: str, now: float) -> list[str]:
+        step = {'at': now, 'do': 'upstream', 'attempt': attempt}
+        return _dispatched(bench.run(step))
+
+
+def _dispatched(seen: list[str]) -> list[str]:
+    return [text.split()[1] for text in seen if text.startswith('dispatch ')]
+
+
+class ChoiceTest(unittest.TestCase):
+    """Guards against far or loaded endpoints being preferred."""
+
+    @params(
+        ({'b': 0.5, 'c': 0.1, 'd': 0}, 'b'),
+        ({'b': 1.0, 'c': 0.9, 'd': 0}, 'c'),
+        ({'b': 1.5, 'c': 1.0, 'd': 0.2}, 'd'),
+        ({'b': 2.0, 'c': 1.0, 'd': 1.0}, 'b'),
+        ({'b': None, 'c': None, 'd': 3.0}, 'd'),
+        ({'b': None, 'c': None, 'd': None}, None),
+    )
+    def test_scope(
+        self,
+        loads: dict[str, float | None],
+        expected: str | None,
+    ) -> None:
+        scopes = tuple((cast(Member, member(name)),) for name in 'bcd')
+        chosen = routing.choose(
+            Random(1),
+            scopes,
+            lambda one: loads[one.instance],
+        )
+        self.assertEqual(chosen and chosen.instance, expected)
+
+    def test_less_loaded_of_two(self) -> None:
+        scope = _many(8)
+        loads = {one.instance: index / 10 for index, one in enumerate(scope)}
+        load_of: routing.LoadOf = lambda one: loads[one.instance]  # noqa: E731
+        random = Random(1)
+        picks: Counter[str] = Counter()
+        for _ in range(4000):
+            chosen = routing.choose(random, (scope,), load_of)
+            picks[chosen.instance if chosen else ''] += 1
+        # Two independent picks choose the k-th best with (15 - 2k) / 64.
+        for index, one in enumerate(scope):
+            share = (15 - 2 * index) / 64
+            self.assertAlmostEqual(picks[one.instance] / 4000, share, 1)
+
+    def test_one_with_room_is_found(self) -> None:
+        scope = _many(32)
+        chosen = routing.choose(
+            Random(1),
+            (scope,),
+            lambda one: 0.2 if one.instance == 'm31' else 1.2,
+        )
+        self.assertEqual(chosen, scope[31])
+
+    def test_subset_is_bounded_and_stable(self) -> None:
+        bench = Bench(setup={})
+        context = bench.context
+        everyone = _many(400)
+        context.members.members = everyone  # type: ignore[attr-defined]
+        state = routing.RoutingState()
+        snapshot = context.snapshot
+        assert snapshot is not None
+        scopes = state.candidates(context, snapshot, 's', None)
+        self.assertEqual([len(scope) for scope in scopes], [32, 0, 0])
+        again = state.candidates(context, snapshot, 's', None)
+        self.assertIs(again, scopes)
+        gone = scopes[0][0]
+        context.members.members = tuple(  # type: ignore[attr-defined]
+            one for one in everyone if one is not gone
+        )
+        later = state.candidates(context, snapshot, 's', None)
+        self.assertEqual(len(set(later[0]) & set(scopes[0])), 31)
+
+    def test_report_fades(self) -> None:
+        view = Endpoint(incarnation=OWN, clock=0, now=0)
+        view.load = 2
+        view.in_flight = 1
+        loads = [view.load_now(now, 4) for now in (0, 5, 10, 90)]
+        self.assertEqual(loads, [2.25, 1.25, 0.25, 0.25])
+
+
+def _many(count: int) -> tuple[Member, ...]:
+    return tuple(
+        BenchMember(
+            instance=InstanceId(f'm{number}'),
+            data_centre='costa-1',
+            region='costa',
+        )
+        for number in range(count)
+    )
+
+
+class SentAttemptTest(unittest.TestCase):
+    """Guards against attempts and dispatches that lack what was decided."""
+
+    def test_attempt_binds_and_places(self) -> None:
+        bench = Bench(setup={'members': 'b', 'home_regions': ['costa']})
+        bench.run({'at': 1, 'do': 'connect', 'peer': 'b', 'clock': 7})
+        bench.run({'at': 2, 'do': 'summary', 'clock': 8})
+        stale = {'incarnation': 'j0', 'clock': 99}
+        bench.run({'at': 2, 'do': 'summary', **stale})
+        step = {
+            'call': 'p',
+            'deadline_ms': 400,
+            'tenant': 'u',
+            'headers': [('BRIARTACK-Priority', 'background'), ('k', 'v')],
+        }
+        sent = bench._arrive(3, step)[0]
+        assert isinstance(sent, SendAttempt)
+        attempt = sent.attempt
+        self.assertEqual(attempt.owner_incarnation, 'j1')
+        self.assertEqual(attempt.owner_clock, 8)
+        self.assertAlmostEqual(attempt.remaining_ms, 400)
+        self.assertEqual(attempt.home_regions, ('costa',))
+        self.assertEqual(attempt.headers, (('k', 'v'), ('X-Tenant', 'u')))
+        self.assertFalse(attempt.interactive)
+
+    def test_dispatch_carries_deadline(self) -> None:
+        sent = Bench(setup={})._arrive(1, {'call': 'p', 'deadline_ms': 400})[0]
+        assert isinstance(sent, Dispatch)
+        self.assertAlmostEqual(sent.timeout_seconds, 0.4)
+        self.assertIn(('Briartack-Attempt', 'a.i1.1'), sent.headers)
+        self.assertIn(('Briartack-Priority', 'interactive'), sent.headers)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Guards against retries that multiply an overload."""
+
+    def test_budget_is_a_share_of_calls(self) -> None:
+        state = retry.RetryState()
+        retries = 0
+        for _ in range(1000):
+            state.earn('s', 10)
+            retries += state.spend('s')
+        self.assertLessEqual(retries, 110)
+        self.assertGreaterEqual(retries, 100)
+        self.assertTrue(state.spend('other'))
+
+    def test_call_without_token_is_refused(self) -> None:
+        bench = Bench(setup={'members': 'b', 'policy': {'retry_percent': 0}})
+        bench.run({'at': 1, 'do': 'connect', 'peer': 'b'})
+        seen: list[str] = []
+        for number in range(11):
+            bench.run({'at': 1, 'do': 'arrive', 'call': f'p{number}'})
+            answer = {'attempt': f'a.i1.{number + 1}', 'verdict': 'not-run'}
+            seen.extend(
+                bench.run(
+                    {'at': 1, 'do': 'answer', 'reason': 'overload', **answer},
+                ),
+            )
+        self.assertEqual(seen.count('count retries'), 10)
+        self.assertIn('answer p10 not-run 503 overload', seen)
+
+
+class StreamsTest(unittest.TestCase):
+    """Guards against lost or too many dials."""
+
+    def test_streams_of_recent_services_are_kept(self) -> None:
+        bench = Bench(setup={'members': 'bc'})
+        bench.run({'at': 1, 'do': 'connect', 'peer': 'b'})
+        bench.run({'at': 1, 'do': 'arrive', 'call': 'p'})
+        dials = [self._dials(bench, now) for now in (1.1, 2.2, 3.3)]
+        self.assertEqual(dials, [['connect c'], [], ['connect c']])
+        self.assertEqual(self._dials(bench, 62), [])
+
+    def test_pause_drops_clock(self) -> None:
+        state = EndpointsState()
+        peer = InstanceId('b')
+        state.connect(peer, OWN, 5, 1)
+        state.report_load(peer, 3, 1)
+        state.forget_news(9)
+        view = state.get(peer)
+        assert view is not None
+        self.assertEqual((view.clock, view.load), (float('-inf'), 0))
+
+    def _dials(self, bench: Bench, now: float) -> list[str]:
+        seen = bench.run({'at': now, 'do': 'tick'})
+        return [text for text in seen if text.startswith('connect')]
+
+
+class BoundedStateTest(unittest.TestCase):
+    """Guards against unbounded state, and against what its bound forgets."""
+
+    def test_forgotten_key_is_not_fresh(self) -> None:
+        state = idempotency.OutcomesState()
+        random = Random(1)
+        keys = [
+            idempotency.issue_key(random, InstanceId('a'), OWN, number)
+            for number in range(idempotency.MAX_OUTCOMES + 1)
+        ]
+        dropped = [state.store(key, _outcome(key)) for key in keys]
+        self.assertEqual(set(dropped[:-1]), {None})
+        self.assertEqual(dropped[-1], f'answer:{keys[0]}')
+        statuses = [state.status(key).name for key in keys[:2]]
+        self.assertEqual(statuses, ['EXPIRED', 'STORED'])
+
+    def test_window_refuses_rather_than_forgets(self) -> None:
+        state = dedup.DedupState()
+        for number in range(dedup.MAX_ATTEMPT_IDS):
+            self.assertIsNone(state.bind(_attempt(number, 1), OWN, 1))
+        extra = _attempt(dedup.MAX_ATTEMPT_IDS, 31)
+        self.assertIs(state.bind(extra, OWN, 30.9), reasons.STALE_CLOCK)
+        young = _attempt(dedup.MAX_ATTEMPT_IDS, 2)
+        self.assertIs(state.bind(young, OWN, 30.9), reasons.WINDOW_FULL)
+        self.assertTrue(state.is_known(AttemptId('x0')))
+        self.assertIsNone(state.bind(young, OWN, 31))
+        self.assertFalse(state.is_known(AttemptId('x0')))
+
+    def test_timers_of_ended_calls_are_removed(self) -> None:
+        timers: Timers[int] = Timers()
+        for number in range(1000):
+            timers.add(number, number)
+        is_live: Callable[[int], bool] = {7, 800}.__contains__
+        timers.compact(2, is_live)
+        self.assertEqual(list(timers.due(2000)), [7, 800])
+
+    @params('a.i1', 'a.i1.short', 'a..0000000000010000000000000001', 'mine')
+    def test_own_keys_of_callers_name_no_owner(self, key: str) -> None:
+        self.assertIsNone(idempotency.parse_key(key))
+
+
+def _outcome(key: str) -> idempotency.StoredOutcome:
+    answer = Answer(
+        attempt_id=AttemptId(key),
+        verdict=Verdict.RAN,
+        status=200,
+        reason='',
+        headers=(),
+        body_bytes=1,
+        body_digest=DIGEST,
+        load=0,
+        owner_clock=0,
+    )
+    return idempotency.StoredOutcome(
+        answer=answer,
+        body_id=BodyId(f'answer:{key}'),
+    )
