--- a/briartack/main.py
+++ b/briartack/main.py
@@ -119,3 +119,7 @@
     sys.stderr.write(f'briartackd: {known.text} {known.fix}\n')
     for error in group.exceptions:
         sys.stderr.write(f'  {error}\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/briartack/options.py
+++ b/briartack/options.py
@@ -18,6 +18,7 @@
 
 _INSTANCE_ID: Final = re.compile('[a-z0-9][a-z0-9._-]{0,62}')
 _NAME: Final = re.compile('[a-z][a-z0-9-]{0,62}')
+_SERVICE: Final = re.compile('[a-z][a-z0-9-]{0,62}/[a-z][a-z0-9-]{0,62}')
 _MAX_DRAIN_SECONDS: Final = 3600
 _LOG_LEVELS: Final = ('debug', 'info', 'warning', 'error')
 _VARIABLE_PREFIX: Final = 'BRIARTACK_'
@@ -171,6 +172,12 @@
     return text
 
 
+def _check_service(text: str) -> str:
+    if _SERVICE.fullmatch(text) is None:
+        raise ValueError(f'{text!r} is not a service of a team')
+    return text
+
+
 def _check_seconds(text: str) -> float:
     try:
         seconds = float(text)
@@ -207,7 +214,11 @@
         check=_check_instance_id,
         fix='Give the id that the platform lists for this instance.',
     ),
-    _Setting(name='service', check=_check_name, fix=_NAME_FIX),
+    _Setting(
+        name='service',
+        check=_check_service,
+        fix='Give TEAM/NAME, as the platform lists it for this instance.',
+    ),
     _Setting(name='data_centre', check=_check_name, fix=_NAME_FIX),
     _Setting(name='region', check=_check_name, fix=_NAME_FIX),
     *(
--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -325,7 +325,7 @@
         return calls.on_tick(self.state, self.context, events.Tick(now=now))
 
     def _gap(self, now: float, step: Step) -> effects.Effects:
-        return calls.on_gap(self.state, self.context, events.Tick(now=now))
+        return calls.on_gap(self.state, self.context, now)
 
     def _stop(self, now: float, step: Step) -> effects.Effects:
         event = events.StopRequested(now=now)
