Check the roots that another daemon goes without

An unexpected child now makes a daemon check the child's expected parents. A pull serves as the question, since it is always answered and makes no subscription. After a pause, a watcher reads one key, as an answer to its old watch may have waited during the pause.

--- a/briartack/core/announcer.py
+++ b/briartack/core/announcer.py
@@ -1,5 +1,6 @@
 """Summaries to neighbours: after each change and as heartbeats."""
 
+import math
 from collections.abc import Iterable
 from typing import Final, final
 
@@ -10,6 +11,8 @@
 
 HEARTBEAT_SECONDS: Final = 1.0
 REMOTE_HEARTBEAT_SECONDS: Final = 2.0
+QUESTION_SECONDS: Final = 10.0
+CHECK_QUESTION_SECONDS: Final = 1.0
 # A daemon of another region that this one does not ask gets answers only,
 # one per summary; the margin keeps two roots from answering each other.
 REMOTE_REPLY_SECONDS: Final = 1.5
@@ -21,16 +24,18 @@
 class Announcer:
     """Own the times of the last summaries."""
 
-    __slots__ = ('_incarnation', '_sent_at')
+    __slots__ = ('_incarnation', '_sent_at', '_asked_at')
 
     def __init__(self, *, incarnation: Incarnation) -> None:
         """Start with nothing sent."""
         self._incarnation = incarnation
         self._sent_at: dict[InstanceId, float] = {}
+        self._asked_at: dict[InstanceId, float] = {}
 
     def forget(self, peer: InstanceId) -> None:
         """Drop a peer whose stream is down."""
         self._sent_at.pop(peer, None)
+        self._asked_at.pop(peer, None)
 
     def send(
         self,
@@ -51,6 +56,21 @@
             effects.append(SendMessage(peer=peer, message=message))
         return effects
 
+    def questions(
+        self,
+        now: float,
+        peers: Iterable[InstanceId],
+        pause_seconds: float,
+    ) -> tuple[InstanceId, ...]:
+        """Choose the peers to ask for a sign of life."""
+        due = tuple(
+            peer
+            for peer in peers
+            if now - self._asked_at.get(peer, -math.inf) >= pause_seconds
+        )
+        self._asked_at.update(dict.fromkeys(due, now))
+        return due
+
     def _summary(self, now: float, holdings: Holdings) -> Summary:
         return Summary(
             incarnation=self._incarnation,
--- a/briartack/core/dissemination.py
+++ b/briartack/core/dissemination.py
@@ -112,7 +112,7 @@
     effects = observe(state, event.now, holdings)
     is_old = state.store.is_behind_seen(event.revision)
     effects.extend(state.store.on_read(event))
-    state.confirmation.on_store_answered()
+    _confirm_by_store(state)
     if event.prefix in {WHOLE_TREE, INSTANCE_PREFIX}:
         state.tree.note_list()
     effects.extend(state.store.due(event.now, needs_tree=False))
@@ -133,7 +133,7 @@
     """Take the answer to a watch and begin the next one."""
     effects = observe(state, event.now, holdings)
     effects.extend(state.store.on_watched(event))
-    state.confirmation.on_store_answered()
+    _confirm_by_store(state)
     effects.extend(state.store.due(event.now, needs_tree=False))
     return Received(
         entries=event.entries,
@@ -201,6 +201,7 @@
     if isinstance(message, Entries):
         return _take_entries(state, event, message, effects)
     effects.extend(_answer(state, event, holdings))
+    _check_subscriber(state, event, membership)
     effects.extend(work(state, event.now, holdings, membership))
     return Received(
         revision=holdings.highest,
@@ -266,6 +267,22 @@
     return []
 
 
+def _confirm_by_store(state: DisseminationState) -> None:
+    if state.store.is_caught_up:
+        state.confirmation.on_store_answered()
+
+
+def _check_subscriber(
+    state: DisseminationState,
+    event: PeerMessageReceived,
+    membership: MembershipState,
+) -> None:
+    member = membership.get(event.peer)
+    is_subscriber = state.links.is_subscriber(event.peer)
+    if member and is_subscriber and isinstance(event.message, Summary):
+        state.tree.check_parents_of(event.now, member)
+
+
 def _take_summary(
     state: DisseminationState,
     event: PeerMessageReceived,
@@ -273,7 +290,12 @@
     holdings: Holdings,
 ) -> Effects:
     is_remote = state.links.is_remote(event.peer)
-    state.sync.on_summary(event.peer, summary, is_remote=is_remote)
+    state.sync.on_summary(
+        event.now,
+        event.peer,
+        summary,
+        is_remote=is_remote,
+    )
     is_new = state.links.subscribe(event.now, event.peer)
     if not is_new and (not is_remote or state.links.is_upward(event.peer)):
         return []
--- a/briartack/core/links.py
+++ b/briartack/core/links.py
@@ -105,6 +105,10 @@
         )
         return self._subscribers.renew(now, peer, is_child=is_child)
 
+    def is_subscriber(self, peer: InstanceId) -> bool:
+        """Tell whether a peer counts on this daemon."""
+        return peer in self._subscribers.current()
+
     def unsubscribe(self, peer: InstanceId) -> None:
         """Forget a subscriber that is about to stop."""
         self._subscribers.remove(peer)
@@ -164,6 +168,9 @@
         # starts while the store is down hears of its parents only by this.
         for child in place.children:
             yield DialWish(member=child, delay_seconds=REDIAL_SECONDS)
+        for checked in map(membership.get, self._tree.checked):
+            if checked is not None:
+                yield DialWish(member=checked)
         for peer in (*self._tree.suspects, *membership.leaving_marks):
             doubted = membership.get(peer)
             if doubted is not None:
--- a/briartack/core/overlay.py
+++ b/briartack/core/overlay.py
@@ -4,7 +4,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import lru_cache
 from hashlib import blake2b
@@ -88,81 +88,80 @@
 
 @final
 class Tree:
-    """Answer who the parents of the daemons of one region are."""
-
-    __slots__ = ('_orders', '_positions', '_roots')
-
-    def __init__(
-        self,
-        *,
-        members: Sequence[Member],
-        roots: Sequence[Member],
-    ) -> None:
-        """Sort the data centres of one region."""
-        self._roots = tuple(roots)
-        centres: defaultdict[str, list[Member]] = defaultdict(list)
-        for listed in members:
-            centres[listed.data_centre].append(listed)
-        self._orders = {
-            centre: ordered(centre, group) for centre, group in centres.items()
-        }
+    """Hold the order of one region, as seen by one of its daemons.
+
+    A daemon that is not listed takes parents as if it were, but no other
+    daemon counts on it, so it is no root while its region has one.
+    """
+
+    __slots__ = ('_own', '_orders', '_positions', '_roots', '_remote_roots')
+
+    def __init__(self, *, own: Member, members: Iterable[Member]) -> None:
+        """Sort the members; the own daemon may be missing among them."""
+        listed = {member.instance: member for member in members}
+        self._own = listed.get(own.instance, own)
+        roots = region_roots(listed.values())
+        self._roots = roots.pop(own.region, ()) or (self._own,)
+        self._remote_roots = tuple(
+            root for region in sorted(roots) for root in roots[region]
+        )
+        listed[own.instance] = self._own
+        self._orders = _centre_orders(own.region, listed.values())
         self._positions = {
             member.instance: position
             for order in self._orders.values()
             for position, member in enumerate(order)
         }
 
+    def place(self) -> Place:
+        """Return the neighbours of the own daemon."""
+        is_root = self._own in self._roots
+        is_first_root = self._own == self._roots[0]
+        return Place(
+            parents=self.parents(self._own),
+            children=self._children(),
+            remote_roots=self._remote_roots if is_root else (),
+            is_first_root=is_first_root,
+            is_second_root=is_root and not is_first_root,
+        )
+
     def parents(self, member: Member) -> tuple[Member, ...]:
         """Find the parents of a member, at most two and never itself."""
         if member in self._roots:
             # The first root has no parent, the second has the first.
             return self._roots[: self._roots.index(member)]
-        position = self._positions[member.instance]
+        position = self._positions.get(member.instance)
+        if position is None:
+            return ()
         if position < TOP_LEVEL_SIZE:
             return self._roots
         order = self._orders[member.data_centre]
         return tuple(order[parent] for parent in parent_positions(position))
 
-    def children(self, member: Member) -> tuple[Member, ...]:
-        """Find the members that have a member as one of their parents."""
-        candidates = list(self._orders[member.data_centre])
-        if member in self._roots:
+    def _children(self) -> tuple[Member, ...]:
+        candidates = list(self._orders[self._own.data_centre])
+        if self._own in self._roots:
             candidates.extend(self._roots)
             for order in self._orders.values():
                 candidates.extend(order[:TOP_LEVEL_SIZE])
         return tuple(
             candidate
             for candidate in dict.fromkeys(candidates)
-            if member in self.parents(candidate)
+            if self._own in self.parents(candidate)
         )
 
 
 def place_of(own: Member, members: Iterable[Member]) -> Place:
-    """Find the neighbours of a daemon, which may be missing in the list.
+    """Find the neighbours of a daemon, which may be missing in the list."""
+    return Tree(own=own, members=members).place()
 
-    A daemon that is not listed takes parents as if it were, but no other
-    daemon counts on it, so it is no root while its region has one.
-    """
-    listed = {member.instance: member for member in members}
-    own = listed.get(own.instance, own)
-    roots = region_roots(listed.values())
-    own_roots = roots.pop(own.region, ()) or (own,)
-    region = {
-        instance: member
-        for instance, member in listed.items()
-        if member.region == own.region
-    }
-    region[own.instance] = own
-    tree = Tree(members=tuple(region.values()), roots=own_roots)
-    is_root = own in own_roots
-    return Place(
-        parents=tree.parents(own),
-        children=tree.children(own),
-        remote_roots=_flat(roots) if is_root else (),
-        is_first_root=own == own_roots[0],
-        is_second_root=is_root and own != own_roots[0],
-    )
 
-
-def _flat(roots: Mapping[str, tuple[Member, ...]]) -> tuple[Member, ...]:
-    return tuple(member for region in sorted(roots) for member in roots[region])
+def _centre_orders(
+    region: str,
+    members: Iterable[Member],
+) -> dict[str, tuple[Member, ...]]:
+    centres: defaultdict[str, list[Member]] = defaultdict(list)
+    for member in members:
+        if member.region == region:
+            centres[member.data_centre].append(member)
+    return {centre: ordered(centre, group) for centre, group in centres.items()}
--- a/briartack/core/peer_sync.py
+++ b/briartack/core/peer_sync.py
@@ -28,8 +28,9 @@
 # The own region's roots usually bring a change earlier than this, so that
 # one copy of it crosses each link between regions.
 REMOTE_PATIENCE_SECONDS: Final = 1.0
-# Two heartbeats: entries that are still on their way are no gap.
-GAP_PATIENCE_SECONDS: Final = 1.0
+# Two heartbeats in a row must differ, or entries that are still on their way
+# would count as a gap. This is a little less than the time between the two.
+GAP_PATIENCE_SECONDS: Final = 0.8
 MAX_ENTRIES_BYTES: Final = 4_000_000
 ENTRY_OVERHEAD_BYTES: Final = 64
 
@@ -76,6 +77,7 @@
 
     def on_summary(
         self,
+        now: float,
         peer: InstanceId,
         summary: Summary,
         *,
@@ -84,9 +86,14 @@
         """Note an announcement."""
         view = self._views.get(peer)
         if view is None:
-            view = PeerView(summary=summary, is_remote=is_remote)
+            view = PeerView(
+                summary=summary,
+                heard_at=now,
+                is_remote=is_remote,
+            )
             self._views[peer] = view
         view.summary = summary
+        view.heard_at = now
 
     def on_entries(
         self, now: float, peer: InstanceId, entries: Entries
@@ -173,7 +180,7 @@
         if not has_gap(view.summary, holdings) or self._pull is not None:
             return []
         since = view.differs_since
-        if since is None or now - since < GAP_PATIENCE_SECONDS:
+        if since is None or view.heard_at - since < GAP_PATIENCE_SECONDS:
             return []
         if view.is_paused(now, holdings):
             return []
--- a/briartack/core/peer_views.py
+++ b/briartack/core/peer_views.py
@@ -70,6 +70,7 @@
     """Hold the last summary of a peer and what was tried with it."""
 
     summary: Summary
+    heard_at: float
     is_remote: bool
     ahead_since: float | None = None
     differs_since: float | None = None
--- a/briartack/core/store_reads.py
+++ b/briartack/core/store_reads.py
@@ -12,7 +12,7 @@
     WatchStore,
     WriteLog,
 )
-from briartack.core.entries import INSTANCE_PREFIX
+from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_KEY
 from briartack.core.events import (
     StoreFailed,
     StoreOperation,
@@ -51,6 +51,7 @@
         '_watch_deadline',
         '_is_on_duty',
         '_must_probe',
+        '_confirms_at',
         '_complete',
         '_seen',
     )
@@ -72,6 +73,7 @@
         self._watch_deadline: float | None = None
         self._is_on_duty = False
         self._must_probe = False
+        self._confirms_at: Revision | None = None
         self._complete: Revision | None = None
         self._seen = NO_REVISION
 
@@ -85,6 +87,15 @@
         """Tell whether this daemon is to watch the store."""
         return self._is_on_duty
 
+    @property
+    def is_caught_up(self) -> bool:
+        """Tell whether answers cover what a read after a pause has shown."""
+        return (
+            self._confirms_at is not None
+            and self._complete is not None
+            and self._complete >= self._confirms_at
+        )
+
     def start(self, now: float) -> None:
         """Plan the read of the list of instances."""
         jitter = self._random.uniform(0, START_JITTER_SECONDS)
@@ -105,8 +116,10 @@
             return []
         had_watch = self._watch_deadline is not None
         self._watch_deadline = None
-        # An answer at once confirms what is held; a waiting watch would not.
+        # An answer of the old watch may have waited during the pause, so it
+        # confirms nothing; a read of another prefix tells how far to catch up.
         self._must_probe = True
+        self._confirms_at = None
         return [CancelWatch()] if had_watch else []
 
     def due(self, now: float, *, needs_tree: bool) -> Effects:
@@ -115,6 +128,8 @@
         if not self._backoff.is_over(now):
             return []
         effects: Effects = []
+        if self._must_probe and self._is_on_duty:
+            effects.extend(self._read(now, PLATFORM_KEY))
         if self._needs_instances(now):
             effects.extend(self._read(now, INSTANCE_PREFIX))
         if self._complete is None:
@@ -128,6 +143,9 @@
         """Note an answer to a read."""
         self._reading.pop(event.prefix, None)
         self._backoff.succeed()
+        if event.prefix == PLATFORM_KEY:
+            self._must_probe = False
+            self._confirms_at = event.revision
         if event.prefix in {WHOLE_TREE, INSTANCE_PREFIX}:
             self._instances_at = None
         if event.prefix == WHOLE_TREE:
@@ -208,7 +226,5 @@
     def _watch(self, now: float, after: Revision) -> Effects:
         if self._watch_deadline is not None or not self._watches.take(now):
             return []
-        wait_seconds = 0 if self._must_probe else WATCH_WAIT_SECONDS
-        self._must_probe = False
-        self._watch_deadline = now + wait_seconds + CALL_DEADLINE_SECONDS
-        return [WatchStore(after=after, wait_seconds=wait_seconds)]
+        self._watch_deadline = now + WATCH_WAIT_SECONDS + CALL_DEADLINE_SECONDS
+        return [WatchStore(after=after, wait_seconds=WATCH_WAIT_SECONDS)]
--- a/briartack/core/tree_place.py
+++ b/briartack/core/tree_place.py
@@ -3,10 +3,11 @@
 from random import Random
 from typing import Final, final
 
+from briartack.core.checks import Checks
 from briartack.core.effects import Effects, LogLevel, WriteLog
 from briartack.core.identity import Identity
 from briartack.core.membership import MembershipState
-from briartack.core.overlay import Member, Place, place_of
+from briartack.core.overlay import Member, Place, Tree
 from briartack.core.units import InstanceId
 
 SILENCE_SECONDS: Final = 1.5
@@ -14,7 +15,7 @@
 # A daemon without parents for this long watches the store itself: three
 # rounds of suspicion have passed, and each round only tries two peers.
 ORPHAN_SECONDS: Final = 6.0
-PARENTS_SUSPECTED: Final = 'parents-suspected'
+PEERS_SUSPECTED: Final = 'peers-suspected'
 
 
 @final
@@ -25,6 +26,7 @@
         '_own',
         '_random',
         '_place',
+        '_tree',
         '_live',
         '_is_listed',
         '_is_stale',
@@ -32,6 +34,7 @@
         '_parents_since',
         '_silence_limit',
         '_answered_at',
+        '_checks',
     )
 
     def __init__(self, *, identity: Identity, random: Random) -> None:
@@ -45,6 +48,7 @@
         )
         self._random = random
         self._place = Place()
+        self._tree: Tree | None = None
         self._live: tuple[Member, ...] = ()
         self._is_listed = False
         self._is_stale = True
@@ -52,6 +56,7 @@
         self._parents_since: dict[InstanceId, float] = {}
         self._silence_limit = SILENCE_SECONDS
         self._answered_at: float | None = None
+        self._checks = Checks()
 
     @property
     def place(self) -> Place:
@@ -63,6 +68,11 @@
         """Return the peers that are taken for dead or frozen."""
         return self._suspects
 
+    @property
+    def checked(self) -> tuple[InstanceId, ...]:
+        """Return the peers that have to answer, or they are suspected."""
+        return self._checks.current()
+
     @property
     def is_list_known(self) -> bool:
         """Tell whether a list has been received, from whomever."""
@@ -88,6 +98,7 @@
 
     def hear(self, now: float, peer: InstanceId) -> None:
         """Note a sign of life, which ends a suspicion."""
+        self._checks.hear(now, peer)
         if self._parents_since.get(peer) is not None:
             self._parents_since[peer] = now
             self._answered_at = now
@@ -97,6 +108,7 @@
 
     def resume(self, now: float) -> None:
         """Forget the silence during a pause of this process."""
+        self._checks.resume(now)
         self._parents_since = dict.fromkeys(self._parents_since, now)
         if self._answered_at is not None:
             self._answered_at = now
@@ -111,41 +123,54 @@
         self._is_stale = False
         self._suspects &= {member.instance for member in live}
         if self._is_listed:
-            self._move(
-                now,
-                place_of(
-                    self._own,
-                    (
-                        member
-                        for member in live
-                        if member.instance not in self._suspects
-                    ),
-                ),
-            )
-
-    def suspect_parents(self, now: float) -> Effects:
-        """Suspect the parents when none of them has answered in time."""
-        if not self._parents_since:
-            return []
-        silence_seconds = now - max(self._parents_since.values())
-        if silence_seconds < self._silence_limit:
+            self._move(now, Tree(own=self._own, members=self._trusted()))
+
+    def check_parents_of(self, now: float, child: Member) -> None:
+        """Check who should be the parents of an unexpected child."""
+        is_expected = child in self._place.children
+        if is_expected or self._tree is None:
+            return
+        self._checks.begin(
+            now,
+            (
+                parent.instance
+                for parent in self._tree.parents(child)
+                if parent.instance != self._own.instance
+                and parent.instance not in self._parents_since
+            ),
+        )
+
+    def suspect(self, now: float) -> Effects:
+        """Suspect whom a check or all of the parents' silence condemns."""
+        silent = self._checks.take_silent(now, self._silence_limit)
+        heard_at = max(self._parents_since.values(), default=now)
+        if now - heard_at >= self._silence_limit:
+            silent = (*silent, *self._parents_since)
+        if not silent:
             return []
-        parents = tuple(self._parents_since)
-        self._suspects = self._suspects.union(parents)
+        self._suspects = self._suspects.union(silent)
         self._is_stale = True
         return [
             WriteLog(
                 level=LogLevel.WARNING,
-                code=PARENTS_SUSPECTED,
-                fields=(('parents', ' '.join(parents)),),
+                code=PEERS_SUSPECTED,
+                fields=(('peers', ' '.join(silent)),),
             ),
         ]
 
-    def _move(self, now: float, place: Place) -> None:
-        self._place = place
+    def _trusted(self) -> tuple[Member, ...]:
+        return tuple(
+            member
+            for member in self._live
+            if member.instance not in self._suspects
+        )
+
+    def _move(self, now: float, tree: Tree) -> None:
+        self._tree = tree
+        self._place = tree.place()
         self._parents_since = {
             parent.instance: self._parents_since.get(parent.instance, now)
-            for parent in place.parents
+            for parent in self._place.parents
         }
         # Drawn anew, so that siblings never act in step.
         jitter = self._random.uniform(0, SILENCE_JITTER_SECONDS)
--- a/briartack/core/upkeep.py
+++ b/briartack/core/upkeep.py
@@ -1,11 +1,16 @@
 """What each event and tick makes due, in the order of its decisions."""
 
-from briartack.core.announcer import HEARTBEAT_SECONDS, REMOTE_HEARTBEAT_SECONDS
-from briartack.core.dialling import REDIAL_SECONDS
+from briartack.core.announcer import (
+    CHECK_QUESTION_SECONDS,
+    HEARTBEAT_SECONDS,
+    QUESTION_SECONDS,
+    REMOTE_HEARTBEAT_SECONDS,
+)
 from briartack.core.dissemination_state import DisseminationState
-from briartack.core.effects import Effects
+from briartack.core.effects import Effects, SendMessage
 from briartack.core.holdings import Holdings
 from briartack.core.membership import MembershipState
+from briartack.core.messages import Pull
 from briartack.core.peer_views import is_same
 from briartack.core.units import InstanceId
 
@@ -18,7 +23,7 @@
 ) -> Effects:
     """Keep the place, the streams, the store calls and the entries up."""
     state.tree.follow(now, membership)
-    effects = state.tree.suspect_parents(now)
+    effects = state.tree.suspect(now)
     state.tree.follow(now, membership)
     effects.extend(state.links.due(now, membership))
     is_watcher = state.tree.is_watcher(now)
@@ -27,6 +32,7 @@
     effects.extend(state.store.due(now, needs_tree=needs_tree))
     effects.extend(synchronise(state, now, holdings))
     effects.extend(_heartbeats(state, now, holdings))
+    effects.extend(_questions(state, now, holdings))
     return effects
 
 
@@ -48,12 +54,9 @@
     now: float,
     holdings: Holdings,
 ) -> Effects:
-    linked_suspects = filter(state.links.is_linked, sorted(state.tree.suspects))
     groups = (
         (state.links.local, HEARTBEAT_SECONDS),
         (state.links.remote, REMOTE_HEARTBEAT_SECONDS),
-        # A frozen peer keeps its stream, so it is asked instead of dialled.
-        (tuple(linked_suspects), REDIAL_SECONDS),
     )
     effects: Effects = []
     for peers, pause_seconds in groups:
@@ -68,6 +71,27 @@
     return effects
 
 
+def _questions(
+    state: DisseminationState,
+    now: float,
+    holdings: Holdings,
+) -> Effects:
+    """Ask linked peers that may be frozen; the others are dialled.
+
+    A pull is always answered and, unlike a summary, makes no subscription.
+    """
+    groups = (
+        (sorted(state.tree.suspects), QUESTION_SECONDS),
+        (state.tree.checked, CHECK_QUESTION_SECONDS),
+    )
+    asked: list[InstanceId] = []
+    for peers, pause_seconds in groups:
+        linked = filter(state.links.is_linked, peers)
+        asked.extend(state.announcer.questions(now, linked, pause_seconds))
+    pull = Pull(after=holdings.highest)
+    return [SendMessage(peer=peer, message=pull) for peer in asked]
+
+
 def holds_same(
     state: DisseminationState,
     peer: InstanceId,
