Name bodies in one place for core and shell

The core named the body of an answer 'answer:ID' while the shell held it under the plain attempt id, so answers crossed a stream without their body and the receiver closed the stream. Both also set the deadline header, and the upstream saw '799,799'. The thin path (store, two daemons, upstream, loopback) now answers 200 through both daemons; before, 502 and 500.

--- a/briartack/bodies.py
+++ b/briartack/bodies.py
@@ -1,12 +1,13 @@
 """Bodies of requests and answers, which the core names but never sees.
 
-Request bodies and answer bodies are kept apart, so the identifier of an
-attempt can name both.
+The names are those of `briartack.core.body_ids`; the core says when a body is
+no longer needed.
 """
 
 from typing import Final, final
 
 from briartack.core.messages import MAX_BODY_BYTES, Answer, Attempt, Chunk
+from briartack.core.units import BodyId
 from briartack.framing import MalformedFrameError, digest_of
 
 EMPTY_BODY: Final = b''
@@ -16,41 +17,30 @@
 class Bodies:
     """Hold the bodies that calls and attempts in flight need."""
 
-    __slots__ = ('_requests', '_answers')
+    __slots__ = ('_bodies',)
 
     def __init__(self) -> None:
         """Start without bodies."""
-        self._requests: dict[str, bytes] = {}
-        self._answers: dict[str, bytes] = {}
+        self._bodies: dict[BodyId, bytes] = {}
 
     def __len__(self) -> int:
         """Count the bodies, so that a leak shows in the metrics."""
-        return len(self._requests) + len(self._answers)
+        return len(self._bodies)
 
-    def put_request(self, body_id: str, body: bytes) -> None:
-        """Keep the body of a request; an empty one needs no place."""
+    def put(self, body_id: BodyId, body: bytes) -> None:
+        """Keep a body; an empty one needs no place."""
         if body:
-            self._requests[body_id] = body
+            self._bodies[body_id] = body
 
-    def put_answer(self, body_id: str, body: bytes) -> None:
-        """Keep the body of an answer; an empty one needs no place."""
-        if body:
-            self._answers[body_id] = body
-
-    def request(self, body_id: str) -> bytes:
-        """Return the body of a request."""
-        return self._requests.get(body_id, EMPTY_BODY)
-
-    def answer(self, body_id: str | None) -> bytes:
-        """Return the body of an answer."""
+    def get(self, body_id: BodyId | None) -> bytes:
+        """Return a body; one without an identifier is empty."""
         if body_id is None:
             return EMPTY_BODY
-        return self._answers.get(body_id, EMPTY_BODY)
+        return self._bodies.get(body_id, EMPTY_BODY)
 
-    def drop(self, body_id: str) -> None:
-        """Forget the bodies under an identifier."""
-        self._requests.pop(body_id, None)
-        self._answers.pop(body_id, None)
+    def drop(self, body_id: BodyId) -> None:
+        """Forget a body."""
+        self._bodies.pop(body_id, None)
 
 
 @final
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -8,6 +8,7 @@
 from briartack.addresses import Address
 from briartack.bodies import Bodies
 from briartack.caller_connection import CallerHandler
+from briartack.core.body_ids import call_body
 from briartack.core.effects import AnswerCall, ReadBody
 from briartack.core.events import (
     CallArrived,
@@ -15,7 +16,7 @@
     CallCancelled,
     KeyRequested,
 )
-from briartack.core.units import BodyId, CallId
+from briartack.core.units import CallId
 from briartack.framing import digest_of
 from briartack.inbound_call import ConnectionControl, InboundCall
 from briartack.ports import BACKLOG, Clock, Deliver, Observer
@@ -127,7 +128,7 @@
 
     def body_read(self, call: InboundCall, body: bytes) -> None:
         """Report that the body of a call is whole."""
-        self._bodies.put_request(call.call_id, body)
+        self._bodies.put(call_body(CallId(call.call_id)), body)
         self._deliver(
             CallBodyRead(
                 now=self._clock(),
@@ -162,8 +163,7 @@
         call = self._calls.pop(effect.call_id, None)
         if call is None:
             return
-        call.answer(effect, self._bodies.answer(effect.body_id))
-        self._bodies.drop(BodyId(effect.call_id))
+        call.answer(effect, self._bodies.get(effect.body_id))
         now = self._clock()
         call.control.last_active = now
         self._observer.observe('call.seconds', now - call.arrived)
--- a/briartack/core/call_table.py
+++ b/briartack/core/call_table.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import final
 
+from briartack.core.body_ids import call_body
 from briartack.core.call_context import RouteView
 from briartack.core.events import CallArrived
 from briartack.core.idempotency import IssuedKey
@@ -55,7 +56,7 @@
     @property
     def body_id(self) -> BodyId:
         """Name the body of the request."""
-        return BodyId(f'call:{self.event.call_id}')
+        return call_body(self.event.call_id)
 
 
 @final
--- a/briartack/core/calls.py
+++ b/briartack/core/calls.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from briartack.core import reasons
+from briartack.core.body_ids import answer_body
 from briartack.core.call_context import CallContext
 from briartack.core.drain import DrainState
 from briartack.core.effects import Effects, Exit, SendMessage
@@ -29,7 +30,7 @@
 from briartack.core.routing import RoutingState
 from briartack.core.sender import SenderState
 from briartack.core.streams import StreamsState
-from briartack.core.units import BodyId, InstanceId
+from briartack.core.units import InstanceId
 
 
 @final
@@ -158,7 +159,7 @@
     state.endpoints.report_load(peer, answer.load, event.now)
     body_id = None
     if answer.body_bytes:
-        body_id = BodyId(f'answer:{answer.attempt_id}')
+        body_id = answer_body(answer.attempt_id)
     return _settle(
         state,
         context,
--- a/briartack/core/monitors.py
+++ b/briartack/core/monitors.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from typing import final
 
+from briartack.core.body_ids import attempt_body, call_body
 from briartack.core.effects import (
     AnswerCall,
     Dispatch,
@@ -155,7 +156,7 @@
             case SendAnswer():
                 yield from self._check_verdict(
                     effect.answer.verdict,
-                    BodyId(f'attempt:{effect.answer.attempt_id}'),
+                    attempt_body(effect.answer.attempt_id),
                 )
 
     def _check_dispatch(self, effect: Dispatch) -> Iterator[Violation]:
@@ -195,7 +196,7 @@
         self._answered.add(effect.call_id)
         yield from self._check_verdict(
             effect.verdict,
-            BodyId(f'call:{effect.call_id}'),
+            call_body(effect.call_id),
         )
 
     def _check_verdict(
--- a/briartack/core/owned_attempts.py
+++ b/briartack/core/owned_attempts.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from briartack.core import reasons
+from briartack.core.body_ids import answer_body
 from briartack.core.effects import DropBody, Effects, SendAnswer
 from briartack.core.events import UpstreamAnswered
 from briartack.core.idempotency import (
@@ -182,7 +183,7 @@
             load=self._upstream.load(event.now),
             owner_clock=event.now,
         )
-        body_id = BodyId(f'answer:{event.attempt_id}')
+        body_id = answer_body(event.attempt_id)
         is_kept = bool(record.attempt.idempotency_key)
         effects = self._deliver(record, answer, body_id, is_kept=is_kept)
         effects.extend(self.drop_request(record))
--- a/briartack/core/owner.py
+++ b/briartack/core/owner.py
@@ -3,6 +3,7 @@
 from typing import Final, final
 
 from briartack.core import reasons
+from briartack.core.body_ids import attempt_body
 from briartack.core.call_context import CallContext
 from briartack.core.dedup import DedupState
 from briartack.core.effects import (
@@ -104,7 +105,7 @@
         attempt_id = attempt.attempt_id
         if attempt_id in self._attempts or self._dedup.is_known(attempt_id):
             return [Count(name='attempts_duplicate')]
-        body_id = BodyId(f'attempt:{attempt_id}')
+        body_id = attempt_body(attempt_id)
         record = _record(attempt, peer, body_id, now)
         replayed = self._replay(context, now, record)
         if replayed is not None:
@@ -135,7 +136,7 @@
         """Take the whole body of an attempt that was accepted before."""
         record = self._attempts.get(attempt_id)
         if record is None or record.phase is not OwnedPhase.READING_BODY:
-            return [DropBody(body_id=BodyId(f'attempt:{attempt_id}'))]
+            return [DropBody(body_id=attempt_body(attempt_id))]
         self._runner.take(attempt_id)
         return self._admit(context, now, record, is_stopping=False)
 
--- a/briartack/core/owner_runner.py
+++ b/briartack/core/owner_runner.py
@@ -5,6 +5,7 @@
 
 from briartack.core import reasons
 from briartack.core.admission import Admission, Waiting
+from briartack.core.body_ids import answer_body
 from briartack.core.call_headers import for_upstream
 from briartack.core.effects import (
     AbortDispatch,
@@ -22,7 +23,7 @@
 )
 from briartack.core.reasons import Reason
 from briartack.core.timers import Timers
-from briartack.core.units import AttemptId, BodyId
+from briartack.core.units import AttemptId
 from briartack.core.verdict import Verdict
 
 # A later status is the upstream's own failure and no reason to send it more.
@@ -202,5 +203,5 @@
     """Drop an upstream's answer that nobody waits for."""
     return [
         Count(name='upstream_answers_late'),
-        DropBody(body_id=BodyId(f'answer:{attempt_id}')),
+        DropBody(body_id=answer_body(attempt_id)),
     ]
--- a/briartack/core/sender.py
+++ b/briartack/core/sender.py
@@ -4,6 +4,7 @@
 
 from briartack.core import reasons
 from briartack.core.attempt_sender import AttemptSender
+from briartack.core.body_ids import call_body
 from briartack.core.call_context import CallContext
 from briartack.core.call_table import Call, CallPhase, CallTable
 from briartack.core.choice import Chooser, Chosen, NoChoice
@@ -104,7 +105,7 @@
         """Take the whole body of a call."""
         call = self._table.get(event.call_id)
         if call is None or call.phase is not CallPhase.READING_BODY:
-            return [DropBody(body_id=BodyId(f'call:{event.call_id}'))]
+            return [DropBody(body_id=call_body(event.call_id))]
         if event.body_bytes > MAX_BODY_BYTES:
             return self._refuse(call, reasons.BODY_TOO_LARGE, Verdict.NOT_RUN)
         call.body_bytes = event.body_bytes
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -4,8 +4,8 @@
 from typing import final
 
 from briartack.core.calls import CallsState
-from briartack.core.dissemination_state import DisseminationState
 from briartack.core.combined_holdings import CombinedHoldings
+from briartack.core.dissemination_state import DisseminationState
 from briartack.core.identity import Identity
 from briartack.core.membership import MembershipState
 from briartack.core.snapshot import SnapshotState
--- a/briartack/peer_inbox.py
+++ b/briartack/peer_inbox.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from briartack.bodies import Assembly, Bodies, verify
+from briartack.core.body_ids import answer_body, attempt_body
 from briartack.core.events import AttemptBodyRead, PeerMessageReceived
 from briartack.core.messages import (
     MAX_CHUNK_BYTES,
@@ -113,9 +114,9 @@
 
     def _put(self, head: Attempt | Answer, body: bytes) -> None:
         if isinstance(head, Answer):
-            self._bodies.put_answer(head.attempt_id, body)
+            self._bodies.put(answer_body(head.attempt_id), body)
         else:
-            self._bodies.put_request(head.attempt_id, body)
+            self._bodies.put(attempt_body(head.attempt_id), body)
 
     def _report(self, peer: InstanceId, message: PeerMessage) -> None:
         self._deliver(
--- a/briartack/peers.py
+++ b/briartack/peers.py
@@ -33,7 +33,7 @@
     Hello,
     PeerMessage,
 )
-from briartack.core.units import BodyId, InstanceId
+from briartack.core.units import InstanceId
 from briartack.error_texts import (
     MALFORMED_FRAME,
     MESSAGE_TOO_LARGE,
@@ -124,14 +124,13 @@
         """Queue an attempt and its body."""
         stream = self._streams.get(effect.peer)
         if stream is not None:
-            body = self._bodies.request(effect.body_id)
+            body = self._bodies.get(effect.body_id)
             self._queue_with_body(effect.peer, stream, effect.attempt, body)
 
     def send_answer(self, effect: SendAnswer) -> None:
-        """Queue an answer and its body, and forget the body."""
+        """Queue an answer and its body."""
         answer = effect.answer
-        body = self._bodies.answer(effect.body_id)
-        self._bodies.drop(BodyId(answer.attempt_id))
+        body = self._bodies.get(effect.body_id)
         self._inbox.drop_attempt(effect.peer, answer.attempt_id)
         stream = self._streams.get(effect.peer)
         if stream is not None:
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -8,6 +8,7 @@
 
 from briartack.addresses import Address, format_address
 from briartack.bodies import Bodies
+from briartack.core.body_ids import answer_body
 from briartack.core.effects import AbortDispatch, Dispatch
 from briartack.core.events import (
     UpstreamAnswered,
@@ -131,7 +132,7 @@
         self._observer.observe('upstream.seconds', now - started)
         body = answer.body
         if effect.attempt_id in self._running:
-            self._bodies.put_answer(effect.attempt_id, body)
+            self._bodies.put(answer_body(effect.attempt_id), body)
         return UpstreamAnswered(
             now=now,
             attempt_id=effect.attempt_id,
@@ -158,16 +159,13 @@
         )
 
     def _request(self, effect: Dispatch) -> bytes:
-        body = self._bodies.request(effect.body_id)
+        body = self._bodies.get(effect.body_id)
         lines = [f'{effect.method} {effect.target} HTTP/1.1']
         # The headers of a call are end-to-end since its arrival.
         headers = effect.headers
         if first_value(headers, 'host') is None:
             lines.append(f'Host: {self._host_header}')
         lines.extend(f'{name}: {text}' for name, text in headers)
-        remaining_ms = int(effect.timeout_seconds * _MILLISECONDS)
-        lines.append(f'Briartack-Deadline-Ms: {remaining_ms}')
-        lines.append(f'Briartack-Attempt: {effect.attempt_id}')
         if body or effect.method in _METHODS_WITH_BODY:
             lines.append(f'Content-Length: {len(body)}')
         head = '\r\n'.join(lines).encode('latin-1', 'replace')
