Report the body of an attempt that fits into one message

The shell takes the inline body out of an attempt, so that traces hold no payload, and the core then waited for a body that never came: uploads of 10 to 24,000 bytes over one hop ended in 504 after 0.8 s. The shell now reports such a body as read.

--- a/briartack/peer_inbox.py
+++ b/briartack/peer_inbox.py
@@ -88,6 +88,8 @@
             # The core sees sizes only, so traces hold no payload.
             head = msgspec.structs.replace(head, body=b'')
         self._report(peer, head)
+        if body and not is_answer:
+            self._report_body(peer, head.attempt_id)
 
     def _receive_chunk(self, peer: InstanceId, chunk: Chunk) -> None:
         key = (peer, chunk.attempt_id, chunk.of_answer)
@@ -104,13 +106,16 @@
         if chunk.of_answer:
             self._report(peer, assembly.head)
         else:
-            self._deliver(
-                AttemptBodyRead(
-                    now=self._clock(),
-                    peer=peer,
-                    attempt_id=chunk.attempt_id,
-                ),
-            )
+            self._report_body(peer, chunk.attempt_id)
+
+    def _report_body(self, peer: InstanceId, attempt_id: AttemptId) -> None:
+        self._deliver(
+            AttemptBodyRead(
+                now=self._clock(),
+                peer=peer,
+                attempt_id=attempt_id,
+            ),
+        )
 
     def _put(self, head: Attempt | Answer, body: bytes) -> None:
         if isinstance(head, Answer):
