--- a/briartack/peer_inbox.py
+++ b/briartack/peer_inbox.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from briartack.bodies import Assembly, Bodies, verify
+from briartack.core.body_ids import answer_body, attempt_body
 from briartack.core.events import AttemptBodyRead, PeerMessageReceived
 from briartack.core.messages import (
     MAX_CHUNK_BYTES,
@@ -90,6 +91,8 @@
             # The core sees sizes only, so traces hold no payload.
             head = msgspec.structs.replace(head, body=b'')
         self._report(peer, head)
+        if body and not is_answer:
+            self._report_body(peer, head.attempt_id)
 
     def _receive_chunk(self, peer: InstanceId, chunk: Chunk) -> None:
         key = (peer, chunk.attempt_id, chunk.of_answer)
@@ -106,19 +109,22 @@
         if chunk.of_answer:
             self._report(peer, assembly.head)
         else:
-            self._deliver(
-                AttemptBodyRead(
-                    now=self._clock(),
-                    peer=peer,
-                    attempt_id=chunk.attempt_id,
-                ),
-            )
+            self._report_body(peer, chunk.attempt_id)
+
+    def _report_body(self, peer: InstanceId, attempt_id: AttemptId) -> None:
+        self._deliver(
+            AttemptBodyRead(
+                now=self._clock(),
+                peer=peer,
+                attempt_id=attempt_id,
+            ),
+        )
 
     def _put(self, head: Attempt | Answer, body: bytes) -> None:
         if isinstance(head, Answer):
-            self._bodies.put_answer(head.attempt_id, body)
+            self._bodies.put(answer_body(head.attempt_id), body)
         else:
-            self._bodies.put_request(head.attempt_id, body)
+            self._bodies.put(attempt_body(head.attempt_id), body)
 
     def _report(self, peer: InstanceId, message: PeerMessage) -> None:
         self._deliver(
