--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -55,10 +55,11 @@
         """Report that the caller went away."""
 
 
-class CallerHandler(WSGIHandler):  # type: ignore[misc]
+class CallerHandler(WSGIHandler):  # type: ignore[misc]  # noqa: WPS214
     """Read requests with pywsgi and hand them over as calls."""
 
-    MessageClass = RequestHeaders
+    # The name is that of pywsgi.
+    MessageClass = RequestHeaders  # noqa: WPS115
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
         """Set the socket up for small writes and for watching."""
--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -52,8 +52,8 @@
             self._first.setdefault(lower, text)
         self._check_framing()
 
-    def __delitem__(self, name: str) -> None:
-        """Remove a header as pywsgi does, given in lower case."""
+    def __delitem__(self, name: str) -> None:  # noqa: WPS603
+        """Remove a header; pywsgi calls this, with the name in lower case."""
         self._first.pop(name)
 
     @property
@@ -79,7 +79,7 @@
             remaining = math.nan
         if not 0 <= remaining < math.inf:
             raise RequestError(
-                f'Briartack-Deadline-Ms is {text[:_SHOWN_CHARACTERS]!r}; '
+                f'Briartack-Deadline-Ms is {_shown(text)}; '
                 'give the remaining milliseconds as a number.',
             )
         return remaining
@@ -89,7 +89,7 @@
         coding = self._first.get('transfer-encoding')
         if length is not None and not _is_length(length):
             raise RequestError(
-                f'Content-Length is {length[:_SHOWN_CHARACTERS]!r}; give a decimal number.',
+                f'Content-Length is {_shown(length)}; give a decimal number.',
             )
         if coding is None:
             return
@@ -100,7 +100,7 @@
             )
         if coding.lower() != 'chunked':
             raise RequestError(
-                f'Transfer-Encoding is {coding[:_SHOWN_CHARACTERS]!r}; use only chunked.',
+                f'Transfer-Encoding is {_shown(coding)}; use only chunked.',
             )
 
 
@@ -110,15 +110,17 @@
     Raises RequestError.
     """
     if _TOKEN.fullmatch(method) is None:
-        raise RequestError(
-            f'The method {method[:_SHOWN_CHARACTERS]!r} is not a token.'
-        )
+        raise RequestError(f'The method {_shown(method)} is not a token.')
     if _TARGET.fullmatch(target) is None or target.startswith('//'):
         raise RequestError(
             'The target must be a path that begins with one slash.',
         )
 
 
+def _shown(text: str) -> str:
+    return repr(text[:_SHOWN_CHARACTERS])
+
+
 def _is_length(text: str) -> bool:
     return text.isascii() and text.isdigit() and len(text) <= _MAX_LENGTH_DIGITS
 
@@ -141,9 +143,9 @@
 def _split(line: bytes) -> tuple[str, str]:
     match = _HEADER_LINE.fullmatch(line)
     if match is None:
-        shown = line[:_SHOWN_CHARACTERS].decode('latin-1')
+        shown = _shown(line.decode('latin-1'))
         raise RequestError(
-            f'The header line {shown!r} is not NAME: VALUE in one line.',
+            f'The header line {shown} is not NAME: VALUE in one line.',
         )
     name, text = match.groups()
     return name.decode(), text.decode('latin-1')
--- a/briartack/metrics.py
+++ b/briartack/metrics.py
@@ -21,11 +21,10 @@
 Attributes: TypeAlias = tuple[tuple[str, str], ...]
 
 _PREFIX: Final = 'briartack.'
-_FIRST_BOUND_MICROSECONDS: Final = 50
+_FIRST_BOUND_SECONDS: Final = 0.00005
 _BUCKETS: Final = 18  # the last bound is 6.6 s
 _BOUNDS_SECONDS: Final = tuple(
-    _FIRST_BOUND_MICROSECONDS * 2**power / 1_000_000
-    for power in range(_BUCKETS)
+    _FIRST_BOUND_SECONDS * 2**power for power in range(_BUCKETS)
 )
 _BOUND_TEXTS: Final = (*(f'{bound:.6g}' for bound in _BOUNDS_SECONDS), '+Inf')
 
@@ -56,7 +55,7 @@
     __slots__ = ('_buckets', '_total_seconds')
 
     def __init__(self) -> None:
-        self._buckets = [0] * len(_BOUND_TEXTS)
+        self._buckets = [0 for _ in _BOUND_TEXTS]
         self._total_seconds: float = 0
 
     def add(self, seconds: float) -> None:
--- a/briartack/test/fake_reducer.py
+++ b/briartack/test/fake_reducer.py
@@ -8,12 +8,12 @@
 from gevent.server import StreamServer
 
 from briartack.core import effects, events
+from briartack.core.body_ids import answer_body, attempt_body, call_body
 from briartack.core.effects import Effects
 from briartack.core.identity import Identity
 from briartack.core.messages import Answer, Attempt
 from briartack.core.units import (
     AttemptId,
-    BodyId,
     CallId,
     Incarnation,
     InstanceId,
@@ -93,10 +93,10 @@
         return [
             effects.Dispatch(
                 attempt_id=AttemptId(event.call_id),
-                body_id=BodyId(event.call_id),
+                body_id=call_body(event.call_id),
                 method=call.method,
                 target=call.target,
-                headers=call.headers,
+                headers=(*call.headers, ('Briartack-Deadline-Ms', '5000')),
                 timeout_seconds=5,
             ),
         ]
@@ -117,7 +117,7 @@
         effects.SendAttempt(
             peer=state.peer,
             attempt=attempt,
-            body_id=BodyId(event.call_id),
+            body_id=call_body(event.call_id),
         ),
     ]
 
@@ -145,7 +145,7 @@
     return [
         effects.Dispatch(
             attempt_id=attempt.attempt_id,
-            body_id=BodyId(attempt.attempt_id),
+            body_id=attempt_body(attempt.attempt_id),
             method=attempt.method,
             target=attempt.target,
             headers=attempt.headers,
@@ -173,7 +173,7 @@
         effects.SendAnswer(
             peer=owned[0],
             answer=answer,
-            body_id=BodyId(event.attempt_id),
+            body_id=answer_body(event.attempt_id),
         ),
     ]
 
@@ -192,7 +192,7 @@
             status=status,
             headers=headers,
             reason='',
-            body_id=BodyId(attempt_id),
+            body_id=answer_body(attempt_id),
         ),
     ]
 
--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -68,10 +68,11 @@
     def test_oversize_chunked_body(self) -> None:
         """Guards against chunks that get round the limit."""
         self.caller.sendall(
-            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000001\r\n',
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2000000\r\n',
         )
         writer = gevent.spawn(self.caller.sendall, b'x' * 0x1100000)
-        self.assertEqual(read_answer(self.caller)[0], 413)
+        status, _, body = read_answer(self.caller)
+        self.assertEqual(status, 413, body)
         writer.kill()
         self.assertEqual(len(self.shell.state.seen(events.CallCancelled)), 1)
 
--- a/briartack/test/test_framing.py
+++ b/briartack/test/test_framing.py
@@ -72,7 +72,7 @@
     def test_every_cut_of_a_stream(self) -> None:
         """Guards against messages that depend on packet borders."""
         frames = encode(ATTEMPT) + encode(ANSWER)
-        for cut in range(len(frames)):
+        for cut, _ in enumerate(frames):
             reader = FrameReader()
             early = list(reader.feed(frames[:cut]))
             late = list(reader.feed(frames[cut:]))
--- a/briartack/test/test_options.py
+++ b/briartack/test/test_options.py
@@ -8,7 +8,7 @@
 
 VALID = {
     'BRIARTACK_INSTANCE_ID': 'saldo-1',
-    'BRIARTACK_SERVICE': 'saldo',
+    'BRIARTACK_SERVICE': 'saldo/saldo',
     'BRIARTACK_DATA_CENTRE': 'costa-1',
     'BRIARTACK_REGION': 'costa',
     'BRIARTACK_CALLER_ADDRESS': '127.0.0.1:7000',
@@ -61,11 +61,12 @@
     def test_every_missing_setting_names_its_variable(self) -> None:
         """Guards against an error that does not say what to set."""
         errors = '\n'.join(errors_of([], {}))
-        for variable in VALID:
-            self.assertIn(f'({variable}): missing', errors)
+        for name in VALID:
+            self.assertIn(f'({name}): missing', errors)
 
     @params(
         ('--instance-id', 'Saldo 1'),
+        ('--service', 'saldo'),
         ('--data-centre', '1costa'),
         ('--store-address', 'localhost:80'),
         ('--store-address', '127.0.0.1'),
--- a/briartack/test/test_recorder.py
+++ b/briartack/test/test_recorder.py
@@ -20,9 +20,11 @@
     Recorder,
     TraceError,
     TraceHeader,
-    read,
     read_header,
 )
+from briartack.recorder import (
+    read as read_trace,
+)
 from briartack.test.fake_reducer import identity
 from briartack.test.test_framing import ANSWER, ATTEMPT
 
@@ -99,7 +101,7 @@
         for event in EVENTS:
             recorder.write(event)
         recorder.close()
-        self.assertEqual(tuple(read(self.path)), EVENTS)
+        self.assertEqual(tuple(read_trace(self.path)), EVENTS)
         self.assertEqual(read_header(self.path), HEADER)
 
     @params(
@@ -112,4 +114,4 @@
         """Guards against an error that does not tell the place."""
         self.path.write_bytes(b'{"type":"Tick","data":{"now":1}}\n' + line)
         with self.assertRaisesRegex(TraceError, 'trace:2: '):
-            list(read(self.path))
+            list(read_trace(self.path))
--- a/briartack/test/test_upstream.py
+++ b/briartack/test/test_upstream.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import gevent
-import gevent.event
+from gevent.event import AsyncResult, Event
 from nose2.tools import params
 
 from briartack.core import effects, events
@@ -93,7 +93,7 @@
 
     def test_stale_pooled_connection_is_not_used(self) -> None:
         """Guards against "unknown" for a connection closed while idle."""
-        closed = gevent.event.Event()
+        closed = Event()
 
         def handle(sock: Any) -> None:
             read_request(sock)
@@ -120,7 +120,7 @@
 
     def test_abort_closes_the_connection(self) -> None:
         """Guards against an upstream that works for nobody."""
-        ended = gevent.event.AsyncResult()
+        ended = AsyncResult()
 
         def handle(sock: Any) -> None:
             read_request(sock)
