Test validation and the accepted state with tables of cases

They found that an old version that arrives late was not used for the definitions that it has when a retained definition was older; two peers then needed two exchanges to agree. It is used now.

--- a/briartack/core/accepted.py
+++ b/briartack/core/accepted.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from typing import final
 
-from briartack.core.entries import TEAM_PREFIX
+from briartack.core.entries import TEAM_PREFIX, Entry
 from briartack.core.intake import Intake, Slot
 from briartack.core.resolution import DefinitionPool, resolvable
 from briartack.core.units import Revision
@@ -70,7 +70,8 @@
         candidates = intake.candidates
         candidates.extend(self.waiting)
         resolved = resolvable(candidates, self.is_held)
-        if len(resolved) < len(candidates) and intake.late:
+        is_waiting = len(resolved) < len(candidates)
+        if is_waiting or any(map(self._may_renew, intake.late)):
             intake.take_late()
             resolved = resolvable(candidates, self.is_held)
         earlier = tuple(self.active.values())
@@ -127,6 +128,14 @@
             lambda name, kept: name in wanted and self._is_newer(name, kept),
         )
 
+    def _may_renew(self, late: Entry) -> bool:
+        """Tell whether an old version may have a newer definition."""
+        return any(
+            late.key == f'{TEAM_PREFIX}{name.team}'
+            and late.revision > held.revision
+            for name, held in self.pool.definitions
+        )
+
     def _is_newer(self, name: ResourceId, held: Held) -> bool:
         owned = self._owned(name)
         return owned is None or owned.revision < held.revision
--- a/briartack/core/intake.py
+++ b/briartack/core/intake.py
@@ -102,8 +102,9 @@
     def take_late(self) -> None:
         """Decode older versions too, for what they define.
 
-        A version that waits may need a resource that its owner removed before
-        the wait began here, as when versions arrive out of order.
+        When versions arrive out of order, a version that waits may need a
+        resource that its owner has removed since, and a retained definition
+        may not be the owner's last.
         """
         for entry in self.late:
             try:
--- /dev/null
+++ b/briartack/test/test_validation.py
@@ -0,0 +1,58 @@
+"""Guards of validation; the cases are in test-data/validation."""
+
+import json
+import unittest
+from pathlib import Path
+from typing import Any, Final
+
+from nose2.tools import params
+
+from briartack.core.problems import InvalidValueError, Problem
+from briartack.core.validation import (
+    MAX_VALUE_BYTES,
+    validate_instance,
+    validate_platform,
+    validate_team,
+)
+
+DATA: Final = Path(__file__).parent / 'test-data' / 'validation'
+CASES: Final = json.loads((DATA / 'values.json').read_text(encoding='utf-8'))
+
+
+def _problems(key: str, text: str) -> tuple[Problem, ...]:
+    validate: Any = validate_team
+    if key.startswith('instances/'):
+        validate = validate_instance
+    elif key == 'platform':
+        validate = validate_platform
+    try:
+        validate(key, text)
+    except InvalidValueError as error:
+        return error.problems
+    return ()
+
+
+class ValidationTest(unittest.TestCase):
+    """Each case names the failure that it guards against."""
+
+    @params(*CASES)
+    def test_problems_name_place_and_fix(self, case: Any) -> None:
+        found = _problems(case['key'], case['text'])
+        places = [[item.path, item.code.value] for item in found]
+        self.assertEqual(places, case['problems'], case['guards'])
+        for item in found:
+            self.assertEqual(item.key, case['key'])
+            self.assertTrue(item.text and item.fix)
+
+    @params(('teams/a', ''), ('instances/a', '{"unknown": '))
+    def test_deep_nesting_is_refused(self, key: str, start: str) -> None:
+        """A value that exhausts the stack stops the daemon."""
+        found = _problems(key, start + '[' * 100_000)
+        self.assertEqual([item.code.value for item in found], ['syntax'])
+
+    @params((MAX_VALUE_BYTES, []), (MAX_VALUE_BYTES + 1, ['too-large']))
+    def test_size_is_bounded(self, size: int, codes: list[str]) -> None:
+        """A value that no store holds is accepted from a peer."""
+        text = '{}'.ljust(size)
+        found = _problems('teams/a', text)
+        self.assertEqual([item.code.value for item in found], codes)
