--- a/briartack/core/versions.py
+++ b/briartack/core/versions.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final, NamedTuple, final
 
@@ -101,10 +102,13 @@
         """Order versions of one key; equal revisions occur by fault only."""
         return (self.revision, self.text or '')
 
+    def section(self, kind: str) -> Mapping[str, Resource]:
+        """Give the resources of one kind."""
+        return section_of(self.settings, kind)
+
     def held(self, resource_id: ResourceId) -> Held | None:
         """Give the definition of a resource of this team, if it has one."""
-        section = section_of(self.settings, resource_id.kind)
-        resource = section.get(resource_id.name)
+        resource = self.section(resource_id.kind).get(resource_id.name)
         if resource is None:
             return None
         return Held(revision=self.revision, resource=resource)
--- /dev/null
+++ b/briartack/tree.py
@@ -0,0 +1,80 @@
+"""Version-controlled trees of configuration, read from a directory.
+
+A tree has `teams/NAME.json` and, when anything is out of service,
+`platform.json`. Its files hold the bytes of the store's values.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Final, final
+
+from briartack.core.entries import PLATFORM_KEY, TEAM_PREFIX
+from briartack.core.problems import Code, InvalidValueError, Problem, problem
+from briartack.core.settings import PlatformSettings
+from briartack.core.shape import ROOT
+from briartack.core.units import Revision
+from briartack.core.versions import ResourceId, Version, decode_version
+
+KINDS: Final = ('services', 'policies', 'workspaces')
+_NO_REVISION: Final = Revision(0)
+_SUFFIX: Final = '.json'
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class Tree:
+    """Hold the values of a tree that are well-formed, and what is not."""
+
+    teams: dict[str, Version] = field(default_factory=dict)
+    platform: PlatformSettings = field(default_factory=PlatformSettings)
+    problems: list[Problem] = field(default_factory=list)
+
+    def defines(self, resource_id: ResourceId) -> bool:
+        """Tell whether the owner defines a resource."""
+        owner = self.teams.get(resource_id.team)
+        return owner is not None and owner.held(resource_id) is not None
+
+    def may_define(self, resource_id: ResourceId) -> bool:
+        """Tell the same, and true for an owner whose file has problems."""
+        key = f'{TEAM_PREFIX}{resource_id.team}'
+        is_broken = any(found.key == key for found in self.problems)
+        return is_broken or self.defines(resource_id)
+
+
+def read_tree(path: Path) -> Tree:
+    """Read and decode all files of a tree; faults are listed in it."""
+    tree = Tree()
+    if not path.is_dir():
+        unreadable = problem(str(path), ROOT, Code.UNREADABLE, 'no directory')
+        tree.problems.append(unreadable)
+        return tree
+    for key, file in _files(path):
+        _read_file(tree, key, file)
+    return tree
+
+
+def _files(path: Path) -> Iterator[tuple[str, Path]]:
+    platform = path / f'{PLATFORM_KEY}{_SUFFIX}'
+    if platform.exists():
+        yield PLATFORM_KEY, platform
+    for file in sorted((path / TEAM_PREFIX).glob(f'*{_SUFFIX}')):
+        yield f'{TEAM_PREFIX}{file.stem}', file
+
+
+def _read_file(tree: Tree, key: str, file: Path) -> None:
+    try:
+        # Bytes are decoded here, so that line ends stay as they are.
+        text = file.read_bytes().decode()
+    except (OSError, UnicodeDecodeError) as error:
+        tree.problems.append(problem(key, ROOT, Code.UNREADABLE, error))
+        return
+    try:
+        version = decode_version(key, _NO_REVISION, text)
+    except InvalidValueError as invalid:
+        tree.problems.extend(invalid.problems)
+        return
+    if version.team:
+        tree.teams[version.team] = version
+    else:
+        tree.platform = version.platform
