--- a/briartack/core/accepted.py
+++ b/briartack/core/accepted.py
@@ -60,10 +60,15 @@
         """Tell whether a reference to a resource resolves."""
         return self.held(name) is not None
 
-    def definition(self, name: ResourceId) -> Resource | None:
-        """Give a resource as its newest definition has it."""
-        held = self.held(name)
-        return None if held is None else held.resource
+    def in_force(self) -> dict[ResourceId, Resource]:
+        """Give each resource as its newest definition has it."""
+        resources: dict[ResourceId, Resource] = {}
+        for version in self.active.values():
+            resources.update(version.defined)
+        # What the pool still holds is newer than the owner's definition.
+        for name, held in self.pool.definitions:
+            resources[name] = held.resource
+        return resources
 
     def resolve(self, intake: Intake) -> tuple[tuple[str, Revision], ...]:
         """Choose among all candidates; give what became active."""
@@ -74,9 +79,10 @@
         if is_waiting or any(map(self._may_renew, intake.late)):
             intake.take_late()
             resolved = resolvable(candidates, self.is_held)
-        earlier = tuple(self.active.values())
+        earlier = self.active
         activated = self._settle(candidates, resolved)
-        self._retain((*earlier, *resolved))
+        replaced = (earlier[key] for key, _ in activated if key in earlier)
+        self._retain((*replaced, *resolved))
         return activated
 
     def removed(self) -> list[ResourceId]:
@@ -116,14 +122,11 @@
         wanted = {
             name for slot in self.slots.values() for name in foreign_of(slot)
         }
-        by_team: dict[str, list[Version]] = {}
-        for version in sources:
-            by_team.setdefault(version.team, []).append(version)
-        for wanted_name in wanted:
-            for source in by_team.get(wanted_name.team, ()):
-                held = source.held(wanted_name)
+        for source in sources:
+            for offered in wanted & source.defined.keys():
+                held = source.held(offered)
                 if held is not None:
-                    self.pool.offer(wanted_name, held)
+                    self.pool.offer(offered, held)
         self.pool.keep_only(
             lambda name, kept: name in wanted and self._is_newer(name, kept),
         )
--- a/briartack/core/resolved.py
+++ b/briartack/core/resolved.py
@@ -4,10 +4,11 @@
 was routed with.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from operator import itemgetter
 from types import MappingProxyType
-from typing import Final, final
+from typing import Final, TypeAlias, final
 
 from briartack.core.entries import PLATFORM_KEY
 from briartack.core.settings import (
@@ -40,6 +41,9 @@
     home_regions: frozenset[str] | None  # none binds the route to no region
 
 
+_OrderedRoute: TypeAlias = tuple[tuple[int, str, str], ResolvedRoute]
+
+
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Snapshot:
@@ -61,9 +65,9 @@
     """Hold what a snapshot is made of."""
 
     active: Mapping[str, Version]
-    # Definitions whose owner's active version has none, or an older one.
-    extra: Mapping[ResourceId, Resource]
-    definition: Callable[[ResourceId], Resource | None]
+    resources: Mapping[ResourceId, Resource]
+    # Resources whose owner's active version has none, or an older one.
+    pooled: tuple[ResourceId, ...]
     digest: Digest
     retained: tuple[str, ...]
 
@@ -84,11 +88,11 @@
             key: self._team(version, parts)
             for key, version in sorted(parts.active.items())
         }
-        routes = [
-            route for team in self._resolved.values() for route in team.routes
+        ordered = [
+            pair for team in self._resolved.values() for pair in team.routes
         ]
         # The sort is stable, so the routes of a team keep their order.
-        routes.sort(key=_route_order)
+        ordered.sort(key=itemgetter(0))
         platform = parts.active.get(PLATFORM_KEY)
         return Snapshot(
             versions=tuple(
@@ -96,7 +100,7 @@
             ),
             digest=parts.digest,
             highest=max(version.revision for version in parts.active.values()),
-            routes=tuple(routes),
+            routes=tuple(route for _, route in ordered),
             services=MappingProxyType(_services(parts)),
             tenant_regions=MappingProxyType(_tenant_regions(parts)),
             platform=_NO_PLATFORM if platform is None else platform.platform,
@@ -105,10 +109,11 @@
 
     def _team(self, version: Version, parts: InForce) -> '_ResolvedTeam':
         used = (
-            *(parts.definition(wanted) for wanted in sorted(version.foreign)),
+            # The same set gives its items in the same order each time.
+            *map(parts.resources.get, version.foreign),
             *(
-                (name, resource)
-                for name, resource in parts.extra.items()
+                parts.resources[name]
+                for name in parts.pooled
                 if name.team == version.team
             ),
         )
@@ -119,7 +124,7 @@
             version=version,
             used=used,
             routes=tuple(
-                _resolve(version.team, route, parts.definition)
+                _ordered(_resolve(version.team, route, parts.resources))
                 for route in version.settings.routes
             ),
         )
@@ -132,26 +137,26 @@
 
     version: Version
     used: tuple[object, ...]
-    routes: tuple[ResolvedRoute, ...]
+    routes: tuple[_OrderedRoute, ...]
 
     def is_of(self, version: Version, used: tuple[object, ...]) -> bool:
         """Tell whether the routes would be the same again."""
         return self.version is version and self.used == used
 
 
-def _route_order(route: ResolvedRoute) -> tuple[int, str, str]:
-    return (-len(route.path_prefix), route.path_prefix, route.team)
+def _ordered(route: ResolvedRoute) -> _OrderedRoute:
+    return (-len(route.path_prefix), route.path_prefix, route.team), route
 
 
 def _resolve(
     team: str,
     route: Route,
-    definition: Callable[[ResourceId], Resource | None],
+    resources: Mapping[ResourceId, Resource],
 ) -> ResolvedRoute:
     names = references_of(team, route)
     service, policy = names[:2]
-    limits = definition(service)
-    bounds = definition(policy)
+    limits = resources[service]
+    bounds = resources[policy]
     # An active version never lacks a resource; see Accepted.
     assert isinstance(limits, ServiceLimits)  # noqa: S101
     assert isinstance(bounds, Policy)  # noqa: S101
@@ -164,33 +169,29 @@
         limits=limits,
         policy_name=policy.qualified,
         policy=bounds,
-        home_regions=_home_regions(names[2:], definition),
+        home_regions=_home_regions(names[2:], resources),
     )
 
 
 def _home_regions(
     names: Iterable[ResourceId],
-    definition: Callable[[ResourceId], Resource | None],
+    resources: Mapping[ResourceId, Resource],
 ) -> frozenset[str] | None:
     for name in names:
-        workspace = definition(name)
+        workspace = resources[name]
         assert isinstance(workspace, Workspace)  # noqa: S101
         return frozenset(workspace.home_regions)
     return None
 
 
 def _services(parts: InForce) -> dict[str, ServiceLimits]:
-    names = [
-        ResourceId('services', version.team, name)
-        for version in parts.active.values()
-        for name in version.settings.services
-    ]
-    names.extend(name for name in parts.extra if name.kind == 'services')
-    found = {name.qualified: parts.definition(name) for name in sorted(names)}
     return {
-        name: limits
-        for name, limits in found.items()
-        if isinstance(limits, ServiceLimits)
+        name.qualified: resource
+        for name, resource in sorted(
+            parts.resources.items(),
+            key=itemgetter(0),
+        )
+        if isinstance(resource, ServiceLimits)
     }
 
 
@@ -201,19 +202,10 @@
     safer than one that is served outside its home regions.
     """
     regions: dict[str, frozenset[str]] = {}
-    for workspace in _workspaces(parts):
+    for workspace in parts.resources.values():
+        if not isinstance(workspace, Workspace):
+            continue
         own = frozenset(workspace.home_regions)
         for tenant in workspace.tenants:
             regions[tenant] = regions.get(tenant, own) & own
     return dict(sorted(regions.items()))
-
-
-def _workspaces(parts: InForce) -> list[Workspace]:
-    names = {
-        ResourceId('workspaces', version.team, name)
-        for version in parts.active.values()
-        for name in version.settings.workspaces
-    }
-    names.update(name for name in parts.extra if name.kind == 'workspaces')
-    found = (parts.definition(name) for name in names)
-    return [item for item in found if isinstance(item, Workspace)]
--- a/briartack/core/snapshot.py
+++ b/briartack/core/snapshot.py
@@ -226,8 +226,8 @@
         self._snapshot = self._builder.build(
             InForce(
                 active=active,
-                extra={name: held.resource for name, held in pool},
-                definition=self._accepted.definition,
+                resources=self._accepted.in_force(),
+                pooled=tuple(name for name, _ in pool),
                 digest=digest,
                 retained=tuple(str(name) for name in self._accepted.removed()),
             ),
--- a/briartack/core/versions.py
+++ b/briartack/core/versions.py
@@ -32,6 +32,7 @@
 )
 
 DIGEST_BYTES: Final = 16
+KINDS: Final = ('services', 'policies', 'workspaces')
 _NO_TEAM: Final = TeamSettings()
 _NO_PLATFORM: Final = PlatformSettings()
 
@@ -95,6 +96,7 @@
     team: str  # empty for the platform
     settings: TeamSettings
     platform: PlatformSettings
+    defined: Mapping[ResourceId, Resource]
     foreign: frozenset[ResourceId]  # what its routes need of other teams
 
     @property
@@ -102,13 +104,9 @@
         """Order versions of one key; equal revisions occur by fault only."""
         return (self.revision, self.text or '')
 
-    def section(self, kind: str) -> Mapping[str, Resource]:
-        """Give the resources of one kind."""
-        return section_of(self.settings, kind)
-
     def held(self, resource_id: ResourceId) -> Held | None:
         """Give the definition of a resource of this team, if it has one."""
-        resource = self.section(resource_id.kind).get(resource_id.name)
+        resource = self.defined.get(resource_id)
         if resource is None:
             return None
         return Held(revision=self.revision, resource=resource)
@@ -136,6 +134,11 @@
         team=team,
         settings=settings,
         platform=platform,
+        defined={
+            ResourceId(kind, team, name): resource
+            for kind in KINDS
+            for name, resource in section_of(settings, kind).items()
+        },
         foreign=_foreign(team, settings),
     )
 
--- a/briartack/diff.py
+++ b/briartack/diff.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from briartack.core.problems import Problem
-from briartack.tree import KINDS, Tree, read_tree
+from briartack.tree import Tree, read_tree
 
 _PartId: TypeAlias = tuple[str, str]  # kind and name
 
@@ -89,9 +89,8 @@
 
 def _parts(tree: Tree) -> Iterator[tuple[_PartId, str]]:
     for team in tree.teams.values():
-        for kind in KINDS:
-            for name, resource in team.section(kind).items():
-                yield (kind, f'{team.team}/{name}'), _text(resource)
+        for name, resource in team.defined.items():
+            yield (name.kind, name.qualified), _text(resource)
         for route in team.settings.routes:
             yield ('routes', f'{team.team}/{route.name}'), _text(route)
     for data_centre in tree.platform.data_centres_out:
--- a/briartack/tree.py
+++ b/briartack/tree.py
@@ -16,7 +16,6 @@
 from briartack.core.units import Revision
 from briartack.core.versions import ResourceId, Version, decode_version
 
-KINDS: Final = ('services', 'policies', 'workspaces')
 _NO_REVISION: Final = Revision(0)
 _SUFFIX: Final = '.json'
 
