--- a/briartack/cli.py
+++ b/briartack/cli.py
@@ -7,7 +7,7 @@
 import json
 import sys
 from collections.abc import Iterable, Iterator
-from datetime import datetime
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Final
 from urllib.parse import urlencode
@@ -39,7 +39,7 @@
     """
     report = check_tree(directory, against)
     _print_report(report.to_dict(), report.lines(), as_json=as_json)
-    return EXIT_OK if report.is_ok else EXIT_FAILED
+    return EXIT_OK if report.is_passed else EXIT_FAILED
 
 
 def diff(old: Path, new: Path, *, as_json: bool = False) -> int:
@@ -101,7 +101,7 @@
 
 def held(
     *logs: Path,
-    time: datetime,
+    time: str,
     instance: str | None = None,
     as_json: bool = False,
 ) -> int:
@@ -112,7 +112,9 @@
     :param instance: only this instance
     :param as_json: print JSON
     """
-    at = time if time.tzinfo else time.astimezone()
+    at = datetime.fromisoformat(time)
+    if at.tzinfo is None:
+        at = at.replace(tzinfo=UTC)
     lines = read_lines(_lines_of(logs))
     answers = held_at(lines, at, instance)
     _print_report(
@@ -175,8 +177,9 @@
         'DIGEST',
     )
     for daemon in found:
-        if 'error' in daemon:
-            yield f'{daemon["address"]}  {daemon["error"]}'
+        error = daemon.get('error')
+        if error is not None:
+            yield f'{daemon["address"]}  {error}'
             continue
         yield _STATUS_ROW.format(
             daemon['address'],
--- /dev/null
+++ b/briartack/core/explanation.py
@@ -0,0 +1,110 @@
+"""Explains where a call would go from this daemon now, and why."""
+
+from typing import Final
+
+from briartack.core import placement
+from briartack.core.call_context import Member, Regions
+from briartack.core.reducer import call_context
+from briartack.core.resolved import ResolvedRoute, Snapshot
+from briartack.core.routing import is_out
+from briartack.core.state import State
+
+_SCOPE_NAMES: Final = ('data centre', 'region', 'fleet')
+
+
+def explain(
+    state: State,
+    method: str,
+    path: str,
+    tenant: str,
+) -> dict[str, object]:
+    """Describe route, placement and endpoints of a call, as plain values."""
+    snapshot = state.snapshots.snapshot
+    if snapshot is None:
+        return {'outcome': 'refused: this daemon holds no configuration yet'}
+    route = state.calls.routing.match(snapshot, method, path)
+    if not isinstance(route, ResolvedRoute):
+        return {
+            'outcome': 'refused: no route matches the method and path',
+            'highest': snapshot.highest,
+        }
+    regions = placement.home_regions(snapshot, route, tenant)
+    described = _describe_route(snapshot, route)
+    described['home_regions'] = None if regions is None else sorted(regions)
+    if not placement.may_hold(regions, state.identity.region):
+        described['outcome'] = 'refused: outside the home regions'
+        return described
+    endpoints = [
+        _describe_member(state, snapshot, member, regions)
+        for member in state.membership.of_service(route.service)
+    ]
+    described['endpoints'] = endpoints
+    described['outcome'] = _outcome(state, snapshot, route, regions)
+    return described
+
+
+def _describe_route(
+    snapshot: Snapshot,
+    route: ResolvedRoute,
+) -> dict[str, object]:
+    policy = route.policy
+    return {
+        'outcome': '',
+        'highest': snapshot.highest,
+        'route': route.name,
+        'service': route.service,
+        'policy': route.policy_name,
+        'timeout_ms': policy.timeout_ms,
+        'max_attempts': policy.max_attempts,
+        'repeatable': policy.repeatable,
+        'priority': policy.priority.value,
+    }
+
+
+def _describe_member(
+    state: State,
+    snapshot: Snapshot,
+    member: Member,
+    regions: Regions,
+) -> dict[str, object]:
+    view = state.calls.endpoints.get(member.instance)
+    return {
+        'instance': member.instance,
+        'data_centre': member.data_centre,
+        'is_own': member.instance == state.identity.instance,
+        'is_connected': view is not None,
+        'excluded': _exclusion(state, snapshot, member, regions),
+    }
+
+
+def _exclusion(
+    state: State,
+    snapshot: Snapshot,
+    member: Member,
+    regions: Regions,
+) -> str:
+    if is_out(snapshot.platform, member):
+        return 'out of service'
+    if not placement.may_hold(regions, member.region):
+        return 'outside the home regions'
+    if state.membership.is_leaving(member.instance):
+        return 'leaving'
+    return ''
+
+
+def _outcome(
+    state: State,
+    snapshot: Snapshot,
+    route: ResolvedRoute,
+    regions: Regions,
+) -> str:
+    scopes = state.calls.routing.candidates(
+        call_context(state),
+        snapshot,
+        route.service,
+        regions,
+    )
+    for name, scope in zip(_SCOPE_NAMES, scopes, strict=True):
+        if scope:
+            return f'the less loaded of two of {len(scope)} in the {name}'
+    return 'refused: no endpoint may be chosen'
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -1,6 +1,8 @@
 """The parts of a daemon, wired together."""
 
 import time
+from collections.abc import Callable
+from functools import partial
 from typing import Final, Generic, TypeVar, final
 
 import gevent
@@ -82,6 +84,7 @@
         state: StateT,
         reduce: Reduce[StateT],
         describe: Describe[StateT],
+        explain: Callable[[StateT, str, str, str], dict[str, object]],
         audit: AuditTrail,
         recorder: Recorder | None = None,
     ) -> None:
@@ -127,6 +130,7 @@
         )
         self._operator_port = OperatorPort(
             describe=lambda: describe(self._loop.state),
+            explain=partial(explain, self._loop.state),
             metrics=self._metrics,
         )
         self._servers: list[BaseServer] = []
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -11,6 +11,7 @@
 import gevent
 
 from briartack.core.effects import LogLevel
+from briartack.core.explanation import explain
 from briartack.core.identity import Identity
 from briartack.core.reducer import reduce
 from briartack.core.state import State
@@ -70,6 +71,7 @@
         ),
         reduce=reduce,
         describe=describe,
+        explain=explain,
         audit=AuditTrail(sys.stdout),
         recorder=_recorder(options, identity, seed),
     )
--- a/briartack/operator_port.py
+++ b/briartack/operator_port.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from typing import Final, Protocol, TypeAlias, TypeVar, final
+from urllib.parse import parse_qsl
 
 import msgspec
 from gevent.pywsgi import WSGIServer
@@ -16,6 +17,8 @@
 Describe: TypeAlias = Callable[[StateT], dict[str, object]]
 _Status: TypeAlias = dict[str, object]
 _Reply: TypeAlias = tuple[str, str, bytes]
+# Takes method, path and tenant of a call.
+Explain: TypeAlias = Callable[[str, str, str], _Status]
 
 _JSON: Final = 'application/json'
 _TEXT: Final = 'text/plain; charset=utf-8'
@@ -31,23 +34,26 @@
 
 @final
 class OperatorPort:
-    """Answer `/healthz`, `/readyz`, `/status` and `/metrics`."""
+    """Answer health, readiness, status, explanations and metrics."""
 
-    __slots__ = ('_describe', '_metrics', '_replies')
+    __slots__ = ('_describe', '_explain', '_metrics', '_replies')
 
     def __init__(
         self,
         *,
         describe: Callable[[], _Status],
+        explain: Explain,
         metrics: Metrics,
     ) -> None:
         """Report what `describe` returns, and the metrics."""
         self._describe = describe
+        self._explain = explain
         self._metrics = metrics
-        self._replies: dict[str, Callable[[], _Reply]] = {
+        self._replies: dict[str, Callable[[str], _Reply]] = {
             '/healthz': self._health,
             '/readyz': self._readiness,
             '/status': self._status,
+            '/explain': self._explanation,
             '/metrics': self._metrics_text,
         }
 
@@ -68,7 +74,7 @@
         start_response: _StartResponse,
     ) -> Iterable[bytes]:
         reply = self._replies.get(environ['PATH_INFO'], _unknown_path)
-        status, content_type, body = reply()
+        status, content_type, body = reply(environ['QUERY_STRING'])
         start_response(
             status,
             [
@@ -78,21 +84,30 @@
         )
         return [body]
 
-    def _health(self) -> _Reply:
+    def _health(self, query: str) -> _Reply:
         return _OK, _JSON, b'{"status":"ok"}'
 
-    def _readiness(self) -> _Reply:
+    def _readiness(self, query: str) -> _Reply:
         is_ready = self._describe().get('ready') is True
         body = msgspec.json.encode({'ready': is_ready})
         return _OK if is_ready else _NOT_READY, _JSON, body
 
-    def _status(self) -> _Reply:
+    def _status(self, query: str) -> _Reply:
         return _OK, _JSON, msgspec.json.encode(self._describe(), enc_hook=str)
 
-    def _metrics_text(self) -> _Reply:
+    def _explanation(self, query: str) -> _Reply:
+        asked = dict(parse_qsl(query))
+        explained = self._explain(
+            asked.get('method', 'GET'),
+            asked.get('path', '/'),
+            asked.get('tenant', ''),
+        )
+        return _OK, _JSON, msgspec.json.encode(explained, enc_hook=str)
+
+    def _metrics_text(self, query: str) -> _Reply:
         lines = [*self._metrics.lines(), '']
         return _OK, _TEXT, '\n'.join(lines).encode()
 
 
-def _unknown_path() -> _Reply:
+def _unknown_path(query: str) -> _Reply:
     return _NOT_FOUND, _JSON, refusal_body(UNKNOWN_PATH, '')
