--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import cache
 from random import Random
 from types import MappingProxyType
 from typing import Any, Final
@@ -96,6 +97,12 @@
     )
 
 
+@cache
+def members_named(names: str) -> tuple[Member, ...]:
+    """Return the same tuple for the same list, as the live list does."""
+    return tuple(map(member, names))
+
+
 @dataclass(slots=True, kw_only=True)
 class Bench:
     """Hold the call path of instance `a` and what it reads."""
@@ -165,7 +172,7 @@
             ),
             snapshot=snapshot if setup.get('has_snapshot', True) else None,
             members=BenchMembers(
-                members=tuple(map(member, setup.get('members', 'a'))),
+                members=members_named(setup.get('members', 'a')),
                 leaving=frozenset(setup.get('leaving', '')),
             ),
             random=self.random,
--- a/briartack/test/test_call_bounds.py
+++ b/briartack/test/test_call_bounds.py
@@ -3,6 +3,7 @@
 import unittest
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import cast
 
@@ -21,7 +22,13 @@
     InstanceId,
 )
 from briartack.core.verdict import Verdict
-from briartack.test.call_bench import DIGEST, Bench, BenchMember, member
+from briartack.test.call_bench import (
+    DIGEST,
+    Bench,
+    BenchMember,
+    BenchSnapshot,
+    member,
+)
 
 OWN = Incarnation('i1')
 
@@ -89,6 +96,38 @@
         self.assertEqual(self._offer(bench, 90, 90), ['x90'])
         self.assertEqual(self._offer(bench, 91, 90), [])
 
+    def test_limit_doubles_after_as_many_successes(self) -> None:
+        bench = Bench(setup={'limits': {'slots': 16, 'connections': 99}})
+        sizes = [self._fill_and_answer(bench, turn) for turn in range(9)]
+        self.assertEqual(sizes, [1, 2, 2, 4, 4, 4, 4, 8, 8])
+
+    @params(
+        # Answers to requests of the process before a restart.
+        (0.01, 'p2', 1),
+        # Answers that are far slower than before.
+        (0.09, 'p1', 2),
+        (0.01, 'p1', 4),
+    )
+    def test_what_does_not_count(
+        self,
+        elapsed: float,
+        identity: str,
+        expected: int,
+    ) -> None:
+        bench = Bench(setup={'limits': {'slots': 1}})
+        bench.run({'at': 0, 'do': 'probe', 'identity': 'p1'})
+        for turn in range(30):
+            self._fill_and_answer(bench, turn, 0.01)
+        bench.change({'limits': {'slots': 16, 'connections': 99}})
+        self._fill_and_answer(bench, 30, 0.01)
+        running = self._offer(bench, 9000, 31) + self._offer(bench, 9010, 31)
+        self.assertEqual(running, ['x9000', 'x9010'])
+        bench.run({'at': 31, 'do': 'probe', 'identity': identity})
+        for attempt in running:
+            self._answer(bench, attempt, 31, elapsed)
+        started = [self._offer(bench, 9100 + more, 31) for more in range(5)]
+        self.assertEqual(sum(map(len, started)), expected)
+
     def test_latency_jump_restarts_until_it_is_normal(self) -> None:
         bench = Bench(setup={'limits': {'slots': 1}})
         restarts: list[int] = []
@@ -141,9 +180,33 @@
         step = {'at': now, 'do': 'attempt', 'attempt': f'x{number}'}
         return _dispatched(bench.run(step))
 
-    def _answer(self, bench: Bench, attempt: str, now: float) -> list[str]:
-        step = {'at': now, 'do': 'upstream', 'attempt': attempt}
-        return _dispatched(bench.run(step))
+    def _answer(
+        self,
+        bench: Bench,
+        attempt: str,
+        now: float,
+        elapsed: float = 0.1,
+    ) -> list[str]:
+        step = {'do': 'upstream', 'attempt': attempt, 'elapsed': elapsed}
+        return _dispatched(bench.run({'at': now, **step}))
+
+    def _fill_and_answer(
+        self,
+        bench: Bench,
+        turn: int,
+        elapsed: float = 0.1,
+    ) -> int:
+        """Take all slots, count them, and answer one of their requests."""
+        first = 100 * turn
+        started = [self._offer(bench, first + more, turn) for more in range(9)]
+        running = [attempt for some in started for attempt in some]
+        size = len(running)
+        if running:
+            self._answer(bench, running.pop(0), turn, elapsed)
+        for more in range(9):
+            attempt = f'x{first + more}'
+            bench.run({'at': turn, 'do': 'cancel', 'attempt': attempt})
+        return size
 
 
 def _dispatched(seen: list[str]) -> list[str]:
@@ -235,6 +298,34 @@
     )
 
 
+class RouteMatchTest(unittest.TestCase):
+    """Guards against calls that go to another route than the longest."""
+
+    @params(
+        ('GET', '/s/x', 't/short'),
+        ('GET', '/s/long/x', 't/long'),
+        ('POST', '/s/long/x', 't/short'),
+        ('GET', '/s?/s/long/', None),
+        ('GET', '/', None),
+    )
+    def test_match(self, method: str, target: str, expected: str) -> None:
+        snapshot = Bench(setup={}).context.snapshot
+        assert isinstance(snapshot, BenchSnapshot)
+        short = replace(snapshot.routes[0], name='t/short')
+        routes = (
+            replace(
+                short,
+                name='t/long',
+                path_prefix='/s/long/',
+                methods=frozenset(('GET',)),
+            ),
+            short,
+        )
+        state = routing.RoutingState()
+        route = state.match(replace(snapshot, routes=routes), method, target)
+        self.assertEqual(route and route.name, expected)
+
+
 class SentAttemptTest(unittest.TestCase):
     """Guards against attempts and dispatches that lack what was decided."""
 
@@ -260,6 +351,26 @@
         self.assertEqual(attempt.headers, (('k', 'v'), ('X-Tenant', 'u')))
         self.assertFalse(attempt.interactive)
 
+    def test_pause_invalidates_clocks(self) -> None:
+        bench = Bench(setup={'members': 'b'})
+        bench.run({'at': 1, 'do': 'connect', 'peer': 'b'})
+        bench.run({'at': 4, 'do': 'gap'})
+        sent = bench._arrive(4, {'call': 'p'})[0]
+        assert isinstance(sent, SendAttempt)
+        self.assertEqual(sent.attempt.owner_clock, float('-inf'))
+
+    @params('answer', 'leave', 'tick', 'gap')
+    def test_ended_attempt_is_not_in_flight(self, end: str) -> None:
+        bench = Bench(setup={'members': 'b'})
+        bench.run({'at': 1, 'do': 'connect', 'peer': 'b'})
+        bench.run({'at': 1, 'do': 'arrive', 'call': 'p'})
+        view = bench.state.endpoints.get(InstanceId('b'))
+        assert view is not None
+        self.assertEqual(view.in_flight, 1)
+        step = {'at': 9, 'do': end, 'call': 'p', 'attempt': 'a.i1.1'}
+        bench.run(step)
+        self.assertEqual(view.in_flight, 0)
+
     def test_dispatch_carries_deadline(self) -> None:
         sent = Bench(setup={})._arrive(1, {'call': 'p', 'deadline_ms': 400})[0]
         assert isinstance(sent, Dispatch)
@@ -281,6 +392,12 @@
         self.assertGreaterEqual(retries, 100)
         self.assertTrue(state.spend('other'))
 
+    def test_burst_is_bounded(self) -> None:
+        state = retry.RetryState()
+        for _ in range(1000):
+            state.earn('s', 100)
+        self.assertEqual(sum(state.spend('s') for _ in range(50)), 10)
+
     def test_call_without_token_is_refused(self) -> None:
         bench = Bench(setup={'members': 'b', 'policy': {'retry_percent': 0}})
         bench.run({'at': 1, 'do': 'connect', 'peer': 'b'})
@@ -339,6 +456,22 @@
         statuses = [state.status(key).name for key in keys[:2]]
         self.assertEqual(statuses, ['EXPIRED', 'STORED'])
 
+    def test_forgotten_key_does_not_run(self) -> None:
+        bench = Bench(setup={})
+        keys = [
+            idempotency.issue_key(Random(1), InstanceId('a'), OWN, number)
+            for number in range(idempotency.MAX_OUTCOMES + 1)
+        ]
+        for number, key in enumerate(keys):
+            attempt = {'at': number, 'attempt': f'x{number}'}
+            bench.run({**attempt, 'do': 'attempt', 'key': key})
+            bench.run({**attempt, 'do': 'upstream'})
+        step = {'do': 'attempt', 'attempt': 'y', 'key': keys[0]}
+        self.assertEqual(
+            bench.run({'at': 2000, **step}),
+            ['reply b y unknown key-expired', 'drop attempt:y'],
+        )
+
     def test_window_refuses_rather_than_forgets(self) -> None:
         state = dedup.DedupState()
         for number in range(dedup.MAX_ATTEMPT_IDS):
