Mark the summaries that go to parents

A heartbeat to a parent and one to a child looked alike, so a daemon whose own parents adopted it as the next root did not notice, and nobody watched the store (12 daemons in one data centre, both roots frozen: no change in 20 s; now 2.9 s). The mark also replaces the guess from which former parents had to be exempted.

--- a/briartack/core/announcer.py
+++ b/briartack/core/announcer.py
@@ -1,7 +1,7 @@
 """Summaries to neighbours: after each change and as heartbeats."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import Final, final
 
 from briartack.core.effects import Effects, SendMessage
@@ -13,9 +13,6 @@
 REMOTE_HEARTBEAT_SECONDS: Final = 2.0
 QUESTION_SECONDS: Final = 10.0
 CHECK_QUESTION_SECONDS: Final = 1.0
-# A daemon of another region that this one does not ask gets answers only,
-# one per summary; the margin keeps two roots from answering each other.
-REMOTE_REPLY_SECONDS: Final = 1.5
 # Both ends of a new stream greet each other with a summary.
 GREETING_SECONDS: Final = 0.5
 
@@ -43,6 +40,7 @@
         peers: Iterable[InstanceId],
         holdings: Holdings,
         *,
+        upward: Container[InstanceId],
         pause_seconds: float = 0,
     ) -> Effects:
         """Send a summary to the peers that got none during the pause."""
@@ -52,7 +50,11 @@
             if sent_at is not None and now - sent_at < pause_seconds:
                 continue
             self._sent_at[peer] = now
-            message = self._summary(now, holdings)
+            message = self._summary(
+                now,
+                holdings,
+                wants_answers=peer in upward,
+            )
             effects.append(SendMessage(peer=peer, message=message))
         return effects
 
@@ -71,11 +73,18 @@
         self._asked_at.update(dict.fromkeys(due, now))
         return due
 
-    def _summary(self, now: float, holdings: Holdings) -> Summary:
+    def _summary(
+        self,
+        now: float,
+        holdings: Holdings,
+        *,
+        wants_answers: bool,
+    ) -> Summary:
         return Summary(
             incarnation=self._incarnation,
             highest=holdings.highest,
             configuration_digest=holdings.configuration_digest,
             instances_digest=holdings.instances_digest,
             clock=now,
+            wants_answers=wants_answers,
         )
--- a/briartack/core/checks.py
+++ b/briartack/core/checks.py
@@ -10,6 +10,9 @@
 
 from briartack.core.units import InstanceId
 
+# Shorter than the silence of a parent, as a question precedes it, and since
+# the daemon that caused the check has already waited.
+CHECK_SECONDS: Final = 0.8
 # A daemon that answered is not checked again for this time, although the
 # one that went without it may keep doing so.
 TRUST_SECONDS: Final = 10.0
@@ -41,16 +44,12 @@
         if self._since.pop(peer, None) is not None:
             self._trusted_until[peer] = now + TRUST_SECONDS
 
-    def take_silent(
-        self,
-        now: float,
-        limit_seconds: float,
-    ) -> tuple[InstanceId, ...]:
+    def take_silent(self, now: float) -> tuple[InstanceId, ...]:
         """Return the peers that did not answer in time and end the checks."""
         silent = tuple(
             peer
             for peer, since in self._since.items()
-            if now - since >= limit_seconds
+            if now - since >= CHECK_SECONDS
         )
         for peer in silent:
             self._since.pop(peer)
--- a/briartack/core/dissemination.py
+++ b/briartack/core/dissemination.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias, final
 
-from briartack.core.announcer import GREETING_SECONDS, REMOTE_REPLY_SECONDS
+from briartack.core.announcer import GREETING_SECONDS
 from briartack.core.dissemination_state import DisseminationState
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.entries import INSTANCE_PREFIX, Entry
@@ -167,8 +167,14 @@
     state.tree.hear(event.now, event.peer)
     is_wanted = state.links.connect(event.peer, event.hello)
     if is_wanted or was_suspect or not holdings.has_snapshot:
-        greeting = state.announcer.send(event.now, (event.peer,), holdings)
-        effects.extend(greeting)
+        effects.extend(
+            state.announcer.send(
+                event.now,
+                (event.peer,),
+                holdings,
+                upward=state.links.upward,
+            ),
+        )
     effects.extend(work(state, event.now, holdings, membership))
     return effects
 
@@ -201,7 +207,7 @@
     if isinstance(message, Entries):
         return _take_entries(state, event, message, effects)
     effects.extend(_answer(state, event, holdings))
-    _check_subscriber(state, event, membership)
+    _check_parents_of_child(state, event, membership)
     effects.extend(work(state, event.now, holdings, membership))
     return Received(
         revision=holdings.highest,
@@ -225,7 +231,14 @@
             for peer in state.links.local
             if peer != source and not holds_same(state, peer, holdings)
         ]
-        effects.extend(state.announcer.send(now, unaware, holdings))
+        effects.extend(
+            state.announcer.send(
+                now,
+                unaware,
+                holdings,
+                upward=state.links.upward,
+            ),
+        )
     effects.extend(synchronise(state, now, holdings))
     return effects
 
@@ -272,36 +285,37 @@
         state.confirmation.on_store_answered()
 
 
-def _check_subscriber(
-    state: DisseminationState,
-    event: PeerMessageReceived,
-    membership: MembershipState,
-) -> None:
-    member = membership.get(event.peer)
-    is_subscriber = state.links.is_subscriber(event.peer)
-    if member and is_subscriber and isinstance(event.message, Summary):
-        state.tree.check_parents_of(event.now, member)
-
-
 def _take_summary(
     state: DisseminationState,
     event: PeerMessageReceived,
     summary: Summary,
     holdings: Holdings,
 ) -> Effects:
-    is_remote = state.links.is_remote(event.peer)
     state.sync.on_summary(
         event.now,
         event.peer,
         summary,
-        is_remote=is_remote,
+        is_remote=state.links.is_remote(event.peer),
     )
-    is_new = state.links.subscribe(event.now, event.peer)
-    if not is_new and (not is_remote or state.links.is_upward(event.peer)):
+    if not summary.wants_answers:
+        return []
+    if not state.links.subscribe(event.now, event.peer):
         return []
     return state.announcer.send(
         event.now,
         (event.peer,),
         holdings,
-        pause_seconds=GREETING_SECONDS if is_new else REMOTE_REPLY_SECONDS,
+        upward=state.links.upward,
+        pause_seconds=GREETING_SECONDS,
     )
+
+
+def _check_parents_of_child(
+    state: DisseminationState,
+    event: PeerMessageReceived,
+    membership: MembershipState,
+) -> None:
+    message = event.message
+    child = membership.get(event.peer)
+    if child and isinstance(message, Summary) and message.wants_answers:
+        state.tree.check_parents_of(event.now, child)
--- a/briartack/core/dissemination_state.py
+++ b/briartack/core/dissemination_state.py
@@ -67,6 +67,6 @@
 
     def starts_inventories_with(self, peer: InstanceId) -> bool:
         """Tell which side compares inventories, so that only one does."""
-        if not self.links.is_upward(peer):
+        if peer not in self.links.upward:
             return False
         return not self.links.is_remote(peer) or self.identity.instance < peer
--- a/briartack/core/links.py
+++ b/briartack/core/links.py
@@ -59,16 +59,20 @@
 
     @property
     def local(self) -> tuple[InstanceId, ...]:
-        """Return the linked parents and subscribers of this region."""
-        peers = (*self.parents, *self._subscribers.current())
+        """Return the linked neighbours in this region."""
         return tuple(
-            peer for peer in dict.fromkeys(peers) if not self.is_remote(peer)
+            peer for peer in self._neighbours() if not self.is_remote(peer)
         )
 
     @property
     def remote(self) -> tuple[InstanceId, ...]:
-        """Return the linked daemons of other regions that this one asks."""
-        return self._linked(self._remote_members())
+        """Return the linked neighbours in other regions."""
+        return tuple(filter(self.is_remote, self._neighbours()))
+
+    @property
+    def upward(self) -> frozenset[InstanceId]:
+        """Return the peers that this daemon counts on."""
+        return self._upward
 
     def is_linked(self, peer: InstanceId) -> bool:
         """Tell whether a stream to a peer is up."""
@@ -78,14 +82,10 @@
         """Tell whether a connected peer runs in another region."""
         return self._regions.get(peer) != self._identity.region
 
-    def is_upward(self, peer: InstanceId) -> bool:
-        """Tell whether this daemon counts on a peer."""
-        return peer in self._upward
-
     def connect(self, peer: InstanceId, hello: Hello) -> bool:
         """Note a stream and tell whether the tree wants it."""
         self._regions[peer] = hello.region
-        return any(member.instance == peer for member in self._neighbours())
+        return any(member.instance == peer for member in self._wanted())
 
     def disconnect(self, now: float, peer: InstanceId) -> None:
         """Note that a stream is down, and plan to dial again soon."""
@@ -97,17 +97,8 @@
             self._scout.fail(peer)
 
     def subscribe(self, now: float, peer: InstanceId) -> bool:
-        """Note a summary and tell whether its sender is a new subscriber."""
-        if peer in self._upward:
-            return False
-        is_child = any(
-            child.instance == peer for child in self._tree.place.children
-        )
-        return self._subscribers.renew(now, peer, is_child=is_child)
-
-    def is_subscriber(self, peer: InstanceId) -> bool:
-        """Tell whether a peer counts on this daemon."""
-        return peer in self._subscribers.current()
+        """Note a summary of a child and tell whether the child is new."""
+        return self._subscribers.renew(now, peer)
 
     def unsubscribe(self, peer: InstanceId) -> None:
         """Forget a subscriber that is about to stop."""
@@ -121,15 +112,11 @@
         """Follow the place in the tree and dial who is missing."""
         if self._tree.is_list_known:
             self._scout.follow(now, membership.live_members())
-        upward = frozenset(
+        self._upward = frozenset(
             member.instance
             for member in (*self._tree.place.parents, *self._remote_members())
         )
         self._subscribers.expire(now)
-        self._subscribers.dismiss(now, self._upward - upward)
-        for peer in upward - self._upward:
-            self._subscribers.remove(peer)
-        self._upward = upward
         wishes = [
             wish
             for wish in self._wishes(membership)
@@ -148,7 +135,12 @@
         wanted = (*self._tree.place.remote_roots, *self._scout.current())
         return tuple(dict.fromkeys(wanted))
 
-    def _neighbours(self) -> Iterator[Member]:
+    def _neighbours(self) -> tuple[InstanceId, ...]:
+        members = (*self._tree.place.parents, *self._remote_members())
+        peers = (*self._linked(members), *self._subscribers.current())
+        return tuple(dict.fromkeys(peers))
+
+    def _wanted(self) -> Iterator[Member]:
         yield from self._tree.place.parents
         yield from self._remote_members()
         yield from self._tree.place.children
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -56,6 +56,7 @@
     configuration_digest: Digest
     instances_digest: Digest
     clock: float
+    wants_answers: bool = False  # the receiver is a parent of the sender
 
 
 @final
--- a/briartack/core/store_reads.py
+++ b/briartack/core/store_reads.py
@@ -104,6 +104,7 @@
     def set_duty(self, *, is_on_duty: bool) -> Effects:
         """Begin or end the watch."""
         self._is_on_duty = is_on_duty
+        self._must_probe = self._must_probe and is_on_duty
         if is_on_duty or self._watch_deadline is None:
             return []
         self._watch_deadline = None
--- a/briartack/core/tree_place.py
+++ b/briartack/core/tree_place.py
@@ -130,19 +130,16 @@
         is_expected = child in self._place.children
         if is_expected or self._tree is None:
             return
+        # Own parents too: one of two may be silent without being suspected.
+        expected = (parent.instance for parent in self._tree.parents(child))
         self._checks.begin(
             now,
-            (
-                parent.instance
-                for parent in self._tree.parents(child)
-                if parent.instance != self._own.instance
-                and parent.instance not in self._parents_since
-            ),
+            (peer for peer in expected if peer != self._own.instance),
         )
 
     def suspect(self, now: float) -> Effects:
         """Suspect whom a check or all of the parents' silence condemns."""
-        silent = self._checks.take_silent(now, self._silence_limit)
+        silent = self._checks.take_silent(now)
         heard_at = max(self._parents_since.values(), default=now)
         if now - heard_at >= self._silence_limit:
             silent = (*silent, *self._parents_since)
--- a/briartack/core/upkeep.py
+++ b/briartack/core/upkeep.py
@@ -65,6 +65,7 @@
                 now,
                 peers,
                 holdings,
+                upward=state.links.upward,
                 pause_seconds=pause_seconds,
             ),
         )
