--- a/briartack/core/versions.py
+++ b/briartack/core/versions.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final, NamedTuple, final
 
@@ -31,6 +32,7 @@
 )
 
 DIGEST_BYTES: Final = 16
+KINDS: Final = ('services', 'policies', 'workspaces')
 _NO_TEAM: Final = TeamSettings()
 _NO_PLATFORM: Final = PlatformSettings()
 
@@ -94,6 +96,7 @@
     team: str  # empty for the platform
     settings: TeamSettings
     platform: PlatformSettings
+    defined: Mapping[ResourceId, Resource]
     foreign: frozenset[ResourceId]  # what its routes need of other teams
 
     @property
@@ -103,8 +106,7 @@
 
     def held(self, resource_id: ResourceId) -> Held | None:
         """Give the definition of a resource of this team, if it has one."""
-        section = section_of(self.settings, resource_id.kind)
-        resource = section.get(resource_id.name)
+        resource = self.defined.get(resource_id)
         if resource is None:
             return None
         return Held(revision=self.revision, resource=resource)
@@ -132,6 +134,11 @@
         team=team,
         settings=settings,
         platform=platform,
+        defined={
+            ResourceId(kind, team, name): resource
+            for kind in KINDS
+            for name, resource in section_of(settings, kind).items()
+        },
         foreign=_foreign(team, settings),
     )
 
