Split the streams to peers by job and the tests' servers from the tests

Peers and PeerStream had more methods than the style guide allows: the outbox, the life of streams and the sending of messages are modules now. Tests use one scripted server instead of nested functions.

--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -1,7 +1,6 @@
 """One msgpack stream to or from a peer: frames out, messages in."""
 
 import os
-from collections import deque
 from collections.abc import Iterator
 from typing import Final, final
 
@@ -9,55 +8,17 @@
 from gevent import socket
 
 from briartack.core.messages import (
-    MAX_CHUNK_BYTES,
-    Chunk,
     Hello,
     PeerMessage,
 )
-from briartack.core.units import AttemptId
-from briartack.framing import FrameReader, encode
+from briartack.framing import FrameReader
+from briartack.peer_outbox import PeerOutbox
 
-MAX_QUEUED_BYTES: Final = 33_554_432
 _RECEIVE_BYTES: Final = 262144
 _CLOSE_SECONDS: Final = 5.0
 _DRAIN_STEP_SECONDS: Final = 0.01
 
 
-@final
-class _BulkBody:
-    """Hold a body that leaves in chunks between smaller messages."""
-
-    __slots__ = ('attempt_id', 'of_answer', '_body', '_offset')
-
-    def __init__(
-        self,
-        *,
-        attempt_id: AttemptId,
-        of_answer: bool,
-        body: bytes,
-    ) -> None:
-        self.attempt_id: Final = attempt_id
-        self.of_answer: Final = of_answer
-        self._body = body
-        self._offset = 0
-
-    @property
-    def left_bytes(self) -> int:
-        """Count the bytes that have not become chunks."""
-        return len(self._body) - self._offset
-
-    def next_chunk(self) -> Chunk:
-        """Cut off the next chunk."""
-        offset = self._offset
-        self._offset = min(offset + MAX_CHUNK_BYTES, len(self._body))
-        return Chunk(
-            attempt_id=self.attempt_id,
-            of_answer=self.of_answer,
-            offset=offset,
-            payload=self._body[offset : self._offset],
-        )
-
-
 @final
 class PeerStream:
     """Read and write one connected socket."""
@@ -66,16 +27,13 @@
         '_sock',
         '_descriptor',
         '_frames',
-        '_pending',
-        '_pending_bytes',
-        '_bulk',
-        '_bulk_bytes',
         '_is_writing',
         '_is_ending',
         '_is_closed',
         '_remote_address',
         'hello',
         'is_outgoing',
+        'outbox',
     )
 
     def __init__(
@@ -91,29 +49,16 @@
             1,
         )
         self.is_outgoing: Final = is_outgoing
+        self.outbox: Final = PeerOutbox()
         self.hello: Hello | None = None
         self._sock = sock
         self._descriptor = sock.fileno()
         self._frames = FrameReader()
-        self._pending: deque[bytes] = deque()
-        self._pending_bytes = 0
-        self._bulk: deque[_BulkBody] = deque()
-        self._bulk_bytes = 0
         self._is_writing = False
         self._is_ending = False
         self._is_closed = False
         self._remote_address = _remote_address(sock)
 
-    @property
-    def queued_bytes(self) -> int:
-        """Count what waits to be written."""
-        return self._pending_bytes + self._bulk_bytes
-
-    @property
-    def is_over_limit(self) -> bool:
-        """Tell whether the peer reads too slowly."""
-        return self.queued_bytes > MAX_QUEUED_BYTES
-
     @property
     def is_closed(self) -> bool:
         """Tell whether the socket has been closed here."""
@@ -140,41 +85,12 @@
                 return
             yield from self._frames.feed(received)
 
-    def queue(self, frame: bytes) -> None:
-        """Append a frame; `flush` sends it."""
-        self._pending.append(frame)
-        self._pending_bytes += len(frame)
-
-    def queue_body(
-        self,
-        *,
-        attempt_id: AttemptId,
-        of_answer: bool,
-        body: bytes,
-    ) -> None:
-        """Append a body that leaves in chunks."""
-        self._bulk.append(
-            _BulkBody(
-                attempt_id=attempt_id,
-                of_answer=of_answer,
-                body=body,
-            ),
-        )
-        self._bulk_bytes += len(body)
-
-    def drop_body(self, attempt_id: AttemptId) -> None:
-        """Stop sending the bodies of a withdrawn attempt."""
-        self._bulk = deque(
-            body for body in self._bulk if body.attempt_id != attempt_id
-        )
-        self._bulk_bytes = sum(body.left_bytes for body in self._bulk)
-
     def flush(self) -> None:
         """Write what the socket takes now and leave the rest to a greenlet."""
         if self._is_closed or self._is_writing:
             return
-        rest = self._write_now(self._take_pending())
-        if rest or self._bulk or self._is_ending:
+        rest = self._write_now(self.outbox.take_frames())
+        if rest or self.outbox.queued_bytes or self._is_ending:
             self._is_writing = True
             gevent.spawn(self._write_rest, rest)
 
@@ -195,22 +111,9 @@
         """Close the socket at once."""
         if not self._is_closed:
             self._is_closed = True
-            self._pending.clear()
-            self._bulk.clear()
-            self._pending_bytes = 0
-            self._bulk_bytes = 0
+            self.outbox.clear()
             self._sock.close()
 
-    def _take_pending(self) -> bytes:
-        whole = (
-            self._pending[0]
-            if len(self._pending) == 1
-            else b''.join(self._pending)
-        )
-        self._pending.clear()
-        self._pending_bytes = 0
-        return whole
-
     def _write_now(self, whole: bytes) -> bytes:
         # A direct write saves a switch to another greenlet. The descriptor
         # is non-blocking, as those of all gevent sockets are.
@@ -236,23 +139,11 @@
 
     def _write_all(self, rest: bytes) -> None:
         self._sock.sendall(rest)
-        while not self._is_closed and (self._pending or self._bulk):
-            # Small messages go first, so a large body does not delay them.
-            if self._pending:
-                self._sock.sendall(self._take_pending())
-            if self._bulk:
-                self._sock.sendall(self._next_chunk())
+        while not self._is_closed and self.outbox.queued_bytes:
+            self._sock.sendall(self.outbox.take_next())
         if self._is_ending:
             self._shutdown(socket.SHUT_WR)
 
-    def _next_chunk(self) -> bytes:
-        body = self._bulk.popleft()
-        chunk = body.next_chunk()
-        self._bulk_bytes -= len(chunk.payload)
-        if body.left_bytes:
-            self._bulk.append(body)
-        return encode(chunk)
-
     def _shutdown(self, how: int) -> None:
         if self._is_closed:
             return
--- a/briartack/peers.py
+++ b/briartack/peers.py
@@ -1,18 +1,11 @@
-"""Streams to all peers: dialling, accepting, one stream for each peer.
+"""Messages and bodies to peers, and the effects that concern streams."""
 
-If two daemons dial each other at once, both streams come up. Both sides keep
-the one that the lower instance id dialled. Its dialler then ends the other
-stream, which is read to its end, so no message in flight is lost.
-"""
+from typing import final
 
-from typing import Final, final
-
-import gevent
 import msgspec
-from gevent import socket
 from gevent.server import StreamServer
 
-from briartack.addresses import Address, parse_address
+from briartack.addresses import Address
 from briartack.bodies import Bodies
 from briartack.core.effects import (
     Connect,
@@ -22,47 +15,34 @@
     SendAttempt,
     SendMessage,
 )
-from briartack.core.events import PeerConnected, PeerDisconnected
 from briartack.core.identity import Identity
 from briartack.core.messages import (
     MAX_CHUNK_BYTES,
-    PROTOCOL_VERSION,
     Answer,
     Attempt,
     Cancel,
-    Hello,
     PeerMessage,
 )
 from briartack.core.units import InstanceId
-from briartack.error_texts import (
-    MALFORMED_FRAME,
-    MESSAGE_TOO_LARGE,
-    PEER_QUEUE_FULL,
-)
-from briartack.framing import MAX_FRAME_BYTES, MalformedFrameError, encode
+from briartack.error_texts import MESSAGE_TOO_LARGE, PEER_QUEUE_FULL
+from briartack.framing import MAX_FRAME_BYTES, encode
 from briartack.peer_inbox import PeerInbox
+from briartack.peer_links import PeerLinks
 from briartack.peer_stream import PeerStream
-from briartack.ports import BACKLOG, Clock, Deliver, Observer
-
-_DIAL_SECONDS: Final = 2.0
-_HELLO_SECONDS: Final = 3.0
+from briartack.ports import Clock, Deliver, Observer
 
 
 @final
 class Peers:
-    """Keep at most one stream in use for each peer."""
+    """Send to peers; a peer without a stream gets nothing."""
 
     __slots__ = (
-        '_identity',
         '_bodies',
-        '_deliver',
-        '_clock',
         '_observer',
-        '_streams',
-        '_dialling',
+        '_inbox',
+        '_links',
         '_unflushed',
         '_encoded',
-        '_inbox',
     )
 
     def __init__(
@@ -75,54 +55,49 @@
         observer: Observer,
     ) -> None:
         """Start without streams."""
-        self._identity = identity
         self._bodies = bodies
-        self._deliver = deliver
-        self._clock = clock
         self._observer = observer
-        self._streams: dict[InstanceId, PeerStream] = {}
-        self._dialling: set[InstanceId] = set()
+        self._inbox = PeerInbox(bodies=bodies, deliver=deliver, clock=clock)
+        self._links = PeerLinks(
+            identity=identity,
+            inbox=self._inbox,
+            deliver=deliver,
+            clock=clock,
+            observer=observer,
+        )
         self._unflushed: list[PeerStream] = []
         self._encoded: tuple[PeerMessage | None, bytes] = (None, b'')
-        self._inbox = PeerInbox(bodies=bodies, deliver=deliver, clock=clock)
 
     @property
     def queued_bytes(self) -> int:
         """Count what waits to be written to all peers."""
-        return sum(stream.queued_bytes for stream in self._streams.values())
+        return sum(stream.outbox.queued_bytes for stream in self._links.streams)
 
     def server(self, address: Address) -> StreamServer:
         """Make the server for peers; it does not listen yet."""
-        return StreamServer(address, self._accept, backlog=BACKLOG)
+        return self._links.server(address)
 
     def connect(self, effect: Connect) -> None:
         """Dial a peer unless a stream to it is up or being made."""
-        peer = effect.peer
-        if peer in self._streams or peer in self._dialling:
-            return
-        self._dialling.add(peer)
-        gevent.spawn(self._dial, peer, effect.address)
+        self._links.connect(effect)
 
     def disconnect(self, effect: Disconnect) -> None:
         """End the stream to a peer; no event follows."""
-        stream = self._streams.pop(effect.peer, None)
-        if stream is not None:
-            self._inbox.forget(effect.peer)
-            stream.end()
+        self._links.end(effect.peer)
 
     def send_message(self, effect: SendMessage) -> None:
         """Queue a message; a peer without a stream does not get it."""
-        stream = self._streams.get(effect.peer)
+        stream = self._links.stream(effect.peer)
         if stream is None:
             return
         message = effect.message
         if isinstance(message, Cancel):
-            stream.drop_body(message.attempt_id)
+            stream.outbox.drop_body(message.attempt_id)
         self._queue(effect.peer, stream, self._encode_once(message))
 
     def send_attempt(self, effect: SendAttempt) -> None:
         """Queue an attempt and its body."""
-        stream = self._streams.get(effect.peer)
+        stream = self._links.stream(effect.peer)
         if stream is not None:
             body = self._bodies.get(effect.body_id)
             self._queue_with_body(effect.peer, stream, effect.attempt, body)
@@ -132,7 +107,7 @@
         answer = effect.answer
         body = self._bodies.get(effect.body_id)
         self._inbox.drop_attempt(effect.peer, answer.attempt_id)
-        stream = self._streams.get(effect.peer)
+        stream = self._links.stream(effect.peer)
         if stream is not None:
             self._queue_with_body(effect.peer, stream, answer, body)
 
@@ -145,7 +120,7 @@
 
     def end_all(self) -> None:
         """End all streams after what is queued."""
-        for stream in self._streams.values():
+        for stream in self._links.streams:
             stream.end()
 
     def _queue_with_body(
@@ -159,7 +134,7 @@
             head = msgspec.structs.replace(head, body=body)
         self._queue(peer, stream, encode(head))
         if len(body) > MAX_CHUNK_BYTES:
-            stream.queue_body(
+            stream.outbox.queue_body(
                 attempt_id=head.attempt_id,
                 of_answer=isinstance(head, Answer),
                 body=body,
@@ -188,180 +163,11 @@
                 bytes=str(len(frame)),
             )
             return
-        if stream.is_over_limit:
+        if stream.outbox.is_over_limit:
             self._observer.count('peers.queue_full')
             self._observer.log(LogLevel.WARNING, PEER_QUEUE_FULL, peer=peer)
-            self._lost(peer, stream, 'outgoing queue is full')
+            self._links.lose(peer, stream, 'outgoing queue is full')
             return
         self._observer.count('peers.messages_sent')
-        stream.queue(frame)
+        stream.outbox.queue(frame)
         self._unflushed.append(stream)
-
-    def _hello(self) -> bytes:
-        identity = self._identity
-        return encode(
-            Hello(
-                protocol_version=PROTOCOL_VERSION,
-                instance=identity.instance,
-                incarnation=identity.incarnation,
-                service=identity.service,
-                data_centre=identity.data_centre,
-                region=identity.region,
-                clock=self._clock(),
-            ),
-        )
-
-    def _dial(self, peer: InstanceId, address: str) -> None:
-        try:
-            sock = socket.create_connection(
-                parse_address(address),
-                timeout=_DIAL_SECONDS,
-            )
-        except (OSError, ValueError) as error:
-            self._dialling.discard(peer)
-            self._report_lost(peer, f'dialling failed: {error}')
-            return
-        stream = PeerStream(sock=sock, is_outgoing=True)
-        stream.queue(self._hello())
-        stream.flush()
-        reason = self._run(stream, expected=peer)
-        if peer in self._dialling:
-            self._dialling.discard(peer)
-            self._report_lost(peer, reason)
-
-    def _accept(self, sock: socket.socket, address: Address) -> None:
-        self._run(PeerStream(sock=sock, is_outgoing=False), expected=None)
-
-    def _run(self, stream: PeerStream, *, expected: InstanceId | None) -> str:
-        reason = 'closed by peer'
-        try:
-            self._read(stream, expected)
-        except MalformedFrameError as error:
-            reason = f'malformed frame: {error}'
-            self._log_malformed(stream, expected, str(error))
-        except OSError as error:
-            reason = f'connection failed: {error}'
-        if stream.hello is not None:
-            self._lost(stream.hello.instance, stream, reason)
-        stream.close()
-        return reason
-
-    def _read(
-        self,
-        stream: PeerStream,
-        expected: InstanceId | None,
-    ) -> None:
-        stream.set_timeout(_HELLO_SECONDS)
-        for message in stream.messages():
-            if stream.hello is None:
-                self._greet(stream, _checked_hello(message, expected))
-                stream.set_timeout(None)
-            else:
-                self._observer.count('peers.messages_received')
-                self._inbox.receive(stream.hello.instance, message)
-
-    def _greet(self, stream: PeerStream, hello: Hello) -> None:
-        peer = hello.instance
-        stream.hello = hello
-        if not stream.is_outgoing:
-            # The dialler may only end another stream once it knows that this
-            # side has this one, so the acceptor greets second.
-            stream.queue(self._hello())
-            stream.flush()
-        self._dialling.discard(peer)
-        present = self._streams.get(peer)
-        if present is None:
-            self._streams[peer] = stream
-            self._report_connected(hello)
-        elif self._is_second_of_two(present, stream):
-            self._keep_one(peer, present, stream)
-        else:
-            # The peer restarted or lost the old stream without our notice.
-            self._lost(peer, present, 'replaced by a new stream')
-            present.close()
-            self._streams[peer] = stream
-            self._report_connected(hello)
-
-    def _is_second_of_two(self, present: PeerStream, new: PeerStream) -> bool:
-        return (
-            present.hello is not None
-            and new.hello is not None
-            and present.hello.incarnation == new.hello.incarnation
-            and present.is_outgoing != new.is_outgoing
-        )
-
-    def _keep_one(
-        self,
-        peer: InstanceId,
-        present: PeerStream,
-        new: PeerStream,
-    ) -> None:
-        is_lower = self._identity.instance < peer
-        kept, spare = (
-            (new, present) if new.is_outgoing == is_lower else (present, new)
-        )
-        self._streams[peer] = kept
-        self._observer.count('peers.simultaneous_dials')
-        if is_lower:
-            spare.end()
-
-    def _lost(self, peer: InstanceId, stream: PeerStream, reason: str) -> None:
-        if self._streams.get(peer) is not stream:
-            # A spare stream ended; the one in use goes on.
-            stream.drain()
-            return
-        self._streams.pop(peer)
-        self._inbox.forget(peer)
-        stream.close()
-        self._report_lost(peer, reason)
-
-    def _report_connected(self, hello: Hello) -> None:
-        self._deliver(
-            PeerConnected(
-                now=self._clock(),
-                peer=hello.instance,
-                hello=hello,
-            ),
-        )
-
-    def _report_lost(self, peer: InstanceId, reason: str) -> None:
-        if peer in self._streams:
-            return
-        self._observer.count('peers.disconnects')
-        self._deliver(
-            PeerDisconnected(now=self._clock(), peer=peer, reason=reason),
-        )
-
-    def _log_malformed(
-        self,
-        stream: PeerStream,
-        expected: InstanceId | None,
-        reason: str,
-    ) -> None:
-        peer = expected if stream.hello is None else stream.hello.instance
-        self._observer.count('peers.malformed_frames')
-        self._observer.log(
-            LogLevel.WARNING,
-            MALFORMED_FRAME,
-            peer=peer or 'unknown',
-            address=stream.remote_address,
-            reason=reason,
-        )
-
-
-def _checked_hello(
-    message: PeerMessage,
-    expected: InstanceId | None,
-) -> Hello:
-    if not isinstance(message, Hello):
-        raise MalformedFrameError('the first message is not hello')
-    if message.protocol_version != PROTOCOL_VERSION:
-        raise MalformedFrameError(
-            f'protocol version {message.protocol_version}, '
-            f'expected {PROTOCOL_VERSION}',
-        )
-    if expected is not None and message.instance != expected:
-        raise MalformedFrameError(
-            f'dialled {expected}, answered by {message.instance}',
-        )
-    return message
--- a/briartack/recorder.py
+++ b/briartack/recorder.py
@@ -4,7 +4,7 @@
 else the reducer needs: the identity, the seed and the drain time.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from types import MappingProxyType
@@ -16,7 +16,7 @@
 from briartack.core.identity import Identity
 
 # The tag of a line is the class name of its event.
-_EVENT_CLASSES: Final = MappingProxyType(
+_EVENT_CLASSES: Final[Mapping[str, type[events.Event]]] = MappingProxyType(
     {
         event_class.__name__: event_class
         for event_class in get_args(events.Event)
--- a/briartack/test/fake_reducer.py
+++ b/briartack/test/fake_reducer.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.server import StreamServer
 
+from briartack.addresses import Address
 from briartack.core import effects, events
 from briartack.core.body_ids import answer_body, attempt_body, call_body
 from briartack.core.effects import Effects
@@ -39,9 +40,7 @@
 
     def wait_for(self, event_class: type[Any], number: int = 1) -> list[Any]:
         """Wait until enough events of a class are there, or raise."""
-        with gevent.Timeout(WAIT_SECONDS):
-            while len(self.seen(event_class)) < number:
-                gevent.sleep(0.001)
+        wait_until(lambda: len(self.seen(event_class)) >= number)
         return self.seen(event_class)
 
 
@@ -256,17 +255,63 @@
         self.logs.append((code, fields))
 
 
-def serve(handle: Callable[[Any], None]) -> StreamServer:
-    """Serve each connection on a free port with a function of its socket."""
+class ScriptedServer:
+    """Read one request for each connection and answer with fixed bytes."""
 
-    def handle_until_reset(sock: Any, address: Any) -> None:
+    def __init__(
+        self, answer: bytes = b'', *, is_waiting: bool = False
+    ) -> None:
+        self.requests: list[bytes] = []
+        self.ends: list[bytes] = []
+        self.answer = answer
+        self._is_waiting = is_waiting  # keep the connection for the client
+        self._server = StreamServer((LOCAL, 0), self._handle)
+        self._server.start()
+
+    @property
+    def address(self) -> Address:
+        return LOCAL, self._server.server_port
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0)
+
+    def _handle(self, sock: Any, address: Any) -> None:
         # The client under test may close the connection at any point.
         with contextlib.suppress(OSError):
-            handle(sock)
+            self.requests.append(read_request(sock))
+            sock.sendall(self.answer)
+            if self._is_waiting:
+                self.ends.append(sock.recv(1))
+        sock.close()
+        self.ends.append(b'closed')
 
-    server = StreamServer((LOCAL, 0), handle_until_reset)
-    server.start()
-    return server
+
+class EchoServer(StreamServer):  # type: ignore[misc]
+    """Answer each request of a connection with its own body."""
+
+    def __init__(self) -> None:
+        super().__init__((LOCAL, 0))
+        self.requests: list[bytes] = []
+        self.start()
+
+    def handle(self, sock: Any, address: Any) -> None:
+        while True:
+            request = read_request(sock)
+            if not request:
+                return
+            self.requests.append(request)
+            body = request.partition(b'\r\n\r\n')[2]
+            sock.sendall(
+                b'HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n'
+                b'Content-Length: %d\r\n\r\n%b' % (len(body), body),
+            )
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds, or raise."""
+    with gevent.Timeout(WAIT_SECONDS):
+        while not condition():
+            gevent.sleep(0.001)
 
 
 def read_request(sock: Any) -> bytes:
@@ -284,4 +329,4 @@
             length = int(line.partition(b':')[2])
     while len(body) < length:
         body += sock.recv(65536)
-    return head + b'\r\n\r\n' + body
+    return b'\r\n\r\n'.join((head, body))
--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -2,21 +2,20 @@
 
 import json
 import unittest
-from typing import Any
 
 import gevent
 from nose2.tools import params
 
 from briartack.core import events
 from briartack.core.messages import MAX_BODY_BYTES
-from briartack.test.fake_reducer import LOCAL, read_request, serve
+from briartack.test.fake_reducer import LOCAL, EchoServer
 from briartack.test.small_shell import SmallShell, read_answer
 
 
 class CallersTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.requests: list[bytes] = []
-        self.upstream = serve(self._upstream)
+        self.upstream = EchoServer()
+        self.requests = self.upstream.requests
         self.addCleanup(self.upstream.stop, timeout=0)
         self.shell = SmallShell(upstream=(LOCAL, self.upstream.server_port))
         self.addCleanup(self.shell.stop)
@@ -31,12 +30,13 @@
             b'Briartack-Deadline-Ms: 250\r\nContent-Length: 3\r\n\r\nabc',
         )
         status, head, body = read_answer(self.caller)
-        self.assertEqual((status, body), (200, b'POST /saldo/1?x=%20'))
+        self.assertEqual((status, body), (200, b'abc'))
         self.assertIn(b'Briartack-Verdict: ran', head)
         arrived = self.shell.state.seen(events.CallArrived)[0]
         self.assertEqual(arrived.headers, (('Host', 'h'), ('X-Tenant', 't')))
         self.assertEqual((arrived.tenant, arrived.deadline_ms), ('t', 250))
         sent = self.requests[0]
+        self.assertTrue(sent.startswith(b'POST /saldo/1?x=%20 HTTP/1.1\r\n'))
         self.assertTrue(sent.endswith(b'\r\n\r\nabc'))
         self.assertIn(b'Briartack-Deadline-Ms: 5000\r\n', sent)
         self.assertNotIn(b'Hop', sent)
@@ -57,7 +57,7 @@
         """Guards against a wrong limit, and against memory without bound."""
         body = b'x' * MAX_BODY_BYTES
         head = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n'
-        self.caller.sendall(head % len(body) + body)
+        self.caller.sendall(b''.join((head % len(body), body)))
         self.assertEqual(read_answer(self.caller)[0], 200)
         self.caller.sendall(head % (len(body) + 1))
         status, answer_head, refusal = read_answer(self.caller)
@@ -86,8 +86,8 @@
         b'GET / HTTP/1.1\r\nA : b\r\n\r\n',
         b'GET / HTTP/1.1\r\nA: \0\r\n\r\n',
         b'GET / HTTP/1.1\r\nBriartack-Deadline-Ms: soon\r\n\r\n',
-        b'GET / HTTP/1.1\r\nA: ' + b'x' * 70_000 + b'\r\n\r\n',
-        b'GET / HTTP/1.1\r\n' + b'A: b\r\n' * 200 + b'\r\n',
+        b'GET / HTTP/1.1\r\nA: %b\r\n\r\n' % (b'x' * 70_000),
+        b'GET / HTTP/1.1\r\n%b\r\n' % (b'A: b\r\n' * 200),
         b'GET http://other/ HTTP/1.1\r\n\r\n',
         b'G(T / HTTP/1.1\r\n\r\n',
         b'GET /.briartack/keys?service=s HTTP/1.1\r\n\r\n',
@@ -148,15 +148,3 @@
         self.assertEqual(read_answer(self.caller)[0], 200)
         self.shell.callers.close_idle(idle_seconds=-1)
         self.assertEqual(self.caller.recv(1), b'')
-
-    def _upstream(self, sock: Any) -> None:
-        while True:
-            request = read_request(sock)
-            if not request:
-                return
-            self.requests.append(request)
-            line = b' '.join(request.split(b'\r\n')[0].split(b' ')[:2])
-            sock.sendall(
-                b'HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n'
-                b'Content-Length: %d\r\n\r\n%b' % (len(line), line),
-            )
--- a/briartack/test/test_framing.py
+++ b/briartack/test/test_framing.py
@@ -58,6 +58,9 @@
 )
 
 
+HUGE_FRAME = b'\xc6\xff\xff\xff\xff%b'
+
+
 def read_all(received: bytes) -> list[PeerMessage]:
     """Read a stream that arrives at once."""
     return list(FrameReader().feed(received))
@@ -96,15 +99,14 @@
     )
     def test_malformed(self, received: bytes, reason: str) -> None:
         """Guards against taking or hanging on bytes that are no message."""
-        with self.assertRaises(MalformedFrameError) as caught:
+        with self.assertRaisesRegex(MalformedFrameError, reason):
             read_all(received)
-        self.assertIn(reason, str(caught.exception))
 
     def test_message_before_a_malformed_frame_arrives(self) -> None:
         """Guards against losing what was sent before the fault."""
         seen = []
         with self.assertRaises(MalformedFrameError):
-            for message in FrameReader().feed(encode(ANSWER) + b'\xc1'):
+            for message in FrameReader().feed(b'%b\xc1' % encode(ANSWER)):
                 seen.append(message)
         self.assertEqual(seen, [ANSWER])
 
@@ -113,7 +115,7 @@
         reader = FrameReader()
         with self.assertRaises(MalformedFrameError):
             for _ in range(25):
-                list(reader.feed(b'\xc6\xff\xff\xff\xff' + b'x' * 1_000_000))
+                list(reader.feed(HUGE_FRAME % (b'x' * 1_000_000)))
 
 
 class AssemblyTest(unittest.TestCase):
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -15,8 +15,7 @@
 from briartack.test.fake_reducer import (
     LOCAL,
     WAIT_SECONDS,
-    read_request,
-    serve,
+    EchoServer,
 )
 from briartack.test.small_shell import SmallShell, read_answer
 
@@ -144,23 +143,17 @@
     @params(10, 65536, 65537, 5_000_000)
     def test_bodies_both_ways_over_one_hop(self, size: int) -> None:
         """Guards against bodies that are cut or mixed with other messages."""
-
-        def echo(sock: Any) -> None:
-            body = read_request(sock).partition(b'\r\n\r\n')[2]
-            head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
-            sock.sendall(head % len(body) + body)
-
-        server = serve(echo)
+        bodies = [bytes([65 + number]) * size for number in range(3)]
+        server = EchoServer()
         self.addCleanup(server.stop, timeout=0)
         owner = self.shell('b', upstream=(LOCAL, server.server_port))
         sender = self.shell('a', peer=owner.name)
         sender.dial(owner)
         sender.state.wait_for(events.PeerConnected)
-        callers = [sender.caller() for _ in range(3)]
-        bodies = [bytes([65 + number]) * size for number in range(3)]
-        request = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % size
-        for caller, body in zip(callers, bodies, strict=True):
-            gevent.spawn(caller.sendall, request + body)
+        callers = [sender.caller() for _ in bodies]
+        head = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % size
+        for number, body in enumerate(bodies):
+            gevent.spawn(callers[number].sendall, b''.join((head, body)))
         answers = [read_answer(caller)[2] for caller in callers]
         self.assertEqual(answers, bodies)
 
--- a/briartack/test/test_recorder.py
+++ b/briartack/test/test_recorder.py
@@ -42,6 +42,7 @@
         ),
     ),
 )
+TICK = b'{"type":"Tick","data":{"now":1}}'
 HEADER = TraceHeader(identity=identity('saldo-1'), seed=7, drain_seconds=30)
 EVENTS: tuple[events.Event, ...] = (
     events.Started(now=1.25, incarnation=Incarnation('i1')),
@@ -112,6 +113,6 @@
     )
     def test_broken_line_is_named(self, line: bytes) -> None:
         """Guards against an error that does not tell the place."""
-        self.path.write_bytes(b'{"type":"Tick","data":{"now":1}}\n' + line)
+        self.path.write_bytes(b'\n'.join((TICK, line)))
         with self.assertRaisesRegex(TraceError, 'trace:2: '):
             list(read_trace(self.path))
--- a/briartack/test/test_upstream.py
+++ b/briartack/test/test_upstream.py
@@ -1,16 +1,14 @@
 """The local upstream and the store when they misbehave."""
 
 import unittest
-from collections.abc import Callable
-from typing import Any
+from functools import partial
 
 import gevent
-from gevent.event import AsyncResult, Event
 from nose2.tools import params
 
 from briartack.core import effects, events
 from briartack.core.units import AttemptId, BodyId, Revision
-from briartack.test.fake_reducer import LOCAL, read_request, serve
+from briartack.test.fake_reducer import LOCAL, ScriptedServer, wait_until
 from briartack.test.small_shell import SmallShell
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -32,12 +30,17 @@
 class ServedTest(unittest.TestCase):
     """Serve raw bytes to a shell."""
 
-    def shell_of(self, handle: Callable[[Any], None]) -> SmallShell:
-        server = serve(handle)
-        self.addCleanup(server.stop, timeout=0)
-        shell = SmallShell(upstream=(LOCAL, server.server_port))
+    def serve(
+        self,
+        answer: bytes = b'',
+        *,
+        is_waiting: bool = False,
+    ) -> tuple[ScriptedServer, SmallShell]:
+        server = ScriptedServer(answer, is_waiting=is_waiting)
+        self.addCleanup(server.stop)
+        shell = SmallShell(upstream=server.address)
         self.addCleanup(shell.stop)
-        return shell
+        return server, shell
 
 
 class UpstreamTest(ServedTest):
@@ -50,19 +53,13 @@
         ),
         (b'SMTP ready\r\n\r\n', 'malformed answer'),
         (
-            b'HTTP/1.1 200 OK\r\nContent-Length: 17000000\r\n\r\n'
-            + b'x' * 17_000_000,
+            STORE_HEAD % (b'200 OK', b'', 17_000_000, b'x' * 17_000_000),
             'answer is too large',
         ),
     )
     def test_no_whole_answer(self, answer: bytes, reason: str) -> None:
         """Guards against a short success, and a false "not run"."""
-
-        def handle(sock: Any) -> None:
-            read_request(sock)
-            sock.sendall(answer)
-
-        shell = self.shell_of(handle)
+        _, shell = self.serve(answer)
         shell.upstream.dispatch(dispatch(1))
         failed = shell.state.wait_for(events.UpstreamFailed)[0]
         self.assertIn(reason, failed.reason)
@@ -80,38 +77,24 @@
     @params('GET', 'POST')
     def test_request_is_never_sent_twice(self, method: str) -> None:
         """Guards against a library that repeats a request by itself."""
-        requests = []
-
-        def handle(sock: Any) -> None:
-            requests.append(read_request(sock))
-
-        shell = self.shell_of(handle)
+        server, shell = self.serve()
         shell.upstream.dispatch(dispatch(1, method))
         shell.state.wait_for(events.UpstreamFailed)
         gevent.idle()
-        self.assertEqual(len(requests), 1)
+        self.assertEqual(len(server.requests), 1)
 
     def test_stale_pooled_connection_is_not_used(self) -> None:
         """Guards against "unknown" for a connection closed while idle."""
-        closed = Event()
-
-        def handle(sock: Any) -> None:
-            read_request(sock)
-            sock.sendall(OK)
-            sock.close()
-            closed.set()
-
-        shell = self.shell_of(handle)
+        server, shell = self.serve(OK)
         for number in (1, 2):
-            closed.clear()
             shell.upstream.dispatch(dispatch(number))
             shell.state.wait_for(events.UpstreamAnswered, number)
-            closed.wait()
+            wait_until(partial(_has_closed, server, number))
         self.assertEqual(shell.state.seen(events.UpstreamFailed), [])
 
     def test_slow_answer_times_out(self) -> None:
         """Guards against an attempt that outlives its deadline."""
-        shell = self.shell_of(lambda sock: gevent.sleep(60))
+        _, shell = self.serve(is_waiting=True)
         shell.upstream.dispatch(dispatch(1))
         failed = shell.state.wait_for(events.UpstreamFailed)[0]
         self.assertEqual(
@@ -120,18 +103,14 @@
 
     def test_abort_closes_the_connection(self) -> None:
         """Guards against an upstream that works for nobody."""
-        ended = AsyncResult()
-
-        def handle(sock: Any) -> None:
-            read_request(sock)
-            shell.upstream.abort(
-                effects.AbortDispatch(attempt_id=AttemptId('a1')),
-            )
-            ended.set(sock.recv(1))
-
-        shell = self.shell_of(handle)
+        server, shell = self.serve(is_waiting=True)
         shell.upstream.dispatch(dispatch(1))
-        self.assertEqual(ended.get(timeout=10), b'')
+        wait_until(lambda: bool(server.requests))
+        shell.upstream.abort(
+            effects.AbortDispatch(attempt_id=AttemptId('a1')),
+        )
+        wait_until(lambda: bool(server.ends))
+        self.assertEqual(server.ends[0], b'')
         self.assertEqual(shell.state.events, [])
         self.assertEqual(len(shell.bodies), 0)
 
@@ -158,12 +137,9 @@
         reason: str,
     ) -> None:
         """Guards against entries from an answer that is not whole."""
-
-        def handle(sock: Any) -> None:
-            read_request(sock)
-            sock.sendall(STORE_HEAD % (status, headers, len(body), body))
-
-        shell = self.shell_of(handle)
+        _, shell = self.serve(
+            STORE_HEAD % (status, headers, len(body), body),
+        )
         shell.store.read(effects.ReadStore(prefix='teams/'))
         failed = shell.state.wait_for(events.StoreFailed)[0]
         self.assertIn(reason, failed.reason)
@@ -173,24 +149,22 @@
 
     def test_watch_is_replaced_and_cancelled(self) -> None:
         """Guards against two watches, and events of a cancelled one."""
-        requests: list[bytes] = []
-        ends: list[bytes] = []
-
-        def handle(sock: Any) -> None:
-            requests.append(read_request(sock))
-            ends.append(sock.recv(1))
-
-        shell = self.shell_of(handle)
+        server, shell = self.serve(is_waiting=True)
         for after in (7, 8):
             shell.store.watch(
                 effects.WatchStore(after=Revision(after), wait_seconds=20),
             )
-            with gevent.Timeout(10):
-                while len(requests) < after - 6:
-                    gevent.sleep(0.001)
+            target = b'after=%d&' % after
+            wait_until(partial(_has_request, server, target))
         shell.store.cancel_watch(effects.CancelWatch())
-        with gevent.Timeout(10):
-            while len(ends) < 2:
-                gevent.sleep(0.001)
-        self.assertIn(b'GET /v1/watch?after=8&wait=20 ', requests[1])
+        wait_until(lambda: server.ends.count(b'') == 2)
+        self.assertIn(b'GET /v1/watch?after=8&wait=20 ', server.requests[1])
         self.assertEqual(shell.state.events, [])
+
+
+def _has_request(server: ScriptedServer, part: bytes) -> bool:
+    return any(part in request for request in server.requests)
+
+
+def _has_closed(server: ScriptedServer, number: int) -> bool:
+    return len(server.ends) == number
