Avoid frozen peers, refresh old clocks for free, dial nothing in a stop

A frozen process keeps its streams, so it was chosen again after each call that ended at its deadline. A peer that sent nothing since an attempt is now avoided for 2 s, doubled up to 16 s, until it is heard again. After a pause the readings of all endpoints are old; a refusal for an old reading no longer counts as an attempt, up to three times in a call.

--- a/briartack/core/attempt_sender.py
+++ b/briartack/core/attempt_sender.py
@@ -79,6 +79,7 @@
         body_id = call.body_id
         if peer == own.instance:
             return self._owner.begin_local(context, now, attempt, body_id)
+        call.sent_at = now
         self._endpoints.begin(peer)
         return [SendAttempt(peer=peer, attempt=attempt, body_id=body_id)]
 
@@ -107,6 +108,11 @@
             self._endpoints.end(call.peer)
         self._table.end_attempt(call)
 
+    def suspect(self, call: Call, now: float) -> None:
+        """Avoid the peer of an attempt that was not answered in time."""
+        if call.peer is not None:
+            self._endpoints.suspect(call.peer, call.sent_at, now)
+
     def learn(self, peer: InstanceId, reason: Reason, now: float) -> None:
         """Send nothing new to a peer that refused for a lasting cause."""
         if reason is reasons.STOPPING:
--- a/briartack/core/call_table.py
+++ b/briartack/core/call_table.py
@@ -51,7 +51,8 @@
     attempts: int = 0
     tried: tuple[InstanceId, ...] = ()
     may_have_run: bool = False
-    has_fresh_clock: bool = False
+    sent_at: float = 0
+    stale_clocks: int = 0
 
     @property
     def body_id(self) -> BodyId:
--- a/briartack/core/calls.py
+++ b/briartack/core/calls.py
@@ -297,14 +297,15 @@
     effects = state.sender.tick(context, event.now)
     effects.extend(state.owner.tick(event.now))
     effects.extend(state.keys.tick(event.now))
-    effects.extend(
-        state.streams.review(
-            context,
-            event.now,
-            state.routing,
-            state.endpoints,
-        ),
-    )
+    if not state.drain.is_draining:
+        effects.extend(
+            state.streams.review(
+                context,
+                event.now,
+                state.routing,
+                state.endpoints,
+            ),
+        )
     if state.drain.is_bound_over(event.now):
         effects.extend(_end_all(state, context, event.now))
     return _settle(state, context, event.now, effects)
--- a/briartack/core/endpoints.py
+++ b/briartack/core/endpoints.py
@@ -10,6 +10,7 @@
 NO_CLOCK: Final = float('-inf')
 # A peer that refuses for another cause than load may change its mind.
 AVOID_SECONDS: Final = 1.0
+MAX_SILENCE_SECONDS: Final = 16.0
 REDIAL_SECONDS: Final = 2.0
 # A peer that has not answered by then is taken to be unreachable; the slowest
 # link between regions needs 24 ms.
@@ -30,6 +31,7 @@
         'heard_at',
         'is_draining',
         'avoided_until',
+        'silences',
     )
 
     def __init__(
@@ -48,6 +50,7 @@
         self.heard_at = now
         self.is_draining = False
         self.avoided_until = now
+        self.silences = 0
 
     def is_usable(self, now: float) -> bool:
         """Tell whether a new attempt may be sent there."""
@@ -120,6 +123,9 @@
             return
         view.clock = clock
         view.heard_at = now
+        if view.silences:
+            view.silences = 0
+            view.avoided_until = now
 
     def report_load(self, peer: InstanceId, load: float, now: float) -> None:
         """Take the load that an answer carried."""
@@ -150,6 +156,19 @@
         if view is not None:
             view.avoided_until = now + AVOID_SECONDS
 
+    def suspect(self, peer: InstanceId, sent_at: float, now: float) -> None:
+        """Avoid a peer that has sent nothing since an attempt went to it.
+
+        A frozen process keeps its streams. One attempt tries it again after
+        each wait, because an idle stream brings no other news.
+        """
+        view = self._views.get(peer)
+        if view is None or view.heard_at > sent_at:
+            return
+        view.silences += 1
+        wait = min(MAX_SILENCE_SECONDS, 2**view.silences)
+        view.avoided_until = now + wait
+
     def may_dial(self, peer: InstanceId, now: float) -> bool:
         """Allow one dial of a peer without a stream every 2 s."""
         if peer in self._views:
--- a/briartack/core/sender.py
+++ b/briartack/core/sender.py
@@ -36,6 +36,10 @@
 STREAM_WAIT_SECONDS: Final = 0.5
 # The shell ticks at least this often; nearer times need a wake-up.
 TICK_SECONDS: Final = 0.1
+# A stream that was idle, or a pause, leaves readings that owners refuse. Each
+# refusal brings a fresh one, so these attempts are free; the next endpoint
+# that is chosen may have an old reading too.
+MAX_STALE: Final = 3
 
 
 @final
@@ -231,6 +235,7 @@
 
     def _due(self, context: CallContext, now: float, call: Call) -> Effects:
         if now >= call.deadline:
+            self._sender.suspect(call, now)
             return self._give_up(context, now, call, reasons.DEADLINE)
         if now < call.wait_until:
             return []
@@ -292,8 +297,9 @@
         """Retry after a failed attempt, or answer the caller."""
         if verdict is Verdict.UNKNOWN:
             call.may_have_run = True
-        if reason is reasons.STALE_CLOCK and not call.has_fresh_clock:
-            call.has_fresh_clock = True
+        if reason is reasons.STALE_CLOCK and call.stale_clocks < MAX_STALE:
+            call.stale_clocks += 1
+            call.attempts -= 1
             call.tried = call.tried[:-1]
             return self._next_attempt(context, now, call)
         wait = backoff_seconds(context.random, call.attempts)
