--- /dev/null
+++ b/briartack/test/fake_holdings.py
@@ -0,0 +1,120 @@
+"""Holdings and a store for tests, in memory and merged by revision alone."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from briartack.core.entries import Entry, is_instance_key
+from briartack.core.membership import MembershipState
+from briartack.core.units import Digest, Revision
+
+NO_REVISION = Revision(0)
+
+
+class FakeHoldings:
+    """Stands in for the snapshot: no references, no validation."""
+
+    def __init__(self) -> None:
+        self.membership = MembershipState()
+        self.configuration: dict[str, Entry] = {}
+        self._summarise()
+
+    @property
+    def highest(self) -> Revision:
+        return max(self.membership.highest, self._highest)
+
+    @property
+    def configuration_digest(self) -> Digest:
+        return self._digest
+
+    @property
+    def instances_digest(self) -> Digest:
+        return self.membership.digest
+
+    @property
+    def has_snapshot(self) -> bool:
+        return bool(self.configuration)
+
+    def entries_after(self, revision: Revision) -> list[Entry]:
+        above = [
+            entry
+            for entry in self.configuration.values()
+            if entry.revision > revision
+        ]
+        return [*above, *self.membership.entries_after(revision)]
+
+    def entries_for(self, keys: Iterable[str]) -> list[Entry]:
+        keys = tuple(keys)
+        held = [
+            self.configuration[key] for key in keys if key in self.configuration
+        ]
+        return [*held, *self.membership.entries_for(keys)]
+
+    def versions(self) -> dict[str, Revision]:
+        held = {key: held.revision for key, held in self.configuration.items()}
+        return held | self.membership.versions()
+
+    def merge(
+        self,
+        entries: Iterable[Entry],
+        prefix: str | None = None,
+        revision: Revision = NO_REVISION,
+    ) -> set[str]:
+        entries = tuple(entries)
+        if prefix is not None and 'instances/'.startswith(prefix):
+            changed = set(self.membership.apply_full_read(revision, entries))
+        else:
+            changed = set(self.membership.apply(entries))
+        for entry in entries:
+            held = self.configuration.get(entry.key)
+            is_older = held is not None and held.revision >= entry.revision
+            if not is_instance_key(entry.key) and not is_older:
+                self.configuration[entry.key] = entry
+                changed.add(entry.key)
+        self._summarise()
+        return changed
+
+    def lose(self, key: str) -> None:
+        self.configuration.pop(key)
+        self._summarise()
+
+    def _summarise(self) -> None:
+        held = self.configuration.values()
+        revisions = (entry.revision for entry in held)
+        self._highest = max(revisions, default=NO_REVISION)
+        live = sorted(
+            (entry.key, entry.revision)
+            for entry in held
+            if entry.value is not None
+        )
+        digest = blake2b(repr(live).encode(), digest_size=16).digest()
+        self._digest = Digest(digest)
+
+
+class FakeStore:
+    """Keeps the last edit of each key and counts the calls."""
+
+    def __init__(self) -> None:
+        self.revision = Revision(0)
+        self.edits: dict[str, Entry] = {}
+        self.calls: list[tuple[float, str]] = []
+        self.is_down = False
+
+    def count(self, kind: str) -> int:
+        return sum(1 for _at, called in self.calls if called == kind)
+
+    def put(self, key: str, value: str | None) -> Entry:
+        self.revision = Revision(self.revision + 1)
+        self.edits[key] = Entry(key=key, revision=self.revision, value=value)
+        return self.edits[key]
+
+    def read(self, prefix: str) -> tuple[Entry, ...]:
+        return tuple(
+            edit
+            for key, edit in self.edits.items()
+            if key.startswith(prefix) and edit.value is not None
+        )
+
+    def above(self, after: Revision) -> tuple[Entry, ...]:
+        return tuple(
+            edit for edit in self.edits.values() if edit.revision > after
+        )
--- /dev/null
+++ b/briartack/test/test_membership.py
@@ -0,0 +1,105 @@
+"""Guards the list of instances against late, crossed and malformed records."""
+
+import itertools
+import unittest
+from typing import Final
+
+import msgspec
+from nose2.tools import params
+
+from briartack.core.entries import Entry
+from briartack.core.membership import MembershipState
+from briartack.core.units import Incarnation, InstanceId, Revision
+
+INSTANCE: Final = InstanceId('a')
+KEY: Final = 'instances/a'
+
+
+def _entry(
+    revision: int,
+    state: str | None = 'live',
+    key: str = KEY,
+) -> Entry:
+    record = {'service': 's', 'data_centre': 'd', 'region': 'r'}
+    record.update(peer_address=f'192.0.2.1:{revision}', state=state or '')
+    text = None if state is None else msgspec.json.encode(record).decode()
+    return Entry(key=key, revision=Revision(revision), value=text)
+
+
+class MembershipTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.members = MembershipState()
+
+    @params(*itertools.permutations((1, 2, 3)))
+    def test_order_of_arrival_does_not_matter(self, *order: int) -> None:
+        """A crossed answer must not lower a revision or revive a record."""
+        entries = (_entry(1), _entry(2, 'leaving'), _entry(3, None))
+        for number in order:
+            self.members.apply([entries[number - 1]])
+        self.assertIsNone(self.members.get(INSTANCE))
+        self.assertEqual(self.members.versions(), {KEY: 3})
+        self.assertEqual(self.members.digest, MembershipState().digest)
+
+    def test_full_read_implies_deletions_at_or_below_its_revision(self) -> None:
+        """An instance whose deletion was missed must not stay for ever."""
+        keys = [f'instances/{name}' for name in 'abc']
+        self.members.apply(
+            [_entry(at, key=key) for at, key in enumerate(keys, 4)],
+        )
+        changed = self.members.apply_full_read(Revision(5), [])
+        self.assertEqual(changed, {keys[0], keys[1]})
+        self.assertEqual(
+            [member.instance for member in self.members.live_members()],
+            ['c'],
+        )
+        deletions = self.members.entries_after(Revision(4))[:2]
+        self.assertEqual([entry.value for entry in deletions], [None, None])
+
+    @params('', '{}', '[]', '{"service": 1}', 'no json')
+    def test_malformed_record_is_refused_whole(self, text: str) -> None:
+        """A bad record must not remove or change the one before."""
+        self.members.apply([_entry(1)])
+        bad = Entry(key=KEY, revision=Revision(2), value=text)
+        self.assertEqual(self.members.apply([bad]), frozenset())
+        self.members.apply_full_read(Revision(3), [bad])
+        self.assertEqual(self.members.versions(), {KEY: 1})
+        reported = [refusal.key for refusal in self.members.take_refusals()]
+        self.assertEqual(reported, [KEY, KEY])
+        self.assertEqual(self.members.take_refusals(), ())
+
+    @params(
+        ('same', [], True),
+        ('other', [], False),
+        (None, [_entry(2)], True),
+        (None, [_entry(2, 'leaving')], True),
+        (None, [_entry(2, 'leaving'), _entry(3)], False),
+        (None, [_entry(2, None), _entry(3)], False),
+    )
+    def test_goodbye_holds_until_the_instance_returns(
+        self,
+        greeting: str | None,
+        records: list[Entry],
+        is_leaving: bool,
+    ) -> None:
+        """A late record must not end a goodbye, a restart must."""
+        self.members.apply([_entry(1)])
+        self.assertEqual(len(self.members.of_service('s')), 1)
+        self.members.mark_leaving(INSTANCE, Incarnation('same'))
+        self.assertEqual(self.members.of_service('s'), ())
+        if greeting is not None:
+            self.members.note_incarnation(INSTANCE, Incarnation(greeting))
+        for record in records:
+            self.members.apply([record])
+        self.assertEqual(self.members.is_leaving(INSTANCE), is_leaving)
+        self.assertEqual(bool(self.members.of_service('s')), not is_leaving)
+
+    def test_digest_names_what_is_held(self) -> None:
+        """Equal digests of different lists would hide a gap."""
+        other = MembershipState()
+        for members, keys in ((self.members, 'ab'), (other, 'ba')):
+            for name in keys:
+                entry = _entry(ord(name), key=f'instances/{name}')
+                members.apply([entry])
+        self.assertEqual(self.members.digest, other.digest)
+        other.apply([_entry(ord('c'))])
+        self.assertNotEqual(self.members.digest, other.digest)
