Compare digests of keys in anti-entropy, not only revisions

Cause: two daemons could hold equal revisions of all keys, one with a version active and the other with it waiting for a definition that its owner had removed. Buckets of revisions were equal, so nothing was ever exchanged and the version stayed out of force at one of them. Change: a version is a revision and a digest of what resolves it; of equal revisions with unequal digests both sides send. A wish is never answered with another wish, or the two would ask each other for ever.

--- a/briartack/core/combined_holdings.py
+++ b/briartack/core/combined_holdings.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import final
 
-from briartack.core.entries import Entry, is_instance_key
+from briartack.core.entries import Entry, KeyVersion, is_instance_key
 from briartack.core.membership import MembershipState
 from briartack.core.snapshot import SnapshotState
 from briartack.core.units import Digest, Revision
@@ -67,6 +67,13 @@
             ),
         )
 
-    def versions(self) -> dict[str, Revision]:
-        """Return the highest revision held for each key."""
-        return {**self._snapshots.versions(), **self._membership.versions()}
+    def versions(self) -> dict[str, KeyVersion]:
+        """Return the version of each key, deletions included."""
+        digests = self._snapshots.key_digests()
+        versions = {
+            key: KeyVersion(revision=revision, digest=digests[key])
+            for key, revision in self._snapshots.versions().items()
+        }
+        for key, revision in self._membership.versions().items():
+            versions[key] = KeyVersion(revision=revision)
+        return versions
--- a/briartack/core/entries.py
+++ b/briartack/core/entries.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from briartack.core.units import Revision
+from briartack.core.units import Digest, Revision
 
 TEAM_PREFIX: Final = 'teams/'
 INSTANCE_PREFIX: Final = 'instances/'
@@ -32,6 +32,18 @@
     definitions: tuple[Definition, ...] = ()
 
 
+@final
+class KeyVersion(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Identify what a daemon holds under a key.
+
+    Equal revisions may hide a difference: a version can wait here and be
+    active at a peer that holds a definition which is missing here.
+    """
+
+    revision: Revision
+    digest: Digest = Digest(b'')  # noqa: WPS404, RUF009
+
+
 def is_instance_key(key: str) -> bool:
     """Tell whether a key belongs to the platform's list of instances."""
     return key.startswith(INSTANCE_PREFIX)
--- a/briartack/core/holdings.py
+++ b/briartack/core/holdings.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from briartack.core.entries import Entry
+from briartack.core.entries import Entry, KeyVersion
 from briartack.core.units import Digest, Revision
 
 
@@ -35,5 +35,5 @@
     def entries_for(self, keys: Iterable[str]) -> Iterable[Entry]:
         """Return the entries of the given keys, as far as they are held."""
 
-    def versions(self) -> dict[str, Revision]:
-        """Return the revision of each key, deletions included."""
+    def versions(self) -> dict[str, KeyVersion]:
+        """Return the version of each key, deletions included."""
--- a/briartack/core/inventory.py
+++ b/briartack/core/inventory.py
@@ -8,12 +8,13 @@
 from hashlib import blake2b
 from typing import Final, final
 
+from briartack.core.entries import KeyVersion
 from briartack.core.messages import Inventory, InventoryReply
 from briartack.core.units import Digest, Revision
 
 BUCKET_COUNT: Final = 64
 BUCKET_DIGEST_BYTES: Final = 8
-NO_REVISION: Final = Revision(0)
+NOTHING_HELD: Final = KeyVersion(revision=Revision(0))
 
 
 @final
@@ -22,7 +23,7 @@
     """Hold what two daemons lack of each other's versions."""
 
     to_send: tuple[str, ...]
-    wanted: tuple[tuple[str, Revision], ...]  # with the version held here
+    wanted: tuple[tuple[str, KeyVersion], ...]  # with the version held here
 
 
 def bucket_of(key: str) -> int:
@@ -30,11 +31,11 @@
     return blake2b(key.encode(), digest_size=1).digest()[0] % BUCKET_COUNT
 
 
-def bucket_digests(versions: Mapping[str, Revision]) -> tuple[Digest, ...]:
+def bucket_digests(versions: Mapping[str, KeyVersion]) -> tuple[Digest, ...]:
     """Digest the versions in each bucket, whatever their order."""
     sums = [0 for _ in range(BUCKET_COUNT)]
-    for key, revision in versions.items():
-        text = f'{revision} {key}'.encode()
+    for key, held in versions.items():
+        text = f'{held.revision} {key} {held.digest.hex()}'.encode()
         digest = blake2b(text, digest_size=BUCKET_DIGEST_BYTES).digest()
         sums[bucket_of(key)] ^= int.from_bytes(digest)
     return tuple(
@@ -44,7 +45,7 @@
 
 def reply_to(
     inventory: Inventory,
-    versions: Mapping[str, Revision],
+    versions: Mapping[str, KeyVersion],
 ) -> InventoryReply | None:
     """List the versions in the buckets that differ, if any do."""
     pairs = zip(inventory.buckets, bucket_digests(versions), strict=False)
@@ -54,8 +55,8 @@
     if not differing:
         return None
     listed = tuple(
-        (key, revision)
-        for key, revision in versions.items()
+        (key, held)
+        for key, held in versions.items()
         if bucket_of(key) in differing
     )
     return InventoryReply(buckets=tuple(sorted(differing)), versions=listed)
@@ -63,31 +64,39 @@
 
 def compare(
     reply: InventoryReply,
-    versions: Mapping[str, Revision],
+    versions: Mapping[str, KeyVersion],
 ) -> Difference:
     """Find what to send and what to ask for.
 
     A reply without buckets only asks: it lists the keys that its sender wants
-    with the versions that it holds.
+    with the versions that it holds. Nothing is asked back, or two daemons that
+    hold one revision with another digest would ask each other for ever.
     """
     theirs = dict(reply.versions)
     to_send = tuple(
         key
-        for key, revision in versions.items()
+        for key, held in versions.items()
         if _is_covered(key, reply.buckets, theirs)
-        and revision > theirs.get(key, NO_REVISION)
+        and _may_lack(theirs.get(key, NOTHING_HELD), held)
     )
     wanted = tuple(
-        (key, versions.get(key, NO_REVISION))
-        for key, revision in theirs.items()
-        if revision > versions.get(key, NO_REVISION)
+        (key, versions.get(key, NOTHING_HELD))
+        for key, held in theirs.items()
+        if reply.buckets and _may_lack(versions.get(key, NOTHING_HELD), held)
     )
     return Difference(to_send=to_send, wanted=wanted)
 
 
+def _may_lack(held: KeyVersion, offered: KeyVersion) -> bool:
+    """Tell whether the holder of one version may lack a part of another."""
+    if offered.revision == held.revision:
+        return offered.digest != held.digest
+    return offered.revision > held.revision
+
+
 def _is_covered(
     key: str,
     buckets: Collection[int],
-    listed: Mapping[str, Revision],
+    listed: Mapping[str, KeyVersion],
 ) -> bool:
     return key in listed or bool(buckets and bucket_of(key) in buckets)
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from briartack.core.entries import Entry
+from briartack.core.entries import Entry, KeyVersion
 from briartack.core.units import (
     AttemptId,
     Digest,
@@ -86,7 +86,7 @@
     """List the versions that the sender holds in the buckets that differ."""
 
     buckets: tuple[int, ...]
-    versions: tuple[tuple[str, Revision], ...]
+    versions: tuple[tuple[str, KeyVersion], ...]
 
 
 @final
--- a/briartack/test/fake_holdings.py
+++ b/briartack/test/fake_holdings.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from briartack.core.entries import Entry, is_instance_key
+from briartack.core.entries import Entry, KeyVersion, is_instance_key
 from briartack.core.membership import MembershipState
 from briartack.core.units import Digest, Revision
 
@@ -49,9 +49,13 @@
         ]
         return [*held, *self.membership.entries_for(keys)]
 
-    def versions(self) -> dict[str, Revision]:
+    def versions(self) -> dict[str, KeyVersion]:
         held = {key: held.revision for key, held in self.configuration.items()}
-        return held | self.membership.versions()
+        revisions = held | self.membership.versions()
+        return {
+            key: KeyVersion(revision=revision)
+            for key, revision in revisions.items()
+        }
 
     def merge(
         self,
--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -151,7 +151,8 @@
         return [
             name
             for name, node in self.nodes.items()
-            if revision not in node.held.versions().values()
+            if revision
+            not in {held.revision for held in node.held.versions().values()}
         ]
 
     def feed(self, name: str, make: Make) -> None:
@@ -177,9 +178,9 @@
             outcome = core.on_merged(
                 node.state,
                 self.now,
-                changed,
-                node.held,
-                outcome.source,
+                changed=bool(changed),
+                holdings=node.held,
+                source=outcome.source,
             )
         self._run(name, outcome)
 
--- a/briartack/test/test_reducer_machine.py
+++ b/briartack/test/test_reducer_machine.py
@@ -171,7 +171,8 @@
     @rule(first=st.integers(0, 8), count=st.integers(0, 3))
     def watch_store(self, first: int, count: int) -> None:
         """Answer a watch with any stretch of the history."""
-        found = tuple(self.history[-first - 1 :][:count])
+        newest = self.history[-first - 1 :]
+        found = tuple(newest[:count])
         revision = found[-1].revision if found else Revision(1)
         self.apply(
             events.StoreWatched(
@@ -290,7 +291,7 @@
             ),
         )
 
-    @precondition(lambda self: self.reading)
+    @precondition(lambda machine: machine.reading)
     @rule(is_cut=st.booleans())
     def read_body(self, is_cut: bool) -> None:
         """End the reading of a caller's body."""
@@ -308,7 +309,7 @@
             ),
         )
 
-    @precondition(lambda self: self.sent)
+    @precondition(lambda machine: machine.sent)
     @rule(verdict=st.sampled_from(Verdict), is_repeated=st.booleans())
     def answer(self, verdict: Verdict, is_repeated: bool) -> None:
         """Answer an attempt, now and perhaps again later."""
@@ -360,7 +361,7 @@
             )
         self.receive('a-2', self.attempts[-1])
 
-    @precondition(lambda self: self.running)
+    @precondition(lambda machine: machine.running)
     @rule(
         outcome=st.sampled_from(('answered', 'unsent', 'reset', 'truncated')),
         is_last=st.booleans(),
