--- /dev/null
+++ b/briartack/test/test_upstream.py
@@ -0,0 +1,170 @@
+"""The local upstream and the store when they misbehave."""
+
+import unittest
+from functools import partial
+
+import gevent
+from nose2.tools import params
+
+from briartack.core import effects, events
+from briartack.core.units import AttemptId, BodyId, Revision
+from briartack.test.fake_reducer import LOCAL, ScriptedServer, wait_until
+from briartack.test.small_shell import SmallShell
+
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+STORE_HEAD = b'HTTP/1.1 %b\r\n%bContent-Length: %d\r\n\r\n%b'
+
+
+def dispatch(number: int, method: str = 'POST') -> effects.Dispatch:
+    """Make an attempt with a short deadline."""
+    return effects.Dispatch(
+        attempt_id=AttemptId(f'a{number}'),
+        body_id=BodyId('none'),
+        method=method,
+        target='/',
+        headers=(),
+        timeout_seconds=0.2,
+    )
+
+
+class ServedTest(unittest.TestCase):
+    """Serve raw bytes to a shell."""
+
+    def serve(
+        self,
+        answer: bytes = b'',
+        *,
+        is_waiting: bool = False,
+    ) -> tuple[ScriptedServer, SmallShell]:
+        server = ScriptedServer(answer, is_waiting=is_waiting)
+        self.addCleanup(server.stop)
+        shell = SmallShell(upstream=server.address)
+        self.addCleanup(shell.stop)
+        return server, shell
+
+
+class UpstreamTest(ServedTest):
+    @params(
+        (b'', 'answer cut off'),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc', 'answer cut off'),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde',
+            'answer cut off',
+        ),
+        (b'SMTP ready\r\n\r\n', 'malformed answer'),
+        (
+            STORE_HEAD % (b'200 OK', b'', 17_000_000, b'x' * 17_000_000),
+            'answer is too large',
+        ),
+    )
+    def test_no_whole_answer(self, answer: bytes, reason: str) -> None:
+        """Guards against a short success, and a false "not run"."""
+        _, shell = self.serve(answer)
+        shell.upstream.dispatch(dispatch(1))
+        failed = shell.state.wait_for(events.UpstreamFailed)[0]
+        self.assertIn(reason, failed.reason)
+        self.assertTrue(failed.may_have_run)
+        self.assertEqual(shell.state.seen(events.UpstreamAnswered), [])
+
+    def test_refused_connection_has_not_run(self) -> None:
+        """Guards against a lost retry when nothing was sent."""
+        shell = SmallShell(upstream=(LOCAL, 1))
+        self.addCleanup(shell.stop)
+        shell.upstream.dispatch(dispatch(1))
+        failed = shell.state.wait_for(events.UpstreamFailed)[0]
+        self.assertEqual((failed.may_have_run, failed.is_reset), (False, True))
+
+    @params('GET', 'POST')
+    def test_request_is_never_sent_twice(self, method: str) -> None:
+        """Guards against a library that repeats a request by itself."""
+        server, shell = self.serve()
+        shell.upstream.dispatch(dispatch(1, method))
+        shell.state.wait_for(events.UpstreamFailed)
+        gevent.idle()
+        self.assertEqual(len(server.requests), 1)
+
+    def test_stale_pooled_connection_is_not_used(self) -> None:
+        """Guards against "unknown" for a connection closed while idle."""
+        server, shell = self.serve(OK)
+        for number in (1, 2):
+            shell.upstream.dispatch(dispatch(number))
+            shell.state.wait_for(events.UpstreamAnswered, number)
+            wait_until(partial(_has_closed, server, number))
+        self.assertEqual(shell.state.seen(events.UpstreamFailed), [])
+
+    def test_slow_answer_times_out(self) -> None:
+        """Guards against an attempt that outlives its deadline."""
+        _, shell = self.serve(is_waiting=True)
+        shell.upstream.dispatch(dispatch(1))
+        failed = shell.state.wait_for(events.UpstreamFailed)[0]
+        self.assertEqual(
+            (failed.reason, failed.may_have_run), ('timeout', True)
+        )
+
+    def test_abort_closes_the_connection(self) -> None:
+        """Guards against an upstream that works for nobody."""
+        server, shell = self.serve(is_waiting=True)
+        shell.upstream.dispatch(dispatch(1))
+        wait_until(lambda: bool(server.requests))
+        shell.upstream.abort(
+            effects.AbortDispatch(attempt_id=AttemptId('a1')),
+        )
+        wait_until(lambda: bool(server.ends))
+        self.assertEqual(server.ends[0], b'')
+        self.assertEqual(shell.state.events, [])
+        self.assertEqual(len(shell.bodies), 0)
+
+
+class StoreClientTest(ServedTest):
+    @params(
+        (b'200 OK', b'', b'{"revision": 3}', 'malformed answer'),
+        (b'200 OK', b'', b'<html>', 'malformed answer'),
+        (
+            b'200 OK',
+            b'',
+            b'{"revision": 3, "entries": '
+            b'[{"key": "k", "revision": 4, "value": null}]}',
+            'malformed answer: k has revision 4',
+        ),
+        (b'500 Oh', b'', b'', 'status 500'),
+        (b'429 Slow', b'Retry-After: 1.5\r\n', b'', 'too many calls'),
+    )
+    def test_unusable_answer(
+        self,
+        status: bytes,
+        headers: bytes,
+        body: bytes,
+        reason: str,
+    ) -> None:
+        """Guards against entries from an answer that is not whole."""
+        _, shell = self.serve(
+            STORE_HEAD % (status, headers, len(body), body),
+        )
+        shell.store.read(effects.ReadStore(prefix='teams/'))
+        failed = shell.state.wait_for(events.StoreFailed)[0]
+        self.assertIn(reason, failed.reason)
+        self.assertEqual(failed.prefix, 'teams/')
+        wait = 1.5 if headers else None
+        self.assertEqual(failed.retry_after_seconds, wait)
+
+    def test_watch_is_replaced_and_cancelled(self) -> None:
+        """Guards against two watches, and events of a cancelled one."""
+        server, shell = self.serve(is_waiting=True)
+        for after in (7, 8):
+            shell.store.watch(
+                effects.WatchStore(after=Revision(after), wait_seconds=20),
+            )
+            target = b'after=%d&' % after
+            wait_until(partial(_has_request, server, target))
+        shell.store.cancel_watch(effects.CancelWatch())
+        wait_until(lambda: server.ends.count(b'') == 2)
+        self.assertIn(b'GET /v1/watch?after=8&wait=20 ', server.requests[1])
+        self.assertEqual(shell.state.events, [])
+
+
+def _has_request(server: ScriptedServer, part: bytes) -> bool:
+    return any(part in request for request in server.requests)
+
+
+def _has_closed(server: ScriptedServer, number: int) -> bool:
+    return len(server.ends) == number
