--- /dev/null
+++ b/standins/client.py
@@ -0,0 +1,122 @@
+"""HTTP client of the stand-ins' tools, which never repeats a request.
+
+geventhttpclient sends an idempotent request again when its connection breaks;
+a tool that counts runs must see the first outcome instead.
+"""
+
+import socket
+from dataclasses import dataclass
+from typing import Any, Final, final
+
+import msgspec
+from geventhttpclient.client import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
+
+from standins.http_server import parse_address
+
+TIMEOUT_SECONDS: Final = 10.0
+NO_MORE_ATTEMPTS: Final = -1
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """Hold a whole answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def verdict(self) -> str:
+        """Return the verdict header, empty if it is missing."""
+        return self.headers.get('briartack-verdict', '')
+
+    def json(self) -> Any:
+        """Decode the body; raise msgspec.DecodeError if it is not JSON."""
+        return msgspec.json.decode(self.body)
+
+
+@final
+class _Pool(ConnectionPool):
+    """Send without delay, and offer no second attempt."""
+
+    def __init__(self, *, host: str, port: int, size: int, timeout: float):
+        super().__init__(
+            host,
+            port,
+            host,
+            port,
+            size=size,
+            connection_timeout=timeout,
+            network_timeout=timeout,
+        )
+        # The client allows `size + 1` attempts after the first.
+        self.size = NO_MORE_ATTEMPTS
+
+    def after_connect(self, sock: Any) -> None:
+        """Set TCP_NODELAY."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+@final
+class Client(HTTPClient):
+    """Call one address over a pool of connections."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        connections: int = 1,
+        timeout_seconds: float = TIMEOUT_SECONDS,
+    ) -> None:
+        host, port = parse_address(address)
+        super().__init__(host, port=port)
+        self._connection_pool = _Pool(
+            host=host,
+            port=port,
+            size=connections,
+            timeout=timeout_seconds,
+        )
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes = b'',
+    ) -> Answer:
+        """Make a call; raise OSError if no whole answer comes."""
+        try:
+            response = self.request(method, target, body, headers or {})
+            read = bytes(response.read())
+        except OSError:
+            raise
+        except Exception as error:
+            # The library has its own types for broken answers.
+            raise ConnectionError(str(error)) from error
+        return Answer(
+            status=response.status_code,
+            headers={
+                str(name).lower(): str(text) for name, text in response.items()
+            },
+            body=read,
+        )
+
+
+def call(
+    address: str,
+    method: str,
+    target: str,
+    *,
+    headers: dict[str, str] | None = None,
+    body: bytes = b'',
+    timeout_seconds: float = TIMEOUT_SECONDS,
+) -> Answer:
+    """Make one call on a connection of its own; raise OSError on failure."""
+    client = Client(address=address, timeout_seconds=timeout_seconds)
+    try:
+        return client.call(method, target, headers=headers, body=body)
+    finally:
+        client.close()
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,134 @@
+"""Child processes of a deployment, whose output goes to files."""
+
+import errno
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from random import Random
+from typing import Final, final
+
+import gevent
+
+# Below the range from which systems take the ports of outgoing connections,
+# so that no connection takes a port between its choice and its use.
+FIRST_PORT: Final = 10_000
+LAST_PORT: Final = 32_000
+LOOPBACK: Final = '127.0.0.1'
+POLL_SECONDS: Final = 0.02
+
+
+@final
+class Ports:
+    """Choose loopback ports that are free and not yet chosen."""
+
+    __slots__ = ('_random', '_taken')
+
+    def __init__(self) -> None:
+        self._random = Random()
+        self._taken: set[int] = set()
+
+    def address(self) -> str:
+        """Return the address of a free port."""
+        while True:
+            port = self._random.randint(FIRST_PORT, LAST_PORT)
+            if port not in self._taken and _is_free(port):
+                self._taken.add(port)
+                return f'{LOOPBACK}:{port}'
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            return False
+        return True
+
+
+@final
+class Child:
+    """Run a Python module in a process of its own."""
+
+    __slots__ = ('_name', '_arguments', '_directory', '_process', '_starts')
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        arguments: list[str],
+        directory: Path,
+    ) -> None:
+        self._name = name
+        self._arguments = [sys.executable, '-m', *arguments]
+        self._directory = directory
+        self._process: subprocess.Popen[bytes] | None = None
+        self._starts = 0
+
+    @property
+    def name(self) -> str:
+        """Return the name, which is also that of the output files."""
+        return self._name
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has started and not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id; raise RuntimeError before the start."""
+        if self._process is None:
+            raise RuntimeError(f'{self._name} has not started')
+        return self._process.pid
+
+    @property
+    def stdout(self) -> Path:
+        """Return the file of the standard output, of all starts."""
+        return self._directory / f'{self._name}.out'
+
+    @property
+    def stderr(self) -> Path:
+        """Return the file of the error output, of all starts."""
+        return self._directory / f'{self._name}.err'
+
+    def start(self) -> None:
+        """Start the process."""
+        self._starts += 1
+        with self.stdout.open('ab') as out, self.stderr.open('ab') as err:
+            self._process = subprocess.Popen(
+                self._arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+                # Ctrl-C reaches the starter alone, which then stops the
+                # children in order.
+                start_new_session=True,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self._process is not None and self.is_running:
+            self._process.send_signal(number)
+
+    def wait(self, seconds: float) -> int | None:
+        """Return the exit code, or None if it still runs after a time."""
+        until = time.monotonic() + seconds
+        while self.is_running and time.monotonic() < until:
+            gevent.sleep(POLL_SECONDS)
+        return None if self._process is None else self._process.poll()
+
+    def end(self) -> None:
+        """Kill the process and reap it."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+    def tail(self, characters: int = 2000) -> str:
+        """Return the end of the error output."""
+        text = self.stderr.read_text(encoding='utf-8', errors='replace')
+        return text[-characters:]
