--- /dev/null
+++ b/briartack/test/test_standins.py
@@ -0,0 +1,295 @@
+"""Guards against stand-ins that hide the faults they should show."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any, Final
+
+import gevent
+from nose2.tools import params
+
+from standins.client import Answer, Client, call
+from standins.cold_start import ColdStart, Warmth
+from standins.control_calls import control
+from standins.load import Call, run_load
+from standins.plans import generated
+from standins.store import Store
+from standins.store_files import StoreFiles
+from standins.store_state import CallWindow, StoreState
+from standins.upstream import gather_repeated, start_upstreams
+from standins.upstream_server import Upstream, UpstreamOptions
+
+ANY_PORT: Final = '127.0.0.1:0'
+BOUND_SECONDS: Final = 20
+ID: Final = {'X-Request-Id': 'only-1'}
+
+
+class StoreStateTest(unittest.TestCase):
+    """A wrong revision would make correct daemons look wrong."""
+
+    def test_history(self) -> None:
+        state = StoreState()
+        state.put('a', '1')
+        state.put('b', '2')
+        state.put('a', '3')
+        state.put('a', '3')
+        state.put('b', None)
+        self.assertEqual(state.revision, 4)
+        seen = [(one.key, one.value) for one in state.changes(1, as_of=4)]
+        self.assertEqual(seen, [('a', '3'), ('b', None)])
+        stale = [(one.key, one.value) for one in state.read('', as_of=2)]
+        self.assertEqual(stale, [('a', '1'), ('b', '2')])
+
+    def test_window_slides(self) -> None:
+        window = CallWindow()
+        for now in (0.0, 0.9, 1.0):
+            window.add(now)
+        self.assertEqual((window.peak, window.count(1.5)), (2, 2))
+
+
+class StoreTest(unittest.TestCase):
+    """A store without its faults would leave the daemons untested."""
+
+    def setUp(self) -> None:
+        self.store = Store(address=ANY_PORT, limit=50)
+        self.store.put('teams/a', '{}')
+        self.store.server.start()
+        self.address = self.store.server.address
+        self.addCleanup(self.store.server.stop)
+
+    def read(self, target: str = '/v1/entries?prefix=') -> Answer:
+        return call(self.address, 'GET', target)
+
+    def watch(self, after: int) -> gevent.Greenlet:
+        target = f'/v1/watch?after={after}&wait={BOUND_SECONDS}'
+        greenlet = gevent.spawn(self.read, target)
+        waiting = self.store.stats()['waiting']
+        with gevent.Timeout(BOUND_SECONDS):
+            while self.store.stats()['waiting'] == waiting:
+                gevent.sleep(0)
+        return greenlet
+
+    def command(self, name: str, **fields: object) -> Any:
+        return control(self.address, name, **fields)
+
+    def test_watch_waits_for_change(self) -> None:
+        watch = self.watch(1)
+        self.command('put', key='teams/b', value='[]')
+        answer = watch.get(timeout=BOUND_SECONDS).json()
+        self.assertEqual(answer['revision'], 2)
+        self.assertEqual(answer['entries'][0]['key'], 'teams/b')
+
+    def test_limit(self) -> None:
+        answers = [self.read() for _ in range(60)]
+        refused = [one for one in answers if one.status == 429]
+        self.assertTrue(refused)
+        self.assertEqual(refused[0].headers['retry-after'], '1')
+        stats = self.command('stats')
+        self.assertEqual(stats['calls_refused'], len(refused))
+        self.assertLessEqual(stats['peak_accepted_per_second'], 50)
+
+    def test_outage_ends_waiting_watch(self) -> None:
+        watch = self.watch(1)
+        self.command('outage', mode='503')
+        self.assertEqual(watch.get(timeout=BOUND_SECONDS).status, 503)
+        self.assertEqual(self.read().status, 503)
+        self.command('outage', mode='')
+        self.assertEqual(self.read().status, 200)
+
+    def test_stale_store_hides_changes(self) -> None:
+        self.command('stale', revision=1)
+        self.command('put', key='teams/b', value='[]')
+        self.assertEqual(self.read().json()['revision'], 1)
+        watch = self.watch(1)
+        self.command('stale', revision=None)
+        self.assertEqual(watch.get(timeout=BOUND_SECONDS).json()['revision'], 2)
+
+    def test_crossed_answers(self) -> None:
+        self.command('cross', count=1)
+        first = self.watch(1)
+        self.command('put', key='teams/a', value='1')
+        second = self.watch(2)
+        self.assertFalse(first.ready())
+        self.command('put', key='teams/a', value='2')
+        gevent.joinall([second], timeout=BOUND_SECONDS)
+        self.assertFalse(first.ready())
+        self.assertEqual(first.get(timeout=BOUND_SECONDS).json()['revision'], 2)
+
+    def test_refused_connections(self) -> None:
+        self.command('outage', mode='refuse')
+        with gevent.Timeout(BOUND_SECONDS), self.assertRaises(OSError):
+            while True:
+                gevent.sleep(0.01)
+                self.read()
+
+    def test_file_edits(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            tree = Path(directory)
+            files = StoreFiles(tree=tree, instances=None, store=self.store)
+            (tree / 'platform.json').write_text('{}')
+            files.poll()
+            (tree / 'platform.json').write_text('{"instances_out": []}')
+            files.poll()
+            self.assertEqual(self.store.stats()['revision'], 3)
+            (tree / 'platform.json').unlink()
+            files.poll()
+        entries = self.read().json()['entries']
+        self.assertEqual([one['key'] for one in entries], ['teams/a'])
+
+
+class UpstreamTest(unittest.TestCase):
+    """An upstream that hides doubled or cold work would pass any daemon."""
+
+    def start(self, **options: Any) -> Upstream:
+        started = start_upstreams(
+            addresses=[ANY_PORT],
+            names=['saldo-1'],
+            options=UpstreamOptions(**options),
+        )
+        upstream = started[0]
+        self.addCleanup(upstream.server.stop)
+        self.address = upstream.server.address
+        return upstream
+
+    def burst(self, count: int, target: str) -> list[int]:
+        greenlets = [
+            gevent.spawn(call, self.address, 'GET', target)
+            for _ in range(count)
+        ]
+        return sorted(
+            one.get(timeout=BOUND_SECONDS).status for one in greenlets
+        )
+
+    def stats(self) -> Any:
+        return control(self.address, 'stats')
+
+    def test_echo_and_doubled_run(self) -> None:
+        self.start()
+        for _ in range(2):
+            answer = call(self.address, 'PUT', '/a', headers=ID, body=b'abc')
+        self.assertEqual(answer.json()['bytes'], 3)
+        self.assertEqual(answer.headers['x-request-id'], 'only-1')
+        self.assertEqual(self.stats()['doubled'], {'only-1': 2})
+
+    @params(
+        ('cut', 1),
+        ('reset', 1),
+        ('truncate', 1),
+        ('cut-before', 0),
+    )
+    def test_broken_answer(self, kind: str, runs: int) -> None:
+        self.start()
+        control(self.address, 'fault', kind=kind)
+        with self.assertRaises(OSError):
+            call(self.address, 'GET', '/a', headers=ID)
+        # A client that repeats by itself would have run it once more.
+        self.assertEqual(self.stats()['runs'], runs)
+        self.assertEqual(call(self.address, 'GET', '/a').status, 200)
+
+    def test_queue_holds_slots(self) -> None:
+        upstream = self.start(slots=2)
+        statuses = self.burst(6, '/a?service_ms=30')
+        self.assertEqual(statuses.count(200), 6)
+        self.assertEqual(upstream.stats.peak_concurrency, 6)
+        self.assertEqual(self.stats()['in_service'], 0)
+
+    def test_shed_above_connections(self) -> None:
+        self.start(connections=3)
+        statuses = self.burst(6, '/a?service_ms=200')
+        self.assertEqual(statuses, [200, 200, 200, 503, 503, 503])
+
+    def test_cold_upstream_collapses(self) -> None:
+        cold = ColdStart(requests=1000, limit=2, factor=1)
+        upstream = self.start(cold_start=cold)
+        statuses = self.burst(5, '/a?service_ms=100')
+        self.assertEqual(statuses, [200, 200, 500, 500, 500])
+        # A request above the limit fails at once, so they do not add up.
+        self.assertEqual(upstream.stats.peak_cold_concurrency, 3)
+        self.assertEqual(upstream.stats.counts['collapsed'], 3)
+
+    def test_cancellation_and_deadline(self) -> None:
+        upstream = self.start()
+        with self.assertRaises(OSError):
+            call(
+                self.address,
+                'GET',
+                '/a?service_ms=60000',
+                timeout_seconds=0.1,
+            )
+        with gevent.Timeout(BOUND_SECONDS):
+            while not upstream.stats.counts['cancelled']:
+                gevent.sleep(0.01)
+        late = call(
+            self.address,
+            'GET',
+            '/a?service_ms=60000',
+            headers={'Briartack-Deadline-Ms': '10'},
+        )
+        self.assertEqual(late.status, 504)
+
+    def test_drain_and_misleading_health(self) -> None:
+        self.start()
+        control(self.address, 'drain')
+        self.assertEqual(call(self.address, 'GET', '/a').status, 503)
+        health = call(self.address, 'GET', '/healthz').json()
+        self.assertEqual((health['status'], health['load']), ('draining', 0))
+        control(self.address, 'health', load=0.9, status='ok')
+        health = call(self.address, 'GET', '/healthz').json()
+        self.assertEqual((health['status'], health['load']), ('ok', 0.9))
+
+    def test_broken_upload(self) -> None:
+        upstream = self.start()
+        client = Client(address=self.address)
+        with gevent.Timeout(0.1, exception=False):
+            client.call(
+                'PUT',
+                '/a',
+                headers={'Content-Length': '9'},
+                body=b'abc',
+            )
+        client.close()
+        with gevent.Timeout(BOUND_SECONDS):
+            while not upstream.stats.counts['uploads_broken']:
+                gevent.sleep(0.01)
+        self.assertEqual(upstream.stats.counts['runs'], 0)
+
+    def test_load_counts_every_call(self) -> None:
+        upstream = self.start()
+        control(self.address, 'fault', kind='error', count=2)
+        result = run_load(
+            calls=[Call(address=self.address, method='GET', path='/a')],
+            per_second=200,
+            seconds=0.2,
+        )
+        self.assertEqual(result.failed, 2)
+        self.assertEqual(result.total, upstream.stats.counts['runs'])
+        self.assertEqual(len(upstream.stats.runs), result.total)
+
+
+class PlanTest(unittest.TestCase):
+    """A wrong plan or command line would start another deployment."""
+
+    def test_generated_sizes(self) -> None:
+        plan = generated(
+            regions=3,
+            data_centres=2,
+            daemons_per_data_centre=4,
+            services=5,
+        )
+        self.assertEqual(len({one.instance_id for one in plan.instances}), 24)
+        self.assertEqual(len(plan.data_centres), 6)
+        self.assertEqual(len(plan.services), 5)
+
+    def test_repeated_flags(self) -> None:
+        arguments = ['--a', '1', '--b', '2', '--a', '3']
+        gathered = gather_repeated(arguments, '--a')
+        self.assertEqual(gathered, ['--b', '2', '--a', '1', '3'])
+
+    def test_warmth_grows(self) -> None:
+        cold = ColdStart(seconds=10, limit=4, factor=5)
+        warmth = Warmth(cold_start=cold, slots=20, now=0)
+        shown = [
+            (warmth.factor(now), warmth.safe_requests(now)) for now in (0, 5)
+        ]
+        self.assertEqual(shown, [(5, 4), (3, 12)])
+        self.assertEqual(warmth.factor(10), 1)
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,343 @@
+"""Shows a deployment at work: calls, a changed setting, a data centre out.
+
+It prints figures and exits 0 only if nothing went wrong.
+"""
+
+import signal
+import sys
+import time
+import uuid
+from collections.abc import Callable
+from typing import Final, Literal, final
+
+import defopt
+import gevent
+import msgspec
+
+from briartack.core.entries import TEAM_PREFIX
+from standins.client import call
+from standins.control_calls import DeploymentError
+from standins.deployment import Deployment
+from standins.load import Load, LoadResult
+from standins.plans import Plan, horas, pacifico
+from standins.scenario import (
+    bound,
+    entrance_wirings,
+    entrances,
+    free_targets,
+    purchase,
+)
+
+PLANS: Final[dict[str, Callable[[], Plan]]] = {
+    'pacifico': pacifico,
+    'horas': horas,
+}
+CALLS_PER_SECOND: Final = 60
+STEADY_SECONDS: Final = 3.0
+OUT_SECONDS: Final = 4.0
+FORCE_SECONDS: Final = 4.0  # target of docs/design.md, section 1.6
+LAST_WORK_SECONDS: Final = 3.0
+TICK_SECONDS: Final = 0.2
+OK_STATUS: Final = 200
+FIRST_ERROR_STATUS: Final = 400
+FORBIDDEN_STATUS: Final = 403
+
+
+@final
+class Report:
+    """Print what happens and remember what went wrong."""
+
+    __slots__ = ('_problems',)
+
+    def __init__(self) -> None:
+        self._problems: list[str] = []
+
+    @property
+    def problems(self) -> list[str]:
+        """Return what went wrong so far."""
+        return self._problems
+
+    def line(self, text: str) -> None:
+        """Print a line now."""
+        sys.stdout.write(f'{text}\n')
+        sys.stdout.flush()
+
+    def check(self, text: str, *, is_good: bool) -> None:
+        """Print a result, which counts as a problem unless it is good."""
+        self.line(f'  {"ok " if is_good else "BAD"} {text}')
+        if not is_good:
+            self._problems.append(text)
+
+
+@final
+class Demo:
+    """Walk through one running deployment."""
+
+    __slots__ = ('_deployment', '_report')
+
+    def __init__(self, *, deployment: Deployment, report: Report) -> None:
+        self._deployment = deployment
+        self._report = report
+
+    def run(self) -> None:
+        """Make all calls and changes."""
+        self._call_each_service()
+        load = self._start_load()
+        gevent.sleep(STEADY_SECONDS)
+        self._change_setting()
+        self._move_data_centre()
+        result = load.stop()
+        self._report_load(result)
+        self._refuse_placement()
+        self._repeat_purchase()
+        self._report_store()
+
+    def _call_each_service(self) -> None:
+        self._report.line('Each route from each region:')
+        for target in free_targets(self._deployment):
+            statuses = []
+            for address in entrances(self._deployment):
+                answer = call(
+                    address,
+                    target.method,
+                    target.path,
+                    body=target.body,
+                )
+                statuses.append(answer.status)
+            self._report.check(
+                f'{target.method} {target.path}: {statuses}',
+                is_good=set(statuses) == {OK_STATUS},
+            )
+
+    def _start_load(self) -> Load:
+        # Callers of the data centre that leaves go on calling its daemons.
+        calls = [
+            target.call_at(wiring.caller_address)
+            for wiring in self._deployment.site.wirings.values()
+            for target in free_targets(self._deployment)
+        ]
+        load = Load(calls=calls, per_second=CALLS_PER_SECOND)
+        load.start()
+        self._report.line(f'Load of {CALLS_PER_SECOND} calls/s begins.')
+        return load
+
+    def _change_setting(self) -> None:
+        key, text = _changed_team(self._deployment)
+        revision = self._deployment.put(key, text)
+        self._wait_in_force(f'{key} changed', revision)
+
+    def _wait_in_force(self, what: str, revision: int) -> None:
+        try:
+            seconds = self._deployment.wait_until_in_force(
+                revision,
+                FORCE_SECONDS,
+            )
+        except DeploymentError as error:
+            self._report.check(f'{what}: {error}', is_good=False)
+            return
+        daemons = len(self._deployment.site.wirings)
+        self._report.check(
+            f'{what}: revision {revision} in force in all'
+            f' {daemons} daemons after {seconds:.2f} s',
+            is_good=True,
+        )
+
+    def _move_data_centre(self) -> None:
+        name = self._deployment.site.plan.data_centres[0]
+        self._report.line(f'Data centre {name} leaves and returns:')
+        out_at = time.time()
+        idle_seconds = out_at - self._last_run_at(name)
+        self._report.check(
+            f'{name} had work {idle_seconds:.2f} s before',
+            is_good=idle_seconds < STEADY_SECONDS,
+        )
+        revision = self._deployment.take_out_data_centre(name)
+        self._wait_in_force(f'{name} out', revision)
+        gevent.sleep(OUT_SECONDS)
+        last_work = max(0, self._last_run_at(name) - out_at)
+        self._report.check(
+            f'last new work reached {name} {last_work:.2f} s after the change',
+            is_good=last_work < LAST_WORK_SECONDS,
+        )
+        back_at = time.time()
+        self._wait_in_force(f'{name} back', self._deployment.bring_back(name))
+        gevent.sleep(STEADY_SECONDS)
+        self._report.check(
+            f'{name} takes new work again',
+            is_good=self._last_run_at(name) > back_at,
+        )
+
+    def _last_run_at(self, data_centre: str) -> float:
+        return max(
+            float(
+                self._deployment.control_upstream(name, 'stats')['last_run_at']
+            )
+            for name, wiring in self._deployment.site.wirings.items()
+            if wiring.plan.data_centre == data_centre
+        )
+
+    def _report_load(self, result: LoadResult) -> None:
+        self._report.line('Calls under load:')
+        self._report.check(
+            f'{result.total} calls: {result.ok} ok,'
+            f' {result.refused} refused as not run, {result.failed} failed',
+            is_good=result.ok > 0 and not result.failed,
+        )
+        for failure in result.failures:
+            self._report.line(f'      {failure}')
+        self._report.line(
+            f'      latency with the upstream: median'
+            f' {result.latency_ms(50):.1f} ms, p99'
+            f' {result.latency_ms(99):.1f} ms',
+        )
+        doubled = [
+            name
+            for name in self._deployment.site.wirings
+            if self._deployment.control_upstream(name, 'stats')['doubled']
+        ]
+        self._report.check(
+            f'upstreams that ran a request twice: {len(doubled)}',
+            is_good=not doubled,
+        )
+
+    def _refuse_placement(self) -> None:
+        target = bound(self._deployment)
+        self._report.line(f'Home regions of {target.path}:')
+        for wiring in entrance_wirings(self._deployment):
+            answer = call(
+                wiring.caller_address,
+                target.method,
+                target.path,
+                body=target.body,
+            )
+            is_home = wiring.plan.region in target.home_regions
+            expected = OK_STATUS if is_home else FORBIDDEN_STATUS
+            homes = answer.headers.get('briartack-home-regions', '')
+            self._report.check(
+                f'from {wiring.plan.region}: {answer.status}'
+                f' {answer.verdict} {homes}',
+                is_good=answer.status == expected,
+            )
+
+    def _repeat_purchase(self) -> None:
+        target = purchase(self._deployment)
+        self._report.line(f'{target.method} {target.path} with an issued key:')
+        address = entrances(self._deployment)[0]
+        issued = call(
+            address,
+            'POST',
+            f'/.briartack/keys?service={target.service}',
+        )
+        self._report.check(
+            f'key: {issued.status} {issued.body.decode()[:80]}',
+            is_good=issued.status < FIRST_ERROR_STATUS,
+        )
+        if issued.status >= FIRST_ERROR_STATUS:
+            return
+        headers = {
+            'Idempotency-Key': str(issued.json()['key']),
+            'X-Request-Id': f'purchase-{uuid.uuid4().hex}',
+        }
+        answers = [
+            call(
+                entrance,
+                target.method,
+                target.path,
+                headers=headers,
+                body=target.body,
+            )
+            for entrance in entrances(self._deployment)
+        ]
+        runs = sum(
+            int(
+                self._deployment.control_upstream(name, 'runs').get(
+                    headers['X-Request-Id'],
+                    0,
+                )
+            )
+            for name in self._deployment.site.wirings
+        )
+        self._report.check(
+            f'{len(answers)} repeats in {len(answers)} regions:'
+            f' {[answer.status for answer in answers]}, runs: {runs}',
+            is_good=runs == 1 and len({answer.body for answer in answers}) == 1,
+        )
+
+    def _report_store(self) -> None:
+        stats = self._deployment.control_store('stats')
+        self._report.line(
+            f'Store: at most {stats["peak_calls_per_second"]} calls/s,'
+            f' {stats["calls_refused"]} refused,'
+            f' {stats["bytes_out"]} bytes out.',
+        )
+
+
+def _changed_team(deployment: Deployment) -> tuple[str, str]:
+    key = next(
+        key for key in deployment.site.plan.tree if key.startswith(TEAM_PREFIX)
+    )
+    path = deployment.site.tree / f'{key}.json'
+    team = msgspec.json.decode(path.read_bytes())
+    for policy in team['policies'].values():
+        policy['timeout_ms'] += 1
+    return key, msgspec.json.format(msgspec.json.encode(team)).decode()
+
+
+def _hold(deployment: Deployment, report: Report) -> None:
+    site = deployment.site
+    report.line(f'The tree is in {site.tree}; edit a file and see /status:')
+    for name, wiring in site.wirings.items():
+        report.line(
+            f'  {name:12} {wiring.plan.data_centre:10}'
+            f' callers http://{wiring.caller_address}'
+            f' operators http://{wiring.operator_address}/status',
+        )
+    report.line('Ctrl-C ends everything.')
+    seen = 0
+    while True:
+        gevent.sleep(TICK_SECONDS)
+        revision = int(deployment.control_store('stats')['revision'])
+        if seen and revision > seen:
+            report.line(f'The store is at revision {revision}.')
+        seen = revision
+
+
+def _interrupt(_number: int, _frame: object) -> None:
+    raise KeyboardInterrupt
+
+
+def run(
+    *,
+    deployment: Literal['pacifico', 'horas'] = 'pacifico',
+    hold: bool = False,
+) -> None:
+    """Start a deployment, show it at work and stop it.
+
+    :param deployment: whose deployment to start
+    :param hold: stay up until Ctrl-C, so that settings can be edited
+    """
+    signal.signal(signal.SIGTERM, _interrupt)
+    report = Report()
+    started = time.monotonic()
+    try:
+        with Deployment(PLANS[deployment]()) as running:
+            report.line(
+                f'{len(running.site.wirings)} daemons ready after'
+                f' {time.monotonic() - started:.1f} s.',
+            )
+            Demo(deployment=running, report=report).run()
+            if hold:
+                _hold(running, report)
+    except KeyboardInterrupt:
+        report.line('Interrupted.')
+    except DeploymentError as error:
+        report.check(str(error), is_good=False)
+    report.line(
+        f'{len(report.problems)} problems,'
+        f' {time.monotonic() - started:.0f} s in all; nothing is left running.',
+    )
+    sys.exit(1 if report.problems else 0)
+
+
+if __name__ == '__main__':
+    defopt.run(run)
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,170 @@
+"""Starts and stops the processes of a deployment in order."""
+
+import signal
+import time
+from collections.abc import Callable
+from functools import partial
+from http import HTTPStatus
+from typing import Final, final
+
+import gevent
+from gevent.pool import Pool
+
+from standins.client import call
+from standins.control_calls import DeploymentError, control
+from standins.processes import Child
+from standins.wiring import (
+    DeploymentOptions,
+    Site,
+    daemon_child,
+    store_child,
+    upstream_child,
+)
+
+# A starting daemon takes about half a second of a core for its imports.
+BATCH: Final = 10
+START_SECONDS: Final = 60.0
+STOP_MARGIN_SECONDS: Final = 5.0
+POLL_SECONDS: Final = 0.02
+PROBE_SECONDS: Final = 1.0
+PARALLEL_CALLS: Final = 20
+
+
+@final
+class Fleet:
+    """Own the processes of a deployment."""
+
+    __slots__ = ('_site', '_options', '_stand_ins', '_daemons')
+
+    def __init__(self, *, site: Site, options: DeploymentOptions) -> None:
+        self._site = site
+        self._options = options
+        self._stand_ins = [
+            store_child(site, options),
+            *(
+                upstream_child(site, options, data_centre)
+                for data_centre in site.plan.data_centres
+            ),
+        ]
+        self._daemons = {
+            name: daemon_child(site, options, name) for name in site.wirings
+        }
+
+    @property
+    def daemons(self) -> dict[str, Child]:
+        """Return the daemons by instance."""
+        return self._daemons
+
+    @property
+    def running(self) -> list[str]:
+        """Return the instances whose daemons run."""
+        return [name for name, one in self._daemons.items() if one.is_running]
+
+    def start(self) -> None:
+        """Start everything; raise DeploymentError if it does not get ready."""
+        for stand_in in self._stand_ins:
+            stand_in.start()
+        upstreams = [
+            wiring.upstream_address for wiring in self._site.wirings.values()
+        ]
+        wait_for_all(
+            [self._site.store_address, *upstreams],
+            lambda address: bool(control(address, 'stats')),
+            START_SECONDS,
+            'stand-in up',
+        )
+        self.start_daemons(list(self._daemons))
+
+    def start_daemons(self, names: list[str]) -> None:
+        """Start daemons in batches and wait until all are ready."""
+        for first in range(0, len(names), BATCH):
+            batch = names[first : first + BATCH]
+            for name in batch:
+                self._daemons[name].start()
+            self._wait_for_path(batch, '/healthz')
+        self._wait_for_path(names, '/readyz')
+
+    def stop_daemons(self, names: list[str]) -> list[str]:
+        """Stop daemons in good order; return those that did not exit with 0."""
+        for name in names:
+            self._daemons[name].send(signal.SIGCONT)
+            self._daemons[name].send(signal.SIGTERM)
+        seconds = self._options.drain_seconds + STOP_MARGIN_SECONDS
+        until = time.monotonic() + seconds
+        codes = [
+            (waited, self._daemons[waited].wait(until - time.monotonic()))
+            for waited in names
+        ]
+        # The code is None if the daemon still runs.
+        return [
+            f'{stopped} exited with {code} within {seconds} s'
+            for stopped, code in codes
+            if code != 0
+        ]
+
+    def stop(self) -> list[str]:
+        """Stop everything, by force in the end; return the problems."""
+        try:
+            return self.stop_daemons(self.running)
+        finally:
+            self._end_all()
+
+    def _end_all(self) -> None:
+        try:
+            self._stop_stand_ins()
+        finally:
+            for child in (*self._daemons.values(), *self._stand_ins):
+                child.end()
+
+    def _stop_stand_ins(self) -> None:
+        for stand_in in self._stand_ins:
+            stand_in.send(signal.SIGTERM)
+        for waited in self._stand_ins:
+            waited.wait(STOP_MARGIN_SECONDS)
+
+    def _wait_for_path(self, names: list[str], path: str) -> None:
+        wait_for_all(
+            names,
+            lambda name: self._probe(name, path),
+            START_SECONDS,
+            f'{path} is 200',
+        )
+
+    def _probe(self, name: str, path: str) -> bool:
+        daemon = self._daemons[name]
+        if not daemon.is_running:
+            raise DeploymentError(f'{name} has ended: {daemon.tail()}')
+        address = self._site.wirings[name].operator_address
+        answer = call(address, 'GET', path, timeout_seconds=PROBE_SECONDS)
+        return answer.status == HTTPStatus.OK
+
+
+def wait_for_all(
+    names: list[str],
+    is_done: Callable[[str], bool],
+    seconds: float,
+    goal: str,
+) -> None:
+    """Ask until all are done; raise DeploymentError after a time.
+
+    An OSError counts as not done yet.
+    """
+    until = time.monotonic() + seconds
+    pool = Pool(PARALLEL_CALLS)
+    missing = names
+    while missing:
+        done = pool.map(partial(_is_done, is_done), missing)
+        answers = zip(missing, done, strict=True)
+        missing = [name for name, is_ready in answers if not is_ready]
+        if missing and time.monotonic() > until:
+            raise DeploymentError(
+                f'not within {seconds} s: {goal} at {", ".join(missing)}',
+            )
+        gevent.sleep(POLL_SECONDS)
+
+
+def _is_done(is_done: Callable[[str], bool], name: str) -> bool:
+    try:
+        return is_done(name)
+    except OSError:
+        return False
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -35,6 +35,7 @@
     query: dict[str, str]
     environ: dict[str, Any]
     connection: Any  # gevent socket
+    position: int  # connections that were open when this one opened, with it
 
     def header(self, name: str) -> str:
         """Return a header, empty if it is missing."""
@@ -115,18 +116,21 @@
 class _Handler(WSGIHandler):  # type: ignore[misc]
     """Give the application its connection."""
 
+    position = 0
+
     def get_environ(  # noqa: WPS615, the name is that of the base class
         self,
     ) -> dict[str, Any]:
         """Add the connection to the WSGI environment."""
         environ: dict[str, Any] = super().get_environ()
         environ['standins.connection'] = self.socket
+        environ['standins.position'] = self.position
         return environ
 
 
 @final
 class _Server(WSGIServer):  # type: ignore[misc]
-    """Send answers without delay and count connections."""
+    """Send answers without delay and number the open connections."""
 
     def __init__(self, listener: Address, application: Any) -> None:
         super().__init__(
@@ -138,12 +142,19 @@
             error_log=None,
             handler_class=_Handler,
         )
+        self._open = 0
 
     def handle(self, sock: Any, address: Address) -> None:
         """Serve one connection."""
         # Without TCP_NODELAY an answer in two writes waits for 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle(sock, address)
+        handler = _Handler(sock, address, self)
+        self._open += 1
+        handler.position = self._open
+        try:
+            handler.handle()
+        finally:
+            self._open -= 1
 
 
 @final
@@ -198,6 +209,7 @@
             query=dict(parse_qsl(environ['QUERY_STRING'])),
             environ=environ,
             connection=environ['standins.connection'],
+            position=environ['standins.position'],
         )
         response = self._application(request)
         if isinstance(response, Broken):
--- a/standins/plans.py
+++ b/standins/plans.py
@@ -104,10 +104,14 @@
     `data_centres` counts those of each region.
     """
     names = [f'svc-{number}' for number in range(1, services + 1)]
-    places = [
+    data_centre_places = [
         (f'region-{region}', f'region-{region}-{data_centre}')
         for region in range(1, regions + 1)
         for data_centre in range(1, data_centres + 1)
+    ]
+    places = [
+        place
+        for place in data_centre_places
         for _ in range(daemons_per_data_centre)
     ]
     return Plan(
--- /dev/null
+++ b/standins/scenario.py
@@ -0,0 +1,124 @@
+"""What the demo calls in a deployment, found in its tree."""
+
+from dataclasses import dataclass
+from typing import final
+
+import msgspec
+
+from briartack.core.entries import TEAM_PREFIX
+from briartack.core.settings import Route, TeamSettings
+from standins.deployment import Deployment
+from standins.load import Call
+from standins.wiring import Wiring
+
+BODY = b'{"from": "demo"}'
+NO_BODY = frozenset(('GET', 'HEAD', 'DELETE'))
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Target:
+    """Hold a route of a tree with what its references mean."""
+
+    route: Route
+    service: str  # TEAM/NAME
+    is_repeatable: bool
+    home_regions: tuple[str, ...]
+
+    @property
+    def method(self) -> str:
+        """Return a method that the route allows."""
+        return self.route.methods[0] if self.route.methods else 'GET'
+
+    @property
+    def path(self) -> str:
+        """Return a path under the route."""
+        return f'{self.route.path_prefix}demo'
+
+    @property
+    def body(self) -> bytes:
+        """Return a body if the method has one."""
+        return b'' if self.method in NO_BODY else BODY
+
+    def call_at(self, address: str) -> Call:
+        """Describe the call of this route at a daemon."""
+        return Call(
+            address=address,
+            method=self.method,
+            path=self.path,
+            body=self.body,
+        )
+
+
+def targets(deployment: Deployment) -> list[Target]:
+    """List the routes of the deployment's tree."""
+    teams = {
+        key.removeprefix(TEAM_PREFIX): msgspec.json.decode(
+            text,
+            type=TeamSettings,
+        )
+        for key, text in deployment.site.plan.tree.items()
+        if key.startswith(TEAM_PREFIX)
+    }
+    return [
+        _target(teams, team, route)
+        for team, settings in teams.items()
+        for route in settings.routes
+    ]
+
+
+def free_targets(deployment: Deployment) -> list[Target]:
+    """List the routes without home regions."""
+    return [one for one in targets(deployment) if not one.home_regions]
+
+
+def purchase(deployment: Deployment) -> Target:
+    """Return a route that may run once only; raise LookupError if none."""
+    for target in free_targets(deployment):
+        if not target.is_repeatable:
+            return target
+    raise LookupError('no route of the tree forbids repeats')
+
+
+def bound(deployment: Deployment) -> Target:
+    """Return a route with home regions; raise LookupError if none."""
+    for target in targets(deployment):
+        if target.home_regions:
+            return target
+    raise LookupError('no route of the tree has home regions')
+
+
+def entrance_wirings(deployment: Deployment) -> list[Wiring]:
+    """List one instance for each region."""
+    first: dict[str, Wiring] = {}
+    for wiring in deployment.site.wirings.values():
+        first.setdefault(wiring.plan.region, wiring)
+    return list(first.values())
+
+
+def entrances(deployment: Deployment) -> list[str]:
+    """List callers' addresses, one for each region."""
+    return [wiring.caller_address for wiring in entrance_wirings(deployment)]
+
+
+def _target(
+    teams: dict[str, TeamSettings],
+    team: str,
+    route: Route,
+) -> Target:
+    owner, name = _qualified(team, route.policy)
+    home_regions: tuple[str, ...] = ()
+    if route.workspace:
+        space_owner, space = _qualified(team, route.workspace)
+        home_regions = teams[space_owner].workspaces[space].home_regions
+    return Target(
+        route=route,
+        service='/'.join(_qualified(team, route.service)),
+        is_repeatable=teams[owner].policies[name].repeatable,
+        home_regions=home_regions,
+    )
+
+
+def _qualified(team: str, reference: str) -> tuple[str, str]:
+    owner, _, name = reference.rpartition('/')
+    return owner or team, name
--- a/standins/upstream_server.py
+++ b/standins/upstream_server.py
@@ -105,7 +105,7 @@
 
     def answer(self, request: Request) -> Reply:
         """Answer a request that is neither a probe nor for control."""
-        if self._server.connections > self._options.connections:
+        if request.position > self._options.connections:
             return self._refuse('shed', HTTPStatus.SERVICE_UNAVAILABLE)
         if self.is_draining:
             return self._refuse('refused', HTTPStatus.SERVICE_UNAVAILABLE)
--- a/standins/wiring.py
+++ b/standins/wiring.py
@@ -45,6 +45,37 @@
     keeps_directory: bool = False
 
 
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Site:
+    """Hold where the parts of a deployment are."""
+
+    plan: Plan
+    directory: Path  # of the files and of all output
+    wirings: dict[str, Wiring]  # by instance
+    store_address: str
+    control_address: str
+
+    @property
+    def tree(self) -> Path:
+        """Return the directory of the tree that the store reads."""
+        return self.directory / 'tree'
+
+
+def make_site(plan: Plan, directory: Path) -> Site:
+    """Choose addresses and write the files of a deployment."""
+    ports = Ports()
+    site = Site(
+        plan=plan,
+        directory=directory,
+        wirings=wire(plan, ports),
+        store_address=ports.address(),
+        control_address=ports.address(),
+    )
+    write_files(site)
+    return site
+
+
 def wire(plan: Plan, ports: Ports) -> dict[str, Wiring]:
     """Give each instance of a plan its addresses."""
     return {
@@ -59,12 +90,15 @@
     }
 
 
-def write_files(plan: Plan, wirings: dict[str, Wiring], to: Path) -> None:
-    """Write the tree and the list of instances into a directory."""
-    for key, text in plan.tree.items():
-        write_text(to / 'tree' / f'{key}.json', text)
-    records = {name: wiring.record() for name, wiring in wirings.items()}
-    write_text(to / 'instances.json', msgspec.json.encode(records).decode())
+def write_files(site: Site) -> None:
+    """Write the tree and the list of instances."""
+    for key, text in site.plan.tree.items():
+        write_text(site.tree / f'{key}.json', text)
+    records = {name: wiring.record() for name, wiring in site.wirings.items()}
+    write_text(
+        site.directory / 'instances.json',
+        msgspec.json.encode(records).decode(),
+    )
 
 
 def write_text(path: Path, text: str) -> None:
@@ -75,63 +109,45 @@
     part.replace(path)
 
 
-def store_child(
-    *,
-    address: str,
-    control_address: str,
-    directory: Path,
-    limit: int,
-) -> Child:
+def store_child(site: Site, options: DeploymentOptions) -> Child:
     """Prepare the store."""
     return Child(
         name='store',
-        directory=directory,
+        directory=site.directory,
         arguments=[
             'standins.store',
-            *('--address', address),
-            *('--control-address', control_address),
-            *('--tree', str(directory / 'tree')),
-            *('--instances', str(directory / 'instances.json')),
-            *('--limit', str(limit)),
+            *('--address', site.store_address),
+            *('--control-address', site.control_address),
+            *('--tree', str(site.tree)),
+            *('--instances', str(site.directory / 'instances.json')),
+            *('--limit', str(options.store_limit)),
         ],
     )
 
 
-def upstream_children(
-    plan: Plan,
-    wirings: dict[str, Wiring],
-    directory: Path,
-    flags: tuple[str, ...],
-) -> list[Child]:
-    """Prepare one process for all upstreams of each data centre."""
-    children = []
-    for data_centre in plan.data_centres:
-        arguments = ['standins.upstream']
-        for name, wiring in wirings.items():
-            if wiring.plan.data_centre == data_centre:
-                arguments += ['--address', wiring.upstream_address]
-                arguments += ['--name', name]
-        arguments += ['--slots', str(plan.slots)]
-        arguments += ['--connections', str(plan.connections)]
-        children.append(
-            Child(
-                name=f'upstreams-{data_centre}',
-                directory=directory,
-                arguments=[*arguments, *flags],
-            ),
-        )
-    return children
-
-
-def daemon_child(
-    *,
-    wiring: Wiring,
-    store_address: str,
-    directory: Path,
+def upstream_child(
+    site: Site,
     options: DeploymentOptions,
+    data_centre: str,
 ) -> Child:
+    """Prepare one process for all upstreams of a data centre."""
+    arguments = ['standins.upstream']
+    for name, wiring in site.wirings.items():
+        if wiring.plan.data_centre == data_centre:
+            arguments += ['--address', wiring.upstream_address]
+            arguments += ['--name', name]
+    arguments += ['--slots', str(site.plan.slots)]
+    arguments += ['--connections', str(site.plan.connections)]
+    return Child(
+        name=f'upstreams-{data_centre}',
+        directory=site.directory,
+        arguments=[*arguments, *options.upstream_flags],
+    )
+
+
+def daemon_child(site: Site, options: DeploymentOptions, name: str) -> Child:
     """Prepare the daemon of one instance."""
-    name = wiring.plan.instance_id
+    wiring = site.wirings[name]
     arguments = [
         'briartack.main',
         *('--instance-id', name),
@@ -142,10 +158,10 @@
         *('--peer-address', wiring.peer_address),
         *('--operator-address', wiring.operator_address),
         *('--upstream-address', wiring.upstream_address),
-        *('--store-address', store_address),
+        *('--store-address', site.store_address),
         *('--drain-seconds', str(options.drain_seconds)),
         *('--log-level', options.log_level),
     ]
     if options.records_traces:
-        arguments += ['--record', str(directory / f'{name}.trace')]
-    return Child(name=name, directory=directory, arguments=arguments)
+        arguments += ['--record', str(site.directory / f'{name}.trace')]
+    return Child(name=name, directory=site.directory, arguments=arguments)
