Refuse paths that an upstream may read otherwise; record ramp restarts

Routes match the path as received. A path with dot segments, empty segments or needless percent-encoding could miss the route that binds it to home regions and still reach the same resource once the upstream normalises it. Such paths get 400 not-run. Restarts of the ramp are now in the audit trail.

--- a/briartack/core/door.py
+++ b/briartack/core/door.py
@@ -1,5 +1,6 @@
 """The first checks of a call, before any of its body is read."""
 
+import re
 from typing import Final
 
 from briartack.core import placement, reasons
@@ -22,6 +23,14 @@
 from briartack.core.verdict import Verdict
 
 MILLISECONDS: Final = 1000
+# Dot segments, empty segments, and percent-encoded slashes, backslashes or
+# characters that need no encoding. A path that only the upstream normalises
+# could pass by the route that binds it to home regions.
+_AMBIGUOUS: Final = re.compile(
+    r'//|/\.{1,2}(?:/|$)|\\|%2f|%5c|%2[de]|%5f|%7e|%3[0-9]'
+    '|%[46][1-9a-f]|%[57][0-9a]',
+    re.IGNORECASE,
+)
 
 
 def refused(
@@ -66,6 +75,8 @@
     reason = closed_reason(context)
     if reason is not None or snapshot is None:
         return _refuse(event, reason or reasons.NO_SNAPSHOT)
+    if is_ambiguous(event.target):
+        return _refuse(event, reasons.AMBIGUOUS_PATH)
     route = routing.match(snapshot, event.method, event.target)
     if route is None:
         return _refuse(event, reasons.NO_ROUTE)
@@ -81,6 +92,11 @@
     return call
 
 
+def is_ambiguous(target: str) -> bool:
+    """Tell whether an upstream may read a path otherwise than the router."""
+    return _AMBIGUOUS.search(target.partition('?')[0]) is not None
+
+
 def home_headers(regions: Regions) -> Headers:
     """Say where a call may go that may not stay here."""
     return ((HOME_REGIONS, ','.join(placement.listed_regions(regions))),)
--- a/briartack/core/reasons.py
+++ b/briartack/core/reasons.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import Final, final
 
+BAD_REQUEST: Final = 400
 FORBIDDEN: Final = 403
 NOT_FOUND: Final = 404
 CONTENT_TOO_LARGE: Final = 413
@@ -46,6 +47,12 @@
     text='no route matches the method and path',
     is_retried=False,
 )
+AMBIGUOUS_PATH: Final = Reason(
+    code='ambiguous-path',
+    status=BAD_REQUEST,
+    text='the path has dot or empty segments, or encodes plain characters',
+    is_retried=False,
+)
 NO_SERVICE: Final = Reason(
     code='no-service',
     status=NOT_FOUND,
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, TypeAlias
 
 from briartack.core import calls, dissemination
 from briartack.core.call_context import CallContext
@@ -50,7 +50,8 @@
 # A lost audit line shows after this time at the latest.
 AUDIT_REPEAT_SECONDS: Final = 10.0
 
-_Handler = Callable[[State, Any], Effects]
+_Handler: TypeAlias = Callable[[State, Any], Effects]
+_UpstreamEvent: TypeAlias = UpstreamAnswered | UpstreamFailed | UpstreamProbed
 
 
 def reduce(state: State, event: Event) -> Effects:
@@ -249,15 +250,31 @@
 
 
 def _on_upstream_answered(state: State, event: UpstreamAnswered) -> Effects:
-    return calls.on_upstream_answered(state.calls, call_context(state), event)
+    return _with_ramp(state, event, calls.on_upstream_answered)
 
 
 def _on_upstream_failed(state: State, event: UpstreamFailed) -> Effects:
-    return calls.on_upstream_failed(state.calls, call_context(state), event)
+    return _with_ramp(state, event, calls.on_upstream_failed)
 
 
 def _on_upstream_probed(state: State, event: UpstreamProbed) -> Effects:
-    return calls.on_upstream_probed(state.calls, call_context(state), event)
+    return _with_ramp(state, event, calls.on_upstream_probed)
+
+
+def _with_ramp(
+    state: State,
+    event: _UpstreamEvent,
+    handle: Callable[[calls.CallsState, CallContext, Any], Effects],
+) -> Effects:
+    """Handle an event of the upstream; record a restart of its ramp."""
+    upstream = state.calls.owner.upstream
+    before = upstream.generation
+    effects = handle(state.calls, call_context(state), event)
+    if upstream.generation != before:
+        fields = {'cause': type(event).__name__, 'limit': upstream.limit}
+        record = state.trail.record('ramp_restarted', dict(fields))
+        effects.append(WriteAudit(record=record))
+    return effects
 
 
 def _on_stop_requested(state: State, event: StopRequested) -> Effects:
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -82,6 +82,11 @@
             'No route matches the method and path.',
             'Check the path, or publish a route for it.',
         ),
+        'ambiguous-path': ErrorText(
+            'An upstream may read the path otherwise than the router.',
+            'Send the path without dot segments, empty segments and needless '
+            'percent-encoding.',
+        ),
         'no-snapshot': ErrorText(
             'The daemon holds no configuration yet.',
             'Repeat the request after a moment.',
--- a/briartack/test/test_core_imports.py
+++ b/briartack/test/test_core_imports.py
@@ -25,6 +25,7 @@
         'math',
         'operator',
         'random',
+        're',
         'types',
         'typing',
         'msgspec',
