--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -44,7 +44,15 @@
     """One daemon; what happens to a frozen one waits until it is thawed."""
 
     def __init__(self, identity: Identity, seed: int) -> None:
-        self.identity = identity
+        self.hello = wire.Hello(
+            protocol_version=wire.PROTOCOL_VERSION,
+            instance=identity.instance,
+            incarnation=identity.incarnation,
+            service=identity.service,
+            data_centre=identity.data_centre,
+            region=identity.region,
+            clock=0,
+        )
         self.state = DisseminationState(identity=identity, random=Random(seed))
         self.held = FakeHoldings()
         self.is_frozen = False
@@ -235,18 +243,9 @@
         elif link not in self.links and not self.nodes[peer].is_frozen:
             self.links.add(link)
             for one, other in itertools.permutations(link):
-                far = self.nodes[other].identity
-                hello = wire.Hello(
-                    protocol_version=wire.PROTOCOL_VERSION,
-                    instance=far.instance,
-                    incarnation=far.incarnation,
-                    service=far.service,
-                    data_centre=far.data_centre,
-                    region=far.region,
-                    clock=self.now,
-                )
+                hello = self.nodes[other].hello
                 connected = events.PeerConnected
-                make = partial(connected, peer=far.instance, hello=hello)
+                make = partial(connected, peer=hello.instance, hello=hello)
                 self._feed_later(0, one, make)
 
     def _unlink(self, is_lost: Callable[[frozenset[str]], bool]) -> None:
@@ -260,53 +259,44 @@
         make = partial(lost, peer=InstanceId(peer), reason='lost')
         self._feed_later(0, name, make)
 
-    def _reaches_store(self, name: str) -> bool:
-        return not self.store.is_down and not self.is_cut(name, 'r0-store')
-
-    def _fail(self, name: str, operation: events.StoreOperation) -> None:
-        failed = events.StoreFailed
-        make = partial(failed, operation=operation, prefix='', reason='down')
+    def _answer(
+        self,
+        name: str,
+        operation: events.StoreOperation,
+        make: Make,
+    ) -> None:
+        if self.store.is_down or self.is_cut(name, 'r0-store'):
+            failed = events.StoreFailed
+            make = partial(failed, operation=operation, prefix='', reason='')
         self._feed_later(self.store_seconds(name), name, make)
 
     def _read(self, name: str, prefix: str) -> None:
         self.store.calls.append((self.now, 'read'))
-        if not self._reaches_store(name):
-            self._fail(name, events.StoreOperation.READ)
-            return
         make = partial(
             events.StoreRead,
             prefix=prefix,
             revision=self.store.revision,
             entries=self.store.read(prefix),
         )
-        self._feed_later(self.store_seconds(name), name, make)
+        self._answer(name, events.StoreOperation.READ, make)
 
     def _watch(self, name: str, effect: out.WatchStore) -> None:
         self.store.calls.append((self.now, 'watch'))
-        if not self._reaches_store(name):
-            self._fail(name, events.StoreOperation.WATCH)
-            return
-        self.nodes[name].watch = (
-            self.now + effect.wait_seconds,
-            effect.after,
-        )
-        if self.store.above(effect.after):
-            self._answer_watch(name, effect.after)
+        until = self.now + effect.wait_seconds
+        if self.store.is_down or self.is_cut(name, 'r0-store'):
+            until = self.now
+        self.nodes[name].watch = (until, effect.after)
+        self._answer_watches()
 
     def _answer_watches(self) -> None:
         for name, node in self.nodes.items():
             until, after = node.watch or (math.inf, self.store.revision)
-            if self.now >= until or self.store.above(after):
-                self._answer_watch(name, after)
-
-    def _answer_watch(self, name: str, after: Revision) -> None:
-        self.nodes[name].watch = None
-        if not self._reaches_store(name):
-            self._fail(name, events.StoreOperation.WATCH)
-            return
-        make = partial(
-            events.StoreWatched,
-            revision=self.store.revision,
-            entries=self.store.above(after),
-        )
-        self._feed_later(self.store_seconds(name), name, make)
+            entries = self.store.above(after)
+            if self.now >= until or entries:
+                node.watch = None
+                make = partial(
+                    events.StoreWatched,
+                    revision=self.store.revision,
+                    entries=entries,
+                )
+                self._answer(name, events.StoreOperation.WATCH, make)
