Let acting roots begin the comparison between regions

Between regions the lower id began the comparison of inventories, even when the other side still asked the listed but dead roots and so never began. The side that asks now begins unless both ask each other. The new test failed before the change.

--- a/briartack/core/dissemination_state.py
+++ b/briartack/core/dissemination_state.py
@@ -69,4 +69,7 @@
         """Tell which side compares inventories, so that only one does."""
         if peer not in self.links.upward:
             return False
-        return not self.links.is_remote(peer) or self.identity.instance < peer
+        # Two that count on each other would both begin.
+        summary = self.sync.summary_of(peer)
+        is_mutual = summary is not None and summary.wants_answers
+        return not is_mutual or self.identity.instance < peer
--- a/briartack/test/test_dissemination.py
+++ b/briartack/test/test_dissemination.py
@@ -134,6 +134,20 @@
         fleet.run(5)
         self.assertEqual(set(fleet.sent), {'Summary'})
 
+    def test_gap_of_a_region_with_acting_roots_is_filled(self) -> None:
+        """Others still ask the dead roots, so only this side can begin."""
+        fleet = _started(2, 1, 5)
+        fleet.edit('teams/b', 'text')
+        for root in fleet.roots('r1')[:2]:
+            fleet.kill(root)
+        fleet.run(10)
+        far = [node for name, node in fleet.nodes.items() if name[:2] == 'r1']
+        for node in far:
+            node.held.lose('teams/a')
+        fleet.run(10)
+        for node in far:
+            self.assertIn('teams/a', node.held.configuration)
+
     def test_large_answer_is_sent_in_parts(self) -> None:
         """One frame with a whole tree would block all other messages."""
         fleet = _started(1, 1, 3)
