End the mark of a goodbye when the peer greets anew

The reducer never called note_incarnation, so an instance that said goodbye and restarted under the same id before the platform's list showed it leaving got no attempts any more. A greeting under another incarnation now ends the mark. Only the test fleet did so before.

--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -146,6 +146,7 @@
 
 
 def _on_peer_connected(state: State, event: PeerConnected) -> Effects:
+    state.membership.note_incarnation(event.peer, event.hello.incarnation)
     return [
         *dissemination.on_peer_connected(
             state.dissemination,
