Keep recorded traces readable after a sender's pause

An attempt without a clock reading carried minus infinity, which msgspec writes to JSON as null, so that a trace of its owner could not be replayed (TraceError: expected float, got null). The constant is finite now and still below every reading. Two tests named the old number and name the constant instead; a new event in the recorder's round trip failed before the change.

--- a/briartack/core/endpoints.py
+++ b/briartack/core/endpoints.py
@@ -7,7 +7,8 @@
 
 VIEW_SECONDS: Final = 10.0
 # Owners refuse every attempt with this reading and answer with a fresh one.
-NO_CLOCK: Final = float('-inf')
+# It is finite, because JSON traces can't hold an infinite number.
+NO_CLOCK: Final = -1.0e12
 # A peer that refuses for another cause than load may change its mind.
 AVOID_SECONDS: Final = 1.0
 MAX_SILENCE_SECONDS: Final = 16.0
--- a/briartack/test/test_call_bounds.py
+++ b/briartack/test/test_call_bounds.py
@@ -12,7 +12,7 @@
 from briartack.core import dedup, idempotency, reasons, retry, routing
 from briartack.core.call_context import Member
 from briartack.core.effects import Dispatch, SendAttempt
-from briartack.core.endpoints import Endpoint, EndpointsState
+from briartack.core.endpoints import NO_CLOCK, Endpoint, EndpointsState
 from briartack.core.messages import Answer, Attempt
 from briartack.core.timers import Timers
 from briartack.core.units import (
@@ -357,7 +357,7 @@
         bench.run({'at': 4, 'do': 'gap'})
         sent = bench._arrive(4, {'call': 'p'})[0]
         assert isinstance(sent, SendAttempt)
-        self.assertEqual(sent.attempt.owner_clock, float('-inf'))
+        self.assertEqual(sent.attempt.owner_clock, NO_CLOCK)
 
     @params('answer', 'leave', 'tick', 'gap')
     def test_ended_attempt_is_not_in_flight(self, end: str) -> None:
@@ -433,7 +433,7 @@
         state.forget_news(9)
         view = state.get(peer)
         assert view is not None
-        self.assertEqual((view.clock, view.load), (float('-inf'), 0))
+        self.assertEqual((view.clock, view.load), (NO_CLOCK, 0))
 
     def _dials(self, bench: Bench, now: float) -> list[str]:
         seen = bench.run({'at': now, 'do': 'tick'})
--- a/briartack/test/test_recorder.py
+++ b/briartack/test/test_recorder.py
@@ -4,9 +4,11 @@
 import unittest
 from pathlib import Path
 
+import msgspec
 from nose2.tools import params
 
 from briartack.core import events
+from briartack.core.endpoints import NO_CLOCK
 from briartack.core.entries import Definition, Entry
 from briartack.core.units import (
     AttemptId,
@@ -69,6 +71,12 @@
         peer=InstanceId('saldo-2'),
         message=ANSWER,
     ),
+    # A sender that was paused has no reading of the owner's clock.
+    events.PeerMessageReceived(
+        now=3,
+        peer=InstanceId('saldo-2'),
+        message=msgspec.structs.replace(ATTEMPT, owner_clock=NO_CLOCK),
+    ),
     events.CallArrived(
         now=4,
         call_id=CallId('c1'),
