--- a/briartack/replay.py
+++ b/briartack/replay.py
@@ -2,7 +2,8 @@
 
 A recorded trace is judged by the monitors alone. A trace written for a test
 also has lines that state outcomes: `Expect` and `Never` look at the effects
-since the last such lines, `Holds` at the configuration in force.
+since the last such lines, `Holds` at the configuration in force. A `Note`
+says which failure the trace guards against.
 """
 
 from collections.abc import Iterator
@@ -49,6 +50,12 @@
     versions: dict[str, int] | None
 
 
+class Note(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Explain the trace to its reader; nothing is judged."""
+
+    text: str
+
+
 @final
 class ReplayResult:
     """Collect what a replay found."""
@@ -149,6 +156,8 @@
                 self._judge(line.place, decode_data(bound, Never))
             case 'Holds':
                 self._judge(line.place, decode_data(bound, Holds))
+            case 'Note':
+                decode_data(bound, Note)
             case _:
                 self._apply(bound)
 
@@ -216,8 +225,9 @@
 
 
 def _describe(effect: Effect) -> dict[str, object]:
-    described: dict[str, object] = msgspec.to_builtins(effect)
-    return described
+    """Give an effect as JSON has it: a tuple never equals a trace's list."""
+    encoded = msgspec.json.encode(effect)
+    return msgspec.json.decode(encoded, type=dict[str, object])
 
 
 def _lookup(value: object, path: str) -> object:
