--- /dev/null
+++ b/models/acceptance_rules.py
@@ -0,0 +1,312 @@
+"""The rules of section 6 of the design page, as functions over z3 formulas.
+
+A proxy takes in one entry at a time: a version of a team's subtree with the
+definitions to which its references resolve at the sender (none from the
+store). A definition is named by the version of its owner that holds it.
+"""
+
+from dataclasses import dataclass, replace
+from typing import Final, final
+
+import z3
+
+from models.subtree_history import (
+    TEAMS,
+    History,
+    Versions,
+    highest,
+    no_version,
+    others,
+)
+
+RULES: Final = (
+    'well_formed',
+    'revision',
+    'whole',
+    'joint',
+    'fixed_point',
+    'retention',
+    'definitions',
+    'no_fall_back',
+)
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Held:
+    """What one proxy holds; version 0 stands for none."""
+
+    # The versions whose routes are in force, and those whose resources are.
+    active: Versions
+    resources: Versions
+    waiting: Versions
+    # The version that held the definition kept for each team's resource.
+    retained: Versions
+
+    def equals(self, other: 'Held') -> z3.BoolRef:
+        """Return that two proxies, or states of one, hold the same."""
+        pairs = zip(self.flat, other.flat, strict=True)
+        return z3.And(*(left == right for left, right in pairs))
+
+    @property
+    def flat(self) -> Versions:
+        """Return all versions in one tuple."""
+        return self.active + self.resources + self.waiting + self.retained
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Incoming:
+    """Model an entry from the store or from a peer."""
+
+    team: int
+    version: z3.BitVecRef
+    definitions: Versions
+
+
+@final
+class Acceptance:
+    """Apply the rules to one proxy; a mutant lacks one rule."""
+
+    __slots__ = ('_history', '_rules')
+
+    def __init__(self, *, history: History, without: str = '') -> None:
+        """Use the versions of a history."""
+        self._history = history
+        self._rules = frozenset(RULES) - {without}
+
+    def entry(
+        self,
+        sender: Held,
+        team: int,
+        version: z3.BitVecRef,
+    ) -> Incoming:
+        """Return a sender's entry with the definitions it refers to."""
+        known = self.known(sender)
+        definitions = [no_version() for _ in TEAMS]
+        if 'definitions' in self._rules:
+            for owner in others(team):
+                definitions[owner] = z3.If(
+                    self._history.refers(team, version, owner),
+                    known[owner],
+                    no_version(),
+                )
+        return Incoming(
+            team=team,
+            version=version,
+            definitions=tuple(definitions),
+        )
+
+    def take(self, held: Held, incoming: Incoming) -> Held:
+        """Return what a proxy holds after it has taken in an entry."""
+        team = incoming.team
+        version = incoming.version
+        top = highest(held.waiting[team], version)
+        known = tuple(
+            highest(mine, theirs)
+            for mine, theirs in zip(
+                self.known(held),
+                incoming.definitions,
+                strict=True,
+            )
+        )
+        active = held.active
+        # The highest version first. If it has to wait, a lower one may still
+        # resolve, and what that one defines may then resolve the highest.
+        for candidate in (top, version, top):
+            active, known = self._resolve(
+                active,
+                known,
+                _replace_at(held.waiting, team, candidate),
+            )
+        waiting = _above(_replace_at(held.waiting, team, top), active)
+        taken = Held(
+            active=active,
+            resources=self._resources(active, waiting),
+            waiting=waiting,
+            retained=self._retained(active, waiting, known),
+        )
+        return _either(self._is_acceptable(held, incoming), taken, held)
+
+    def known(self, held: Held) -> Versions:
+        """Return the definition of each resource that a proxy has."""
+        return tuple(
+            z3.If(
+                self._history.defines(team, held.resources[team]),
+                highest(held.resources[team], held.retained[team]),
+                held.retained[team],
+            )
+            for team in TEAMS
+        )
+
+    def is_referred(
+        self,
+        owner: int,
+        active: Versions,
+        waiting: Versions,
+    ) -> z3.BoolRef:
+        """Return whether another team refers to an owner's resource."""
+        return z3.Or(
+            *(
+                self._history.refers(team, versions[team], owner)
+                for team in others(owner)
+                for versions in (active, waiting)
+            ),
+        )
+
+    def _is_acceptable(self, held: Held, incoming: Incoming) -> z3.BoolRef:
+        team = incoming.team
+        version = incoming.version
+        conditions = [version != 0]
+        if 'well_formed' in self._rules:
+            conditions.append(
+                z3.Not(self._history.is_malformed(team, version)),
+            )
+        if 'revision' in self._rules:
+            conditions.append(z3.ULT(held.active[team], version))
+        return z3.And(*conditions)
+
+    def _resolve(
+        self,
+        active: Versions,
+        known: Versions,
+        candidates: Versions,
+    ) -> tuple[Versions, Versions]:
+        # Assumes that all candidates are active, then drops those with a
+        # reference that nothing defines until nothing changes. Each pass but
+        # the last drops at least one team's candidate.
+        assumed = self._eligible(active, candidates)
+        passes = len(TEAMS) if 'fixed_point' in self._rules else 1
+        for _ in range(passes):
+            assumed = tuple(
+                z3.If(
+                    self._may_stay(team, active, known, assumed),
+                    assumed[team],
+                    active[team],
+                )
+                for team in TEAMS
+            )
+        return assumed, tuple(
+            z3.If(
+                self._history.defines(team, assumed[team]),
+                highest(known[team], assumed[team]),
+                known[team],
+            )
+            for team in TEAMS
+        )
+
+    def _eligible(self, active: Versions, candidates: Versions) -> Versions:
+        if 'revision' in self._rules:
+            return tuple(map(highest, active, candidates))
+        return tuple(
+            z3.If(candidate == 0, current, candidate)
+            for current, candidate in zip(active, candidates, strict=True)
+        )
+
+    def _may_stay(
+        self,
+        team: int,
+        active: Versions,
+        known: Versions,
+        assumed: Versions,
+    ) -> z3.BoolRef:
+        resolved = z3.And(
+            *(
+                z3.Implies(
+                    self._history.refers(team, assumed[team], owner),
+                    self._is_defined(owner, known, assumed),
+                )
+                for owner in others(team)
+            ),
+        )
+        if 'no_fall_back' in self._rules:
+            return resolved
+        # The rejected rule keeps no definition: a change that removes a
+        # resource in use is itself put back.
+        removes = z3.And(
+            self._history.defines(team, active[team]),
+            z3.Not(self._history.defines(team, assumed[team])),
+            self.is_referred(team, assumed, assumed),
+        )
+        return z3.And(resolved, z3.Not(removes))
+
+    def _is_defined(
+        self,
+        owner: int,
+        known: Versions,
+        assumed: Versions,
+    ) -> z3.BoolRef:
+        by_candidate = self._history.defines(owner, assumed[owner])
+        if 'no_fall_back' not in self._rules:
+            return by_candidate
+        if 'joint' not in self._rules:
+            return known[owner] != 0
+        return z3.Or(known[owner] != 0, by_candidate)
+
+    def _resources(self, active: Versions, waiting: Versions) -> Versions:
+        if 'whole' in self._rules:
+            return active
+        return tuple(map(highest, active, waiting))
+
+    def _retained(
+        self,
+        active: Versions,
+        waiting: Versions,
+        known: Versions,
+    ) -> Versions:
+        if 'no_fall_back' not in self._rules:
+            return tuple(no_version() for _ in TEAMS)
+        return tuple(
+            z3.If(
+                z3.And(
+                    self.is_referred(team, active, waiting),
+                    self._is_kept(known[team], active[team]),
+                ),
+                known[team],
+                no_version(),
+            )
+            for team in TEAMS
+        )
+
+    def _is_kept(
+        self,
+        known: z3.BitVecRef,
+        active: z3.BitVecRef,
+    ) -> z3.BoolRef:
+        if 'retention' in self._rules:
+            return known != active
+        return z3.ULT(active, known)
+
+
+
+
+def _either(condition: z3.BoolRef, yes: Held, no: Held) -> Held:
+    return replace(
+        no,
+        active=_choose(condition, yes.active, no.active),
+        resources=_choose(condition, yes.resources, no.resources),
+        waiting=_choose(condition, yes.waiting, no.waiting),
+        retained=_choose(condition, yes.retained, no.retained),
+    )
+
+
+def _choose(condition: z3.BoolRef, yes: Versions, no: Versions) -> Versions:
+    return tuple(
+        z3.If(condition, left, right)
+        for left, right in zip(yes, no, strict=True)
+    )
+
+
+def _replace_at(
+    versions: Versions,
+    team: int,
+    version: z3.BitVecRef,
+) -> Versions:
+    return (*versions[:team], version, *versions[team + 1 :])
+
+
+def _above(waiting: Versions, active: Versions) -> Versions:
+    return tuple(
+        z3.If(z3.ULT(current, candidate), candidate, no_version())
+        for candidate, current in zip(waiting, active, strict=True)
+    )
--- /dev/null
+++ b/models/subtree_history.py
@@ -0,0 +1,88 @@
+"""The symbolic history of every team's subtree in the store.
+
+Each version may be malformed, may define the one resource of its team and may
+refer to the resource of each other team, so that one formula covers all
+histories of the stated size. Version 0 is the absence of a subtree.
+"""
+
+from typing import Final, TypeAlias, final
+
+import z3
+
+from models.transitions import Variables
+
+# Two bits hold version 0 and the three versions of a subtree.
+VERSION_SORT: Final = z3.BitVecSort(2)
+VERSIONS: Final = (1, 2, 3)
+TEAMS: Final = (0, 1, 2)
+
+Versions: TypeAlias = tuple[z3.BitVecRef, ...]
+
+
+@final
+class History:
+    """Look up properties of versions in one state's variables."""
+
+    __slots__ = ('_now',)
+
+    def __init__(self, now: Variables) -> None:
+        """Read the history from a state; no step changes it."""
+        self._now = now
+
+    def is_malformed(self, team: int, version: z3.BitVecRef) -> z3.BoolRef:
+        """Return whether a version breaks the rules of one subtree's text."""
+        return self._holds(f'malformed_{team}', version)
+
+    def defines(self, team: int, version: z3.BitVecRef) -> z3.BoolRef:
+        """Return whether a version defines its team's resource."""
+        return self._holds(f'defines_{team}', version)
+
+    def refers(
+        self,
+        team: int,
+        version: z3.BitVecRef,
+        owner: int,
+    ) -> z3.BoolRef:
+        """Return whether a version refers to the resource of an owner."""
+        return self._holds(f'refers_{team}_{owner}', version)
+
+    def _holds(self, prefix: str, version: z3.BitVecRef) -> z3.BoolRef:
+        return z3.Or(
+            *(
+                z3.And(version == number, self._now[f'{prefix}_{number}'])
+                for number in VERSIONS
+            ),
+        )
+
+
+def history_sorts() -> dict[str, z3.SortRef]:
+    """Return the variables of a history."""
+    prefixes = [
+        *(f'malformed_{team}' for team in TEAMS),
+        *(f'defines_{team}' for team in TEAMS),
+        *(
+            f'refers_{team}_{owner}'
+            for team in TEAMS
+            for owner in others(team)
+        ),
+    ]
+    return {
+        f'{prefix}_{number}': z3.BoolSort()
+        for prefix in prefixes
+        for number in VERSIONS
+    }
+
+
+def others(team: int) -> tuple[int, ...]:
+    """Return all teams but one."""
+    return tuple(other for other in TEAMS if other != team)
+
+
+def highest(left: z3.BitVecRef, right: z3.BitVecRef) -> z3.BitVecRef:
+    """Return the higher of two versions."""
+    return z3.If(z3.ULT(left, right), right, left)
+
+
+def no_version() -> z3.BitVecRef:
+    """Return the version that stands for an absent subtree or definition."""
+    return z3.BitVecVal(0, VERSION_SORT)
