Prove that a call runs at most once over several attempts

A call may be tried at several owners, and a caller may be told not-run while a request or a cancellation is still in the network.

--- /dev/null
+++ b/models/call_attempts.py
@@ -0,0 +1,403 @@
+"""At-most-once runs of one call over several attempts with different owners.
+
+Written from section 8 of the design page. A request travels on one stream, so
+that its owner reads it at most once, after any delay; answers and
+cancellations may be lost, late, repeated or overtaken. Every owner may restart
+under a new incarnation, with no memory and its clock at any reading. The
+sender may be paused at any point, because any step may come next.
+"""
+
+from collections.abc import Mapping
+from typing import Final, final
+
+import z3
+
+from models.transitions import Variables, unchanged
+
+ATTEMPTS: Final = (0, 1, 2)
+GUARDS: Final = (
+    'retry',
+    'cut',
+    'reading',
+    'incarnation',
+    'refusal',
+    'retention',
+    'cancel_age',
+)
+_FIELDS: Final = {
+    'is_sent': z3.BoolSort(),
+    'is_in_network': z3.BoolSort(),
+    'named_incarnation': z3.IntSort(),
+    'reading': z3.IntSort(),
+    'incarnation': z3.IntSort(),
+    'clock': z3.IntSort(),
+    # The owner's memory of the attempt's id, of a start or of a refusal.
+    'is_remembered': z3.BoolSort(),
+    'remembered_at': z3.IntSort(),
+    # A `not-run` of the owner is in the network, and stays there.
+    'is_refused': z3.BoolSort(),
+    'has_run': z3.BoolSort(),
+    # What the sender made of the attempt; the first outcome counts.
+    'heard_not_run': z3.BoolSort(),
+    'is_unknown': z3.BoolSort(),
+}
+
+
+@final
+class CallAttempts:
+    """Model one call that may not be repeated."""
+
+    __slots__ = ('_guards',)
+
+    def __init__(self, *, without: str = '') -> None:
+        """Take out one guard to make a mutant."""
+        self._guards = frozenset(GUARDS) - {without}
+
+    @property
+    def sorts(self) -> Mapping[str, z3.SortRef]:
+        """Return the sort of each variable; times are seconds."""
+        return {
+            'window': z3.IntSort(),
+            'is_told_not_run': z3.BoolSort(),
+            # The caller cancelled, or was told some verdict.
+            'is_over': z3.BoolSort(),
+            **{
+                f'{field}_{number}': sort
+                for field, sort in _FIELDS.items()
+                for number in ATTEMPTS
+            },
+        }
+
+    def initial(self, now: Variables) -> z3.BoolRef:
+        """Return that nothing was sent, run or told."""
+        flags = [
+            now[f'{field}_{number}']
+            for field, sort in _FIELDS.items()
+            for number in ATTEMPTS
+            if sort == z3.BoolSort()
+        ]
+        return z3.And(
+            now['window'] > 0,
+            z3.Not(z3.Or(now['is_told_not_run'], now['is_over'], *flags)),
+        )
+
+    def step(self, now: Variables, after: Variables) -> z3.BoolRef:
+        """Return the transitions of caller, sender, network and owners."""
+        steps = (
+            self._send,
+            self._start,
+            self._refuse,
+            self._cancel_at_owner,
+            self._hear_refusal,
+            self._cut,
+            self._expire,
+            self._pass_time,
+            self._forget,
+            self._restart,
+        )
+        return z3.Or(
+            self._tell_not_run(now, after),
+            z3.And(after['is_over'], unchanged(now, after, 'is_over')),
+            *(
+                one_step(now, after, number)
+                for one_step in steps
+                for number in ATTEMPTS
+            ),
+        )
+
+    def safe(self, now: Variables) -> z3.BoolRef:
+        """Return that one attempt ran at most, and none after `not-run`."""
+        ran = [now[f'has_run_{number}'] for number in ATTEMPTS]
+        return z3.And(
+            z3.AtMost(*ran, 1),
+            z3.Implies(now['is_told_not_run'], z3.Not(z3.Or(*ran))),
+        )
+
+    def invariant(self, now: Variables) -> z3.BoolRef:
+        """Return why an attempt that was refused never runs."""
+        return z3.And(
+            now['window'] > 0,
+            z3.Implies(now['is_told_not_run'], now['is_over']),
+            *(self._holds_for(now, number) for number in ATTEMPTS),
+        )
+
+    def _holds_for(self, now: Variables, number: int) -> z3.BoolRef:
+        one = _Attempt(now, number)
+        is_named = one['named_incarnation'] == one['incarnation']
+        is_barred = z3.Or(
+            one['named_incarnation'] < one['incarnation'],
+            one['is_remembered'],
+            one['clock'] - one['reading'] > now['window'],
+        )
+        anything = z3.Or(
+            *(
+                one[field]
+                for field in (
+                    'is_in_network',
+                    'is_remembered',
+                    'is_refused',
+                    'has_run',
+                    'heard_not_run',
+                    'is_unknown',
+                )
+            ),
+        )
+        is_settled = z3.And(one['heard_not_run'], one['is_refused'])
+        return z3.And(
+            z3.Implies(anything, one['is_sent']),
+            z3.Implies(
+                one['is_sent'],
+                z3.And(
+                    one['named_incarnation'] <= one['incarnation'],
+                    z3.Implies(is_named, one['reading'] <= one['clock']),
+                    *(
+                        now[f'heard_not_run_{earlier}']
+                        for earlier in ATTEMPTS[:number]
+                    ),
+                ),
+            ),
+            z3.Implies(
+                one['is_remembered'],
+                z3.And(is_named, one['remembered_at'] >= one['reading']),
+            ),
+            z3.Implies(
+                one['has_run'],
+                z3.And(z3.Not(one['is_in_network']), is_barred),
+            ),
+            z3.Implies(
+                one['is_refused'],
+                z3.And(
+                    z3.Not(one['has_run']),
+                    z3.Or(z3.Not(one['is_in_network']), is_barred),
+                ),
+            ),
+            z3.Implies(one['heard_not_run'], one['is_refused']),
+            z3.Implies(
+                z3.And(now['is_told_not_run'], one['is_sent']),
+                is_settled,
+            ),
+        )
+
+    def _send(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        one = _Attempt(now, number)
+        then = _Attempt(after, number)
+        earlier = [
+            self._may_follow(_Attempt(now, other))
+            for other in ATTEMPTS[:number]
+        ]
+        # The reading may be older than the owner's clock by any delay.
+        return z3.And(
+            z3.Not(now['is_over']),
+            z3.Not(one['is_sent']),
+            *earlier,
+            then['is_sent'],
+            then['is_in_network'],
+            then['named_incarnation'] == one['incarnation'],
+            then['reading'] <= one['clock'],
+            one.keeps(
+                after,
+                'is_sent',
+                'is_in_network',
+                'named_incarnation',
+                'reading',
+            ),
+        )
+
+    def _may_follow(self, earlier: '_Attempt') -> z3.BoolRef:
+        if 'retry' in self._guards:
+            return earlier['heard_not_run']
+        return z3.Or(earlier['heard_not_run'], earlier['is_unknown'])
+
+    def _start(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        one = _Attempt(now, number)
+        then = _Attempt(after, number)
+        guards = {
+            'incarnation': one['named_incarnation'] == one['incarnation'],
+            'reading': one['clock'] - one['reading'] <= now['window'],
+            'refusal': z3.Not(one['is_remembered']),
+        }
+        return z3.And(
+            one['is_in_network'],
+            *(guard for name, guard in guards.items() if name in self._guards),
+            z3.Not(then['is_in_network']),
+            then['is_remembered'],
+            then['remembered_at'] == one['clock'],
+            then['has_run'],
+            one.keeps(
+                after,
+                'is_in_network',
+                'is_remembered',
+                'remembered_at',
+                'has_run',
+            ),
+        )
+
+    def _refuse(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        # For want of a slot or because a guard fails. The request is read by
+        # now and cannot be read again.
+        one = _Attempt(now, number)
+        then = _Attempt(after, number)
+        return z3.And(
+            one['is_in_network'],
+            z3.Not(then['is_in_network']),
+            then['is_refused'],
+            one.keeps(after, 'is_in_network', 'is_refused'),
+        )
+
+    def _cancel_at_owner(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        # A cancellation may overtake its attempt. The owner answers `not-run`
+        # only if it would still remember a start, and then bars the id.
+        one = _Attempt(now, number)
+        then = _Attempt(after, number)
+        is_fresh = one['clock'] - one['reading'] <= now['window']
+        return z3.And(
+            one['is_sent'],
+            one['named_incarnation'] == one['incarnation'],
+            z3.Not(one['is_remembered']),
+            is_fresh if 'cancel_age' in self._guards else z3.BoolVal(val=True),
+            then['is_remembered'],
+            then['remembered_at'] == one['clock'],
+            then['is_refused'],
+            one.keeps(after, 'is_remembered', 'remembered_at', 'is_refused'),
+        )
+
+    def _hear_refusal(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        # An answer that comes after the attempt was given up is dropped.
+        one = _Attempt(now, number)
+        return z3.And(
+            one['is_refused'],
+            z3.Not(one['is_unknown']),
+            _Attempt(after, number)['heard_not_run'],
+            one.keeps(after, 'heard_not_run'),
+        )
+
+    def _cut(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        # The request was read, is lost, or still waits to be read.
+        one = _Attempt(now, number)
+        then = _Attempt(after, number)
+        outcome = 'is_unknown' if 'cut' in self._guards else 'heard_not_run'
+        return z3.And(
+            one['is_sent'],
+            z3.Not(z3.Or(one['heard_not_run'], one['is_unknown'])),
+            z3.Implies(then['is_in_network'], one['is_in_network']),
+            then[outcome],
+            one.keeps(after, 'is_in_network', outcome),
+        )
+
+    def _expire(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        # The deadline passed, or the sender noticed that it had been paused.
+        one = _Attempt(now, number)
+        return z3.And(
+            one['is_sent'],
+            z3.Not(one['heard_not_run']),
+            _Attempt(after, number)['is_unknown'],
+            one.keeps(after, 'is_unknown'),
+        )
+
+    def _tell_not_run(self, now: Variables, after: Variables) -> z3.BoolRef:
+        attempts = [_Attempt(now, number) for number in ATTEMPTS]
+        return z3.And(
+            z3.Not(now['is_over']),
+            *(
+                z3.Implies(one['is_sent'], one['heard_not_run'])
+                for one in attempts
+            ),
+            after['is_told_not_run'],
+            after['is_over'],
+            unchanged(now, after, 'is_told_not_run', 'is_over'),
+        )
+
+    def _pass_time(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        one = _Attempt(now, number)
+        return z3.And(
+            _Attempt(after, number)['clock'] > one['clock'],
+            one.keeps(after, 'clock'),
+        )
+
+    def _forget(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        one = _Attempt(now, number)
+        is_old = one['clock'] - one['remembered_at'] > now['window']
+        return z3.And(
+            one['is_remembered'],
+            is_old if 'retention' in self._guards else z3.BoolVal(val=True),
+            z3.Not(_Attempt(after, number)['is_remembered']),
+            one.keeps(after, 'is_remembered'),
+        )
+
+    def _restart(
+        self,
+        now: Variables,
+        after: Variables,
+        number: int,
+    ) -> z3.BoolRef:
+        one = _Attempt(now, number)
+        then = _Attempt(after, number)
+        return z3.And(
+            then['incarnation'] > one['incarnation'],
+            z3.Not(then['is_remembered']),
+            one.keeps(after, 'incarnation', 'clock', 'is_remembered'),
+        )
+
+
+@final
+class _Attempt:
+    """Name the variables of one attempt and its owner in a state."""
+
+    __slots__ = ('_now', '_number')
+
+    def __init__(self, now: Variables, number: int) -> None:
+        self._now = now
+        self._number = number
+
+    def __getitem__(self, field: str) -> z3.ExprRef:
+        return self._now[f'{field}_{self._number}']
+
+    def keeps(self, after: Variables, *changing: str) -> z3.BoolRef:
+        """Return that only some variables of this attempt change."""
+        names = [f'{field}_{self._number}' for field in changing]
+        return unchanged(self._now, after, *names)
