--- a/models/acceptance_rules.py
+++ b/models/acceptance_rules.py
@@ -43,16 +43,21 @@
     # The version that held the definition kept for each team's resource.
     retained: Versions
 
-    def equals(self, other: 'Held') -> z3.BoolRef:
-        """Return that two proxies, or states of one, hold the same."""
-        pairs = zip(self.flat, other.flat, strict=True)
-        return z3.And(*(left == right for left, right in pairs))
+    @property
+    def highest(self) -> Versions:
+        """Return the highest version of each team, active or waiting."""
+        return tuple(map(highest, self.active, self.waiting))
 
     @property
     def flat(self) -> Versions:
         """Return all versions in one tuple."""
         return self.active + self.resources + self.waiting + self.retained
 
+    def equals(self, other: 'Held') -> z3.BoolRef:
+        """Return that two proxies, or states of one, hold the same."""
+        pairs = zip(self.flat, other.flat, strict=True)
+        return z3.And(*(left == right for left, right in pairs))
+
 
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -278,8 +283,6 @@
         return z3.ULT(active, known)
 
 
-
-
 def _either(condition: z3.BoolRef, yes: Held, no: Held) -> Held:
     return replace(
         no,
--- /dev/null
+++ b/models/catalogue.py
@@ -0,0 +1,259 @@
+"""All proofs, reachable goals and mutants, as tables for tests and command."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final, final
+
+import z3
+
+from models import attempt_binding, call_attempts, watch_duty
+from models.acceptance import (
+    FEW_CHOICES,
+    PROPERTIES,
+    REPRESENTATIVE,
+    AcceptanceSystem,
+)
+from models.attempt_binding import AttemptBinding
+from models.call_attempts import CallAttempts
+from models.transitions import (
+    DEFAULT_DEPTH,
+    TransitionSystem,
+    Variables,
+    find_fault,
+    is_reachable,
+    proof_gap,
+)
+from models.watch_duty import KEYS, WatchDuty
+
+# Enough for each mutant of the acceptance, and bearable for the whole search.
+ACCEPTANCE_DEPTH: Final = 4
+
+# The shortest runs to a fault, in the order of each model's guards.
+BINDING_STEPS: Final = (4, 5, 3, 4)
+CALL_STEPS: Final = (5, 4, 7, 6, 5, 6, 7)
+WATCH_STEPS: Final = (3, 2, 3)
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Proof:
+    """An induction over runs of any length."""
+
+    name: str
+    proved: str
+    sizes: str
+    system: TransitionSystem
+
+    def problem(self) -> str:
+        """Return what fails; empty if it is proved."""
+        gap = proof_gap(self.system)
+        return f'the induction fails at {gap!r}' if gap else ''
+
+    def describe(self) -> str:
+        """Return what is proved and for which sizes."""
+        proved = f'proved for runs of any length: {self.proved}'
+        return f'{self.name}: {proved}; {self.sizes}'
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Goal:
+    """A state that some run must reach, or a proof would say nothing."""
+
+    name: str
+    reached: str
+    system: TransitionSystem
+    goal: Callable[[Variables], z3.BoolRef]
+    depth: int = DEFAULT_DEPTH
+
+    def problem(self) -> str:
+        """Return what fails; empty if the goal is reached."""
+        is_reached = is_reachable(self.system, self.goal, self.depth)
+        return '' if is_reached else f'not reached in {self.depth} steps'
+
+    def describe(self) -> str:
+        """Return what is reached and within how many steps."""
+        return f'{self.name}: reachable in {self.depth} steps: {self.reached}'
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Mutant:
+    """A system without one guard, whose fault must be found in few steps."""
+
+    name: str
+    guard: str
+    system: TransitionSystem
+    # The length of the shortest run to the fault.
+    steps: int
+
+    def problem(self) -> str:
+        """Return what fails; empty if the shortest run is as expected."""
+        run = find_fault(self.system, self.steps)
+        if run is None:
+            return f'no fault in {self.steps} steps'
+        found = len(run) - 1
+        return '' if found == self.steps else f'fault after {found} steps'
+
+    def describe(self) -> str:
+        """Return which guard is missing and how the fault is found."""
+        mutant = f'mutant without {self.guard!r}'
+        return f'{self.name}: {mutant}: fault in {self.steps} steps'
+
+
+def proofs() -> tuple[Proof, ...]:
+    """Return all inductions."""
+    safety = [name for name in PROPERTIES if name != 'exchanged']
+    return (
+        Proof(
+            name='acceptance',
+            proved=', '.join(safety),
+            sizes='3 teams, 3 versions each, 2 proxies',
+            system=AcceptanceSystem(
+                properties=tuple(safety),
+                choices=REPRESENTATIVE,
+            ),
+        ),
+        Proof(
+            name='acceptance',
+            proved='exchanged (three pulls of all entries, in turn)',
+            sizes='2 teams, 3 versions each, 2 proxies',
+            system=AcceptanceSystem(
+                properties=('exchanged',),
+                choices=REPRESENTATIVE,
+                teams=2,
+            ),
+        ),
+        Proof(
+            name='attempt_binding',
+            proved='an attempt runs at most once',
+            sizes='1 attempt, unbounded times, restarts and repeats',
+            system=AttemptBinding(),
+        ),
+        Proof(
+            name='call_attempts',
+            proved='a call runs at most once, and never after not-run',
+            sizes='3 attempts at 3 owners, unbounded times and restarts',
+            system=CallAttempts(),
+        ),
+        Proof(
+            name='watch_duty',
+            proved='a watcher at the end of the history holds all of it',
+            sizes='2 keys, unbounded revisions',
+            system=WatchDuty(),
+        ),
+    )
+
+
+def goals() -> tuple[Goal, ...]:
+    """Return a state for each model that some run reaches."""
+    return (
+        Goal(
+            name='acceptance',
+            reached='a removed resource in use and a version that waits',
+            system=AcceptanceSystem(choices=FEW_CHOICES),
+            goal=lambda now: z3.And(
+                now['retained_0_0'] != 0,
+                now['active_0_1'] != 0,
+                now['waiting_1_0'] != 0,
+            ),
+            depth=ACCEPTANCE_DEPTH,
+        ),
+        Goal(
+            name='attempt_binding',
+            reached='the attempt ran',
+            system=AttemptBinding(),
+            goal=lambda now: now['runs'] == 1,
+        ),
+        Goal(
+            name='call_attempts',
+            reached='the second attempt ran',
+            system=CallAttempts(),
+            goal=lambda now: now['has_run_1'],
+        ),
+        Goal(
+            name='call_attempts',
+            reached='the caller was told not-run after two attempts',
+            system=CallAttempts(),
+            goal=lambda now: z3.And(now['is_told_not_run'], now['is_sent_1']),
+        ),
+        Goal(
+            name='watch_duty',
+            reached='the watcher is at the end and holds both keys',
+            system=WatchDuty(),
+            goal=lambda now: z3.And(
+                now['position'] == now['revision'],
+                *(now[f'held_{key}'] > 0 for key in KEYS),
+            ),
+        ),
+    )
+
+
+def mutants() -> tuple[Mutant, ...]:
+    """Return all mutants with the length of the shortest run to a fault."""
+    return (*_acceptance_mutants(), *_call_mutants(), *_watch_mutants())
+
+
+def _acceptance_mutants() -> list[Mutant]:
+    # The guard that is taken out, the property that breaks, teams and steps.
+    table = (
+        ('well_formed', 'well_formed', 3, 1),
+        ('revision', 'never_back', 3, 2),
+        ('whole', 'whole', 3, 1),
+        ('joint', 'settled', 3, 2),
+        ('fixed_point', 'resolved', 3, 2),
+        ('retention', 'resolved', 3, 3),
+        ('definitions', 'exchanged', 2, 3),
+        ('no_fall_back', 'exchanged', 2, 3),
+    )
+    return [
+        Mutant(
+            name='acceptance',
+            guard=guard,
+            system=AcceptanceSystem(
+                without=guard,
+                properties=(broken,),
+                choices=FEW_CHOICES,
+                teams=teams,
+            ),
+            steps=steps,
+        )
+        for guard, broken, teams, steps in table
+    ]
+
+
+def _call_mutants() -> list[Mutant]:
+    binding = zip(attempt_binding.GUARDS, BINDING_STEPS, strict=True)
+    attempts = zip(call_attempts.GUARDS, CALL_STEPS, strict=True)
+    return [
+        *(
+            Mutant(
+                name='attempt_binding',
+                guard=guard,
+                system=AttemptBinding(without=guard),
+                steps=steps,
+            )
+            for guard, steps in binding
+        ),
+        *(
+            Mutant(
+                name='call_attempts',
+                guard=guard,
+                system=CallAttempts(without=guard),
+                steps=steps,
+            )
+            for guard, steps in attempts
+        ),
+    ]
+
+
+def _watch_mutants() -> list[Mutant]:
+    return [
+        Mutant(
+            name='watch_duty',
+            guard=guard,
+            system=WatchDuty(without=guard),
+            steps=steps,
+        )
+        for guard, steps in zip(watch_duty.GUARDS, WATCH_STEPS, strict=True)
+    ]
