--- a/models/__main__.py
+++ b/models/__main__.py
@@ -12,7 +12,7 @@
 
 def main() -> int:
     """Run all checks and return the exit code."""
-    checks = (*proofs(), *goals(), *mutants())
+    checks: list[Proof | Goal | Mutant] = [*proofs(), *goals(), *mutants()]
     failed = [check for check in checks if not _holds(check)]
     return 1 if failed else 0
 
--- a/models/acceptance_rules.py
+++ b/models/acceptance_rules.py
@@ -283,20 +283,22 @@
         return z3.ULT(active, known)
 
 
-def _either(condition: z3.BoolRef, yes: Held, no: Held) -> Held:
+def _either(condition: z3.BoolRef, chosen: Held, otherwise: Held) -> Held:
     return replace(
-        no,
-        active=_choose(condition, yes.active, no.active),
-        resources=_choose(condition, yes.resources, no.resources),
-        waiting=_choose(condition, yes.waiting, no.waiting),
-        retained=_choose(condition, yes.retained, no.retained),
+        otherwise,
+        active=_choose(condition, chosen.active, otherwise.active),
+        resources=_choose(condition, chosen.resources, otherwise.resources),
+        waiting=_choose(condition, chosen.waiting, otherwise.waiting),
+        retained=_choose(condition, chosen.retained, otherwise.retained),
     )
 
 
-def _choose(condition: z3.BoolRef, yes: Versions, no: Versions) -> Versions:
+def _choose(
+    condition: z3.BoolRef, chosen: Versions, otherwise: Versions
+) -> Versions:
     return tuple(
         z3.If(condition, left, right)
-        for left, right in zip(yes, no, strict=True)
+        for left, right in zip(chosen, otherwise, strict=True)
     )
 
 
--- /dev/null
+++ b/models/acceptance_state.py
@@ -0,0 +1,71 @@
+"""The variables of two proxies, and what each may pull from the other."""
+
+from itertools import product
+from typing import Final, TypeAlias
+
+import z3
+
+from models.acceptance_rules import Acceptance, Held, Incoming
+from models.subtree_history import TEAMS, VERSION_SORT, no_version
+from models.transitions import Variables
+
+PROXIES: Final = (0, 1)
+FIELDS: Final = ('active', 'resources', 'waiting', 'retained')
+# Which proxy takes in which team's entry in a step.
+Choice: TypeAlias = tuple[int, int]
+ALL_CHOICES: Final[tuple[Choice, ...]] = tuple(product(PROXIES, TEAMS))
+
+
+def held_names(proxy: int, team: int) -> tuple[str, ...]:
+    """Return the variables of what a proxy holds of a team."""
+    return tuple(f'{field}_{proxy}_{team}' for field in FIELDS)
+
+
+def held_sorts() -> dict[str, z3.SortRef]:
+    """Return the variables of what both proxies hold."""
+    return {
+        name: VERSION_SORT
+        for proxy, team in ALL_CHOICES
+        for name in held_names(proxy, team)
+    }
+
+
+def held(now: Variables, proxy: int) -> Held:
+    """Return what a proxy holds in a state."""
+    active, resources, waiting, retained = (
+        tuple(now[f'{field}_{proxy}_{team}'] for team in TEAMS)
+        for field in FIELDS
+    )
+    return Held(
+        active=active,
+        resources=resources,
+        waiting=waiting,
+        retained=retained,
+    )
+
+
+def empty() -> Held:
+    """Return what a proxy holds when it starts."""
+    nothing = tuple(no_version() for _ in TEAMS)
+    return Held(
+        active=nothing,
+        resources=nothing,
+        waiting=nothing,
+        retained=nothing,
+    )
+
+
+def entries(rules: Acceptance, sender: Held, team: int) -> list[Incoming]:
+    """Return a sender's entries of a team: the active and the waiting one."""
+    return [
+        rules.entry(sender, team, versions[team])
+        for versions in (sender.active, sender.waiting)
+    ]
+
+
+def pull_all(rules: Acceptance, receiver: Held, sender: Held) -> Held:
+    """Return what a receiver holds after a pull of all entries."""
+    for team in TEAMS:
+        for incoming in entries(rules, sender, team):
+            receiver = rules.take(receiver, incoming)
+    return receiver
--- a/models/call_attempts.py
+++ b/models/call_attempts.py
@@ -12,6 +12,15 @@
 
 import z3
 
+from models.call_steps import (
+    FIELDS,
+    Attempt,
+    expire,
+    hear_refusal,
+    pass_time,
+    refuse,
+    restart,
+)
 from models.transitions import Variables, unchanged
 
 ATTEMPTS: Final = (0, 1, 2)
@@ -24,23 +33,6 @@
     'retention',
     'cancel_age',
 )
-_FIELDS: Final = {
-    'is_sent': z3.BoolSort(),
-    'is_in_network': z3.BoolSort(),
-    'named_incarnation': z3.IntSort(),
-    'reading': z3.IntSort(),
-    'incarnation': z3.IntSort(),
-    'clock': z3.IntSort(),
-    # The owner's memory of the attempt's id, of a start or of a refusal.
-    'is_remembered': z3.BoolSort(),
-    'remembered_at': z3.IntSort(),
-    # A `not-run` of the owner is in the network, and stays there.
-    'is_refused': z3.BoolSort(),
-    'has_run': z3.BoolSort(),
-    # What the sender made of the attempt; the first outcome counts.
-    'heard_not_run': z3.BoolSort(),
-    'is_unknown': z3.BoolSort(),
-}
 
 
 @final
@@ -63,7 +55,7 @@
             'is_over': z3.BoolSort(),
             **{
                 f'{field}_{number}': sort
-                for field, sort in _FIELDS.items()
+                for field, sort in FIELDS.items()
                 for number in ATTEMPTS
             },
         }
@@ -72,7 +64,7 @@
         """Return that nothing was sent, run or told."""
         flags = [
             now[f'{field}_{number}']
-            for field, sort in _FIELDS.items()
+            for field, sort in FIELDS.items()
             for number in ATTEMPTS
             if sort == z3.BoolSort()
         ]
@@ -86,14 +78,14 @@
         steps = (
             self._send,
             self._start,
-            self._refuse,
+            refuse,
             self._cancel_at_owner,
-            self._hear_refusal,
+            hear_refusal,
             self._cut,
-            self._expire,
-            self._pass_time,
+            expire,
+            pass_time,
             self._forget,
-            self._restart,
+            restart,
         )
         return z3.Or(
             self._tell_not_run(now, after),
@@ -122,7 +114,7 @@
         )
 
     def _holds_for(self, now: Variables, number: int) -> z3.BoolRef:
-        one = _Attempt(now, number)
+        one = Attempt(now, number)
         is_named = one['named_incarnation'] == one['incarnation']
         is_barred = z3.Or(
             one['named_incarnation'] < one['incarnation'],
@@ -184,11 +176,10 @@
         after: Variables,
         number: int,
     ) -> z3.BoolRef:
-        one = _Attempt(now, number)
-        then = _Attempt(after, number)
+        one = Attempt(now, number)
+        then = Attempt(after, number)
         earlier = [
-            self._may_follow(_Attempt(now, other))
-            for other in ATTEMPTS[:number]
+            self._may_follow(Attempt(now, other)) for other in ATTEMPTS[:number]
         ]
         # The reading may be older than the owner's clock by any delay.
         return z3.And(
@@ -208,7 +199,7 @@
             ),
         )
 
-    def _may_follow(self, earlier: '_Attempt') -> z3.BoolRef:
+    def _may_follow(self, earlier: Attempt) -> z3.BoolRef:
         if 'retry' in self._guards:
             return earlier['heard_not_run']
         return z3.Or(earlier['heard_not_run'], earlier['is_unknown'])
@@ -219,8 +210,8 @@
         after: Variables,
         number: int,
     ) -> z3.BoolRef:
-        one = _Attempt(now, number)
-        then = _Attempt(after, number)
+        one = Attempt(now, number)
+        then = Attempt(after, number)
         guards = {
             'incarnation': one['named_incarnation'] == one['incarnation'],
             'reading': one['clock'] - one['reading'] <= now['window'],
@@ -242,23 +233,6 @@
             ),
         )
 
-    def _refuse(
-        self,
-        now: Variables,
-        after: Variables,
-        number: int,
-    ) -> z3.BoolRef:
-        # For want of a slot or because a guard fails. The request is read by
-        # now and cannot be read again.
-        one = _Attempt(now, number)
-        then = _Attempt(after, number)
-        return z3.And(
-            one['is_in_network'],
-            z3.Not(then['is_in_network']),
-            then['is_refused'],
-            one.keeps(after, 'is_in_network', 'is_refused'),
-        )
-
     def _cancel_at_owner(
         self,
         now: Variables,
@@ -267,8 +241,8 @@
     ) -> z3.BoolRef:
         # A cancellation may overtake its attempt. The owner answers `not-run`
         # only if it would still remember a start, and then bars the id.
-        one = _Attempt(now, number)
-        then = _Attempt(after, number)
+        one = Attempt(now, number)
+        then = Attempt(after, number)
         is_fresh = one['clock'] - one['reading'] <= now['window']
         return z3.And(
             one['is_sent'],
@@ -281,21 +255,6 @@
             one.keeps(after, 'is_remembered', 'remembered_at', 'is_refused'),
         )
 
-    def _hear_refusal(
-        self,
-        now: Variables,
-        after: Variables,
-        number: int,
-    ) -> z3.BoolRef:
-        # An answer that comes after the attempt was given up is dropped.
-        one = _Attempt(now, number)
-        return z3.And(
-            one['is_refused'],
-            z3.Not(one['is_unknown']),
-            _Attempt(after, number)['heard_not_run'],
-            one.keeps(after, 'heard_not_run'),
-        )
-
     def _cut(
         self,
         now: Variables,
@@ -303,8 +262,8 @@
         number: int,
     ) -> z3.BoolRef:
         # The request was read, is lost, or still waits to be read.
-        one = _Attempt(now, number)
-        then = _Attempt(after, number)
+        one = Attempt(now, number)
+        then = Attempt(after, number)
         outcome = 'is_unknown' if 'cut' in self._guards else 'heard_not_run'
         return z3.And(
             one['is_sent'],
@@ -314,23 +273,8 @@
             one.keeps(after, 'is_in_network', outcome),
         )
 
-    def _expire(
-        self,
-        now: Variables,
-        after: Variables,
-        number: int,
-    ) -> z3.BoolRef:
-        # The deadline passed, or the sender noticed that it had been paused.
-        one = _Attempt(now, number)
-        return z3.And(
-            one['is_sent'],
-            z3.Not(one['heard_not_run']),
-            _Attempt(after, number)['is_unknown'],
-            one.keeps(after, 'is_unknown'),
-        )
-
     def _tell_not_run(self, now: Variables, after: Variables) -> z3.BoolRef:
-        attempts = [_Attempt(now, number) for number in ATTEMPTS]
+        attempts = [Attempt(now, number) for number in ATTEMPTS]
         return z3.And(
             z3.Not(now['is_over']),
             *(
@@ -342,62 +286,17 @@
             unchanged(now, after, 'is_told_not_run', 'is_over'),
         )
 
-    def _pass_time(
-        self,
-        now: Variables,
-        after: Variables,
-        number: int,
-    ) -> z3.BoolRef:
-        one = _Attempt(now, number)
-        return z3.And(
-            _Attempt(after, number)['clock'] > one['clock'],
-            one.keeps(after, 'clock'),
-        )
-
     def _forget(
         self,
         now: Variables,
         after: Variables,
         number: int,
     ) -> z3.BoolRef:
-        one = _Attempt(now, number)
+        one = Attempt(now, number)
         is_old = one['clock'] - one['remembered_at'] > now['window']
         return z3.And(
             one['is_remembered'],
             is_old if 'retention' in self._guards else z3.BoolVal(val=True),
-            z3.Not(_Attempt(after, number)['is_remembered']),
+            z3.Not(Attempt(after, number)['is_remembered']),
             one.keeps(after, 'is_remembered'),
         )
-
-    def _restart(
-        self,
-        now: Variables,
-        after: Variables,
-        number: int,
-    ) -> z3.BoolRef:
-        one = _Attempt(now, number)
-        then = _Attempt(after, number)
-        return z3.And(
-            then['incarnation'] > one['incarnation'],
-            z3.Not(then['is_remembered']),
-            one.keeps(after, 'incarnation', 'clock', 'is_remembered'),
-        )
-
-
-@final
-class _Attempt:
-    """Name the variables of one attempt and its owner in a state."""
-
-    __slots__ = ('_now', '_number')
-
-    def __init__(self, now: Variables, number: int) -> None:
-        self._now = now
-        self._number = number
-
-    def __getitem__(self, field: str) -> z3.ExprRef:
-        return self._now[f'{field}_{self._number}']
-
-    def keeps(self, after: Variables, *changing: str) -> z3.BoolRef:
-        """Return that only some variables of this attempt change."""
-        names = [f'{field}_{self._number}' for field in changing]
-        return unchanged(self._now, after, *names)
--- /dev/null
+++ b/models/call_steps.py
@@ -0,0 +1,126 @@
+"""One attempt of a call and its owner: variables, and steps without guards."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final, final
+
+import z3
+
+from models.transitions import Variables, unchanged
+
+FIELDS: Final[Mapping[str, z3.SortRef]] = MappingProxyType(
+    {
+        'is_sent': z3.BoolSort(),
+        'is_in_network': z3.BoolSort(),
+        'named_incarnation': z3.IntSort(),
+        'reading': z3.IntSort(),
+        'incarnation': z3.IntSort(),
+        'clock': z3.IntSort(),
+        # The owner's memory of the attempt's id, of a start or of a refusal.
+        'is_remembered': z3.BoolSort(),
+        'remembered_at': z3.IntSort(),
+        # A `not-run` of the owner is in the network, and stays there.
+        'is_refused': z3.BoolSort(),
+        'has_run': z3.BoolSort(),
+        # What the sender made of the attempt; the first outcome counts.
+        'heard_not_run': z3.BoolSort(),
+        'is_unknown': z3.BoolSort(),
+    }
+)
+
+
+@final
+class Attempt:
+    """Name the variables of one attempt and its owner in a state."""
+
+    __slots__ = ('_now', '_number')
+
+    def __init__(self, now: Variables, number: int) -> None:
+        self._now = now
+        self._number = number
+
+    def __getitem__(self, field: str) -> z3.ExprRef:
+        return self._now[f'{field}_{self._number}']
+
+    def keeps(self, after: Variables, *changing: str) -> z3.BoolRef:
+        """Return that only some variables of this attempt change."""
+        names = [f'{field}_{self._number}' for field in changing]
+        return unchanged(self._now, after, *names)
+
+
+def refuse(
+    now: Variables,
+    after: Variables,
+    number: int,
+) -> z3.BoolRef:
+    """Return that the owner reads the attempt and refuses it."""
+    # For want of a slot or because a guard fails. The request is read by
+    # now and cannot be read again.
+    one = Attempt(now, number)
+    then = Attempt(after, number)
+    return z3.And(
+        one['is_in_network'],
+        z3.Not(then['is_in_network']),
+        then['is_refused'],
+        one.keeps(after, 'is_in_network', 'is_refused'),
+    )
+
+
+def hear_refusal(
+    now: Variables,
+    after: Variables,
+    number: int,
+) -> z3.BoolRef:
+    """Return that the sender hears the refusal."""
+    # An answer that comes after the attempt was given up is dropped.
+    one = Attempt(now, number)
+    return z3.And(
+        one['is_refused'],
+        z3.Not(one['is_unknown']),
+        Attempt(after, number)['heard_not_run'],
+        one.keeps(after, 'heard_not_run'),
+    )
+
+
+def expire(
+    now: Variables,
+    after: Variables,
+    number: int,
+) -> z3.BoolRef:
+    """Return that the sender gives the attempt up."""
+    # The deadline passed, or the sender noticed that it had been paused.
+    one = Attempt(now, number)
+    return z3.And(
+        one['is_sent'],
+        z3.Not(one['heard_not_run']),
+        Attempt(after, number)['is_unknown'],
+        one.keeps(after, 'is_unknown'),
+    )
+
+
+def pass_time(
+    now: Variables,
+    after: Variables,
+    number: int,
+) -> z3.BoolRef:
+    """Return that the owner's clock goes on."""
+    one = Attempt(now, number)
+    return z3.And(
+        Attempt(after, number)['clock'] > one['clock'],
+        one.keeps(after, 'clock'),
+    )
+
+
+def restart(
+    now: Variables,
+    after: Variables,
+    number: int,
+) -> z3.BoolRef:
+    """Return that the owner restarts."""
+    one = Attempt(now, number)
+    then = Attempt(after, number)
+    return z3.And(
+        then['incarnation'] > one['incarnation'],
+        z3.Not(then['is_remembered']),
+        one.keeps(after, 'incarnation', 'clock', 'is_remembered'),
+    )
--- a/models/catalogue.py
+++ b/models/catalogue.py
@@ -9,10 +9,10 @@
 from models import attempt_binding, call_attempts, watch_duty
 from models.acceptance import (
     FEW_CHOICES,
-    PROPERTIES,
     REPRESENTATIVE,
     AcceptanceSystem,
 )
+from models.acceptance_properties import PROPERTIES
 from models.attempt_binding import AttemptBinding
 from models.call_attempts import CallAttempts
 from models.transitions import (
