Stop the demo on SIGINT even when a shell started it in the background

Shells start background jobs with SIGINT ignored, and Python then installs no handler: a held demo could not be ended by SIGINT.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -316,6 +316,8 @@
     :param deployment: whose deployment to start
     :param hold: stay up until Ctrl-C, so that settings can be edited
     """
+    # Shells start background jobs with SIGINT ignored.
+    signal.signal(signal.SIGINT, _interrupt)
     signal.signal(signal.SIGTERM, _interrupt)
     report = Report()
     started = time.monotonic()
