Keep the text of each error code in one table

Refusals had a text in the core and another in the shell, and callers got both in one sentence; log codes of the core had none, so their lines had an empty message.

--- a/briartack/core/door.py
+++ b/briartack/core/door.py
@@ -52,7 +52,6 @@
         status=status,
         headers=headers,
         reason=reason.code,
-        detail=reason.text,
     )
 
 
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -78,48 +78,126 @@
         LISTENING: ErrorText('The daemon accepts connections.', ''),
         STOPPED: ErrorText('The daemon stops.', ''),
         # Refusals that the core decides.
+        'no-snapshot': ErrorText(
+            'The daemon holds no configuration yet.',
+            'Repeat the request after a moment.',
+        ),
+        'unconfirmed': ErrorText(
+            'The daemon was paused; its configuration is not confirmed yet.',
+            'Repeat the request after a second.',
+        ),
+        'stopping': ErrorText(
+            'The daemon is stopping and takes no new work.',
+            'Repeat the request at another daemon.',
+        ),
         'no-route': ErrorText(
             'No route matches the method and path.',
             'Check the path, or publish a route for it.',
         ),
         'ambiguous-path': ErrorText(
             'An upstream may read the path otherwise than the router.',
-            'Send the path without dot segments, empty segments and needless '
-            'percent-encoding.',
+            'Send the path without dot segments, empty segments and '
+            'needless percent-encoding.',
         ),
-        'no-snapshot': ErrorText(
-            'The daemon holds no configuration yet.',
-            'Repeat the request after a moment.',
+        'no-service': ErrorText(
+            'No service has this name.',
+            'Check the name; it has the form TEAM/NAME.',
+        ),
+        'placement': ErrorText(
+            'The request may not be served in this region.',
+            'Send it to a daemon in a region of Briartack-Home-Regions.',
+        ),
+        'deadline': ErrorText(
+            'The deadline passed before an answer was there.',
+            'Allow more time; if the verdict is unknown, check the '
+            'outcome before repeating the request.',
         ),
         'no-endpoint': ErrorText(
-            'No upstream of the service can take the request.',
+            'No instance of the service can be reached.',
             'Repeat the request after a moment.',
         ),
-        'overload': ErrorText(
-            'The upstream is at its limit.',
-            'Repeat the request later and with a pause.',
+        'connection-lost': ErrorText(
+            'The connection was lost before the answer.',
+            'Check the outcome before repeating the request.',
+        ),
+        'paused': ErrorText(
+            'The daemon was paused while the request was in flight.',
+            'Check the outcome before repeating the request.',
         ),
         'out-of-service': ErrorText(
-            'The upstream is out of service.',
+            'The instance or its data centre is out of service.',
             'Repeat the request after a moment.',
         ),
-        'placement': ErrorText(
-            'The request may not be served in this region.',
-            'Send it to a daemon in a region of Briartack-Home-Regions.',
+        'wrong-service': ErrorText(
+            'The instance belongs to another service.',
+            'Check the list of instances; the platform may lag.',
         ),
-        'deadline': ErrorText(
-            'The deadline passed before an answer was there.',
-            'Allow more time, or check the outcome before repeating.',
+        'overload': ErrorText(
+            'The upstream has no free slot in time.',
+            'Repeat the request later and with a pause.',
         ),
-        'connection-lost': ErrorText(
-            'The connection was lost after the request may have been read.',
+        'upstream-down': ErrorText(
+            'The upstream is not healthy or is draining.',
+            'Repeat the request after a moment.',
+        ),
+        'upstream-failed': ErrorText(
+            'The upstream gave no whole answer.',
             'Check the outcome before repeating the request.',
         ),
-        'stopping': ErrorText(
-            'The daemon is stopping.',
-            'Repeat the request at another daemon.',
+        'stale-incarnation': ErrorText(
+            'The attempt is for an earlier run of the daemon.',
+            'Repeat the request.',
+        ),
+        'stale-clock': ErrorText(
+            'The attempt is older than the attempt window.',
+            'Repeat the request.',
+        ),
+        'window-full': ErrorText(
+            'The daemon can not remember more attempts.',
+            'Repeat the request after a moment.',
+        ),
+        'key-owner-gone': ErrorText(
+            'The instance that the key names is gone or was restarted.',
+            'Check the outcome; a repeat needs a new key.',
+        ),
+        'key-expired': ErrorText(
+            'The outcome of the key is no longer kept.',
+            'Check the outcome; a repeat needs a new key.',
+        ),
+        'key-in-progress': ErrorText(
+            'The request with this key is still running.',
+            'Repeat the request with the same key later.',
+        ),
+        'outcome-too-large': ErrorText(
+            'The request ran, but its answer was too large to be kept.',
+            'Read the outcome from the service.',
+        ),
+        # Log lines that the core asks for.
+        'version-refused': ErrorText(
+            'A version of the configuration is not valid and was refused.',
+            'Correct the problems that the line lists and publish again.',
+        ),
+        'version-waits': ErrorText(
+            'A version waits for resources that no team has defined.',
+            'Publish the missing resources, or correct the references.',
+        ),
+        'definition-retained': ErrorText(
+            'A removed resource is kept, since another team refers to it.',
+            'Publish the resource again, or remove the references.',
+        ),
+        'ramp-restarted': ErrorText(
+            'The upstream seems cold; its concurrency starts at one again.',
+            '',
+        ),
+        'store-revision-fell': ErrorText(
+            'The store answered with an older revision, which is ignored.',
+            'If a backup was restored, see the operations page.',
+        ),
+        'peers-suspected': ErrorText(
+            'No parent answers; the tree is computed without them.',
+            '',
         ),
-    }
+    },
 )
 _UNLISTED: Final = ErrorText('', 'See the log of the daemon.')
 
