Refuse what waits for a slot before running calls are ended

After a pause and at the bound of a planned stop, calls at the own upstream were ended first. Their freed slots started what waited in the queue, so that an attempt from before a pause ran before the view was confirmed, and at the bound a request was started only to be cut at once. Waiting attempts are now refused first. A queued call whose refusal its sender had not seen yet was answered unknown at its deadline; it is not-run now.

--- a/briartack/core/calls.py
+++ b/briartack/core/calls.py
@@ -27,6 +27,7 @@
 from briartack.core.key_issuer import KeyIssuerState
 from briartack.core.messages import Answer, Attempt, Cancel, Goodbye, Summary
 from briartack.core.owner import OwnerState
+from briartack.core.reasons import Reason
 from briartack.core.routing import RoutingState
 from briartack.core.sender import SenderState
 from briartack.core.streams import StreamsState
@@ -329,13 +330,13 @@
 def on_gap(state: CallsState, context: CallContext, now: float) -> Effects:
     """Drop what is older than a pause of this process."""
     state.endpoints.forget_news(now)
-    effects = state.sender.end_all(
+    effects = _end_calls(
+        state,
         context,
         now,
         sent=reasons.PAUSED,
         unsent=reasons.UNCONFIRMED,
     )
-    effects.extend(state.owner.expire_all(now, reasons.UNCONFIRMED))
     return _settle(state, context, now, effects)
 
 
@@ -360,7 +361,8 @@
 
 def _end_all(state: CallsState, context: CallContext, now: float) -> Effects:
     """End everything at the bound of the planned stop."""
-    effects = state.sender.end_all(
+    effects = _end_calls(
+        state,
         context,
         now,
         sent=reasons.CONNECTION_LOST,
@@ -370,6 +372,25 @@
     return effects
 
 
+def _end_calls(
+    state: CallsState,
+    context: CallContext,
+    now: float,
+    *,
+    sent: Reason,
+    unsent: Reason,
+) -> Effects:
+    """End every call.
+
+    What waits for a slot is refused first, because the slots of ended calls
+    would start it.
+    """
+    waiting = state.owner.expire_all(now, unsent)
+    effects = _settle(state, context, now, waiting)
+    ended = state.sender.end_all(context, now, sent=sent, unsent=unsent)
+    return [*effects, *ended]
+
+
 def _settle(
     state: CallsState,
     context: CallContext,
--- a/briartack/core/owned_attempts.py
+++ b/briartack/core/owned_attempts.py
@@ -86,6 +86,14 @@
         """Take the next answer for this daemon's own sender."""
         return self._local.popleft() if self._local else None
 
+    def is_refused(self, attempt_id: AttemptId) -> bool:
+        """Tell whether a refusal of an attempt awaits its local sender."""
+        return any(
+            outcome.answer.attempt_id == attempt_id
+            and outcome.answer.verdict is Verdict.NOT_RUN
+            for outcome in self._local
+        )
+
     def replay(
         self,
         identity: Identity,
--- a/briartack/core/owner.py
+++ b/briartack/core/owner.py
@@ -71,6 +71,8 @@
 
     def may_have_run(self, attempt_id: AttemptId) -> bool:
         """Tell whether the upstream may have read an attempt's request."""
+        if self._answers.is_refused(attempt_id):
+            return False
         record = self._attempts.get(attempt_id)
         return record is None or record.phase is not OwnedPhase.QUEUED
 
