Count bytes on peer streams by direction, kind and region

The control traffic of a daemon has a limit of 22 KB/s and traffic between regions is paid, but /metrics showed neither. peers.bytes counts the size on the wire of each frame, with attributes direction, kind (control or call) and region (own or other). Bodies sent in chunks count when they are queued, without the frames of the chunks.

--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -21,6 +21,7 @@
 from briartack.operator_port import Describe, OperatorPort
 from briartack.options import Options
 from briartack.peers import Peers
+from briartack.ports import Attributes
 from briartack.recorder import Recorder
 from briartack.store_client import StoreClient
 from briartack.upstream import Upstream
@@ -46,6 +47,10 @@
         """Add one to a counter."""
         self._metrics.add(name, 1, tuple(attributes.items()))
 
+    def add(self, name: str, amount: int, attributes: Attributes) -> None:
+        """Add to a counter."""
+        self._metrics.add(name, amount, attributes)
+
     def observe(self, name: str, seconds: float) -> None:
         """Add a duration to a histogram."""
         self._metrics.observe(name, seconds)
--- a/briartack/framing.py
+++ b/briartack/framing.py
@@ -99,11 +99,18 @@
 class FrameReader:
     """Split the bytes of one stream into messages."""
 
-    __slots__ = ('_unpacker',)
+    __slots__ = ('_unpacker', '_position', '_frame_bytes')
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        self._position = 0
+        self._frame_bytes = 0
+
+    @property
+    def frame_bytes(self) -> int:
+        """Return the size on the wire of the last message."""
+        return self._frame_bytes
 
     def feed(self, received: bytes) -> Iterator[PeerMessage]:
         """Yield the messages that are complete.
@@ -125,6 +132,9 @@
                 raise MalformedFrameError(
                     f'not msgpack: {type(error).__name__} {error}',
                 ) from None
+            position = self._unpacker.tell()
+            self._frame_bytes = position - self._position
+            self._position = position
             yield decode(frame)
 
 
--- a/briartack/metrics.py
+++ b/briartack/metrics.py
@@ -8,7 +8,7 @@
 import bisect
 import itertools
 from collections.abc import Iterable, Iterator
-from typing import Final, TypeAlias, final
+from typing import Final, final
 
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -18,7 +18,7 @@
     NumberDataPoint,
 )
 
-Attributes: TypeAlias = tuple[tuple[str, str], ...]
+from briartack.ports import Attributes
 
 _PREFIX: Final = 'briartack.'
 _FIRST_BOUND_SECONDS: Final = 0.00005
--- a/briartack/peer_links.py
+++ b/briartack/peer_links.py
@@ -22,6 +22,7 @@
 from briartack.framing import MalformedFrameError, encode
 from briartack.peer_inbox import PeerInbox
 from briartack.peer_stream import PeerStream
+from briartack.peer_traffic import PeerTraffic
 from briartack.ports import BACKLOG, Clock, Deliver, Observer
 
 _DIAL_SECONDS: Final = 2.0
@@ -123,7 +124,7 @@
             self._dialling.discard(peer)
             self._report_lost(peer, f'dialling failed: {error}')
             return
-        stream = PeerStream(sock=sock, is_outgoing=True)
+        stream = self._stream(sock, is_outgoing=True)
         stream.outbox.queue(self._hello())
         stream.flush()
         reason = self._run(stream, expected=peer)
@@ -132,7 +133,14 @@
             self._report_lost(peer, reason)
 
     def _accept(self, sock: socket.socket, address: Address) -> None:
-        self._run(PeerStream(sock=sock, is_outgoing=False), expected=None)
+        self._run(self._stream(sock, is_outgoing=False), expected=None)
+
+    def _stream(self, sock: socket.socket, *, is_outgoing: bool) -> PeerStream:
+        return PeerStream(
+            sock=sock,
+            is_outgoing=is_outgoing,
+            traffic=PeerTraffic(self._observer),
+        )
 
     def _run(self, stream: PeerStream, *, expected: InstanceId | None) -> str:
         reason = 'closed by peer'
@@ -160,16 +168,24 @@
                 stream.set_timeout(None)
             else:
                 self._observer.count('peers.messages_received')
+                stream.traffic.received(stream.frame_bytes, message)
                 self._inbox.receive(stream.hello.instance, message)
 
     def _greet(self, stream: PeerStream, hello: Hello) -> None:
         peer = hello.instance
+        own_hello = self._hello()
         stream.hello = hello
         if not stream.is_outgoing:
             # The dialler may only end another stream once it knows that this
             # side has this one, so the acceptor greets second.
-            stream.outbox.queue(self._hello())
+            stream.outbox.queue(own_hello)
             stream.flush()
+        # A dialler has sent a greeting of the same size before it knew this.
+        stream.traffic.greeted(
+            is_remote=hello.region != self._identity.region,
+            sent_bytes=len(own_hello),
+            received_bytes=stream.frame_bytes,
+        )
         self._dialling.discard(peer)
         present = self._streams.get(peer)
         if present is None:
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -13,6 +13,7 @@
 )
 from briartack.framing import FrameReader
 from briartack.peer_outbox import PeerOutbox
+from briartack.peer_traffic import PeerTraffic
 
 _RECEIVE_BYTES: Final = 262144
 _CLOSE_SECONDS: Final = 5.0
@@ -34,6 +35,7 @@
         'hello',
         'is_outgoing',
         'outbox',
+        'traffic',
     )
 
     def __init__(
@@ -41,6 +43,7 @@
         *,
         sock: socket.socket,
         is_outgoing: bool,
+        traffic: PeerTraffic,
     ) -> None:
         """Take over a connected socket."""
         sock.setsockopt(
@@ -50,6 +53,7 @@
         )
         self.is_outgoing: Final = is_outgoing
         self.outbox: Final = PeerOutbox()
+        self.traffic: Final = traffic
         self.hello: Hello | None = None
         self._sock = sock
         self._descriptor = sock.fileno()
@@ -69,6 +73,11 @@
         """Return the address of the other side, for logs."""
         return self._remote_address
 
+    @property
+    def frame_bytes(self) -> int:
+        """Return the size on the wire of the last message received."""
+        return self._frames.frame_bytes
+
     def set_timeout(self, seconds: float | None) -> None:
         """Bound the time that the next messages may take."""
         if not self._is_closed:
--- a/briartack/peers.py
+++ b/briartack/peers.py
@@ -29,6 +29,7 @@
 from briartack.peer_inbox import PeerInbox
 from briartack.peer_links import PeerLinks
 from briartack.peer_stream import PeerStream
+from briartack.peer_traffic import is_call
 from briartack.ports import Clock, Deliver, Observer
 
 
@@ -93,7 +94,8 @@
         message = effect.message
         if isinstance(message, Cancel):
             stream.outbox.drop_body(message.attempt_id)
-        self._queue(effect.peer, stream, self._encode_once(message))
+        frame = self._encode_once(message)
+        self._queue(effect.peer, stream, frame, of_call=is_call(message))
 
     def send_attempt(self, effect: SendAttempt) -> None:
         """Queue an attempt and its body."""
@@ -132,8 +134,9 @@
     ) -> None:
         if 0 < len(body) <= MAX_CHUNK_BYTES:
             head = msgspec.structs.replace(head, body=body)
-        self._queue(peer, stream, encode(head))
+        self._queue(peer, stream, encode(head), of_call=True)
         if len(body) > MAX_CHUNK_BYTES:
+            stream.traffic.sent(len(body), of_call=True)
             stream.outbox.queue_body(
                 attempt_id=head.attempt_id,
                 of_answer=isinstance(head, Answer),
@@ -153,6 +156,8 @@
         peer: InstanceId,
         stream: PeerStream,
         frame: bytes,
+        *,
+        of_call: bool,
     ) -> None:
         if len(frame) > MAX_FRAME_BYTES:
             self._observer.count('peers.messages_too_large')
@@ -169,5 +174,6 @@
             self._links.lose(peer, stream, 'outgoing queue is full')
             return
         self._observer.count('peers.messages_sent')
+        stream.traffic.sent(len(frame), of_call=of_call)
         stream.outbox.queue(frame)
         self._unflushed.append(stream)
--- a/briartack/ports.py
+++ b/briartack/ports.py
@@ -8,6 +8,7 @@
 
 Deliver: TypeAlias = Callable[[Event], None]
 Clock: TypeAlias = Callable[[], float]
+Attributes: TypeAlias = tuple[tuple[str, str], ...]
 
 BACKLOG: Final = 1024
 
@@ -18,6 +19,9 @@
     def count(self, name: str, **attributes: str) -> None:
         """Add one to a counter."""
 
+    def add(self, name: str, amount: int, attributes: Attributes) -> None:
+        """Add to a counter."""
+
     def observe(self, name: str, seconds: float) -> None:
         """Add a duration to a histogram."""
 
--- a/briartack/test/fake_reducer.py
+++ b/briartack/test/fake_reducer.py
@@ -20,6 +20,7 @@
     InstanceId,
 )
 from briartack.core.verdict import Verdict
+from briartack.ports import Attributes
 
 LOCAL = '127.0.0.1'
 WAIT_SECONDS = 10
@@ -248,6 +249,10 @@
     def count(self, name: str, **attributes: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
 
+    def add(self, name: str, amount: int, attributes: Attributes) -> None:
+        label = ' '.join((name, *(text for _, text in attributes)))
+        self.counts[label] = self.counts.get(label, 0) + amount
+
     def observe(self, name: str, seconds: float) -> None:
         """Pass over durations."""
 
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -9,8 +9,14 @@
 from nose2.tools import params
 
 from briartack.core import effects, events
-from briartack.core.messages import Pull, Summary
-from briartack.core.units import Digest, Incarnation, InstanceId, Revision
+from briartack.core.messages import Cancel, Pull, Summary
+from briartack.core.units import (
+    AttemptId,
+    Digest,
+    Incarnation,
+    InstanceId,
+    Revision,
+)
 from briartack.framing import encode
 from briartack.test.fake_reducer import (
     LOCAL,
@@ -157,6 +163,34 @@
         answers = [read_answer(caller)[2] for caller in callers]
         self.assertEqual(answers, bodies)
 
+    @params(('costa', 'own'), ('sierra', 'other'))
+    def test_bytes_are_told_apart(self, home: str, region: str) -> None:
+        """Guards against paid bytes and bytes of calls counted as others."""
+        shell = self.shell('b')
+        raw = self._raw(shell)
+        hello = msgpack.packb([*HELLO[:6], home, 1.0])
+        pull, cancel = (
+            encode(message)
+            for message in (
+                Pull(after=Revision(1)),
+                Cancel(attempt_id=AttemptId('a1')),
+            )
+        )
+        raw.sendall(hello + pull + cancel)
+        shell.state.wait_for(events.PeerMessageReceived, 2)
+        shell.execute(_pull(InstanceId('raw')))
+        counts = shell.observer.counts
+        self.assertEqual(
+            counts[f'peers.bytes received control {region}'],
+            len(hello + pull),
+        )
+        self.assertEqual(
+            counts[f'peers.bytes received call {region}'],
+            len(cancel),
+        )
+        sent = counts[f'peers.bytes sent control {region}']
+        self.assertEqual(sent, len(_received(raw, sent)))
+
     def _raw(self, shell: SmallShell) -> Any:
         raw = socket.create_connection(
             (LOCAL, shell.peer_server.server_port),
@@ -165,6 +199,15 @@
         return raw
 
 
+def _received(raw: Any, size: int) -> bytes:
+    """Receive a number of bytes, and more if more is there."""
+    raw.settimeout(WAIT_SECONDS)
+    received = b''
+    while len(received) < size:
+        received += raw.recv(65536)
+    return received
+
+
 def _sent(shell: SmallShell) -> int:
     return shell.observer.counts.get('peers.messages_sent', 0)
 
