--- /dev/null
+++ b/benchmarks/baseline_daemon.py
@@ -0,0 +1,49 @@
+"""A daemon of a simpler design, to compare with: each one asks the store.
+
+Every daemon watches the store by itself, without a jitter at its start,
+without budgets and without a random or growing pause after a failure. The
+rest, such as links between peers, is that of the product.
+"""
+
+from typing import Final
+
+from briartack.core import store_reads
+from briartack.core.budget import Backoff, TokenBudget
+from briartack.core.tree_place import TreePlace
+from briartack.main import main
+
+RETRY_SECONDS: Final = 0.5
+
+
+def _is_watcher(place: TreePlace, now: float) -> bool:
+    return True
+
+
+def _take(budget: TokenBudget, now: float) -> bool:
+    return True
+
+
+def _fail(
+    backoff: Backoff,
+    now: float,
+    least_seconds: float | None = None,
+) -> None:
+    pause_seconds = RETRY_SECONDS if least_seconds is None else least_seconds
+    backoff._not_before = now + pause_seconds  # noqa: SLF001
+
+
+def simplify() -> None:
+    """Replace the decisions that spare the store."""
+    replaced = (
+        (TreePlace, 'is_watcher', _is_watcher),
+        (TokenBudget, 'take', _take),
+        (Backoff, 'fail', _fail),
+        (store_reads, 'START_JITTER_SECONDS', 0),
+    )
+    for owner, name, replacement in replaced:
+        setattr(owner, name, replacement)
+
+
+if __name__ == '__main__':
+    simplify()
+    main()
