--- a/standins/wiring.py
+++ b/standins/wiring.py
@@ -43,6 +43,8 @@
     records_traces: bool = False
     upstream_flags: tuple[str, ...] = ()
     keeps_directory: bool = False
+    # A baseline changes decisions of the daemon in a module of its own.
+    daemon_module: str = 'briartack.main'
 
 
 @final
@@ -149,7 +151,7 @@
     """Prepare the daemon of one instance."""
     wiring = site.wirings[name]
     arguments = [
-        'briartack.main',
+        options.daemon_module,
         *('--instance-id', name),
         *('--service', wiring.plan.service),
         *('--data-centre', wiring.plan.data_centre),
