--- a/standins/wiring.py
+++ b/standins/wiring.py
@@ -43,6 +43,7 @@
     records_traces: bool = False
     upstream_flags: tuple[str, ...] = ()
     keeps_directory: bool = False
+    daemon_module: str = 'briartack.main'
 
 
 def wire(plan: Plan, ports: Ports) -> dict[str, Wiring]:
@@ -133,7 +134,7 @@
     """Prepare the daemon of one instance."""
     name = wiring.plan.instance_id
     arguments = [
-        'briartack.main',
+        options.daemon_module,
         *('--instance-id', name),
         *('--service', wiring.plan.service),
         *('--data-centre', wiring.plan.data_centre),
