--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -15,6 +15,8 @@
 END_SECONDS: Final = 15.0
 FIRST_SUCCESS: Final = 200
 FIRST_REDIRECT: Final = 300
+SHOWN_BYTES: Final = 160
+REQUEST_ID: Final = 'X-Request-Id'
 
 
 @final
@@ -28,6 +30,7 @@
     target: str
     headers: dict[str, str]
     body: bytes = b''
+    region: str = ''
 
 
 @final
@@ -41,7 +44,8 @@
     seconds: float
     status: int
     verdict: str
-    served_by: str
+    body_bytes: int
+    request_id: str  # that of the request which the upstream answered
     error: str = ''
 
     @property
@@ -49,6 +53,12 @@
         """Tell whether the upstream answered with success."""
         return FIRST_SUCCESS <= self.status < FIRST_REDIRECT
 
+    @property
+    def is_crossed(self) -> bool:
+        """Tell whether it is the answer to another request."""
+        own = self.job.headers.get(REQUEST_ID, '')
+        return self.is_success and self.request_id != own
+
 
 @final
 class Load:
@@ -96,18 +106,18 @@
     def _call(self, job: Job, planned_at: float) -> None:
         sent_at = time.monotonic()
         answer, error = self._answer(job)
-        self.outcomes.append(
-            Outcome(
-                job=job,
-                planned_at=planned_at,
-                sent_at=sent_at,
-                seconds=time.monotonic() - sent_at,
-                status=answer.status if answer else 0,
-                verdict=answer.verdict if answer else '',
-                served_by=_served_by(answer),
-                error=error,
-            ),
+        outcome = Outcome(
+            job=job,
+            planned_at=planned_at,
+            sent_at=sent_at,
+            seconds=time.monotonic() - sent_at,
+            status=answer.status if answer else 0,
+            verdict=answer.verdict if answer else '',
+            body_bytes=len(answer.body) if answer else 0,
+            request_id=_request_id(answer),
+            error=error or _refusal(answer),
         )
+        self.outcomes.append(outcome)
 
     def _answer(self, job: Job) -> tuple[Answer | None, str]:
         error = ''
@@ -137,8 +147,11 @@
         )
 
 
-def _served_by(answer: Answer | None) -> str:
-    if answer is None:
+def _request_id(answer: Answer | None) -> str:
+    return answer.headers.get(REQUEST_ID.lower(), '') if answer else ''
+
+
+def _refusal(answer: Answer | None) -> str:
+    if answer is None or answer.status < FIRST_REDIRECT:
         return ''
-    # The part after the dot changes when an upstream restarts.
-    return answer.headers.get('x-upstream-identity', '').partition('.')[0]
+    return answer.body[:SHOWN_BYTES].decode(errors='replace')
