--- a/briartack/cli.py
+++ b/briartack/cli.py
@@ -19,15 +19,21 @@
 from briartack.diff import diff_trees
 from briartack.held import Held, held_at, read_lines
 from briartack.operator_client import OperatorError, fetch
+from briartack.recorder import TraceError
 from briartack.replay import replay_trace
 
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
 EXIT_UNREACHABLE: Final = 3
 
 _STATUS_ROW: Final = '{:<22} {:<16} {:<6} {:>8} {:>7}  {}'
 
 
+class UsageError(Exception):
+    """Report an argument that can't be used, with what to give instead."""
+
+
 def check(
     directory: Path, *, against: Path | None = None, as_json: bool = False
 ) -> int:
@@ -51,7 +57,7 @@
     """
     report = diff_trees(old, new)
     _print_report(report.to_dict(), report.lines(), as_json=as_json)
-    return EXIT_OK
+    return EXIT_FAILED if report.problems else EXIT_OK
 
 
 def status(*addresses: str, as_json: bool = False) -> int:
@@ -60,6 +66,8 @@
     :param addresses: operator addresses, IP:PORT
     :param as_json: print JSON
     """
+    if not addresses:
+        raise UsageError('status: no address; give operator addresses, IP:PORT')
     found: list[dict[str, object]] = []
     code = EXIT_OK
     for address in addresses:
@@ -112,11 +120,11 @@
     :param instance: only this instance
     :param as_json: print JSON
     """
-    at = datetime.fromisoformat(time)
-    if at.tzinfo is None:
-        at = at.replace(tzinfo=UTC)
     lines = read_lines(_lines_of(logs))
-    answers = held_at(lines, at, instance)
+    answers = held_at(lines, _read_time(time), instance)
+    if not answers:
+        sys.stderr.write('held: no audit line of such an instance in LOGS\n')
+        return EXIT_FAILED
     _print_report(
         {'held': [_held_dict(answer) for answer in answers]},
         (_held_line(answer) for answer in answers),
@@ -133,6 +141,8 @@
     :param traces: JSON-lines files, recorded or written by hand
     :param as_json: print JSON
     """
+    if not traces:
+        raise UsageError('replay: no trace; give JSON-lines files')
     results = [replay_trace(trace) for trace in traces]
     _print_report(
         {'traces': [result.to_dict() for result in results]},
@@ -144,7 +154,25 @@
 
 def main() -> None:
     """Run a subcommand and exit with its code."""
-    sys.exit(defopt.run([check, diff, status, explain, held, replay]))
+    try:
+        code = defopt.run([check, diff, status, explain, held, replay])
+    except (OSError, UsageError) as error:
+        sys.stderr.write(f'{error}\n')
+        code = EXIT_USAGE
+    except TraceError as broken:
+        sys.stderr.write(f'{broken}\n')
+        code = EXIT_FAILED
+    sys.exit(code)
+
+
+def _read_time(text: str) -> datetime:
+    try:
+        at = datetime.fromisoformat(text)
+    except ValueError as error:
+        raise UsageError(
+            f'--time: {error}; write it like 2026-12-04T07:00:00+00:00',
+        ) from error
+    return at.replace(tzinfo=UTC) if at.tzinfo is None else at
 
 
 def _print_report(
@@ -162,7 +190,8 @@
 
 def _lines_of(logs: Iterable[Path]) -> Iterator[str]:
     for log in logs:
-        with log.open(encoding='utf-8') as lines:
+        # A cut log may end within a character; that line is left out.
+        with log.open(encoding='utf-8', errors='replace') as lines:
             yield from lines
 
 
--- a/briartack/held.py
+++ b/briartack/held.py
@@ -61,16 +61,18 @@
     instance: str | None = None,
 ) -> list[Held]:
     """State for each instance what it held at a time with a UTC offset."""
-    by_instance: dict[str, list[AuditLine]] = {}
+    by_instance: dict[str, dict[tuple[str, int], AuditLine]] = {}
     digests: dict[str, dict[str, int]] = {}
     for line in lines:
         if line.versions is not None:
             digests[line.digest] = line.versions
         if instance in {None, line.instance}:
-            by_instance.setdefault(line.instance, []).append(line)
+            # Logs that overlap hold a line twice.
+            own = by_instance.setdefault(line.instance, {})
+            own[(line.incarnation, line.sequence)] = line
     return [
-        _held_by(name, sorted(own, key=_order), at, digests)
-        for name, own in sorted(by_instance.items())
+        _held_by(name, sorted(found.values(), key=_order), at, digests)
+        for name, found in sorted(by_instance.items())
     ]
 
 
