--- a/standins/wiring.py
+++ b/standins/wiring.py
@@ -43,7 +43,6 @@
     records_traces: bool = False
     upstream_flags: tuple[str, ...] = ()
     keeps_directory: bool = False
-<<<<<<< HEAD
     # A baseline changes decisions of the daemon in a module of its own.
     daemon_module: str = 'briartack.main'
 
@@ -77,9 +76,6 @@
     )
     write_files(site)
     return site
-=======
-    daemon_module: str = 'briartack.main'
->>>>>>> call-benchmarks
 
 
 def wire(plan: Plan, ports: Ports) -> dict[str, Wiring]:
