--- a/benchmarks/accounts.py
+++ b/benchmarks/accounts.py
@@ -44,7 +44,7 @@
 ) -> list[Account]:
     """Ask all upstreams what they ran."""
     ran_at: dict[str, list[str]] = defaultdict(list)
-    for instance in deployment.wirings:
+    for instance in deployment.site.wirings:
         runs = deployment.control_upstream(instance, 'runs')
         for request_id, times in runs.items():
             ran_at[request_id].extend(itertools.repeat(instance, int(times)))
@@ -100,7 +100,7 @@
     if tenant is None:
         return True
     return all(
-        deployment.wirings[instance].plan.region in HOME_REGIONS[tenant]
+        deployment.site.wirings[instance].plan.region in HOME_REGIONS[tenant]
         for instance in account.ran_at
     )
 
@@ -116,7 +116,7 @@
         account
         for account in made
         for instance in account.ran_at
-        if deployment.wirings[instance].plan.region
+        if deployment.site.wirings[instance].plan.region
         != account.outcome.job.region
     ]
     return {
--- a/benchmarks/control_audit.py
+++ b/benchmarks/control_audit.py
@@ -63,7 +63,7 @@
     def __init__(self, deployment: Deployment) -> None:
         self._trails = {
             name: _Trail(deployment.child(name).stdout)
-            for name in deployment.wirings
+            for name in deployment.site.wirings
         }
         self._poll()
         for trail in self._trails.values():
--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -71,7 +71,7 @@
     ask: Callable[[str], AnswerT],
 ) -> dict[str, AnswerT]:
     """Ask all daemons at once, by the name of the instance."""
-    names = list(deployment.wirings)
+    names = list(deployment.site.wirings)
     return dict(zip(names, Pool(PARALLEL).map(ask, names), strict=True))
 
 
@@ -83,7 +83,7 @@
 def metrics_of(deployment: Deployment, name: str) -> dict[str, float]:
     """Return the metrics of a daemon by name and attributes."""
     answer = call(
-        deployment.wirings[name].operator_address,
+        deployment.site.wirings[name].operator_address,
         'GET',
         '/metrics',
         timeout_seconds=TIMEOUT_SECONDS,
--- a/benchmarks/convergence.py
+++ b/benchmarks/convergence.py
@@ -152,7 +152,7 @@
         )
         # The trail cuts its times to milliseconds.
         seconds.extend(max(0, at - put_at) for at in reached.values())
-        missing += len(deployment.wirings) - len(reached)
+        missing += len(deployment.site.wirings) - len(reached)
         gevent.sleep(series.pause_seconds)
     after = _count(deployment)
     return _figures(series, seconds, missing, (before, after, quiet))
--- a/benchmarks/data_centre.py
+++ b/benchmarks/data_centre.py
@@ -67,7 +67,7 @@
     plan = pacifico()
     with Deployment(plan, options) as deployment:
         load = Load(
-            jobs=regional_jobs(deployment.wirings, 'call', service_ms),
+            jobs=regional_jobs(deployment.site.wirings, 'call', service_ms),
             calls_per_second=calls_per_second,
         )
         load.start()
@@ -171,7 +171,7 @@
 def _instances(deployment: Deployment, data_centre: str) -> list[str]:
     return [
         name
-        for name, wiring in deployment.wirings.items()
+        for name, wiring in deployment.site.wirings.items()
         if wiring.plan.data_centre == data_centre
     ]
 
--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -202,7 +202,7 @@
     A running daemon then has only running parents, but dials listed children
     in vain every 10 s; the figures contain these tries.
     """
-    wirings = list(deployment.wirings.values())
+    wirings = list(deployment.site.wirings.values())
     place = wirings[number % len(wirings)]
     name = f'listed-{number}'
     while not _is_last(name, place, wirings):
@@ -276,7 +276,7 @@
 def _usages(deployment: Deployment) -> dict[str, Usage]:
     return {
         name: usage_of(deployment.child(name).pid)
-        for name in deployment.wirings
+        for name in deployment.site.wirings
     }
 
 
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -60,7 +60,7 @@
     )
     options = DeploymentOptions(daemon_module=daemon_module)
     with Deployment(plan, options) as deployment:
-        wirings = tuple(deployment.wirings.values())
+        wirings = tuple(deployment.site.wirings.values())
         load = Load(
             jobs=_jobs(wirings, answer_bytes),
             calls_per_second=calls_per_second * DAEMONS * CALLS_PER_SAMPLE,
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -33,7 +33,8 @@
 )
 from briartack.recorder import read_lines
 from standins.client import call
-from standins.deployment import Deployment, DeploymentError
+from standins.control_calls import DeploymentError
+from standins.deployment import Deployment
 from standins.processes import Child
 
 READY_SECONDS: Final = 120.0
@@ -130,7 +131,7 @@
 
 
 def _storm(deployment: Deployment) -> _Round:
-    names = list(deployment.wirings)
+    names = list(deployment.site.wirings)
     children = [deployment.child(name) for name in names]
     follower = AuditFollower(deployment)
     _end(children, signal.SIGKILL)
@@ -152,7 +153,7 @@
         call_ages=[
             age
             for name in names
-            for age in _call_ages(deployment.directory / f'{name}.trace')
+            for age in _call_ages(deployment.site.directory / f'{name}.trace')
         ],
     )
 
@@ -172,7 +173,7 @@
     ready: dict[str, float] = {}
     probe = partial(_is_ready, deployment, ready)
 
-    while len(ready) < len(deployment.wirings):
+    while len(ready) < len(deployment.site.wirings):
         elapsed = time.monotonic() - begun
         if elapsed > READY_SECONDS:
             raise DeploymentError(f'{len(ready)} daemons are ready')
@@ -191,7 +192,7 @@
 ) -> bool:
     if name in ready:
         return True
-    address = deployment.wirings[name].operator_address
+    address = deployment.site.wirings[name].operator_address
     try:
         return call(address, 'GET', '/readyz').status == 200
     except OSError:
