Test crossed dials and refusals that race with the body

The tests passed when the spare stream was closed at once, ended by either side, or when the connection was closed with an unread body. Raw sockets now put the greetings in order. Each of these mutants, run by hand, fails a test: both sides end the spare stream, neither side does, it is closed at once, the body is not read after a refusal.

--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -105,9 +105,13 @@
     def test_refusal_before_the_body(self) -> None:
         """Guards against an answer that is lost with an unread body."""
         self.caller.sendall(
-            b'POST /refused HTTP/1.1\r\nContent-Length: 500000\r\n\r\n'
-            + b'x' * 200_000,
+            b'POST /refused HTTP/1.1\r\nContent-Length: 500000\r\n\r\n',
         )
+        self.shell.state.wait_for(events.CallArrived)
+        for _ in range(50):
+            # A closed connection would break this or the next write.
+            self.caller.sendall(b'x' * 10_000)
+            gevent.sleep(0.0001)
         status, head, body = read_answer(self.caller)
         self.assertEqual(status, 503)
         self.assertIn(b'Retry-After: 1', head)
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -16,9 +16,11 @@
     LOCAL,
     WAIT_SECONDS,
     EchoServer,
+    wait_until,
 )
 from briartack.test.small_shell import SmallShell, read_answer
 
+RAW = InstanceId('raw')
 HELLO = ['hello', 1, 'raw', 'i1', 'saldo', 'costa-1', 'costa', 1.0]
 
 
@@ -62,6 +64,43 @@
             self.assertEqual(len(shell.state.seen(events.PeerConnected)), 1)
             self.assertEqual(shell.state.seen(events.PeerDisconnected), [])
 
+    def test_lower_side_ends_the_spare_stream_after_its_queue(self) -> None:
+        """Guards against messages lost with the stream that is given up."""
+        shell, dialled, spare = self._crossed('b')
+        message = _summary(digest=b'x' * 1_000_000)
+        for _ in range(5):
+            shell.execute(effects.SendMessage(peer=RAW, message=message))
+        dialled.sendall(msgpack.packb(HELLO))
+        wait_until(lambda: 'peers.simultaneous_dials' in shell.observer.counts)
+        spare.sendall(encode(message))
+        shell.state.wait_for(events.PeerMessageReceived)
+        unpacker = msgpack.Unpacker()
+        while received := spare.recv(1 << 20):
+            unpacker.feed(received)
+        tags = [frame[0] for frame in unpacker]
+        self.assertEqual(tags, ['hello', *('summary' for _ in range(5))])
+        spare.close()
+        shell.execute(_pull(RAW))
+        self._expect_tags(dialled, ['hello', 'pull'])
+        self.assertEqual(shell.state.seen(events.PeerDisconnected), [])
+
+    def test_higher_side_keeps_the_spare_stream_until_its_end(self) -> None:
+        """Guards against an end that overtakes the greeting of the other."""
+        shell, dialled, spare = self._crossed('z')
+        dialled.sendall(msgpack.packb(HELLO))
+        spare.sendall(encode(_summary()))
+        shell.state.wait_for(events.PeerMessageReceived)
+        self._expect_tags(dialled, ['hello'])
+        dialled.settimeout(0)
+        with self.assertRaises(BlockingIOError):
+            dialled.recv(1)
+        dialled.settimeout(WAIT_SECONDS)
+        dialled.shutdown(socket.SHUT_WR)
+        self.assertEqual(dialled.recv(1), b'')
+        shell.execute(_pull(RAW))
+        self._expect_tags(spare, ['hello', 'pull'])
+        self.assertEqual(shell.state.seen(events.PeerDisconnected), [])
+
     @params(
         (b'\xc1', 'not msgpack'),
         (msgpack.packb(['pull', -1.5]), 'pull'),
@@ -134,7 +173,7 @@
         message = _summary(digest=b'x' * 1_000_000)
         for _ in range(60):
             shell.execute(
-                effects.SendMessage(peer=InstanceId('raw'), message=message),
+                effects.SendMessage(peer=RAW, message=message),
             )
         lost = shell.state.wait_for(events.PeerDisconnected)
         self.assertIn('queue is full', lost[0].reason)
@@ -157,11 +196,41 @@
         answers = [read_answer(caller)[2] for caller in callers]
         self.assertEqual(answers, bodies)
 
+    def _crossed(self, name: str) -> tuple[SmallShell, Any, Any]:
+        """Let a shell dial a raw peer that dials back before it greets."""
+        shell = self.shell(name)
+        # `create_server` of gevent makes a listener that blocks the process.
+        listener = socket.socket()
+        listener.bind((LOCAL, 0))
+        listener.listen()
+        self.addCleanup(listener.close)
+        address = '{}:{}'.format(*listener.getsockname())
+        shell.peers.connect(effects.Connect(peer=RAW, address=address))
+        dialled, _ = listener.accept()
+        self.addCleanup(dialled.close)
+        dialled.settimeout(WAIT_SECONDS)
+        spare = self._raw(shell)
+        spare.sendall(msgpack.packb(HELLO))
+        shell.state.wait_for(events.PeerConnected)
+        return shell, dialled, spare
+
+    def _expect_tags(self, raw: Any, tags: list[str]) -> None:
+        unpacker = msgpack.Unpacker()
+        seen: list[str] = []
+        while len(seen) < len(tags):
+            received = raw.recv(65536)
+            if not received:
+                raise EOFError(seen)
+            unpacker.feed(received)
+            seen.extend(frame[0] for frame in unpacker)
+        self.assertEqual(seen, tags)
+
     def _raw(self, shell: SmallShell) -> Any:
         raw = socket.create_connection(
             (LOCAL, shell.peer_server.server_port),
         )
         self.addCleanup(raw.close)
+        raw.settimeout(WAIT_SECONDS)
         return raw
 
 
