Compare the load of stand-in upstreams with the slow start's bound

The stand-in kept only the peak concurrency while cold, which tells nothing about the bound at that moment. It now counts the requests that enter above the bound by answered requests since the cold start, and keeps the largest excess.

--- a/standins/cold_start.py
+++ b/standins/cold_start.py
@@ -37,6 +37,24 @@
         self._since = now
         self._answered = 0
 
+    @property
+    def ramp_bound(self) -> float:
+        """Return what a slow start allows at once after these answers.
+
+        One request is allowed at first, and twice as many after as many
+        answers as were allowed.
+        """
+        if self.is_always_warm:
+            return float('inf')
+        bound: int = 1 << (self._answered + 1).bit_length() - 1
+        return min(bound, self._slots)
+
+    @property
+    def is_always_warm(self) -> bool:
+        """Tell whether there is no cold start."""
+        cold = self._cold_start
+        return not cold.seconds and not cold.requests
+
     def restart(self, now: float) -> None:
         """Be cold again."""
         self._since = now
@@ -49,7 +67,7 @@
     def share(self, now: float) -> float:
         """Return how warm the upstream is, from 0 to 1."""
         cold = self._cold_start
-        if not cold.seconds and not cold.requests:
+        if self.is_always_warm:
             return 1
         shares: list[float] = []
         if cold.seconds:
--- a/standins/upstream_server.py
+++ b/standins/upstream_server.py
@@ -133,7 +133,10 @@
 
     def _enter(self, job: Job) -> Reply:
         now = time.monotonic()
-        self.stats.enter(is_cold=self.warmth.share(now) < 1)
+        self.stats.enter(
+            is_cold=self.warmth.share(now) < 1,
+            ramp_bound=self.warmth.ramp_bound,
+        )
         try:
             return self._queue(job, now)
         finally:
--- a/standins/upstream_stats.py
+++ b/standins/upstream_stats.py
@@ -18,6 +18,7 @@
         'in_service',
         'peak_concurrency',
         'peak_cold_concurrency',
+        'peak_over_ramp',
         'last_run_at',
         '_loads',
     )
@@ -29,10 +30,11 @@
         self.in_service = 0
         self.peak_concurrency = 0
         self.peak_cold_concurrency = 0
+        self.peak_over_ramp: float = 0
         self.last_run_at: float = 0  # wall-clock seconds
         self._loads: deque[float] = deque(maxlen=SAMPLES)
 
-    def enter(self, *, is_cold: bool) -> None:
+    def enter(self, *, is_cold: bool, ramp_bound: float) -> None:
         """Record a request that has been read."""
         self.in_system += 1
         self.peak_concurrency = max(self.peak_concurrency, self.in_system)
@@ -41,6 +43,10 @@
                 self.peak_cold_concurrency,
                 self.in_system,
             )
+        over = self.in_system - ramp_bound
+        if over > 0:
+            self.counts['over_ramp'] += 1
+            self.peak_over_ramp = max(self.peak_over_ramp, over)
 
     def run(self, request_id: str, wall_time: float) -> None:
         """Record that the work on a request begins."""
@@ -63,6 +69,8 @@
         """Measure concurrency from now."""
         self.peak_concurrency = self.in_system
         self.peak_cold_concurrency = 0
+        self.peak_over_ramp = 0
+        self.counts['over_ramp'] = 0
 
     def summary(self) -> dict[str, object]:
         """Return all figures but the runs of single requests."""
@@ -76,6 +84,8 @@
             'in_service': self.in_service,
             'peak_concurrency': self.peak_concurrency,
             'peak_cold_concurrency': self.peak_cold_concurrency,
+            'peak_over_ramp': self.peak_over_ramp,
+            'over_ramp': self.counts['over_ramp'],
             'last_run_at': self.last_run_at,
             'uploads_completed': self.counts['uploads_completed'],
             'uploads_broken': self.counts['uploads_broken'],
