Keep a definition that is newer than its owner's active version

Cause: a definition of a peer was forgotten as soon as nobody referred to it, and the older definition of the owner's active version was in force again (invariant I1).

Change: a pooled definition above the revision of its owner's active version is kept until that version catches up. When the owner has no version here, an entry of revision 0 carries it, and a full read that lacks the owner's key ends it by a deletion.

--- a/briartack/core/accepted.py
+++ b/briartack/core/accepted.py
@@ -5,13 +5,16 @@
 forgotten once nobody refers to it, and a version that waits is forgotten when
 a higher one waits. Both end when daemons exchange entries, because entries
 carry the definitions that they resolved to.
+
+A definition of a peer may be newer than its owner's active version here. It is
+kept until that version catches up, or the older one would be in force again.
 """
 
 from collections.abc import Iterable
 from typing import final
 
 from briartack.core.entries import TEAM_PREFIX, Entry
-from briartack.core.intake import Intake, Slot
+from briartack.core.intake import NO_REVISION, Intake, Slot
 from briartack.core.resolution import DefinitionPool, resolvable
 from briartack.core.units import Revision
 from briartack.core.validation import Resource
@@ -47,6 +50,20 @@
             if slot.waiting is not None
         )
 
+    @property
+    def ahead(self) -> dict[str, frozenset[ResourceId]]:
+        """Give the definitions that are newer than their owner, by its key."""
+        names: dict[str, frozenset[ResourceId]] = {}
+        for name, held in self.pool.definitions:
+            if self._is_ahead(name, held):
+                key = owner_key(name)
+                names[key] = names.get(key, frozenset()) | {name}
+        return names
+
+    def slot(self, key: str) -> Slot:
+        """Give what is held under a key; an empty slot if nothing is."""
+        return self.slots.get(key) or Slot()
+
     def held(self, name: ResourceId) -> Held | None:
         """Give the newest definition of a resource, if there is one."""
         found = [
@@ -90,16 +107,19 @@
         return [
             name
             for name, held in self.pool.definitions
-            if (slot := self.slots.get(f'{TEAM_PREFIX}{name.team}')) is not None
-            and slot.active is not None
-            and slot.active.revision > held.revision
+            if self._owner_revision(name) > held.revision
         ]
 
     def _owned(self, name: ResourceId) -> Held | None:
-        slot = self.slots.get(f'{TEAM_PREFIX}{name.team}')
-        if slot is None or slot.active is None:
-            return None
-        return slot.active.held(name)
+        active = self.slot(owner_key(name)).active
+        return None if active is None else active.held(name)
+
+    def _owner_revision(self, name: ResourceId) -> Revision:
+        active = self.slot(owner_key(name)).active
+        return NO_REVISION if active is None else active.revision
+
+    def _is_ahead(self, name: ResourceId, held: Held) -> bool:
+        return held.revision > self._owner_revision(name)
 
     def _settle(
         self,
@@ -128,20 +148,23 @@
                 if held is not None:
                     self.pool.offer(offered, held)
         self.pool.keep_only(
-            lambda name, kept: name in wanted and self._is_newer(name, kept),
+            lambda name, kept: (
+                self._is_ahead(name, kept)
+                or (name in wanted and self._owned(name) is None)
+            ),
         )
 
     def _may_renew(self, late: Entry) -> bool:
         """Tell whether an old version may have a newer definition."""
         return any(
-            late.key == f'{TEAM_PREFIX}{name.team}'
-            and late.revision > held.revision
+            late.key == owner_key(name) and late.revision > held.revision
             for name, held in self.pool.definitions
         )
 
-    def _is_newer(self, name: ResourceId, held: Held) -> bool:
-        owned = self._owned(name)
-        return owned is None or owned.revision < held.revision
+
+def owner_key(name: ResourceId) -> str:
+    """Give the key of the team that owns a resource."""
+    return f'{TEAM_PREFIX}{name.team}'
 
 
 def foreign_of(slot: Slot) -> frozenset[ResourceId]:
--- a/briartack/core/intake.py
+++ b/briartack/core/intake.py
@@ -17,7 +17,7 @@
     decode_version,
 )
 
-_NONE: Final = Revision(0)  # the store counts from 1
+NO_REVISION: Final = Revision(0)  # the store counts from 1
 
 
 @final
@@ -45,13 +45,13 @@
         """Give the highest accepted revision, or 0."""
         return max(
             (version.revision for version in self.versions),
-            default=_NONE,
+            default=NO_REVISION,
         )
 
     @property
     def is_deleted(self) -> bool:
-        """Tell whether the highest version, if there is one, is a deletion."""
-        return not self.versions or self.versions[-1].text is None
+        """Tell whether the highest version is a deletion."""
+        return bool(self.versions) and self.versions[-1].text is None
 
     def is_below_active(self, revision: Revision) -> bool:
         """Tell whether a revision is older than the active one."""
@@ -90,6 +90,8 @@
         """Sort one entry."""
         for definition in entry.definitions:
             self._offer(entry, definition)
+        if entry.revision == NO_REVISION:
+            return  # carries definitions only
         slot = self._slots.get(entry.key)
         if slot is None:
             self._decode(entry)
--- a/briartack/core/snapshot.py
+++ b/briartack/core/snapshot.py
@@ -7,9 +7,10 @@
 from collections.abc import Iterable
 from typing import final
 
-from briartack.core.accepted import Accepted, foreign_of
+from briartack.core.accepted import Accepted
 from briartack.core.changes import SnapshotChange, WaitingVersion
-from briartack.core.entries import Definition, Entry, is_instance_key
+from briartack.core.entries import Entry, is_instance_key
+from briartack.core.exchange import Exchange
 from briartack.core.intake import Intake
 from briartack.core.resolution import missing_references
 from briartack.core.resolved import (
@@ -19,7 +20,7 @@
     SnapshotBuilder,
 )
 from briartack.core.units import Digest, Revision
-from briartack.core.versions import Version, digest_of
+from briartack.core.versions import digest_of
 
 # Other modules import the parts of the interface from here.
 __all__ = (  # noqa: WPS410 - mypy needs it for the types of other modules
@@ -88,11 +89,13 @@
         )
 
     def versions(self) -> dict[str, Revision]:
-        """Give the highest revision of each key, active or waiting."""
+        """Give the highest revision of each key, active or waiting.
+
+        It is 0 for a key of which only definitions are held.
+        """
         return {
-            key: slot.highest
-            for key, slot in sorted(self._accepted.slots.items())
-            if slot.versions
+            key: self._accepted.slot(key).highest
+            for key in Exchange(self._accepted).keys
         }
 
     def key_digests(self) -> dict[str, Digest]:
@@ -101,40 +104,16 @@
         Equal revisions do not suffice: a version can wait here and be active
         at a peer that holds a definition which is missing here.
         """
-        return {
-            key: digest_of(
-                slot.active and slot.active.digest,
-                slot.waiting and slot.waiting.digest,
-                *(
-                    part
-                    for name in sorted(foreign_of(slot))
-                    if (held := self._accepted.pool.get(name)) is not None
-                    for part in (name, held.order)
-                ),
-            )
-            for key, slot in sorted(self._accepted.slots.items())
-            if slot.versions
-        }
+        exchange = Exchange(self._accepted)
+        return {key: exchange.key_digest(key) for key in exchange.keys}
 
     def entries_after(self, revision: Revision) -> tuple[Entry, ...]:
         """Give the versions above a revision, lowest first."""
-        found = [
-            version
-            for slot in self._accepted.slots.values()
-            for version in slot.versions
-            if version.revision > revision
-        ]
-        found.sort(key=lambda version: (version.revision, version.key))
-        return tuple(self._entry(version) for version in found)
+        return Exchange(self._accepted).entries_after(revision)
 
     def entries_for(self, keys: Iterable[str]) -> tuple[Entry, ...]:
-        """Give the active and waiting versions of the keys that are held."""
-        return tuple(
-            self._entry(version)
-            for key in keys
-            if key in self._accepted.slots
-            for version in self._accepted.slots[key].versions
-        )
+        """Give what is held of some keys."""
+        return Exchange(self._accepted).entries_for(keys)
 
     def apply(self, entries: Iterable[Entry]) -> SnapshotChange:
         """Take in entries of the store or of a peer, in any order."""
@@ -192,25 +171,13 @@
         present: tuple[Entry, ...],
     ) -> tuple[Entry, ...]:
         listed = {entry.key for entry in present}
+        # Definitions of an owner that is not held end with its deletion too.
         return tuple(
             Entry(key=key, revision=revision, value=None)
-            for key, slot in self._accepted.slots.items()
+            for key in Exchange(self._accepted).keys
             if key.startswith(prefix)
             and key not in listed
-            and not slot.is_deleted
-        )
-
-    def _entry(self, version: Version) -> Entry:
-        definitions: list[Definition] = []
-        for name in sorted(version.foreign):
-            held = self._accepted.held(name)
-            if held is not None:
-                definitions.append(held.definition(name))
-        return Entry(
-            key=version.key,
-            revision=version.revision,
-            value=version.text,
-            definitions=tuple(definitions),
+            and not self._accepted.slot(key).is_deleted
         )
 
     def _renew(self) -> None:
--- a/briartack/test/test_snapshot.py
+++ b/briartack/test/test_snapshot.py
@@ -39,6 +39,9 @@
 def _apply(state: SnapshotState, step: Any) -> SnapshotChange:
     if isinstance(step, list):
         return state.apply(ENTRIES[name] for name in step)
+    sender = step.get('of')
+    if sender is not None:
+        return state.apply((_sent(step['sent'], sender),))
     return state.apply_full_read(
         step.get('prefix', ''),
         step['read'],
@@ -46,6 +49,19 @@
     )
 
 
+def _sent(name: str, held_by_peer: Iterable[str]) -> Entry:
+    """Give an entry with all definitions that a peer's entries carry."""
+    peer = _state(held_by_peer)
+    return msgspec.structs.replace(
+        ENTRIES[name],
+        definitions=tuple(
+            definition
+            for entry in peer.entries_after(Revision(0))
+            for definition in entry.definitions
+        ),
+    )
+
+
 def _state(names: Iterable[str]) -> SnapshotState:
     state = SnapshotState()
     for name in names:
@@ -151,6 +167,36 @@
         self.assertEqual(state.snapshot.services['a/r'].slots, 5)
         self.assertEqual(state.snapshot.retained, ())
 
+    @params(*_load('peers'))
+    def test_definition_of_peer(self, case: Any) -> None:
+        state = SnapshotState()
+        known = 0
+        for step in case['steps']:
+            _apply(state, step)
+            limits = state.snapshot and state.snapshot.services.get('a/r')
+            if limits:
+                self.assertGreaterEqual(limits.slots, known, case['guards'])
+                known = limits.slots
+        assert state.snapshot
+        limits = state.snapshot.services.get('a/r')
+        slots = limits.slots if limits else None
+        self.assertEqual(slots, case['slots'], case['guards'])
+        self.assertEqual(list(state.snapshot.retained), case['retained'])
+
+    @params(*_load('peers'))
+    def test_peers_agree_on_definitions(self, case: Any) -> None:
+        """A kept definition that no entry carries leaves peers unequal."""
+        for kept, others in itertools.product((2, 3, 4), ([], ['a1-r', 'b4'])):
+            states = (SnapshotState(), _state(others))
+            for step in case['steps'][:kept]:
+                _apply(states[0], step)
+            for _ in range(2):
+                _send(*states)
+                _send(*reversed(states))
+            with self.subTest(case['guards'], kept=kept, others=others):
+                self.assertEqual(states[0].digest, states[1].digest)
+                self.assertEqual(states[0].snapshot, states[1].snapshot)
+
     def test_reused_revision_in_one_batch(self) -> None:
         """The order within an answer decides which value is in force."""
         states = (SnapshotState(), SnapshotState())
