Use the definitions of an entry only if the entry is not refused

Change: the entry is judged first. Definitions of a malformed entry and of a reused revision with another value are dropped; those of stale entries and of entries that are held already are used. A stale entry is decoded for that only if it carries definitions; the store's entries carry none.

--- a/briartack/core/intake.py
+++ b/briartack/core/intake.py
@@ -87,19 +87,10 @@
         self._pool = pool
 
     def take(self, entry: Entry) -> None:
-        """Sort one entry."""
-        for definition in entry.definitions:
-            self._offer(entry, definition)
-        if entry.revision == NO_REVISION:
-            return  # carries definitions only
-        slot = self._slots.get(entry.key)
-        if slot is None:
-            self._decode(entry)
-        elif slot.is_below_active(entry.revision):
-            self.stale += 1
-            self.late.append(entry)
-        elif not self._is_known(slot, entry):
-            self._decode(entry)
+        """Sort one entry; use its definitions unless it is refused."""
+        if self._is_usable(entry):
+            for definition in entry.definitions:
+                self._offer(entry, definition)
 
     def take_late(self) -> None:
         """Decode older versions too, for what they define.
@@ -109,36 +100,43 @@
         may not be the owner's last.
         """
         for entry in self.late:
-            try:
-                version = decode_version(
-                    entry.key,
-                    entry.revision,
-                    entry.value,
-                )
-            except InvalidValueError:
-                continue
-            self.candidates.append(version)
-
-    def _is_known(self, slot: Slot, entry: Entry) -> bool:
+            version = _decoded_late(entry)
+            if version is not None:
+                self.candidates.append(version)
+
+    def _is_usable(self, entry: Entry) -> bool:
+        if entry.revision == NO_REVISION:
+            return True  # it carries definitions only
+        slot = self._slots.get(entry.key, Slot())
+        if slot.is_below_active(entry.revision):
+            self.stale += 1
+            self.late.append(entry)
+            # The store's entries carry no definitions and need no decoding.
+            return bool(entry.definitions) and _decoded_late(entry) is not None
         if entry.revision in slot.refused:
             self.stale += 1
-            return True
+            return False
         for version in slot.versions:
             if version.revision == entry.revision:
-                self.stale += 1
-                if version.text != entry.value:
-                    self._refuse(entry, Code.REVISION_REUSED, entry.revision)
-                return True
+                return self._is_same(version, entry)
+        return self._decode(entry)
+
+    def _is_same(self, version: Version, entry: Entry) -> bool:
+        self.stale += 1
+        if version.text == entry.value:
+            return True
+        self._refuse(entry, Code.REVISION_REUSED, entry.revision)
         return False
 
-    def _decode(self, entry: Entry) -> None:
+    def _decode(self, entry: Entry) -> bool:
         try:
             version = decode_version(entry.key, entry.revision, entry.value)
         except InvalidValueError as error:
             self._remember(entry)
             self._report(entry, error.problems)
-        else:
-            self.candidates.append(version)
+            return False
+        self.candidates.append(version)
+        return True
 
     def _remember(self, entry: Entry) -> None:
         slot = self._slots.setdefault(entry.key, Slot())
@@ -168,3 +166,11 @@
                 problems=problems,
             ),
         )
+
+
+def _decoded_late(entry: Entry) -> Version | None:
+    """Decode an older version; a malformed one gives none."""
+    try:
+        return decode_version(entry.key, entry.revision, entry.value)
+    except InvalidValueError:
+        return None
