--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -9,16 +9,24 @@
 from nose2.tools import params
 
 from briartack.core import effects, events
-from briartack.core.messages import Pull, Summary
-from briartack.core.units import Digest, Incarnation, InstanceId, Revision
+from briartack.core.messages import Cancel, Pull, Summary
+from briartack.core.units import (
+    AttemptId,
+    Digest,
+    Incarnation,
+    InstanceId,
+    Revision,
+)
 from briartack.framing import encode
 from briartack.test.fake_reducer import (
     LOCAL,
     WAIT_SECONDS,
     EchoServer,
+    wait_until,
 )
 from briartack.test.small_shell import SmallShell, read_answer
 
+RAW = InstanceId('raw')
 HELLO = ['hello', 1, 'raw', 'i1', 'saldo', 'costa-1', 'costa', 1.0]
 
 
@@ -62,6 +70,43 @@
             self.assertEqual(len(shell.state.seen(events.PeerConnected)), 1)
             self.assertEqual(shell.state.seen(events.PeerDisconnected), [])
 
+    def test_lower_side_ends_the_spare_stream_after_its_queue(self) -> None:
+        """Guards against messages lost with the stream that is given up."""
+        shell, dialled, spare = self._crossed('b')
+        message = _summary(digest=b'x' * 1_000_000)
+        for _ in range(5):
+            shell.execute(effects.SendMessage(peer=RAW, message=message))
+        dialled.sendall(msgpack.packb(HELLO))
+        wait_until(lambda: 'peers.simultaneous_dials' in shell.observer.counts)
+        spare.sendall(encode(message))
+        shell.state.wait_for(events.PeerMessageReceived)
+        unpacker = msgpack.Unpacker()
+        while received := spare.recv(1 << 20):
+            unpacker.feed(received)
+        tags = [frame[0] for frame in unpacker]
+        self.assertEqual(tags, ['hello', *('summary' for _ in range(5))])
+        spare.close()
+        shell.execute(_pull(RAW))
+        self._expect_tags(dialled, ['hello', 'pull'])
+        self.assertEqual(shell.state.seen(events.PeerDisconnected), [])
+
+    def test_higher_side_keeps_the_spare_stream_until_its_end(self) -> None:
+        """Guards against an end that overtakes the greeting of the other."""
+        shell, dialled, spare = self._crossed('z')
+        dialled.sendall(msgpack.packb(HELLO))
+        spare.sendall(encode(_summary()))
+        shell.state.wait_for(events.PeerMessageReceived)
+        self._expect_tags(dialled, ['hello'])
+        dialled.settimeout(0)
+        with self.assertRaises(BlockingIOError):
+            dialled.recv(1)
+        dialled.settimeout(WAIT_SECONDS)
+        dialled.shutdown(socket.SHUT_WR)
+        self.assertEqual(dialled.recv(1), b'')
+        shell.execute(_pull(RAW))
+        self._expect_tags(spare, ['hello', 'pull'])
+        self.assertEqual(shell.state.seen(events.PeerDisconnected), [])
+
     @params(
         (b'\xc1', 'not msgpack'),
         (msgpack.packb(['pull', -1.5]), 'pull'),
@@ -134,7 +179,7 @@
         message = _summary(digest=b'x' * 1_000_000)
         for _ in range(60):
             shell.execute(
-                effects.SendMessage(peer=InstanceId('raw'), message=message),
+                effects.SendMessage(peer=RAW, message=message),
             )
         lost = shell.state.wait_for(events.PeerDisconnected)
         self.assertIn('queue is full', lost[0].reason)
@@ -157,14 +202,81 @@
         answers = [read_answer(caller)[2] for caller in callers]
         self.assertEqual(answers, bodies)
 
+    @params(('costa', 'own'), ('sierra', 'other'))
+    def test_bytes_are_told_apart(self, home: str, region: str) -> None:
+        """Guards against paid bytes and bytes of calls counted as others."""
+        shell = self.shell('b')
+        raw = self._raw(shell)
+        hello = msgpack.packb([*HELLO[:6], home, 1.0])
+        pull, cancel = (
+            encode(message)
+            for message in (
+                Pull(after=Revision(1)),
+                Cancel(attempt_id=AttemptId('a1')),
+            )
+        )
+        raw.sendall(hello + pull + cancel)
+        shell.state.wait_for(events.PeerMessageReceived, 2)
+        shell.execute(_pull(InstanceId('raw')))
+        counts = shell.observer.counts
+        self.assertEqual(
+            counts[f'peers.bytes received control {region}'],
+            len(hello + pull),
+        )
+        self.assertEqual(
+            counts[f'peers.bytes received call {region}'],
+            len(cancel),
+        )
+        sent = counts[f'peers.bytes sent control {region}']
+        self.assertEqual(sent, len(_received(raw, sent)))
+
+    def _crossed(self, name: str) -> tuple[SmallShell, Any, Any]:
+        """Let a shell dial a raw peer that dials back before it greets."""
+        shell = self.shell(name)
+        # `create_server` of gevent makes a listener that blocks the process.
+        listener = socket.socket()
+        listener.bind((LOCAL, 0))
+        listener.listen()
+        self.addCleanup(listener.close)
+        address = '{}:{}'.format(*listener.getsockname())
+        shell.peers.connect(effects.Connect(peer=RAW, address=address))
+        dialled, _ = listener.accept()
+        self.addCleanup(dialled.close)
+        dialled.settimeout(WAIT_SECONDS)
+        spare = self._raw(shell)
+        spare.sendall(msgpack.packb(HELLO))
+        shell.state.wait_for(events.PeerConnected)
+        return shell, dialled, spare
+
+    def _expect_tags(self, raw: Any, tags: list[str]) -> None:
+        unpacker = msgpack.Unpacker()
+        seen: list[str] = []
+        while len(seen) < len(tags):
+            received = raw.recv(65536)
+            if not received:
+                raise EOFError(seen)
+            unpacker.feed(received)
+            seen.extend(frame[0] for frame in unpacker)
+        self.assertEqual(seen, tags)
+
     def _raw(self, shell: SmallShell) -> Any:
         raw = socket.create_connection(
             (LOCAL, shell.peer_server.server_port),
         )
         self.addCleanup(raw.close)
+        raw.settimeout(WAIT_SECONDS)
         return raw
 
 
+def _received(raw: Any, size: int) -> bytes:
+    """Receive a number of bytes, and more if more is there."""
+    raw.settimeout(WAIT_SECONDS)
+    received = b''
+    while len(received) < size:
+        received += raw.recv(65536)
+    return received
+
+
 def _sent(shell: SmallShell) -> int:
     return shell.observer.counts.get('peers.messages_sent', 0)
 
