Send a request to the upstream before its greenlet starts

Cause: a dispatched request waited for its greenlet, which the hub starts after the caller's greenlet has set up its wait and has given way. Change: if a connection is idle, the first write happens in the dispatch itself, so that the upstream works while the daemon goes on. A request that is given up before its greenlet starts closes its connection.

--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -6,6 +6,7 @@
 """
 
 import errno
+import os
 import select
 from typing import Any, Final, TypeAlias, final
 
@@ -102,6 +103,18 @@
             1,
         )
 
+    def take_idle(self) -> socket.socket | None:
+        """Take an idle connection, or none if that would take time."""
+        if self._socket_queue.empty() or self._semaphore.locked():
+            return None
+        # With an idle connection and a free place this does not wait.
+        sock = self._socket_queue.get_nowait()
+        if not self._is_socket_alive(sock):
+            sock.close()
+            return None
+        self._semaphore.acquire()
+        return sock
+
     def _create_socket(self) -> socket.socket:
         sock = super()._create_socket()
         # Those who call `exchange` keep one deadline for it; a timeout here
@@ -125,6 +138,102 @@
         return [(family, socket.SOCK_STREAM, 0, '', (host, port))]
 
 
+@final
+class Exchange:
+    """Send one whole request and receive the whole answer."""
+
+    __slots__ = ('_pool', '_request', '_answer', '_sock', '_sent', '_error')
+
+    def __init__(
+        self,
+        pool: Connections,
+        *,
+        method: str,
+        request: bytes,
+        max_body_bytes: int,
+    ) -> None:
+        """Prepare the exchange; nothing is sent yet."""
+        self._pool = pool
+        self._request = request
+        self._answer = HttpAnswer(method=method, max_body_bytes=max_body_bytes)
+        self._sock: socket.socket | None = None
+        self._sent = 0
+        self._error: OSError | None = None
+
+    def send_now(self) -> None:
+        """Write what an idle connection takes without waiting.
+
+        The other side then works while this process goes on. `finish` or
+        `give_up` must follow.
+        """
+        self._sock = self._pool.take_idle()
+        if self._sock is None:
+            return
+        try:
+            self._sent = os.write(self._sock.fileno(), self._request)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._error = error
+        self._answer.is_requested = self._sent > 0
+
+    def give_up(self) -> None:
+        """Close the connection of a request that `finish` will not follow."""
+        sock = self._sock
+        self._sock = None
+        if sock is not None:
+            self._pool.release_socket(sock)
+
+    def finish(self, timeout_seconds: float) -> HttpAnswer:
+        """Send the rest and receive the answer; raise ExchangeError."""
+        timeout = gevent.Timeout.start_new(timeout_seconds)
+        try:
+            self._run()
+        except gevent.Timeout as expired:
+            if expired is not timeout:
+                raise
+            raise ExchangeError(
+                'timeout',
+                may_have_run=self._answer.is_requested,
+            ) from None
+        finally:
+            timeout.close()
+        return self._answer
+
+    def _run(self) -> None:
+        sock = self._sock or _connected(self._pool)
+        # From here on, `give_up` has nothing to close.
+        self._sock = None
+        is_reusable = False
+        # The socket goes back on every path, also when the greenlet is killed.
+        try:
+            self._send(sock)
+            _receive(sock, self._answer)
+            is_reusable = not self._answer.should_close()
+        finally:
+            _give_back(self._pool, sock, is_reusable=is_reusable)
+
+    def _send(self, sock: socket.socket) -> None:
+        if self._error is not None:
+            raise _write_error(self._error, may_have_run=False)
+        if self._sent == 0:
+            self._send_first(sock)
+        if self._sent == len(self._request):
+            return
+        try:
+            sock.sendall(memoryview(self._request)[self._sent :])
+        except OSError as error:
+            raise _write_error(error, may_have_run=True) from None
+
+    def _send_first(self, sock: socket.socket) -> None:
+        try:
+            self._sent = sock.send(self._request)
+        except OSError as error:
+            # The first write failed as a whole, so no byte went out.
+            raise _write_error(error, may_have_run=False) from None
+        self._answer.is_requested = True
+
+
 def exchange(
     pool: Connections,
     *,
@@ -137,20 +246,13 @@
 
     Raises ExchangeError.
     """
-    answer = HttpAnswer(method=method, max_body_bytes=max_body_bytes)
-    timeout = gevent.Timeout.start_new(timeout_seconds)
-    try:
-        _exchange_over(_connected(pool), pool, request, answer)
-    except gevent.Timeout as expired:
-        if expired is not timeout:
-            raise
-        raise ExchangeError(
-            'timeout',
-            may_have_run=answer.is_requested,
-        ) from None
-    finally:
-        timeout.close()
-    return answer
+    whole = Exchange(
+        pool,
+        method=method,
+        request=request,
+        max_body_bytes=max_body_bytes,
+    )
+    return whole.finish(timeout_seconds)
 
 
 def _connected(pool: Connections) -> socket.socket:
@@ -164,22 +266,6 @@
         ) from None
 
 
-def _exchange_over(
-    sock: socket.socket,
-    pool: Connections,
-    request: bytes,
-    answer: HttpAnswer,
-) -> None:
-    is_reusable = False
-    # The socket goes back on every path, also when the greenlet is killed.
-    try:
-        _send(sock, request, answer)
-        _receive(sock, answer)
-        is_reusable = not answer.should_close()
-    finally:
-        _give_back(pool, sock, is_reusable=is_reusable)
-
-
 def _give_back(
     pool: Connections,
     sock: socket.socket,
@@ -192,31 +278,12 @@
         pool.release_socket(sock)
 
 
-def _send(
-    sock: socket.socket,
-    request: bytes,
-    answer: HttpAnswer,
-) -> None:
-    try:
-        sent = sock.send(request)
-    except OSError as error:
-        # The first write failed as a whole, so no byte went out.
-        raise ExchangeError(
-            _describe('write', error),
-            may_have_run=False,
-            is_reset=error.errno in _RESET_ERRORS,
-        ) from None
-    answer.is_requested = True
-    if sent == len(request):
-        return
-    try:
-        sock.sendall(memoryview(request)[sent:])
-    except OSError as error:
-        raise ExchangeError(
-            _describe('write', error),
-            may_have_run=True,
-            is_reset=error.errno in _RESET_ERRORS,
-        ) from None
+def _write_error(error: OSError, *, may_have_run: bool) -> ExchangeError:
+    return ExchangeError(
+        _describe('write', error),
+        may_have_run=may_have_run,
+        is_reset=error.errno in _RESET_ERRORS,
+    )
 
 
 def _receive(sock: socket.socket, answer: HttpAnswer) -> None:
--- a/briartack/test/fake_reducer.py
+++ b/briartack/test/fake_reducer.py
@@ -292,12 +292,14 @@
     def __init__(self) -> None:
         super().__init__((LOCAL, 0))
         self.requests: list[bytes] = []
+        self.ends = 0
         self.start()
 
     def handle(self, sock: Any, address: Any) -> None:
         while True:
             request = read_request(sock)
             if not request:
+                self.ends += 1
                 return
             self.requests.append(request)
             body = request.partition(b'\r\n\r\n')[2]
--- a/briartack/test/test_upstream.py
+++ b/briartack/test/test_upstream.py
@@ -8,7 +8,13 @@
 
 from briartack.core import effects, events
 from briartack.core.units import AttemptId, BodyId, Revision
-from briartack.test.fake_reducer import LOCAL, ScriptedServer, wait_until
+from briartack.http_exchange import Connections, Exchange
+from briartack.test.fake_reducer import (
+    LOCAL,
+    EchoServer,
+    ScriptedServer,
+    wait_until,
+)
 from briartack.test.small_shell import SmallShell
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -27,6 +33,17 @@
     )
 
 
+def posted(pool: Connections, body: bytes) -> Exchange:
+    """Prepare a request with a body of one byte."""
+    head = b'POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n'
+    return Exchange(
+        pool,
+        method='POST',
+        request=head + body,
+        max_body_bytes=1,
+    )
+
+
 class ServedTest(unittest.TestCase):
     """Serve raw bytes to a shell."""
 
@@ -114,6 +131,22 @@
         self.assertEqual(shell.state.events, [])
         self.assertEqual(len(shell.bodies), 0)
 
+    def test_given_up_request_frees_its_place(self) -> None:
+        """Guards against lost places and answers to an earlier request."""
+        server = EchoServer()
+        self.addCleanup(server.stop)
+        pool = Connections((LOCAL, server.server_port), size=1)
+        posted(pool, b'1').finish(1)
+        given_up = posted(pool, b'2')
+        given_up.send_now()
+        given_up.give_up()
+        self.assertEqual(posted(pool, b'3').finish(1).body, b'3')
+        wait_until(lambda: server.ends == 1)
+        self.assertEqual(
+            [request[-1:] for request in server.requests],
+            [b'1', b'2', b'3'],
+        )
+
 
 class StoreClientTest(ServedTest):
     @params(
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -20,6 +20,7 @@
 from briartack.headers import CONTENT_LENGTH, end_to_end, first_value
 from briartack.http_exchange import (
     Connections,
+    Exchange,
     ExchangeError,
     HttpAnswer,
     exchange,
@@ -36,7 +37,7 @@
 _CRLF: Final = b'\r\n'
 _METHODS_WITH_BODY: Final = frozenset(('POST', 'PUT', 'PATCH'))
 
-_Running: TypeAlias = dict[str, Greenlet]
+_Running: TypeAlias = dict[str, tuple[Greenlet, Exchange]]
 
 
 class _ProbeAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,14 +84,26 @@
 
     def dispatch(self, effect: Dispatch) -> None:
         """Start an attempt."""
-        attempt_id = effect.attempt_id
-        self._running[attempt_id] = gevent.spawn(self._run, effect)
+        started = self._clock()
+        request = Exchange(
+            self._pool,
+            method=effect.method,
+            request=self._request(effect),
+            max_body_bytes=MAX_BODY_BYTES,
+        )
+        # The greenlet starts only after everything that is due before it.
+        request.send_now()
+        greenlet = gevent.spawn(self._run, effect, request, started)
+        self._running[effect.attempt_id] = (greenlet, request)
 
     def abort(self, effect: AbortDispatch) -> None:
         """Close the connection of an attempt; no event follows."""
-        greenlet = self._running.pop(effect.attempt_id, None)
-        if greenlet is not None:
+        running = self._running.pop(effect.attempt_id, None)
+        if running is not None:
+            greenlet, request = running
             greenlet.kill(block=False)
+            # A greenlet that is killed before its start never runs.
+            request.give_up()
 
     def probe_forever(self) -> None:
         """Probe the upstream each second until killed."""
@@ -98,9 +111,13 @@
             self._deliver(self._probe())
             gevent.sleep(_PROBE_INTERVAL_SECONDS)
 
-    def _run(self, effect: Dispatch) -> None:
-        started = self._clock()
-        event = self._outcome(effect, started)
+    def _run(
+        self,
+        effect: Dispatch,
+        request: Exchange,
+        started: float,
+    ) -> None:
+        event = self._outcome(effect, request, started)
         # An aborted attempt must not report an outcome any more.
         if self._running.pop(effect.attempt_id, None) is not None:
             self._deliver(event)
@@ -108,16 +125,11 @@
     def _outcome(
         self,
         effect: Dispatch,
+        request: Exchange,
         started: float,
     ) -> UpstreamAnswered | UpstreamFailed:
         try:
-            answer = exchange(
-                self._pool,
-                method=effect.method,
-                request=self._request(effect),
-                max_body_bytes=MAX_BODY_BYTES,
-                timeout_seconds=effect.timeout_seconds,
-            )
+            answer = request.finish(effect.timeout_seconds)
         except ExchangeError as error:
             return self._failed(effect, error)
         return self._answered(effect, answer, started)
