--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -7,8 +7,10 @@
 
 import gc
 import itertools
+import os
 from collections import defaultdict
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Final
 
 import defopt
@@ -30,6 +32,9 @@
 DIRECT: Final = 'direct'
 LOCAL: Final = 'local'
 ONE_HOP: Final = 'one_hop'
+# Positions in /proc/PID/stat, counted from the state.
+USER_TICKS: Final = 11
+SYSTEM_TICKS: Final = 12
 
 
 def run(arguments: list[str]) -> Figures:
@@ -65,26 +70,46 @@
             jobs=_jobs(wirings, answer_bytes),
             calls_per_second=calls_per_second * DAEMONS * CALLS_PER_SAMPLE,
         )
-        outcomes = _outcomes(load, seconds)
+        outcomes, cpu_seconds = _outcomes(deployment, load, seconds)
+    calls = sum(1 for one in outcomes if one.job.kind != DIRECT)
     return {
         'daemons': DAEMONS,
         'calls_per_second_per_daemon': calls_per_second,
         'seconds': seconds,
+        # Of all daemons, with what they do beside calls.
+        'daemon_cpu_ms_per_call': milliseconds(cpu_seconds / calls),
         **_figures(outcomes),
     }
 
 
-def _outcomes(load: Load, seconds: float) -> list[Outcome]:
+def _outcomes(
+    deployment: Deployment,
+    load: Load,
+    seconds: float,
+) -> tuple[list[Outcome], float]:
+    """Return the outcomes of a time and the daemons' CPU seconds in it."""
     load.start()
     gevent.sleep(WARM_SECONDS)
     load.outcomes.clear()
     gc.collect()
     gc.disable()
+    before = _cpu_seconds(deployment)
     gevent.sleep(seconds)
+    cpu_seconds = _cpu_seconds(deployment) - before
     gc.enable()
     outcomes = list(load.outcomes)
     load.stop()
-    return outcomes
+    return outcomes, cpu_seconds
+
+
+def _cpu_seconds(deployment: Deployment) -> float:
+    ticks = 0
+    for name in deployment.wirings:
+        process = Path('/proc', str(deployment.child(name).pid), 'stat')
+        # The fields after the name, which may hold spaces, begin at no. 3.
+        fields = process.read_text().rpartition(')')[2].split()
+        ticks += sum(map(int, fields[USER_TICKS : SYSTEM_TICKS + 1]))
+    return ticks / os.sysconf('SC_CLK_TCK')
 
 
 def _jobs(wirings: tuple[Wiring, ...], answer_bytes: int) -> Iterator[Job]:
