Keep the highest revision instead of searching for it

Each message and tick compares the highest revision held with the summary of every peer, several times, and each comparison searched the slots of all subtrees.

--- a/briartack/core/accepted.py
+++ b/briartack/core/accepted.py
@@ -29,6 +29,14 @@
         self.slots: dict[str, Slot] = {}
         self.pool = DefinitionPool()
 
+    @property
+    def highest(self) -> Revision:
+        """Search for the highest revision that is active or waiting."""
+        return max(
+            (slot.highest for slot in self.slots.values()),
+            default=Revision(0),
+        )
+
     @property
     def active(self) -> dict[str, Version]:
         """Give the active version of each key, in the order of keys."""
--- a/briartack/core/snapshot.py
+++ b/briartack/core/snapshot.py
@@ -34,7 +34,14 @@
 class SnapshotState:
     """Own what is accepted; the current snapshot follows from it."""
 
-    __slots__ = ('_accepted', '_builder', '_snapshot', '_seen', '_digest')
+    __slots__ = (
+        '_accepted',
+        '_builder',
+        '_snapshot',
+        '_seen',
+        '_digest',
+        '_highest',
+    )
 
     def __init__(self) -> None:
         """Start with nothing accepted."""
@@ -43,6 +50,8 @@
         self._snapshot: Snapshot | None = None
         self._seen = Revision(0)
         self._digest = digest_of()
+        # Compared with each summary of each peer, so it is kept, not searched.
+        self._highest = Revision(0)
 
     @property
     def snapshot(self) -> Snapshot | None:
@@ -57,10 +66,7 @@
     @property
     def highest(self) -> Revision:
         """Give the highest revision that is active or waiting."""
-        return max(
-            (slot.highest for slot in self._accepted.slots.values()),
-            default=Revision(0),
-        )
+        return self._highest
 
     @property
     def seen(self) -> Revision:
@@ -150,6 +156,7 @@
         digest = digest_of(*self.key_digests().items())
         is_changed = digest != self._digest
         self._digest = digest
+        self._highest = self._accepted.highest
         before = self._snapshot
         self._renew()
         return SnapshotChange(
