--- a/briartack/core/links.py
+++ b/briartack/core/links.py
@@ -74,11 +74,6 @@
         """Return the peers that this daemon counts on."""
         return self._upward
 
-    @property
-    def stream_count(self) -> int:
-        """Count the peers that a stream leads to."""
-        return len(self._regions)
-
     def is_linked(self, peer: InstanceId) -> bool:
         """Tell whether a stream to a peer is up."""
         return peer in self._regions
--- a/briartack/core/status.py
+++ b/briartack/core/status.py
@@ -54,7 +54,10 @@
     return {
         'watches_store': part.store.is_on_duty,
         'parents': list(part.links.parents),
-        'streams': part.links.stream_count,
+        'streams': sum(
+            part.links.is_linked(member.instance)
+            for member in state.membership.live_members()
+        ),
         'suspects': sorted(part.tree.suspects),
         'state_digest': state.holdings.configuration_digest.hex(),
         'instances_digest': state.holdings.instances_digest.hex(),
