Let a daemon follow its own record in the list

When the platform's record named another region than the daemon's settings, the tree looked for the listed data centre among those of the other region. The reducer failed with KeyError at each tick, so the daemon never linked to a parent. The record counts now, since all other daemons go by it. The test fails with KeyError without the change.

--- a/briartack/core/overlay.py
+++ b/briartack/core/overlay.py
@@ -91,7 +91,9 @@
     """Hold the order of one region, as seen by one of its daemons.
 
     A daemon that is not listed takes parents as if it were, but no other
-    daemon counts on it, so it is no root while its region has one.
+    daemon counts on it, so it is no root while its region has one. If its
+    record names another place than its own settings, the record counts, since
+    all others go by it.
     """
 
     __slots__ = ('_own', '_orders', '_positions', '_roots', '_remote_roots')
@@ -101,12 +103,13 @@
         listed = {member.instance: member for member in members}
         self._own = listed.get(own.instance, own)
         roots = region_roots(listed.values())
-        self._roots = roots.pop(own.region, ()) or (self._own,)
+        region = self._own.region
+        self._roots = roots.pop(region, ()) or (self._own,)
         self._remote_roots = tuple(
-            root for region in sorted(roots) for root in roots[region]
+            root for remote in sorted(roots) for root in roots[remote]
         )
         listed[own.instance] = self._own
-        self._orders = _centre_orders(own.region, listed.values())
+        self._orders = _centre_orders(region, listed.values())
         self._positions = {
             member.instance: position
             for order in self._orders.values()
--- a/briartack/test/test_overlay.py
+++ b/briartack/test/test_overlay.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import Final
 
 from nose2.tools import params
@@ -76,6 +77,12 @@
             self.assertEqual(place.is_root, size == 0)
             self.assertEqual(len(place.parents), min(size, 2))
 
+    def test_place_follows_the_own_record(self) -> None:
+        """Guards against a daemon that fails when its settings differ."""
+        for listed in FLEET[:40]:
+            own = replace(listed, region='elsewhere', data_centre='nowhere')
+            self.assertEqual(place_of(own, FLEET), place_of(listed, FLEET))
+
     def test_order_does_not_depend_on_the_list(self) -> None:
         self.assertEqual(ordered('r0', FLEET), ordered('r0', reversed(FLEET)))
         one, other = ordered('r0', FLEET), ordered('r1', FLEET)
