Make events, effects and call records msgspec structs

Change: events, effects, the call context, choices and admissions are frozen msgspec structs with the same fields; traces keep their form.

--- a/briartack/core/admission.py
+++ b/briartack/core/admission.py
@@ -1,16 +1,16 @@
 """Admission: slots of the local upstream, and the queue before them."""
 
 from collections import deque
-from dataclasses import dataclass
 from typing import final
 
+import msgspec
+
 from briartack.core.settings import ServiceLimits
 from briartack.core.units import AttemptId
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Waiting:
+class Waiting(msgspec.Struct, frozen=True, kw_only=True):
     """Describe an attempt that asks for a slot."""
 
     attempt_id: AttemptId
@@ -19,8 +19,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Admission:
+class Admission(msgspec.Struct, frozen=True, kw_only=True):
     """List the attempts that start now and those that are refused."""
 
     started: tuple[AttemptId, ...] = ()
--- a/briartack/core/call_context.py
+++ b/briartack/core/call_context.py
@@ -1,10 +1,11 @@
 """What the call path reads of the rest of the core, as protocols."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from random import Random
 from typing import Protocol, TypeAlias, final
 
+import msgspec
+
 from briartack.core.identity import Identity
 from briartack.core.settings import PlatformSettings, Policy, ServiceLimits
 from briartack.core.units import InstanceId
@@ -103,8 +104,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallContext:
+class CallContext(msgspec.Struct, frozen=True, kw_only=True):
     """Carry what one event may read outside the call path."""
 
     identity: Identity
--- a/briartack/core/calls.py
+++ b/briartack/core/calls.py
@@ -1,8 +1,9 @@
 """The call path's one entrance: each event on its way to sender and owner."""
 
-from dataclasses import replace
 from typing import final
 
+import msgspec
+
 from briartack.core import reasons
 from briartack.core.body_ids import answer_body
 from briartack.core.call_context import CallContext
@@ -344,7 +345,7 @@
     """Close the door to new calls as soon as the stop has begun."""
     if not state.drain.is_draining:
         return context
-    return replace(context, is_stopping=True)
+    return msgspec.structs.replace(context, is_stopping=True)
 
 
 def _peer_lost(
--- a/briartack/core/choice.py
+++ b/briartack/core/choice.py
@@ -1,9 +1,10 @@
 """The choice of the endpoint for one attempt of a call."""
 
 import enum
-from dataclasses import dataclass
 from typing import TypeAlias, final
 
+import msgspec
+
 from briartack.core import placement
 from briartack.core.call_context import CallContext, Member, Regions
 from briartack.core.call_table import Call
@@ -26,8 +27,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Chosen:
+class Chosen(msgspec.Struct, frozen=True, kw_only=True):
     """Name the endpoint and the home regions that it was checked against."""
 
     member: Member
@@ -39,8 +39,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Chooser:
+class Chooser(msgspec.Struct, frozen=True, kw_only=True):
     """Choose endpoints by what the daemon knows of them."""
 
     routing: RoutingState
--- a/briartack/core/effects.py
+++ b/briartack/core/effects.py
@@ -1,9 +1,10 @@
 """Everything that the core can ask of the shell, as data."""
 
 import enum
-from dataclasses import dataclass
 from typing import TypeAlias, final
 
+import msgspec
+
 from briartack.core.messages import Answer, Attempt, Headers, PeerMessage
 from briartack.core.trail import AuditRecord
 from briartack.core.units import (
@@ -28,16 +29,14 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadStore:
+class ReadStore(msgspec.Struct, frozen=True, kw_only=True):
     """Read all entries under a prefix; the empty prefix is everything."""
 
     prefix: str
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WatchStore:
+class WatchStore(msgspec.Struct, frozen=True, kw_only=True):
     """Wait at the store for entries above a revision."""
 
     after: Revision
@@ -45,14 +44,12 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CancelWatch:
+class CancelWatch(msgspec.Struct, frozen=True, kw_only=True):
     """Give up the waiting watch, if there is one."""
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Connect:
+class Connect(msgspec.Struct, frozen=True, kw_only=True):
     """Dial a peer unless a stream to it is up."""
 
     peer: InstanceId
@@ -60,8 +57,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Disconnect:
+class Disconnect(msgspec.Struct, frozen=True, kw_only=True):
     """Close the stream to a peer."""
 
     peer: InstanceId
@@ -69,8 +65,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SendMessage:
+class SendMessage(msgspec.Struct, frozen=True, kw_only=True):
     """Send a message without a body to a peer."""
 
     peer: InstanceId
@@ -78,8 +73,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SendAttempt:
+class SendAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """Send an attempt and its body to the owner of an upstream."""
 
     peer: InstanceId
@@ -88,8 +82,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SendAnswer:
+class SendAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Send an answer and its body back to the sender of an attempt."""
 
     peer: InstanceId
@@ -98,16 +91,14 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadBody:
+class ReadBody(msgspec.Struct, frozen=True, kw_only=True):
     """Read the body of a caller's request, up to the limit."""
 
     call_id: CallId
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AnswerCall:
+class AnswerCall(msgspec.Struct, frozen=True, kw_only=True):
     """Answer a caller; `body_id` names the answer's body in the shell."""
 
     call_id: CallId
@@ -120,8 +111,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True, kw_only=True):
     """Run a request at the local upstream."""
 
     attempt_id: AttemptId
@@ -133,40 +123,35 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AbortDispatch:
+class AbortDispatch(msgspec.Struct, frozen=True, kw_only=True):
     """Close the upstream connection that runs an attempt."""
 
     attempt_id: AttemptId
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DropBody:
+class DropBody(msgspec.Struct, frozen=True, kw_only=True):
     """Forget a body that nothing needs any more."""
 
     body_id: BodyId
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WakeAt:
+class WakeAt(msgspec.Struct, frozen=True, kw_only=True):
     """Deliver a tick at a time that is nearer than the next regular one."""
 
     at: float
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WriteAudit:
+class WriteAudit(msgspec.Struct, frozen=True, kw_only=True):
     """Write one line of the audit trail."""
 
     record: AuditRecord
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WriteLog:
+class WriteLog(msgspec.Struct, frozen=True, kw_only=True):
     """Write one log line; the text comes from the table of error texts."""
 
     level: LogLevel
@@ -175,8 +160,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Count:
+class Count(msgspec.Struct, frozen=True, kw_only=True):
     """Add to a counter."""
 
     name: str
@@ -185,8 +169,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Exit:
+class Exit(msgspec.Struct, frozen=True, kw_only=True):
     """End the process in good order."""
 
     code: int
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -5,9 +5,10 @@
 """
 
 import enum
-from dataclasses import dataclass
 from typing import TypeAlias, final
 
+import msgspec
+
 from briartack.core.entries import Entry
 from briartack.core.messages import Headers, Hello, PeerMessage
 from briartack.core.units import (
@@ -30,8 +31,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Started:
+class Started(msgspec.Struct, frozen=True, kw_only=True):
     """Report that the process runs, under a fresh incarnation."""
 
     now: float
@@ -39,16 +39,14 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Tick:
+class Tick(msgspec.Struct, frozen=True, kw_only=True):
     """Report the time, at least every 100 ms."""
 
     now: float
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreRead:
+class StoreRead(msgspec.Struct, frozen=True, kw_only=True):
     """Report the full answer to a read of one prefix."""
 
     now: float
@@ -58,8 +56,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreWatched:
+class StoreWatched(msgspec.Struct, frozen=True, kw_only=True):
     """Report the answer to a watch; it may hold no entries."""
 
     now: float
@@ -68,8 +65,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreFailed:
+class StoreFailed(msgspec.Struct, frozen=True, kw_only=True):
     """Report that a call to the store gave no usable answer."""
 
     now: float
@@ -80,8 +76,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PeerConnected:
+class PeerConnected(msgspec.Struct, frozen=True, kw_only=True):
     """Report that a stream is up and its first message has been read."""
 
     now: float
@@ -90,8 +85,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PeerDisconnected:
+class PeerDisconnected(msgspec.Struct, frozen=True, kw_only=True):
     """Report that a stream is down, or that dialling failed."""
 
     now: float
@@ -100,8 +94,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PeerMessageReceived:
+class PeerMessageReceived(msgspec.Struct, frozen=True, kw_only=True):
     """Report a message; a body in several chunks is reported separately."""
 
     now: float
@@ -110,8 +103,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AttemptBodyRead:
+class AttemptBodyRead(msgspec.Struct, frozen=True, kw_only=True):
     """Report that the whole body of an attempt is here and verified."""
 
     now: float
@@ -120,8 +112,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallArrived:
+class CallArrived(msgspec.Struct, frozen=True, kw_only=True):
     """Report the head of a caller's request, before its body is read."""
 
     now: float
@@ -137,8 +128,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallBodyRead:
+class CallBodyRead(msgspec.Struct, frozen=True, kw_only=True):
     """Report that the whole body of a caller's request is here."""
 
     now: float
@@ -148,8 +138,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallCancelled:
+class CallCancelled(msgspec.Struct, frozen=True, kw_only=True):
     """Report that a caller went away or sent a broken body."""
 
     now: float
@@ -157,8 +146,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class KeyRequested:
+class KeyRequested(msgspec.Struct, frozen=True, kw_only=True):
     """Report that a caller asks for an idempotency key of a service."""
 
     now: float
@@ -167,8 +155,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UpstreamAnswered:
+class UpstreamAnswered(msgspec.Struct, frozen=True, kw_only=True):
     """Report a whole answer of the local upstream."""
 
     now: float
@@ -181,8 +168,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UpstreamFailed:
+class UpstreamFailed(msgspec.Struct, frozen=True, kw_only=True):
     """Report that the local upstream gave no whole answer."""
 
     now: float
@@ -193,8 +179,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UpstreamProbed:
+class UpstreamProbed(msgspec.Struct, frozen=True, kw_only=True):
     """Report a probe of the local upstream; identity is empty if unknown."""
 
     now: float
@@ -205,8 +190,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StopRequested:
+class StopRequested(msgspec.Struct, frozen=True, kw_only=True):
     """Report the first request to stop, from a signal."""
 
     now: float
--- a/briartack/core/owned_attempts.py
+++ b/briartack/core/owned_attempts.py
@@ -54,8 +54,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LocalOutcome:
+class LocalOutcome(msgspec.Struct, frozen=True, kw_only=True):
     """Hand an answer to the sender in this same daemon."""
 
     answer: Answer
--- a/briartack/test/mutants.py
+++ b/briartack/test/mutants.py
@@ -4,9 +4,11 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any, Final, final
 
+from msgspec.structs import replace
+
 from briartack.core import dedup, owner_runner, sender
 from briartack.core.messages import Answer
 from briartack.core.settings import ServiceLimits
