--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -104,7 +104,7 @@
 
 def _cpu_seconds(deployment: Deployment) -> float:
     ticks = 0
-    for name in deployment.wirings:
+    for name in deployment.site.wirings:
         process = Path('/proc', str(deployment.child(name).pid), 'stat')
         # The fields after the name, which may hold spaces, begin at no. 3.
         fields = process.read_text().rpartition(')')[2].split()
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -169,7 +169,7 @@
         self._background = [
             gevent.spawn(self._loop.tick_forever),
             gevent.spawn(self._upstream.probe_forever),
-            gevent.spawn(self._sweep_callers),
+            gevent.spawn(self._work_regularly),
         ]
 
     def request_stop(self) -> None:
@@ -194,10 +194,11 @@
         self._loop.close()
         write_log(effects.LogLevel.INFO, STOPPED, {})
 
-    def _sweep_callers(self) -> None:
+    def _work_regularly(self) -> None:
         while True:
             gevent.sleep(_SWEEP_SECONDS)
             self._callers.close_idle()
+            self._loop.flush_trace()
 
     def _handlers(self) -> Handlers:
         return {
--- a/briartack/event_loop.py
+++ b/briartack/event_loop.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Final, Generic, TypeAlias, TypeVar, final
 
 import gevent
@@ -106,6 +107,11 @@
         delay = max(0, at - self._clock())
         self._wake_timer = gevent.spawn_later(delay, self._wake)
 
+    def flush_trace(self) -> None:
+        """Write out the trace so far, so that a kill loses little of it."""
+        if self._recorder is not None:
+            self._write_trace(self._recorder.flush)
+
     def close(self) -> None:
         """Write out the trace."""
         recorder = self._recorder
@@ -119,7 +125,7 @@
 
     def _apply(self, event: Event) -> None:
         if self._recorder is not None:
-            self._record(self._recorder, event)
+            self._write_trace(partial(self._recorder.write, event))
         try:
             effects = self._reduce(self._state, event)
         except Exception:
@@ -137,9 +143,9 @@
         except Exception:
             write_exception(EFFECT_FAILED, {'effect': type(effect).__name__})
 
-    def _record(self, recorder: Recorder, event: Event) -> None:
+    def _write_trace(self, write: Callable[[], None]) -> None:
         try:
-            recorder.write(event)
+            write()
         except OSError:
             self._recorder = None
             write_exception(TRACE_FAILED, {})
