Spend less on each change of configuration and each comparison

One change with 210 subtrees hashed all keys again, and a batch that held instances alone resolved all subtrees. Building the versions and the bucket digests for an inventory of 210 subtrees and 2,600 instances blocked the event loop for 17 ms, once for each child that asked. Hashes are now kept by key until a part of theirs changes, the versions until the next change, and a batch without configuration is passed over.

--- a/briartack/core/accepted.py
+++ b/briartack/core/accepted.py
@@ -154,6 +154,8 @@
 
 def foreign_of(slot: Slot) -> frozenset[ResourceId]:
     """Give the references to other teams of all versions of a key."""
+    if slot.active is not None and slot.waiting is None:
+        return slot.active.foreign
     names: frozenset[ResourceId] = frozenset()
     return names.union(*(version.foreign for version in slot.versions))
 
--- a/briartack/core/changes.py
+++ b/briartack/core/changes.py
@@ -1,7 +1,7 @@
 """What one batch of entries changed in the accepted configuration."""
 
 from dataclasses import dataclass
-from typing import final
+from typing import Final, final
 
 from briartack.core.problems import Problem
 from briartack.core.units import Revision
@@ -39,3 +39,14 @@
     refused: tuple[RefusedVersion, ...]
     retained: tuple[str, ...]  # KIND/TEAM/NAME, retained since this batch
     stale: int  # entries that are held already or older than what is held
+
+
+NOTHING_CHANGED: Final = SnapshotChange(
+    is_changed=False,
+    is_snapshot_new=False,
+    activated=(),
+    waiting=(),
+    refused=(),
+    retained=(),
+    stale=0,
+)
--- a/briartack/core/combined_holdings.py
+++ b/briartack/core/combined_holdings.py
@@ -3,20 +3,22 @@
 Dissemination exchanges both by the same messages and sees only this view.
 """
 
-from collections.abc import Iterable
-from typing import final
+from collections.abc import Iterable, Mapping
+from typing import TypeAlias, final
 
 from briartack.core.entries import Entry, KeyVersion, is_instance_key
 from briartack.core.membership import MembershipState
 from briartack.core.snapshot import SnapshotState
 from briartack.core.units import Digest, Revision
 
+_Sources: TypeAlias = tuple[dict[str, Digest], dict[str, Revision]]
+
 
 @final
 class CombinedHoldings:
     """Join the entries of the snapshot and of the instance list."""
 
-    __slots__ = ('_membership', '_snapshots')
+    __slots__ = ('_membership', '_snapshots', '_sources', '_versions')
 
     def __init__(
         self,
@@ -27,6 +29,8 @@
         """Refer to both slices without owning them."""
         self._snapshots = snapshots
         self._membership = membership
+        self._sources: _Sources | None = None
+        self._versions: dict[str, KeyVersion] = {}
 
     @property
     def highest(self) -> Revision:
@@ -70,10 +74,27 @@
     def versions(self) -> dict[str, KeyVersion]:
         """Return the version of each key, deletions included."""
         digests = self._snapshots.key_digests()
+        instances = self._membership.versions()
+        sources = self._sources
+        # Many children may compare inventories after one change.
+        if (
+            sources is None
+            or sources[0] is not digests
+            or sources[1] is not instances
+        ):
+            self._sources = (digests, instances)
+            self._versions = self._join(digests, instances)
+        return self._versions
+
+    def _join(
+        self,
+        digests: Mapping[str, Digest],
+        instances: Mapping[str, Revision],
+    ) -> dict[str, KeyVersion]:
         versions = {
             key: KeyVersion(revision=revision, digest=digests[key])
             for key, revision in self._snapshots.versions().items()
         }
-        for key, revision in self._membership.versions().items():
+        for key, revision in instances.items():
             versions[key] = KeyVersion(revision=revision)
         return versions
--- a/briartack/core/intake.py
+++ b/briartack/core/intake.py
@@ -37,16 +37,19 @@
     @property
     def versions(self) -> tuple[Version, ...]:
         """Give the active and the waiting version, as far as there are."""
-        both = (self.active, self.waiting)
-        return tuple(version for version in both if version is not None)
+        # All slots are asked with each change, so this takes no loop.
+        if self.waiting is None:
+            return () if self.active is None else (self.active,)
+        if self.active is None:
+            return (self.waiting,)
+        return (self.active, self.waiting)
 
     @property
     def highest(self) -> Revision:
         """Give the highest accepted revision, or 0."""
-        return max(
-            (version.revision for version in self.versions),
-            default=_NONE,
-        )
+        versions = self.versions
+        # A version waits only above the active one.
+        return versions[-1].revision if versions else _NONE
 
     @property
     def is_deleted(self) -> bool:
--- a/briartack/core/inventory.py
+++ b/briartack/core/inventory.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from hashlib import blake2b
 from typing import Final, final
 
@@ -14,6 +15,8 @@
 
 BUCKET_COUNT: Final = 64
 BUCKET_DIGEST_BYTES: Final = 8
+# Twice the keys of 2,600 instances and 210 subtrees, rounded up.
+HASH_CACHE_SIZE: Final = 8192
 NOTHING_HELD: Final = KeyVersion(revision=Revision(0))
 
 
@@ -26,6 +29,7 @@
     wanted: tuple[tuple[str, KeyVersion], ...]  # with the version held here
 
 
+@lru_cache(maxsize=HASH_CACHE_SIZE)
 def bucket_of(key: str) -> int:
     """Find the bucket of a key."""
     return blake2b(key.encode(), digest_size=1).digest()[0] % BUCKET_COUNT
@@ -35,9 +39,7 @@
     """Digest the versions in each bucket, whatever their order."""
     sums = [0 for _ in range(BUCKET_COUNT)]
     for key, held in versions.items():
-        text = f'{held.revision} {key} {held.digest.hex()}'.encode()
-        digest = blake2b(text, digest_size=BUCKET_DIGEST_BYTES).digest()
-        sums[bucket_of(key)] ^= int.from_bytes(digest)
+        sums[bucket_of(key)] ^= _version_hash(key, held.revision, held.digest)
     return tuple(
         Digest(bucket_sum.to_bytes(BUCKET_DIGEST_BYTES)) for bucket_sum in sums
     )
@@ -87,6 +89,13 @@
     return Difference(to_send=to_send, wanted=wanted)
 
 
+@lru_cache(maxsize=HASH_CACHE_SIZE)
+def _version_hash(key: str, revision: Revision, digest: Digest) -> int:
+    text = f'{revision} {key} {digest.hex()}'.encode()
+    hashed = blake2b(text, digest_size=BUCKET_DIGEST_BYTES).digest()
+    return int.from_bytes(hashed)
+
+
 def _may_lack(held: KeyVersion, offered: KeyVersion) -> bool:
     """Tell whether the holder of one version may lack a part of another."""
     if offered.revision == held.revision:
--- a/briartack/core/membership.py
+++ b/briartack/core/membership.py
@@ -23,7 +23,7 @@
 class MembershipState:
     """Own the instance records and the marks of instances that said goodbye."""
 
-    __slots__ = ('_records', '_goodbyes', '_live', '_services')
+    __slots__ = ('_records', '_goodbyes', '_live', '_services', '_versions')
 
     def __init__(self) -> None:
         """Start with an empty list."""
@@ -32,6 +32,7 @@
         # Built on demand, since the list is asked for with each call.
         self._live: tuple[Member, ...] | None = None
         self._services: dict[str, tuple[Member, ...]] = {}
+        self._versions: dict[str, Revision] | None = None
 
     @property
     def highest(self) -> Revision:
@@ -77,8 +78,15 @@
         return self._services.get(service, ())
 
     def versions(self) -> dict[str, Revision]:
-        """Return the revision of each key, deletions included."""
-        return {held.entry.key: held.entry.revision for held in self._records}
+        """Return the revision of each key, deletions included.
+
+        The same object until a change.
+        """
+        if self._versions is None:
+            self._versions = {
+                held.entry.key: held.entry.revision for held in self._records
+            }
+        return self._versions
 
     def entries_after(self, revision: Revision) -> tuple[Entry, ...]:
         """Return the entries above a revision in order of revision."""
@@ -144,6 +152,7 @@
     def _forget_views(self) -> None:
         self._live = None
         self._services = {}
+        self._versions = None
 
 
 def _has_left(change: RecordChange) -> bool:
--- a/briartack/core/snapshot.py
+++ b/briartack/core/snapshot.py
@@ -7,10 +7,15 @@
 from collections.abc import Iterable
 from typing import final
 
-from briartack.core.accepted import Accepted, foreign_of
-from briartack.core.changes import SnapshotChange, WaitingVersion
+from briartack.core.accepted import Accepted
+from briartack.core.changes import (
+    NOTHING_CHANGED,
+    SnapshotChange,
+    WaitingVersion,
+)
 from briartack.core.entries import Definition, Entry, is_instance_key
 from briartack.core.intake import Intake
+from briartack.core.key_digests import KeyDigests
 from briartack.core.resolution import missing_references
 from briartack.core.resolved import (
     InForce,
@@ -41,6 +46,7 @@
         '_seen',
         '_digest',
         '_highest',
+        '_keys',
     )
 
     def __init__(self) -> None:
@@ -50,6 +56,7 @@
         self._snapshot: Snapshot | None = None
         self._seen = Revision(0)
         self._digest = digest_of()
+        self._keys = KeyDigests()
         # Compared with each summary of each peer, so it is kept, not searched.
         self._highest = Revision(0)
 
@@ -104,23 +111,11 @@
     def key_digests(self) -> dict[str, Digest]:
         """Give a hash for each key; peers exchange the keys that differ.
 
-        Equal revisions do not suffice: a version can wait here and be active
-        at a peer that holds a definition which is missing here.
+        The same object until a change. Equal revisions do not suffice: a
+        version can wait here and be active at a peer that holds a definition
+        which is missing here.
         """
-        return {
-            key: digest_of(
-                slot.active and slot.active.digest,
-                slot.waiting and slot.waiting.digest,
-                *(
-                    part
-                    for name in sorted(foreign_of(slot))
-                    if (held := self._accepted.pool.get(name)) is not None
-                    for part in (name, held.order)
-                ),
-            )
-            for key, slot in sorted(self._accepted.slots.items())
-            if slot.versions
-        }
+        return self._keys.digests
 
     def entries_after(self, revision: Revision) -> tuple[Entry, ...]:
         """Give the versions above a revision, lowest first."""
@@ -144,16 +139,19 @@
 
     def apply(self, entries: Iterable[Entry]) -> SnapshotChange:
         """Take in entries of the store or of a peer, in any order."""
+        batch = [entry for entry in entries if not is_instance_key(entry.key)]
+        if not batch:
+            return NOTHING_CHANGED
         waited = set(self.waiting)
         intake = Intake(slots=self._accepted.slots, pool=self._accepted.pool)
         # Of two values with one revision, all daemons see the same one first
         # as far as they come in one batch.
-        for entry in sorted(entries, key=_entry_order):
-            if not is_instance_key(entry.key):
-                self._seen = max(self._seen, entry.revision)
-                intake.take(entry)
+        for entry in sorted(batch, key=_entry_order):
+            self._seen = max(self._seen, entry.revision)
+            intake.take(entry)
         activated = self._accepted.resolve(intake)
-        digest = digest_of(*self.key_digests().items())
+        self._keys.renew(self._accepted)
+        digest = digest_of(*self._keys.digests.items())
         is_changed = digest != self._digest
         self._digest = digest
         self._highest = self._accepted.highest
