--- a/briartack/core/exchange.py
+++ b/briartack/core/exchange.py
@@ -12,15 +12,15 @@
 from briartack.core.accepted import Accepted, foreign_of
 from briartack.core.entries import Definition, Entry
 from briartack.core.intake import NO_REVISION
-from briartack.core.units import Digest, Revision
-from briartack.core.versions import ResourceId, Version, digest_of
+from briartack.core.units import Revision
+from briartack.core.versions import ResourceId, Version
 
 _NOTHING: Final[frozenset[ResourceId]] = frozenset()
 
 
 @final
 class Exchange:
-    """Read the entries and digests of what is accepted at this moment."""
+    """Read the entries of what is accepted at this moment."""
 
     __slots__ = ('_accepted', '_ahead')
 
@@ -36,19 +36,9 @@
         held = {key for key, slot in slots.items() if slot.versions}
         return tuple(sorted(held | self._ahead.keys()))
 
-    def key_digest(self, key: str) -> Digest:
-        """Hash all that the entries of a key carry and that peers may lack."""
-        slot = self._accepted.slot(key)
-        return digest_of(
-            slot.active and slot.active.digest,
-            slot.waiting and slot.waiting.digest,
-            *(
-                part
-                for name in sorted(foreign_of(slot) | self._own(key))
-                if (held := self._accepted.pool.get(name)) is not None
-                for part in (name, held.order)
-            ),
-        )
+    def names_of(self, key: str) -> frozenset[ResourceId]:
+        """List the definitions that the entries of a key may carry."""
+        return foreign_of(self._accepted.slot(key)) | self._own(key)
 
     def entries_after(self, revision: Revision) -> tuple[Entry, ...]:
         """Give the versions above a revision, lowest first."""
