Model the rule that keeps newer definitions, and run checks in parallel

Cause: the specification forgot a definition that nobody refers to, even when it was newer than its owner's active version, as the code did.

The mutant kept_ahead lacks the rule. Tests take the verdicts from four spawned processes.

--- a/models/acceptance.py
+++ b/models/acceptance.py
@@ -26,6 +26,7 @@
     VERSION_SORT,
     VERSIONS,
     History,
+    Versions,
     history_sorts,
     no_version,
 )
@@ -37,6 +38,7 @@
 REPRESENTATIVE: Final[tuple[Choice, ...]] = ((0, 0),)
 # Enough for each mutant's fault; fewer choices make the search short.
 FEW_CHOICES: Final[tuple[Choice, ...]] = ((0, 0), (0, 1), (1, 0))
+TWO_TEAMS: Final[tuple[Choice, ...]] = (*FEW_CHOICES, (1, 1))
 
 
 @final
@@ -66,6 +68,7 @@
             **history_sorts(),
             **held_sorts(),
             'went_back': z3.BoolSort(),
+            'definition_went_back': z3.BoolSort(),
             'is_from_peer': z3.BoolSort(),
             'version': VERSION_SORT,
         }
@@ -76,6 +79,7 @@
             self._has_size(now),
             *(held(now, proxy).equals(empty()) for proxy in PROXIES),
             z3.Not(now['went_back']),
+            z3.Not(now['definition_went_back']),
         )
 
     def step(self, now: Variables, after: Variables) -> z3.BoolRef:
@@ -99,6 +103,7 @@
         return z3.And(
             self._has_size(now),
             properties.never_back(),
+            properties.definition_never_back(),
             properties.resolved(),
             properties.well_formed(),
             properties.whole(),
@@ -107,7 +112,11 @@
         )
 
     def _rules(self, now: Variables) -> Acceptance:
-        return Acceptance(history=History(now), without=self._without)
+        return Acceptance(
+            history=History(now),
+            without=self._without,
+            teams=self._teams,
+        )
 
     def _checked(self, now: Variables) -> Properties:
         return Properties(
@@ -161,6 +170,11 @@
             z3.Implies(after['is_from_peer'], is_held_there),
             held(after, proxy).equals(taken),
             after['went_back'] == z3.Or(now['went_back'], _falls(mine, taken)),
+            after['definition_went_back']
+            == z3.Or(
+                now['definition_went_back'],
+                _definition_falls(rules.known(mine), rules.known(taken)),
+            ),
             _others_keep(now, after, proxy),
         )
 
@@ -169,6 +183,7 @@
     return z3.And(
         held(after, proxy).equals(empty()),
         after['went_back'] == now['went_back'],
+        after['definition_went_back'] == now['definition_went_back'],
         _others_keep(now, after, proxy),
     )
 
@@ -177,6 +192,12 @@
     return z3.Or(*map(z3.ULT, after.active, before.active))
 
 
+def _definition_falls(before: Versions, after: Versions) -> z3.BoolRef:
+    # A definition that is gone is in force no longer.
+    pairs = zip(before, after, strict=True)
+    return z3.Or(*(z3.And(new != 0, z3.ULT(new, old)) for old, new in pairs))
+
+
 def _others_keep(
     now: Variables,
     after: Variables,
@@ -188,6 +209,7 @@
         after,
         *changing,
         'went_back',
+        'definition_went_back',
         'is_from_peer',
         'version',
     )
--- a/models/catalogue.py
+++ b/models/catalogue.py
@@ -10,6 +10,7 @@
 from models.acceptance import (
     FEW_CHOICES,
     REPRESENTATIVE,
+    TWO_TEAMS,
     AcceptanceSystem,
 )
 from models.acceptance_properties import PROPERTIES
@@ -28,6 +29,9 @@
 # The goal of the acceptance needs four steps; each more costs seconds.
 ACCEPTANCE_DEPTH: Final = 4
 
+# A fault of this many steps needs the second team at the sender too.
+LONG_RUN: Final = 5
+
 # The shortest runs to a fault, in the order of each model's guards.
 BINDING_STEPS: Final = (4, 5, 3, 4)
 CALL_STEPS: Final = (5, 4, 7, 6, 5, 6, 7)
@@ -205,6 +209,7 @@
         ('retention', 'resolved', 3, 3),
         ('definitions', 'exchanged', 2, 3),
         ('no_fall_back', 'exchanged', 2, 3),
+        ('kept_ahead', 'definition_never_back', 2, 5),
     )
     return [
         Mutant(
@@ -213,7 +218,7 @@
             system=AcceptanceSystem(
                 without=guard,
                 properties=(broken,),
-                choices=FEW_CHOICES,
+                choices=FEW_CHOICES if steps < LONG_RUN else TWO_TEAMS,
                 teams=teams,
             ),
             steps=steps,
--- /dev/null
+++ b/models/verdicts.py
@@ -0,0 +1,59 @@
+"""Runs the checks of the catalogue in parallel processes.
+
+Each check makes its own formulas and solver, so its verdict does not depend on
+the others or on their order.
+"""
+
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from typing import Final, TypeAlias
+
+from models.catalogue import (
+    Goal,
+    Mutant,
+    Proof,
+    goals,
+    mutants,
+    proofs,
+)
+from models.transitions import proof_gap
+
+# A kind of check and its place in the catalogue's table of that kind.
+Job: TypeAlias = tuple[str, int]
+
+INDUCTIONS: Final = 'inductions'  # of mutants; they must fail
+# The two longest checks take half of the time of all, so that more processes
+# do not end sooner.
+MAX_WORKERS: Final = 4
+
+
+def tables() -> dict[str, Sequence[Proof | Goal | Mutant]]:
+    """Return the checks of each kind, the longest first."""
+    return {
+        'proofs': proofs(),
+        'mutants': mutants(),
+        'goals': goals(),
+        INDUCTIONS: mutants(),
+    }
+
+
+def verdicts() -> dict[Job, str]:
+    """Return what each check reports; empty where nothing fails."""
+    jobs = [
+        (kind, number)
+        for kind, checks in tables().items()
+        for number, _ in enumerate(checks)
+    ]
+    # A forked process would inherit the locks of the parent's threads.
+    context = get_context('spawn')
+    with ProcessPoolExecutor(MAX_WORKERS, mp_context=context) as workers:
+        return dict(zip(jobs, workers.map(_verdict, jobs), strict=True))
+
+
+def _verdict(job: Job) -> str:
+    kind, number = job
+    check = tables()[kind][number]
+    if kind == INDUCTIONS:
+        return proof_gap(check.system)
+    return check.problem()
