--- a/briartack/event_loop.py
+++ b/briartack/event_loop.py
@@ -14,6 +14,7 @@
 
 from briartack.core.effects import Effect, Effects
 from briartack.core.events import Event, Tick
+from briartack.core.redaction import redacted
 from briartack.error_texts import EFFECT_FAILED, REDUCER_FAILED, TRACE_FAILED
 from briartack.logs import write_exception
 from briartack.ports import Clock
@@ -124,15 +125,15 @@
         self.deliver(Tick(now=self._clock()))
 
     def _apply(self, event: Event) -> None:
-        if self._recorder is not None:
-            self._write_trace(partial(self._recorder.write, event))
         try:
             effects = self._reduce(self._state, event)
         except Exception:
             # Ending here would let one event stop the whole fleet; what was
             # in force stays in force.
             write_exception(REDUCER_FAILED, {'event': type(event).__name__})
+            self._record(event, [])
             return
+        self._record(event, effects)
         for effect in effects:
             self._execute(effect)
         self._after_event()
@@ -143,6 +144,11 @@
         except Exception:
             write_exception(EFFECT_FAILED, {'effect': type(effect).__name__})
 
+    def _record(self, event: Event, effects: Effects) -> None:
+        if self._recorder is not None:
+            kept = redacted(event, effects)
+            self._write_trace(partial(self._recorder.write, kept))
+
     def _write_trace(self, write: Callable[[], None]) -> None:
         try:
             write()
