Add a benchmark of seeded random faults under load

Answers, runs at the upstreams, audit lines, exit codes and the store's counts are judged from the outside; the last line of the output lists every violation.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -17,6 +17,7 @@
         'cold_start': 'benchmarks.cold_start',
         'storm': 'benchmarks.storm',
         'idle': 'benchmarks.idle',
+        'fault_run': 'benchmarks.fault_run',
     },
 )
 
--- /dev/null
+++ b/briartack/test/test_fault_judge.py
@@ -0,0 +1,131 @@
+"""A fault run is worth only as much as what its judge sees."""
+
+from collections.abc import Iterable
+from datetime import UTC, datetime, timedelta
+from hashlib import sha256
+from random import Random
+from unittest import TestCase
+
+from nose2.tools import params
+
+from benchmarks.fault_jobs import Echo, Made, Sent
+from benchmarks.fault_judge import (
+    judge_calls,
+    judge_held,
+    judge_store,
+    judge_trails,
+)
+from benchmarks.fault_schedule import plan_faults
+from briartack.held import AuditLine
+
+BODY = b'abc'
+
+
+def _made(
+    verdict: str,
+    *,
+    kind: str = 'write',
+    key: str = '',
+    echoed_id: str = 'r1',
+    body: bytes = BODY,
+) -> Made:
+    sent = Sent(
+        kind=kind,
+        method='POST',
+        path='/a',
+        request_id='r1',
+        body=BODY,
+        key=key,
+    )
+    echo = Echo(
+        request_id=echoed_id,
+        path='/a',
+        sha256=sha256(body).hexdigest(),
+        bytes=len(body),
+    )
+    return Made(
+        sent=sent,
+        at=0,
+        instance='a',
+        status=200 if verdict == 'ran' else 503,
+        verdict=verdict,
+        echo=echo if verdict == 'ran' else None,
+    )
+
+
+def _lines(*sequences_and_revisions: tuple[int, int]) -> list[AuditLine]:
+    begun = datetime(2026, 1, 1, tzinfo=UTC)
+    return [
+        AuditLine(
+            time=begun + timedelta(seconds=second),
+            instance='a',
+            incarnation='i',
+            sequence=sequence,
+            kind='configuration',
+            highest=revision,
+            digest=str(revision),
+            versions={'teams/a': revision},
+        )
+        for second, (sequence, revision) in enumerate(sequences_and_revisions)
+    ]
+
+
+def _rules(violations: Iterable[dict[str, object]]) -> list[object]:
+    return [one['rule'] for one in violations]
+
+
+class FaultJudgeTest(TestCase):
+    """Guards against a run that passes whatever the daemons do."""
+
+    @params(
+        (_made('ran'), ['a'], None),
+        (_made('ran', kind='read'), ['a', 'b'], None),
+        (_made('not-run'), [], None),
+        (_made('ran'), ['a', 'b'], 'may not be repeated ran twice'),
+        (_made('not-run'), ['a'], 'told not-run, and ran'),
+        (_made('ran'), [], 'told ran, and did not run'),
+        (_made(''), [], 'without a verdict'),
+        (_made('ran', body=b'ab'), ['a'], 'not that of the request'),
+        (_made('ran', echoed_id='r2'), ['a'], 'of another request'),
+        (_made('ran', key='k', echoed_id='r2'), ['a'], 'of a key is that of'),
+        (_made('ran', key='k'), ['a', 'b'], 'a key ran twice'),
+    )
+    def test_calls(self, made: Made, ran_at: list[str], rule: str) -> None:
+        rules = _rules(judge_calls([made], {'r1': ran_at}))
+        self.assertEqual(bool(rules), rule is not None)
+        self.assertIn(rule or '', str(rules))
+
+    @params(
+        (((1, 5), (2, 5), (3, 6)), []),
+        (((1, 5), (2, 4)), ['trail: goes back']),
+        (((1, 5), (3, 6)), ['trail: a gap']),
+    )
+    def test_trails(
+        self,
+        lines: tuple[tuple[int, int], ...],
+        rules: list[str],
+    ) -> None:
+        trails = {'a': _lines(*lines)}
+        self.assertEqual(_rules(judge_trails(trails)), rules)
+
+    def test_held_and_store(self) -> None:
+        lines = _lines((1, 5), (2, 6), (3, 7))
+        self.assertEqual(judge_held({'a': lines}, Random(1)), [])
+        wrong = {'a': _lines((1, 5), (3, 6), (4, 7))}
+        self.assertTrue(judge_held(wrong, Random(1)))
+        self.assertTrue(judge_store({'peak_calls_per_second': 2000}))
+        self.assertFalse(judge_store({'peak_calls_per_second': 1999}))
+
+    def test_plan_is_fixed_by_its_seed(self) -> None:
+        """Guards against a seed that does not give the same faults again."""
+        plans = [
+            plan_faults(
+                Random('faults 1'),
+                seconds=60,
+                data_centres={'x-1': ['a', 'b'], 'x-2': ['c']},
+            )
+            for _ in range(2)
+        ]
+        self.assertEqual(plans[0], plans[1])
+        self.assertTrue(plans[0])
+        self.assertLessEqual(max(fault.until for fault in plans[0]), 60.01)
