Refuse request lines that pywsgi splits at other white space

pywsgi splits the request line at any white space of str.split. A target with the bytes C3 A0 (the letter à in UTF-8) was cut before A0, and the request ran at the upstream under the shorter path. HTTP/0.9 and HTTP/1.7 passed too, and a line above 8 KiB was answered by pywsgi without a verdict. The line is now checked before the split.

A refusal of a malformed head was sent without lingering, so a caller still writing a large head met a reset instead of the answer.

Before: 7 cases of test_malformed_request got 200 or 414, and test_endless_head_gets_its_refusal met ECONNRESET. After: all get 400 with verdict not-run.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -12,8 +12,10 @@
 
 from briartack.caller_answers import refusal
 from briartack.caller_headers import (
+    MAX_REQUEST_LINE_BYTES,
     RequestError,
     RequestHeaders,
+    check_raw_request_line,
     check_request_line,
 )
 from briartack.core.messages import MAX_BODY_BYTES
@@ -84,6 +86,19 @@
             self._watcher.stop()
             self._watcher.close()
 
+    def read_requestline(self) -> str:
+        """Read the request line, cut off if it is too long.
+
+        pywsgi answers longer lines itself, without a verdict.
+        """
+        line: bytes = self.rfile.readline(MAX_REQUEST_LINE_BYTES)
+        return line.decode('latin-1')
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Parse the head of a request; raise RequestError."""
+        check_raw_request_line(raw_requestline)
+        return bool(super().read_request(raw_requestline))
+
     def get_environ(self) -> dict[str, object]:
         """Prepare the body's stream; there is no WSGI application."""
         expects = self.headers.get('expect', '').lower() == '100-continue'
@@ -243,14 +258,10 @@
                 return
             left -= len(received)
 
-    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+    def _handle_client_error(self, ex: Exception) -> None:
+        # An answer that is returned would be sent without lingering.
         self._calls.observer.count('calls.malformed')
-        return '400', refusal(
-            status=_BAD_REQUEST,
-            code=MALFORMED_REQUEST,
-            detail=str(ex),
-            method='',
-        )
+        self._refuse(_BAD_REQUEST, MALFORMED_REQUEST, str(ex))
 
     def _connection_header(self) -> str:
         if self.close_connection:
--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -12,6 +12,7 @@
 from briartack.core.messages import Headers
 from briartack.headers import CONTENT_LENGTH, DEADLINE
 
+MAX_REQUEST_LINE_BYTES: Final = 8190
 _MAX_LINE_BYTES: Final = 16384
 _MAX_HEAD_BYTES: Final = 65536
 _MAX_HEADERS: Final = 128
@@ -21,6 +22,9 @@
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):"
     rb'[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r?\n',
 )
+# pywsgi splits at bytes such as 0xA0 too, which occur in UTF-8, and would
+# take the part before them as the whole target.
+_REQUEST_LINE: Final = re.compile(r'\S+ \S+ HTTP/1\.[01]\r?\n')
 _SHOWN_CHARACTERS: Final = 32
 _TARGET: Final = re.compile('/[\x21-\x7e\x80-\xff]*')
 _MAX_LENGTH_DIGITS: Final = 15
@@ -104,6 +108,18 @@
             )
 
 
+def check_raw_request_line(line: str) -> None:
+    """Check a request line before pywsgi splits it at any white space.
+
+    Raises RequestError.
+    """
+    if _REQUEST_LINE.fullmatch(line) is None:
+        raise RequestError(
+            f'The request line {_shown(line)} is not METHOD TARGET HTTP/1.1 '
+            f'with single spaces and at most {MAX_REQUEST_LINE_BYTES} bytes.',
+        )
+
+
 def check_request_line(method: str, target: str) -> None:
     """Check what pywsgi splits without looking at it.
 
--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -89,6 +89,15 @@
         b'GET / HTTP/1.1\r\nA: %b\r\n\r\n' % (b'x' * 70_000),
         b'GET / HTTP/1.1\r\n%b\r\n' % (b'A: b\r\n' * 200),
         b'GET http://other/ HTTP/1.1\r\n\r\n',
+        b'OPTIONS * HTTP/1.1\r\n\r\n',
+        # 0xA0 is white space for `str.split`, and a part of UTF-8 text.
+        b'GET /\xc3\xa0 HTTP/1.1\r\n\r\n',
+        b'GET /a\x0b HTTP/1.1\r\n\r\n',
+        b'GET\t/ HTTP/1.1\r\n\r\n',
+        b' GET / HTTP/1.1\r\n\r\n',
+        b'GET / HTTP/1.7\r\n\r\n',
+        b'GET /\r\n\r\n',
+        b'GET /%b HTTP/1.1\r\n\r\n' % (b'x' * 20_000),
         b'G(T / HTTP/1.1\r\n\r\n',
         b'GET /.briartack/keys?service=s HTTP/1.1\r\n\r\n',
         b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
@@ -102,6 +111,13 @@
         self.assertEqual(json.loads(body)['code'], 'malformed-request')
         self.assertEqual(self.requests, [])
 
+    def test_endless_head_gets_its_refusal(self) -> None:
+        """Guards against a reset that destroys the refusal of a large head."""
+        self.caller.sendall(b'GET / HTTP/1.1\r\nA: %b' % (b'x' * 4_000_000))
+        status, head, _ = read_answer(self.caller)
+        self.assertEqual(status, 400)
+        self.assertIn(b'Briartack-Verdict: not-run', head)
+
     def test_refusal_before_the_body(self) -> None:
         """Guards against an answer that is lost with an unread body."""
         self.caller.sendall(
