Refuse repeated and aliased headers that decide about a call

X_Tenant and Briartack_Attempt passed as unknown headers, and WSGI and CGI upstreams read them as X-Tenant and Briartack-Attempt.

Before: 6 cases of test_malformed_request reached the upstream or waited for a body. After: all get 400 with verdict not-run.

--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -10,7 +10,12 @@
 from typing import BinaryIO, Final, final
 
 from briartack.core.messages import Headers
-from briartack.headers import CONTENT_LENGTH, DEADLINE
+from briartack.headers import (
+    CONTENT_LENGTH,
+    DEADLINE,
+    IDEMPOTENCY_KEY,
+    TENANT,
+)
 
 MAX_REQUEST_LINE_BYTES: Final = 8190
 _MAX_LINE_BYTES: Final = 16384
@@ -25,6 +30,20 @@
 # pywsgi splits at bytes such as 0xA0 too, which occur in UTF-8, and would
 # take the part before them as the whole target.
 _REQUEST_LINE: Final = re.compile(r'\S+ \S+ HTTP/1\.[01]\r?\n')
+_UNDERSCORE: Final = '_'
+_DASH: Final = '-'
+_OWN_PREFIX: Final = 'briartack-'
+# Two servers may choose different ones of several values of these.
+_SINGLE: Final = frozenset(
+    (
+        CONTENT_LENGTH,
+        DEADLINE,
+        IDEMPOTENCY_KEY,
+        TENANT,
+        'host',
+        'transfer-encoding',
+    ),
+)
 _SHOWN_CHARACTERS: Final = 32
 _TARGET: Final = re.compile('/[\x21-\x7e\x80-\xff]*')
 _MAX_LENGTH_DIGITS: Final = 15
@@ -51,8 +70,10 @@
         self._first: dict[str, str] = {}
         for name, text in self._pairs:
             lower = name.lower()
-            if lower == CONTENT_LENGTH and lower in self._first:
-                raise RequestError('Content-Length is given more than once.')
+            if lower in _SINGLE and lower in self._first:
+                raise RequestError(f'{name} is given more than once.')
+            if _UNDERSCORE in lower:
+                _check_alias(lower)
             self._first.setdefault(lower, text)
         self._check_framing()
 
@@ -133,6 +154,18 @@
         )
 
 
+def _check_alias(name: str) -> None:
+    """Refuse a name that WSGI and CGI upstreams read as another one.
+
+    Raises RequestError.
+    """
+    alias = name.replace(_UNDERSCORE, _DASH)
+    if alias in _SINGLE or alias.startswith(_OWN_PREFIX):
+        raise RequestError(
+            f'The header {_shown(name)} has an underscore; use {alias}.',
+        )
+
+
 def _shown(text: str) -> str:
     return repr(text[:_SHOWN_CHARACTERS])
 
--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -98,6 +98,13 @@
         b'GET / HTTP/1.7\r\n\r\n',
         b'GET /\r\n\r\n',
         b'GET /%b HTTP/1.1\r\n\r\n' % (b'x' * 20_000),
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n'
+        b'Transfer-Encoding: gzip\r\n\r\n',
+        b'GET / HTTP/1.1\r\nX-Tenant: a\r\nX-Tenant: b\r\n\r\n',
+        b'GET / HTTP/1.1\r\nX_Tenant: a\r\n\r\n',
+        b'GET / HTTP/1.1\r\nBriartack_Attempt: a\r\n\r\n',
+        b'GET / HTTP/1.1\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n',
+        b'GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n',
         b'G(T / HTTP/1.1\r\n\r\n',
         b'GET /.briartack/keys?service=s HTTP/1.1\r\n\r\n',
         b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
