Bound the whole time of a peer's greeting

The socket's timeout began again with each byte, so a peer that sent its hello byte by byte held a stream for as long as it liked.

Before: test_slow_greeting found the stream open. After: it is closed.

--- a/briartack/peer_links.py
+++ b/briartack/peer_links.py
@@ -161,11 +161,27 @@
         stream: PeerStream,
         expected: InstanceId | None,
     ) -> None:
-        stream.set_timeout(_HELLO_SECONDS)
+        stream.set_timeout(None)
+        # A timeout of the socket would begin again with each byte.
+        timeout = gevent.Timeout.start_new(
+            _HELLO_SECONDS,
+            TimeoutError('no hello in time'),
+        )
+        try:
+            self._read_messages(stream, expected, timeout)
+        finally:
+            timeout.close()
+
+    def _read_messages(
+        self,
+        stream: PeerStream,
+        expected: InstanceId | None,
+        hello_timeout: gevent.Timeout,
+    ) -> None:
         for message in stream.messages():
             if stream.hello is None:
+                hello_timeout.close()
                 self._greet(stream, _checked_hello(message, expected))
-                stream.set_timeout(None)
             else:
                 self._observer.count('peers.messages_received')
                 stream.traffic.received(stream.frame_bytes, message)
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import Any
+from unittest.mock import patch
 
 import gevent
 import msgpack
@@ -148,6 +149,20 @@
         self.assertEqual(raw.recv(1), b'')
         self.assertEqual(shell.state.events, [])
 
+    def test_slow_greeting(self) -> None:
+        """Guards against peers that hold streams without saying a name."""
+        shell = self.shell('b')
+        raw = self._raw(shell)
+        with patch('briartack.peer_links._HELLO_SECONDS', 0.05):
+            for byte in msgpack.packb(HELLO)[:-1]:
+                gevent.sleep(0.01)
+                try:
+                    raw.sendall(bytes((byte,)))
+                except OSError:
+                    break
+            else:
+                self.fail('the stream is still open')
+
     def test_failed_dial_is_reported(self) -> None:
         """Guards against waiting for a peer that is down."""
         shell = self.shell('a')
