Refuse a peer that claims this daemon's own id

Such a hello was accepted, and a goodbye that followed it would mark the daemon itself as leaving. Two processes with one id, for example during a replacement, are enough for it.

Before: test_wrong_greeting got a greeting in return. After: the stream is closed and the log line malformed-frame names the cause.

--- a/briartack/peer_links.py
+++ b/briartack/peer_links.py
@@ -178,10 +178,11 @@
         expected: InstanceId | None,
         hello_timeout: gevent.Timeout,
     ) -> None:
+        own = self._identity.instance
         for message in stream.messages():
             if stream.hello is None:
                 hello_timeout.close()
-                self._greet(stream, _checked_hello(message, expected))
+                self._greet(stream, _checked_hello(message, expected, own))
             else:
                 self._observer.count('peers.messages_received')
                 stream.traffic.received(stream.frame_bytes, message)
@@ -277,6 +278,7 @@
 def _checked_hello(
     message: PeerMessage,
     expected: InstanceId | None,
+    own: InstanceId,
 ) -> Hello:
     if not isinstance(message, Hello):
         raise MalformedFrameError('the first message is not hello')
@@ -285,6 +287,9 @@
             f'protocol version {message.protocol_version}, '
             f'expected {PROTOCOL_VERSION}',
         )
+    if message.instance == own:
+        # Its goodbye would take this daemon out of service.
+        raise MalformedFrameError(f'the peer claims to be {own} itself')
     if expected is not None and message.instance != expected:
         raise MalformedFrameError(
             f'dialled {expected}, answered by {message.instance}',
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -140,6 +140,7 @@
     @params(
         encode(Pull(after=Revision(1))),
         msgpack.packb(['hello', 99, *HELLO[2:]]),
+        msgpack.packb(['hello', 1, 'b', *HELLO[3:]]),
     )
     def test_wrong_greeting(self, frame: bytes) -> None:
         """Guards against messages from a peer that has not said its name."""
