Tie idempotency keys to one tenant and one request

An owner stored outcomes under the bare text of the key. A key in the form of an issued one with a clock in the future was accepted; once it was displaced, every key that the owner issued counted as expired.

Outcomes are now kept under tenant and key unless the key was issued, with a digest of tenant, method, target and body; another request is refused as not-run with code key-reused (422). Issued keys ahead of the owner's clock are refused.

The bench of call traces gave attempts another target than calls, so that one case repeated a key with a changed request. Both now have the same target.

Before: the three new cases in calls/keys.json fail. After: they pass.

--- a/briartack/core/idempotency.py
+++ b/briartack/core/idempotency.py
@@ -85,12 +85,13 @@
 class OutcomesState:
     """Own the outcomes of the keys that ran at the local upstream."""
 
-    __slots__ = ('_running', '_stored', '_floor_ms')
+    __slots__ = ('_running', '_stored', '_requests', '_floor_ms')
 
     def __init__(self) -> None:
         """Start without keys."""
         self._running: set[str] = set()
         self._stored: OrderedDict[str, StoredOutcome] = OrderedDict()
+        self._requests: dict[str, bytes] = {}
         self._floor_ms = -1
 
     def status(self, key: str) -> KeyStatus:
@@ -108,13 +109,19 @@
         """Return the outcome of a stored key."""
         return self._stored[key]
 
-    def begin(self, key: str) -> None:
-        """Mark a key as running."""
+    def is_for(self, key: str, request_digest: bytes) -> bool:
+        """Tell whether a key is unused or belongs to a request."""
+        return self._requests.get(key, request_digest) == request_digest
+
+    def begin(self, key: str, request_digest: bytes) -> None:
+        """Mark a key as running for a request."""
         self._running.add(key)
+        self._requests[key] = request_digest
 
     def forget(self, key: str) -> None:
         """Release a key whose request has not run."""
         self._running.discard(key)
+        self._requests.pop(key, None)
 
     def store(self, key: str, outcome: StoredOutcome) -> BodyId | None:
         """Keep an outcome; return the body of the one it displaces."""
@@ -123,6 +130,7 @@
         if len(self._stored) <= MAX_OUTCOMES:
             return None
         old_key, old = self._stored.popitem(last=False)
+        self._requests.pop(old_key, None)
         issued = parse_key(old_key)
         if issued is not None:
             self._floor_ms = max(self._floor_ms, issued.clock_ms)
--- a/briartack/core/owned_attempts.py
+++ b/briartack/core/owned_attempts.py
@@ -13,18 +13,21 @@
 from briartack.core.events import UpstreamAnswered
 from briartack.core.idempotency import (
     MAX_OUTCOME_BYTES,
+    IssuedKey,
     KeyStatus,
     OutcomesState,
     StoredOutcome,
     parse_key,
 )
 from briartack.core.identity import Identity
+from briartack.core.key_scope import request_digest, scoped_key
 from briartack.core.local_upstream import LocalUpstream
 from briartack.core.messages import Answer, Attempt
 from briartack.core.reasons import Reason
 from briartack.core.units import AttemptId, BodyId, Digest, InstanceId
 from briartack.core.verdict import Verdict
 
+MILLISECONDS: Final = 1000
 EMPTY_DIGEST: Final = Digest(b'')
 
 
@@ -110,8 +113,16 @@
             or issued.incarnation != identity.incarnation
         ):
             return self._refuse_unknown(now, record, reasons.KEY_OWNER_GONE)
+        key = scoped_key(record.attempt)
         status = self._outcomes.status(key)
-        if status is KeyStatus.EXPIRED:
+        if not self._outcomes.is_for(key, request_digest(record.attempt)):
+            return self._refuse(
+                now,
+                record,
+                reasons.KEY_REUSED,
+                Verdict.NOT_RUN,
+            )
+        if status is KeyStatus.EXPIRED or _is_future(issued, now):
             return self._refuse_unknown(now, record, reasons.KEY_EXPIRED)
         if status is KeyStatus.STORED:
             return self._answer_stored(now, record)
@@ -124,12 +135,13 @@
 
     def start_key(self, record: OwnedAttempt) -> None:
         """Mark the key of an attempt, if it has one, as running."""
-        if record.attempt.idempotency_key:
-            self._outcomes.begin(record.attempt.idempotency_key)
+        key = scoped_key(record.attempt)
+        if key:
+            self._outcomes.begin(key, request_digest(record.attempt))
 
     def release_key(self, now: float, record: OwnedAttempt) -> Effects:
         """Free the key of an attempt that has not run."""
-        key = record.attempt.idempotency_key
+        key = scoped_key(record.attempt)
         if not key:
             return []
         self._outcomes.forget(key)
@@ -217,7 +229,7 @@
         body_id: BodyId | None,
     ) -> Effects:
         """Store an outcome, and give it to those who wait for it."""
-        key = record.attempt.idempotency_key
+        key = scoped_key(record.attempt)
         if not key:
             return []
         effects = [
@@ -236,7 +248,7 @@
         return effects
 
     def _answer_stored(self, now: float, record: OwnedAttempt) -> Effects:
-        outcome = self._outcomes.stored(record.attempt.idempotency_key)
+        outcome = self._outcomes.stored(scoped_key(record.attempt))
         is_cut = outcome.answer.body_bytes > 0 and outcome.body_id is None
         if is_cut:
             return self._refuse(
@@ -326,3 +338,11 @@
             LocalOutcome(answer=answer, body_id=body_id, is_kept=is_kept),
         )
         return []
+
+
+def _is_future(issued: IssuedKey | None, now: float) -> bool:
+    """Tell whether a key was made up: its clock is ahead of its owner's.
+
+    Once forgotten, it would make every key that is issued until then expire.
+    """
+    return issued is not None and issued.clock_ms > now * MILLISECONDS
--- a/briartack/core/reasons.py
+++ b/briartack/core/reasons.py
@@ -12,6 +12,7 @@
 FORBIDDEN: Final = 403
 NOT_FOUND: Final = 404
 CONTENT_TOO_LARGE: Final = 413
+UNPROCESSABLE: Final = 422
 BAD_GATEWAY: Final = 502
 UNAVAILABLE: Final = 503
 GATEWAY_TIMEOUT: Final = 504
@@ -126,6 +127,11 @@
     status=GATEWAY_TIMEOUT,
     is_retried=False,
 )
+KEY_REUSED: Final = Reason(
+    code='key-reused',
+    status=UNPROCESSABLE,
+    is_retried=False,
+)
 OUTCOME_TOO_LARGE: Final = Reason(
     code='outcome-too-large',
     status=BAD_GATEWAY,
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -168,6 +168,10 @@
             'The request with this key is still running.',
             'Repeat the request with the same key later.',
         ),
+        'key-reused': ErrorText(
+            'The key belongs to another request.',
+            'Use a new key for each request, and repeat it unchanged.',
+        ),
         'outcome-too-large': ErrorText(
             'The request ran, but its answer was too large to be kept.',
             'Read the outcome from the service.',
--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -223,8 +223,9 @@
             remaining_ms=step.get('remaining_ms', 1000),
             service=step.get('service', 's'),
             method='GET',
-            target='/s/x',
-            headers=(),
+            # That of the calls, which a repeat through another daemon has too.
+            target=step.get('target', '/s/x?q'),
+            headers=tuple(map(tuple, step.get('headers', ()))),
             body_bytes=step.get('bytes', 0),
             body_digest=DIGEST,
             interactive=step.get('interactive', True),
