--- a/benchmarks/fault_run.py
+++ b/benchmarks/fault_run.py
@@ -48,6 +48,7 @@
     seed: int = 1,
     seconds: float = 60,
     calls_per_second: float = CALLS_PER_SECOND,
+    intensity: float = 1,
     record: bool = False,
 ) -> Figures:
     """Let faults happen and list every violation.
@@ -55,6 +56,7 @@
     :param seed: seed of faults and load
     :param seconds: time with faults
     :param calls_per_second: calls of all callers together
+    :param intensity: how many times as many faults as usual
     :param record: record the daemons' event traces
     """
     options = DeploymentOptions(
@@ -65,7 +67,14 @@
     deployment = Deployment(_plan(), options)
     directory = deployment.site.directory
     with deployment:
-        figures = _run(deployment, seed, seconds, calls_per_second)
+        faults = plan_faults(
+            Random(f'faults {seed}'),
+            seconds=seconds,
+            data_centres=_data_centres(deployment),
+            intensity=intensity,
+        )
+        figures = _run(deployment, seed, faults, calls_per_second)
+    figures = {**figures, 'seconds': seconds, 'intensity': intensity}
     if figures['met']:
         shutil.rmtree(directory)
         return figures
@@ -90,14 +99,9 @@
 def _run(
     deployment: Deployment,
     seed: int,
-    seconds: float,
+    faults: list[Fault],
     calls_per_second: float,
 ) -> Figures:
-    faults = plan_faults(
-        Random(f'faults {seed}'),
-        seconds=seconds,
-        data_centres=_data_centres(deployment),
-    )
     for fault in faults:
         sys.stderr.write(f'{fault}\n')
     actions = FaultActions(deployment=deployment, random=Random(seed))
@@ -127,7 +131,6 @@
     return {
         'benchmark': 'fault_run',
         'seed': seed,
-        'seconds': seconds,
         'met': not violations,
         'violations': violations,
         'settled_seconds': settled_seconds,
--- a/benchmarks/fault_schedule.py
+++ b/benchmarks/fault_schedule.py
@@ -43,8 +43,12 @@
     *,
     seconds: float,
     data_centres: dict[str, list[str]],
+    intensity: float = 1,
 ) -> list[Fault]:
-    """Plan the faults of a run; all of them end before it does."""
+    """Plan the faults of a run; all of them end before it does.
+
+    Intensity divides the times between the beginnings of faults.
+    """
     faults: list[Fault] = []
     at = FIRST_SECONDS
     while at < seconds - MIN_SECONDS:
@@ -53,7 +57,7 @@
             fault = _draw(random, at, seconds, data_centres)
             if not _is_taken(fault, faults, data_centres):
                 faults.append(fault)
-        at += random.uniform(*GAP_SECONDS)
+        at += random.uniform(*GAP_SECONDS) / intensity
     return faults
 
 
