Keep a daemon running when nobody reads its output

A write to a full pipe on stdout or stderr blocked the whole process: with both pipes full, /healthz timed out and SIGTERM had no effect within 5 s.

A native thread now writes the lines. Non-blocking mode would have changed the open file for the processes that share it.

The hint for an unknown path of the operator port now names /explain.

--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -16,6 +16,7 @@
 from briartack.core.identity import Identity
 from briartack.error_texts import LISTENING, STOPPED
 from briartack.event_loop import EventLoop, Handlers, Reduce
+from briartack.line_writer import LineWriters
 from briartack.logs import AuditTrail, write_log
 from briartack.metrics import Metrics
 from briartack.operator_port import Describe, OperatorPort
@@ -68,6 +69,8 @@
         '_options',
         '_identity',
         '_metrics',
+        '_observer',
+        '_writers',
         '_audit',
         '_loop',
         '_bodies',
@@ -90,16 +93,18 @@
         reduce: Reduce[StateT],
         describe: Describe[StateT],
         explain: Callable[[StateT, str, str, str], dict[str, object]],
-        audit: AuditTrail,
+        writers: LineWriters,
         recorder: Recorder | None = None,
     ) -> None:
         """Make all parts; nothing listens or dials yet."""
         clock = time.monotonic
         self._options = options
         self._identity = identity
-        self._audit = audit
+        self._writers = writers
+        self._audit = AuditTrail(writers.audit)
         self._metrics = Metrics()
         observer = ShellObserver(self._metrics)
+        self._observer = observer
         self._loop: EventLoop[StateT] = EventLoop(
             state=state,
             reduce=reduce,
@@ -199,6 +204,7 @@
             gevent.sleep(_SWEEP_SECONDS)
             self._callers.close_idle()
             self._loop.flush_trace()
+            self._writers.report(self._observer)
 
     def _handlers(self) -> Handlers:
         return {
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -28,6 +28,7 @@
 UNKNOWN_PATH: Final = 'unknown-path'
 LISTENING: Final = 'listening'
 STOPPED: Final = 'stopped'
+LINES_LOST: Final = 'lines-lost'
 
 _TEXTS: Final[Mapping[str, ErrorText]] = MappingProxyType(
     {
@@ -73,10 +74,14 @@
         ),
         UNKNOWN_PATH: ErrorText(
             'There is nothing under this path.',
-            'Use /healthz, /readyz, /status or /metrics.',
+            'Use /healthz, /readyz, /status, /explain or /metrics.',
         ),
         LISTENING: ErrorText('The daemon accepts connections.', ''),
         STOPPED: ErrorText('The daemon stops.', ''),
+        LINES_LOST: ErrorText(
+            'Audit lines could not be written; their numbers are missing.',
+            'Check that what reads the standard output of the daemon runs.',
+        ),
         # Refusals that the core decides.
         'no-snapshot': ErrorText(
             'The daemon holds no configuration yet.',
--- a/briartack/logs.py
+++ b/briartack/logs.py
@@ -2,7 +2,7 @@
 
 import datetime
 import logging
-from typing import Final, TextIO, final
+from typing import Final, final
 
 import msgspec
 from pythonjsonlogger.json import JsonFormatter
@@ -11,6 +11,7 @@
 from briartack.core.identity import Identity
 from briartack.core.trail import AuditRecord
 from briartack.error_texts import error_text
+from briartack.line_writer import LineSink
 
 _LOGGER: Final = logging.getLogger('briartack')
 
@@ -36,7 +37,7 @@
         return text.replace('+00:00', 'Z')
 
 
-def set_up_logs(*, level: str, identity: Identity, stream: TextIO) -> None:
+def set_up_logs(*, level: str, identity: Identity, stream: LineSink) -> None:
     """Send all log lines of the process to a stream as JSON."""
     handler = logging.StreamHandler(stream)
     handler.setFormatter(
@@ -78,8 +79,8 @@
 
     __slots__ = ('_stream', '_encoder')
 
-    def __init__(self, stream: TextIO) -> None:
-        """Write to a text stream."""
+    def __init__(self, stream: LineSink) -> None:
+        """Write to a sink of lines."""
         self._stream = stream
         self._encoder = msgspec.json.Encoder(enc_hook=str)
 
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -1,12 +1,13 @@
 """The entry point of briartackd."""
 
+import contextlib
 import gc
 import os
 import secrets
 import signal
 import sys
 from random import Random
-from typing import Final
+from typing import Final, TextIO, cast
 
 import gevent
 
@@ -19,7 +20,8 @@
 from briartack.core.units import Incarnation, InstanceId
 from briartack.daemon import Daemon
 from briartack.error_texts import BAD_OPTION, CANNOT_LISTEN, error_text
-from briartack.logs import AuditTrail, set_up_logs, write_log
+from briartack.line_writer import LineWriter, LineWriters
+from briartack.logs import set_up_logs, write_log
 from briartack.options import Options, read_options
 from briartack.recorder import Recorder, TraceHeader
 
@@ -51,15 +53,28 @@
         data_centre=options.data_centre,
         region=options.region,
     )
-    set_up_logs(level=options.log_level, identity=identity, stream=sys.stderr)
-    try:
-        return _serve(options, identity)
-    except OSError as error:
-        write_log(LogLevel.ERROR, CANNOT_LISTEN, {'error': str(error)})
-        return EXIT_FAILED
+    writers = LineWriters(
+        audit=LineWriter(_descriptor(sys.stdout)),
+        logs=LineWriter(_descriptor(sys.stderr)),
+    )
+    set_up_logs(level=options.log_level, identity=identity, stream=writers.logs)
+    # gevent writes tracebacks of greenlets to sys.stderr.
+    with contextlib.redirect_stderr(cast(TextIO, writers.logs)):
+        try:
+            return _serve(options, identity, writers)
+        except OSError as error:
+            write_log(LogLevel.ERROR, CANNOT_LISTEN, {'error': str(error)})
+            return EXIT_FAILED
+        finally:
+            writers.drain()
+
+
+def _descriptor(stream: TextIO | None) -> int | None:
+    # Python has no stream for a descriptor that was closed at the start.
+    return None if stream is None else stream.fileno()
 
 
-def _serve(options: Options, identity: Identity) -> int:
+def _serve(options: Options, identity: Identity, writers: LineWriters) -> int:
     seed = secrets.randbits(_SEED_BITS)
     daemon = Daemon(
         options=options,
@@ -72,7 +87,7 @@
         reduce=reduce,
         describe=describe,
         explain=explain,
-        audit=AuditTrail(sys.stdout),
+        writers=writers,
         recorder=_recorder(options, identity, seed),
     )
     signals = _Signals(daemon)
--- /dev/null
+++ b/briartack/test/test_line_writer.py
@@ -0,0 +1,84 @@
+"""Guards against a reader of the output that blocks or ends a daemon."""
+
+import os
+import unittest
+
+from nose2.tools import params
+
+from briartack.line_writer import LineWriter, LineWriters
+from briartack.test.fake_reducer import CountingObserver, wait_until
+
+LINE = 'some line\n'
+
+
+def fill(descriptor: int) -> int:
+    """Fill a pipe and return how many bytes it took."""
+    os.set_blocking(descriptor, False)
+    taken = 0
+    try:
+        while True:
+            taken += os.write(descriptor, b'-' * 4096)
+    except BlockingIOError:
+        return taken
+
+
+def read(descriptor: int, size: int) -> bytes:
+    """Read exactly so many bytes."""
+    found = b''
+    while len(found) < size:
+        found += os.read(descriptor, size - len(found))
+    return found
+
+
+class LineWriterTest(unittest.TestCase):
+    def setUp(self) -> None:
+        pipe = os.pipe()
+        self.reader = pipe[0]
+        self.end = pipe[1]
+
+    def wait_for(self, writer: LineWriter) -> None:
+        wait_until(lambda: not writer.queued_bytes)
+
+    @params(True, False)
+    def test_full_pipe(self, is_blocking: bool) -> None:
+        """Guards against a wait, an endless queue, and uncounted losses."""
+        filled = fill(self.end)
+        os.set_blocking(self.end, is_blocking)
+        writer = LineWriter(self.end, limit_bytes=2 * len(LINE))
+        for text in (LINE, LINE.upper(), 'lost\n' * 3, 'lost\n' * 3):
+            writer.write(text)
+        self.assertEqual((writer.queued_bytes, writer.lost), (20, 2))
+        read(self.reader, filled)
+        queued = read(self.reader, 2 * len(LINE)).decode()
+        self.assertEqual(queued, LINE + LINE.upper())
+        self.wait_for(writer)
+        writer.write('later\n')
+        self.assertEqual(read(self.reader, 6), b'later\n')
+
+    def test_lines_after_the_reader_ended(self) -> None:
+        """Guards against a thread that ends at the first broken pipe."""
+        os.close(self.reader)
+        writer = LineWriter(self.end)
+        for expected in (1, 2):
+            writer.write(LINE)
+            self.wait_for(writer)
+            self.assertEqual(writer.lost, expected)
+
+    def test_losses_are_reported_once(self) -> None:
+        """Guards against losses that operators can't see."""
+        observer = CountingObserver()
+        writers = LineWriters(audit=LineWriter(None), logs=LineWriter(None))
+        for lost in (2, 1):
+            for _ in range(lost):
+                writers.audit.write(LINE)
+            writers.logs.write(LINE)
+            writers.report(observer)
+            writers.report(observer)
+        self.assertEqual(
+            observer.counts,
+            {'lines_lost audit': 3, 'lines_lost log': 2},
+        )
+        self.assertEqual(
+            observer.logs,
+            [('lines-lost', {'lines': '2'}), ('lines-lost', {'lines': '1'})],
+        )
