Test the operator port, lines, signals and exit codes of a daemon

The log line listening showed addresses as Python tuples and a missing record file as None; it shows IP:PORT and an empty text now.

--- a/briartack/options.py
+++ b/briartack/options.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Final, NoReturn, TypeAlias, final
 
-from briartack.addresses import Address, parse_address
+from briartack.addresses import Address, format_address, parse_address
 
 _Check: TypeAlias = Callable[[str], object]
 
@@ -44,7 +44,7 @@
 
     def as_fields(self) -> dict[str, str]:
         """Return the settings as text, for the log."""
-        return {name: str(getattr(self, name)) for name in self.__slots__}
+        return {name: _as_text(getattr(self, name)) for name in self.__slots__}
 
 
 @final
@@ -160,6 +160,12 @@
     return errors
 
 
+def _as_text(chosen: object) -> str:
+    if isinstance(chosen, tuple):
+        return format_address(chosen)
+    return '' if chosen is None else str(chosen)
+
+
 def _check_instance_id(text: str) -> str:
     if _INSTANCE_ID.fullmatch(text) is None:
         raise ValueError(f'{text!r} is not an instance id')
--- /dev/null
+++ b/briartack/test/test_logs.py
@@ -0,0 +1,81 @@
+"""The form of log lines and audit lines."""
+
+import contextlib
+import io
+import json
+import logging
+import unittest
+from collections.abc import Iterator
+
+from briartack.core.effects import LogLevel
+from briartack.core.trail import TrailState
+from briartack.logs import (
+    AuditTrail,
+    set_up_logs,
+    write_exception,
+    write_log,
+)
+from briartack.test.fake_reducer import identity
+
+UTC_TIME = r'^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z$'
+
+
+@contextlib.contextmanager
+def logged_exception() -> Iterator[None]:
+    """Log what the block raises, and raise it again."""
+    try:
+        yield
+    except ValueError:
+        write_exception('effect-failed', {'effect': 'Exit'})
+        raise
+
+
+class LinesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stream = io.StringIO()
+        root = logging.getLogger()
+        self.addCleanup(root.setLevel, root.level)
+        self.addCleanup(setattr, root, 'handlers', list(root.handlers))
+        # `set_up_logs` closes the handlers that it finds here.
+        root.handlers = []
+
+    def lines(self) -> list[dict[str, object]]:
+        """Decode every line written so far."""
+        text = self.stream.getvalue()
+        self.assertTrue(text.endswith('\n'))
+        found = [json.loads(one) for one in text.removesuffix('\n').split('\n')]
+        for line in found:
+            self.assertRegex(line['time'], UTC_TIME)
+            self.assertEqual(line['instance'], 'saldo-1')
+            self.assertEqual(line['incarnation'], 'i1')
+        return found
+
+    def test_log_lines(self) -> None:
+        """Guards against a record that takes several lines or no JSON."""
+        set_up_logs(
+            level='info',
+            identity=identity('saldo-1'),
+            stream=self.stream,
+        )
+        write_log(LogLevel.INFO, 'listening', {'text': 'a\n"b"\u2028'})
+        write_log(LogLevel.DEBUG, 'listening', {})
+        with contextlib.suppress(ValueError), logged_exception():
+            raise ValueError('line\nline')
+        first, second = self.lines()
+        self.assertEqual(first['fields'], {'text': 'a\n"b"\u2028'})
+        self.assertEqual((first['level'], first['code']), ('INFO', 'listening'))
+        self.assertEqual(second['code'], 'effect-failed')
+        self.assertIn('ValueError: line\nline', str(second['exc_info']))
+
+    def test_audit_lines(self) -> None:
+        """Guards against numbers or digests that tools can't compare."""
+        one = identity('saldo-1')
+        trail = TrailState(instance=one.instance, incarnation=one.incarnation)
+        audit = AuditTrail(self.stream)
+        audit.write(trail.record('refused', {'problems': ['a\nb']}))
+        audit.write(trail.record('held', {'digest': b'\x01\xff'}))
+        first, second = self.lines()
+        self.assertEqual((first['sequence'], second['sequence']), (1, 2))
+        self.assertEqual((first['kind'], second['kind']), ('refused', 'held'))
+        self.assertEqual(first['problems'], ['a\nb'])
+        self.assertEqual(second['digest'], '01ff')
--- /dev/null
+++ b/briartack/test/test_main.py
@@ -0,0 +1,244 @@
+"""How a daemon starts and ends, with as few processes as possible."""
+
+import contextlib
+import dataclasses
+import io
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import unittest
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Final
+from unittest.mock import patch
+
+import gevent
+from nose2.tools import params
+
+from briartack.main import EXIT_USAGE, run
+from briartack.test.test_line_writer import fill
+from briartack.test.test_logs import UTC_TIME
+from briartack.test.test_processes import LIMIT_SECONDS, until
+from standins.client import call
+from standins.deployment import Deployment
+from standins.plans import Plan, generated
+from standins.processes import Ports
+from standins.wiring import DeploymentOptions
+
+ROOT: Final = Path(__file__).parents[2]
+HOME: Final = 'svc-1-1'
+AWAY: Final = 'svc-1-2'
+SECRETS: Final = {
+    'X-Tenant': 'secret-tenant',
+    'Idempotency-Key': 'secret-key',
+    'X-Secret': 'secret-header',
+}
+# Longer than the tests, so that only a second signal can end the wait.
+HOUR_SECONDS: Final = 3600
+
+
+def arguments(ports: Ports) -> list[str]:
+    """Return the flags of a daemon that reaches nothing."""
+    names = ('caller', 'peer', 'operator', 'upstream', 'store')
+    flags = [f'--{name}-address={ports.address()}' for name in names]
+    return [
+        *('--instance-id=a-1', '--service=a/main'),
+        *('--data-centre=north-1', '--region=north'),
+        *flags,
+    ]
+
+
+def flag(flags: list[str], name: str) -> str:
+    """Return the value of a flag."""
+    return next(
+        one.partition('=')[2] for one in flags if one.startswith(f'--{name}=')
+    )
+
+
+@contextlib.contextmanager
+def daemon(
+    flags: list[str], **streams: Any
+) -> Iterator[subprocess.Popen[bytes]]:
+    """Run a daemon and end it by force if it is left."""
+    child = subprocess.Popen(
+        [sys.executable, '-m', 'briartack.main', *flags],
+        cwd=ROOT,
+        **streams,
+    )
+    try:
+        yield child
+    finally:
+        child.kill()
+        child.wait()
+
+
+def placed_plan() -> Plan:
+    """Plan one daemon in each of two regions; a tenant lives in the first."""
+    plan = generated(
+        regions=2,
+        data_centres=1,
+        daemons_per_data_centre=1,
+        services=1,
+    )
+    key = 'teams/generated'
+    team = json.loads(plan.tree[key])
+    team['workspaces'] = {
+        'home': {'tenants': ['secret-tenant'], 'home_regions': ['region-1']},
+    }
+    team['policies']['write']['timeout_ms'] = 60_000
+    tree = {**plan.tree, key: json.dumps(team)}
+    return dataclasses.replace(plan, tree=tree)
+
+
+def json_lines(path: Path) -> list[dict[str, Any]]:
+    """Decode every line of a file."""
+    return [json.loads(line) for line in path.read_bytes().split(b'\n')[:-1]]
+
+
+def call_in_vain(deployment: Deployment) -> None:
+    """Make a call during which the daemon ends."""
+    with contextlib.suppress(OSError):
+        deployment.call(HOME, 'POST', '/svc-1/write/x')
+
+
+def audit_kinds(path: Path) -> list[str]:
+    """Return the kinds of the audit lines of a file."""
+    return [record['kind'] for record in json_lines(path)]
+
+
+class StartTest(unittest.TestCase):
+    def test_all_wrong_settings_at_once(self) -> None:
+        """Guards against a start that names one error at a time."""
+        errors = io.StringIO()
+        with (
+            patch.dict(os.environ, {'BRIARTACK_REGION': '-'}, clear=True),
+            contextlib.redirect_stderr(errors),
+        ):
+            code = run(['--service=x', '--drain-seconds=-1', '--other'])
+        self.assertEqual(code, EXIT_USAGE)
+        for expected in (
+            '--region (BRIARTACK_REGION)',
+            '--service (BRIARTACK_SERVICE)',
+            '--drain-seconds (BRIARTACK_DRAIN_SECONDS)',
+            '--store-address (BRIARTACK_STORE_ADDRESS): missing',
+            '--other: unknown argument',
+        ):
+            self.assertIn(expected, errors.getvalue())
+
+    def test_address_in_use(self) -> None:
+        """Guards against a daemon that stays up without its addresses."""
+        flags = arguments(Ports())
+        host, _, port = flag(flags, 'peer-address').partition(':')
+        with socket.socket() as holder:
+            holder.bind((host, int(port)))
+            holder.listen()
+            ended = subprocess.run(
+                [sys.executable, '-m', 'briartack.main', *flags],
+                cwd=ROOT,
+                capture_output=True,
+                check=False,
+                timeout=LIMIT_SECONDS,
+            )
+        self.assertEqual(ended.returncode, 1)
+        lines = [json.loads(line) for line in ended.stderr.splitlines()]
+        self.assertEqual([one['code'] for one in lines], ['cannot-listen'])
+        self.assertIn(port, lines[0]['fields']['error'])
+
+
+class OutputTest(unittest.TestCase):
+    @params('full', 'closed')
+    def test_nobody_reads(self, kind: str) -> None:
+        """Guards against a daemon that hangs or dies with its reader."""
+        flags = arguments(Ports())
+        reader, end = os.pipe()
+        if kind == 'full':
+            fill(end)
+            os.set_blocking(end, True)
+        else:
+            os.close(reader)
+        with daemon(flags, stdout=end, stderr=end) as child:
+            os.close(end)
+            until(lambda: self.is_healthy(flags), 'the daemon answers')
+            child.send_signal(signal.SIGTERM)
+            self.assertEqual(child.wait(LIMIT_SECONDS), 0)
+
+    def is_healthy(self, flags: list[str]) -> bool:
+        try:
+            answer = call(
+                flag(flags, 'operator-address'),
+                'GET',
+                '/healthz',
+                timeout_seconds=1,
+            )
+        except OSError:
+            return False
+        return answer.status == 200
+
+
+class EndTest(unittest.TestCase):
+    def test_lines_and_signals(self) -> None:
+        """Guards against leaks into lines, and against wrong exit codes."""
+        options = DeploymentOptions(
+            log_level='debug',
+            drain_seconds=HOUR_SECONDS,
+        )
+        with Deployment(placed_plan(), options) as deployment:
+            self.call_placed(deployment)
+            self.end_at_once(deployment)
+            away = deployment.child(AWAY)
+            away.send(signal.SIGTERM)
+            self.assertEqual(away.wait(LIMIT_SECONDS), 0)
+            for name in (HOME, AWAY):
+                self.check_lines(deployment, name)
+
+    def call_placed(self, deployment: Deployment) -> None:
+        for name, expected in ((AWAY, 403), (HOME, 200)):
+            answer = deployment.call(
+                name,
+                'POST',
+                '/svc-1/write/secret-path',
+                headers=SECRETS,
+                body=b'secret-body',
+            )
+            self.assertEqual(answer.status, expected)
+
+    def end_at_once(self, deployment: Deployment) -> None:
+        """Send two signals while a request is at the upstream."""
+        deployment.control_upstream(
+            HOME,
+            'fault',
+            kind='late',
+            seconds=HOUR_SECONDS,
+        )
+        caller = gevent.spawn(call_in_vain, deployment)
+        until(
+            lambda: deployment.status(HOME)['upstream']['in_flight'] == 1,
+            'the request is at the upstream',
+        )
+        home = deployment.child(HOME)
+        home.send(signal.SIGTERM)
+        until(
+            lambda: 'stopping' in audit_kinds(home.stdout),
+            'the planned stop began',
+        )
+        self.assertTrue(home.is_running)
+        home.send(signal.SIGTERM)
+        self.assertEqual(home.wait(LIMIT_SECONDS), 1)
+        caller.join()
+
+    def check_lines(self, deployment: Deployment, name: str) -> None:
+        child = deployment.child(name)
+        audit = json_lines(child.stdout)
+        logs = json_lines(child.stderr)
+        for line in (*audit, *logs):
+            self.assertRegex(line['time'], UTC_TIME)
+            self.assertEqual(line['instance'], name)
+        numbers = [record['sequence'] for record in audit]
+        self.assertEqual(numbers, list(range(1, len(audit) + 1)))
+        self.assertIn('listening', [logged.get('code') for logged in logs])
+        written = child.stdout.read_text() + child.stderr.read_text()
+        requests = written.replace('"secret-tenant"', '')
+        self.assertNotIn('secret', requests)
--- a/briartack/test/test_options.py
+++ b/briartack/test/test_options.py
@@ -35,6 +35,9 @@
         self.assertEqual(options.operator_address, ('::1', 7002))
         self.assertEqual(options.drain_seconds, 30)
         self.assertIsNone(options.record)
+        logged = options.as_fields()
+        self.assertEqual(logged['operator_address'], '[::1]:7002')
+        self.assertEqual(logged['record'], '')
 
     def test_flag_overrides_variable(self) -> None:
         """Guards against a flag without effect."""
