Refuse folders that are not trees; print endpoints as a table

check and diff exited 0 for a folder with neither platform.json nor teams, for a teams that is a file, and for a dangling platform.json, since glob and exists find nothing there. They now name the fault and exit 1.

test_missing_directory_is_an_error compared with examples/, which holds trees and is none itself; it takes a real tree as the old side and still expects exactly one problem.

explain printed its endpoints as one line of JSON, and status the address of an unreachable daemon twice.

--- a/briartack/cli.py
+++ b/briartack/cli.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 from urllib.parse import urlencode
 
 import defopt
@@ -28,6 +28,7 @@
 EXIT_UNREACHABLE: Final = 3
 
 _STATUS_ROW: Final = '{:<22} {:<16} {:<6} {:>8} {:>7}  {}'
+_ENDPOINT_ROW: Final = '    {:<16} {:<16} {:<10} {}'
 
 
 class UsageError(Exception):
@@ -102,8 +103,7 @@
     except OperatorError as error:
         sys.stderr.write(f'{error}\n')
         return EXIT_UNREACHABLE
-    lines = (f'{name}: {_text(value)}' for name, value in answer.items())
-    _print_report(answer, lines, as_json=as_json)
+    _print_report(answer, _explained_lines(answer), as_json=as_json)
     return EXIT_OK
 
 
@@ -208,7 +208,8 @@
     for daemon in found:
         error = daemon.get('error')
         if error is not None:
-            yield f'{daemon["address"]}  {error}'
+            # The text begins with the address.
+            yield str(error)
             continue
         yield _STATUS_ROW.format(
             daemon['address'],
@@ -221,6 +222,28 @@
         yield from _status_notes(daemon)
 
 
+def _explained_lines(answer: dict[str, Any]) -> Iterator[str]:
+    endpoints = answer.get('endpoints', ())
+    for name, value in answer.items():
+        if name != 'endpoints':
+            yield f'{name}: {_text(value)}'
+    if endpoints:
+        yield _ENDPOINT_ROW.format(
+            'ENDPOINT',
+            'DATA CENTRE',
+            'STREAM',
+            'EXCLUDED',
+        ).rstrip()
+    for endpoint in endpoints:
+        stream = 'yes' if endpoint['is_connected'] else 'no'
+        yield _ENDPOINT_ROW.format(
+            endpoint['instance'],
+            endpoint['data_centre'],
+            'own' if endpoint['is_own'] else stream,
+            endpoint['excluded'],
+        ).rstrip()
+
+
 def _status_notes(daemon: dict[str, object]) -> Iterator[str]:
     for name in ('data_centres_out', 'instances_out', 'retained', 'waiting'):
         noted = daemon.get(name)
@@ -256,7 +279,13 @@
 
 
 def _text(value: object) -> str:
-    return value if isinstance(value, str) else json.dumps(value, default=str)
+    if isinstance(value, str):
+        return value
+    if value is None:
+        return '-'
+    if isinstance(value, list) and all(isinstance(one, str) for one in value):
+        return ', '.join(value)
+    return json.dumps(value, default=str)
 
 
 if __name__ == '__main__':
--- a/briartack/test/test_cli.py
+++ b/briartack/test/test_cli.py
@@ -24,9 +24,14 @@
     ('check {example}', cli.EXIT_OK),
     ('check {bad_tree}', cli.EXIT_FAILED),
     ('check {absent}', cli.EXIT_FAILED),
+    ('check {empty}', cli.EXIT_FAILED),
+    ('check {teams_is_file}', cli.EXIT_FAILED),
     ('check', cli.EXIT_USAGE),
     ('diff {example} {example}', cli.EXIT_OK),
     ('diff {example} {absent}', cli.EXIT_FAILED),
+    ('diff {bad_tree} {example}', cli.EXIT_FAILED),
+    ('diff {empty} {example}', cli.EXIT_FAILED),
+    ('diff {example} {dangling}', cli.EXIT_FAILED),
     ('diff {example}', cli.EXIT_USAGE),
     ('held {time} {proved} {binary}', cli.EXIT_OK),
     ('held {time} {proved} --instance=a', cli.EXIT_OK),
@@ -48,6 +53,35 @@
     ('explain {closed}', cli.EXIT_USAGE),
     ('absent-command', cli.EXIT_USAGE),
 )
+ANSWERS: Final = {
+    '/sta': {
+        'instance': 'saldo-1',
+        'ready': True,
+        'highest': 3,
+        'digest': 'd',
+        'data_centres_out': ['costa-2'],
+    },
+    '/exp': {
+        'outcome': 'the less loaded of two of 1 in the data centre',
+        'home_regions': ['costa', 'sierra'],
+        'endpoints': [
+            {
+                'instance': 'saldo-1',
+                'data_centre': 'costa-1',
+                'is_own': True,
+                'is_connected': False,
+                'excluded': '',
+            },
+            {
+                'instance': 'saldo-2',
+                'data_centre': 'costa-2',
+                'is_own': False,
+                'is_connected': True,
+                'excluded': 'leaving',
+            },
+        ],
+    },
+}
 
 
 class ExitCodesTest(unittest.TestCase):
@@ -62,11 +96,18 @@
         (root / 'binary').write_bytes(b'\xff\n')
         (root / 'bad_tree' / 'teams').mkdir(parents=True)
         (root / 'bad_tree' / 'teams' / 'a.json').write_text('{"routes": 1}')
+        for directory_name in ('empty', 'teams_is_file', 'dangling'):
+            (root / directory_name).mkdir()
+        (root / 'teams_is_file' / 'teams').touch()
+        (root / 'dangling' / 'platform.json').symlink_to(root / 'absent')
         closed = socket.socket()
         self.addCleanup(closed.close)
         # A bound port without a listener refuses every connection.
         closed.bind(('127.0.0.1', 0))
-        files = ('failing', 'proved', 'binary', 'bad_tree', 'absent')
+        files = (
+            *('failing', 'proved', 'binary', 'absent'),
+            *('bad_tree', 'empty', 'teams_is_file', 'dangling'),
+        )
         self.words = {
             **{name: str(root / name) for name in files},
             'example': str(EXAMPLE),
@@ -91,3 +132,53 @@
         self.assertEqual(ended.exception.code, code, output.getvalue())
         self.assertNotIn('Traceback', output.getvalue())
         self.assertTrue(code == cli.EXIT_OK or output.getvalue())
+
+
+class OutputTest(unittest.TestCase):
+    """Runs commands on what a daemon may answer, and on files."""
+
+    def run_command(self, *arguments: str) -> str:
+        """Run a command and return what it prints."""
+        output = io.StringIO()
+        with (
+            patch('sys.argv', ['briartack', *arguments]),
+            patch.object(cli, 'fetch', lambda _, path: ANSWERS[path[:4]]),
+            contextlib.redirect_stdout(output),
+            self.assertRaises(SystemExit),
+        ):
+            cli.main()
+        return output.getvalue()
+
+    @params(
+        f'check {EXAMPLE}',
+        f'diff {EXAMPLE} {EXAMPLE.parent / "horas-certas"}',
+        'status 127.0.0.1:1 127.0.0.1:2',
+        'explain 127.0.0.1:1 /saldo/1',
+        f'replay {TRACES / "bad_version_between_good_ones.jsonl"}',
+        f'held {{proved}} {TIME}',
+    )
+    def test_json_and_text(self, line: str) -> None:
+        """Guards against output that a script or a reader can't use."""
+        with tempfile.NamedTemporaryFile('w') as proved:
+            proved.write('\n'.join(map(audit_line, PROVED)))
+            proved.flush()
+            arguments = line.format(proved=proved.name).split()
+            text = self.run_command(*arguments)
+            printed = self.run_command(*arguments, '--as-json')
+        self.assertIsInstance(json.loads(printed), dict)
+        self.assertTrue(text)
+        for row in text.splitlines():
+            self.assertRegex(row, '^ {0,4}[^ {[]')
+
+    def test_table_of_endpoints(self) -> None:
+        """Guards against columns that don't line up with their titles."""
+        lines = self.run_command('explain', 'a:1', '/x').splitlines()
+        title, own, other = lines[-3:]
+        self.assertIn('home_regions: costa, sierra', lines)
+        for row, texts in (
+            (own, ('saldo-1', 'costa-1', 'own')),
+            (other, ('saldo-2', 'costa-2', 'yes', 'leaving')),
+        ):
+            titles = ('ENDPOINT', 'DATA CENTRE', 'STREAM', 'EXCLUDED')
+            for column, text in zip(titles, texts, strict=False):
+                self.assertTrue(row[title.index(column) :].startswith(text))
--- a/briartack/test/test_trees.py
+++ b/briartack/test/test_trees.py
@@ -68,4 +68,6 @@
         """A misspelt path passes as an empty tree."""
         report = check_tree(EXAMPLES / 'missing')
         self.assertEqual(report.errors[0].code.value, 'unreadable')
-        self.assertEqual(len(diff_trees(EXAMPLES, EXAMPLES / 'x').problems), 1)
+        self.assertEqual(
+            len(diff_trees(EXAMPLES / 'pacifico', EXAMPLES / 'x').problems), 1
+        )
--- a/briartack/tree.py
+++ b/briartack/tree.py
@@ -18,6 +18,7 @@
 
 _NO_REVISION: Final = Revision(0)
 _SUFFIX: Final = '.json'
+_TEAMS: Final = TEAM_PREFIX.rstrip('/')
 
 
 @final
@@ -44,21 +45,30 @@
 def read_tree(path: Path) -> Tree:
     """Read and decode all files of a tree; faults are listed in it."""
     tree = Tree()
-    if not path.is_dir():
-        unreadable = problem(str(path), ROOT, Code.UNREADABLE, 'no directory')
+    try:
+        files = list(_files(path))
+    except OSError as error:
+        unreadable = problem(str(path), ROOT, Code.UNREADABLE, error)
         tree.problems.append(unreadable)
         return tree
-    for key, file in _files(path):
+    for key, file in files:
         _read_file(tree, key, file)
     return tree
 
 
 def _files(path: Path) -> Iterator[tuple[str, Path]]:
-    platform = path / f'{PLATFORM_KEY}{_SUFFIX}'
-    if platform.exists():
-        yield PLATFORM_KEY, platform
-    for file in sorted((path / TEAM_PREFIX).glob(f'*{_SUFFIX}')):
-        yield f'{TEAM_PREFIX}{file.stem}', file
+    # `iterdir` raises OSError where `glob` and `exists` find nothing, which
+    # would pass for an empty tree.
+    names = {file.name for file in path.iterdir()}
+    platform = f'{PLATFORM_KEY}{_SUFFIX}'
+    if not names.intersection((platform, _TEAMS)):
+        raise FileNotFoundError(f'neither {platform} nor {_TEAMS}')
+    if platform in names:
+        yield PLATFORM_KEY, path / platform
+    if _TEAMS in names:
+        for file in sorted((path / _TEAMS).iterdir()):
+            if file.suffix == _SUFFIX:
+                yield f'{TEAM_PREFIX}{file.stem}', file
 
 
 def _read_file(tree: Tree, key: str, file: Path) -> None:
