--- a/briartack/core/redaction.py
+++ b/briartack/core/redaction.py
@@ -4,7 +4,6 @@
 includes the traces that it records. What is left replays with the same result.
 """
 
-from dataclasses import replace
 from typing import Final
 
 import msgspec
@@ -22,7 +21,7 @@
     if not any(map(_is_refused_by_placement, effects)):
         return event
     if isinstance(event, CallArrived):
-        return replace(
+        return msgspec.structs.replace(
             event,
             target=_path_of(event.target),
             headers=(),
@@ -40,7 +39,7 @@
         body=b'',
         idempotency_key=_removed(message.idempotency_key),
     )
-    return replace(event, message=kept)
+    return msgspec.structs.replace(event, message=kept)
 
 
 def _is_refused_by_placement(effect: object) -> bool:
