--- a/briartack/test/test_line_writer.py
+++ b/briartack/test/test_line_writer.py
@@ -5,8 +5,11 @@
 
 from nose2.tools import params
 
+from briartack.core.trail import TrailState
+from briartack.held import held_at, read_lines
 from briartack.line_writer import LineWriter, LineWriters
-from briartack.test.fake_reducer import CountingObserver, wait_until
+from briartack.logs import AuditTrail
+from briartack.test.fake_reducer import CountingObserver, identity, wait_until
 
 LINE = 'some line\n'
 
@@ -55,6 +58,24 @@
         writer.write('later\n')
         self.assertEqual(read(self.reader, 6), b'later\n')
 
+    def test_lost_audit_line_shows(self) -> None:
+        """Guards against a trail that hides its own gap."""
+        one = identity('saldo-1')
+        trail = TrailState(instance=one.instance, incarnation=one.incarnation)
+        filled = fill(self.end)
+        os.set_blocking(self.end, True)
+        writer = LineWriter(self.end, limit_bytes=400)
+        audit = AuditTrail(writer)
+        audit.write(trail.record('held', {'digest': 'a'}))
+        audit.write(trail.record('configuration', {'text': '-' * 400}))
+        audit.write(trail.record('held', {'digest': 'a'}))
+        size = writer.queued_bytes
+        read(self.reader, filled)
+        lines = list(read_lines(read(self.reader, size).decode().splitlines()))
+        self.assertEqual([line.sequence for line in lines], [1, 3])
+        answer = held_at(lines, lines[0].time)[0]
+        self.assertFalse(answer.is_known)
+
     def test_lines_after_the_reader_ended(self) -> None:
         """Guards against a thread that ends at the first broken pipe."""
         os.close(self.reader)
