Count the bytes between regions in the data_centre benchmark

The figure was an estimate from the sizes of calls. The daemons now count the bytes that they send to other regions, apart for calls and control messages. What a killed daemon had sent before its end is missing and named.

--- a/benchmarks/accounts.py
+++ b/benchmarks/accounts.py
@@ -13,9 +13,6 @@
 from standins.deployment import Deployment
 
 REFUSED_STATUS: Final = 503
-# Names of the peer messages, headers that a daemon adds, and identifiers,
-# taken as about this many bytes for each attempt with its answer.
-MESSAGE_BYTES: Final = 700
 SHOWN_ERRORS: Final = 5
 
 
@@ -83,7 +80,7 @@
             [one for one in made if one.outcome.is_crossed],
         ),
         'errors': Counter(map(_error, failed)).most_common(SHOWN_ERRORS),
-        **_cross_region(deployment, made),
+        'cross_region_calls': _cross_region(deployment, made),
     }
 
 
@@ -111,20 +108,11 @@
     return f'{kind}: {outcome.status} {outcome.verdict} {outcome.error}'
 
 
-def _cross_region(deployment: Deployment, made: list[Account]) -> Figures:
-    crossed = [
-        account
+def _cross_region(deployment: Deployment, made: list[Account]) -> int:
+    """Count the runs in another region than the caller's."""
+    wirings = deployment.site.wirings
+    return sum(
+        wirings[instance].plan.region != account.outcome.job.region
         for account in made
         for instance in account.ran_at
-        if deployment.site.wirings[instance].plan.region
-        != account.outcome.job.region
-    ]
-    return {
-        'cross_region_calls': len(crossed),
-        # An estimate from the sizes of the calls; nothing is counted on the
-        # streams.
-        'cross_region_bytes_estimate': sum(
-            len(one.outcome.job.body) + one.outcome.body_bytes + MESSAGE_BYTES
-            for one in crossed
-        ),
-    }
+    )
--- a/benchmarks/data_centre.py
+++ b/benchmarks/data_centre.py
@@ -10,6 +10,7 @@
 from benchmarks.accounts import accounts, summary
 from benchmarks.figures import Figures, run_alone
 from benchmarks.load import Load
+from benchmarks.paid_bytes import PaidBytes
 from benchmarks.regional_jobs import regional_jobs
 from standins.deployment import Deployment
 from standins.plans import pacifico
@@ -72,10 +73,13 @@
         )
         load.start()
         gevent.sleep(WARM_SECONDS)
+        paid = PaidBytes(deployment)
         change = _killed if killed else _planned
         change_figures = change(deployment, data_centre, out_seconds)
         gevent.sleep(WARM_SECONDS)
         load.stop()
+        restarted = _instances(deployment, data_centre) if killed else []
+        paid_figures = paid.figures(frozenset(restarted))
         calls = summary(deployment, accounts(deployment, load.outcomes))
     return {
         'variant': 'killed' if killed else 'planned',
@@ -84,6 +88,7 @@
         'out_seconds': out_seconds,
         **change_figures,
         **calls,
+        **paid_figures,
         **_judged(calls, change_figures, is_planned=not killed),
     }
 
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -44,7 +44,6 @@
     seconds: float
     status: int
     verdict: str
-    body_bytes: int
     request_id: str  # that of the request which the upstream answered
     error: str = ''
 
@@ -113,7 +112,6 @@
             seconds=time.monotonic() - sent_at,
             status=answer.status if answer else 0,
             verdict=answer.verdict if answer else '',
-            body_bytes=len(answer.body) if answer else 0,
             request_id=_request_id(answer),
             error=error or _refusal(answer),
         )
--- a/briartack/test/test_benchmarks.py
+++ b/briartack/test/test_benchmarks.py
@@ -62,6 +62,5 @@
         seconds=0,
         status=503,
         verdict=verdict,
-        body_bytes=0,
         request_id='',
     )
