Let the slow starts end before a data centre leaves in the benchmark

With 6 s of warming up, one trial had 404158 bytes of calls between regions while the data centre was out, because the limits of the slow starts were still low; other trials had none. The count of runs in other regions spans the warming up too and says so.

--- a/benchmarks/accounts.py
+++ b/benchmarks/accounts.py
@@ -80,7 +80,7 @@
             [one for one in made if one.outcome.is_crossed],
         ),
         'errors': Counter(map(_error, failed)).most_common(SHOWN_ERRORS),
-        'cross_region_calls': _cross_region(deployment, made),
+        'cross_region_calls_with_warm_up': _cross_region(deployment, made),
     }
 
 
--- a/benchmarks/data_centre.py
+++ b/benchmarks/data_centre.py
@@ -17,7 +17,10 @@
 from standins.wiring import DeploymentOptions
 
 NO_NEW_WORK_SECONDS: Final = 4.0
-WARM_SECONDS: Final = 6.0
+# The slow start of a new daemon takes 10 s in the users' settings; before its
+# end, calls may go to other regions for lack of slots.
+WARM_SECONDS: Final = 12.0
+END_SECONDS: Final = 6.0
 RETURN_SECONDS: Final = 20.0
 POLL_SECONDS: Final = 0.1
 # Each of these counts calls that a planned change must not cause.
@@ -76,7 +79,7 @@
         paid = PaidBytes(deployment)
         change = _killed if killed else _planned
         change_figures = change(deployment, data_centre, out_seconds)
-        gevent.sleep(WARM_SECONDS)
+        gevent.sleep(END_SECONDS)
         load.stop()
         restarted = _instances(deployment, data_centre) if killed else []
         paid_figures = paid.figures(frozenset(restarted))
