--- a/briartack/test/test_control_benchmarks.py
+++ b/briartack/test/test_control_benchmarks.py
@@ -58,7 +58,7 @@
             path.write_text(_line('started', 9) + _line('held', 9))
             trail = Trail(path)
             with path.open('a') as written:
-                written.write(_line('configuration', 7)[:-9] + '\n')
+                written.write(f'{_line("configuration", 7)[:-9]}\n')
                 written.write(_line('configuration', 6))
                 written.write(_line('configuration', 8)[:-9])
             trail.poll()
