--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
+from operator import attrgetter
 from random import Random
 from typing import Final, TypeAlias, final
 
@@ -38,7 +39,7 @@
 
 CHANGE_SECONDS: Final = 60.0
 SEED: Final = 1
-# Daemons and subtrees of the plan before any is added.
+# The plan has one subtree before any is added.
 FIRST_SUBTREES: Final = 1
 DISCARD_PORT: Final = 9  # nothing listens there
 _Point: TypeAlias = tuple[float, float]
@@ -119,10 +120,12 @@
     by_subtrees = _grow_tree(min(daemons), subtrees, window_seconds)
     by_instances = _grow_list(min(daemons), instances, window_seconds)
     scenes = [*by_daemons, *by_subtrees, *by_instances]
+    # The smallest fleet before its tree or its list grew.
+    base = min(by_daemons, key=attrgetter('daemons'))
     slopes = {
         'peer_stream': _slopes(by_daemons, 'streams'),
-        'subtree': _slopes(by_subtrees, 'subtrees'),
-        'instance_listed': _slopes(by_instances, 'instances'),
+        'subtree': _slopes([base, *by_subtrees], 'subtrees'),
+        'instance_listed': _slopes([base, *by_instances], 'instances'),
     }
     return {
         'benchmark': 'idle',
@@ -130,7 +133,7 @@
         'scenes': [scene.figures() for scene in scenes],
         'slopes_per': slopes,
         'extrapolated_to_2600_instances_210_subtrees': _extrapolate(
-            by_daemons[0],
+            base,
             slopes,
         ),
         'target': TARGETS,
