Keep the ports of a deployment while its daemons are down

Ports of TIME_WAIT and outgoing connections are ruled out: servers set SO_REUSEADDR, and the range is below that of outgoing connections.

Each port is now bound by the starter with SO_REUSEADDR and not listened on, so that the own servers can listen and other searches pass over it. The new test fails without the bound socket.

--- a/briartack/test/test_standins.py
+++ b/briartack/test/test_standins.py
@@ -1,18 +1,22 @@
 """Guards against stand-ins that hide the faults they should show."""
 
+import socket
 import tempfile
 import unittest
 from pathlib import Path
 from typing import Any, Final
 
 import gevent
+from gevent.server import StreamServer
 from nose2.tools import params
 
 from standins.client import Answer, Client, call
 from standins.cold_start import ColdStart, Warmth
 from standins.control_calls import control
+from standins.http_server import parse_address
 from standins.load import Call, run_load
 from standins.plans import generated
+from standins.processes import Ports
 from standins.store import Store
 from standins.store_files import StoreFiles
 from standins.store_state import CallWindow, StoreState
@@ -293,3 +297,21 @@
         ]
         self.assertEqual(shown, [(5, 4), (3, 12)])
         self.assertEqual(warmth.factor(10), 1)
+
+
+class PortsTest(unittest.TestCase):
+    """Guards against a port taken by others while its daemon is down."""
+
+    def test_port_is_kept_for_a_server(self) -> None:
+        ports = Ports()
+        self.addCleanup(ports.release)
+        host, port = parse_address(ports.address())
+        for _ in range(2):
+            with socket.socket() as other, self.assertRaises(OSError):
+                other.bind((host, port))
+            server = StreamServer((host, port), print)
+            server.start()
+            server.stop()
+        ports.release()
+        with socket.socket() as later:
+            later.bind((host, port))
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -49,7 +49,7 @@
         try:
             self._fleet.start()
         except BaseException:
-            self._fleet.stop()
+            self._stop()
             raise
         return self
 
@@ -60,7 +60,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Stop everything; raise DeploymentError on a bad exit code."""
-        problems = self._fleet.stop()
+        problems = self._stop()
         if kind is not None:
             return
         if problems:
@@ -157,6 +157,12 @@
         )
         return time.monotonic() - started
 
+    def _stop(self) -> list[str]:
+        try:
+            return self._fleet.stop()
+        finally:
+            self._site.ports.release()
+
     def _edit_platform(self, edit: Callable[[list[str]], list[str]]) -> int:
         path = self._site.tree / 'platform.json'
         platform = msgspec.json.decode(path.read_bytes())
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -22,34 +22,60 @@
 
 @final
 class Ports:
-    """Choose loopback ports that are free and not yet chosen."""
+    """Choose loopback ports and keep other deployments from them.
 
-    __slots__ = ('_random', '_taken')
+    A port is kept by a socket that is bound and does not listen: servers,
+    which set SO_REUSEADDR, can still listen there, and the search for free
+    ports, which does not set it, passes over. Without that, another
+    deployment could take the port of a daemon that is down for a while.
+    """
+
+    __slots__ = ('_random', '_kept')
 
     def __init__(self) -> None:
         self._random = Random()
-        self._taken: set[int] = set()
+        self._kept: list[socket.socket] = []
 
     def address(self) -> str:
-        """Return the address of a free port."""
+        """Return the address of a port that nobody else has."""
         while True:
             port = self._random.randint(FIRST_PORT, LAST_PORT)
-            if port not in self._taken and _is_free(port):
-                self._taken.add(port)
+            if _is_free(port) and self._keep(port):
                 return f'{LOOPBACK}:{port}'
 
+    def release(self) -> None:
+        """Let others use the ports."""
+        while self._kept:
+            self._kept.pop().close()
+
+    def _keep(self, port: int) -> bool:
+        keeper = socket.socket()
+        keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            keeper.bind((LOOPBACK, port))
+        except OSError as error:
+            keeper.close()
+            _check_in_use(error)
+            return False
+        self._kept.append(keeper)
+        return True
+
 
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
             probe.bind((LOOPBACK, port))
         except OSError as error:
-            if error.errno != errno.EADDRINUSE:
-                raise
+            _check_in_use(error)
             return False
         return True
 
 
+def _check_in_use(error: OSError) -> None:
+    if error.errno != errno.EADDRINUSE:
+        raise error
+
+
 @final
 class Child:
     """Run a Python module in a process of its own."""
--- a/standins/wiring.py
+++ b/standins/wiring.py
@@ -57,6 +57,7 @@
     wirings: dict[str, Wiring]  # by instance
     store_address: str
     control_address: str
+    ports: Ports
 
     @property
     def tree(self) -> Path:
@@ -73,6 +74,7 @@
         wirings=wire(plan, ports),
         store_address=ports.address(),
         control_address=ports.address(),
+        ports=ports,
     )
     write_files(site)
     return site
