Read every Connection header, and refuse fragments in targets

Only the first Connection header named headers of one connection, so one that the second named was passed on. A target with # reached the upstream, which may cut it off there and serve another path than the one that was routed.

Before: test_call_is_carried_both_ways and one case of test_malformed_request fail. After: they pass.

--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -45,7 +45,8 @@
     ),
 )
 _SHOWN_CHARACTERS: Final = 32
-_TARGET: Final = re.compile('/[\x21-\x7e\x80-\xff]*')
+# A fragment (#) is not part of a request; an upstream may cut it off.
+_TARGET: Final = re.compile('/[\x21\x22\x24-\x7e\x80-\xff]*')
 _MAX_LENGTH_DIGITS: Final = 15
 
 
--- a/briartack/headers.py
+++ b/briartack/headers.py
@@ -33,10 +33,14 @@
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers that travel on, without those of one connection."""
     kept = tuple(pair for pair in headers if pair[0].lower() not in _DROPPED)
-    connection = first_value(headers, 'connection')
-    if connection is None:
+    named = {
+        token.strip().lower()
+        for name, text in headers
+        if name.lower() == 'connection'
+        for token in text.split(',')
+    }
+    if not named:
         return kept
-    named = {token.strip().lower() for token in connection.split(',')}
     return tuple(pair for pair in kept if pair[0].lower() not in named)
 
 
--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -26,7 +26,8 @@
         """Guards against lost headers, and hop-by-hop headers passed on."""
         self.caller.sendall(
             b'POST /saldo/1?x=%20 HTTP/1.1\r\nHost: h\r\nX-Tenant: t\r\n'
-            b'Connection: X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n'
+            b'Connection: a\r\nConnection: X-Hop\r\nX-Hop: 1\r\n'
+            b'TE: trailers\r\n'
             b'Briartack-Deadline-Ms: 250\r\nContent-Length: 3\r\n\r\nabc',
         )
         status, head, body = read_answer(self.caller)
@@ -89,6 +90,7 @@
         b'GET / HTTP/1.1\r\nA: %b\r\n\r\n' % (b'x' * 70_000),
         b'GET / HTTP/1.1\r\n%b\r\n' % (b'A: b\r\n' * 200),
         b'GET http://other/ HTTP/1.1\r\n\r\n',
+        b'GET /a#b HTTP/1.1\r\n\r\n',
         b'OPTIONS * HTTP/1.1\r\n\r\n',
         # 0xA0 is white space for `str.split`, and a part of UTF-8 text.
         b'GET /\xc3\xa0 HTTP/1.1\r\n\r\n',
