Judge keys by when a request with the key began to run

The early try had been refused while the upstream was down, and a later try with the key ran, which is allowed. The stand-in now tells when each request began to run, and only a try after that must not be told not-run.

--- a/benchmarks/fault_run.py
+++ b/benchmarks/fault_run.py
@@ -18,6 +18,7 @@
 from benchmarks.fault_jobs import FaultLoad, Made
 from benchmarks.fault_judge import (
     Trails,
+    first_runs_of,
     judge_calls,
     judge_held,
     judge_store,
@@ -124,7 +125,7 @@
     trails = read_trails(deployment)
     violations += actions.violations
     violations += _bad_stops(actions)
-    violations += judge_calls(load.made, runs)
+    violations += judge_calls(load.made, runs, first_runs_of(deployment))
     violations += judge_trails(trails)
     violations += judge_held(trails, Random(f'held {seed}'))
     violations += judge_store(stats)
--- a/standins/upstream_control.py
+++ b/standins/upstream_control.py
@@ -37,6 +37,7 @@
         self._commands: dict[str, Command] = {
             'stats': self._stats,
             'runs': self._runs,
+            'first-runs': self._first_runs,
             'reset-stats': self._reset_stats,
             'cold': self._go_cold,
             'drain': self._drain,
@@ -99,6 +100,9 @@
     def _runs(self, _body: bytes) -> object:
         return self._upstream.stats.runs
 
+    def _first_runs(self, _body: bytes) -> object:
+        return self._upstream.stats.first_runs
+
     def _reset_stats(self, _body: bytes) -> object:
         self._upstream.stats.restart_peaks()
         return {}
--- a/standins/upstream_stats.py
+++ b/standins/upstream_stats.py
@@ -20,6 +20,7 @@
         'peak_cold_concurrency',
         'peak_over_ramp',
         'last_run_at',
+        'first_runs',
         '_loads',
     )
 
@@ -32,6 +33,7 @@
         self.peak_cold_concurrency = 0
         self.peak_over_ramp: float = 0
         self.last_run_at: float = 0  # wall-clock seconds
+        self.first_runs: dict[str, float] = {}  # wall-clock seconds
         self._loads: deque[float] = deque(maxlen=SAMPLES)
 
     def enter(self, *, is_cold: bool, ramp_bound: float) -> None:
@@ -53,6 +55,7 @@
         self.counts['runs'] += 1
         self.runs[request_id] += 1
         self.last_run_at = wall_time
+        self.first_runs.setdefault(request_id, wall_time)
 
     def sample(self, load: float) -> None:
         """Keep the load for reports that lag."""
