--- a/briartack/core/problems.py
+++ b/briartack/core/problems.py
@@ -28,6 +28,7 @@
     DUPLICATE_ITEM = 'duplicate-item'
     EMPTY_ITEM = 'empty-item'
     METHOD = 'method'
+    TENANT = 'tenant'
     PATH_PREFIX = 'path-prefix'
     ADDRESS = 'address'
     OWN_REFERENCE = 'own-reference'
@@ -107,9 +108,14 @@
             '{detail!r} is no HTTP method in capital letters.',
             'Write methods such as GET or POST, or none to allow all.',
         ),
+        Code.TENANT: (
+            'No header X-Tenant can name the tenant {detail!r}.',
+            'Use visible ASCII characters.',
+        ),
         Code.PATH_PREFIX: (
             'The path prefix {detail!r} can match no path of a request.',
-            'Write a path without query, fragment, blanks or dot segments.',
+            'Write a path of ASCII characters without query, fragment, blanks, '
+            'escapes or dot segments.',
         ),
         Code.ADDRESS: (
             'The address {detail!r} is not IP:PORT.',
--- a/briartack/core/validation.py
+++ b/briartack/core/validation.py
@@ -35,7 +35,8 @@
 )
 _MAX_PORT: Final = 65535
 _DOT_SEGMENTS: Final = frozenset(('.', '..'))
-_BAD_IN_PREFIX: Final = frozenset(('?', '#', '\\', ' '))
+# A percent sign begins an escape, which callers write in several ways.
+_BAD_IN_PREFIX: Final = frozenset(('?', '#', '\\', ' ', '%'))
 
 Resource: TypeAlias = ServiceLimits | Policy | Workspace
 
@@ -174,6 +175,7 @@
     for name, workspace in settings.workspaces.items():
         place = f'{ROOT}.workspaces.{name}'
         yield from _list_problems(key, f'{place}.tenants', workspace.tenants)
+        yield from _tenant_problems(key, place, workspace.tenants)
         yield from _list_problems(
             key,
             f'{place}.home_regions',
@@ -189,6 +191,17 @@
         yield from _own_problems(key, path, route, team, settings)
 
 
+def _tenant_problems(
+    key: str,
+    place: str,
+    tenants: tuple[str, ...],
+) -> Iterator[Problem]:
+    for tenant in tenants:
+        # A header can't name such a tenant, so nothing would be bound.
+        if not (tenant.isascii() and tenant.isprintable()):
+            yield problem(key, f'{place}.tenants', Code.TENANT, tenant)
+
+
 def _route_problems(key: str, path: str, route: Route) -> Iterator[Problem]:
     prefix = route.path_prefix
     segments = prefix.split('/')
@@ -202,7 +215,8 @@
 
 
 def _is_plain(prefix: str) -> bool:
-    return prefix.isprintable() and _BAD_IN_PREFIX.isdisjoint(prefix)
+    is_visible = prefix.isascii() and prefix.isprintable()
+    return is_visible and _BAD_IN_PREFIX.isdisjoint(prefix)
 
 
 def _own_problems(
