Begin the slow start again when eight of ten answers are server errors

Cause: an upstream that goes cold unannounced and collapses under its load fails fast, so neither a latency jump nor a reset showed, and its owner kept sending at the full limit. Ruled out: the threshold of the latency jump, since the failures of a collapsing upstream take less time than its answers.

--- a/briartack/core/ramp.py
+++ b/briartack/core/ramp.py
@@ -8,6 +8,9 @@
 
 JUMP_FACTOR: Final = 8.0
 JUMP_ANSWERS: Final = 10
+# An upstream that collapses when cold may fail fast, which no latency shows. A
+# share of errors that a fault in one route can cause must not slow the rest.
+MAX_RECENT_ERRORS: Final = 7
 # The long-run mean forgets an answer over about this many later ones.
 MEAN_ANSWERS: Final = 256
 
@@ -24,6 +27,7 @@
         '_mean',
         '_answers',
         '_recent',
+        '_recent_errors',
         '_identity',
     )
 
@@ -38,6 +42,7 @@
         # These are not in the long-run mean yet: in it, a jump early in the
         # life of the upstream would raise the mean and hide itself.
         self._recent: deque[float] = deque()
+        self._recent_errors: deque[bool] = deque(maxlen=JUMP_ANSWERS)
         self._identity = ''
 
     @property
@@ -62,6 +67,7 @@
         self._successes = 0
         self._grown_at = now
         self._generation += 1
+        self._recent_errors.clear()
         while self._recent:
             self._learn(self._recent.popleft())
 
@@ -84,14 +90,15 @@
         generation: int,
         is_success: bool,
     ) -> bool:
-        """Learn from an answer; return whether its latency restarted."""
+        """Learn from an answer; return whether the slow start began again."""
         if generation != self._generation:
             return False
         is_normal = not self._is_slow(elapsed_seconds)
         self._recent.append(elapsed_seconds)
         if len(self._recent) > JUMP_ANSWERS:
             self._learn(self._recent.popleft())
-        if self._has_jumped():
+        self._recent_errors.append(not is_success)
+        if self._has_jumped() or self._is_failing():
             self.restart(now)
             return True
         if is_success and is_normal:
@@ -108,6 +115,9 @@
             return False
         return self._is_slow(sum(self._recent) / JUMP_ANSWERS)
 
+    def _is_failing(self) -> bool:
+        return sum(self._recent_errors) > MAX_RECENT_ERRORS
+
     def _learn(self, elapsed_seconds: float) -> None:
         self._answers = min(self._answers + 1, MEAN_ANSWERS)
         self._mean += (elapsed_seconds - self._mean) / self._answers
--- a/briartack/test/test_call_bounds.py
+++ b/briartack/test/test_call_bounds.py
@@ -14,6 +14,8 @@
 from briartack.core.effects import Dispatch, SendAttempt
 from briartack.core.endpoints import NO_CLOCK, Endpoint, EndpointsState
 from briartack.core.messages import Answer, Attempt
+from briartack.core.ramp import RampState
+from briartack.core.settings import ServiceLimits
 from briartack.core.timers import Timers
 from briartack.core.units import (
     AttemptId,
@@ -141,6 +143,28 @@
         self.assertIn(60, range(restarts[0] - 9, restarts[0] + 1))
         self.assertLess(restarts[-1], 100)
 
+    # A fault in one route, with seven errors in ten, must not slow the rest.
+    @params((10, True), (8, True), (7, False))
+    def test_failing_upstream_starts_again(
+        self,
+        errors_in_ten: int,
+        is_expected: bool,
+    ) -> None:
+        ramp = RampState()
+        limits = ServiceLimits(slots=16, connections=99, ramp_seconds=0)
+        restarted = [
+            ramp.answered(
+                number,
+                0.01,
+                limits,
+                generation=ramp.generation,
+                is_success=number < 40 or number % 10 >= errors_in_ten,
+            )
+            for number in range(80)
+        ]
+        self.assertEqual(any(restarted), is_expected)
+        self.assertEqual(ramp.limit(limits) < 16, is_expected)
+
     def _check(
         self,
         started: list[str],
