--- a/benchmarks/baseline_daemon.py
+++ b/benchmarks/baseline_daemon.py
@@ -7,15 +7,15 @@
 
 from typing import Final
 
-from briartack.core import store_reads
-from briartack.core.budget import Backoff, TokenBudget
-from briartack.core.tree_place import TreePlace
+from briartack.core.dissemination import store_reads
+from briartack.core.dissemination.budget import Backoff, TokenBudget
+from briartack.core.dissemination.tree_position import TreePosition
 from briartack.main import main
 
 RETRY_SECONDS: Final = 0.5
 
 
-def _is_watcher(place: TreePlace, now: float) -> bool:
+def _is_watcher(place: TreePosition, now: float) -> bool:
     return True
 
 
@@ -34,7 +34,7 @@
 
 # Owner, name and replacement of the decisions that spare the store.
 REPLACED: Final = (
-    (TreePlace, 'is_watcher', _is_watcher),
+    (TreePosition, 'is_watcher', _is_watcher),
     (TokenBudget, 'take', _take),
     (Backoff, 'fail', _fail),
     (store_reads, 'START_JITTER_SECONDS', 0),
--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -32,7 +32,7 @@
     tell,
 )
 from benchmarks.control_processes import Usage, usage_of
-from briartack.core.overlay import rank
+from briartack.core.dissemination.overlay import rank
 from briartack.core.units import InstanceId
 from standins.deployment import Deployment
 from standins.wiring import Wiring
--- a/benchmarks/plain_calls_daemon.py
+++ b/benchmarks/plain_calls_daemon.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-from briartack.core.ramp import RampState
-from briartack.core.retry import RetryState
-from briartack.core.settings import ServiceLimits
+from briartack.core.calls.ramp import RampState
+from briartack.core.calls.retry import RetryState
+from briartack.core.configuration.settings import ServiceLimits
 from briartack.main import main
 
 MODULE: Final = 'benchmarks.plain_calls_daemon'
--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -155,13 +155,13 @@
         self._finish(call)
 
     def _wait(self, call: InboundCall) -> None:
-        self._watcher.start(self._stirred, call)
+        self._watcher.start(self._on_readable, call)
         try:
             call.wait()
         finally:
             self._watcher.stop()
 
-    def _stirred(self, call: InboundCall) -> None:
+    def _on_readable(self, call: InboundCall) -> None:
         # Runs in the hub, so it must not block.
         self._watcher.stop()
         if _is_closed(self.socket.fileno()):
--- a/briartack/check.py
+++ b/briartack/check.py
@@ -9,11 +9,15 @@
 from pathlib import Path
 from typing import TypeAlias, final
 
-from briartack.core.problems import Code, Problem, problem
-from briartack.core.settings import Route
-from briartack.core.shape import ROOT
-from briartack.core.validation import FIELD_OF_KIND
-from briartack.core.versions import ResourceId, Version, references_of
+from briartack.core.configuration.problems import Code, Problem, problem
+from briartack.core.configuration.settings import Route
+from briartack.core.configuration.shape import ROOT
+from briartack.core.configuration.validation import FIELD_OF_KIND
+from briartack.core.configuration.versions import (
+    ResourceId,
+    Version,
+    references_of,
+)
 from briartack.tree import Tree, read_tree
 
 _Users: TypeAlias = dict[ResourceId, list[str]]
--- a/briartack/core/admission.py
+++ b/briartack/core/calls/admission.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from briartack.core.settings import ServiceLimits
+from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.units import AttemptId
 
 
--- a/briartack/core/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -2,16 +2,16 @@
 
 from typing import Final, final
 
-from briartack.core import reasons
-from briartack.core.call_context import CallContext
-from briartack.core.call_table import Call, CallTable
-from briartack.core.choice import Chosen
+from briartack.core.calls import reasons
+from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_table import Call, CallTable
+from briartack.core.calls.choice import Chosen
+from briartack.core.calls.endpoints import NO_CLOCK, EndpointsState
+from briartack.core.calls.owner import OwnerState
+from briartack.core.calls.placement import listed_regions
+from briartack.core.calls.reasons import Reason
 from briartack.core.effects import Effects, SendAttempt, SendMessage
-from briartack.core.endpoints import NO_CLOCK, EndpointsState
 from briartack.core.messages import Attempt, Cancel
-from briartack.core.owner import OwnerState
-from briartack.core.placement import listed_regions
-from briartack.core.reasons import Reason
 from briartack.core.units import InstanceId
 
 MILLISECONDS: Final = 1000
--- a/briartack/core/door.py
+++ b/briartack/core/calls/call_checks.py
@@ -3,22 +3,22 @@
 import re
 from typing import Final
 
-from briartack.core import placement, reasons
-from briartack.core.call_context import CallContext, Regions, RouteView
-from briartack.core.call_headers import (
+from briartack.core.calls import placement, reasons
+from briartack.core.calls.call_context import CallContext, Regions, RouteView
+from briartack.core.calls.call_headers import (
     HOME_REGIONS,
     forwarded,
     is_background,
 )
-from briartack.core.call_table import Call
+from briartack.core.calls.call_table import Call
+from briartack.core.calls.idempotency import parse_key
+from briartack.core.calls.owned_attempts import EMPTY_DIGEST
+from briartack.core.calls.reasons import Reason
+from briartack.core.calls.routing import RoutingState
+from briartack.core.configuration.settings import Priority
 from briartack.core.effects import AnswerCall
 from briartack.core.events import CallArrived
-from briartack.core.idempotency import parse_key
 from briartack.core.messages import MAX_BODY_BYTES, Headers
-from briartack.core.owned_attempts import EMPTY_DIGEST
-from briartack.core.reasons import Reason
-from briartack.core.routing import RoutingState
-from briartack.core.settings import Priority
 from briartack.core.units import CallId
 from briartack.core.verdict import Verdict
 
--- a/briartack/core/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -6,8 +6,12 @@
 
 import msgspec
 
+from briartack.core.configuration.settings import (
+    PlatformSettings,
+    Policy,
+    ServiceLimits,
+)
 from briartack.core.identity import Identity
-from briartack.core.settings import PlatformSettings, Policy, ServiceLimits
 from briartack.core.units import InstanceId
 
 # `None` allows every region; an empty set allows none.
--- a/briartack/core/call_headers.py
+++ b/briartack/core/calls/call_headers.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
+from briartack.core.configuration.settings import Priority
 from briartack.core.messages import Attempt, Headers
-from briartack.core.settings import Priority
 
 OWN_PREFIX: Final = 'briartack-'
 ATTEMPT: Final = 'Briartack-Attempt'
--- a/briartack/core/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -6,11 +6,11 @@
 from typing import final
 
 from briartack.core.body_ids import call_body
-from briartack.core.call_context import RouteView
+from briartack.core.calls.call_context import RouteView
+from briartack.core.calls.idempotency import IssuedKey
+from briartack.core.calls.timers import Timers
 from briartack.core.events import CallArrived
-from briartack.core.idempotency import IssuedKey
 from briartack.core.messages import Headers
-from briartack.core.timers import Timers
 from briartack.core.units import (
     AttemptId,
     BodyId,
--- a/briartack/core/calls.py
+++ b/briartack/core/calls/calls.py
@@ -4,12 +4,18 @@
 
 import msgspec
 
-from briartack.core import reasons
 from briartack.core.body_ids import answer_body
-from briartack.core.call_context import CallContext
-from briartack.core.drain import DrainState
+from briartack.core.calls import reasons
+from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.drain import DrainState
+from briartack.core.calls.endpoints import EndpointsState
+from briartack.core.calls.key_issuer import KeyIssuerState
+from briartack.core.calls.owner import OwnerState
+from briartack.core.calls.reasons import Reason
+from briartack.core.calls.routing import RoutingState
+from briartack.core.calls.sender import SenderState
+from briartack.core.calls.streams import StreamsState
 from briartack.core.effects import Effects, Exit, SendMessage
-from briartack.core.endpoints import EndpointsState
 from briartack.core.events import (
     AttemptBodyRead,
     CallArrived,
@@ -25,13 +31,7 @@
     UpstreamFailed,
     UpstreamProbed,
 )
-from briartack.core.key_issuer import KeyIssuerState
 from briartack.core.messages import Answer, Attempt, Cancel, Goodbye, Summary
-from briartack.core.owner import OwnerState
-from briartack.core.reasons import Reason
-from briartack.core.routing import RoutingState
-from briartack.core.sender import SenderState
-from briartack.core.streams import StreamsState
 from briartack.core.units import InstanceId
 
 
@@ -157,7 +157,7 @@
 ) -> Effects:
     """Take the answer of an attempt, whose body is complete."""
     peer = event.peer
-    state.endpoints.hear(peer, None, answer.owner_clock, event.now)
+    state.endpoints.note_news(peer, None, answer.owner_clock, event.now)
     state.endpoints.report_load(peer, answer.load, event.now)
     body_id = None
     if answer.body_bytes:
@@ -211,7 +211,7 @@
     summary: Summary,
 ) -> Effects:
     """Take a reading of a peer's clock."""
-    state.endpoints.hear(
+    state.endpoints.note_news(
         event.peer,
         summary.incarnation,
         summary.clock,
--- a/briartack/core/choice.py
+++ b/briartack/core/calls/choice.py
@@ -5,14 +5,20 @@
 
 import msgspec
 
-from briartack.core import placement
-from briartack.core.call_context import CallContext, Member, Regions
-from briartack.core.call_table import Call
+from briartack.core.calls import placement
+from briartack.core.calls.call_context import CallContext, Member, Regions
+from briartack.core.calls.call_table import Call
+from briartack.core.calls.endpoints import EndpointsState
+from briartack.core.calls.local_upstream import LocalUpstream
+from briartack.core.calls.routing import (
+    RoutingState,
+    Scopes,
+    choose,
+    is_out,
+    rank,
+)
+from briartack.core.calls.streams import dial_some
 from briartack.core.effects import Effects
-from briartack.core.endpoints import EndpointsState
-from briartack.core.local_upstream import LocalUpstream
-from briartack.core.routing import RoutingState, Scopes, choose, is_out, rank
-from briartack.core.streams import dial_some
 from briartack.core.units import InstanceId
 
 
--- a/briartack/core/dedup.py
+++ b/briartack/core/calls/dedup.py
@@ -7,9 +7,9 @@
 from collections import deque
 from typing import Final, final
 
-from briartack.core import reasons
+from briartack.core.calls import reasons
+from briartack.core.calls.reasons import Reason
 from briartack.core.messages import Attempt
-from briartack.core.reasons import Reason
 from briartack.core.units import AttemptId, Incarnation
 
 WINDOW_SECONDS: Final = 30.0
--- a/briartack/core/endpoints.py
+++ b/briartack/core/calls/endpoints.py
@@ -29,7 +29,7 @@
         'load',
         'load_at',
         'in_flight',
-        'heard_at',
+        'last_seen_at',
         'is_draining',
         'avoided_until',
         'silences',
@@ -48,7 +48,7 @@
         self.load = float(0)
         self.load_at = now
         self.in_flight = 0
-        self.heard_at = now
+        self.last_seen_at = now
         self.is_draining = False
         self.avoided_until = now
         self.silences = 0
@@ -98,7 +98,7 @@
         self._dialling.discard(peer)
         view = self._views.get(peer)
         if view is not None and view.incarnation == incarnation:
-            self.hear(peer, incarnation, clock, now)
+            self.note_news(peer, incarnation, clock, now)
             return
         self._views[peer] = Endpoint(
             incarnation=incarnation,
@@ -111,7 +111,7 @@
         self._dialling.discard(peer)
         self._views.pop(peer, None)
 
-    def hear(
+    def note_news(
         self,
         peer: InstanceId,
         incarnation: Incarnation | None,
@@ -123,7 +123,7 @@
         if view is None or incarnation not in {None, view.incarnation}:
             return
         view.clock = clock
-        view.heard_at = now
+        view.last_seen_at = now
         if view.silences:
             view.silences = 0
             view.avoided_until = now
@@ -164,7 +164,7 @@
         each wait, because an idle stream brings no other news.
         """
         view = self._views.get(peer)
-        if view is None or view.heard_at > sent_at:
+        if view is None or view.last_seen_at > sent_at:
             return
         view.silences += 1
         wait = min(MAX_SILENCE_SECONDS, 2**view.silences)
--- a/briartack/core/key_issuer.py
+++ b/briartack/core/calls/key_issuer.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass
 from typing import Final, final
 
-from briartack.core import reasons
-from briartack.core.call_context import CallContext
-from briartack.core.choice import Chooser, Chosen, NoChoice
-from briartack.core.door import closed_reason, refused
+from briartack.core.calls import reasons
+from briartack.core.calls.call_checks import closed_reason, refused
+from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.choice import Chooser, Chosen, NoChoice
+from briartack.core.calls.idempotency import issue_key
 from briartack.core.effects import AnswerCall, Effects
 from briartack.core.events import KeyRequested
-from briartack.core.idempotency import issue_key
 from briartack.core.units import CallId
 from briartack.core.verdict import Verdict
 
--- a/briartack/core/key_scope.py
+++ b/briartack/core/calls/key_scope.py
@@ -3,8 +3,8 @@
 from hashlib import blake2b
 from typing import Final
 
-from briartack.core.call_headers import TENANT
-from briartack.core.idempotency import parse_key
+from briartack.core.calls.call_headers import TENANT
+from briartack.core.calls.idempotency import parse_key
 from briartack.core.messages import Attempt
 
 _REQUEST_DIGEST_BYTES: Final = 16
--- a/briartack/core/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -2,10 +2,10 @@
 
 from typing import Final, final
 
-from briartack.core.admission import Admission, AdmissionState, Waiting
+from briartack.core.calls.admission import Admission, AdmissionState, Waiting
+from briartack.core.calls.ramp import RampState
+from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.events import UpstreamProbed
-from briartack.core.ramp import RampState
-from briartack.core.settings import ServiceLimits
 from briartack.core.units import AttemptId
 
 REPORT_SECONDS: Final = 10.0
--- a/briartack/core/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -7,11 +7,9 @@
 
 import msgspec
 
-from briartack.core import reasons
 from briartack.core.body_ids import answer_body
-from briartack.core.effects import DropBody, Effects, SendAnswer
-from briartack.core.events import UpstreamAnswered
-from briartack.core.idempotency import (
+from briartack.core.calls import reasons
+from briartack.core.calls.idempotency import (
     MAX_OUTCOME_BYTES,
     IssuedKey,
     KeyStatus,
@@ -19,11 +17,13 @@
     StoredOutcome,
     parse_key,
 )
+from briartack.core.calls.key_scope import request_digest, scoped_key
+from briartack.core.calls.local_upstream import LocalUpstream
+from briartack.core.calls.reasons import Reason
+from briartack.core.effects import DropBody, Effects, SendAnswer
+from briartack.core.events import UpstreamAnswered
 from briartack.core.identity import Identity
-from briartack.core.key_scope import request_digest, scoped_key
-from briartack.core.local_upstream import LocalUpstream
 from briartack.core.messages import Answer, Attempt
-from briartack.core.reasons import Reason
 from briartack.core.units import AttemptId, BodyId, Digest, InstanceId
 from briartack.core.verdict import Verdict
 
--- a/briartack/core/owner.py
+++ b/briartack/core/calls/owner.py
@@ -2,10 +2,20 @@
 
 from typing import Final, final
 
-from briartack.core import reasons
 from briartack.core.body_ids import attempt_body
-from briartack.core.call_context import CallContext
-from briartack.core.dedup import DedupState
+from briartack.core.calls import reasons
+from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.dedup import DedupState
+from briartack.core.calls.local_upstream import LocalUpstream
+from briartack.core.calls.owned_attempts import (
+    LocalOutcome,
+    OwnedAttempt,
+    OwnedPhase,
+    OwnerAnswers,
+)
+from briartack.core.calls.owner_checks import refusal
+from briartack.core.calls.owner_runner import OwnerRunner, late_answer
+from briartack.core.calls.reasons import Reason
 from briartack.core.effects import (
     Count,
     DropBody,
@@ -18,17 +28,7 @@
     UpstreamFailed,
     UpstreamProbed,
 )
-from briartack.core.local_upstream import LocalUpstream
 from briartack.core.messages import Attempt
-from briartack.core.owned_attempts import (
-    LocalOutcome,
-    OwnedAttempt,
-    OwnedPhase,
-    OwnerAnswers,
-)
-from briartack.core.owner_checks import refusal
-from briartack.core.owner_runner import OwnerRunner, late_answer
-from briartack.core.reasons import Reason
 from briartack.core.units import AttemptId, BodyId, InstanceId
 
 MILLISECONDS: Final = 1000
--- a/briartack/core/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -1,12 +1,12 @@
 """Why an owner refuses an attempt before it has a slot."""
 
-from briartack.core import placement, reasons
-from briartack.core.call_context import CallContext, SnapshotView
-from briartack.core.local_upstream import LocalUpstream
+from briartack.core.calls import placement, reasons
+from briartack.core.calls.call_context import CallContext, SnapshotView
+from briartack.core.calls.local_upstream import LocalUpstream
+from briartack.core.calls.owned_attempts import OwnedAttempt
+from briartack.core.calls.reasons import Reason
+from briartack.core.configuration.settings import PlatformSettings
 from briartack.core.messages import MAX_BODY_BYTES, Attempt
-from briartack.core.owned_attempts import OwnedAttempt
-from briartack.core.reasons import Reason
-from briartack.core.settings import PlatformSettings
 
 
 def refusal(
--- a/briartack/core/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -3,10 +3,18 @@
 from collections.abc import Iterator
 from typing import Final, final
 
-from briartack.core import reasons
-from briartack.core.admission import Admission, Waiting
 from briartack.core.body_ids import answer_body
-from briartack.core.call_headers import for_upstream
+from briartack.core.calls import reasons
+from briartack.core.calls.admission import Admission, Waiting
+from briartack.core.calls.call_headers import for_upstream
+from briartack.core.calls.local_upstream import LocalUpstream
+from briartack.core.calls.owned_attempts import (
+    OwnedAttempt,
+    OwnedPhase,
+    OwnerAnswers,
+)
+from briartack.core.calls.reasons import Reason
+from briartack.core.calls.timers import Timers
 from briartack.core.effects import (
     AbortDispatch,
     Count,
@@ -15,14 +23,6 @@
     Effects,
 )
 from briartack.core.events import UpstreamAnswered, UpstreamFailed
-from briartack.core.local_upstream import LocalUpstream
-from briartack.core.owned_attempts import (
-    OwnedAttempt,
-    OwnedPhase,
-    OwnerAnswers,
-)
-from briartack.core.reasons import Reason
-from briartack.core.timers import Timers
 from briartack.core.units import AttemptId
 from briartack.core.verdict import Verdict
 
--- a/briartack/core/placement.py
+++ b/briartack/core/calls/placement.py
@@ -1,6 +1,6 @@
 """Placement: which regions may serve, send or store a request."""
 
-from briartack.core.call_context import Regions, RouteView, SnapshotView
+from briartack.core.calls.call_context import Regions, RouteView, SnapshotView
 
 
 def home_regions(
--- a/briartack/core/ramp.py
+++ b/briartack/core/calls/ramp.py
@@ -4,7 +4,7 @@
 from collections import deque
 from typing import Final, final
 
-from briartack.core.settings import ServiceLimits
+from briartack.core.configuration.settings import ServiceLimits
 
 JUMP_FACTOR: Final = 8.0
 JUMP_ANSWERS: Final = 10
--- a/briartack/core/routing.py
+++ b/briartack/core/calls/routing.py
@@ -7,15 +7,15 @@
 from random import Random
 from typing import Final, TypeAlias, final
 
-from briartack.core import placement
-from briartack.core.call_context import (
+from briartack.core.calls import placement
+from briartack.core.calls.call_context import (
     CallContext,
     Member,
     Regions,
     RouteView,
     SnapshotView,
 )
-from briartack.core.settings import PlatformSettings
+from briartack.core.configuration.settings import PlatformSettings
 
 SCOPE_ENDPOINTS: Final = 32
 FULL_LOAD: Final = 1.0
--- a/briartack/core/sender.py
+++ b/briartack/core/calls/sender.py
@@ -2,13 +2,20 @@
 
 from typing import Final, final
 
-from briartack.core import reasons
-from briartack.core.attempt_sender import AttemptSender
 from briartack.core.body_ids import call_body
-from briartack.core.call_context import CallContext
-from briartack.core.call_table import Call, CallPhase, CallTable
-from briartack.core.choice import Chooser, Chosen, NoChoice
-from briartack.core.door import enter, home_headers, refused
+from briartack.core.calls import reasons
+from briartack.core.calls.attempt_sender import AttemptSender
+from briartack.core.calls.call_checks import enter, home_headers, refused
+from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_table import Call, CallPhase, CallTable
+from briartack.core.calls.choice import Chooser, Chosen, NoChoice
+from briartack.core.calls.endpoints import EndpointsState
+from briartack.core.calls.owner import OwnerState
+from briartack.core.calls.placement import home_regions
+from briartack.core.calls.reasons import Reason
+from briartack.core.calls.retry import RetryState, backoff_seconds
+from briartack.core.calls.routing import RoutingState
+from briartack.core.calls.streams import StreamsState
 from briartack.core.effects import (
     AnswerCall,
     Count,
@@ -17,19 +24,12 @@
     ReadBody,
     WakeAt,
 )
-from briartack.core.endpoints import EndpointsState
 from briartack.core.events import CallArrived, CallBodyRead
 from briartack.core.messages import (
     MAX_BODY_BYTES,
     Answer,
     Headers,
 )
-from briartack.core.owner import OwnerState
-from briartack.core.placement import home_regions
-from briartack.core.reasons import Reason
-from briartack.core.retry import RetryState, backoff_seconds
-from briartack.core.routing import RoutingState
-from briartack.core.streams import StreamsState
 from briartack.core.units import BodyId, CallId, InstanceId
 from briartack.core.verdict import Verdict, may_repeat
 
--- a/briartack/core/streams.py
+++ b/briartack/core/calls/streams.py
@@ -2,10 +2,10 @@
 
 from typing import Final, final
 
-from briartack.core.call_context import CallContext, Member
+from briartack.core.calls.call_context import CallContext, Member
+from briartack.core.calls.endpoints import EndpointsState
+from briartack.core.calls.routing import RoutingState, Scopes
 from briartack.core.effects import Connect, Effects
-from briartack.core.endpoints import EndpointsState
-from briartack.core.routing import RoutingState, Scopes
 
 KEEP_SECONDS: Final = 60.0
 REVIEW_SECONDS: Final = 1.0
--- /dev/null
+++ b/briartack/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Which versions of the settings are accepted and in force."""
--- a/briartack/core/accepted.py
+++ b/briartack/core/configuration/accepted.py
@@ -13,12 +13,12 @@
 from collections.abc import Iterable
 from typing import final
 
+from briartack.core.configuration.intake import NO_REVISION, Intake, Slot
+from briartack.core.configuration.resolution import DefinitionPool, resolvable
+from briartack.core.configuration.validation import Resource
+from briartack.core.configuration.versions import Held, ResourceId, Version
 from briartack.core.entries import TEAM_PREFIX, Entry
-from briartack.core.intake import NO_REVISION, Intake, Slot
-from briartack.core.resolution import DefinitionPool, resolvable
 from briartack.core.units import Revision
-from briartack.core.validation import Resource
-from briartack.core.versions import Held, ResourceId, Version
 
 
 @final
--- a/briartack/core/changes.py
+++ b/briartack/core/configuration/changes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final, final
 
-from briartack.core.problems import Problem
+from briartack.core.configuration.problems import Problem
 from briartack.core.units import Revision
 
 
--- a/briartack/core/exchange.py
+++ b/briartack/core/configuration/exchange.py
@@ -9,11 +9,11 @@
 from collections.abc import Iterable
 from typing import Final, final
 
-from briartack.core.accepted import Accepted, foreign_of
+from briartack.core.configuration.accepted import Accepted, foreign_of
+from briartack.core.configuration.intake import NO_REVISION
+from briartack.core.configuration.versions import ResourceId, Version
 from briartack.core.entries import Definition, Entry
-from briartack.core.intake import NO_REVISION
 from briartack.core.units import Revision
-from briartack.core.versions import ResourceId, Version
 
 _NOTHING: Final[frozenset[ResourceId]] = frozenset()
 
--- a/briartack/core/intake.py
+++ b/briartack/core/configuration/intake.py
@@ -4,18 +4,23 @@
 
 import msgspec
 
-from briartack.core.changes import RefusedVersion
-from briartack.core.entries import Definition, Entry
-from briartack.core.problems import Code, InvalidValueError, Problem, problem
-from briartack.core.resolution import DefinitionPool
-from briartack.core.shape import ROOT
-from briartack.core.units import Revision
-from briartack.core.versions import (
+from briartack.core.configuration.changes import RefusedVersion
+from briartack.core.configuration.problems import (
+    Code,
+    InvalidValueError,
+    Problem,
+    problem,
+)
+from briartack.core.configuration.resolution import DefinitionPool
+from briartack.core.configuration.shape import ROOT
+from briartack.core.configuration.versions import (
     ResourceId,
     Version,
     decode_definition,
     decode_version,
 )
+from briartack.core.entries import Definition, Entry
+from briartack.core.units import Revision
 
 NO_REVISION: Final = Revision(0)  # the store counts from 1
 
--- a/briartack/core/key_digests.py
+++ b/briartack/core/configuration/key_digests.py
@@ -3,11 +3,16 @@
 from collections.abc import Mapping
 from typing import TypeAlias, final
 
-from briartack.core.accepted import Accepted
-from briartack.core.exchange import Exchange
-from briartack.core.intake import Slot
+from briartack.core.configuration.accepted import Accepted
+from briartack.core.configuration.exchange import Exchange
+from briartack.core.configuration.intake import Slot
+from briartack.core.configuration.versions import (
+    Held,
+    ResourceId,
+    Version,
+    digest_of,
+)
 from briartack.core.units import Digest
-from briartack.core.versions import Held, ResourceId, Version, digest_of
 
 _Pooled: TypeAlias = tuple[tuple[ResourceId, Held], ...]
 _Parts: TypeAlias = tuple[Version | None, Version | None, _Pooled]
--- a/briartack/core/resolution.py
+++ b/briartack/core/configuration/resolution.py
@@ -11,7 +11,7 @@
 from operator import itemgetter
 from typing import final
 
-from briartack.core.versions import Held, ResourceId, Version
+from briartack.core.configuration.versions import Held, ResourceId, Version
 
 
 def resolvable(
--- a/briartack/core/resolved.py
+++ b/briartack/core/configuration/resolved.py
@@ -10,17 +10,21 @@
 from types import MappingProxyType
 from typing import Final, TypeAlias, final
 
-from briartack.core.entries import PLATFORM_KEY
-from briartack.core.settings import (
+from briartack.core.configuration.settings import (
     PlatformSettings,
     Policy,
     Route,
     ServiceLimits,
     Workspace,
 )
+from briartack.core.configuration.validation import Resource
+from briartack.core.configuration.versions import (
+    ResourceId,
+    Version,
+    references_of,
+)
+from briartack.core.entries import PLATFORM_KEY
 from briartack.core.units import Digest, Revision
-from briartack.core.validation import Resource
-from briartack.core.versions import ResourceId, Version, references_of
 
 _NO_PLATFORM: Final = PlatformSettings()
 
--- a/briartack/core/shape.py
+++ b/briartack/core/configuration/shape.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from briartack.core.problems import Code, Problem, problem
-from briartack.core.settings import (
+from briartack.core.configuration.problems import Code, Problem, problem
+from briartack.core.configuration.settings import (
     Name,
     Policy,
     Route,
--- a/briartack/core/snapshot.py
+++ b/briartack/core/configuration/snapshot.py
@@ -7,25 +7,25 @@
 from collections.abc import Iterable
 from typing import final
 
-from briartack.core.accepted import Accepted
-from briartack.core.changes import (
+from briartack.core.configuration.accepted import Accepted
+from briartack.core.configuration.changes import (
     NOTHING_CHANGED,
     SnapshotChange,
     WaitingVersion,
 )
-from briartack.core.entries import Entry, is_instance_key
-from briartack.core.exchange import Exchange
-from briartack.core.intake import Intake
-from briartack.core.key_digests import KeyDigests
-from briartack.core.resolution import missing_references
-from briartack.core.resolved import (
+from briartack.core.configuration.exchange import Exchange
+from briartack.core.configuration.intake import Intake
+from briartack.core.configuration.key_digests import KeyDigests
+from briartack.core.configuration.resolution import missing_references
+from briartack.core.configuration.resolved import (
     InForce,
     ResolvedRoute,
     Snapshot,
     SnapshotBuilder,
 )
+from briartack.core.configuration.versions import digest_of
+from briartack.core.entries import Entry, is_instance_key
 from briartack.core.units import Digest, Revision
-from briartack.core.versions import digest_of
 
 # Other modules import the parts of the interface from here.
 __all__ = (  # noqa: WPS410 - mypy needs it for the types of other modules
--- a/briartack/core/validation.py
+++ b/briartack/core/configuration/validation.py
@@ -11,9 +11,13 @@
 
 import msgspec
 
-from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_KEY, TEAM_PREFIX
-from briartack.core.problems import Code, InvalidValueError, Problem, problem
-from briartack.core.settings import (
+from briartack.core.configuration.problems import (
+    Code,
+    InvalidValueError,
+    Problem,
+    problem,
+)
+from briartack.core.configuration.settings import (
     InstanceRecord,
     PlatformSettings,
     Policy,
@@ -22,12 +26,13 @@
     TeamSettings,
     Workspace,
 )
-from briartack.core.shape import (
+from briartack.core.configuration.shape import (
     ROOT,
     is_name,
     shape_problem,
     team_shape_problems,
 )
+from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_KEY, TEAM_PREFIX
 
 MAX_VALUE_BYTES: Final = 1_048_576  # the store refuses larger values
 FIELD_OF_KIND: Final = MappingProxyType(
--- a/briartack/core/versions.py
+++ b/briartack/core/configuration/versions.py
@@ -12,8 +12,7 @@
 
 import msgspec
 
-from briartack.core.entries import PLATFORM_KEY, Definition
-from briartack.core.settings import (
+from briartack.core.configuration.settings import (
     PlatformSettings,
     Policy,
     Route,
@@ -21,8 +20,7 @@
     TeamSettings,
     Workspace,
 )
-from briartack.core.units import Digest, Revision
-from briartack.core.validation import (
+from briartack.core.configuration.validation import (
     Resource,
     route_references,
     section_of,
@@ -31,6 +29,8 @@
     validate_platform,
     validate_team,
 )
+from briartack.core.entries import PLATFORM_KEY, Definition
+from briartack.core.units import Digest, Revision
 
 DIGEST_BYTES: Final = 16
 KINDS: Final = ('services', 'policies', 'workspaces')
--- /dev/null
+++ b/briartack/core/dissemination/__init__.py
@@ -0,0 +1,1 @@
+"""How configuration and the list of instances reach every daemon."""
--- a/briartack/core/announcer.py
+++ b/briartack/core/dissemination/announcer.py
@@ -4,8 +4,8 @@
 from collections.abc import Container, Iterable
 from typing import Final, final
 
+from briartack.core.dissemination.holdings import Holdings
 from briartack.core.effects import Effects, SendMessage
-from briartack.core.holdings import Holdings
 from briartack.core.messages import Summary
 from briartack.core.units import Incarnation, InstanceId
 
@@ -14,7 +14,7 @@
 QUESTION_SECONDS: Final = 10.0
 CHECK_QUESTION_SECONDS: Final = 1.0
 # Both ends of a new stream greet each other with a summary.
-GREETING_SECONDS: Final = 0.5
+FIRST_SUMMARY_SECONDS: Final = 0.5
 
 
 @final
--- a/briartack/core/checks.py
+++ b/briartack/core/dissemination/checks.py
@@ -39,7 +39,7 @@
             if now >= self._trusted_until.get(peer, now):
                 self._since.setdefault(peer, now)
 
-    def hear(self, now: float, peer: InstanceId) -> None:
+    def note_contact(self, now: float, peer: InstanceId) -> None:
         """End the check of a peer that has answered."""
         if self._since.pop(peer, None) is not None:
             self._trusted_until[peer] = now + TRUST_SECONDS
--- a/briartack/core/combined_holdings.py
+++ b/briartack/core/dissemination/combined_holdings.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterable, Mapping
 from typing import TypeAlias, final
 
+from briartack.core.configuration.snapshot import SnapshotState
+from briartack.core.dissemination.membership import MembershipState
 from briartack.core.entries import Entry, KeyVersion, is_instance_key
-from briartack.core.membership import MembershipState
-from briartack.core.snapshot import SnapshotState
 from briartack.core.units import Digest, Revision
 
 _Sources: TypeAlias = tuple[dict[str, Digest], dict[str, Revision]]
--- a/briartack/core/dialling.py
+++ b/briartack/core/dissemination/dialling.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Final, final
 
+from briartack.core.dissemination.overlay import Member
 from briartack.core.effects import Connect, Effects
-from briartack.core.overlay import Member
 from briartack.core.units import InstanceId
 
 REDIAL_SECONDS: Final = 10.0
@@ -13,7 +13,7 @@
 
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
-class DialWish:
+class DialRequest:
     """Ask for a stream, at first after a delay and then in intervals."""
 
     member: Member
@@ -35,20 +35,20 @@
         """Set the time of the next try."""
         self._after[peer] = at
 
-    def due(self, now: float, wishes: Iterable[DialWish]) -> Effects:
-        """Dial the peers whose time has come; the first wish for one counts."""
+    def due(self, now: float, requests: Iterable[DialRequest]) -> Effects:
+        """Dial the peers whose time has come; the first request counts."""
         plans: dict[InstanceId, float] = {}
         effects: Effects = []
-        for wish in wishes:
-            peer = wish.member.instance
+        for request in requests:
+            peer = request.member.instance
             if peer in plans:
                 continue
-            planned = self._after.get(peer, now + wish.delay_seconds)
+            planned = self._after.get(peer, now + request.delay_seconds)
             # An old plan may be from when the peer was wanted less.
-            plans[peer] = min(planned, now + wish.redial_seconds)
+            plans[peer] = min(planned, now + request.redial_seconds)
             if now >= plans[peer]:
-                plans[peer] = now + wish.redial_seconds
-                address = wish.member.peer_address
+                plans[peer] = now + request.redial_seconds
+                address = request.member.peer_address
                 effects.append(Connect(peer=peer, address=address))
         # Plans of peers that nobody wants now still bound the rate.
         self._after = plans | {
--- a/briartack/core/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -7,8 +7,21 @@
 from dataclasses import dataclass
 from typing import TypeAlias, final
 
-from briartack.core.announcer import GREETING_SECONDS
-from briartack.core.dissemination_state import DisseminationState
+from briartack.core.dissemination.announcer import FIRST_SUMMARY_SECONDS
+from briartack.core.dissemination.dissemination_state import DisseminationState
+from briartack.core.dissemination.holdings import Holdings
+from briartack.core.dissemination.membership import MembershipState
+from briartack.core.dissemination.peer_sync import (
+    answer_inventory,
+    answer_pull,
+    answer_reply,
+)
+from briartack.core.dissemination.periodic_work import (
+    holds_same,
+    synchronise,
+    work,
+)
+from briartack.core.dissemination.store_reads import WHOLE_TREE
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.entries import INSTANCE_PREFIX, Entry
 from briartack.core.events import (
@@ -21,8 +34,6 @@
     StoreWatched,
     Tick,
 )
-from briartack.core.holdings import Holdings
-from briartack.core.membership import MembershipState
 from briartack.core.messages import (
     Entries,
     Goodbye,
@@ -31,14 +42,7 @@
     Pull,
     Summary,
 )
-from briartack.core.peer_sync import (
-    answer_inventory,
-    answer_pull,
-    answer_reply,
-)
-from briartack.core.store_reads import WHOLE_TREE
 from briartack.core.units import InstanceId, Revision
-from briartack.core.upkeep import holds_same, synchronise, work
 
 Source: TypeAlias = InstanceId | None  # None is the store
 
@@ -163,7 +167,7 @@
     effects = observe(state, event.now, holdings)
     was_suspect = event.peer in state.tree.suspects
     state.sync.forget(event.peer)
-    state.tree.hear(event.now, event.peer)
+    state.tree.note_contact(event.now, event.peer)
     is_wanted = state.links.connect(event.peer, event.hello)
     if is_wanted or was_suspect or not holdings.has_snapshot:
         effects.extend(
@@ -201,7 +205,7 @@
 ) -> Received:
     """Answer a message; only `Entries` brings something to merge."""
     effects = observe(state, event.now, holdings)
-    state.tree.hear(event.now, event.peer)
+    state.tree.note_contact(event.now, event.peer)
     message = event.message
     if isinstance(message, Entries):
         return _take_entries(state, event, message, effects)
@@ -306,7 +310,7 @@
         (event.peer,),
         holdings,
         upward=state.links.upward,
-        pause_seconds=GREETING_SECONDS,
+        pause_seconds=FIRST_SUMMARY_SECONDS,
     )
 
 
--- a/briartack/core/dissemination_state.py
+++ b/briartack/core/dissemination/dissemination_state.py
@@ -3,22 +3,22 @@
 from random import Random
 from typing import Final, final
 
-from briartack.core.announcer import Announcer
-from briartack.core.confirmation import Confirmation
-from briartack.core.holdings import Holdings
+from briartack.core.dissemination.announcer import Announcer
+from briartack.core.dissemination.confirmation import Confirmation
+from briartack.core.dissemination.holdings import Holdings
+from briartack.core.dissemination.links import LinksState
+from briartack.core.dissemination.peer_sync import PeerSyncState
+from briartack.core.dissemination.store_reads import StoreReadsState
+from briartack.core.dissemination.tree_position import TreePosition
 from briartack.core.identity import Identity
-from briartack.core.links import LinksState
-from briartack.core.peer_sync import PeerSyncState
-from briartack.core.store_reads import StoreReadsState
-from briartack.core.tree_place import TreePlace
 from briartack.core.units import InstanceId
 
 # Without a parent in reach, a daemon that starts reads the tree by itself.
 PARENTLESS_BOOT_SECONDS: Final = 3.0
 # Parents that answer may lack a snapshot too. The jitter spreads the reads
 # of 2,600 daemons below 150 per second.
-SNAPSHOT_PATIENCE_SECONDS: Final = 10.0
-SNAPSHOT_PATIENCE_JITTER_SECONDS: Final = 20.0
+SNAPSHOT_WAIT_SECONDS: Final = 10.0
+SNAPSHOT_WAIT_JITTER_SECONDS: Final = 20.0
 
 
 @final
@@ -34,13 +34,13 @@
         'announcer',
         'confirmation',
         'started_at',
-        'snapshot_patience_seconds',
+        'snapshot_wait_seconds',
     )
 
     def __init__(self, *, identity: Identity, random: Random) -> None:
         """Start without streams, calls or a list."""
         self.identity: Final = identity
-        self.tree: Final = TreePlace(identity=identity, random=random)
+        self.tree: Final = TreePosition(identity=identity, random=random)
         self.links: Final = LinksState(
             identity=identity,
             random=random,
@@ -51,9 +51,9 @@
         self.announcer: Final = Announcer(incarnation=identity.incarnation)
         self.confirmation: Final = Confirmation()
         self.started_at = float(0)
-        self.snapshot_patience_seconds: Final = (
-            SNAPSHOT_PATIENCE_SECONDS
-            + random.uniform(0, SNAPSHOT_PATIENCE_JITTER_SECONDS)
+        self.snapshot_wait_seconds: Final = (
+            SNAPSHOT_WAIT_SECONDS
+            + random.uniform(0, SNAPSHOT_WAIT_JITTER_SECONDS)
         )
 
     def needs_tree(self, now: float, holdings: Holdings) -> bool:
@@ -62,7 +62,7 @@
             return False
         return (
             self.tree.silence_seconds(now) > PARENTLESS_BOOT_SECONDS
-            or now - self.started_at > self.snapshot_patience_seconds
+            or now - self.started_at > self.snapshot_wait_seconds
         )
 
     def starts_inventories_with(self, peer: InstanceId) -> bool:
--- a/briartack/core/instance_records.py
+++ b/briartack/core/dissemination/instance_records.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
+from briartack.core.configuration.settings import InstanceRecord, InstanceState
+from briartack.core.dissemination.overlay import Member
 from briartack.core.entries import INSTANCE_PREFIX, Entry, is_instance_key
-from briartack.core.overlay import Member
-from briartack.core.settings import InstanceRecord, InstanceState
 from briartack.core.units import Digest, InstanceId, Revision
 
 DIGEST_BYTES: Final = 16
--- a/briartack/core/links.py
+++ b/briartack/core/dissemination/links.py
@@ -4,15 +4,19 @@
 from random import Random
 from typing import Final, final
 
-from briartack.core.dialling import REDIAL_SECONDS, Dialler, DialWish
+from briartack.core.dissemination.dialling import (
+    REDIAL_SECONDS,
+    Dialler,
+    DialRequest,
+)
+from briartack.core.dissemination.membership import MembershipState
+from briartack.core.dissemination.overlay import Member
+from briartack.core.dissemination.remote_probe import RemoteProbe
+from briartack.core.dissemination.subscribers import Subscribers
+from briartack.core.dissemination.tree_position import TreePosition
 from briartack.core.effects import Effects
 from briartack.core.identity import Identity
-from briartack.core.membership import MembershipState
 from briartack.core.messages import Hello
-from briartack.core.overlay import Member
-from briartack.core.scout import Scout
-from briartack.core.subscribers import Subscribers
-from briartack.core.tree_place import TreePlace
 from briartack.core.units import InstanceId
 
 REDIAL_PARENT_SECONDS: Final = 1.0
@@ -22,7 +26,7 @@
 
 @final
 class LinksState:
-    """Own the streams, the times to dial and the scout of another region."""
+    """Own the streams, the times to dial and the probe of another region."""
 
     __slots__ = (
         '_identity',
@@ -32,7 +36,7 @@
         '_subscribers',
         '_upward',
         '_dialler',
-        '_scout',
+        '_remote_probe',
     )
 
     def __init__(
@@ -40,7 +44,7 @@
         *,
         identity: Identity,
         random: Random,
-        tree: TreePlace,
+        tree: TreePosition,
     ) -> None:
         """Start without streams."""
         self._identity = identity
@@ -50,7 +54,7 @@
         self._subscribers = Subscribers()
         self._upward: frozenset[InstanceId] = frozenset()
         self._dialler = Dialler()
-        self._scout = Scout(region=identity.region, random=random)
+        self._remote_probe = RemoteProbe(region=identity.region, random=random)
 
     @property
     def parents(self) -> tuple[InstanceId, ...]:
@@ -94,7 +98,7 @@
             jitter = self._random.uniform(0, LOST_LINK_JITTER_SECONDS)
             self._dialler.plan(peer, now + jitter)
         else:
-            self._scout.fail(peer)
+            self._remote_probe.fail(peer)
 
     def subscribe(self, now: float, peer: InstanceId) -> bool:
         """Note a summary of a child and tell whether the child is new."""
@@ -111,18 +115,18 @@
     def due(self, now: float, membership: MembershipState) -> Effects:
         """Follow the place in the tree and dial who is missing."""
         if self._tree.is_list_known:
-            self._scout.follow(now, membership.live_members())
+            self._remote_probe.follow(now, membership.live_members())
         self._upward = frozenset(
             member.instance
             for member in (*self._tree.place.parents, *self._remote_members())
         )
         self._subscribers.expire(now)
-        wishes = [
-            wish
-            for wish in self._wishes(membership)
-            if wish.member.instance not in self._regions
+        requests = [
+            request
+            for request in self._requests(membership)
+            if request.member.instance not in self._regions
         ]
-        return self._dialler.due(now, wishes)
+        return self._dialler.due(now, requests)
 
     def _linked(self, members: Iterable[Member]) -> tuple[InstanceId, ...]:
         return tuple(
@@ -132,7 +136,7 @@
         )
 
     def _remote_members(self) -> tuple[Member, ...]:
-        wanted = (*self._tree.place.remote_roots, *self._scout.current())
+        wanted = (*self._tree.place.remote_roots, *self._remote_probe.current())
         return tuple(dict.fromkeys(wanted))
 
     def _neighbours(self) -> tuple[InstanceId, ...]:
@@ -145,25 +149,27 @@
         yield from self._remote_members()
         yield from self._tree.place.children
 
-    def _wishes(self, membership: MembershipState) -> Iterator[DialWish]:
+    def _requests(self, membership: MembershipState) -> Iterator[DialRequest]:
         place = self._tree.place
         for parent in place.parents:
-            yield DialWish(member=parent, redial_seconds=REDIAL_PARENT_SECONDS)
-        for scout in self._scout.current():
-            yield DialWish(member=scout)
+            yield DialRequest(
+                member=parent, redial_seconds=REDIAL_PARENT_SECONDS
+            )
+        for probe in self._remote_probe.current():
+            yield DialRequest(member=probe)
         for root in place.remote_roots:
             # Two roots that want each other would dial at the same time.
             is_second = self._identity.instance > root.instance
             delay_seconds = SECOND_DIALLER_SECONDS if is_second else 0
-            yield DialWish(member=root, delay_seconds=delay_seconds)
+            yield DialRequest(member=root, delay_seconds=delay_seconds)
         # Children dial by themselves, unless they have no list: one that
         # starts while the store is down hears of its parents only by this.
         for child in place.children:
-            yield DialWish(member=child, delay_seconds=REDIAL_SECONDS)
+            yield DialRequest(member=child, delay_seconds=REDIAL_SECONDS)
         for checked in map(membership.get, self._tree.checked):
             if checked is not None:
-                yield DialWish(member=checked)
+                yield DialRequest(member=checked)
         for peer in (*self._tree.suspects, *membership.leaving_marks):
             doubted = membership.get(peer)
             if doubted is not None:
-                yield DialWish(member=doubted, delay_seconds=REDIAL_SECONDS)
+                yield DialRequest(member=doubted, delay_seconds=REDIAL_SECONDS)
--- a/briartack/core/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -7,15 +7,15 @@
 from collections.abc import Iterable
 from typing import final
 
-from briartack.core.entries import Entry, is_instance_key
-from briartack.core.instance_records import (
+from briartack.core.configuration.settings import InstanceState
+from briartack.core.dissemination.instance_records import (
     InstanceRecords,
     RecordChange,
     Refusal,
     instance_of,
 )
-from briartack.core.overlay import Member
-from briartack.core.settings import InstanceState
+from briartack.core.dissemination.overlay import Member
+from briartack.core.entries import Entry, is_instance_key
 from briartack.core.units import Digest, Incarnation, InstanceId, Revision
 
 
@@ -144,7 +144,7 @@
         instance: InstanceId,
         incarnation: Incarnation,
     ) -> None:
-        """Note a greeting; another incarnation ends the mark of a goodbye."""
+        """Note a hello; another incarnation ends the mark of a goodbye."""
         if self._goodbyes.get(instance, incarnation) != incarnation:
             self._goodbyes.pop(instance)
             self._forget_views()
--- a/briartack/core/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -4,10 +4,20 @@
 from dataclasses import dataclass
 from typing import Final, final
 
+from briartack.core.dissemination.holdings import Holdings
+from briartack.core.dissemination.inventory import (
+    bucket_digests,
+    compare,
+    reply_to,
+)
+from briartack.core.dissemination.peer_views import (
+    PeerView,
+    has_gap,
+    is_ahead,
+    pull_after,
+)
 from briartack.core.effects import Count, Effects, SendMessage
 from briartack.core.entries import Entry
-from briartack.core.holdings import Holdings
-from briartack.core.inventory import bucket_digests, compare, reply_to
 from briartack.core.messages import (
     Entries,
     Inventory,
@@ -15,22 +25,16 @@
     Pull,
     Summary,
 )
-from briartack.core.peer_views import (
-    PeerView,
-    has_gap,
-    is_ahead,
-    pull_after,
-)
 from briartack.core.units import InstanceId, Revision
 
 PULL_TIMEOUT_SECONDS: Final = 0.5
 PULLS_BEFORE_INVENTORY: Final = 2
 # The own region's roots usually bring a change earlier than this, so that
 # one copy of it crosses each link between regions.
-REMOTE_PATIENCE_SECONDS: Final = 1.0
+REMOTE_PULL_DELAY_SECONDS: Final = 1.0
 # Two heartbeats in a row must differ, or entries that are still on their way
 # would count as a gap. This is a little less than the time between the two.
-GAP_PATIENCE_SECONDS: Final = 0.8
+GAP_DELAY_SECONDS: Final = 0.8
 MAX_ENTRIES_BYTES: Final = 4_000_000
 ENTRY_OVERHEAD_BYTES: Final = 64
 
@@ -88,12 +92,12 @@
         if view is None:
             view = PeerView(
                 summary=summary,
-                heard_at=now,
+                last_seen_at=now,
                 is_remote=is_remote,
             )
             self._views[peer] = view
         view.summary = summary
-        view.heard_at = now
+        view.last_seen_at = now
 
     def on_entries(
         self, now: float, peer: InstanceId, entries: Entries
@@ -180,7 +184,7 @@
         if not has_gap(view.summary, holdings) or self._pull is not None:
             return []
         since = view.differs_since
-        if since is None or view.heard_at - since < GAP_PATIENCE_SECONDS:
+        if since is None or view.last_seen_at - since < GAP_DELAY_SECONDS:
             return []
         if view.is_paused(now, holdings):
             return []
@@ -217,8 +221,8 @@
     difference = compare(reply, holdings.versions())
     effects: Effects = []
     if difference.wanted:
-        wish = InventoryReply(buckets=(), versions=difference.wanted)
-        effects.append(SendMessage(peer=peer, message=wish))
+        request = InventoryReply(buckets=(), versions=difference.wanted)
+        effects.append(SendMessage(peer=peer, message=request))
     if difference.to_send:
         entries = holdings.entries_for(difference.to_send)
         effects.extend(_send_entries(peer, entries, holdings.highest))
@@ -230,8 +234,8 @@
         return False
     if not is_ahead(view.summary, holdings):
         return False
-    patience_seconds = REMOTE_PATIENCE_SECONDS if view.is_remote else 0
-    return now - view.ahead_since >= patience_seconds
+    delay_seconds = REMOTE_PULL_DELAY_SECONDS if view.is_remote else 0
+    return now - view.ahead_since >= delay_seconds
 
 
 def _inventory(peer: InstanceId, holdings: Holdings) -> SendMessage:
--- a/briartack/core/peer_views.py
+++ b/briartack/core/dissemination/peer_views.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final, TypeAlias, final
 
-from briartack.core.holdings import Holdings
+from briartack.core.dissemination.holdings import Holdings
 from briartack.core.messages import Summary
 from briartack.core.units import Digest, Revision
 
@@ -70,7 +70,7 @@
     """Hold the last summary of a peer and what was tried with it."""
 
     summary: Summary
-    heard_at: float
+    last_seen_at: float
     is_remote: bool
     ahead_since: float | None = None
     differs_since: float | None = None
--- a/briartack/core/upkeep.py
+++ b/briartack/core/dissemination/periodic_work.py
@@ -1,17 +1,17 @@
 """What each event and tick makes due, in the order of its decisions."""
 
-from briartack.core.announcer import (
+from briartack.core.dissemination.announcer import (
     CHECK_QUESTION_SECONDS,
     HEARTBEAT_SECONDS,
     QUESTION_SECONDS,
     REMOTE_HEARTBEAT_SECONDS,
 )
-from briartack.core.dissemination_state import DisseminationState
+from briartack.core.dissemination.dissemination_state import DisseminationState
+from briartack.core.dissemination.holdings import Holdings
+from briartack.core.dissemination.membership import MembershipState
+from briartack.core.dissemination.peer_views import is_same
 from briartack.core.effects import Effects, SendMessage
-from briartack.core.holdings import Holdings
-from briartack.core.membership import MembershipState
 from briartack.core.messages import Pull
-from briartack.core.peer_views import is_same
 from briartack.core.units import InstanceId
 
 
--- a/briartack/core/scout.py
+++ b/briartack/core/dissemination/remote_probe.py
@@ -7,16 +7,16 @@
 from random import Random
 from typing import Final, final
 
-from briartack.core.overlay import Member
+from briartack.core.dissemination.overlay import Member
 from briartack.core.units import InstanceId
 
 # Longer would cost a heartbeat per daemon on paid links for nothing.
-SCOUT_SECONDS: Final = 10.0
-SCOUT_TRIES: Final = 3
+PROBE_SECONDS: Final = 10.0
+PROBE_TRIES: Final = 3
 
 
 @final
-class Scout:
+class RemoteProbe:
     """Own the choice of the daemon."""
 
     __slots__ = ('_region', '_random', '_member', '_tries', '_until')
@@ -41,10 +41,10 @@
     def follow(self, now: float, members: Sequence[Member]) -> None:
         """Choose a daemon, or end the choice when its time is over."""
         if self._until is None:
-            self._until = now + SCOUT_SECONDS
+            self._until = now + PROBE_SECONDS
         if now >= self._until:
             self._member = None
-        elif self._member is None and self._tries < SCOUT_TRIES:
+        elif self._member is None and self._tries < PROBE_TRIES:
             self._choose(members)
 
     def _choose(self, members: Sequence[Member]) -> None:
--- a/briartack/core/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -3,7 +3,7 @@
 from random import Random
 from typing import Final, final
 
-from briartack.core.budget import Backoff, TokenBudget
+from briartack.core.dissemination.budget import Backoff, TokenBudget
 from briartack.core.effects import (
     CancelWatch,
     Effects,
--- a/briartack/core/tree_place.py
+++ b/briartack/core/dissemination/tree_position.py
@@ -3,11 +3,11 @@
 from random import Random
 from typing import Final, final
 
-from briartack.core.checks import Checks
+from briartack.core.dissemination.checks import Checks
+from briartack.core.dissemination.membership import MembershipState
+from briartack.core.dissemination.overlay import Member, Place, Tree
 from briartack.core.effects import Effects, LogLevel, WriteLog
 from briartack.core.identity import Identity
-from briartack.core.membership import MembershipState
-from briartack.core.overlay import Member, Place, Tree
 from briartack.core.units import InstanceId
 
 SILENCE_SECONDS: Final = 1.5
@@ -19,7 +19,7 @@
 
 
 @final
-class TreePlace:
+class TreePosition:
     """Own the place and the suspicions."""
 
     __slots__ = (
@@ -96,9 +96,9 @@
             return 0
         return now - self._answered_at
 
-    def hear(self, now: float, peer: InstanceId) -> None:
+    def note_contact(self, now: float, peer: InstanceId) -> None:
         """Note a sign of life, which ends a suspicion."""
-        self._checks.hear(now, peer)
+        self._checks.note_contact(now, peer)
         if self._parents_since.get(peer) is not None:
             self._parents_since[peer] = now
             self._answered_at = now
@@ -140,8 +140,8 @@
     def suspect(self, now: float) -> Effects:
         """Suspect whom a check or all of the parents' silence condemns."""
         silent = self._checks.take_silent(now)
-        heard_at = max(self._parents_since.values(), default=now)
-        if now - heard_at >= self._silence_limit:
+        last_seen_at = max(self._parents_since.values(), default=now)
+        if now - last_seen_at >= self._silence_limit:
             silent = (*silent, *self._parents_since)
         if not silent:
             return []
--- a/briartack/core/explanation.py
+++ b/briartack/core/explanation.py
@@ -2,11 +2,11 @@
 
 from typing import Final
 
-from briartack.core import placement
-from briartack.core.call_context import Member, Regions
+from briartack.core.calls import placement
+from briartack.core.calls.call_context import Member, Regions
+from briartack.core.calls.routing import is_out
+from briartack.core.configuration.resolved import ResolvedRoute, Snapshot
 from briartack.core.reducer import call_context
-from briartack.core.resolved import ResolvedRoute, Snapshot
-from briartack.core.routing import is_out
 from briartack.core.state import State
 
 _SCOPE_NAMES: Final = ('data centre', 'region', 'fleet')
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -6,7 +6,8 @@
 
 from typing import TYPE_CHECKING, Final
 
-from briartack.core import dissemination
+from briartack.core.configuration.snapshot import Snapshot, SnapshotChange
+from briartack.core.dissemination import dissemination
 from briartack.core.effects import (
     Count,
     Effects,
@@ -15,12 +16,11 @@
     WriteLog,
 )
 from briartack.core.entries import INSTANCE_PREFIX, Entry, is_instance_key
-from briartack.core.snapshot import Snapshot, SnapshotChange
 from briartack.core.state import State
 from briartack.core.trail import AuditFields
 
 if TYPE_CHECKING:
-    from briartack.core.dissemination import Received
+    from briartack.core.dissemination.dissemination import Received
 
 STORE: Final = 'store'
 
--- a/briartack/core/monitors.py
+++ b/briartack/core/monitors.py
@@ -8,6 +8,7 @@
 from typing import final
 
 from briartack.core.body_ids import attempt_body, call_body
+from briartack.core.configuration.snapshot import Snapshot
 from briartack.core.effects import (
     AbortDispatch,
     AnswerCall,
@@ -25,7 +26,6 @@
     UpstreamProbed,
 )
 from briartack.core.messages import Answer
-from briartack.core.snapshot import Snapshot
 from briartack.core.state import State
 from briartack.core.units import AttemptId, BodyId, CallId
 from briartack.core.verdict import Verdict
--- a/briartack/core/redaction.py
+++ b/briartack/core/redaction.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from briartack.core import reasons
+from briartack.core.calls import reasons
 from briartack.core.effects import AnswerCall, Effects, SendAnswer
 from briartack.core.events import CallArrived, Event, PeerMessageReceived
 from briartack.core.messages import Attempt
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 from typing import Any, Final, TypeAlias
 
-from briartack.core import calls, dissemination
-from briartack.core.call_context import CallContext
+from briartack.core.calls import calls
+from briartack.core.calls.call_context import CallContext
+from briartack.core.dissemination import dissemination
 from briartack.core.effects import Effects, WriteAudit
 from briartack.core.events import (
     AttemptBodyRead,
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -3,12 +3,12 @@
 from random import Random
 from typing import final
 
-from briartack.core.calls import CallsState
-from briartack.core.combined_holdings import CombinedHoldings
-from briartack.core.dissemination_state import DisseminationState
+from briartack.core.calls.calls import CallsState
+from briartack.core.configuration.snapshot import SnapshotState
+from briartack.core.dissemination.combined_holdings import CombinedHoldings
+from briartack.core.dissemination.dissemination_state import DisseminationState
+from briartack.core.dissemination.membership import MembershipState
 from briartack.core.identity import Identity
-from briartack.core.membership import MembershipState
-from briartack.core.snapshot import SnapshotState
 from briartack.core.trail import TrailState
 
 
--- a/briartack/diff.py
+++ b/briartack/diff.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from briartack.core.problems import Problem
+from briartack.core.configuration.problems import Problem
 from briartack.tree import Tree, read_tree
 
 _PartId: TypeAlias = tuple[str, str]  # kind and name
--- a/briartack/inbound_call.py
+++ b/briartack/inbound_call.py
@@ -128,7 +128,7 @@
             get_hub().loop.run_callback(waiter.switch, None)
 
     def wait(self) -> None:
-        """Wait until the core decides something or the caller stirs."""
+        """Wait until the core decides something or the caller acts."""
         waiter = Waiter()
         self._waiter = waiter
         try:
--- a/briartack/peer_links.py
+++ b/briartack/peer_links.py
@@ -194,11 +194,11 @@
         stream.hello = hello
         if not stream.is_outgoing:
             # The dialler may only end another stream once it knows that this
-            # side has this one, so the acceptor greets second.
+            # side has this one, so the acceptor sends its hello second.
             stream.outbox.queue(own_hello)
             stream.flush()
-        # A dialler has sent a greeting of the same size before it knew this.
-        stream.traffic.greeted(
+        # A dialler has sent a hello of the same size before it knew this.
+        stream.traffic.hello_received(
             is_remote=hello.region != self._identity.region,
             sent_bytes=len(own_hello),
             received_bytes=stream.frame_bytes,
--- a/briartack/peer_traffic.py
+++ b/briartack/peer_traffic.py
@@ -41,14 +41,14 @@
         self._sent = _by_kind('sent', _OWN)
         self._received = _by_kind('received', _OWN)
 
-    def greeted(
+    def hello_received(
         self,
         *,
         is_remote: bool,
         sent_bytes: int,
         received_bytes: int,
     ) -> None:
-        """Set the region of the peer and count both greetings."""
+        """Set the region of the peer and count both hellos."""
         region = _OTHER if is_remote else _OWN
         self._sent = _by_kind('sent', region)
         self._received = _by_kind('received', region)
--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -7,10 +7,15 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from briartack.core import calls, effects, events, messages
-from briartack.core.call_context import CallContext, Member, Regions
+from briartack.core import effects, events, messages
+from briartack.core.calls import calls
+from briartack.core.calls.call_context import CallContext, Member, Regions
+from briartack.core.configuration.settings import (
+    PlatformSettings,
+    Policy,
+    ServiceLimits,
+)
 from briartack.core.identity import Identity
-from briartack.core.settings import PlatformSettings, Policy, ServiceLimits
 from briartack.core.units import (
     AttemptId,
     CallId,
--- a/briartack/test/fake_holdings.py
+++ b/briartack/test/fake_holdings.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
+from briartack.core.dissemination.membership import MembershipState
 from briartack.core.entries import Entry, KeyVersion, is_instance_key
-from briartack.core.membership import MembershipState
 from briartack.core.units import Digest, Revision
 
 NO_REVISION = Revision(0)
--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -12,13 +12,13 @@
 
 import msgspec
 
-from briartack.core import dissemination as core
 from briartack.core import effects as out
 from briartack.core import events
 from briartack.core import messages as wire
-from briartack.core.dissemination_state import DisseminationState
+from briartack.core.dissemination import dissemination as core
+from briartack.core.dissemination.dissemination_state import DisseminationState
+from briartack.core.dissemination.overlay import rank
 from briartack.core.identity import Identity
-from briartack.core.overlay import rank
 from briartack.core.units import Incarnation, InstanceId, Revision
 from briartack.test.fake_holdings import FakeHoldings, FakeStore
 
--- a/briartack/test/mutants.py
+++ b/briartack/test/mutants.py
@@ -9,10 +9,10 @@
 
 from msgspec.structs import replace
 
-from briartack.core import dedup, owner_runner, sender
+from briartack.core.calls import dedup, owner_runner, sender
+from briartack.core.configuration.settings import ServiceLimits
+from briartack.core.configuration.versions import Version
 from briartack.core.messages import Answer
-from briartack.core.settings import ServiceLimits
-from briartack.core.versions import Version
 
 BIND: Final = dedup.DedupState.bind
 TAKE_ANSWER: Final = sender.SenderState.answered
--- a/briartack/test/test_anti_entropy.py
+++ b/briartack/test/test_anti_entropy.py
@@ -6,10 +6,10 @@
 from typing import TypeAlias
 
 from briartack.core import events, messages
+from briartack.core.dissemination.inventory import bucket_digests
 from briartack.core.effects import SendMessage
 from briartack.core.entries import Entry
 from briartack.core.identity import Identity
-from briartack.core.inventory import bucket_digests
 from briartack.core.reducer import reduce
 from briartack.core.state import State
 from briartack.core.units import Incarnation, InstanceId, Revision
--- a/briartack/test/test_call_bounds.py
+++ b/briartack/test/test_call_bounds.py
@@ -9,14 +9,14 @@
 
 from nose2.tools import params
 
-from briartack.core import dedup, idempotency, reasons, retry, routing
-from briartack.core.call_context import Member
+from briartack.core.calls import dedup, idempotency, reasons, retry, routing
+from briartack.core.calls.call_context import Member
+from briartack.core.calls.endpoints import NO_CLOCK, Endpoint, EndpointsState
+from briartack.core.calls.ramp import RampState
+from briartack.core.calls.timers import Timers
+from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.effects import Dispatch, SendAttempt
-from briartack.core.endpoints import NO_CLOCK, Endpoint, EndpointsState
 from briartack.core.messages import Answer, Attempt
-from briartack.core.ramp import RampState
-from briartack.core.settings import ServiceLimits
-from briartack.core.timers import Timers
 from briartack.core.units import (
     AttemptId,
     BodyId,
--- a/briartack/test/test_control_benchmarks.py
+++ b/briartack/test/test_control_benchmarks.py
@@ -10,11 +10,11 @@
 from benchmarks import baseline_daemon
 from benchmarks.control_audit import Trail
 from benchmarks.control_figures import percentile, slope
-from briartack.core import store_reads
-from briartack.core.combined_holdings import CombinedHoldings
+from briartack.core.configuration.snapshot import SnapshotState
+from briartack.core.dissemination import store_reads
+from briartack.core.dissemination.combined_holdings import CombinedHoldings
+from briartack.core.dissemination.membership import MembershipState
 from briartack.core.entries import Entry
-from briartack.core.membership import MembershipState
-from briartack.core.snapshot import SnapshotState
 from briartack.core.units import Revision
 
 RECORD = (
--- a/briartack/test/test_core_imports.py
+++ b/briartack/test/test_core_imports.py
@@ -9,7 +9,9 @@
 from nose2.tools import params
 
 CORE: Final = Path(__file__).parent.parent / 'core'
-MODULES: Final = tuple(sorted(path.name for path in CORE.rglob('*.py')))
+MODULES: Final = tuple(
+    sorted(str(path.relative_to(CORE)) for path in CORE.rglob('*.py')),
+)
 # `random` gives the seeded generator class; its module functions share a
 # process-wide state and are checked separately.
 ALLOWED: Final = frozenset(
--- a/briartack/test/test_dissemination.py
+++ b/briartack/test/test_dissemination.py
@@ -8,16 +8,16 @@
 
 from nose2.tools import params
 
-from briartack.core import dissemination as core
 from briartack.core import events
 from briartack.core import messages as wire
+from briartack.core.dissemination import dissemination as core
+from briartack.core.dissemination.overlay import rank
 from briartack.core.entries import Entry
-from briartack.core.overlay import rank
 from briartack.core.units import InstanceId, Revision
 from briartack.test.fleet import Fleet
 
 CONVERGENCE_SECONDS = 4  # the target for each change
-BOOT_SECONDS = 21  # until scouts are gone and first watches have ended
+BOOT_SECONDS = 21  # until probes are gone and first watches have ended
 
 
 def _started(*shape: int) -> Fleet:
--- a/briartack/test/test_docs.py
+++ b/briartack/test/test_docs.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from briartack import error_texts, options
-from briartack.core import reasons
+from briartack.core.calls import reasons
 from briartack.test.test_error_texts import LOG_CODE
 
 PACKAGE: Final = Path(__file__).parents[1]
@@ -48,7 +48,7 @@
 
 def in_code(pattern: re.Pattern[str]) -> set[str]:
     """Find names in the product's modules."""
-    paths = [*PACKAGE.glob('*.py'), *PACKAGE.glob('core/*.py')]
+    paths = [*PACKAGE.glob('*.py'), *PACKAGE.glob('core/**/*.py')]
     return {
         name
         for path in paths
--- a/briartack/test/test_error_texts.py
+++ b/briartack/test/test_error_texts.py
@@ -7,7 +7,7 @@
 
 from nose2.tools import params
 
-from briartack.core import reasons
+from briartack.core.calls import reasons
 from briartack.error_texts import error_text
 
 CORE: Final = Path(__file__).parent.parent / 'core'
@@ -16,7 +16,7 @@
     sorted(
         {
             code
-            for path in CORE.glob('*.py')
+            for path in CORE.rglob('*.py')
             for code in LOG_CODE.findall(path.read_text(encoding='utf-8'))
         }.union(reasons.BY_CODE),
     ),
--- a/briartack/test/test_membership.py
+++ b/briartack/test/test_membership.py
@@ -7,8 +7,8 @@
 import msgspec
 from nose2.tools import params
 
+from briartack.core.dissemination.membership import MembershipState
 from briartack.core.entries import Entry
-from briartack.core.membership import MembershipState
 from briartack.core.units import Incarnation, InstanceId, Revision
 
 INSTANCE: Final = InstanceId('a')
@@ -77,7 +77,7 @@
     )
     def test_goodbye_holds_until_the_instance_returns(
         self,
-        greeting: str | None,
+        hello: str | None,
         records: list[Entry],
         is_leaving: bool,
     ) -> None:
@@ -86,8 +86,8 @@
         self.assertEqual(len(self.members.of_service('s')), 1)
         self.members.mark_leaving(INSTANCE, Incarnation('same'))
         self.assertEqual(self.members.of_service('s'), ())
-        if greeting is not None:
-            self.members.note_incarnation(INSTANCE, Incarnation(greeting))
+        if hello is not None:
+            self.members.note_incarnation(INSTANCE, Incarnation(hello))
         for record in records:
             self.members.apply([record])
         self.assertEqual(self.members.is_leaving(INSTANCE), is_leaving)
--- a/briartack/test/test_mutants.py
+++ b/briartack/test/test_mutants.py
@@ -7,6 +7,7 @@
 from contextlib import ExitStack
 from operator import attrgetter
 from pathlib import Path
+from types import MappingProxyType
 from typing import Final
 from unittest.mock import patch
 
@@ -15,7 +16,11 @@
 from briartack.replay import replay_trace
 from briartack.test.mutants import MUTANTS, Mutant
 
-CORE: Final = 'briartack.core'
+CORE: Final = Path(__file__).parent.parent / 'core'
+# Mutants name a module without its package.
+PACKAGES: Final = MappingProxyType(
+    {path.stem: path.parent.name for path in CORE.glob('*/*.py')},
+)
 TRACES: Final = Path(__file__).parent / 'test-data' / 'traces'
 EXPECTED: Final = frozenset(f'I{number}' for number in range(1, 13))
 
@@ -24,7 +29,9 @@
     """Replay the trace of a mutant; an error of the reducer counts too."""
     with ExitStack() as stack:
         for target, replacement in mutant.patches.items():
-            stack.enter_context(patch(f'{CORE}.{target}', replacement))
+            package = PACKAGES[target.partition('.')[0]]
+            whole = f'briartack.core.{package}.{target}'
+            stack.enter_context(patch(whole, replacement))
         try:
             return replay_trace(TRACES / f'{mutant.trace}.jsonl').failures
         except KeyError as error:
--- a/briartack/test/test_overlay.py
+++ b/briartack/test/test_overlay.py
@@ -7,7 +7,12 @@
 
 from nose2.tools import params
 
-from briartack.core.overlay import Member, ordered, parent_positions, place_of
+from briartack.core.dissemination.overlay import (
+    Member,
+    ordered,
+    parent_positions,
+    place_of,
+)
 from briartack.core.units import InstanceId
 
 
--- a/briartack/test/test_paths.py
+++ b/briartack/test/test_paths.py
@@ -7,7 +7,7 @@
 
 from nose2.tools import params
 
-from briartack.core.door import is_ambiguous
+from briartack.core.calls.call_checks import is_ambiguous
 
 
 class PathTest(unittest.TestCase):
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -92,7 +92,7 @@
         self.assertEqual(shell.state.seen(events.PeerDisconnected), [])
 
     def test_higher_side_keeps_the_spare_stream_until_its_end(self) -> None:
-        """Guards against an end that overtakes the greeting of the other."""
+        """Guards against an end that overtakes the hello of the other."""
         shell, dialled, spare = self._crossed('z')
         dialled.sendall(msgpack.packb(HELLO))
         spare.sendall(encode(_summary()))
@@ -247,7 +247,7 @@
         self.assertEqual(sent, len(_received(raw, sent)))
 
     def _crossed(self, name: str) -> tuple[SmallShell, Any, Any]:
-        """Let a shell dial a raw peer that dials back before it greets."""
+        """Let a shell dial a raw peer that dials back before its hello."""
         shell = self.shell(name)
         # `create_server` of gevent makes a listener that blocks the process.
         listener = socket.socket()
--- a/briartack/test/test_recorder.py
+++ b/briartack/test/test_recorder.py
@@ -8,7 +8,7 @@
 from nose2.tools import params
 
 from briartack.core import events
-from briartack.core.endpoints import NO_CLOCK
+from briartack.core.calls.endpoints import NO_CLOCK
 from briartack.core.entries import Definition, Entry
 from briartack.core.units import (
     AttemptId,
--- a/briartack/test/test_snapshot.py
+++ b/briartack/test/test_snapshot.py
@@ -11,8 +11,8 @@
 import msgspec
 from nose2.tools import params
 
+from briartack.core.configuration.snapshot import SnapshotChange, SnapshotState
 from briartack.core.entries import Definition, Entry
-from briartack.core.snapshot import SnapshotChange, SnapshotState
 from briartack.core.units import Revision
 
 DATA: Final = Path(__file__).parent / 'test-data' / 'snapshot'
--- a/briartack/test/test_store_reads.py
+++ b/briartack/test/test_store_reads.py
@@ -6,6 +6,10 @@
 
 from nose2.tools import params
 
+from briartack.core.dissemination.store_reads import (
+    REVISION_FELL,
+    StoreReadsState,
+)
 from briartack.core.effects import ReadStore, WatchStore, WriteLog
 from briartack.core.events import (
     StoreFailed,
@@ -13,7 +17,6 @@
     StoreRead,
     StoreWatched,
 )
-from briartack.core.store_reads import REVISION_FELL, StoreReadsState
 from briartack.core.units import Revision
 
 
--- a/briartack/test/test_trees.py
+++ b/briartack/test/test_trees.py
@@ -10,7 +10,7 @@
 from nose2.tools import params
 
 from briartack.check import check_tree
-from briartack.core.problems import Problem
+from briartack.core.configuration.problems import Problem
 from briartack.diff import diff_trees
 
 CASES: Final = json.loads(
--- a/briartack/test/test_validation.py
+++ b/briartack/test/test_validation.py
@@ -7,8 +7,8 @@
 
 from nose2.tools import params
 
-from briartack.core.problems import InvalidValueError, Problem
-from briartack.core.validation import (
+from briartack.core.configuration.problems import InvalidValueError, Problem
+from briartack.core.configuration.validation import (
     MAX_VALUE_BYTES,
     validate_instance,
     validate_platform,
--- a/briartack/tree.py
+++ b/briartack/tree.py
@@ -9,12 +9,21 @@
 from pathlib import Path
 from typing import Final, final
 
+from briartack.core.configuration.problems import (
+    Code,
+    InvalidValueError,
+    Problem,
+    problem,
+)
+from briartack.core.configuration.settings import PlatformSettings
+from briartack.core.configuration.shape import ROOT
+from briartack.core.configuration.versions import (
+    ResourceId,
+    Version,
+    decode_version,
+)
 from briartack.core.entries import PLATFORM_KEY, TEAM_PREFIX
-from briartack.core.problems import Code, InvalidValueError, Problem, problem
-from briartack.core.settings import PlatformSettings
-from briartack.core.shape import ROOT
 from briartack.core.units import Revision
-from briartack.core.versions import ResourceId, Version, decode_version
 
 _NO_REVISION: Final = Revision(0)
 _SUFFIX: Final = '.json'
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
+from briartack.core.configuration.settings import Route, TeamSettings
 from briartack.core.entries import TEAM_PREFIX
-from briartack.core.settings import Route, TeamSettings
 from standins.deployment import Deployment
 from standins.load import Call
 from standins.wiring import Wiring
