--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -17,6 +17,7 @@
         'cold_start': 'benchmarks.cold_start',
         'storm': 'benchmarks.storm',
         'idle': 'benchmarks.idle',
+        'reducer': 'benchmarks.reducer',
         'fault_run': 'benchmarks.fault_run',
     },
 )
