--- a/briartack/core/calls/calls.py
+++ b/briartack/core/calls/calls.py
@@ -1,21 +1,12 @@
 """The call path's one entrance: each event on its way to sender and owner."""
 
-from typing import final
-
 import msgspec
 
 from briartack.core.body_ids import answer_body
 from briartack.core.calls import reasons
 from briartack.core.calls.call_context import CallContext
-from briartack.core.calls.drain import DrainState
-from briartack.core.calls.endpoints import EndpointsState
-from briartack.core.calls.key_issuer import KeyIssuerState
-from briartack.core.calls.owner import OwnerState
-from briartack.core.calls.reasons import Reason
-from briartack.core.calls.routing import RoutingState
-from briartack.core.calls.sender import SenderState
-from briartack.core.calls.streams import StreamsState
-from briartack.core.effects import Effects, Exit, SendMessage
+from briartack.core.calls.calls_state import CallsState, end_calls, settle
+from briartack.core.effects import Effects, SendMessage
 from briartack.core.events import (
     AttemptBodyRead,
     CallArrived,
@@ -35,47 +26,17 @@
 from briartack.core.units import InstanceId
 
 
-@final
-class CallsState:
-    """Own the states of the call path."""
-
-    __slots__ = (
-        'endpoints',
-        'routing',
-        'streams',
-        'owner',
-        'sender',
-        'keys',
-        'drain',
-    )
-
-    def __init__(self, *, drain_seconds: float) -> None:
-        """Start without calls and with a cold upstream."""
-        self.endpoints = EndpointsState()
-        self.routing = RoutingState()
-        self.streams = StreamsState()
-        self.owner = OwnerState()
-        self.sender = SenderState(
-            routing=self.routing,
-            endpoints=self.endpoints,
-            streams=self.streams,
-            owner=self.owner,
-        )
-        self.keys = KeyIssuerState(chooser=self.sender.chooser)
-        self.drain = DrainState(drain_seconds=drain_seconds)
-
-
 def on_call_arrived(
     state: CallsState,
     context: CallContext,
     event: CallArrived,
 ) -> Effects:
     """Route a call, or refuse it before its body is read."""
-    return _settle(
+    return settle(
         state,
         context,
         event.now,
-        state.sender.arrive(_at_door(state, context), event),
+        state.sender.arrive(_context_of_new_call(state, context), event),
     )
 
 
@@ -85,7 +46,7 @@
     event: CallBodyRead,
 ) -> Effects:
     """Make the first attempt of a call with a body."""
-    return _settle(
+    return settle(
         state, context, event.now, state.sender.body_read(context, event)
     )
 
@@ -97,7 +58,7 @@
 ) -> Effects:
     """Withdraw what was begun for a caller that went away."""
     state.keys.cancel(event.call_id)
-    return _settle(
+    return settle(
         state,
         context,
         event.now,
@@ -111,7 +72,7 @@
     event: KeyRequested,
 ) -> Effects:
     """Issue an idempotency key."""
-    return state.keys.request(_at_door(state, context), event)
+    return state.keys.request(_context_of_new_call(state, context), event)
 
 
 def on_attempt(
@@ -121,7 +82,7 @@
     attempt: Attempt,
 ) -> Effects:
     """Take the head of a peer's attempt."""
-    return _settle(
+    return settle(
         state,
         context,
         event.now,
@@ -141,7 +102,7 @@
     event: AttemptBodyRead,
 ) -> Effects:
     """Ask for a slot for an attempt whose body is complete."""
-    return _settle(
+    return settle(
         state,
         context,
         event.now,
@@ -162,7 +123,7 @@
     body_id = None
     if answer.body_bytes:
         body_id = answer_body(answer.attempt_id)
-    return _settle(
+    return settle(
         state,
         context,
         event.now,
@@ -183,7 +144,7 @@
     cancel: Cancel,
 ) -> Effects:
     """Give up a peer's attempt."""
-    return _settle(
+    return settle(
         state,
         context,
         event.now,
@@ -244,7 +205,7 @@
         state.sender.streams_changed(context, event.now, hello.service),
     )
     effects.extend(state.keys.retry(context, event.now))
-    return _settle(state, context, event.now, effects)
+    return settle(state, context, event.now, effects)
 
 
 def on_peer_disconnected(
@@ -260,7 +221,7 @@
             state.sender.streams_changed(context, event.now, member.service),
         )
     effects.extend(state.keys.retry(context, event.now))
-    return _settle(state, context, event.now, effects)
+    return settle(state, context, event.now, effects)
 
 
 def on_upstream_answered(
@@ -269,7 +230,7 @@
     event: UpstreamAnswered,
 ) -> Effects:
     """Pass the local upstream's answer on."""
-    return _settle(
+    return settle(
         state, context, event.now, state.owner.upstream_answered(event)
     )
 
@@ -280,9 +241,7 @@
     event: UpstreamFailed,
 ) -> Effects:
     """Tell the sender whether a request may have run."""
-    return _settle(
-        state, context, event.now, state.owner.upstream_failed(event)
-    )
+    return settle(state, context, event.now, state.owner.upstream_failed(event))
 
 
 def on_upstream_probed(
@@ -310,7 +269,7 @@
         )
     if state.drain.is_bound_over(event.now):
         effects.extend(_end_all(state, context, event.now))
-    return _settle(state, context, event.now, effects)
+    return settle(state, context, event.now, effects)
 
 
 def on_stop(
@@ -325,24 +284,26 @@
     effects: Effects = [
         SendMessage(peer=peer, message=goodbye) for peer in state.endpoints
     ]
-    return _settle(state, context, event.now, effects)
+    return settle(state, context, event.now, effects)
 
 
 def on_gap(state: CallsState, context: CallContext, now: float) -> Effects:
     """Drop what is older than a pause of this process."""
     state.endpoints.forget_news(now)
-    effects = _end_calls(
+    effects = end_calls(
         state,
         context,
         now,
         sent=reasons.PAUSED,
         unsent=reasons.UNCONFIRMED,
     )
-    return _settle(state, context, now, effects)
+    return settle(state, context, now, effects)
 
 
-def _at_door(state: CallsState, context: CallContext) -> CallContext:
-    """Close the door to new calls as soon as the stop has begun."""
+def _context_of_new_call(
+    state: CallsState, context: CallContext
+) -> CallContext:
+    """Refuse new calls as soon as the stop has begun."""
     if not state.drain.is_draining:
         return context
     return msgspec.structs.replace(context, is_stopping=True)
@@ -362,7 +323,7 @@
 
 def _end_all(state: CallsState, context: CallContext, now: float) -> Effects:
     """End everything at the bound of the planned stop."""
-    effects = _end_calls(
+    effects = end_calls(
         state,
         context,
         now,
@@ -371,51 +332,3 @@
     )
     effects.extend(state.owner.abort_all(now))
     return effects
-
-
-def _end_calls(
-    state: CallsState,
-    context: CallContext,
-    now: float,
-    *,
-    sent: Reason,
-    unsent: Reason,
-) -> Effects:
-    """End every call.
-
-    What waits for a slot is refused first, because the slots of ended calls
-    would start it.
-    """
-    waiting = state.owner.expire_all(now, unsent)
-    effects = _settle(state, context, now, waiting)
-    ended = state.sender.end_all(context, now, sent=sent, unsent=unsent)
-    return [*effects, *ended]
-
-
-def _settle(
-    state: CallsState,
-    context: CallContext,
-    now: float,
-    effects: Effects,
-) -> Effects:
-    """Hand the owner's local answers to the sender, then end a stop."""
-    own = context.identity.instance
-    for outcome in iter(state.owner.next_outcome, None):
-        effects.extend(
-            state.sender.answered(
-                context,
-                now,
-                own,
-                outcome.answer,
-                outcome.body_id,
-                is_kept=outcome.is_kept,
-            ),
-        )
-    if not state.drain.is_draining:
-        return effects
-    is_idle = (
-        state.sender.is_idle and state.owner.is_idle and state.keys.is_idle
-    )
-    if is_idle and state.drain.finish():
-        effects.append(Exit(code=0))
-    return effects
--- /dev/null
+++ b/briartack/core/calls/calls_state.py
@@ -0,0 +1,92 @@
+"""The state of the call path, and what ends calls and a planned stop."""
+
+from typing import final
+
+from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.drain import DrainState
+from briartack.core.calls.endpoints import EndpointsState
+from briartack.core.calls.key_issuer import KeyIssuerState
+from briartack.core.calls.owner import OwnerState
+from briartack.core.calls.reasons import Reason
+from briartack.core.calls.routing import RoutingState
+from briartack.core.calls.sender import SenderState
+from briartack.core.calls.streams import StreamsState
+from briartack.core.effects import Effects, Exit
+
+
+@final
+class CallsState:
+    """Own the states of the call path."""
+
+    __slots__ = (
+        'endpoints',
+        'routing',
+        'streams',
+        'owner',
+        'sender',
+        'keys',
+        'drain',
+    )
+
+    def __init__(self, *, drain_seconds: float) -> None:
+        """Start without calls and with a cold upstream."""
+        self.endpoints = EndpointsState()
+        self.routing = RoutingState()
+        self.streams = StreamsState()
+        self.owner = OwnerState()
+        self.sender = SenderState(
+            routing=self.routing,
+            endpoints=self.endpoints,
+            streams=self.streams,
+            owner=self.owner,
+        )
+        self.keys = KeyIssuerState(chooser=self.sender.chooser)
+        self.drain = DrainState(drain_seconds=drain_seconds)
+
+
+def end_calls(
+    state: CallsState,
+    context: CallContext,
+    now: float,
+    *,
+    sent: Reason,
+    unsent: Reason,
+) -> Effects:
+    """End every call.
+
+    What waits for a slot is refused first, because the slots of ended calls
+    would start it.
+    """
+    waiting = state.owner.expire_all(now, unsent)
+    effects = settle(state, context, now, waiting)
+    ended = state.sender.end_all(context, now, sent=sent, unsent=unsent)
+    return [*effects, *ended]
+
+
+def settle(
+    state: CallsState,
+    context: CallContext,
+    now: float,
+    effects: Effects,
+) -> Effects:
+    """Hand the owner's local answers to the sender, then end a stop."""
+    own = context.identity.instance
+    for outcome in iter(state.owner.next_outcome, None):
+        effects.extend(
+            state.sender.answered(
+                context,
+                now,
+                own,
+                outcome.answer,
+                outcome.body_id,
+                is_kept=outcome.is_kept,
+            ),
+        )
+    if not state.drain.is_draining:
+        return effects
+    is_idle = (
+        state.sender.is_idle and state.owner.is_idle and state.keys.is_idle
+    )
+    if is_idle and state.drain.finish():
+        effects.append(Exit(code=0))
+    return effects
--- a/briartack/core/calls/choice.py
+++ b/briartack/core/calls/choice.py
@@ -15,10 +15,10 @@
     Scopes,
     choose,
     is_out,
-    rank,
 )
 from briartack.core.calls.streams import dial_some
 from briartack.core.effects import Effects
+from briartack.core.rendezvous import rank
 from briartack.core.units import InstanceId
 
 
--- a/briartack/core/calls/routing.py
+++ b/briartack/core/calls/routing.py
@@ -1,6 +1,5 @@
 """Routing: match a route, and choose the endpoint of an attempt."""
 
-import hashlib
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,6 +15,7 @@
     SnapshotView,
 )
 from briartack.core.configuration.settings import PlatformSettings
+from briartack.core.rendezvous import rank
 
 SCOPE_ENDPOINTS: Final = 32
 FULL_LOAD: Final = 1.0
@@ -27,12 +27,6 @@
 LoadOf: TypeAlias = Callable[[Member], float | None]
 
 
-def rank(scope: str, instance: str) -> bytes:
-    """Order instances within a scope by rendezvous hash."""
-    text = f'{scope}\n{instance}'.encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
-
-
 def is_out(platform: PlatformSettings, member: Member) -> bool:
     """Tell whether operators took a member out of service."""
     return (
--- a/briartack/core/dissemination/overlay.py
+++ b/briartack/core/dissemination/overlay.py
@@ -7,15 +7,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import lru_cache
-from hashlib import blake2b
 from typing import Final, final
 
+from briartack.core import rendezvous
 from briartack.core.units import InstanceId
 
 FAN_OUT: Final = 8
 ROOTS_PER_REGION: Final = 2
 TOP_LEVEL_SIZE: Final = 2
-RANK_BYTES: Final = 8
 # Ranks of 2,600 instances in a region and in a data centre fit twice.
 RANK_CACHE_SIZE: Final = 16384
 
@@ -51,9 +50,8 @@
 
 @lru_cache(maxsize=RANK_CACHE_SIZE)
 def rank(scope: str, instance: InstanceId) -> int:
-    """Hash an instance within a scope, alike in every process."""
-    text = f'{scope}\0{instance}'.encode()
-    return int.from_bytes(blake2b(text, digest_size=RANK_BYTES).digest())
+    """Return the rank of an instance in a region or a data centre."""
+    return rendezvous.rank(scope, instance)
 
 
 def ordered(scope: str, members: Iterable[Member]) -> tuple[Member, ...]:
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -9,6 +9,7 @@
 
 from briartack.core.calls import calls
 from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.calls_state import CallsState
 from briartack.core.dissemination import dissemination
 from briartack.core.effects import Effects, WriteAudit
 from briartack.core.events import (
@@ -265,7 +266,7 @@
 def _with_ramp(
     state: State,
     event: _UpstreamEvent,
-    handle: Callable[[calls.CallsState, CallContext, Any], Effects],
+    handle: Callable[[CallsState, CallContext, Any], Effects],
 ) -> Effects:
     """Handle an event of the upstream; record a restart of its ramp."""
     upstream = state.calls.owner.upstream
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -3,7 +3,7 @@
 from random import Random
 from typing import final
 
-from briartack.core.calls.calls import CallsState
+from briartack.core.calls.calls_state import CallsState
 from briartack.core.configuration.snapshot import SnapshotState
 from briartack.core.dissemination.combined_holdings import CombinedHoldings
 from briartack.core.dissemination.dissemination_state import DisseminationState
--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -10,6 +10,7 @@
 from briartack.core import effects, events, messages
 from briartack.core.calls import calls
 from briartack.core.calls.call_context import CallContext, Member, Regions
+from briartack.core.calls.calls_state import CallsState
 from briartack.core.configuration.settings import (
     PlatformSettings,
     Policy,
@@ -113,8 +114,8 @@
     """Hold the call path of instance `a` and what it reads."""
 
     setup: dict[str, Any]
-    state: calls.CallsState = field(
-        default_factory=lambda: calls.CallsState(drain_seconds=5),
+    state: CallsState = field(
+        default_factory=lambda: CallsState(drain_seconds=5),
     )
     random: Random = field(default_factory=lambda: Random(1))
     _context: CallContext | None = None
--- a/briartack/test/test_reducer_machine.py
+++ b/briartack/test/test_reducer_machine.py
@@ -7,7 +7,6 @@
 import json
 import unittest
 from random import Random
-from typing import Final
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -20,76 +19,26 @@
 
 from briartack.core import effects, events, messages
 from briartack.core.entries import Entry
-from briartack.core.identity import Identity
 from briartack.core.monitors import Monitors
 from briartack.core.reducer import reduce
 from briartack.core.state import State
 from briartack.core.units import (
     AttemptId,
     CallId,
-    Digest,
     Incarnation,
     InstanceId,
     Revision,
 )
 from briartack.core.verdict import Verdict
-
-OWN: Final = Identity(
-    instance=InstanceId('a-1'),
-    incarnation=Incarnation('own'),
-    service='a/main',
-    data_centre='north-1',
-    region='north',
-)
-# Instance, data centre and region; all but the last run the own service.
-PEERS: Final = (
-    ('a-2', 'north-2', 'north'),
-    ('a-3', 'south-1', 'south'),
-    ('b-1', 'south-1', 'south'),
+from briartack.test.machine_data import (
+    EMPTY,
+    OWN,
+    PEERS,
+    SETTLE_SECONDS,
+    TEAMS,
+    instance_entry,
+    subtree,
 )
-EMPTY: Final = Digest(b'')
-TEAMS: Final = ('a', 'b', 'c')
-SETTLE_SECONDS: Final = 120
-
-
-def subtree(team: str, others: tuple[str, ...], has_service: bool) -> str:
-    """Write a subtree whose routes refer to services of other teams."""
-    services = {'main': {'slots': 4, 'connections': 8, 'ramp_seconds': 0}}
-    return json.dumps(
-        {
-            'services': services if has_service else {},
-            'policies': {'p': {'timeout_ms': 5000, 'repeatable': team == 'b'}},
-            'workspaces': {'w': {'tenants': ['t'], 'home_regions': ['north']}},
-            'routes': [
-                {
-                    'name': f'to-{other}',
-                    'path_prefix': f'/{team}/{other}',
-                    'service': f'{other}/main',
-                    'policy': 'p',
-                }
-                for other in others
-            ],
-        },
-    )
-
-
-def instance_entry(number: int) -> Entry:
-    """List one instance of the fixed fleet."""
-    name, data_centre, region = ((OWN.instance, 'north-1', 'north'), *PEERS)[
-        number
-    ]
-    return Entry(
-        key=f'instances/{name}',
-        revision=Revision(number + 1),
-        value=json.dumps(
-            {
-                'service': f'{name[0]}/main',
-                'data_centre': data_centre,
-                'region': region,
-                'peer_address': f'127.0.0.1:{7001 + number}',
-            },
-        ),
-    )
 
 
 class ReducerMachine(RuleBasedStateMachine):
