--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -18,6 +18,7 @@
         'storm': 'benchmarks.storm',
         'idle': 'benchmarks.idle',
         'reducer': 'benchmarks.reducer',
+        'lazy_correction': 'benchmarks.lazy_correction',
         'fault_run': 'benchmarks.fault_run',
     },
 )
