--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -174,7 +174,7 @@
             return late_answer(event.attempt_id)
         effects, has_restarted = self._runner.answered(event, record)
         if has_restarted:
-            effects.extend(_ramp_log('latency'))
+            effects.extend(_ramp_log('answers'))
         return effects
 
     def upstream_failed(self, event: UpstreamFailed) -> Effects:
