Detect a pause of the process in one place

The reducer kept the time of the last event and a limit of 2 s of its own, beside those of the confirmation. It now asks dissemination before it lets it observe the event; behaviour is the same.

--- a/briartack/core/dissemination/confirmation.py
+++ b/briartack/core/dissemination/confirmation.py
@@ -25,11 +25,15 @@
         """Tell whether what is held has been confirmed since a pause."""
         return self._limit is None
 
+    def is_after_pause(self, now: float) -> bool:
+        """Tell whether no event came for so long that views are too old."""
+        return self._seen_at is not None and now - self._seen_at > PAUSE_SECONDS
+
     def observe(self, now: float) -> bool:
         """Note the time and tell whether the process was paused."""
-        seen_at = now if self._seen_at is None else self._seen_at
+        was_paused = self.is_after_pause(now)
         self._seen_at = now
-        if now - seen_at > PAUSE_SECONDS:
+        if was_paused:
             self._limit = now + CONFIRMATION_LIMIT_SECONDS
             return True
         if self._limit is not None and now >= self._limit:
--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -64,6 +64,11 @@
     return state.confirmation.is_given
 
 
+def is_after_pause(state: DisseminationState, now: float) -> bool:
+    """Tell whether the process was paused since the last observed event."""
+    return state.confirmation.is_after_pause(now)
+
+
 def observe(
     state: DisseminationState,
     now: float,
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -47,8 +47,6 @@
 )
 from briartack.core.state import State
 
-# A process that was paused for longer holds a view that it can't trust.
-MAX_EVENT_GAP_SECONDS: Final = 2.0
 # A lost audit line shows after this time at the latest.
 AUDIT_REPEAT_SECONDS: Final = 10.0
 
@@ -76,10 +74,9 @@
 
 
 def _on_time(state: State, now: float) -> Effects:
-    last = state.last_event_at
-    state.last_event_at = now
+    was_paused = dissemination.is_after_pause(state.dissemination, now)
     effects = dissemination.observe(state.dissemination, now, state.holdings)
-    if last is not None and now - last > MAX_EVENT_GAP_SECONDS:
+    if was_paused:
         effects.extend(calls.on_gap(state.calls, call_context(state), now))
     return effects
 
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -21,7 +21,6 @@
         'dissemination',
         'holdings',
         'identity',
-        'last_event_at',
         'last_repeat_at',
         'membership',
         'random',
@@ -55,6 +54,5 @@
             instance=identity.instance,
             incarnation=identity.incarnation,
         )
-        self.last_event_at: float | None = None
         self.last_repeat_at = 0.0
         self.stopping = False
