--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -4,7 +4,7 @@
 they come from the store or from a peer.
 """
 
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from briartack.core.configuration.snapshot import Snapshot, SnapshotChange
 from briartack.core.dissemination import dissemination
@@ -19,13 +19,12 @@
 from briartack.core.state import State
 from briartack.core.trail import AuditFields
 
-if TYPE_CHECKING:
-    from briartack.core.dissemination.dissemination import Received
-
 STORE: Final = 'store'
 
 
-def merge(state: State, now: float, received: 'Received') -> Effects:
+def merge(
+    state: State, now: float, received: dissemination.Received
+) -> Effects:
     """Apply entries, then announce and record what they changed."""
     effects = list(received.effects)
     if not received.entries and received.full_read_prefix is None:
@@ -47,16 +46,17 @@
 
 
 def held_fields(snapshot: Snapshot) -> AuditFields:
-    """Describe a snapshot for the audit trail, with its whole vector."""
+    """Identify a snapshot in the audit trail."""
     return {
         'highest': snapshot.highest,
         'digest': snapshot.digest.hex(),
-        'versions': dict(snapshot.versions),
         'retained': list(snapshot.retained),
     }
 
 
-def _apply_configuration(state: State, received: 'Received') -> SnapshotChange:
+def _apply_configuration(
+    state: State, received: dissemination.Received
+) -> SnapshotChange:
     entries = [
         entry for entry in received.entries if not is_instance_key(entry.key)
     ]
@@ -66,7 +66,9 @@
     return state.snapshots.apply_full_read(prefix, received.revision, entries)
 
 
-def _apply_instances(state: State, received: 'Received') -> tuple[str, ...]:
+def _apply_instances(
+    state: State, received: dissemination.Received
+) -> tuple[str, ...]:
     entries: list[Entry] = [
         entry for entry in received.entries if is_instance_key(entry.key)
     ]
@@ -152,6 +154,7 @@
 ) -> Effects:
     fields = {
         **held_fields(after),
+        'versions': dict(after.versions),
         'cause': _cause(source),
         'source': source,
     }
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -113,10 +113,9 @@
     if snapshot is None or now < state.last_repeat_at + AUDIT_REPEAT_SECONDS:
         return []
     state.last_repeat_at = now
-    fields = held_fields(snapshot)
     # The vector of this digest stands in an earlier line.
-    fields.pop('versions')
-    return [WriteAudit(record=state.trail.record('held', fields))]
+    record = state.trail.record('held', held_fields(snapshot))
+    return [WriteAudit(record=record)]
 
 
 def _on_store_read(state: State, event: StoreRead) -> Effects:
