--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -3,14 +3,12 @@
 import select
 from collections.abc import Callable
 from typing import Any, Final, Protocol
-from urllib.parse import parse_qs
 
 import gevent
 from gevent import socket
 from gevent.hub import get_hub
 from gevent.pywsgi import Input, WSGIHandler
 
-from briartack.caller_answers import refusal
 from briartack.caller_headers import (
     MAX_REQUEST_LINE_BYTES,
     RequestError,
@@ -19,8 +17,8 @@
     check_request_line,
 )
 from briartack.core.messages import MAX_BODY_BYTES
+from briartack.dialects import CallerDialect
 from briartack.error_texts import MALFORMED_REQUEST, TOO_LARGE
-from briartack.headers import ATTEMPT, IDEMPOTENCY_KEY, TENANT, end_to_end
 from briartack.inbound_call import (
     ConnectionControl,
     InboundCall,
@@ -28,7 +26,6 @@
 )
 from briartack.ports import Observer
 
-_KEYS_PATH: Final = '/.briartack/keys'
 _READ_BYTES: Final = 65536
 _READABLE: Final = 1
 _LINGER_SECONDS: Final = 1.0
@@ -37,6 +34,10 @@
 
 
 class _Calls(Protocol):
+    @property
+    def dialect(self) -> CallerDialect:
+        """Return what reads heads and writes answers."""
+
     @property
     def observer(self) -> Observer:
         """Return what counts malformed requests."""
@@ -129,6 +130,7 @@
             control=self._control,
             descriptor=self.socket.fileno(),
             connection=self._connection_header(),
+            encoder=self._calls.dialect,
         )
         self._control.has_call = True
         try:
@@ -226,7 +228,7 @@
     def _refuse(self, status: int, code: str, detail: str) -> None:
         self.close_connection = True
         self._send(
-            refusal(
+            self._calls.dialect.refusal(
                 status=status,
                 code=code,
                 detail=detail,
@@ -270,30 +272,12 @@
 
     def _head(self) -> RequestHead:
         check_request_line(self.command, self.path)
-        headers: RequestHeaders = self.headers
-        return RequestHead(
+        return self._calls.dialect.head(
             method=self.command,
             target=self.path,
-            headers=end_to_end(headers.pairs),
-            tenant=headers.get(TENANT) or '',
-            idempotency_key=headers.get(IDEMPOTENCY_KEY) or '',
-            deadline_ms=headers.deadline_ms(),
-            is_nested=headers.get(ATTEMPT) is not None,
+            headers=self.headers,
             body_bytes=None if self._is_chunked else self.content_length or 0,
-            key_service=_key_service(self.command, self.path),
-        )
-
-
-def _key_service(method: str, target: str) -> str:
-    path, _, query = target.partition('?')
-    if path != _KEYS_PATH:
-        return ''
-    services = parse_qs(query).get('service', [])
-    if method != 'POST' or len(services) != 1:
-        raise RequestError(
-            f'Ask for a key with POST {_KEYS_PATH}?service=SERVICE.',
         )
-    return services[0]
 
 
 def _is_closed(descriptor: int) -> bool:
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -17,6 +17,7 @@
     KeyRequested,
 )
 from briartack.core.units import CallId
+from briartack.dialects import CallerDialect
 from briartack.framing import digest_of
 from briartack.inbound_call import ConnectionControl, InboundCall
 from briartack.ports import BACKLOG, Clock, Deliver, Observer
@@ -31,6 +32,7 @@
 
     __slots__ = (
         '_bodies',
+        '_dialect',
         '_deliver',
         '_clock',
         '_observer',
@@ -43,12 +45,14 @@
         self,
         *,
         bodies: Bodies,
+        dialect: CallerDialect,
         deliver: Deliver,
         clock: Clock,
         observer: Observer,
     ) -> None:
         """Start without calls."""
         self._bodies = bodies
+        self._dialect = dialect
         self._deliver = deliver
         self._clock = clock
         self._observer = observer
@@ -61,6 +65,11 @@
         """Count the calls that have no answer yet."""
         return len(self._calls)
 
+    @property
+    def dialect(self) -> CallerDialect:
+        """Return what reads heads and writes answers."""
+        return self._dialect
+
     @property
     def observer(self) -> Observer:
         """Return what counts malformed requests."""
@@ -117,6 +126,8 @@
                 call_id=call_id,
                 method=head.method,
                 target=head.target,
+                host=head.host,
+                request_id=head.request_id,
                 headers=head.headers,
                 tenant=head.tenant,
                 idempotency_key=head.idempotency_key,
--- a/briartack/core/calls/admission.py
+++ b/briartack/core/calls/admission.py
@@ -16,6 +16,7 @@
     attempt_id: AttemptId
     deadline: float
     interactive: bool
+    rank: int = 0
 
 
 @final
@@ -55,25 +56,28 @@
         *,
         limit: int,
         limits: ServiceLimits,
-        mean_seconds: float,
+        step_seconds: float,
+        room: int | None = None,
     ) -> Admission:
-        """Start, queue or refuse an attempt; it may displace another."""
-        if self._running < limit and not self.queued:
+        """Start, queue or refuse an attempt; it may displace another.
+
+        A slot is expected to become free after each step; `room` bounds what
+        may start now below the limit.
+        """
+        has_room = room is None or room > 0
+        if self._running < limit and has_room and not self.queued:
             self._running += 1
             return Admission(started=(waiting.attempt_id,))
-        ahead = len(self._interactive)
-        if not waiting.interactive:
-            ahead = self.queued
-        if now + (ahead + 1) * mean_seconds / limit > waiting.deadline:
+        if now + (self._ahead(waiting) + 1) * step_seconds > waiting.deadline:
             return Admission(refused=(waiting.attempt_id,))
         if self.queued < limits.queue_length:
             self._enqueue(waiting)
             return Admission()
-        if waiting.interactive and self._background:
-            shed = self._background.pop()
-            self._enqueue(waiting)
-            return Admission(refused=(shed.attempt_id,))
-        return Admission(refused=(waiting.attempt_id,))
+        shed = self._displaced_by(waiting)
+        if shed is None:
+            return Admission(refused=(waiting.attempt_id,))
+        self._enqueue(waiting)
+        return Admission(refused=(shed.attempt_id,))
 
     def release(self) -> None:
         """Free a slot; `fill` then gives it to the queue."""
@@ -84,12 +88,19 @@
         self._interactive = _without(self._interactive, attempt_id)
         self._background = _without(self._background, attempt_id)
 
-    def fill(self, now: float, *, limit: int) -> Admission:
-        """Start what the limit allows and refuse what is too late."""
+    def fill(
+        self,
+        now: float,
+        *,
+        limit: int,
+        room: int | None = None,
+    ) -> Admission:
+        """Start what the limit and the room allow; refuse what is too late."""
+        bound = limit if room is None else min(limit, self._running + room)
         started: list[AttemptId] = []
         refused: list[AttemptId] = []
         for queue in (self._interactive, self._background):
-            while queue and (self._running < limit or queue[0].deadline <= now):
+            while queue and (self._running < bound or queue[0].deadline <= now):
                 waiting = queue.popleft()
                 if waiting.deadline <= now:
                     refused.append(waiting.attempt_id)
@@ -98,11 +109,31 @@
                 started.append(waiting.attempt_id)
         return Admission(started=tuple(started), refused=tuple(refused))
 
+    def _queue(self, waiting: Waiting) -> deque[Waiting]:
+        return self._interactive if waiting.interactive else self._background
+
+    def _ahead(self, waiting: Waiting) -> int:
+        """Count what would start before an attempt."""
+        ahead = 0 if waiting.interactive else len(self._interactive)
+        return ahead + sum(
+            other.rank <= waiting.rank for other in self._queue(waiting)
+        )
+
     def _enqueue(self, waiting: Waiting) -> None:
-        if waiting.interactive:
-            self._interactive.append(waiting)
-        else:
-            self._background.append(waiting)
+        queue = self._queue(waiting)
+        position = len(queue)
+        while position and queue[position - 1].rank > waiting.rank:
+            position -= 1
+        queue.insert(position, waiting)
+
+    def _displaced_by(self, waiting: Waiting) -> Waiting | None:
+        """Take out the last attempt that is less urgent than another."""
+        if waiting.interactive and self._background:
+            return self._background.pop()
+        queue = self._queue(waiting)
+        if queue and queue[-1].rank > waiting.rank:
+            return queue.pop()
+        return None
 
 
 def _without(
--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -66,13 +66,15 @@
             owner_incarnation=view.incarnation if view else own.incarnation,
             owner_clock=view.clock if view else NO_CLOCK,
             remaining_ms=(call.deadline - now) * MILLISECONDS,
-            service=call.route.service,
+            service=call.share.service,
             method=call.event.method,
             target=call.event.target,
             headers=call.headers,
             body_bytes=call.body_bytes,
             body_digest=call.body_digest,
             interactive=call.interactive,
+            rank=call.route.policy.rank,
+            target_ms=_target_left_ms(call, now),
             home_regions=listed_regions(chosen.regions),
             idempotency_key=call.event.idempotency_key,
         )
@@ -119,3 +121,10 @@
             self._endpoints.drain(peer)
         elif reason.code in AVOIDED:
             self._endpoints.avoid(peer, now)
+
+
+def _target_left_ms(call: Call, now: float) -> float | None:
+    target_ms = call.route.policy.target_ms
+    if target_ms is None:
+        return None
+    return target_ms - (now - call.event.now) * MILLISECONDS
--- a/briartack/core/calls/call_checks.py
+++ b/briartack/core/calls/call_checks.py
@@ -4,7 +4,12 @@
 from typing import Final
 
 from briartack.core.calls import placement, reasons
-from briartack.core.calls.call_context import CallContext, Regions, RouteView
+from briartack.core.calls.call_context import (
+    CallContext,
+    Regions,
+    RouteView,
+    ShareView,
+)
 from briartack.core.calls.call_headers import (
     HOME_REGIONS,
     forwarded,
@@ -74,18 +79,23 @@
     reason = closed_reason(context)
     if reason is not None or snapshot is None:
         return _refuse(event, reason or reasons.NO_SNAPSHOT)
-    if is_ambiguous(event.target):
+    if context.rules.refuses_ambiguous_paths and is_ambiguous(event.target):
         return _refuse(event, reasons.AMBIGUOUS_PATH)
-    route = routing.match(snapshot, event.method, event.target)
+    route = routing.match(
+        snapshot,
+        event.method,
+        event.target,
+        event.host,
+    )
     if route is None:
         return _refuse(event, reasons.NO_ROUTE)
     regions = placement.home_regions(snapshot, route, event.tenant)
-    if not placement.may_hold(regions, context.identity.region):
+    if not placement.may_enter(regions, context):
         headers = home_headers(regions)
         return _refuse(event, reasons.PLACEMENT, headers)
     if (event.body_bytes or 0) > MAX_BODY_BYTES:
         return _refuse(event, reasons.BODY_TOO_LARGE)
-    call = _call(event, route)
+    call = _call(event, route, routing.share(context.random, route))
     if not event.now < call.deadline:
         return _refuse(event, reasons.DEADLINE)
     return call
@@ -117,7 +127,7 @@
     return refused(event.call_id, reason, verdict, headers)
 
 
-def _call(event: CallArrived, route: RouteView) -> Call:
+def _call(event: CallArrived, route: RouteView, share: ShareView) -> Call:
     policy = route.policy
     timeout_ms = float(policy.timeout_ms)
     if event.deadline_ms is not None:
@@ -128,6 +138,7 @@
         event=event,
         headers=forwarded(event.headers, event.tenant),
         route=route,
+        share=share,
         issued_key=parse_key(key) if key else None,
         interactive=is_interactive and not is_background(event.headers),
         deadline=event.now + timeout_ms / MILLISECONDS,
--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.configuration.settings import (
+    InstanceState,
     PlatformSettings,
     Policy,
     ServiceLimits,
@@ -18,6 +20,22 @@
 Regions: TypeAlias = frozenset[str] | None
 
 
+class ShareView(Protocol):
+    """Read one service of a route and its part of the calls."""
+
+    @property
+    def service(self) -> str:
+        """Name the service."""
+
+    @property
+    def limits(self) -> ServiceLimits:
+        """Bound one upstream of the service."""
+
+    @property
+    def weight(self) -> float:
+        """Weigh it against the other shares of the route."""
+
+
 class RouteView(Protocol):
     """Read a route whose references have been resolved."""
 
@@ -30,16 +48,16 @@
         """Match paths that start with this text."""
 
     @property
-    def methods(self) -> frozenset[str]:
-        """List the allowed methods; empty allows all."""
+    def host(self) -> str:
+        """Name the host of its requests; empty allows all."""
 
     @property
-    def service(self) -> str:
-        """Name the service that runs its requests."""
+    def methods(self) -> frozenset[str]:
+        """List the allowed methods; empty allows all."""
 
     @property
-    def limits(self) -> ServiceLimits:
-        """Bound one upstream of the service."""
+    def shares(self) -> tuple[ShareView, ...]:
+        """List the services that run its requests."""
 
     @property
     def policy(self) -> Policy:
@@ -93,6 +111,18 @@
     def peer_address(self) -> str:
         """Give the IP:PORT at which its daemon takes streams."""
 
+    @property
+    def slots(self) -> int | None:
+        """Bound its upstream, where the platform's list does."""
+
+
+class UpstreamRecord(Protocol):
+    """Read what the platform's list says of one start of an upstream."""
+
+    @property
+    def state(self) -> InstanceState | None:
+        """Tell whether it leaves; `None` once it is not listed any more."""
+
 
 class Members(Protocol):
     """Read the live list."""
@@ -106,6 +136,13 @@
     def is_leaving(self, instance: InstanceId) -> bool:
         """Tell whether the list says that an instance will stop."""
 
+    def record(self, record_id: str) -> UpstreamRecord | None:
+        """Find a record by the id of the upstream, also a deleted one."""
+
+    @property
+    def instance_count(self) -> int:
+        """Count the live instances."""
+
 
 @final
 class CallContext(msgspec.Struct, frozen=True, kw_only=True):
@@ -118,3 +155,4 @@
     is_stopping: bool = False
     # False after a pause until the configuration has been confirmed.
     is_confirmed: bool = True
+    rules: CallRules = DEFAULT_RULES
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -6,7 +6,7 @@
 from typing import final
 
 from briartack.core.body_ids import call_body
-from briartack.core.calls.call_context import RouteView
+from briartack.core.calls.call_context import RouteView, ShareView
 from briartack.core.calls.idempotency import IssuedKey
 from briartack.core.calls.timers import Timers
 from briartack.core.events import CallArrived
@@ -39,6 +39,7 @@
     event: CallArrived
     headers: Headers
     route: RouteView
+    share: ShareView  # the one of the route's services that was chosen
     issued_key: IssuedKey | None
     interactive: bool
     deadline: float
@@ -53,6 +54,7 @@
     may_have_run: bool = False
     sent_at: float = 0
     stale_clocks: int = 0
+    free_refusals: int = 0
 
     @property
     def body_id(self) -> BodyId:
@@ -104,7 +106,7 @@
             call
             for call in self._calls.values()
             if call.phase is CallPhase.CONNECTING
-            and call.route.service == service
+            and call.share.service == service
         ]
 
     def add(self, call: Call) -> None:
--- a/briartack/core/calls/calls.py
+++ b/briartack/core/calls/calls.py
@@ -256,7 +256,7 @@
 def on_tick(state: CallsState, context: CallContext, event: Tick) -> Effects:
     """End what is over and go on with what waited."""
     effects = state.sender.tick(context, event.now)
-    effects.extend(state.owner.tick(event.now))
+    effects.extend(state.owner.tick(context, event.now))
     effects.extend(state.keys.tick(event.now))
     if not state.drain.is_draining:
         effects.extend(
--- a/briartack/core/calls/calls_state.py
+++ b/briartack/core/calls/calls_state.py
@@ -3,6 +3,7 @@
 from typing import final
 
 from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.calls.drain import DrainState
 from briartack.core.calls.endpoints import EndpointsState
 from briartack.core.calls.key_issuer import KeyIssuerState
@@ -28,12 +29,17 @@
         'drain',
     )
 
-    def __init__(self, *, drain_seconds: float) -> None:
+    def __init__(
+        self,
+        *,
+        drain_seconds: float,
+        rules: CallRules = DEFAULT_RULES,
+    ) -> None:
         """Start without calls and with a cold upstream."""
         self.endpoints = EndpointsState()
         self.routing = RoutingState()
         self.streams = StreamsState()
-        self.owner = OwnerState()
+        self.owner = OwnerState(rules=rules)
         self.sender = SenderState(
             routing=self.routing,
             endpoints=self.endpoints,
--- a/briartack/core/calls/choice.py
+++ b/briartack/core/calls/choice.py
@@ -71,14 +71,14 @@
             call.route,
             call.event.tenant,
         )
-        if not placement.may_hold(regions, context.identity.region):
+        if not placement.may_enter(regions, context):
             return NoChoice.PLACEMENT
         if call.event.idempotency_key:
             return self._key_owner(context, now, call, regions)
         scopes = self.routing.candidates(
             context,
             snapshot,
-            call.route.service,
+            call.share.service,
             regions,
         )
         return self.among(
@@ -86,7 +86,7 @@
             now,
             scopes,
             regions,
-            slots=call.route.limits.slots,
+            slots=call.share.limits.slots,
             tried=call.tried,
         )
 
@@ -131,7 +131,7 @@
         view = self.endpoints.get(member.instance)
         if view is None or not view.is_usable(now):
             return None
-        return view.load_now(now, slots)
+        return view.load_now(now, member.slots or slots)
 
     def _key_owner(
         self,
@@ -189,7 +189,7 @@
     return min(
         (
             member
-            for member in members.of_service(call.route.service)
+            for member in members.of_service(call.share.service)
             if snapshot is not None
             and placement.may_hold(regions, member.region)
             and not is_out(snapshot.platform, member)
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -3,6 +3,8 @@
 from typing import Final, final
 
 from briartack.core.calls.admission import Admission, AdmissionState, Waiting
+from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
+from briartack.core.calls.cold_gate import ColdGate
 from briartack.core.calls.ramp import RampState
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.events import UpstreamProbed
@@ -11,6 +13,7 @@
 REPORT_SECONDS: Final = 10.0
 # A report alone never makes an idle upstream look full.
 REPORT_WEIGHT: Final = 0.5
+NOTHING_ADMITTED: Final = Admission()
 
 
 @final
@@ -20,17 +23,27 @@
     __slots__ = (
         '_admission',
         '_ramp',
+        '_cold',
+        '_rules',
         '_limits',
+        '_slots',
+        '_identity',
+        '_must_probe',
         '_is_healthy',
         '_is_draining',
         '_reported_load',
         '_reported_at',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, rules: CallRules = DEFAULT_RULES) -> None:
         """Start cold; the first probe or request tells its health."""
         self._admission = AdmissionState()
         self._ramp = RampState()
+        self._cold = ColdGate()
+        self._rules = rules
+        self._slots: int | None = None
+        self._identity = ''
+        self._must_probe = False
         self._limits = ServiceLimits(slots=1, connections=1, queue_length=0)
         self._is_healthy = True
         self._is_draining = False
@@ -40,7 +53,18 @@
     @property
     def is_open(self) -> bool:
         """Tell whether it takes new requests."""
-        return self._is_healthy and not self._is_draining
+        is_known = bool(self._identity) or not self._rules.needs_identity
+        return self._is_healthy and not self._is_draining and is_known
+
+    @property
+    def identity(self) -> str:
+        """Name the present start of the upstream; empty if unknown."""
+        return self._identity
+
+    @property
+    def health_path(self) -> str:
+        """Give the path of its probes."""
+        return self._limits.health_path
 
     @property
     def generation(self) -> int:
@@ -50,16 +74,32 @@
     @property
     def limit(self) -> int:
         """Bound the requests in flight."""
-        return self._ramp.limit(self._limits)
+        limits = self._limits
+        if limits.cold_per_second is None:
+            return self._ramp.limit(limits)
+        slots = limits.slots if self._slots is None else self._slots
+        return min(slots, limits.connections)
 
     @property
     def running(self) -> int:
         """Count the requests in flight."""
         return self._admission.running
 
-    def configure(self, limits: ServiceLimits) -> None:
-        """Take the limits of the present configuration."""
+    def configure(self, limits: ServiceLimits, slots: int | None) -> None:
+        """Take the limits of the present configuration and of the list."""
         self._limits = limits
+        self._slots = slots
+
+    def take_doubt(self) -> bool:
+        """Tell, once, whether a probe is needed before the next regular one."""
+        must_probe = self._must_probe
+        self._must_probe = False
+        return must_probe
+
+    def presume_cold(self, now: float) -> None:
+        """Take the upstream for cold until a probe says how long it is."""
+        self._cold.presume(now + self._limits.ramp_seconds)
+        self._must_probe = True
 
     def load(self, now: float) -> float:
         """Return the share of the present limit that is taken.
@@ -68,7 +108,7 @@
         towards itself by half.
         """
         taken = self._admission.running + self._admission.queued
-        own = taken / self.limit
+        own = max(taken / self.limit, self._cold_load(now))
         if now - self._reported_at > REPORT_SECONDS:
             return own
         hint = min(max(self._reported_load, 0), 1)
@@ -76,17 +116,26 @@
 
     def offer(self, waiting: Waiting, now: float) -> Admission:
         """Start, queue or refuse an attempt."""
-        return self._admission.offer(
+        admission = self._admission.offer(
             waiting,
             now,
             limit=self.limit,
             limits=self._limits,
-            mean_seconds=self._ramp.mean_seconds,
+            step_seconds=self._step_seconds(now),
+            room=self._room(now),
         )
+        return self._count(now, admission)
 
     def fill(self, now: float) -> Admission:
         """Give free slots to the queue."""
-        return self._admission.fill(now, limit=self.limit)
+        if not self._admission.queued:
+            return NOTHING_ADMITTED
+        admission = self._admission.fill(
+            now,
+            limit=self.limit,
+            room=self._room(now),
+        )
+        return self._count(now, admission)
 
     def withdraw(self, attempt_id: AttemptId) -> None:
         """Take an attempt out of the queue."""
@@ -114,17 +163,40 @@
             is_success=is_success,
         )
 
-    def failed(self, now: float, *, generation: int, is_reset: bool) -> bool:
-        """Free a slot; return whether the slow start began again."""
+    def failed(
+        self,
+        now: float,
+        *,
+        generation: int,
+        is_reset: bool,
+        is_down: bool = False,
+    ) -> bool:
+        """Free a slot; return whether the slow start began again.
+
+        An upstream that takes no connection is down until a probe says
+        otherwise.
+        """
         self._admission.release()
+        self._must_probe = self._must_probe or is_reset
+        if is_down and self._rules.needs_identity:
+            self._is_healthy = False
         if not is_reset or generation != self._ramp.generation:
             return False
         self._ramp.restart(now)
         return True
 
+    def replaced(self, now: float, identity: str) -> bool:
+        """Take the identity that refused a request meant for another one."""
+        self.presume_cold(now)
+        self._identity = identity or self._identity
+        return self._ramp.identify(identity, now)
+
     def probed(self, event: UpstreamProbed) -> bool:
         """Take a probe; return whether the slow start began again."""
         was_healthy = self._is_healthy
+        if event.cold_seconds is not None:
+            self._cold.set(event.now + event.cold_seconds)
+        self._identity = event.identity or self._identity
         self._is_healthy = event.is_healthy
         self._is_draining = event.is_draining
         if event.reported_load is not None:
@@ -136,3 +208,29 @@
             return False
         self._ramp.restart(event.now)
         return True
+
+    def _allowed_cold(self) -> float:
+        rate = self._limits.cold_per_second or 0
+        return rate * self._rules.cold_overage
+
+    def _room(self, now: float) -> int | None:
+        """Count what a cold upstream may start now; `None` when it is warm."""
+        if self._limits.cold_per_second is None or not self._cold.is_cold(now):
+            return None
+        return max(0, int(self._allowed_cold()) - self._cold.taken(now))
+
+    def _cold_load(self, now: float) -> float:
+        if self._room(now) is None:
+            return 0
+        return self._cold.taken(now) / max(self._allowed_cold(), 1)
+
+    def _step_seconds(self, now: float) -> float:
+        step = self._ramp.mean_seconds / self.limit
+        if self._room(now) is None:
+            return step
+        return max(step, 1 / max(self._allowed_cold(), 1))
+
+    def _count(self, now: float, admission: Admission) -> Admission:
+        for _ in admission.started:
+            self._cold.started(now)
+        return admission
--- a/briartack/core/calls/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -174,9 +174,9 @@
         now: float,
         record: OwnedAttempt,
         verdict: Verdict,
+        reason: Reason = reasons.UPSTREAM_FAILED,
     ) -> Effects:
         """Answer an attempt whose upstream gave no whole answer."""
-        reason = reasons.UPSTREAM_FAILED
         effects = self._refuse(now, record, reason, verdict)
         if verdict is Verdict.NOT_RUN:
             effects.extend(self.release_key(now, record))
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -5,6 +5,7 @@
 from briartack.core.body_ids import attempt_body
 from briartack.core.calls import reasons
 from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.dedup import DedupState
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import (
@@ -13,7 +14,7 @@
     OwnedPhase,
     OwnerAnswers,
 )
-from briartack.core.calls.owner_checks import refusal
+from briartack.core.calls.owner_checks import is_own_out, refusal
 from briartack.core.calls.owner_runner import OwnerRunner, late_answer
 from briartack.core.calls.reasons import Reason
 from briartack.core.effects import (
@@ -21,6 +22,7 @@
     DropBody,
     Effects,
     LogLevel,
+    ProbeUpstream,
     WriteLog,
 )
 from briartack.core.events import (
@@ -38,11 +40,21 @@
 class OwnerState:
     """Own what the owner of the local upstream holds."""
 
-    __slots__ = ('_upstream', '_dedup', '_answers', '_attempts', '_runner')
+    __slots__ = (
+        '_upstream',
+        '_dedup',
+        '_answers',
+        '_attempts',
+        '_runner',
+        '_probe_path',
+        '_was_out',
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, *, rules: CallRules) -> None:
         """Start with a cold upstream."""
-        self._upstream = LocalUpstream()
+        self._upstream = LocalUpstream(rules=rules)
+        self._probe_path = ''
+        self._was_out = False
         self._dedup = DedupState()
         self._attempts: dict[AttemptId, OwnedAttempt] = {}
         self._answers = OwnerAnswers(
@@ -192,9 +204,11 @@
         has_restarted = self._upstream.probed(event)
         return _ramp_log('probe') if has_restarted else []
 
-    def tick(self, now: float) -> Effects:
-        """End attempts whose time is over before they started."""
-        return self._runner.tick(now)
+    def tick(self, context: CallContext, now: float) -> Effects:
+        """End attempts whose time is over; follow limits and doubts."""
+        effects = self._runner.tick(now)
+        effects.extend(self._follow(context, now))
+        return effects
 
     def expire_all(self, now: float, reason: Reason) -> Effects:
         """End all attempts that have not started."""
@@ -211,6 +225,29 @@
             effects.extend(self._runner.abort(now, record))
         return effects
 
+    def _follow(self, context: CallContext, now: float) -> Effects:
+        """Take the service's limits; probe the upstream when in doubt.
+
+        It may have become cold while it was out of service.
+        """
+        snapshot = context.snapshot
+        if snapshot is None:
+            return []
+        limits = snapshot.services.get(context.identity.service)
+        if limits is None:
+            return []
+        member = context.members.get(context.identity.instance)
+        self._upstream.configure(limits, member.slots if member else None)
+        is_out = is_own_out(context, snapshot.platform)
+        if self._was_out and not is_out:
+            self._upstream.presume_cold(now)
+        self._was_out = is_out
+        is_moved = limits.health_path != self._probe_path
+        self._probe_path = limits.health_path
+        if self._upstream.take_doubt() or is_moved:
+            return [ProbeUpstream(path=limits.health_path)]
+        return []
+
     def _replay(
         self,
         context: CallContext,
--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -5,7 +5,10 @@
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import OwnedAttempt
 from briartack.core.calls.reasons import Reason
-from briartack.core.configuration.settings import PlatformSettings
+from briartack.core.configuration.settings import (
+    InstanceState,
+    PlatformSettings,
+)
 from briartack.core.messages import MAX_BODY_BYTES, Attempt
 
 
@@ -44,18 +47,31 @@
     limits = snapshot.services.get(own.service)
     if attempt.service != own.service or limits is None:
         return reasons.WRONG_SERVICE
-    upstream.configure(limits)
-    if _is_out(context, snapshot.platform):
+    member = context.members.get(own.instance)
+    upstream.configure(limits, None if member is None else member.slots)
+    if is_own_out(context, snapshot.platform):
+        return reasons.OUT_OF_SERVICE
+    if _has_left(context, upstream.identity):
         return reasons.OUT_OF_SERVICE
     if attempt.body_bytes > MAX_BODY_BYTES:
         return reasons.BODY_TOO_LARGE
     return None if upstream.is_open else reasons.UPSTREAM_DOWN
 
 
-def _is_out(context: CallContext, platform: PlatformSettings) -> bool:
+def is_own_out(context: CallContext, platform: PlatformSettings) -> bool:
+    """Tell whether this instance is out of service or leaving."""
     own = context.identity
     return (
         own.data_centre in platform.data_centres_out
         or own.instance in platform.instances_out
         or context.members.is_leaving(own.instance)
     )
+
+
+def _has_left(context: CallContext, identity: str) -> bool:
+    """Tell whether the list says so of this start of the upstream.
+
+    The list may name another start of it as well, and lists none at first.
+    """
+    record = context.members.record(identity) if identity else None
+    return record is not None and record.state is not InstanceState.LIVE
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -72,6 +72,7 @@
             attempt_id=record.attempt.attempt_id,
             deadline=record.deadline,
             interactive=record.attempt.interactive,
+            rank=record.attempt.rank,
         )
         return self._apply(now, self._upstream.offer(waiting, now))
 
@@ -154,9 +155,16 @@
             event.now,
             generation=record.generation,
             is_reset=event.is_reset,
+            is_down=event.is_reset and not event.may_have_run,
         )
+        reason = reasons.UPSTREAM_FAILED
+        if event.is_refusal:
+            reason = reasons.UPSTREAM_REFUSED
+        if event.identity:
+            has_restarted = self._upstream.replaced(event.now, event.identity)
+            reason = reasons.UPSTREAM_REPLACED
         verdict = Verdict.UNKNOWN if event.may_have_run else Verdict.NOT_RUN
-        effects = self._answers.fail(event.now, record, verdict)
+        effects = self._answers.fail(event.now, record, verdict, reason)
         effects.extend(self._apply(event.now, self._upstream.fill(event.now)))
         return effects, has_restarted
 
@@ -167,6 +175,8 @@
             record = self._attempts.get(attempt_id)
             if record is not None:
                 effects.extend(self.expire(now, record, reasons.DEADLINE))
+        # The rate of a cold upstream leaves room without an answer.
+        effects.extend(self._apply(now, self._upstream.fill(now)))
         self._timers.compact(len(self._attempts), self._attempts.__contains__)
         effects.extend(self._apply(now, self._upstream.fill(now)))
         return effects
@@ -196,6 +206,7 @@
             target=attempt.target,
             headers=for_upstream(attempt, remaining),
             timeout_seconds=remaining,
+            expected_identity=self._upstream.identity,
         )
 
 
--- a/briartack/core/calls/placement.py
+++ b/briartack/core/calls/placement.py
@@ -1,6 +1,11 @@
 """Placement: which regions may serve, send or store a request."""
 
-from briartack.core.calls.call_context import Regions, RouteView, SnapshotView
+from briartack.core.calls.call_context import (
+    CallContext,
+    Regions,
+    RouteView,
+    SnapshotView,
+)
 
 
 def home_regions(
@@ -27,6 +32,13 @@
     return regions is None or region in regions
 
 
+def may_enter(regions: Regions, context: CallContext) -> bool:
+    """Tell whether the daemon that a caller chose may take its request."""
+    if context.rules.relays_outside_home and regions != frozenset():
+        return True
+    return may_hold(regions, context.identity.region)
+
+
 def read_regions(regions: tuple[str, ...]) -> Regions:
     """Read the home regions of an attempt; none listed means no bound."""
     return frozenset(regions) or None
--- a/briartack/core/calls/reasons.py
+++ b/briartack/core/calls/reasons.py
@@ -101,6 +101,14 @@
     code='upstream-failed',
     status=BAD_GATEWAY,
 )
+UPSTREAM_REFUSED: Final = Reason(
+    code='upstream-refused',
+    status=UNAVAILABLE,
+)
+UPSTREAM_REPLACED: Final = Reason(
+    code='upstream-replaced',
+    status=UNAVAILABLE,
+)
 STALE_INCARNATION: Final = Reason(
     code='stale-incarnation',
     status=UNAVAILABLE,
--- a/briartack/core/calls/retry.py
+++ b/briartack/core/calls/retry.py
@@ -3,10 +3,14 @@
 from random import Random
 from typing import Final, final
 
+from briartack.core.calls.call_rules import CallRules
+
 BURST_TOKENS: Final = 10.0
 BASE_SECONDS: Final = 0.005
 MAX_SECONDS: Final = 0.2
 PERCENT: Final = 100
+# The rest is for the calls that repeated requests make, which count too.
+BUDGET_SHARE: Final = 0.6
 MAX_SERVICES: Final = 4096
 
 
@@ -26,13 +30,18 @@
         """Start every service with its full burst."""
         self._tokens: dict[str, float] = {}
 
-    def earn(self, service: str, retry_percent: int) -> None:
+    def earn(
+        self,
+        service: str,
+        retry_percent: int,
+        burst: float = BURST_TOKENS,
+    ) -> None:
         """Add the share of one call."""
         if len(self._tokens) >= MAX_SERVICES:
             self._tokens.clear()
-        tokens = self._tokens.get(service, BURST_TOKENS)
+        tokens = self._tokens.get(service, burst)
         earned = tokens + retry_percent / PERCENT
-        self._tokens[service] = min(BURST_TOKENS, earned)
+        self._tokens[service] = min(burst, earned)
 
     def spend(self, service: str) -> bool:
         """Take the token of one retry, if there is one."""
@@ -41,3 +50,13 @@
             return False
         self._tokens[service] = tokens - 1
         return True
+
+
+def shared_budget(rules: CallRules, instances: int) -> tuple[int, float] | None:
+    """Return this daemon's percent and burst of a budget that all share."""
+    if rules.retry_ratio is None:
+        return None
+    percent = int(rules.retry_ratio * BUDGET_SHARE * PERCENT)
+    burst = rules.retry_extra * BUDGET_SHARE / max(instances, 1)
+    # A budget below one token would forbid each first retry.
+    return percent, max(burst, 1.0)
--- a/briartack/core/calls/routing.py
+++ b/briartack/core/calls/routing.py
@@ -12,6 +12,7 @@
     Member,
     Regions,
     RouteView,
+    ShareView,
     SnapshotView,
 )
 from briartack.core.configuration.settings import PlatformSettings
@@ -52,6 +53,7 @@
         '_by_prefix',
         '_lengths',
         '_candidates',
+        '_credits',
     )
 
     def __init__(self) -> None:
@@ -61,22 +63,47 @@
         self._by_prefix: dict[str, list[RouteView]] = {}
         self._lengths: tuple[int, ...] = ()
         self._candidates: dict[tuple[str, Regions], _Candidates] = {}
+        self._credits: dict[str, list[float]] = {}
 
     def match(
         self,
         snapshot: SnapshotView,
         method: str,
         target: str,
+        host: str = '',
     ) -> RouteView | None:
-        """Find the route of the longest prefix that allows the method."""
+        """Find the route of the longest prefix that allows host and method."""
         self._index(snapshot)
         path = target.partition('?')[0]
         for length in self._lengths:
             for route in self._by_prefix.get(path[:length], ()):
+                if route.host not in {'', host}:
+                    continue
                 if not route.methods or method in route.methods:
                     return route
         return None
 
+    def share(self, random: Random, route: RouteView) -> ShareView:
+        """Choose the service of the next call of a route.
+
+        Credits keep the parts close to their weights over a few calls; a
+        random start keeps the daemons of a fleet from choosing in step.
+        """
+        if len(route.shares) == 1:
+            return route.shares[0]
+        total = sum(share.weight for share in route.shares)
+        credits = self._credits.get(route.name)
+        if credits is None or len(credits) != len(route.shares):
+            credits = [random.random() * total for _ in route.shares]
+            self._credits[route.name] = credits
+        best = 0
+        for index, share in enumerate(route.shares):
+            credits[index] += share.weight
+            if credits[index] > credits[best] or not route.shares[best].weight:
+                best = index
+        credits[best] -= total
+        return route.shares[best]
+
     def candidates(
         self,
         context: CallContext,
@@ -103,6 +130,7 @@
         if snapshot is self._snapshot:
             return
         self._snapshot = snapshot
+        self._credits.clear()
         self._by_prefix = {}
         for route in snapshot.routes:
             self._by_prefix.setdefault(route.path_prefix, []).append(route)
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -7,13 +7,18 @@
 from briartack.core.calls.attempt_sender import AttemptSender
 from briartack.core.calls.call_checks import enter, home_headers, refused
 from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_rules import MAX_FREE_REFUSALS
 from briartack.core.calls.call_table import Call, CallPhase, CallTable
 from briartack.core.calls.choice import Chooser, Chosen, NoChoice
 from briartack.core.calls.endpoints import EndpointsState
 from briartack.core.calls.owner import OwnerState
 from briartack.core.calls.placement import home_regions
 from briartack.core.calls.reasons import Reason
-from briartack.core.calls.retry import RetryState, backoff_seconds
+from briartack.core.calls.retry import (
+    RetryState,
+    backoff_seconds,
+    shared_budget,
+)
 from briartack.core.calls.routing import RoutingState
 from briartack.core.calls.streams import StreamsState
 from briartack.core.effects import (
@@ -94,10 +99,9 @@
         call = enter(context, event, self._routing)
         if isinstance(call, AnswerCall):
             return [call]
-        service = call.route.service
         self._table.add(call)
-        self._streams.touch(service, event.now)
-        self._retry.earn(service, call.route.policy.retry_percent)
+        self._streams.touch(call.share.service, event.now)
+        self._earn(context, call)
         effects = _wake(event.now, call.deadline)
         if event.body_bytes == 0:
             effects.extend(self._next_attempt(context, event.now, call))
@@ -303,6 +307,10 @@
             call.tried = call.tried[:-1]
             return self._next_attempt(context, now, call)
         wait = backoff_seconds(context.random, call.attempts)
+        if self._is_free(context, call, verdict, reason):
+            call.free_refusals += 1
+            call.attempts -= 1
+            return self._next_attempt(context, now, call)
         if now + wait < call.deadline and self._may_retry(
             call,
             verdict,
@@ -313,6 +321,31 @@
             return [Count(name='retries'), *_wake(now, until)]
         return self._refuse(call, reason, verdict, is_from_owner=True)
 
+    def _earn(self, context: CallContext, call: Call) -> None:
+        service = call.share.service
+        budget = shared_budget(context.rules, context.members.instance_count)
+        if budget is None:
+            percent = call.route.policy.retry_percent
+            self._retry.earn(service, percent)
+        else:
+            self._retry.earn(service, *budget)
+
+    def _is_free(
+        self,
+        context: CallContext,
+        call: Call,
+        verdict: Verdict,
+        reason: Reason,
+    ) -> bool:
+        """Tell whether the next try costs neither attempt nor token."""
+        return (
+            not context.rules.counts_refusals
+            and verdict is Verdict.NOT_RUN
+            and reason.is_retried
+            and reason is not reasons.UPSTREAM_REFUSED
+            and call.free_refusals < MAX_FREE_REFUSALS
+        )
+
     def _may_retry(
         self,
         call: Call,
@@ -331,7 +364,7 @@
             return False
         if not may_repeat(verdict, repeatable=policy.repeatable):
             return False
-        return self._retry.spend(call.route.service)
+        return self._retry.spend(call.share.service)
 
     def _refuse(
         self,
--- a/briartack/core/configuration/problems.py
+++ b/briartack/core/configuration/problems.py
@@ -30,6 +30,7 @@
     METHOD = 'method'
     TENANT = 'tenant'
     PATH_PREFIX = 'path-prefix'
+    NO_WEIGHT = 'no-weight'
     ADDRESS = 'address'
     OWN_REFERENCE = 'own-reference'
     DEFINITION = 'definition'
@@ -117,6 +118,10 @@
             'Write a path of ASCII characters without query, fragment, blanks, '
             'escapes or dot segments.',
         ),
+        Code.NO_WEIGHT: (
+            'All shares of the split weigh nothing.',
+            'Give one share at least a weight above 0.',
+        ),
         Code.ADDRESS: (
             'The address {detail!r} is not IP:PORT.',
             'Write an address such as 127.0.0.1:7001.',
--- a/briartack/core/configuration/resolved.py
+++ b/briartack/core/configuration/resolved.py
@@ -23,12 +23,22 @@
     Version,
     references_of,
 )
-from briartack.core.entries import PLATFORM_KEY
+from briartack.core.entries import is_platform_key
 from briartack.core.units import Digest, Revision
 
 _NO_PLATFORM: Final = PlatformSettings()
 
 
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResolvedShare:
+    """Hold one service of a route and its part of the calls."""
+
+    service: str  # TEAM/NAME
+    limits: ServiceLimits
+    weight: float
+
+
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ResolvedRoute:
@@ -37,13 +47,23 @@
     name: str  # TEAM/ROUTE
     team: str
     path_prefix: str
+    host: str  # empty allows every host
     methods: frozenset[str]  # empty allows every method
-    service: str  # TEAM/NAME
-    limits: ServiceLimits
+    shares: tuple[ResolvedShare, ...]  # one, unless the route is split
     policy_name: str  # TEAM/NAME
     policy: Policy
     home_regions: frozenset[str] | None  # none binds the route to no region
 
+    @property
+    def service(self) -> str:
+        """Name its service, or the first one of a split route."""
+        return self.shares[0].service
+
+    @property
+    def limits(self) -> ServiceLimits:
+        """Bound one upstream of that service."""
+        return self.shares[0].limits
+
 
 _OrderedRoute: TypeAlias = tuple[tuple[int, str, str], ResolvedRoute]
 
@@ -97,7 +117,6 @@
         ]
         # The sort is stable, so the routes of a team keep their order.
         ordered.sort(key=itemgetter(0))
-        platform = parts.active.get(PLATFORM_KEY)
         return Snapshot(
             versions=tuple(
                 (key, parts.active[key].revision) for key in self._resolved
@@ -107,7 +126,7 @@
             routes=tuple(route for _, route in ordered),
             services=MappingProxyType(_services(parts)),
             tenant_regions=MappingProxyType(_tenant_regions(parts)),
-            platform=_NO_PLATFORM if platform is None else platform.platform,
+            platform=_platform(parts),
             retained=parts.retained,
         )
 
@@ -157,26 +176,59 @@
     route: Route,
     resources: Mapping[ResourceId, Resource],
 ) -> ResolvedRoute:
-    names = references_of(team, route)
-    service, policy = names[:2]
-    limits = resources[service]
+    service, policy, *others = references_of(team, route)
     bounds = resources[policy]
     # An active version never lacks a resource; see Accepted.
-    assert isinstance(limits, ServiceLimits)  # noqa: S101
     assert isinstance(bounds, Policy)  # noqa: S101
+    split = others[: len(route.split)]
+    weights = tuple(share.weight for share in route.split)
     return ResolvedRoute(
         name=f'{team}/{route.name}',
         team=team,
         path_prefix=route.path_prefix,
+        host=route.host,
         methods=frozenset(route.methods),
-        service=service.qualified,
-        limits=limits,
+        shares=tuple(
+            _share(name, weight, resources)
+            for name, weight in zip(
+                split or (service,), weights or (1.0,), strict=True
+            )
+        ),
         policy_name=policy.qualified,
         policy=bounds,
-        home_regions=_home_regions(names[2:], resources),
+        home_regions=_home_regions(others[len(split) :], resources),
     )
 
 
+def _share(
+    name: ResourceId,
+    weight: float,
+    resources: Mapping[ResourceId, Resource],
+) -> ResolvedShare:
+    limits = resources[name]
+    assert isinstance(limits, ServiceLimits)  # noqa: S101
+    return ResolvedShare(service=name.qualified, limits=limits, weight=weight)
+
+
+def _platform(parts: InForce) -> PlatformSettings:
+    """Join what all keys of the platform take out of service."""
+    active = [
+        version.platform
+        for key, version in sorted(parts.active.items())
+        if is_platform_key(key)
+    ]
+    if len(active) < 2:
+        return active[0] if active else _NO_PLATFORM
+    return PlatformSettings(
+        data_centres_out=_joined(one.data_centres_out for one in active),
+        instances_out=_joined(one.instances_out for one in active),
+    )
+
+
+def _joined(lists: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
+    return tuple(dict.fromkeys(name for names in lists for name in names))
+
+
 def _home_regions(
     names: Iterable[ResourceId],
     resources: Mapping[ResourceId, Resource],
--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -41,6 +41,12 @@
     connections: PositiveInt
     ramp_seconds: Annotated[float, Meta(ge=0, le=3600)] = 10.0
     queue_length: Annotated[int, Meta(ge=0, le=10_000)] = 40
+    # Requests a second that a cold upstream is given, in place of the growing
+    # concurrency of the slow start.
+    cold_per_second: Annotated[float, Meta(gt=0, le=100_000)] | None = None
+    health_path: Annotated[str, Meta(pattern='^/', max_length=1024)] = (
+        '/healthz'
+    )
 
 
 @final
@@ -51,6 +57,10 @@
     max_attempts: Annotated[int, Meta(ge=1, le=10)] = 2
     retry_percent: Annotated[int, Meta(ge=0, le=100)] = 10
     priority: Priority = Priority.INTERACTIVE
+    # Orders the calls of one priority; 0 goes first.
+    rank: Annotated[int, Meta(ge=0, le=1000)] = 0
+    # A later answer is worth less to the caller.
+    target_ms: Annotated[int, Meta(ge=1, le=3_600_000)] | None = None
     repeatable: bool = False
 
 
@@ -62,14 +72,24 @@
     home_regions: Annotated[tuple[Name, ...], Meta(min_length=1)]
 
 
+@final
+class Share(Setting, frozen=True, kw_only=True):
+    """Give a service its part of the calls of a route."""
+
+    service: Reference
+    weight: Annotated[float, Meta(ge=0, le=1_000_000)]
+
+
 @final
 class Route(Setting, frozen=True, kw_only=True):
     """Send the calls under a path to a service."""
 
     name: Name
     path_prefix: Annotated[str, Meta(pattern='^/', max_length=1024)]
+    host: Annotated[str, Meta(max_length=255)] = ''  # empty allows every host
     methods: tuple[str, ...] = ()  # empty allows every method
     service: Reference
+    split: tuple[Share, ...] = ()  # takes the place of `service`
     policy: Reference
     workspace: Reference | None = None
 
@@ -103,10 +123,17 @@
 
 @final
 class InstanceRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what the platform's list says of one instance."""
+    """Hold what the platform's list says of one upstream.
+
+    A platform that lists each start of an upstream under an id of its own
+    names the instance in the record; otherwise the key names it.
+    """
 
     service: str
     data_centre: str
     region: str
     peer_address: str
     state: InstanceState = InstanceState.LIVE
+    instance: str = ''
+    slots: PositiveInt | None = None
+    cold_seconds: Annotated[float, Meta(ge=0, le=3600)] = 0
--- a/briartack/core/configuration/validation.py
+++ b/briartack/core/configuration/validation.py
@@ -32,7 +32,11 @@
     shape_problem,
     team_shape_problems,
 )
-from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_KEY, TEAM_PREFIX
+from briartack.core.entries import (
+    INSTANCE_PREFIX,
+    TEAM_PREFIX,
+    is_platform_key,
+)
 
 MAX_VALUE_BYTES: Final = 1_048_576  # the store refuses larger values
 FIELD_OF_KIND: Final = MappingProxyType(
@@ -61,7 +65,7 @@
 
 def validate_platform(key: str, text: str) -> PlatformSettings:
     """Decode what is out of service; raise InvalidValueError."""
-    if key != PLATFORM_KEY:
+    if not is_platform_key(key):
         raise InvalidValueError((problem(key, ROOT, Code.UNKNOWN_KEY),))
     settings = _decode(key, text, _PLATFORM)
     _refuse(
@@ -124,6 +128,8 @@
     """Give the kind of resource and the reference, for each of a route."""
     yield 'services', route.service
     yield 'policies', route.policy
+    for share in route.split:
+        yield 'services', share.service
     if route.workspace is not None:
         yield 'workspaces', route.workspace
 
@@ -212,6 +218,8 @@
     segments = prefix.split('/')
     if not _is_plain(prefix) or not _DOT_SEGMENTS.isdisjoint(segments):
         yield problem(key, f'{path}.path_prefix', Code.PATH_PREFIX, prefix)
+    if route.split and not sum(share.weight for share in route.split):
+        yield problem(key, f'{path}.split', Code.NO_WEIGHT)
     place = f'{path}.methods'
     for method in route.methods:
         if not (method.isascii() and method.isalpha() and method.isupper()):
--- a/briartack/core/configuration/versions.py
+++ b/briartack/core/configuration/versions.py
@@ -29,7 +29,7 @@
     validate_platform,
     validate_team,
 )
-from briartack.core.entries import PLATFORM_KEY, Definition
+from briartack.core.entries import Definition, is_platform_key
 from briartack.core.units import Digest, Revision
 
 DIGEST_BYTES: Final = 16
@@ -121,7 +121,7 @@
     text: str | None,
 ) -> Version:
     """Decode a value or a deletion; raise InvalidValueError."""
-    team = '' if key == PLATFORM_KEY else team_of(key)
+    team = '' if is_platform_key(key) else team_of(key)
     settings = _NO_TEAM
     platform = _NO_PLATFORM
     if text is not None:
@@ -161,7 +161,7 @@
 
 
 def references_of(team: str, route: Route) -> tuple[ResourceId, ...]:
-    """Give service, policy and, when there is one, workspace of a route."""
+    """Give what a route refers to: services, policy, then any workspace."""
     return tuple(
         _resource_id(kind, reference, team)
         for kind, reference in route_references(route)
--- a/briartack/core/dissemination/instance_records.py
+++ b/briartack/core/dissemination/instance_records.py
@@ -39,6 +39,7 @@
     entry: Entry
     member: Member | None = None
     state: InstanceState | None = None
+    cold_seconds: float = 0  # left when the platform wrote the record
 
 
 @final
@@ -46,14 +47,13 @@
 class RecordChange:
     """Name what an entry replaced."""
 
-    instance: InstanceId
     before: HeldRecord | None
     after: HeldRecord
 
 
-def instance_of(key: str) -> InstanceId:
-    """Return the instance that a key under `instances/` names."""
-    return InstanceId(key.removeprefix(INSTANCE_PREFIX))
+def record_id_of(key: str) -> str:
+    """Return the id that a key under `instances/` holds."""
+    return key.removeprefix(INSTANCE_PREFIX)
 
 
 @final
@@ -64,7 +64,7 @@
 
     def __init__(self) -> None:
         """Start without records."""
-        self._held: dict[InstanceId, HeldRecord] = {}
+        self._held: dict[str, HeldRecord] = {}
         self._highest = NO_REVISION
         self._digest = 0
         self._refusals: list[Refusal] = []
@@ -87,9 +87,9 @@
         """Iterate over all records, deletions included."""
         return iter(self._held.values())
 
-    def get(self, instance: InstanceId) -> HeldRecord | None:
-        """Return what is held of an instance."""
-        return self._held.get(instance)
+    def get(self, record_id: str) -> HeldRecord | None:
+        """Return what is held under an id."""
+        return self._held.get(record_id)
 
     def take_refusals(self) -> tuple[Refusal, ...]:
         """Return what was refused since the last call."""
@@ -122,17 +122,17 @@
         )
 
     def _apply_one(self, entry: Entry) -> RecordChange | None:
-        instance = instance_of(entry.key)
-        before = self._held.get(instance)
+        record_id = record_id_of(entry.key)
+        before = self._held.get(record_id)
         if before is not None and not _is_newer(entry, before.entry):
             return None
         try:
-            after = _decode(instance, entry)
+            after = _decode(record_id, entry)
         except msgspec.MsgspecError as error:
             self._refuse(entry, str(error))
             return None
-        self._replace(instance, before, after)
-        return RecordChange(instance=instance, before=before, after=after)
+        self._replace(record_id, before, after)
+        return RecordChange(before=before, after=after)
 
     def _refuse(self, entry: Entry, reason: str) -> None:
         self._refusals.append(
@@ -141,29 +141,35 @@
 
     def _replace(
         self,
-        instance: InstanceId,
+        record_id: str,
         before: HeldRecord | None,
         after: HeldRecord,
     ) -> None:
         for held in (before, after):
             if held is not None and held.member is not None:
                 self._digest ^= _version_hash(held.entry)
-        self._held[instance] = after
+        self._held[record_id] = after
         self._highest = max(self._highest, after.entry.revision)
 
 
-def _decode(instance: InstanceId, entry: Entry) -> HeldRecord:
+def _decode(record_id: str, entry: Entry) -> HeldRecord:
     if entry.value is None:
         return HeldRecord(entry=entry)
     record = _DECODER.decode(entry.value)
     member = Member(
-        instance=instance,
+        instance=InstanceId(record.instance or record_id),
         service=record.service,
         data_centre=record.data_centre,
         region=record.region,
         peer_address=record.peer_address,
+        slots=record.slots,
+    )
+    return HeldRecord(
+        entry=entry,
+        member=member,
+        state=record.state,
+        cold_seconds=record.cold_seconds,
     )
-    return HeldRecord(entry=entry, member=member, state=record.state)
 
 
 def _is_newer(entry: Entry, held: Entry) -> bool:
--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -9,10 +9,11 @@
 
 from briartack.core.configuration.settings import InstanceState
 from briartack.core.dissemination.instance_records import (
+    HeldRecord,
     InstanceRecords,
     RecordChange,
     Refusal,
-    instance_of,
+    record_id_of,
 )
 from briartack.core.dissemination.overlay import Member
 from briartack.core.entries import Entry, is_instance_key
@@ -23,13 +24,21 @@
 class MembershipState:
     """Own the instance records and the marks of instances that said goodbye."""
 
-    __slots__ = ('_records', '_goodbyes', '_live', '_services', '_versions')
+    __slots__ = (
+        '_records',
+        '_goodbyes',
+        '_by_instance',
+        '_live',
+        '_services',
+        '_versions',
+    )
 
     def __init__(self) -> None:
         """Start with an empty list."""
         self._records = InstanceRecords()
         self._goodbyes: dict[InstanceId, Incarnation] = {}
         # Built on demand, since the list is asked for with each call.
+        self._by_instance: dict[InstanceId, HeldRecord] | None = None
         self._live: tuple[Member, ...] | None = None
         self._services: dict[str, tuple[Member, ...]] = {}
         self._versions: dict[str, Revision] | None = None
@@ -49,14 +58,23 @@
         """Return the instances that said goodbye and have not returned."""
         return tuple(self._goodbyes)
 
+    @property
+    def instance_count(self) -> int:
+        """Count the live instances."""
+        return len(self.live_members())
+
     def get(self, instance: InstanceId) -> Member | None:
         """Return a listed instance, live or leaving."""
-        held = self._records.get(instance)
+        held = self._present().get(instance)
         return None if held is None else held.member
 
+    def record(self, record_id: str) -> HeldRecord | None:
+        """Return what is held under the id of a record, also a deletion."""
+        return self._records.get(record_id)
+
     def is_leaving(self, instance: InstanceId) -> bool:
         """Tell whether the list or the instance itself says it is leaving."""
-        held = self._records.get(instance)
+        held = self._present().get(instance)
         is_listed_so = held is not None and held.state is InstanceState.LEAVING
         return is_listed_so or instance in self._goodbyes
 
@@ -65,7 +83,7 @@
         if self._live is None:
             self._live = tuple(
                 held.member
-                for held in self._records
+                for held in self._present().values()
                 if held.member is not None
                 and not self.is_leaving(held.member.instance)
             )
@@ -100,7 +118,7 @@
     def entries_for(self, keys: Iterable[str]) -> tuple[Entry, ...]:
         """Return the entries of the given keys, as far as they are held."""
         wanted = (
-            self._records.get(instance_of(key))
+            self._records.get(record_id_of(key))
             for key in keys
             if is_instance_key(key)
         )
@@ -114,8 +132,9 @@
         """Merge entries by revision and return the keys that changed."""
         changes = self._records.apply(entries)
         for change in changes:
-            if _has_left(change):
-                self._goodbyes.pop(change.instance, None)
+            instance = _has_left(change)
+            if instance is not None:
+                self._goodbyes.pop(instance, None)
         if changes:
             self._forget_views()
         return frozenset(merged.after.entry.key for merged in changes)
@@ -149,22 +168,56 @@
             self._goodbyes.pop(instance)
             self._forget_views()
 
+    def _present(self) -> dict[InstanceId, HeldRecord]:
+        """Return the record that counts for each listed instance.
+
+        A platform may still list an upstream that has ended beside the one
+        that took its place.
+        """
+        if self._by_instance is None:
+            self._by_instance = {}
+            for held in self._records:
+                if held.member is not None:
+                    _keep_newest(self._by_instance, held.member, held)
+        return self._by_instance
+
     def _forget_views(self) -> None:
+        self._by_instance = None
         self._live = None
         self._services = {}
         self._versions = None
 
 
-def _has_left(change: RecordChange) -> bool:
-    # A deletion, or a live record after a leaving one, means that the
-    # platform has seen the instance go; what is listed later is a new one.
-    if change.after.member is None:
-        return True
-    was_leaving = (
-        change.before is not None
-        and change.before.state is InstanceState.LEAVING
+def _has_left(change: RecordChange) -> InstanceId | None:
+    """Return the instance that the platform has seen go, if it has.
+
+    After a deletion, or a live record after a leaving one, what is listed is
+    a new start.
+    """
+    before = change.before
+    if before is None or before.member is None:
+        is_deletion = change.after.member is None
+        key = change.after.entry.key
+        return InstanceId(record_id_of(key)) if is_deletion else None
+    was_leaving = before.state is InstanceState.LEAVING
+    is_over = change.after.member is None or (
+        was_leaving and change.after.state is InstanceState.LIVE
     )
-    return was_leaving and change.after.state is InstanceState.LIVE
+    return before.member.instance if is_over else None
+
+
+def _keep_newest(
+    kept: dict[InstanceId, HeldRecord],
+    member: Member,
+    held: HeldRecord,
+) -> None:
+    present = kept.get(member.instance)
+    if present is None or _preference(present) < _preference(held):
+        kept[member.instance] = held
+
+
+def _preference(held: HeldRecord) -> tuple[bool, Revision]:
+    return (held.state is InstanceState.LIVE, held.entry.revision)
 
 
 def _by_service(members: Iterable[Member]) -> dict[str, tuple[Member, ...]]:
--- a/briartack/core/dissemination/overlay.py
+++ b/briartack/core/dissemination/overlay.py
@@ -29,6 +29,7 @@
     data_centre: str
     region: str
     peer_address: str  # IP:PORT
+    slots: int | None = None  # of the upstream, if the platform lists them
 
 
 @final
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -177,6 +177,10 @@
             return  # The failure of a cancelled watch says nothing.
         else:
             self._watch_deadline = None
+        if event.is_history_gone:
+            # The store works, so the whole tree is read at once.
+            self._complete = None
+            return
         self._backoff.fail(event.now, event.retry_after_seconds)
 
     def is_behind_seen(self, revision: Revision) -> bool:
--- a/briartack/core/effects.py
+++ b/briartack/core/effects.py
@@ -108,6 +108,7 @@
     reason: str  # error code of a refusal, empty when the upstream answered
     body_id: BodyId | None = None
     detail: str = ''  # text of a refusal, or the issued key
+    retry_after_seconds: float = 0  # of a refusal that says not-run
 
 
 @final
@@ -120,6 +121,14 @@
     target: str
     headers: Headers
     timeout_seconds: float
+    expected_identity: str = ''  # of the upstream; empty names none
+
+
+@final
+class ProbeUpstream(msgspec.Struct, frozen=True, kw_only=True):
+    """Probe the local upstream now, and at this path from now on."""
+
+    path: str
 
 
 @final
@@ -187,6 +196,7 @@
     | ReadBody
     | AnswerCall
     | Dispatch
+    | ProbeUpstream
     | AbortDispatch
     | DropBody
     | WakeAt
--- a/briartack/core/entries.py
+++ b/briartack/core/entries.py
@@ -9,6 +9,8 @@
 TEAM_PREFIX: Final = 'teams/'
 INSTANCE_PREFIX: Final = 'instances/'
 PLATFORM_KEY: Final = 'platform'
+# Keys below it take something out of service each on its own.
+PLATFORM_PREFIX: Final = 'platform/'
 
 
 @final
@@ -44,6 +46,11 @@
     digest: Digest = Digest(b'')  # noqa: WPS404, RUF009
 
 
+def is_platform_key(key: str) -> bool:
+    """Tell whether a key says what is out of service."""
+    return key == PLATFORM_KEY or key.startswith(PLATFORM_PREFIX)
+
+
 def is_instance_key(key: str) -> bool:
     """Tell whether a key belongs to the platform's list of instances."""
     return key.startswith(INSTANCE_PREFIX)
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -73,6 +73,7 @@
     prefix: str  # empty for a watch
     reason: str
     retry_after_seconds: float | None = None
+    is_history_gone: bool = False  # a watch can't go on from its revision
 
 
 @final
@@ -119,6 +120,8 @@
     call_id: CallId
     method: str
     target: str  # path and query as received
+    host: str = ''  # empty if the dialect does not route by host
+    request_id: str = ''  # that callers and upstreams know, for the log
     headers: Headers  # end-to-end headers only
     tenant: str = ''
     idempotency_key: str = ''
@@ -176,6 +179,10 @@
     may_have_run: bool  # false only if no byte of the request was sent
     is_reset: bool  # the connection was refused or reset
     reason: str
+    # The upstream itself refused to run the request.
+    is_refusal: bool = False
+    # Another upstream answered than the request named; empty otherwise.
+    identity: str = ''
 
 
 @final
@@ -187,6 +194,7 @@
     is_draining: bool
     identity: str
     reported_load: float | None
+    cold_seconds: float | None = None  # left; none if the probe did not say
 
 
 @final
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -70,6 +70,7 @@
         random=state.random,
         is_stopping=state.stopping,
         is_confirmed=dissemination.is_confirmed(state.dissemination),
+        rules=state.rules,
     )
 
 
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import final
 
+from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.calls.calls_state import CallsState
 from briartack.core.configuration.snapshot import SnapshotState
 from briartack.core.dissemination.combined_holdings import CombinedHoldings
@@ -24,6 +25,7 @@
         'last_repeat_at',
         'membership',
         'random',
+        'rules',
         'snapshots',
         'stopping',
         'trail',
@@ -35,10 +37,12 @@
         identity: Identity,
         random: Random,
         drain_seconds: float,
+        rules: CallRules = DEFAULT_RULES,
     ) -> None:
         """Start with nothing held."""
         self.identity = identity
         self.random = random
+        self.rules = rules
         self.snapshots = SnapshotState()
         self.membership = MembershipState()
         self.holdings = CombinedHoldings(
@@ -49,7 +53,7 @@
             identity=identity,
             random=random,
         )
-        self.calls = CallsState(drain_seconds=drain_seconds)
+        self.calls = CallsState(drain_seconds=drain_seconds, rules=rules)
         self.trail = TrailState(
             instance=identity.instance,
             incarnation=identity.incarnation,
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -12,8 +12,10 @@
 from briartack.bodies import Bodies
 from briartack.callers import Callers
 from briartack.core import effects
+from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.events import Started, StopRequested
 from briartack.core.identity import Identity
+from briartack.dialects import Dialects
 from briartack.error_texts import LISTENING, STOPPED
 from briartack.event_loop import EventLoop, Handlers, Reduce
 from briartack.line_writer import LineWriters
@@ -25,7 +27,7 @@
 from briartack.ports import Attributes
 from briartack.recorder import Recorder
 from briartack.store_client import StoreClient
-from briartack.upstream import Upstream
+from briartack.upstream import OWN_HEALTH_PATH, Upstream
 
 StateT = TypeVar('StateT')
 
@@ -35,6 +37,11 @@
 _EXIT_STEP_SECONDS: Final = 0.01
 
 
+def boot_clock() -> float:
+    """Return seconds that go on while the instance is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ShellObserver:
     """Send counts to the metrics and lines to the log."""
 
@@ -94,10 +101,12 @@
         describe: Describe[StateT],
         explain: Callable[[StateT, str, str, str], dict[str, object]],
         writers: LineWriters,
+        dialects: Dialects,
+        rules: CallRules = DEFAULT_RULES,
         recorder: Recorder | None = None,
     ) -> None:
         """Make all parts; nothing listens or dials yet."""
-        clock = time.monotonic
+        clock = boot_clock
         self._options = options
         self._identity = identity
         self._writers = writers
@@ -114,6 +123,7 @@
         self._bodies = Bodies()
         self._callers = Callers(
             bodies=self._bodies,
+            dialect=dialects.callers,
             deliver=self._loop.deliver,
             clock=clock,
             observer=observer,
@@ -127,6 +137,7 @@
         )
         self._store = StoreClient(
             address=options.store_address,
+            dialect=dialects.store,
             deliver=self._loop.deliver,
             clock=clock,
             observer=observer,
@@ -134,9 +145,12 @@
         self._upstream = Upstream(
             address=options.upstream_address,
             bodies=self._bodies,
+            dialect=dialects.upstream,
             deliver=self._loop.deliver,
             clock=clock,
             observer=observer,
+            probe_seconds=rules.probe_seconds,
+            probe_path='' if rules.needs_identity else OWN_HEALTH_PATH,
         )
         self._operator_port = OperatorPort(
             describe=lambda: describe(self._loop.state),
@@ -162,12 +176,16 @@
             self._peers.server(options.peer_address),
             self._callers.server(options.caller_address),
         ]
+        if options.metrics_address is not None:
+            self._servers.append(
+                self._operator_port.server(options.metrics_address),
+            )
         for server in self._servers:
             server.start()
         write_log(effects.LogLevel.INFO, LISTENING, options.as_fields())
         self._loop.deliver(
             Started(
-                now=time.monotonic(),
+                now=boot_clock(),
                 incarnation=self._identity.incarnation,
             ),
         )
@@ -179,7 +197,7 @@
 
     def request_stop(self) -> None:
         """Ask the reducer for a planned stop."""
-        self._loop.deliver(StopRequested(now=time.monotonic()))
+        self._loop.deliver(StopRequested(now=boot_clock()))
 
     def wait(self) -> int:
         """Wait for the end and return the exit code."""
@@ -220,6 +238,7 @@
             effects.AnswerCall: self._callers.answer,
             effects.Dispatch: self._upstream.dispatch,
             effects.AbortDispatch: self._upstream.abort,
+            effects.ProbeUpstream: self._upstream.probe,
             effects.DropBody: self._drop_body,
             effects.WakeAt: self._wake_at,
             effects.WriteAudit: self._write_audit,
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -29,6 +29,8 @@
 LISTENING: Final = 'listening'
 STOPPED: Final = 'stopped'
 LINES_LOST: Final = 'lines-lost'
+ITEM_REFUSED: Final = 'item-refused'
+RELOADED: Final = 'reloaded'
 
 _TEXTS: Final[Mapping[str, ErrorText]] = MappingProxyType(
     {
@@ -78,6 +80,11 @@
         ),
         LISTENING: ErrorText('The daemon accepts connections.', ''),
         STOPPED: ErrorText('The daemon stops.', ''),
+        RELOADED: ErrorText('The settings were read again.', ''),
+        ITEM_REFUSED: ErrorText(
+            'An item of the store can not be used and was passed over.',
+            'Correct or remove the item under this key.',
+        ),
         LINES_LOST: ErrorText(
             'Audit lines could not be written; their numbers are missing.',
             'Check that what reads the standard output of the daemon runs.',
@@ -149,6 +156,14 @@
             'The upstream gave no whole answer.',
             'Check the outcome before repeating the request.',
         ),
+        'upstream-refused': ErrorText(
+            'The upstream itself refused to run the request.',
+            'Repeat the request later and with a pause.',
+        ),
+        'upstream-replaced': ErrorText(
+            'Another upstream has taken the place of the one expected.',
+            'Repeat the request after a moment.',
+        ),
         'stale-incarnation': ErrorText(
             'The attempt is for an earlier run of the daemon.',
             'Repeat the request.',
--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -13,16 +13,15 @@
 import gevent
 from gevent import socket
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import HTTPParseError, HTTPResponse
+from geventhttpclient.response import HTTPParseError
 
 from briartack.addresses import Address
-from briartack.core.messages import Headers
+from briartack.http_answer import HttpAnswer, IsExpected
 
 _SocketAddress: TypeAlias = tuple[str, int] | tuple[str, int, int, int]
 
 _RECEIVE_BYTES: Final = 65536
 _CONNECT_SECONDS: Final = 2.0
-_FIRST_FINAL_STATUS: Final = 200
 _RESET_ERRORS: Final = frozenset(
     (errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE),
 )
@@ -44,44 +43,6 @@
         self.is_reset = is_reset
 
 
-@final
-class HttpAnswer(HTTPResponse):
-    """Collect one answer up to a size."""
-
-    def __init__(self, *, method: str, max_body_bytes: int) -> None:
-        """Start before the status line."""
-        super().__init__(method=method)
-        self.is_requested = False  # some of the request has been sent
-        self._parts: list[bytes] = []
-        self._received = 0
-        self._max_body_bytes = max_body_bytes
-
-    @property
-    def is_whole(self) -> bool:
-        """Tell whether the final answer is complete."""
-        return self.message_complete and self.get_code() >= _FIRST_FINAL_STATUS
-
-    @property
-    def is_oversize(self) -> bool:
-        """Tell whether the body is larger than allowed."""
-        return self._received > self._max_body_bytes
-
-    @property
-    def body(self) -> bytes:
-        """Return what was received of the body."""
-        return b''.join(self._parts)
-
-    @property
-    def header_pairs(self) -> Headers:
-        """Return the headers in the order of arrival."""
-        return tuple(self.items())
-
-    def _on_body(self, buf: bytearray) -> None:
-        self._received += len(buf)
-        if not self.is_oversize:
-            self._parts.append(bytes(buf))
-
-
 @final
 class Connections(ConnectionPool):
     """Keep connections to one address alive, with TCP_NODELAY."""
@@ -151,11 +112,16 @@
         method: str,
         request: bytes,
         max_body_bytes: int,
+        is_expected: IsExpected | None = None,
     ) -> None:
         """Prepare the exchange; nothing is sent yet."""
         self._pool = pool
         self._request = request
-        self._answer = HttpAnswer(method=method, max_body_bytes=max_body_bytes)
+        self._answer = HttpAnswer(
+            method=method,
+            max_body_bytes=max_body_bytes,
+            is_expected=is_expected,
+        )
         self._sock: socket.socket | None = None
         self._sent = 0
         self._error: OSError | None = None
@@ -209,21 +175,38 @@
         try:
             self._send(sock)
             _receive(sock, self._answer)
-            is_reusable = not self._answer.should_close()
+            is_reusable = self._is_reusable
         finally:
             _give_back(self._pool, sock, is_reusable=is_reusable)
 
+    @property
+    def _is_reusable(self) -> bool:
+        # The rest of a request that was answered early is still due.
+        is_sent = self._sent == len(self._request)
+        return is_sent and not self._answer.should_close()
+
     def _send(self, sock: socket.socket) -> None:
         if self._error is not None:
             raise _write_error(self._error, may_have_run=False)
         if self._sent == 0:
             self._send_first(sock)
-        if self._sent == len(self._request):
-            return
-        try:
-            sock.sendall(memoryview(self._request)[self._sent :])
-        except OSError as error:
-            raise _write_error(error, may_have_run=True) from None
+        self._send_rest(sock)
+
+    def _send_rest(self, sock: socket.socket) -> None:
+        """Send until all is out or the other side answers early."""
+        descriptor = sock.fileno()
+        rest = memoryview(self._request)
+        while self._sent < len(self._request) and not self._answer.is_whole:
+            try:
+                self._sent += os.write(descriptor, rest[self._sent :])
+            except BlockingIOError:
+                socket.wait_readwrite(descriptor)
+                _receive_ready(descriptor, self._answer)
+            except OSError as error:
+                # An answer may have come before the connection broke.
+                _receive_ready(descriptor, self._answer)
+                if not self._answer.is_whole:
+                    raise _write_error(error, may_have_run=True) from None
 
     def _send_first(self, sock: socket.socket) -> None:
         try:
@@ -291,18 +274,37 @@
         try:
             received = sock.recv(_RECEIVE_BYTES)
         except OSError as error:
-            raise ExchangeError(
-                _describe('read', error),
-                may_have_run=True,
-                is_reset=error.errno in _RESET_ERRORS,
-            ) from None
+            raise _read_error(error) from None
         _feed(answer, received)
 
 
+def _receive_ready(descriptor: int, answer: HttpAnswer) -> None:
+    """Take what has arrived, without a wait."""
+    try:
+        received = os.read(descriptor, _RECEIVE_BYTES)
+    except BlockingIOError:
+        return
+    except OSError as error:
+        raise _read_error(error) from None
+    _feed(answer, received)
+
+
+def _read_error(error: OSError) -> ExchangeError:
+    return ExchangeError(
+        _describe('read', error),
+        may_have_run=True,
+        is_reset=error.errno in _RESET_ERRORS,
+    )
+
+
 def _feed(answer: HttpAnswer, received: bytes) -> None:
     try:
         answer.feed(received)
     except HTTPParseError as error:
+        if answer.is_whole:
+            # What follows a whole answer belongs to no request; the parser
+            # has failed, so the connection is not used again.
+            return
         reason = f'malformed answer: {error}' if received else 'answer cut off'
         raise ExchangeError(
             reason,
--- a/briartack/inbound_call.py
+++ b/briartack/inbound_call.py
@@ -1,14 +1,13 @@
 """One call of a caller, from its head to the answer on its socket."""
 
 import os
-from typing import Any, final
+from typing import Any, Protocol, final
 
 import gevent
 import msgspec
 from gevent import socket
 from gevent.hub import Waiter, get_hub
 
-from briartack.caller_answers import answer_of
 from briartack.core.effects import AnswerCall
 from briartack.core.messages import Headers
 
@@ -52,6 +51,22 @@
     is_nested: bool
     body_bytes: int | None
     key_service: str  # not empty when the caller asks for a key
+    host: str = ''
+    request_id: str = ''
+
+
+class AnswerEncoder(Protocol):
+    """Encode answers to callers."""
+
+    def answer(
+        self,
+        effect: AnswerCall,
+        *,
+        body: bytes,
+        method: str,
+        connection: str,
+    ) -> bytes:
+        """Encode the whole answer that the core decided."""
 
 
 @final
@@ -67,6 +82,7 @@
         'control',
         '_descriptor',
         '_connection',
+        '_encoder',
         '_wants_body',
         '_waiter',
         'is_body_read',
@@ -80,6 +96,7 @@
         control: ConnectionControl,
         descriptor: int,
         connection: str,
+        encoder: AnswerEncoder,
     ) -> None:
         """Start unanswered; `connection` is the Connection header to send."""
         self.call_id = ''
@@ -92,6 +109,7 @@
         self.reader: gevent.Greenlet | None = None
         self._descriptor = descriptor
         self._connection = connection
+        self._encoder = encoder
         self._wants_body = False
         self._waiter: Waiter | None = None
 
@@ -108,7 +126,7 @@
     def answer(self, effect: AnswerCall, body: bytes) -> None:
         """Write the answer without waiting for the connection's greenlet."""
         connection = self._connection if self.is_body_read else 'close'
-        whole = answer_of(
+        whole = self._encoder.answer(
             effect,
             body=body,
             method=self.head.method,
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -19,8 +19,14 @@
 from briartack.core.status import describe
 from briartack.core.units import Incarnation, InstanceId
 from briartack.daemon import Daemon
-from briartack.error_texts import BAD_OPTION, CANNOT_LISTEN, error_text
+from briartack.error_texts import (
+    BAD_OPTION,
+    CANNOT_LISTEN,
+    RELOADED,
+    error_text,
+)
 from briartack.line_writer import LineWriter, LineWriters
+from briartack.link import Link, connect
 from briartack.logs import set_up_logs, write_log
 from briartack.options import Options, read_options
 from briartack.recorder import Recorder, TraceHeader
@@ -43,6 +49,7 @@
     """Run a daemon and return its exit code."""
     try:
         options = read_options(arguments, os.environ)
+        link = connect(options)
     except ExceptionGroup as group:
         _print_errors(group)
         return EXIT_USAGE
@@ -61,7 +68,7 @@
     # gevent writes tracebacks of greenlets to sys.stderr.
     with contextlib.redirect_stderr(cast(TextIO, writers.logs)):
         try:
-            return _serve(options, identity, writers)
+            return _serve(options, identity, writers, link)
         except OSError as error:
             write_log(LogLevel.ERROR, CANNOT_LISTEN, {'error': str(error)})
             return EXIT_FAILED
@@ -74,7 +81,12 @@
     return None if stream is None else stream.fileno()
 
 
-def _serve(options: Options, identity: Identity, writers: LineWriters) -> int:
+def _serve(
+    options: Options,
+    identity: Identity,
+    writers: LineWriters,
+    link: Link,
+) -> int:
     seed = secrets.randbits(_SEED_BITS)
     daemon = Daemon(
         options=options,
@@ -83,16 +95,20 @@
             identity=identity,
             random=Random(seed),
             drain_seconds=options.drain_seconds,
+            rules=link.rules,
         ),
         reduce=reduce,
         describe=describe,
         explain=explain,
         writers=writers,
+        dialects=link.dialects,
+        rules=link.rules,
         recorder=_recorder(options, identity, seed),
     )
     signals = _Signals(daemon)
     gevent.signal_handler(signal.SIGTERM, signals.handle)
     gevent.signal_handler(signal.SIGINT, signals.handle)
+    gevent.signal_handler(signal.SIGHUP, signals.reload)
     # What was imported and made so far lives as long as the process.
     gc.freeze()
     gc.set_threshold(*_GC_THRESHOLDS)
@@ -115,6 +131,9 @@
         self._is_stopping = True
         self._daemon.request_stop()
 
+    def reload(self) -> None:
+        write_log(LogLevel.INFO, RELOADED, {})
+
 
 def _recorder(
     options: Options,
--- a/briartack/options.py
+++ b/briartack/options.py
@@ -20,6 +20,7 @@
 _NAME: Final = re.compile('[a-z][a-z0-9-]{0,62}')
 _SERVICE: Final = re.compile('[a-z][a-z0-9-]{0,62}/[a-z][a-z0-9-]{0,62}')
 _MAX_DRAIN_SECONDS: Final = 3600
+_DIALECTS: Final = ('own', 'platform')
 _LOG_LEVELS: Final = ('debug', 'info', 'warning', 'error')
 _VARIABLE_PREFIX: Final = 'BRIARTACK_'
 
@@ -41,6 +42,10 @@
     drain_seconds: float = 30.0
     log_level: str = 'info'
     record: Path | None = None
+    dialect: str = 'own'
+    boot: Path | None = None
+    probe_seconds: float = 1.0
+    metrics_address: Address | None = None
 
     def as_fields(self) -> dict[str, str]:
         """Return the settings as text, for the log."""
@@ -200,6 +205,19 @@
     return text
 
 
+def _check_dialect(text: str) -> str:
+    if text not in _DIALECTS:
+        raise ValueError(f'{text!r} is not a dialect')
+    return text
+
+
+def _check_boot(text: str) -> Path:
+    path = Path(text)
+    if not path.is_file():
+        raise ValueError(f'{text!r} is not a file')
+    return path
+
+
 def _check_record(text: str) -> Path:
     path = Path(text)
     if not text or path.is_dir() or not path.parent.is_dir():
@@ -255,4 +273,28 @@
         fix='Give a file for the event trace.',
         is_optional=True,
     ),
+    _Setting(
+        name='dialect',
+        check=_check_dialect,
+        fix='Give own or platform.',
+        default='own',
+    ),
+    _Setting(
+        name='boot',
+        check=_check_boot,
+        fix="Give the platform's settings file; dialect platform needs it.",
+        is_optional=True,
+    ),
+    _Setting(
+        name='probe_seconds',
+        check=_check_seconds,
+        fix=f'Give seconds from 0 to {_MAX_DRAIN_SECONDS}.',
+        default='1',
+    ),
+    _Setting(
+        name='metrics_address',
+        check=parse_address,
+        fix=_ADDRESS_FIX,
+        is_optional=True,
+    ),
 )
--- /dev/null
+++ b/briartack/platform/configuration.py
@@ -0,0 +1,163 @@
+"""The operators' configuration as the subtree of one team.
+
+Routes of the platform hold their policy and their home regions; equal ones
+become one policy or workspace, which their routes name.
+"""
+
+from typing import Annotated, Any, Final, TypeAlias, final
+
+import msgspec
+from msgspec import Meta
+
+from briartack.core.configuration.settings import (
+    Policy,
+    Route,
+    ServiceLimits,
+    Share,
+    TeamSettings,
+    Workspace,
+)
+from briartack.core.entries import TEAM_PREFIX
+from briartack.platform.names import TEAM
+
+CONFIG_KEY: Final = 'op/config'
+TEAM_KEY: Final = TEAM_PREFIX + TEAM
+_MAX_ATTEMPTS: Final = 10
+
+_Milliseconds: TypeAlias = Annotated[float, Meta(gt=0)]
+
+
+class _Meta(msgspec.Struct, frozen=True, kw_only=True):
+    name: str = ''
+
+
+class _Resource(msgspec.Struct, frozen=True, kw_only=True):
+    resource_kind: str
+    metadata: _Meta = _Meta()
+    spec: msgspec.Raw
+
+
+class _Config(msgspec.Struct, frozen=True, kw_only=True):
+    version: int
+    resources: tuple[_Resource, ...]
+
+
+class _Part(msgspec.Struct, frozen=True, kw_only=True):
+    service: str
+    weight: Annotated[float, Meta(ge=0)]
+
+
+class _Route(msgspec.Struct, frozen=True, kw_only=True):
+    host: str
+    prefix: str
+    kind: str  # says only whether a request may run again
+    timeout_ms: _Milliseconds
+    target_latency_ms: _Milliseconds | None = None
+    priority: Annotated[int, Meta(ge=0)] = 0  # 0 is the most urgent
+    service: str = ''
+    split: tuple[_Part, ...] = ()
+    max_attempts: Annotated[int, Meta(ge=1)] = 1
+    home_regions: tuple[str, ...] = ()  # none listed allows all
+
+
+class _Service(msgspec.Struct, frozen=True, kw_only=True):
+    health_path: str = '/health'
+    max_conns: Annotated[int, Meta(ge=1)]  # of all callers together
+    cold_start_s: Annotated[float, Meta(ge=0)] = 0
+    cold_per_s: Annotated[float, Meta(gt=0)] | None = None
+
+
+def subtree_of(payload: bytes) -> str:
+    """Translate a configuration to a team's subtree; raise ValueError."""
+    try:
+        config = msgspec.json.decode(payload, type=_Config)
+        settings = _Translation(config).settings()
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from None
+    return msgspec.json.encode(settings).decode()
+
+
+@final
+class _Translation:
+    """Collect the resources of one configuration."""
+
+    __slots__ = ('_config', '_policies', '_workspaces')
+
+    def __init__(self, config: _Config) -> None:
+        self._config = config
+        self._policies: dict[Policy, str] = {}
+        self._workspaces: dict[Workspace, str] = {}
+
+    def settings(self) -> TeamSettings:
+        services: dict[str, ServiceLimits] = {}
+        routes: list[Route] = []
+        for resource in self._config.resources:
+            name = resource.metadata.name
+            if resource.resource_kind == 'services':
+                services[name] = _limits(_spec(resource, _Service))
+            elif resource.resource_kind == 'routes':
+                routes.append(self._route(name, _spec(resource, _Route)))
+        return TeamSettings(
+            services=services,
+            policies={name: one for one, name in self._policies.items()},
+            workspaces={name: one for one, name in self._workspaces.items()},
+            routes=tuple(routes),
+        )
+
+    def _route(self, name: str, spec: _Route) -> Route:
+        policy = Policy(
+            timeout_ms=max(1, round(spec.timeout_ms)),
+            max_attempts=min(spec.max_attempts, _MAX_ATTEMPTS),
+            rank=spec.priority,
+            target_ms=_whole(spec.target_latency_ms),
+            repeatable=spec.kind == 'idempotent',
+        )
+        policy_name = self._policies.setdefault(
+            policy,
+            f'p{len(self._policies)}',
+        )
+        split = tuple(
+            Share(service=part.service, weight=part.weight)
+            for part in spec.split
+        )
+        return Route(
+            name=name,
+            path_prefix=spec.prefix,
+            host=spec.host,
+            service=spec.service or _first(split),
+            split=split,
+            policy=policy_name,
+            workspace=self._workspace(spec.home_regions),
+        )
+
+    def _workspace(self, homes: tuple[str, ...]) -> str | None:
+        if not homes:
+            return None
+        workspace = Workspace(home_regions=homes)
+        return self._workspaces.setdefault(
+            workspace,
+            f'homes{len(self._workspaces)}',
+        )
+
+
+def _spec(resource: _Resource, kind: type[Any]) -> Any:
+    return msgspec.json.decode(resource.spec, type=kind)
+
+
+def _whole(milliseconds: float | None) -> int | None:
+    return None if milliseconds is None else max(1, round(milliseconds))
+
+
+def _limits(spec: _Service) -> ServiceLimits:
+    return ServiceLimits(
+        # The registry names the slots of each upstream.
+        slots=spec.max_conns,
+        connections=spec.max_conns,
+        ramp_seconds=spec.cold_start_s,
+        cold_per_second=spec.cold_per_s,
+        health_path=spec.health_path,
+    )
+
+
+def _first(split: tuple[Share, ...]) -> str:
+    return split[0].service if split else ''
--- /dev/null
+++ b/briartack/platform/connect.py
@@ -0,0 +1,23 @@
+"""The dialects and rules that a daemon has on the platform."""
+
+from briartack.dialects import Dialects
+from briartack.options import Options
+from briartack.platform.callers import PlatformCallerDialect
+from briartack.platform.names import bare
+from briartack.platform.registry import Registry
+from briartack.platform.settings import ProcessSettings
+from briartack.platform.store import PlatformStoreDialect
+from briartack.platform.upstream import PlatformUpstreamDialect
+
+
+def platform_dialects(options: Options, settings: ProcessSettings) -> Dialects:
+    """Return the platform's dialects for one daemon."""
+    registry = Registry(
+        regions=settings.regions,
+        peer_port=options.peer_address[1],
+    )
+    return Dialects(
+        callers=PlatformCallerDialect(service=bare(options.service)),
+        upstream=PlatformUpstreamDialect(),
+        store=PlatformStoreDialect(registry=registry),
+    )
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -1,15 +1,18 @@
 """Reads and the waiting watch of the platform's store, over HTTP."""
 
-from typing import Annotated, Final, final
-from urllib.parse import quote
+from collections.abc import Callable
+from typing import Final, final
 
 import gevent
-import msgspec
 from gevent.greenlet import Greenlet
-from msgspec import Meta
 
 from briartack.addresses import Address, format_address
-from briartack.core.effects import CancelWatch, ReadStore, WatchStore
+from briartack.core.effects import (
+    CancelWatch,
+    LogLevel,
+    ReadStore,
+    WatchStore,
+)
 from briartack.core.entries import Entry
 from briartack.core.events import (
     StoreFailed,
@@ -17,11 +20,12 @@
     StoreRead,
     StoreWatched,
 )
-from briartack.core.units import Revision
+from briartack.dialects import StoreAnswerError, StoreDialect, StorePage
+from briartack.error_texts import ITEM_REFUSED
+from briartack.http_answer import HttpAnswer
 from briartack.http_exchange import (
     Connections,
     ExchangeError,
-    HttpAnswer,
     exchange,
 )
 from briartack.ports import Clock, Deliver, Observer
@@ -32,23 +36,11 @@
 _READ_TIMEOUT_SECONDS: Final = 10.0
 _WATCH_GRACE_SECONDS: Final = 5.0
 _STATUS_OK: Final = 200
+_STATUS_GONE: Final = 410
 _STATUS_TOO_MANY: Final = 429
 _MAX_RETRY_AFTER_SECONDS: Final = 3600.0
 _POOL_SIZE: Final = 4
 
-_StoreRevision = Annotated[int, Meta(ge=0)]
-
-
-class _StoreEntry(msgspec.Struct, frozen=True, kw_only=True):
-    key: str
-    revision: _StoreRevision
-    value: str | None
-
-
-class _StoreAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    revision: _StoreRevision
-    entries: tuple[_StoreEntry, ...]
-
 
 class _StoreError(Exception):
     """Report a call without a usable answer."""
@@ -58,9 +50,11 @@
         reason: str,
         *,
         retry_after_seconds: float | None = None,
+        is_history_gone: bool = False,
     ) -> None:
         super().__init__(reason)
         self.retry_after_seconds = retry_after_seconds
+        self.is_history_gone = is_history_gone
 
 
 @final
@@ -70,6 +64,7 @@
     __slots__ = (
         '_pool',
         '_host_header',
+        '_dialect',
         '_deliver',
         '_clock',
         '_observer',
@@ -80,6 +75,7 @@
         self,
         *,
         address: Address,
+        dialect: StoreDialect,
         deliver: Deliver,
         clock: Clock,
         observer: Observer,
@@ -87,6 +83,7 @@
         """Prepare a pool of connections; nothing is dialled yet."""
         self._pool = Connections(address, size=_POOL_SIZE)
         self._host_header = format_address(address)
+        self._dialect = dialect
         self._deliver = deliver
         self._clock = clock
         self._observer = observer
@@ -112,48 +109,87 @@
             watch.kill(block=False)
 
     def _read(self, prefix: str) -> None:
-        operation = StoreOperation.READ
-        target = f'/v1/entries?prefix={quote(prefix, safe="")}'
         try:
-            answer = self._call(operation, target, _READ_TIMEOUT_SECONDS)
+            page = self._read_pages(prefix)
         except _StoreError as error:
-            self._deliver(self._failed(operation, prefix, error))
+            self._deliver(self._failed(StoreOperation.READ, prefix, error))
             return
         self._deliver(
             StoreRead(
                 now=self._clock(),
                 prefix=prefix,
-                revision=Revision(answer.revision),
-                entries=_entries(answer),
+                revision=page.revision,
+                entries=page.entries,
             ),
         )
 
+    def _read_pages(self, prefix: str) -> StorePage:
+        """Read all pages; what changed meanwhile is left to the watch."""
+        dialect = self._dialect
+        entries: list[Entry] = []
+        first: StorePage | None = None
+        after = ''
+        while first is None or after:
+            body = self._call(
+                StoreOperation.READ,
+                dialect.read_target(prefix, after),
+                _READ_TIMEOUT_SECONDS,
+            )
+            page = self._page(dialect.read_page, body)
+            first = first or page
+            entries.extend(page.entries)
+            after = page.next_after
+        return StorePage(revision=first.revision, entries=tuple(entries))
+
     def _run_watch(self, effect: WatchStore) -> None:
-        operation = StoreOperation.WATCH
         wait = effect.wait_seconds
-        target = f'/v1/watch?after={effect.after}&wait={wait:g}'
+        target = self._dialect.watch_target(effect.after, wait)
+        timeout_seconds = wait + _WATCH_GRACE_SECONDS
         try:
-            answer = self._call(operation, target, wait + _WATCH_GRACE_SECONDS)
+            page = self._page(
+                self._dialect.watch_page,
+                self._call(StoreOperation.WATCH, target, timeout_seconds),
+            )
         except _StoreError as error:
             self._watch = None
-            self._deliver(self._failed(operation, '', error))
+            self._deliver(self._failed(StoreOperation.WATCH, '', error))
             return
         # The reducer may start the next watch while it handles the event.
         self._watch = None
         self._deliver(
             StoreWatched(
                 now=self._clock(),
-                revision=Revision(answer.revision),
-                entries=_entries(answer),
+                revision=page.revision,
+                entries=page.entries,
             ),
         )
 
+    def _page(
+        self,
+        decode: Callable[[bytes], StorePage],
+        body: bytes,
+    ) -> StorePage:
+        try:
+            page = decode(body)
+        except StoreAnswerError as error:
+            raise _StoreError(f'malformed answer: {error}') from None
+        for refused in page.refused:
+            self._observer.count('store.items_refused')
+            self._observer.log(
+                LogLevel.WARNING,
+                ITEM_REFUSED,
+                key=refused.key,
+                revision=str(refused.revision),
+                problem=refused.reason,
+            )
+        return page
+
     def _call(
         self,
         operation: StoreOperation,
         target: str,
         timeout_seconds: float,
-    ) -> _StoreAnswer:
+    ) -> bytes:
         self._observer.count('store.calls', operation=operation.value)
         request = f'GET {target} HTTP/1.1\r\nHost: {self._host_header}\r\n\r\n'
         try:
@@ -166,7 +202,7 @@
             )
         except ExchangeError as error:
             raise _StoreError(str(error)) from None
-        return _decode(answer)
+        return _body(answer)
 
     def _failed(
         self,
@@ -181,10 +217,11 @@
             prefix=prefix,
             reason=str(error),
             retry_after_seconds=error.retry_after_seconds,
+            is_history_gone=error.is_history_gone,
         )
 
 
-def _decode(answer: HttpAnswer) -> _StoreAnswer:
+def _body(answer: HttpAnswer) -> bytes:
     status = answer.get_code()
     if status == _STATUS_TOO_MANY:
         raise _StoreError(
@@ -192,18 +229,11 @@
             retry_after_seconds=_retry_after(answer),
         )
     if status != _STATUS_OK:
-        raise _StoreError(f'status {status}')
-    try:
-        decoded = msgspec.json.decode(answer.body, type=_StoreAnswer)
-    except msgspec.MsgspecError as error:
-        raise _StoreError(f'malformed answer: {error}') from None
-    for entry in decoded.entries:
-        if entry.revision > decoded.revision:
-            raise _StoreError(
-                f'malformed answer: {entry.key} has revision '
-                f'{entry.revision} above {decoded.revision}',
-            )
-    return decoded
+        raise _StoreError(
+            f'status {status}',
+            is_history_gone=status == _STATUS_GONE,
+        )
+    return answer.body
 
 
 def _retry_after(answer: HttpAnswer) -> float | None:
@@ -214,14 +244,3 @@
         # A date as Retry-After is not used by the store.
         return None
     return seconds if 0 <= seconds <= _MAX_RETRY_AFTER_SECONDS else None
-
-
-def _entries(answer: _StoreAnswer) -> tuple[Entry, ...]:
-    return tuple(
-        Entry(
-            key=entry.key,
-            revision=Revision(entry.revision),
-            value=entry.value,
-        )
-        for entry in answer.entries
-    )
--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -40,6 +40,16 @@
     region: str
     service: str = 's'
     peer_address: str = '127.0.0.1:1'
+    slots: int | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BenchShare:
+    """Stand in for one service of a route."""
+
+    service: str = 's'
+    limits: ServiceLimits
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,9 +58,9 @@
 
     name: str = 't/r'
     path_prefix: str = '/s/'
+    host: str = ''
     methods: frozenset[str] = frozenset()
-    service: str = 's'
-    limits: ServiceLimits
+    shares: tuple[BenchShare, ...]
     policy: Policy
     home_regions: Regions = None
 
@@ -72,6 +82,13 @@
     members: tuple[Member, ...]
     leaving: frozenset[str] = frozenset()
 
+    @property
+    def instance_count(self) -> int:
+        return len(self.members)
+
+    def record(self, record_id: str) -> None:
+        """List no start of an upstream under an id of its own."""
+
     def of_service(self, service: str) -> tuple[Member, ...]:
         return self.members if service == 's' else ()
 
@@ -154,7 +171,7 @@
         policy = Policy(**{'max_attempts': 3, **setup.get('policy', {})})
         homes = setup.get('home_regions')
         route = BenchRoute(
-            limits=limits,
+            shares=(BenchShare(limits=limits),),
             policy=policy,
             home_regions=None if homes is None else frozenset(homes),
         )
--- a/briartack/test/mutants.py
+++ b/briartack/test/mutants.py
@@ -175,7 +175,7 @@
         invariant='I5',
         trace='data_centre_out_during_partition',
         caught_by='no SendAnswer',
-        patches={'owner_checks._is_out': always(False)},
+        patches={'owner_checks.is_own_out': always(False)},
     ),
     Mutant(
         guard='a sender keeps a request in its home regions',
--- a/briartack/test/small_shell.py
+++ b/briartack/test/small_shell.py
@@ -11,6 +11,7 @@
 from briartack.core import effects
 from briartack.core.units import InstanceId
 from briartack.event_loop import EventLoop
+from briartack.own_dialects import own_dialects
 from briartack.peers import Peers
 from briartack.store_client import StoreClient
 from briartack.test.fake_reducer import (
@@ -49,7 +50,12 @@
             'clock': time.monotonic,
             'observer': self.observer,
         }
-        self.callers = Callers(bodies=self.bodies, **common)
+        dialects = own_dialects()
+        self.callers = Callers(
+            bodies=self.bodies,
+            dialect=dialects.callers,
+            **common,
+        )
         self.peers = Peers(
             identity=identity(name, incarnation),
             bodies=self.bodies,
@@ -58,9 +64,14 @@
         self.upstream = Upstream(
             address=upstream,
             bodies=self.bodies,
+            dialect=dialects.upstream,
+            **common,
+        )
+        self.store = StoreClient(
+            address=upstream,
+            dialect=dialects.store,
             **common,
         )
-        self.store = StoreClient(address=upstream, **common)
         self.loop.connect(
             {
                 effects.ReadBody: self.callers.read_body,
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -1,53 +1,47 @@
 """HTTP to the local upstream: requests of attempts, and probes."""
 
+from functools import partial
 from typing import Final, TypeAlias, final
 
 import gevent
-import msgspec
+from gevent.event import Event
 from gevent.greenlet import Greenlet
 
 from briartack.addresses import Address, format_address
 from briartack.bodies import Bodies
 from briartack.core.body_ids import answer_body
-from briartack.core.effects import AbortDispatch, Dispatch
+from briartack.core.calls.call_rules import DEFAULT_RULES
+from briartack.core.effects import AbortDispatch, Dispatch, ProbeUpstream
 from briartack.core.events import (
     UpstreamAnswered,
     UpstreamFailed,
     UpstreamProbed,
 )
-from briartack.core.messages import MAX_BODY_BYTES, Headers
+from briartack.core.messages import MAX_BODY_BYTES
+from briartack.dialects import UpstreamDialect, UpstreamResult
 from briartack.framing import digest_of
-from briartack.headers import CONTENT_LENGTH, end_to_end, first_value
+from briartack.http_answer import HttpAnswer
 from briartack.http_exchange import (
     Connections,
     Exchange,
     ExchangeError,
-    HttpAnswer,
     exchange,
 )
 from briartack.ports import Clock, Deliver, Observer
 
 # Admission bounds what runs at once; this bound only stops a runaway.
 _MAX_CONNECTIONS: Final = 4096
-_PROBE_INTERVAL_SECONDS: Final = 1.0
+# An upstream that is down is asked again after this time at the latest.
+_PROBE_RETRY_SECONDS: Final = 0.25
+_PROBE_LEAST_SECONDS: Final = 0.1
 _PROBE_TIMEOUT_SECONDS: Final = 1.0
+# Used until the configuration names the path; empty probes nothing.
+OWN_HEALTH_PATH: Final = '/healthz'
 _MAX_PROBE_BYTES: Final = 65536
-_STATUS_OK: Final = 200
-_MILLISECONDS: Final = 1000
-_CRLF: Final = b'\r\n'
-_METHODS_WITH_BODY: Final = frozenset(('POST', 'PUT', 'PATCH'))
 
 _Running: TypeAlias = dict[str, tuple[Greenlet, Exchange]]
 
 
-class _ProbeAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Decode the health endpoint; every field may be missing."""
-
-    status: str = 'ok'
-    identity: str = ''
-    load: float | None = None
-
-
 @final
 class Upstream:
     """Run attempts at the local upstream and watch its health."""
@@ -57,6 +51,10 @@
         '_probe_pool',
         '_host_header',
         '_bodies',
+        '_dialect',
+        '_probe_path',
+        '_probe_seconds',
+        '_probe_wanted',
         '_deliver',
         '_clock',
         '_observer',
@@ -68,15 +66,22 @@
         *,
         address: Address,
         bodies: Bodies,
+        dialect: UpstreamDialect,
         deliver: Deliver,
         clock: Clock,
         observer: Observer,
+        probe_seconds: float = DEFAULT_RULES.probe_seconds,
+        probe_path: str = OWN_HEALTH_PATH,
     ) -> None:
         """Prepare a pool of connections; nothing is dialled yet."""
         self._pool = Connections(address, size=_MAX_CONNECTIONS)
         self._probe_pool = Connections(address, size=1)
         self._host_header = format_address(address)
         self._bodies = bodies
+        self._dialect = dialect
+        self._probe_path = probe_path
+        self._probe_seconds = probe_seconds
+        self._probe_wanted = Event()
         self._deliver = deliver
         self._clock = clock
         self._observer = observer
@@ -88,8 +93,13 @@
         request = Exchange(
             self._pool,
             method=effect.method,
-            request=self._request(effect),
+            request=self._dialect.request(
+                effect,
+                self._bodies.get(effect.body_id),
+                self._host_header,
+            ),
             max_body_bytes=MAX_BODY_BYTES,
+            is_expected=partial(self._dialect.is_answer_to, effect),
         )
         # The greenlet starts only after everything that is due before it.
         request.send_now()
@@ -105,11 +115,24 @@
             # A greenlet that is killed before its start never runs.
             request.give_up()
 
+    def probe(self, effect: ProbeUpstream) -> None:
+        """Probe now, and at this path from now on."""
+        self._probe_path = effect.path
+        self._probe_wanted.set()
+
     def probe_forever(self) -> None:
-        """Probe the upstream each second until killed."""
+        """Probe the upstream regularly and when asked to, until killed."""
+        pause = 0.0
         while True:
-            self._deliver(self._probe())
-            gevent.sleep(_PROBE_INTERVAL_SECONDS)
+            self._probe_wanted.wait(pause if self._probe_path else None)
+            self._probe_wanted.clear()
+            probed = self._probe()
+            self._deliver(probed)
+            # Requests that fail may ask for many probes.
+            gevent.sleep(_PROBE_LEAST_SECONDS)
+            pause = self._probe_seconds
+            if not probed.is_healthy:
+                pause = min(pause, _PROBE_RETRY_SECONDS)
 
     def _run(
         self,
@@ -132,12 +155,16 @@
             answer = request.finish(effect.timeout_seconds)
         except ExchangeError as error:
             return self._failed(effect, error)
-        return self._answered(effect, answer, started)
+        result = self._dialect.result(effect, answer)
+        if result.failure:
+            return self._not_served(effect, result)
+        return self._answered(effect, answer, result, started)
 
     def _answered(
         self,
         effect: Dispatch,
         answer: HttpAnswer,
+        result: UpstreamResult,
         started: float,
     ) -> UpstreamAnswered:
         now = self._clock()
@@ -149,7 +176,7 @@
             now=now,
             attempt_id=effect.attempt_id,
             status=answer.get_code(),
-            headers=_answer_headers(effect.method, answer.header_pairs),
+            headers=result.headers,
             body_bytes=len(body),
             body_digest=digest_of(body),
             elapsed_seconds=now - started,
@@ -170,64 +197,35 @@
             reason=reason,
         )
 
-    def _request(self, effect: Dispatch) -> bytes:
-        body = self._bodies.get(effect.body_id)
-        lines = [f'{effect.method} {effect.target} HTTP/1.1']
-        # The headers of a call are end-to-end since its arrival.
-        headers = effect.headers
-        if first_value(headers, 'host') is None:
-            lines.append(f'Host: {self._host_header}')
-        lines.extend(f'{name}: {text}' for name, text in headers)
-        if body or effect.method in _METHODS_WITH_BODY:
-            lines.append(f'Content-Length: {len(body)}')
-        head = '\r\n'.join(lines).encode('latin-1', 'replace')
-        return b''.join((head, _CRLF, _CRLF, body))
+    def _not_served(
+        self,
+        effect: Dispatch,
+        result: UpstreamResult,
+    ) -> UpstreamFailed:
+        self._observer.count('upstream.failures', reason=result.failure)
+        return UpstreamFailed(
+            now=self._clock(),
+            attempt_id=effect.attempt_id,
+            may_have_run=result.has_run,
+            is_reset=False,
+            reason=result.failure,
+            is_refusal=not result.has_run,
+            identity=result.identity,
+        )
 
     def _probe(self) -> UpstreamProbed:
-        request = f'GET /healthz HTTP/1.1\r\nHost: {self._host_header}\r\n\r\n'
         try:
             answer = exchange(
                 self._probe_pool,
                 method='GET',
-                request=request.encode(),
+                request=self._dialect.probe(
+                    self._probe_path,
+                    self._host_header,
+                ),
                 max_body_bytes=_MAX_PROBE_BYTES,
                 timeout_seconds=_PROBE_TIMEOUT_SECONDS,
             )
         except ExchangeError:
             self._observer.count('upstream.probe_failures')
-            return _probed(self._clock(), None)
-        return _probed(self._clock(), answer)
-
-
-def _probed(now: float, answer: HttpAnswer | None) -> UpstreamProbed:
-    if answer is None:
-        health, code = _ProbeAnswer(status=''), 0
-    else:
-        health, code = _decode_probe(answer.body), answer.get_code()
-    return UpstreamProbed(
-        now=now,
-        is_healthy=code == _STATUS_OK and health.status in {'ok', 'draining'},
-        is_draining=health.status == 'draining',
-        identity=health.identity,
-        reported_load=health.load,
-    )
-
-
-def _decode_probe(body: bytes) -> _ProbeAnswer:
-    try:
-        health = msgspec.json.decode(body, type=_ProbeAnswer)
-    except msgspec.MsgspecError:
-        # An answer in another form still says that the upstream is up.
-        return _ProbeAnswer()
-    if health.load is not None and not 0 <= health.load <= 1:
-        return msgspec.structs.replace(health, load=None)
-    return health
-
-
-def _answer_headers(method: str, headers: Headers) -> Headers:
-    kept = end_to_end(headers)
-    if method != 'HEAD':
-        return kept
-    # The answer to HEAD names the length that GET would have.
-    length = first_value(headers, CONTENT_LENGTH)
-    return kept if length is None else (*kept, ('Content-Length', length))
+            return self._dialect.probed(self._clock(), None)
+        return self._dialect.probed(self._clock(), answer)
