Read pipelined requests ahead; linger at a stop; notice silent sockets; keep lapsed records a moment

By reading: lapsed registry entries would empty the list at the store's return, silent links would hang for good, the store's backoff of 30 s is longer than the bound of a change.

--- a/benchmarks/baseline_daemon.py
+++ b/benchmarks/baseline_daemon.py
@@ -7,8 +7,8 @@
 
 from typing import Final
 
-from briartack.core.dissemination import store_reads
 from briartack.core.dissemination.budget import Backoff, TokenBudget
+from briartack.core.dissemination.store_reads import StoreReadsState
 from briartack.core.dissemination.tree_position import TreePosition
 from briartack.main import main
 
@@ -27,17 +27,22 @@
     backoff: Backoff,
     now: float,
     least_seconds: float | None = None,
+    bound_seconds: float = 0,
 ) -> None:
     pause_seconds = RETRY_SECONDS if least_seconds is None else least_seconds
     backoff._not_before = now + pause_seconds  # noqa: SLF001
 
 
+def _start(reads: StoreReadsState, now: float) -> None:
+    reads._instances_at = now  # noqa: SLF001
+
+
 # Owner, name and replacement of the decisions that spare the store.
 REPLACED: Final = (
     (TreePosition, 'is_watcher', _is_watcher),
     (TokenBudget, 'take', _take),
     (Backoff, 'fail', _fail),
-    (store_reads, 'START_JITTER_SECONDS', 0),
+    (StoreReadsState, 'start', _start),
 )
 
 
--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -1,12 +1,9 @@
 """One caller's connection: pywsgi reads requests, calls are answered here."""
 
-import select
-from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 import gevent
 from gevent import socket
-from gevent.hub import get_hub
 from gevent.pywsgi import Input, WSGIHandler
 
 from briartack.caller_headers import (
@@ -16,19 +13,14 @@
     check_raw_request_line,
     check_request_line,
 )
+from briartack.caller_pipeline import Pipeline, ReadyReply
 from briartack.core.messages import MAX_BODY_BYTES
 from briartack.dialects import CallerDialect
 from briartack.error_texts import MALFORMED_REQUEST, TOO_LARGE
-from briartack.inbound_call import (
-    ConnectionControl,
-    InboundCall,
-    RequestHead,
-)
+from briartack.inbound_call import InboundCall, RequestHead
 from briartack.ports import Observer
 
 _READ_BYTES: Final = 65536
-_READABLE: Final = 1
-_LINGER_SECONDS: Final = 1.0
 _BAD_REQUEST: Final = 400
 _TOO_LARGE: Final = 413
 
@@ -42,13 +34,13 @@
     def observer(self) -> Observer:
         """Return what counts malformed requests."""
 
-    def opened(self, connection: ConnectionControl) -> None:
+    def opened(self, connection: Pipeline) -> None:
         """Watch a connection for idleness."""
 
-    def closed(self, connection: ConnectionControl) -> None:
+    def closed(self, connection: Pipeline) -> None:
         """Forget a connection that has ended."""
 
-    def arrive(self, call: InboundCall) -> None:
+    def arrive(self, call: InboundCall, pipeline: Pipeline) -> None:
         """Report a call whose head has been read."""
 
     def body_read(self, call: InboundCall, body: bytes) -> None:
@@ -59,13 +51,17 @@
 
 
 class CallerHandler(WSGIHandler):  # type: ignore[misc]  # noqa: WPS214
-    """Read requests with pywsgi and hand them over as calls."""
+    """Read requests with pywsgi and hand them over as calls.
+
+    The next request is read while earlier ones are unanswered, so that an end
+    of the stream shows that the caller is gone.
+    """
 
     # The name is that of pywsgi.
     MessageClass = RequestHeaders  # noqa: WPS115
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
-        """Set the socket up for small writes and for watching."""
+        """Set the socket up for small writes."""
         sock.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_NODELAY,
@@ -73,19 +69,18 @@
         )
         super().__init__(sock, address, server)
         self._calls: _Calls = server.application.callers
-        self._watcher = get_hub().loop.io(sock.fileno(), _READABLE)
-        self._is_gone = False
-        self._control = ConnectionControl(sock)
+        self._pipeline = Pipeline(sock)
 
     def handle(self) -> None:
         """Serve the connection until one side closes it."""
-        self._calls.opened(self._control)
+        self._calls.opened(self._pipeline)
         try:
             super().handle()
         finally:
-            self._calls.closed(self._control)
-            self._watcher.stop()
-            self._watcher.close()
+            self._calls.closed(self._pipeline)
+            for reply in self._pipeline.take_unanswered():
+                if isinstance(reply, InboundCall):
+                    self._calls.cancel(reply)
 
     def read_requestline(self) -> str:
         """Read the request line, cut off if it is too long.
@@ -116,7 +111,12 @@
         self._calls.observer.count('calls.malformed')
 
     def handle_one_response(self) -> None:
-        """Carry one call from its head to its answer."""
+        """Hand one call over; its answer may come later."""
+        if self._pipeline.is_ending:
+            # What follows the last answer counts as not read.
+            self.close_connection = True
+            self._discard()
+            return
         try:
             head = self._head()
         except RequestError as error:
@@ -127,68 +127,36 @@
             return
         call = InboundCall(
             head=head,
-            control=self._control,
-            descriptor=self.socket.fileno(),
             connection=self._connection_header(),
             encoder=self._calls.dialect,
         )
-        self._control.has_call = True
-        try:
-            self._calls.arrive(call)
-            self._carry(call)
-        finally:
-            self._control.has_call = False
+        self._calls.arrive(call, self._pipeline)
+        if not call.is_body_read and not call.is_answered:
+            self._read_body(call)
+        if call.is_last or self.close_connection:
+            self.close_connection = True
+            self._discard()
+        self._pipeline.wait_for_room()
 
     @property
     def _is_chunked(self) -> bool:
         return self.headers.get('transfer-encoding') is not None
 
-    def _carry(self, call: InboundCall) -> None:
-        while not call.is_answered:
-            if call.must_read_body:
-                if not self._read_body(call):
-                    return
-                continue
-            self._wait(call)
-            if self._is_gone and not call.is_answered:
-                self.close_connection = True
-                self._calls.cancel(call)
-                return
-        self._finish(call)
-
-    def _wait(self, call: InboundCall) -> None:
-        self._watcher.start(self._on_readable, call)
-        try:
-            call.wait()
-        finally:
-            self._watcher.stop()
-
-    def _on_readable(self, call: InboundCall) -> None:
-        # Runs in the hub, so it must not block.
-        self._watcher.stop()
-        if _is_closed(self.socket.fileno()):
-            self._is_gone = True
-            call.wake()
-        # Otherwise a body or the next request is waiting in the socket.
-
-    def _read_body(self, call: InboundCall) -> bool:
+    def _read_body(self, call: InboundCall) -> None:
         call.reader = gevent.getcurrent()
         try:
             body = self._whole_body(call)
         except (OSError, ValueError) as error:
             # pywsgi reports malformed chunks as OSError too.
             self._broken_body(call, error)
-            return False
+            return
         finally:
             call.reader = None
         if body is None:
-            self._calls.cancel(call)
-            self._refuse(_TOO_LARGE, TOO_LARGE, '')
-            return False
-        if not call.is_answered:
+            self._give_up(call, _TOO_LARGE, TOO_LARGE, '')
+        elif not call.is_answered:
             call.is_body_read = True
             self._calls.body_read(call, body)
-        return True
 
     def _whole_body(self, call: InboundCall) -> bytes | None:
         parts: list[bytes] = []
@@ -206,59 +174,50 @@
         return b''.join(parts)
 
     def _broken_body(self, call: InboundCall, error: Exception) -> None:
-        self.close_connection = True
         if call.is_answered:
-            self._finish(call)
             return
-        self._calls.cancel(call)
         self._calls.observer.count('calls.malformed')
-        self._refuse(
+        self._give_up(
+            call,
             _BAD_REQUEST,
             MALFORMED_REQUEST,
             f'The body is cut off or malformed: {error}',
         )
 
-    def _finish(self, call: InboundCall) -> None:
-        if call.unsent:
-            self._send(call.unsent)
-        if not call.is_body_read:
-            self.close_connection = True
-            self._linger()
+    def _give_up(
+        self,
+        call: InboundCall,
+        status: int,
+        code: str,
+        detail: str,
+    ) -> None:
+        """Refuse a call whose body can't be taken."""
+        self._calls.cancel(call)
+        call.is_last = True
+        call.whole = self._refusal(status, code, detail)
+        self._pipeline.flush()
 
     def _refuse(self, status: int, code: str, detail: str) -> None:
         self.close_connection = True
-        self._send(
-            self._calls.dialect.refusal(
-                status=status,
-                code=code,
-                detail=detail,
-                method=self.command,
-            ),
+        whole = self._refusal(status, code, detail)
+        self._pipeline.add(ReadyReply(whole=whole))
+        self._discard()
+
+    def _refusal(self, status: int, code: str, detail: str) -> bytes:
+        return self._calls.dialect.refusal(
+            status=status,
+            code=code,
+            detail=detail,
+            method=self.command or '',
         )
-        self._linger()
 
-    def _send(self, whole: bytes | memoryview) -> None:
+    def _discard(self) -> None:
+        """Read on until the caller closes, so that its answers reach it."""
         try:
-            self.socket.sendall(whole)
+            while self.socket.recv(_READ_BYTES):
+                """Nothing behind the last request is served."""
         except OSError:
-            self.close_connection = True
-
-    def _linger(self) -> None:
-        # Closing with unread bytes would reset the connection and could
-        # destroy the answer before the caller reads it.
-        with gevent.Timeout(_LINGER_SECONDS, exception=False):
-            _ignore_os_error(
-                lambda: self.socket.shutdown(socket.SHUT_WR),
-            )
-            _ignore_os_error(self._discard)
-
-    def _discard(self) -> None:
-        left = MAX_BODY_BYTES
-        while left > 0:
-            received = self.socket.recv(_READ_BYTES)
-            if not received:
-                return
-            left -= len(received)
+            return
 
     def _handle_client_error(self, ex: Exception) -> None:
         # An answer that is returned would be sent without lingering.
@@ -278,18 +237,3 @@
             headers=self.headers,
             body_bytes=None if self._is_chunked else self.content_length or 0,
         )
-
-
-def _is_closed(descriptor: int) -> bool:
-    # A caller that closes only its sending side counts as gone, as with
-    # other proxies.
-    poll = select.poll()
-    poll.register(descriptor, select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
-def _ignore_os_error(action: Callable[[], None]) -> None:
-    try:
-        action()
-    except OSError:
-        return
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -8,6 +8,7 @@
 from briartack.addresses import Address
 from briartack.bodies import Bodies
 from briartack.caller_connection import CallerHandler
+from briartack.caller_pipeline import Pipeline
 from briartack.core.body_ids import call_body
 from briartack.core.effects import AnswerCall, ReadBody
 from briartack.core.events import (
@@ -19,7 +20,7 @@
 from briartack.core.units import CallId
 from briartack.dialects import CallerDialect
 from briartack.framing import digest_of
-from briartack.inbound_call import ConnectionControl, InboundCall
+from briartack.inbound_call import InboundCall
 from briartack.ports import BACKLOG, Clock, Deliver, Observer
 
 # A caller whose connection carries no call for this long loses it.
@@ -39,6 +40,7 @@
         '_calls',
         '_numbers',
         '_connections',
+        '_is_stopping',
     )
 
     def __init__(
@@ -56,9 +58,10 @@
         self._deliver = deliver
         self._clock = clock
         self._observer = observer
-        self._calls: dict[str, InboundCall] = {}
+        self._calls: dict[str, tuple[InboundCall, Pipeline]] = {}
+        self._is_stopping = False
         self._numbers = itertools.count(1)
-        self._connections: set[ConnectionControl] = set()
+        self._connections: set[Pipeline] = set()
 
     @property
     def in_flight(self) -> int:
@@ -88,12 +91,12 @@
             environ={'SERVER_NAME': address[0], 'SERVER_PORT': address[1]},
         )
 
-    def opened(self, connection: ConnectionControl) -> None:
+    def opened(self, connection: Pipeline) -> None:
         """Watch a connection for idleness."""
         connection.last_active = self._clock()
         self._connections.add(connection)
 
-    def closed(self, connection: ConnectionControl) -> None:
+    def closed(self, connection: Pipeline) -> None:
         """Forget a connection that has ended."""
         self._connections.discard(connection)
 
@@ -101,15 +104,21 @@
         """Close the connections that carry no call for too long."""
         oldest = self._clock() - idle_seconds
         for connection in tuple(self._connections):
-            if not connection.has_call and connection.last_active < oldest:
+            is_idle = connection.last_active < oldest
+            if is_idle and not connection.has_replies:
                 connection.shut_down()
 
-    def arrive(self, call: InboundCall) -> None:
+    def stop_keeping(self) -> None:
+        """End each connection after its next answer."""
+        self._is_stopping = True
+
+    def arrive(self, call: InboundCall, pipeline: Pipeline) -> None:
         """Report a call whose head has been read."""
         call_id = CallId(f'c{next(self._numbers)}')
         call.call_id = call_id
         call.arrived = self._clock()
-        self._calls[call_id] = call
+        self._calls[call_id] = (call, pipeline)
+        pipeline.add(call)
         head = call.head
         if head.key_service:
             self._deliver(
@@ -159,24 +168,25 @@
         )
 
     def read_body(self, effect: ReadBody) -> None:
-        """Let the connection of a call read its body."""
-        call = self._calls.get(effect.call_id)
-        if call is None:
-            return
-        if call.head.body_bytes == 0:
+        """Report an empty body; a longer one is being read already."""
+        call, _ = self._calls.get(effect.call_id, (None, None))
+        if call is not None and call.head.body_bytes == 0:
             # The event is queued behind the one that is being applied.
             self.body_read(call, b'')
-        else:
-            call.want_body()
 
     def answer(self, effect: AnswerCall) -> None:
         """Answer a caller at once, from whatever greenlet runs this."""
-        call = self._calls.pop(effect.call_id, None)
-        if call is None:
+        call, pipeline = self._calls.pop(effect.call_id, (None, None))
+        if call is None or pipeline is None:
             return
-        call.answer(effect, self._bodies.get(effect.body_id))
+        call.answer(
+            effect,
+            self._bodies.get(effect.body_id),
+            is_stopping=self._is_stopping and pipeline.waiting == 1,
+        )
+        pipeline.flush()
         now = self._clock()
-        call.control.last_active = now
+        pipeline.last_active = now
         self._observer.observe('call.seconds', now - call.arrived)
 
 
--- a/briartack/core/calls/call_rules.py
+++ b/briartack/core/calls/call_rules.py
@@ -35,6 +35,9 @@
     cold_overage: float = 1.0
     # A caller may come back this long after a refusal.
     retry_after_seconds: float = 0.0
+    # A daemon that stops serves its callers for so long, until the platform
+    # has seen that it is not ready.
+    linger_seconds: float = 0.0
 
 
 DEFAULT_RULES: Final = CallRules()
--- a/briartack/core/calls/calls.py
+++ b/briartack/core/calls/calls.py
@@ -255,6 +255,7 @@
 
 def on_tick(state: CallsState, context: CallContext, event: Tick) -> Effects:
     """End what is over and go on with what waited."""
+    state.drain.follow(event.now)
     effects = state.sender.tick(context, event.now)
     effects.extend(state.owner.tick(context, event.now))
     effects.extend(state.keys.tick(event.now))
@@ -304,7 +305,7 @@
     state: CallsState, context: CallContext
 ) -> CallContext:
     """Refuse new calls as soon as the stop has begun."""
-    if not state.drain.is_draining:
+    if not state.drain.is_refusing:
         return context
     return msgspec.structs.replace(context, is_stopping=True)
 
--- a/briartack/core/calls/calls_state.py
+++ b/briartack/core/calls/calls_state.py
@@ -47,7 +47,10 @@
             owner=self.owner,
         )
         self.keys = KeyIssuerState(chooser=self.sender.chooser)
-        self.drain = DrainState(drain_seconds=drain_seconds)
+        self.drain = DrainState(
+            drain_seconds=drain_seconds,
+            linger_seconds=rules.linger_seconds,
+        )
 
 
 def end_calls(
@@ -88,7 +91,7 @@
                 is_kept=outcome.is_kept,
             ),
         )
-    if not state.drain.is_draining:
+    if not state.drain.is_refusing:
         return effects
     is_idle = (
         state.sender.is_idle and state.owner.is_idle and state.keys.is_idle
--- a/briartack/core/calls/drain.py
+++ b/briartack/core/calls/drain.py
@@ -7,11 +7,26 @@
 class DrainState:
     """Own the phase of the planned stop."""
 
-    __slots__ = ('_drain_seconds', '_bound', '_is_over')
+    __slots__ = (
+        '_drain_seconds',
+        '_linger_seconds',
+        '_refuses_at',
+        '_is_refusing',
+        '_bound',
+        '_is_over',
+    )
 
-    def __init__(self, *, drain_seconds: float) -> None:
+    def __init__(
+        self,
+        *,
+        drain_seconds: float,
+        linger_seconds: float = 0,
+    ) -> None:
         """Start in normal service."""
         self._drain_seconds = drain_seconds
+        self._linger_seconds = linger_seconds
+        self._refuses_at = float('inf')
+        self._is_refusing = False
         self._bound: float | None = None
         self._is_over = False
 
@@ -20,6 +35,11 @@
         """Tell whether the stop has begun."""
         return self._bound is not None
 
+    @property
+    def is_refusing(self) -> bool:
+        """Tell whether callers have had time to turn elsewhere."""
+        return self._is_refusing
+
     @property
     def bound(self) -> float | None:
         """Return the time at which the stop ends whatever is in flight."""
@@ -30,8 +50,14 @@
         if self._bound is not None:
             return False
         self._bound = now + self._drain_seconds
+        self._refuses_at = now + self._linger_seconds
+        self.follow(now)
         return True
 
+    def follow(self, now: float) -> None:
+        """Note the time, which ends the service to callers."""
+        self._is_refusing = now >= self._refuses_at
+
     def is_bound_over(self, now: float) -> bool:
         """Tell whether the time of the stop is over."""
         return self._bound is not None and now >= self._bound
--- a/briartack/core/dissemination/budget.py
+++ b/briartack/core/dissemination/budget.py
@@ -48,9 +48,15 @@
         """Tell whether the next call may be made."""
         return self._not_before is None or now >= self._not_before
 
-    def fail(self, now: float, least_seconds: float | None = None) -> None:
+    def fail(
+        self,
+        now: float,
+        least_seconds: float | None = None,
+        bound_seconds: float = MAX_BACKOFF_SECONDS,
+    ) -> None:
         """Delay the next call, at least by what the store asked for."""
-        jittered = self._random.uniform(0, self._delay_seconds)
+        delay = min(self._delay_seconds, bound_seconds)
+        jittered = self._random.uniform(0, delay)
         self._not_before = now + (least_seconds or 0) + jittered
         self._delay_seconds = min(
             self._delay_seconds * 2,
--- a/briartack/core/dissemination/dissemination_state.py
+++ b/briartack/core/dissemination/dissemination_state.py
@@ -9,6 +9,10 @@
 from briartack.core.dissemination.links import LinksState
 from briartack.core.dissemination.peer_sync import PeerSyncState
 from briartack.core.dissemination.store_reads import StoreReadsState
+from briartack.core.dissemination.store_rules import (
+    DEFAULT_STORE_RULES,
+    StoreRules,
+)
 from briartack.core.dissemination.tree_position import TreePosition
 from briartack.core.identity import Identity
 from briartack.core.units import InstanceId
@@ -37,7 +41,13 @@
         'snapshot_wait_seconds',
     )
 
-    def __init__(self, *, identity: Identity, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        random: Random,
+        rules: StoreRules = DEFAULT_STORE_RULES,
+    ) -> None:
         """Start without streams, calls or a list."""
         self.identity: Final = identity
         self.tree: Final = TreePosition(identity=identity, random=random)
@@ -46,7 +56,7 @@
             random=random,
             tree=self.tree,
         )
-        self.store: Final = StoreReadsState(random=random)
+        self.store: Final = StoreReadsState(random=random, rules=rules)
         self.sync: Final = PeerSyncState()
         self.announcer: Final = Announcer(incarnation=identity.incarnation)
         self.confirmation: Final = Confirmation()
--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -5,7 +5,9 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from typing import final
+from dataclasses import dataclass
+from itertools import chain
+from typing import Final, final
 
 from briartack.core.configuration.settings import InstanceState
 from briartack.core.dissemination.instance_records import (
@@ -19,6 +21,23 @@
 from briartack.core.entries import Entry, is_instance_key
 from briartack.core.units import Digest, Incarnation, InstanceId, Revision
 
+# A record that is deleted without notice counts for this long: upstreams that
+# leave have to be left alone 2 s after the store has accepted it.
+LAPSE_SECONDS: Final = 1.0
+# Upstreams that live are back this long after the store's return.
+RETURN_SECONDS: Final = 2.5
+MASS_LAPSE: Final = 0.3
+MIN_MASS_LAPSE: Final = 3
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class _Doubt:
+    """Hold a record that was deleted, and until when it still counts."""
+
+    held: HeldRecord
+    until: float
+
 
 @final
 class MembershipState:
@@ -27,6 +46,7 @@
     __slots__ = (
         '_records',
         '_goodbyes',
+        '_doubted',
         '_by_instance',
         '_live',
         '_services',
@@ -37,6 +57,7 @@
         """Start with an empty list."""
         self._records = InstanceRecords()
         self._goodbyes: dict[InstanceId, Incarnation] = {}
+        self._doubted: dict[str, _Doubt] = {}
         # Built on demand, since the list is asked for with each call.
         self._by_instance: dict[InstanceId, HeldRecord] | None = None
         self._live: tuple[Member, ...] | None = None
@@ -69,8 +90,9 @@
         return None if held is None else held.member
 
     def record(self, record_id: str) -> HeldRecord | None:
-        """Return what is held under the id of a record, also a deletion."""
-        return self._records.get(record_id)
+        """Return what counts under the id of a record, also a deletion."""
+        doubt = self._doubted.get(record_id)
+        return self._records.get(record_id) if doubt is None else doubt.held
 
     def is_leaving(self, instance: InstanceId) -> bool:
         """Tell whether the list or the instance itself says it is leaving."""
@@ -128,9 +150,30 @@
         """Return the records refused since the last call, to be reported."""
         return self._records.take_refusals()
 
-    def apply(self, entries: Iterable[Entry]) -> frozenset[str]:
-        """Merge entries by revision and return the keys that changed."""
+    def expire(self, now: float) -> None:
+        """Take the records that have not come back as gone."""
+        over = [
+            record_id
+            for record_id, doubt in self._doubted.items()
+            if now >= doubt.until
+        ]
+        for record_id in over:
+            self._doubted.pop(record_id)
+        if over:
+            self._forget_views()
+
+    def apply(
+        self,
+        entries: Iterable[Entry],
+        now: float | None = None,
+    ) -> frozenset[str]:
+        """Merge entries by revision and return the keys that changed.
+
+        With a time, records that end without notice count for a moment more.
+        """
         changes = self._records.apply(entries)
+        if now is not None:
+            self._doubt(now, changes)
         for change in changes:
             instance = _has_left(change)
             if instance is not None:
@@ -143,11 +186,12 @@
         self,
         revision: Revision,
         entries: Iterable[Entry],
+        now: float | None = None,
     ) -> frozenset[str]:
         """Merge all records at a revision; what is missing was deleted."""
         entries = tuple(entries)
         deletions = self._records.missing_from(revision, entries)
-        return self.apply(entries + deletions)
+        return self.apply(entries + deletions, now)
 
     def mark_leaving(
         self,
@@ -168,6 +212,27 @@
             self._goodbyes.pop(instance)
             self._forget_views()
 
+    def _doubt(self, now: float, changes: Iterable[RecordChange]) -> None:
+        """Keep records that lapsed, and end the doubt of those that are back.
+
+        Where many lapse together, the store has been away rather than the
+        instances.
+        """
+        listed = len(self.live_members())
+        for change in changes:
+            record_id = record_id_of(change.after.entry.key)
+            self._doubted.pop(record_id, None)
+            before = change.before
+            if change.after.member is not None or before is None:
+                continue
+            if before.state is InstanceState.LIVE:
+                until = now + LAPSE_SECONDS
+                self._doubted[record_id] = _Doubt(held=before, until=until)
+        if len(self._doubted) >= max(MIN_MASS_LAPSE, listed * MASS_LAPSE):
+            until = now + RETURN_SECONDS
+            for doubt in self._doubted.values():
+                doubt.until = max(doubt.until, until)
+
     def _present(self) -> dict[InstanceId, HeldRecord]:
         """Return the record that counts for each listed instance.
 
@@ -176,7 +241,8 @@
         """
         if self._by_instance is None:
             self._by_instance = {}
-            for held in self._records:
+            doubted = (doubt.held for doubt in self._doubted.values())
+            for held in chain(self._records, doubted):
                 if held.member is not None:
                     _keep_newest(self._by_instance, held.member, held)
         return self._by_instance
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -3,7 +3,15 @@
 from random import Random
 from typing import Final, final
 
-from briartack.core.dissemination.budget import Backoff, TokenBudget
+from briartack.core.dissemination.budget import (
+    MAX_BACKOFF_SECONDS,
+    Backoff,
+    TokenBudget,
+)
+from briartack.core.dissemination.store_rules import (
+    DEFAULT_STORE_RULES,
+    StoreRules,
+)
 from briartack.core.effects import (
     CancelWatch,
     Effects,
@@ -31,8 +39,6 @@
 # each other closely; at this one they are batched to one answer per 200 ms.
 WATCHES_PER_SECOND: Final = 5.0
 WATCHES_BURST: Final = 5
-# 2,600 daemons that start at once make 1,300 reads per second.
-START_JITTER_SECONDS: Final = 2.0
 REVISION_FELL: Final = 'store-revision-fell'
 NO_REVISION: Final = Revision(0)
 
@@ -43,6 +49,7 @@
 
     __slots__ = (
         '_random',
+        '_rules',
         '_reads',
         '_watches',
         '_backoff',
@@ -56,9 +63,15 @@
         '_seen',
     )
 
-    def __init__(self, *, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        random: Random,
+        rules: StoreRules = DEFAULT_STORE_RULES,
+    ) -> None:
         """Start without calls and without duty."""
         self._random = random
+        self._rules = rules
         self._reads = TokenBudget(
             rate_per_second=READS_PER_SECOND,
             burst=READS_BURST,
@@ -98,7 +111,7 @@
 
     def start(self, now: float) -> None:
         """Plan the read of the list of instances."""
-        jitter = self._random.uniform(0, START_JITTER_SECONDS)
+        jitter = self._random.uniform(0, self._rules.start_jitter_seconds)
         self._instances_at = now + jitter
 
     def set_duty(self, *, is_on_duty: bool) -> Effects:
@@ -166,7 +179,7 @@
         effects = self._see(event.revision)
         if effects:
             # A store that fell behind may answer each watch at once.
-            self._backoff.fail(event.now)
+            self._fail(event.now)
         return effects
 
     def on_failed(self, event: StoreFailed) -> None:
@@ -181,12 +194,18 @@
             # The store works, so the whole tree is read at once.
             self._complete = None
             return
-        self._backoff.fail(event.now, event.retry_after_seconds)
+        self._fail(event.now, event.retry_after_seconds)
 
     def is_behind_seen(self, revision: Revision) -> bool:
         """Tell whether an answer is older than one seen before."""
         return revision < self._seen
 
+    def _fail(self, now: float, least_seconds: float | None = None) -> None:
+        bound = MAX_BACKOFF_SECONDS
+        if self._is_on_duty:
+            bound = min(bound, self._rules.duty_backoff_seconds)
+        self._backoff.fail(now, least_seconds, bound)
+
     def _advance(self, revision: Revision) -> None:
         self._complete = max(self._complete or NO_REVISION, revision)
 
@@ -220,13 +239,19 @@
         if is_watch_lost:
             self._watch_deadline = None
         if expired or is_watch_lost:
-            self._backoff.fail(now)
+            self._fail(now)
 
     def _read(self, now: float, prefix: str) -> Effects:
         if prefix in self._reading or not self._reads.take(now):
             return []
         self._reading[prefix] = now + CALL_DEADLINE_SECONDS
-        return [ReadStore(prefix=prefix)]
+        is_list = prefix == INSTANCE_PREFIX
+        return [
+            ReadStore(
+                prefix=prefix,
+                may_lag=is_list and self._rules.reads_stale_list,
+            ),
+        ]
 
     def _watch(self, now: float, after: Revision) -> Effects:
         if self._watch_deadline is not None or not self._watches.take(now):
--- /dev/null
+++ b/briartack/core/dissemination/store_rules.py
@@ -0,0 +1,21 @@
+"""How hard daemons may press the store of a deployment."""
+
+from typing import Final, final
+
+import msgspec
+
+
+@final
+class StoreRules(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the rules that differ between stores."""
+
+    # 2,600 daemons that start at once make 1,300 reads a second.
+    start_jitter_seconds: float = 2.0
+    # A daemon on duty tries a store that fails again after this at most; few
+    # daemons are on duty.
+    duty_backoff_seconds: float = 30.0
+    # The list of instances may be read from a copy that lags.
+    reads_stale_list: bool = False
+
+
+DEFAULT_STORE_RULES: Final = StoreRules()
--- a/briartack/core/effects.py
+++ b/briartack/core/effects.py
@@ -33,6 +33,7 @@
     """Read all entries under a prefix; the empty prefix is everything."""
 
     prefix: str
+    may_lag: bool = False  # an answer may be seconds old
 
 
 @final
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -31,7 +31,7 @@
         return effects
     before = state.snapshots.snapshot
     change = _apply_configuration(state, received)
-    changed_instances = _apply_instances(state, received)
+    changed_instances = _apply_instances(state, now, received)
     effects.extend(_report(state, change, received.source or STORE, before))
     effects.extend(
         dissemination.on_merged(
@@ -67,15 +67,19 @@
 
 
 def _apply_instances(
-    state: State, received: dissemination.Received
+    state: State, now: float, received: dissemination.Received
 ) -> tuple[str, ...]:
     entries: list[Entry] = [
         entry for entry in received.entries if is_instance_key(entry.key)
     ]
     prefix = received.full_read_prefix
+    membership = state.membership
+    since = now if state.rules.needs_identity else None
     if prefix is None or not INSTANCE_PREFIX.startswith(prefix):
-        return tuple(state.membership.apply(entries))
-    return tuple(state.membership.apply_full_read(received.revision, entries))
+        return tuple(membership.apply(entries, since))
+    return tuple(
+        membership.apply_full_read(received.revision, entries, since),
+    )
 
 
 def _report(
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -68,7 +68,7 @@
         snapshot=state.snapshots.snapshot,
         members=state.membership,
         random=state.random,
-        is_stopping=state.stopping,
+        is_stopping=state.calls.drain.is_refusing,
         is_confirmed=dissemination.is_confirmed(state.dissemination),
         rules=state.rules,
     )
@@ -98,6 +98,7 @@
 
 
 def _on_tick(state: State, event: Tick) -> Effects:
+    state.membership.expire(event.now)
     effects = dissemination.on_tick(
         state.dissemination,
         event,
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -9,6 +9,10 @@
 from briartack.core.dissemination.combined_holdings import CombinedHoldings
 from briartack.core.dissemination.dissemination_state import DisseminationState
 from briartack.core.dissemination.membership import MembershipState
+from briartack.core.dissemination.store_rules import (
+    DEFAULT_STORE_RULES,
+    StoreRules,
+)
 from briartack.core.identity import Identity
 from briartack.core.trail import TrailState
 
@@ -38,6 +42,7 @@
         random: Random,
         drain_seconds: float,
         rules: CallRules = DEFAULT_RULES,
+        store_rules: StoreRules = DEFAULT_STORE_RULES,
     ) -> None:
         """Start with nothing held."""
         self.identity = identity
@@ -52,6 +57,7 @@
         self.dissemination = DisseminationState(
             identity=identity,
             random=random,
+            rules=store_rules,
         )
         self.calls = CallsState(drain_seconds=drain_seconds, rules=rules)
         self.trail = TrailState(
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -197,6 +197,7 @@
 
     def request_stop(self) -> None:
         """Ask the reducer for a planned stop."""
+        self._callers.stop_keeping()
         self._loop.deliver(StopRequested(now=boot_clock()))
 
     def wait(self) -> int:
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from briartack.caller_headers import RequestHeaders
-from briartack.core.effects import AnswerCall, Dispatch
+from briartack.core.effects import AnswerCall, Dispatch, ReadStore
 from briartack.core.entries import Entry
 from briartack.core.events import UpstreamProbed
 from briartack.core.messages import Headers
@@ -104,7 +104,7 @@
 class StoreDialect(Protocol):
     """Write calls to the store and read its answers."""
 
-    def read_target(self, prefix: str, after: str) -> str:
+    def read_target(self, effect: ReadStore, after: str) -> str:
         """Return path and query of a read of one page."""
 
     def watch_target(self, after: Revision, wait_seconds: float) -> str:
--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -17,6 +17,7 @@
 
 from briartack.addresses import Address
 from briartack.http_answer import HttpAnswer, IsExpected
+from briartack.sockets import prepare
 
 _SocketAddress: TypeAlias = tuple[str, int] | tuple[str, int, int, int]
 
@@ -57,12 +58,8 @@
         )
 
     def after_connect(self, sock: socket.socket) -> None:
-        """Send small writes at once."""
-        sock.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_NODELAY,
-            1,
-        )
+        """Send small writes at once, and notice a silent other side."""
+        prepare(sock)
 
     def take_idle(self) -> socket.socket | None:
         """Take an idle connection, or none if that would take time."""
--- a/briartack/link.py
+++ b/briartack/link.py
@@ -5,6 +5,10 @@
 import msgspec
 
 from briartack.core.calls.call_rules import CallRules
+from briartack.core.dissemination.store_rules import (
+    DEFAULT_STORE_RULES,
+    StoreRules,
+)
 from briartack.dialects import Dialects
 from briartack.options import OptionError, Options
 from briartack.own_dialects import own_dialects
@@ -18,13 +22,18 @@
 
     dialects: Dialects
     rules: CallRules
+    store_rules: StoreRules
 
 
 def connect(options: Options) -> Link:
     """Choose the dialects; raise ExceptionGroup of OptionError."""
     if options.dialect == 'own':
         rules = CallRules(probe_seconds=options.probe_seconds)
-        return Link(dialects=own_dialects(), rules=rules)
+        return Link(
+            dialects=own_dialects(),
+            rules=rules,
+            store_rules=DEFAULT_STORE_RULES,
+        )
     try:
         if options.boot is None:
             raise SettingsError('missing')
@@ -35,4 +44,5 @@
     return Link(
         dialects=platform_dialects(options, settings),
         rules=settings.rules,
+        store_rules=settings.store_rules,
     )
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -96,6 +96,7 @@
             random=Random(seed),
             drain_seconds=options.drain_seconds,
             rules=link.rules,
+            store_rules=link.store_rules,
         ),
         reduce=reduce,
         describe=describe,
--- a/briartack/own_dialects.py
+++ b/briartack/own_dialects.py
@@ -8,7 +8,7 @@
 
 from briartack.caller_answers import answer_of, refusal
 from briartack.caller_headers import RequestError, RequestHeaders
-from briartack.core.effects import AnswerCall, Dispatch
+from briartack.core.effects import AnswerCall, Dispatch, ReadStore
 from briartack.core.entries import Entry
 from briartack.core.events import UpstreamProbed
 from briartack.core.messages import Headers
@@ -160,9 +160,9 @@
 
     __slots__ = ()
 
-    def read_target(self, prefix: str, after: str) -> str:
+    def read_target(self, effect: ReadStore, after: str) -> str:
         """Return path and query of a read."""
-        return f'/v1/entries?prefix={quote(prefix, safe="")}'
+        return f'/v1/entries?prefix={quote(effect.prefix, safe="")}'
 
     def watch_target(self, after: Revision, wait_seconds: float) -> str:
         """Return path and query of a watch."""
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -14,6 +14,7 @@
 from briartack.framing import FrameReader
 from briartack.peer_outbox import PeerOutbox
 from briartack.peer_traffic import PeerTraffic
+from briartack.sockets import prepare
 
 _RECEIVE_BYTES: Final = 262144
 _CLOSE_SECONDS: Final = 5.0
@@ -46,11 +47,7 @@
         traffic: PeerTraffic,
     ) -> None:
         """Take over a connected socket."""
-        sock.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_NODELAY,
-            1,
-        )
+        prepare(sock)
         self.is_outgoing: Final = is_outgoing
         self.outbox: Final = PeerOutbox()
         self.traffic: Final = traffic
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -7,9 +7,17 @@
 import msgspec
 
 from briartack.core.calls.call_rules import CallRules
+from briartack.core.dissemination.store_rules import StoreRules
 
 _ZONES: Final = 'zones.'
 _BOUNDS: Final = 'bounds'
+# How the platform asks for readiness: every second, out after two misses.
+_READY_PERIOD_SECONDS: Final = 1.1
+_READY_MISSES: Final = 2
+# Reads that may lag do not count toward the store's rate.
+_START_JITTER_SECONDS: Final = 0.1
+# The bound of a change, 2 s, holds from 3 s after the store is back.
+_DUTY_BACKOFF_SECONDS: Final = 1.0
 
 
 @final
@@ -34,6 +42,7 @@
     regions: Mapping[str, str]  # by data centre
     drain_seconds: float
     rules: CallRules
+    store_rules: StoreRules
 
 
 def read_settings(path: Path, probe_seconds: float) -> ProcessSettings:
@@ -64,6 +73,12 @@
             retry_ratio=bounds.retry_budget_ratio,
             retry_extra=bounds.budget_extra,
             cold_overage=bounds.cold_overage,
+            linger_seconds=_READY_MISSES * _READY_PERIOD_SECONDS,
+        ),
+        store_rules=StoreRules(
+            start_jitter_seconds=_START_JITTER_SECONDS,
+            duty_backoff_seconds=_DUTY_BACKOFF_SECONDS,
+            reads_stale_list=True,
         ),
     )
 
--- a/briartack/platform/store.py
+++ b/briartack/platform/store.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from briartack.core.effects import ReadStore
 from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_PREFIX, Entry
 from briartack.core.units import Revision
 from briartack.dialects import RefusedItem, StoreAnswerError, StorePage
@@ -59,9 +60,11 @@
         """Decode servers with `registry`."""
         self._registry = registry
 
-    def read_target(self, prefix: str, after: str) -> str:
+    def read_target(self, effect: ReadStore, after: str) -> str:
         """Return path and query of a read of one page."""
-        query = {'prefix': _PREFIXES[prefix]}
+        query = {'prefix': _PREFIXES[effect.prefix]}
+        if effect.may_lag:
+            query['serializable'] = '1'
         if after:
             query['after'] = after
         return f'/api/kv-range?{urlencode(query)}'
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -33,7 +33,7 @@
 # The whole tree of 210 services stays far below this; a larger answer would
 # threaten the 256 MB that a daemon may use.
 MAX_ANSWER_BYTES: Final = 64_000_000
-_READ_TIMEOUT_SECONDS: Final = 10.0
+_READ_TIMEOUT_SECONDS: Final = 3.0
 _WATCH_GRACE_SECONDS: Final = 5.0
 _STATUS_OK: Final = 200
 _STATUS_GONE: Final = 410
@@ -91,7 +91,7 @@
 
     def read(self, effect: ReadStore) -> None:
         """Start to read a prefix."""
-        gevent.spawn(self._read, effect.prefix)
+        gevent.spawn(self._read, effect)
 
     def watch(self, effect: WatchStore) -> None:
         """Start the watch in place of any that waits."""
@@ -108,9 +108,10 @@
         if watch is not None:
             watch.kill(block=False)
 
-    def _read(self, prefix: str) -> None:
+    def _read(self, effect: ReadStore) -> None:
+        prefix = effect.prefix
         try:
-            page = self._read_pages(prefix)
+            page = self._read_pages(effect)
         except _StoreError as error:
             self._deliver(self._failed(StoreOperation.READ, prefix, error))
             return
@@ -123,7 +124,7 @@
             ),
         )
 
-    def _read_pages(self, prefix: str) -> StorePage:
+    def _read_pages(self, effect: ReadStore) -> StorePage:
         """Read all pages; what changed meanwhile is left to the watch."""
         dialect = self._dialect
         entries: list[Entry] = []
@@ -132,7 +133,7 @@
         while first is None or after:
             body = self._call(
                 StoreOperation.READ,
-                dialect.read_target(prefix, after),
+                dialect.read_target(effect, after),
                 _READ_TIMEOUT_SECONDS,
             )
             page = self._page(dialect.read_page, body)
