--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -4,6 +4,7 @@
 
 from briartack.core.calls import reasons
 from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_lines import attempt_sent
 from briartack.core.calls.call_table import Call, CallTable
 from briartack.core.calls.choice import Chosen
 from briartack.core.calls.endpoints import NO_CLOCK, EndpointsState
@@ -73,17 +74,23 @@
             body_bytes=call.body_bytes,
             body_digest=call.body_digest,
             interactive=call.interactive,
+            request_id=call.event.request_id,
             rank=call.route.policy.rank,
             target_ms=_target_left_ms(call, now),
             home_regions=listed_regions(chosen.regions),
             idempotency_key=call.event.idempotency_key,
         )
         body_id = call.body_id
+        line = attempt_sent(context, now, call, peer, view)
         if peer == own.instance:
-            return self._owner.begin_local(context, now, attempt, body_id)
+            begun = self._owner.begin_local(context, now, attempt, body_id)
+            return [*begun, line]
         call.sent_at = now
         self._endpoints.begin(peer)
-        return [SendAttempt(peer=peer, attempt=attempt, body_id=body_id)]
+        return [
+            SendAttempt(peer=peer, attempt=attempt, body_id=body_id),
+            line,
+        ]
 
     def withdraw(
         self,
--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -14,7 +14,7 @@
     ServiceLimits,
 )
 from briartack.core.identity import Identity
-from briartack.core.units import InstanceId
+from briartack.core.units import InstanceId, Revision
 
 # `None` allows every region; an empty set allows none.
 Regions: TypeAlias = frozenset[str] | None
@@ -87,6 +87,10 @@
     def platform(self) -> PlatformSettings:
         """List what is out of service."""
 
+    @property
+    def highest(self) -> Revision:
+        """Return the highest revision in force."""
+
 
 class Member(Protocol):
     """Read one instance of the platform's list."""
--- /dev/null
+++ b/briartack/core/calls/call_lines.py
@@ -0,0 +1,149 @@
+"""Log lines about single requests, for those who look for a cause later.
+
+Each names the request, what was decided, and the inputs with their age or
+version. The shell bounds how many are written.
+"""
+
+from typing import Final
+
+from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_table import Call
+from briartack.core.calls.endpoints import Endpoint
+from briartack.core.calls.local_upstream import LocalUpstream
+from briartack.core.effects import LogLevel, WriteLog
+from briartack.core.events import CallArrived
+from briartack.core.messages import Attempt
+from briartack.core.units import InstanceId
+from briartack.core.verdict import Verdict
+
+CALL_REFUSED: Final = 'call-refused'
+ATTEMPT_SENT: Final = 'attempt-sent'
+ATTEMPT_FAILED: Final = 'attempt-failed'
+CALL_ENDED: Final = 'call-ended'
+RUN_ENDED: Final = 'run-ended'
+# Lines of these codes are bounded under load.
+REQUEST_CODES: Final = frozenset(
+    (CALL_REFUSED, ATTEMPT_SENT, ATTEMPT_FAILED, CALL_ENDED, RUN_ENDED),
+)
+_MILLISECONDS: Final = 1000
+_LOCAL: Final = 'local'
+
+
+def call_refused(event: CallArrived, reason: str) -> WriteLog:
+    """Say why a request was refused at the door."""
+    return _line(
+        CALL_REFUSED,
+        request=event.request_id,
+        call=event.call_id,
+        method=event.method,
+        host=event.host,
+        reason=reason,
+    )
+
+
+def attempt_sent(
+    context: CallContext,
+    now: float,
+    call: Call,
+    peer: InstanceId,
+    view: Endpoint | None,
+) -> WriteLog:
+    """Say where an attempt went and what spoke for it."""
+    load, age_ms = _LOCAL, '0'
+    if view is not None:
+        load = f'{view.load:.2f}'
+        age_ms = _milliseconds(now - view.load_at)
+    return _line(
+        ATTEMPT_SENT,
+        request=call.event.request_id,
+        call=call.event.call_id,
+        attempt=str(call.attempt_id),
+        route=call.route.name,
+        configuration=_version(context),
+        service=call.share.service,
+        peer=peer,
+        load=load,
+        load_age_ms=age_ms,
+        number=str(call.attempts),
+        left_ms=_milliseconds(call.deadline - now),
+    )
+
+
+def attempt_failed(
+    call: Call,
+    peer: InstanceId,
+    *,
+    verdict: Verdict,
+    reason: str,
+) -> WriteLog:
+    """Say how an attempt ended that brought no answer."""
+    return _line(
+        ATTEMPT_FAILED,
+        request=call.event.request_id,
+        call=call.event.call_id,
+        peer=peer,
+        verdict=verdict.value,
+        reason=reason,
+    )
+
+
+def call_ended(
+    now: float,
+    call: Call,
+    *,
+    verdict: Verdict,
+    status: int,
+    reason: str,
+) -> WriteLog:
+    """Say what a caller was answered."""
+    return _line(
+        CALL_ENDED,
+        request=call.event.request_id,
+        call=call.event.call_id,
+        route=call.route.name,
+        verdict=verdict.value,
+        status=str(status),
+        reason=reason,
+        attempts=str(call.attempts),
+        free_refusals=str(call.free_refusals),
+        took_ms=_milliseconds(now - call.event.now),
+    )
+
+
+def run_ended(
+    attempt: Attempt,
+    upstream: LocalUpstream,
+    *,
+    outcome: str,
+    phase: str,
+    left_seconds: float,
+) -> WriteLog:
+    """Say what became of an attempt at its owner."""
+    return _line(
+        RUN_ENDED,
+        request=attempt.request_id,
+        attempt=attempt.attempt_id,
+        upstream=upstream.identity,
+        outcome=outcome,
+        phase=phase,
+        running=str(upstream.running),
+        limit=str(upstream.limit),
+        left_ms=_milliseconds(left_seconds),
+    )
+
+
+def _version(context: CallContext) -> str:
+    snapshot = context.snapshot
+    return '' if snapshot is None else str(snapshot.highest)
+
+
+def _milliseconds(seconds: float) -> str:
+    return f'{seconds * _MILLISECONDS:.0f}'
+
+
+def _line(code: str, **fields: str) -> WriteLog:
+    return WriteLog(
+        level=LogLevel.INFO,
+        code=code,
+        fields=tuple(fields.items()),
+    )
--- a/briartack/core/calls/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -9,6 +9,7 @@
 
 from briartack.core.body_ids import answer_body
 from briartack.core.calls import reasons
+from briartack.core.calls.call_lines import run_ended
 from briartack.core.calls.idempotency import (
     MAX_OUTCOME_BYTES,
     IssuedKey,
@@ -20,7 +21,7 @@
 from briartack.core.calls.key_scope import request_digest, scoped_key
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.reasons import Reason
-from briartack.core.effects import DropBody, Effects, SendAnswer
+from briartack.core.effects import DropBody, Effects, SendAnswer, WriteLog
 from briartack.core.events import UpstreamAnswered
 from briartack.core.identity import Identity
 from briartack.core.messages import Answer, Attempt
@@ -203,8 +204,13 @@
             owner_clock=event.now,
         )
         body_id = answer_body(event.attempt_id)
+        outcome = f'status {event.status}'
+        line = self._line(event.now, record, outcome)
         is_kept = bool(record.attempt.idempotency_key)
-        effects = self._deliver(record, answer, body_id, is_kept=is_kept)
+        effects: Effects = [line]
+        effects.extend(
+            self._deliver(record, answer, body_id, is_kept=is_kept),
+        )
         effects.extend(self.drop_request(record))
         if is_kept:
             effects.extend(
@@ -298,10 +304,26 @@
         verdict: Verdict,
     ) -> Effects:
         answer = self._refusal(now, record, reason, verdict)
-        effects = self._deliver(record, answer, None, is_kept=False)
+        line = self._line(now, record, reason.code)
+        effects: Effects = [line]
+        effects.extend(self._deliver(record, answer, None, is_kept=False))
         effects.extend(self.drop_request(record))
         return effects
 
+    def _line(
+        self,
+        now: float,
+        record: OwnedAttempt,
+        outcome: str,
+    ) -> WriteLog:
+        return run_ended(
+            record.attempt,
+            self._upstream,
+            outcome=outcome,
+            phase=record.phase.name.lower(),
+            left_seconds=record.deadline - now,
+        )
+
     def _refusal(
         self,
         now: float,
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -7,6 +7,11 @@
 from briartack.core.calls.attempt_sender import AttemptSender
 from briartack.core.calls.call_checks import enter, home_headers, refused
 from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_lines import (
+    attempt_failed,
+    call_ended,
+    call_refused,
+)
 from briartack.core.calls.call_rules import MAX_FREE_REFUSALS
 from briartack.core.calls.call_table import Call, CallPhase, CallTable
 from briartack.core.calls.choice import Chooser, Chosen, NoChoice
@@ -98,7 +103,7 @@
         """Take the head of a call."""
         call = enter(context, event, self._routing)
         if isinstance(call, AnswerCall):
-            return [call]
+            return [call, call_refused(event, call.reason)]
         self._table.add(call)
         self._streams.touch(call.share.service, event.now)
         self._earn(context, call)
@@ -115,7 +120,12 @@
         if call is None or call.phase is not CallPhase.READING_BODY:
             return [DropBody(body_id=call_body(event.call_id))]
         if event.body_bytes > MAX_BODY_BYTES:
-            return self._refuse(call, reasons.BODY_TOO_LARGE, Verdict.NOT_RUN)
+            return self._refuse(
+                event.now,
+                call,
+                reasons.BODY_TOO_LARGE,
+                Verdict.NOT_RUN,
+            )
         call.body_bytes = event.body_bytes
         call.body_digest = event.body_digest
         return self._next_attempt(context, event.now, call)
@@ -167,10 +177,23 @@
                 ),
                 DropBody(body_id=call.body_id),
                 *spent_body,
+                call_ended(
+                    now,
+                    call,
+                    verdict=Verdict.RAN,
+                    status=answer.status,
+                    reason=answer.reason,
+                ),
             ]
         reason = reasons.BY_CODE.get(answer.reason, reasons.UPSTREAM_FAILED)
         self._sender.learn(peer, reason, now)
-        effects = spent_body
+        line = attempt_failed(
+            call,
+            peer,
+            verdict=answer.verdict,
+            reason=answer.reason,
+        )
+        effects: Effects = [*spent_body, line]
         call.tried = (*call.tried, peer)
         effects.extend(
             self._failed(context, now, call, answer.verdict, reason),
@@ -188,6 +211,14 @@
         for call in self._table.sent_to(peer):
             self._sender.end(call)
             call.tried = (*call.tried, peer)
+            effects.append(
+                attempt_failed(
+                    call,
+                    peer,
+                    verdict=Verdict.UNKNOWN,
+                    reason=reasons.CONNECTION_LOST.code,
+                ),
+            )
             effects.extend(
                 self._failed(
                     context,
@@ -244,7 +275,7 @@
         if now < call.wait_until:
             return []
         if call.phase is CallPhase.CONNECTING:
-            return self._refuse(call, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
+            return self._refuse(now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
         if call.phase is CallPhase.BACKING_OFF:
             return self._next_attempt(context, now, call)
         return []
@@ -261,7 +292,7 @@
         if isinstance(choice, Chosen):
             return self._sender.send(context, now, call, choice)
         if isinstance(choice, NoChoice):
-            return self._not_chosen(context, call, choice)
+            return self._not_chosen(context, now, call, choice)
         if call.phase is CallPhase.CONNECTING:
             return choice
         until = now + STREAM_WAIT_SECONDS
@@ -271,19 +302,23 @@
     def _not_chosen(
         self,
         context: CallContext,
+        now: float,
         call: Call,
         choice: NoChoice,
     ) -> Effects:
         if choice is NoChoice.KEY_OWNER_GONE:
-            return self._refuse(call, reasons.KEY_OWNER_GONE, Verdict.UNKNOWN)
+            return self._refuse(
+                now, call, reasons.KEY_OWNER_GONE, Verdict.UNKNOWN
+            )
         if choice is NoChoice.NO_ENDPOINT or context.snapshot is None:
-            return self._refuse(call, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
+            return self._refuse(now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
         regions = home_regions(
             context.snapshot,
             call.route,
             call.event.tenant,
         )
         return self._refuse(
+            now,
             call,
             reasons.PLACEMENT,
             Verdict.NOT_RUN,
@@ -319,7 +354,7 @@
             until = now + wait
             self._table.wait(call, CallPhase.BACKING_OFF, until)
             return [Count(name='retries'), *_wake(now, until)]
-        return self._refuse(call, reason, verdict, is_from_owner=True)
+        return self._refuse(now, call, reason, verdict, is_from_owner=True)
 
     def _earn(self, context: CallContext, call: Call) -> None:
         service = call.share.service
@@ -368,6 +403,7 @@
 
     def _refuse(
         self,
+        now: float,
         call: Call,
         reason: Reason,
         verdict: Verdict,
@@ -384,10 +420,15 @@
         has_key = bool(call.event.idempotency_key)
         if call.may_have_run or (has_key and not is_from_owner):
             verdict = Verdict.UNKNOWN
-        return [
-            refused(call.event.call_id, reason, verdict, headers),
-            DropBody(body_id=call.body_id),
-        ]
+        answer = refused(call.event.call_id, reason, verdict, headers)
+        line = call_ended(
+            now,
+            call,
+            verdict=verdict,
+            status=answer.status,
+            reason=reason.code,
+        )
+        return [answer, DropBody(body_id=call.body_id), line]
 
     def _give_up(
         self,
@@ -397,7 +438,7 @@
         reason: Reason,
     ) -> Effects:
         effects = self._sender.withdraw(context, now, call)
-        effects.extend(self._refuse(call, reason, Verdict.NOT_RUN))
+        effects.extend(self._refuse(now, call, reason, Verdict.NOT_RUN))
         return effects
 
 
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -12,6 +12,7 @@
 from briartack.bodies import Bodies
 from briartack.callers import Callers
 from briartack.core import effects
+from briartack.core.calls.call_lines import REQUEST_CODES
 from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.events import Started, StopRequested
 from briartack.core.identity import Identity
@@ -19,7 +20,7 @@
 from briartack.error_texts import LISTENING, STOPPED
 from briartack.event_loop import EventLoop, Handlers, Reduce
 from briartack.line_writer import LineWriters
-from briartack.logs import AuditTrail, write_log
+from briartack.logs import AuditTrail, RequestLines, write_log
 from briartack.metrics import Metrics
 from briartack.operator_port import Describe, OperatorPort
 from briartack.options import Options
@@ -79,6 +80,7 @@
         '_observer',
         '_writers',
         '_audit',
+        '_request_lines',
         '_loop',
         '_bodies',
         '_callers',
@@ -111,6 +113,7 @@
         self._identity = identity
         self._writers = writers
         self._audit = AuditTrail(writers.audit)
+        self._request_lines = RequestLines(clock)
         self._metrics = Metrics()
         observer = ShellObserver(self._metrics)
         self._observer = observer
@@ -224,6 +227,7 @@
             self._callers.close_idle()
             self._loop.flush_trace()
             self._writers.report(self._observer)
+            self._request_lines.report(self._observer)
 
     def _handlers(self) -> Handlers:
         return {
@@ -258,7 +262,10 @@
         self._audit.write(effect.record)
 
     def _write_log(self, effect: effects.WriteLog) -> None:
-        write_log(effect.level, effect.code, dict(effect.fields))
+        write = write_log
+        if effect.code in REQUEST_CODES:
+            write = self._request_lines.write
+        write(effect.level, effect.code, dict(effect.fields))
 
     def _count(self, effect: effects.Count) -> None:
         self._metrics.add(effect.name, effect.amount, effect.attributes)
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -31,6 +31,7 @@
 LINES_LOST: Final = 'lines-lost'
 ITEM_REFUSED: Final = 'item-refused'
 RELOADED: Final = 'reloaded'
+LINES_LEFT_OUT: Final = 'lines-left-out'
 
 _TEXTS: Final[Mapping[str, ErrorText]] = MappingProxyType(
     {
@@ -81,6 +82,15 @@
         LISTENING: ErrorText('The daemon accepts connections.', ''),
         STOPPED: ErrorText('The daemon stops.', ''),
         RELOADED: ErrorText('The settings were read again.', ''),
+        LINES_LEFT_OUT: ErrorText(
+            'Lines about requests were left out to bound their number.',
+            '',
+        ),
+        'call-refused': ErrorText('A request was refused at once.', ''),
+        'attempt-sent': ErrorText('An attempt was sent to an owner.', ''),
+        'attempt-failed': ErrorText('An attempt brought no answer.', ''),
+        'call-ended': ErrorText('A caller was answered.', ''),
+        'run-ended': ErrorText('An attempt ended at its owner.', ''),
         ITEM_REFUSED: ErrorText(
             'An item of the store can not be used and was passed over.',
             'Correct or remove the item under this key.',
--- a/briartack/logs.py
+++ b/briartack/logs.py
@@ -10,10 +10,16 @@
 from briartack.core.effects import LogLevel
 from briartack.core.identity import Identity
 from briartack.core.trail import AuditRecord
-from briartack.error_texts import error_text
+from briartack.error_texts import LINES_LEFT_OUT, error_text
 from briartack.line_writer import LineSink
+from briartack.ports import Clock, Observer
 
 _LOGGER: Final = logging.getLogger('briartack')
+# A call writes about four lines; 54 calls a second are the load expected of a
+# daemon in two years.
+REQUEST_LINES_PER_SECOND: Final = 250.0
+REQUEST_LINES_BURST: Final = 500
+_COUNTER: Final = 'lines_left_out'
 
 
 def utc_now() -> str:
@@ -73,6 +79,40 @@
     )
 
 
+@final
+class RequestLines:
+    """Bound the lines about single requests, and count what is left out."""
+
+    __slots__ = ('_clock', '_tokens', '_filled_at', '_left_out')
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with a full burst."""
+        self._clock = clock
+        self._tokens = float(REQUEST_LINES_BURST)
+        self._filled_at = clock()
+        self._left_out = 0
+
+    def write(self, level: LogLevel, code: str, fields: dict[str, str]) -> None:
+        """Write a line, or count it."""
+        now = self._clock()
+        gained = (now - self._filled_at) * REQUEST_LINES_PER_SECOND
+        self._tokens = min(REQUEST_LINES_BURST, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1:
+            self._left_out += 1
+            return
+        self._tokens -= 1
+        write_log(level, code, fields)
+
+    def report(self, observer: Observer) -> None:
+        """Say how many lines were left out since the last report."""
+        left_out = self._left_out
+        self._left_out = 0
+        if left_out:
+            observer.add(_COUNTER, left_out, ())
+            observer.log(LogLevel.INFO, LINES_LEFT_OUT, lines=str(left_out))
+
+
 @final
 class AuditTrail:
     """Write each audit record as one flushed line."""
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -60,10 +60,11 @@
         data_centre=options.data_centre,
         region=options.region,
     )
-    writers = LineWriters(
-        audit=LineWriter(_descriptor(sys.stdout)),
-        logs=LineWriter(_descriptor(sys.stderr)),
-    )
+    output = LineWriter(_descriptor(sys.stdout))
+    logs = output
+    if options.log_stream == 'stderr':
+        logs = LineWriter(_descriptor(sys.stderr))
+    writers = LineWriters(audit=output, logs=logs)
     set_up_logs(level=options.log_level, identity=identity, stream=writers.logs)
     # gevent writes tracebacks of greenlets to sys.stderr.
     with contextlib.redirect_stderr(cast(TextIO, writers.logs)):
--- a/briartack/options.py
+++ b/briartack/options.py
@@ -21,6 +21,7 @@
 _SERVICE: Final = re.compile('[a-z][a-z0-9-]{0,62}/[a-z][a-z0-9-]{0,62}')
 _MAX_DRAIN_SECONDS: Final = 3600
 _DIALECTS: Final = ('own', 'platform')
+_LOG_STREAMS: Final = ('stderr', 'stdout')
 _LOG_LEVELS: Final = ('debug', 'info', 'warning', 'error')
 _VARIABLE_PREFIX: Final = 'BRIARTACK_'
 
@@ -46,6 +47,7 @@
     boot: Path | None = None
     probe_seconds: float = 1.0
     metrics_address: Address | None = None
+    log_stream: str = 'stderr'
 
     def as_fields(self) -> dict[str, str]:
         """Return the settings as text, for the log."""
@@ -205,6 +207,12 @@
     return text
 
 
+def _check_log_stream(text: str) -> str:
+    if text not in _LOG_STREAMS:
+        raise ValueError(f'{text!r} is not a stream')
+    return text
+
+
 def _check_dialect(text: str) -> str:
     if text not in _DIALECTS:
         raise ValueError(f'{text!r} is not a dialect')
@@ -291,6 +299,12 @@
         fix=f'Give seconds from 0 to {_MAX_DRAIN_SECONDS}.',
         default='1',
     ),
+    _Setting(
+        name='log_stream',
+        check=_check_log_stream,
+        fix='Give stderr or stdout.',
+        default='stderr',
+    ),
     _Setting(
         name='metrics_address',
         check=parse_address,
--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -73,6 +73,7 @@
     services: Mapping[str, ServiceLimits]
     tenant_regions: Mapping[str, frozenset[str]]
     platform: PlatformSettings
+    highest: Revision = Revision(1)  # noqa: RUF009
 
 
 @dataclass(slots=True, kw_only=True)
