--- a/briartack/core/calls/admission.py
+++ b/briartack/core/calls/admission.py
@@ -17,6 +17,8 @@
     deadline: float
     interactive: bool
     rank: int = 0
+    # A start after this time gives an answer that is worth less.
+    useful_until: float = float('inf')
 
 
 @final
@@ -68,7 +70,8 @@
         if self._running < limit and has_room and not self.queued:
             self._running += 1
             return Admission(started=(waiting.attempt_id,))
-        if now + (self._ahead(waiting) + 1) * step_seconds > waiting.deadline:
+        starts_at = now + (self._ahead(waiting) + 1) * step_seconds
+        if starts_at > min(waiting.deadline, waiting.useful_until):
             return Admission(refused=(waiting.attempt_id,))
         if self.queued < limits.queue_length:
             self._enqueue(waiting)
--- a/briartack/core/calls/call_checks.py
+++ b/briartack/core/calls/call_checks.py
@@ -1,6 +1,7 @@
 """The first checks of a call, before any of its body is read."""
 
 import re
+from random import Random
 from typing import Final
 
 from briartack.core.calls import placement, reasons
@@ -20,7 +21,7 @@
 from briartack.core.calls.owned_attempts import EMPTY_DIGEST
 from briartack.core.calls.reasons import Reason
 from briartack.core.calls.routing import RoutingState
-from briartack.core.configuration.settings import Priority
+from briartack.core.configuration.settings import Policy, Priority
 from briartack.core.effects import AnswerCall
 from briartack.core.events import CallArrived
 from briartack.core.messages import MAX_BODY_BYTES, Headers
@@ -28,6 +29,10 @@
 from briartack.core.verdict import Verdict
 
 MILLISECONDS: Final = 1000
+# A caller that returns after this share of the target still has most of it.
+RETRY_AFTER_SHARE: Final = 0.25
+RETRY_JITTER: Final = 0.5
+DEFAULT_TARGET_MS: Final = 1000
 # Dot segments, empty segments, and percent-encoded slashes, backslashes or
 # characters that need no encoding. A path that only the upstream normalises
 # could pass by the route that binds it to home regions.
@@ -43,6 +48,7 @@
     reason: Reason,
     verdict: Verdict,
     headers: Headers = (),
+    retry_after_seconds: float = 0,
 ) -> AnswerCall:
     """Answer a call that no upstream answered.
 
@@ -57,9 +63,22 @@
         status=status,
         headers=headers,
         reason=reason.code,
+        retry_after_seconds=retry_after_seconds,
     )
 
 
+def retry_after(random: Random, policy: Policy | None) -> float:
+    """Choose when a caller may come back: soon enough to be served in time.
+
+    The jitter keeps callers that were refused together from returning so.
+    """
+    target_ms = None if policy is None else policy.target_ms
+    if target_ms is None:
+        target_ms = DEFAULT_TARGET_MS
+    mean_seconds = RETRY_AFTER_SHARE * target_ms / MILLISECONDS
+    return mean_seconds * random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+
+
 def closed_reason(context: CallContext) -> Reason | None:
     """Return why this daemon takes no calls at present, if it does not."""
     if context.is_stopping:
@@ -78,9 +97,9 @@
     snapshot = context.snapshot
     reason = closed_reason(context)
     if reason is not None or snapshot is None:
-        return _refuse(event, reason or reasons.NO_SNAPSHOT)
+        return _refuse(context, event, reason or reasons.NO_SNAPSHOT)
     if context.rules.refuses_ambiguous_paths and is_ambiguous(event.target):
-        return _refuse(event, reasons.AMBIGUOUS_PATH)
+        return _refuse(context, event, reasons.AMBIGUOUS_PATH)
     route = routing.match(
         snapshot,
         event.method,
@@ -88,16 +107,16 @@
         event.host,
     )
     if route is None:
-        return _refuse(event, reasons.NO_ROUTE)
+        return _refuse(context, event, reasons.NO_ROUTE)
     regions = placement.home_regions(snapshot, route, event.tenant)
     if not placement.may_enter(regions, context):
         headers = home_headers(regions)
-        return _refuse(event, reasons.PLACEMENT, headers)
+        return _refuse(context, event, reasons.PLACEMENT, headers)
     if (event.body_bytes or 0) > MAX_BODY_BYTES:
-        return _refuse(event, reasons.BODY_TOO_LARGE)
+        return _refuse(context, event, reasons.BODY_TOO_LARGE)
     call = _call(event, route, routing.share(context.random, route))
     if not event.now < call.deadline:
-        return _refuse(event, reasons.DEADLINE)
+        return _refuse(context, event, reasons.DEADLINE)
     return call
 
 
@@ -112,6 +131,7 @@
 
 
 def _refuse(
+    context: CallContext,
     event: CallArrived,
     reason: Reason,
     headers: Headers = (),
@@ -124,7 +144,8 @@
     verdict = Verdict.NOT_RUN
     if event.idempotency_key:
         verdict = Verdict.UNKNOWN
-    return refused(event.call_id, reason, verdict, headers)
+    wait_seconds = retry_after(context.random, None)
+    return refused(event.call_id, reason, verdict, headers, wait_seconds)
 
 
 def _call(event: CallArrived, route: RouteView, share: ShareView) -> Call:
--- a/briartack/core/calls/call_rules.py
+++ b/briartack/core/calls/call_rules.py
@@ -33,8 +33,6 @@
     retry_extra: float = 0.0
     # How far the rate of a cold upstream may be exceeded in one second.
     cold_overage: float = 1.0
-    # A caller may come back this long after a refusal.
-    retry_after_seconds: float = 0.0
     # A daemon that stops serves its callers for so long, until the platform
     # has seen that it is not ready.
     linger_seconds: float = 0.0
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -80,6 +80,11 @@
         slots = limits.slots if self._slots is None else self._slots
         return min(slots, limits.connections)
 
+    @property
+    def mean_seconds(self) -> float:
+        """Return how long a request takes lately, 0 if unknown."""
+        return self._ramp.mean_seconds
+
     @property
     def running(self) -> int:
         """Count the requests in flight."""
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -23,11 +23,13 @@
     Effects,
 )
 from briartack.core.events import UpstreamAnswered, UpstreamFailed
+from briartack.core.messages import Attempt
 from briartack.core.units import AttemptId
 from briartack.core.verdict import Verdict
 
 # A later status is the upstream's own failure and no reason to send it more.
 SERVER_ERROR: Final = 500
+MILLISECONDS: Final = 1000
 
 
 @final
@@ -73,9 +75,16 @@
             deadline=record.deadline,
             interactive=record.attempt.interactive,
             rank=record.attempt.rank,
+            useful_until=self._useful_until(now, record.attempt),
         )
         return self._apply(now, self._upstream.offer(waiting, now))
 
+    def _useful_until(self, now: float, attempt: Attempt) -> float:
+        if attempt.target_ms is None:
+            return float('inf')
+        left_seconds = attempt.target_ms / MILLISECONDS
+        return now + left_seconds - self._upstream.mean_seconds
+
     def cancel(self, now: float, record: OwnedAttempt) -> Effects:
         """Give up an attempt that nobody waits for.
 
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -5,7 +5,12 @@
 from briartack.core.body_ids import call_body
 from briartack.core.calls import reasons
 from briartack.core.calls.attempt_sender import AttemptSender
-from briartack.core.calls.call_checks import enter, home_headers, refused
+from briartack.core.calls.call_checks import (
+    enter,
+    home_headers,
+    refused,
+    retry_after,
+)
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.call_lines import (
     attempt_failed,
@@ -121,6 +126,7 @@
             return [DropBody(body_id=call_body(event.call_id))]
         if event.body_bytes > MAX_BODY_BYTES:
             return self._refuse(
+                context,
                 event.now,
                 call,
                 reasons.BODY_TOO_LARGE,
@@ -275,7 +281,9 @@
         if now < call.wait_until:
             return []
         if call.phase is CallPhase.CONNECTING:
-            return self._refuse(now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
+            return self._refuse(
+                context, now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN
+            )
         if call.phase is CallPhase.BACKING_OFF:
             return self._next_attempt(context, now, call)
         return []
@@ -308,16 +316,19 @@
     ) -> Effects:
         if choice is NoChoice.KEY_OWNER_GONE:
             return self._refuse(
-                now, call, reasons.KEY_OWNER_GONE, Verdict.UNKNOWN
+                context, now, call, reasons.KEY_OWNER_GONE, Verdict.UNKNOWN
             )
         if choice is NoChoice.NO_ENDPOINT or context.snapshot is None:
-            return self._refuse(now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN)
+            return self._refuse(
+                context, now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN
+            )
         regions = home_regions(
             context.snapshot,
             call.route,
             call.event.tenant,
         )
         return self._refuse(
+            context,
             now,
             call,
             reasons.PLACEMENT,
@@ -354,7 +365,9 @@
             until = now + wait
             self._table.wait(call, CallPhase.BACKING_OFF, until)
             return [Count(name='retries'), *_wake(now, until)]
-        return self._refuse(now, call, reason, verdict, is_from_owner=True)
+        return self._refuse(
+            context, now, call, reason, verdict, is_from_owner=True
+        )
 
     def _earn(self, context: CallContext, call: Call) -> None:
         service = call.share.service
@@ -403,6 +416,7 @@
 
     def _refuse(
         self,
+        context: CallContext,
         now: float,
         call: Call,
         reason: Reason,
@@ -420,7 +434,13 @@
         has_key = bool(call.event.idempotency_key)
         if call.may_have_run or (has_key and not is_from_owner):
             verdict = Verdict.UNKNOWN
-        answer = refused(call.event.call_id, reason, verdict, headers)
+        answer = refused(
+            call.event.call_id,
+            reason,
+            verdict,
+            headers,
+            retry_after(context.random, call.route.policy),
+        )
         line = call_ended(
             now,
             call,
@@ -438,7 +458,9 @@
         reason: Reason,
     ) -> Effects:
         effects = self._sender.withdraw(context, now, call)
-        effects.extend(self._refuse(now, call, reason, Verdict.NOT_RUN))
+        effects.extend(
+            self._refuse(context, now, call, reason, Verdict.NOT_RUN)
+        )
         return effects
 
 
