--- a/briartack/core/calls/call_rules.py
+++ b/briartack/core/calls/call_rules.py
@@ -33,6 +33,10 @@
     retry_extra: float = 0.0
     # How far the rate of a cold upstream may be exceeded in one second.
     cold_overage: float = 1.0
+    # The load of near upstreams above which farther ones are chosen; above 1
+    # a request waits for a slot.
+    full_load: float = 1.0
+    full_load_large: float = 1.0  # for large bodies
     # A daemon that stops serves its callers for so long, until the platform
     # has seen that it is not ready.
     linger_seconds: float = 0.0
--- a/briartack/core/calls/choice.py
+++ b/briartack/core/calls/choice.py
@@ -1,16 +1,18 @@
 """The choice of the endpoint for one attempt of a call."""
 
 import enum
-from typing import TypeAlias, final
+from typing import Final, TypeAlias, final
 
 import msgspec
 
 from briartack.core.calls import placement
 from briartack.core.calls.call_context import CallContext, Member, Regions
+from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.call_table import Call
 from briartack.core.calls.endpoints import EndpointsState
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.routing import (
+    FULL_LOAD,
     RoutingState,
     Scopes,
     choose,
@@ -22,6 +24,9 @@
 from briartack.core.units import InstanceId
 
 
+LARGE_BODY_BYTES: Final = 16_384
+
+
 @final
 @enum.unique
 class NoChoice(enum.Enum):
@@ -88,6 +93,7 @@
             regions,
             slots=call.share.limits.slots,
             tried=call.tried,
+            full_load=_full_load(context.rules, call.body_bytes),
         )
 
     def among(
@@ -99,6 +105,7 @@
         *,
         slots: int,
         tried: tuple[InstanceId, ...] = (),
+        full_load: float = FULL_LOAD,
     ) -> Choice:
         """Choose among candidates, those not yet tried first."""
 
@@ -108,9 +115,9 @@
         def untried_load_of(member: Member) -> float | None:  # noqa: WPS430
             return None if member.instance in tried else load_of(member)
 
-        member = choose(context.random, scopes, untried_load_of)
+        member = choose(context.random, scopes, untried_load_of, full_load)
         if member is None and tried:
-            member = choose(context.random, scopes, load_of)
+            member = choose(context.random, scopes, load_of, full_load)
         if member is not None:
             return Chosen(member=member, regions=regions)
         dials = dial_some(context, now, scopes, self.endpoints)
@@ -178,6 +185,16 @@
         return context.members.get(issued.instance)
 
 
+def _full_load(rules: CallRules, body_bytes: int) -> float:
+    """Return the load at which a farther upstream is worth its way.
+
+    The way of a large body costs more than a wait; its owner refuses it if
+    the wait would be too long.
+    """
+    is_large = body_bytes >= LARGE_BODY_BYTES
+    return rules.full_load_large if is_large else rules.full_load
+
+
 def _hashed_owner(
     context: CallContext,
     call: Call,
--- a/briartack/core/calls/routing.py
+++ b/briartack/core/calls/routing.py
@@ -141,7 +141,12 @@
             self._candidates.clear()
 
 
-def choose(random: Random, scopes: Scopes, load_of: LoadOf) -> Member | None:
+def choose(
+    random: Random,
+    scopes: Scopes,
+    load_of: LoadOf,
+    full_load: float = FULL_LOAD,
+) -> Member | None:
     """Choose the less loaded of two in the nearest scope with room.
 
     If every scope is full, the nearest of the least loaded is chosen; its
@@ -152,9 +157,9 @@
         member, load = _less_loaded(random, scope, load_of)
         if member is None:
             continue
-        if load >= FULL_LOAD:
+        if load >= full_load:
             member, load = _least_loaded(scope, load_of)
-        if load < FULL_LOAD:
+        if load < full_load:
             return member
         fallback = fallback or member
     return fallback
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -11,6 +11,11 @@
 
 _ZONES: Final = 'zones.'
 _BOUNDS: Final = 'bounds'
+# Bytes between zones and regions are priced: a wait for a quarter of the slots
+# costs less than another zone, and a large body goes elsewhere only when the
+# owner refuses it.
+_FULL_LOAD: Final = 1.25
+_FULL_LOAD_LARGE: Final = 4.0
 # How the platform asks for readiness: every second, out after two misses.
 _READY_PERIOD_SECONDS: Final = 1.1
 _READY_MISSES: Final = 2
@@ -73,6 +78,8 @@
             retry_ratio=bounds.retry_budget_ratio,
             retry_extra=bounds.budget_extra,
             cold_overage=bounds.cold_overage,
+            full_load=_FULL_LOAD,
+            full_load_large=_FULL_LOAD_LARGE,
             linger_seconds=_READY_MISSES * _READY_PERIOD_SECONDS,
         ),
         store_rules=StoreRules(
--- a/briartack/platform/upstream.py
+++ b/briartack/platform/upstream.py
@@ -105,7 +105,8 @@
             is_healthy=answer.get_code() == HTTPStatus.OK,
             is_draining=False,
             identity=answer.text(INSTANCE_ID),
-            reported_load=_load(answer.text(LOAD)),
+            # All requests come through this daemon, whose own count is exact.
+            reported_load=None,
             cold_seconds=_seconds(answer.text(COLD_MS)),
         )
 
@@ -135,12 +136,3 @@
     except ValueError:
         # A warm upstream says nothing.
         return 0.0
-
-
-def _load(text: str) -> float | None:
-    parts = text.split(',')
-    try:
-        running, waiting, slots = (int(part) for part in parts)
-    except ValueError:
-        return None
-    return min(1.0, (running + waiting) / slots) if slots else None
