Let the roots nearest to the store watch it for all regions

Proved on a fake clock: both watchers frozen, the region killed, the first one cut from the store: in force within 2 s.

--- a/briartack/core/calls/choice.py
+++ b/briartack/core/calls/choice.py
@@ -23,7 +23,6 @@
 from briartack.core.rendezvous import rank
 from briartack.core.units import InstanceId
 
-
 LARGE_BODY_BYTES: Final = 16_384
 
 
--- a/briartack/core/dissemination/announcer.py
+++ b/briartack/core/dissemination/announcer.py
@@ -11,6 +11,8 @@
 
 HEARTBEAT_SECONDS: Final = 1.0
 REMOTE_HEARTBEAT_SECONDS: Final = 2.0
+# Where one region watches the store for others, they notice its silence soon.
+DUTY_HEARTBEAT_SECONDS: Final = 0.4
 QUESTION_SECONDS: Final = 10.0
 CHECK_QUESTION_SECONDS: Final = 1.0
 # Both ends of a new stream greet each other with a summary.
@@ -21,19 +23,39 @@
 class Announcer:
     """Own the times of the last summaries."""
 
-    __slots__ = ('_incarnation', '_sent_at', '_asked_at')
+    __slots__ = (
+        '_incarnation',
+        '_sent_at',
+        '_asked_at',
+        '_watches_store',
+        '_store_seconds',
+    )
 
     def __init__(self, *, incarnation: Incarnation) -> None:
         """Start with nothing sent."""
         self._incarnation = incarnation
         self._sent_at: dict[InstanceId, float] = {}
         self._asked_at: dict[InstanceId, float] = {}
+        self._watches_store = False
+        self._store_seconds: float | None = None
 
     def forget(self, peer: InstanceId) -> None:
         """Drop a peer whose stream is down."""
         self._sent_at.pop(peer, None)
         self._asked_at.pop(peer, None)
 
+    def note_store(
+        self,
+        *,
+        watches: bool,
+        distance_seconds: float | None,
+    ) -> bool:
+        """Take what to say of the store; return whether the watch changed."""
+        has_changed = watches != self._watches_store
+        self._watches_store = watches
+        self._store_seconds = distance_seconds
+        return has_changed
+
     def send(
         self,
         now: float,
@@ -87,4 +109,6 @@
             instances_digest=holdings.instances_digest,
             clock=now,
             wants_answers=wants_answers,
+            watches_store=self._watches_store,
+            store_seconds=self._store_seconds,
         )
--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -235,9 +235,12 @@
     """Announce a change to those who may lack it, and pull on."""
     effects: Effects = []
     if changed:
+        told = state.links.local
+        if state.store.rules.is_duty_by_distance:
+            told = (*told, *state.links.remote)
         unaware = [
             peer
-            for peer in state.links.local
+            for peer in told
             if peer != source and not holds_same(state, peer, holdings)
         ]
         effects.extend(
--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -51,13 +51,14 @@
 class PeerSyncState:
     """Own what peers announced and the pull in flight."""
 
-    __slots__ = ('_views', '_pull', '_unanswered')
+    __slots__ = ('_views', '_pull', '_unanswered', '_remote_delay_seconds')
 
     def __init__(self) -> None:
         """Start without peers."""
         self._views: dict[InstanceId, PeerView] = {}
         self._pull: _PendingPull | None = None
         self._unanswered: InstanceId | None = None
+        self._remote_delay_seconds = REMOTE_PULL_DELAY_SECONDS
 
     @property
     def pulled_from(self) -> InstanceId | None:
@@ -69,6 +70,14 @@
         view = self._views.get(peer)
         return None if view is None else view.summary
 
+    def heard_since(self, since: float) -> list[Summary]:
+        """Return what peers of other regions announced lately."""
+        return [
+            view.summary
+            for view in self._views.values()
+            if view.is_remote and view.last_seen_at >= since
+        ]
+
     def forget(self, peer: InstanceId) -> None:
         """Drop a peer whose stream is down."""
         self._views.pop(peer, None)
@@ -116,8 +125,10 @@
         holdings: Holdings,
         *,
         starts_inventories_with: Callable[[InstanceId], bool],
+        remote_delay_seconds: float = REMOTE_PULL_DELAY_SECONDS,
     ) -> Effects:
         """Pull from a peer that is ahead, and look for gaps."""
+        self._remote_delay_seconds = remote_delay_seconds
         for view in self._views.values():
             view.compare(now, holdings)
         effects = self._expire(now)
@@ -140,7 +151,7 @@
         ready = [
             peer
             for peer, view in self._views.items()
-            if _may_pull(now, view, holdings)
+            if self._may_pull(now, view, holdings)
         ]
         if not ready:
             self._unanswered = None
@@ -156,6 +167,19 @@
         )
         return self._ask(now, peer, holdings)
 
+    def _may_pull(
+        self,
+        now: float,
+        view: PeerView,
+        holdings: Holdings,
+    ) -> bool:
+        if view.ahead_since is None or view.is_paused(now, holdings):
+            return False
+        if not is_ahead(view.summary, holdings):
+            return False
+        delay_seconds = self._remote_delay_seconds if view.is_remote else 0
+        return now - view.ahead_since >= delay_seconds
+
     def _ask(
         self,
         now: float,
@@ -229,15 +253,6 @@
     return effects
 
 
-def _may_pull(now: float, view: PeerView, holdings: Holdings) -> bool:
-    if view.ahead_since is None or view.is_paused(now, holdings):
-        return False
-    if not is_ahead(view.summary, holdings):
-        return False
-    delay_seconds = REMOTE_PULL_DELAY_SECONDS if view.is_remote else 0
-    return now - view.ahead_since >= delay_seconds
-
-
 def _inventory(peer: InstanceId, holdings: Holdings) -> SendMessage:
     buckets = bucket_digests(holdings.versions())
     return SendMessage(peer=peer, message=Inventory(buckets=buckets))
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -61,6 +61,8 @@
         '_confirms_at',
         '_complete',
         '_seen',
+        '_is_answered',
+        '_distance_seconds',
     )
 
     def __init__(
@@ -89,6 +91,13 @@
         self._confirms_at: Revision | None = None
         self._complete: Revision | None = None
         self._seen = NO_REVISION
+        self._is_answered = False
+        self._distance_seconds: float | None = None
+
+    @property
+    def rules(self) -> StoreRules:
+        """Return how hard the store may be pressed."""
+        return self._rules
 
     @property
     def complete(self) -> Revision | None:
@@ -100,6 +109,17 @@
         """Tell whether this daemon is to watch the store."""
         return self._is_on_duty
 
+    @property
+    def watches_well(self) -> bool:
+        """Tell whether a watch is kept up and the store answers."""
+        is_covered = self._is_on_duty and self._complete is not None
+        return is_covered and self._is_answered
+
+    @property
+    def distance_seconds(self) -> float | None:
+        """Return the shortest time that an answer took, if there was one."""
+        return self._distance_seconds
+
     @property
     def is_caught_up(self) -> bool:
         """Tell whether answers cover what a read after a pause has shown."""
@@ -155,6 +175,11 @@
 
     def on_read(self, event: StoreRead) -> Effects:
         """Note an answer to a read."""
+        self._is_answered = True
+        elapsed = event.elapsed_seconds
+        if elapsed is not None:
+            nearest = self._distance_seconds or elapsed
+            self._distance_seconds = min(nearest, elapsed)
         self._reading.pop(event.prefix, None)
         self._backoff.succeed()
         if event.prefix == PLATFORM_KEY:
@@ -173,6 +198,7 @@
         announced, so a peer can't make this daemon skip an edit.
         """
         self._watch_deadline = None
+        self._is_answered = True
         self._backoff.succeed()
         if self._complete is not None:
             self._advance(event.revision)
@@ -201,6 +227,7 @@
         return revision < self._seen
 
     def _fail(self, now: float, least_seconds: float | None = None) -> None:
+        self._is_answered = False
         bound = MAX_BACKOFF_SECONDS
         if self._is_on_duty:
             bound = min(bound, self._rules.duty_backoff_seconds)
--- a/briartack/core/dissemination/store_rules.py
+++ b/briartack/core/dissemination/store_rules.py
@@ -14,6 +14,9 @@
     # A daemon on duty tries a store that fails again after this at most; few
     # daemons are on duty.
     duty_backoff_seconds: float = 30.0
+    # Roots of other regions leave the watch to the roots nearest to the store,
+    # so that its answers cross no link between regions.
+    is_duty_by_distance: bool = False
     # The list of instances may be read from a copy that lags.
     reads_stale_list: bool = False
 
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -53,6 +53,7 @@
     prefix: str
     revision: Revision
     entries: tuple[Entry, ...]
+    elapsed_seconds: float | None = None
 
 
 @final
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -57,6 +57,8 @@
     instances_digest: Digest
     clock: float
     wants_answers: bool = False  # the receiver is a parent of the sender
+    watches_store: bool = False  # and the store answers
+    store_seconds: float | None = None  # the shortest answer of the store
 
 
 @final
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -86,6 +86,7 @@
             start_jitter_seconds=_START_JITTER_SECONDS,
             duty_backoff_seconds=_DUTY_BACKOFF_SECONDS,
             reads_stale_list=True,
+            is_duty_by_distance=True,
         ),
     )
 
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -110,6 +110,7 @@
 
     def _read(self, effect: ReadStore) -> None:
         prefix = effect.prefix
+        started = self._clock()
         try:
             page = self._read_pages(effect)
         except _StoreError as error:
@@ -121,6 +122,7 @@
                 prefix=prefix,
                 revision=page.revision,
                 entries=page.entries,
+                elapsed_seconds=self._clock() - started,
             ),
         )
 
--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -18,6 +18,10 @@
 from briartack.core.dissemination import dissemination as core
 from briartack.core.dissemination.dissemination_state import DisseminationState
 from briartack.core.dissemination.overlay import rank
+from briartack.core.dissemination.store_rules import (
+    DEFAULT_STORE_RULES,
+    StoreRules,
+)
 from briartack.core.identity import Identity
 from briartack.core.units import Incarnation, InstanceId, Revision
 from briartack.test.fake_holdings import FakeHoldings, FakeStore
@@ -43,7 +47,12 @@
 class Node:
     """One daemon; what happens to a frozen one waits until it is thawed."""
 
-    def __init__(self, identity: Identity, seed: int) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        seed: int,
+        rules: StoreRules,
+    ) -> None:
         self.hello = wire.Hello(
             protocol_version=wire.PROTOCOL_VERSION,
             instance=identity.instance,
@@ -53,7 +62,11 @@
             region=identity.region,
             clock=0,
         )
-        self.state = DisseminationState(identity=identity, random=Random(seed))
+        self.state = DisseminationState(
+            identity=identity,
+            random=Random(seed),
+            rules=rules,
+        )
         self.held = FakeHoldings()
         self.is_frozen = False
         self.inbox: list[Make] = []
@@ -64,8 +77,16 @@
 class Fleet:
     """Runs the effects of all nodes; a link joins two live nodes."""
 
-    def __init__(self, regions: int, centres: int, size: int) -> None:
+    def __init__(
+        self,
+        regions: int,
+        centres: int,
+        size: int,
+        *,
+        rules: StoreRules = DEFAULT_STORE_RULES,
+    ) -> None:
         self.now = 100.0
+        self.rules = rules
         self.store = FakeStore()
         self.nodes: dict[str, Node] = {}
         self.links: set[frozenset[str]] = set()
@@ -101,7 +122,7 @@
                 data_centre=name[:4],
                 region=name[:2],
             )
-            node = Node(identity, count)
+            node = Node(identity, count, self.rules)
             self.nodes[name] = node
             event = events.Started(
                 now=self.now,
@@ -278,6 +299,7 @@
             prefix=prefix,
             revision=self.store.revision,
             entries=self.store.read(prefix),
+            elapsed_seconds=self.store_seconds(name),
         )
         self._answer(name, events.StoreOperation.READ, make)
 
