--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -6,7 +6,7 @@
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.call_lines import attempt_sent
 from briartack.core.calls.call_table import Call, CallTable
-from briartack.core.calls.choice import Chosen
+from briartack.core.calls.choice import LARGE_BODY_BYTES, Chosen
 from briartack.core.calls.endpoints import NO_CLOCK, EndpointsState
 from briartack.core.calls.owner import OwnerState
 from briartack.core.calls.placement import listed_regions
@@ -76,7 +76,7 @@
             interactive=call.interactive,
             request_id=call.event.request_id,
             rank=call.route.policy.rank,
-            target_ms=_target_left_ms(call, now),
+            target_ms=_target_left_ms(context, now, call, chosen),
             home_regions=listed_regions(chosen.regions),
             idempotency_key=call.event.idempotency_key,
         )
@@ -130,8 +130,19 @@
             self._endpoints.avoid(peer, now)
 
 
-def _target_left_ms(call: Call, now: float) -> float | None:
+def _target_left_ms(
+    context: CallContext,
+    now: float,
+    call: Call,
+    chosen: Chosen,
+) -> float | None:
+    """Return the time in which an owner has to answer, or refuse at once.
+
+    A large body may wait in its own data centre until its deadline, because
+    its way elsewhere costs more than the wait.
+    """
     target_ms = call.route.policy.target_ms
-    if target_ms is None:
+    is_near = chosen.member.data_centre == context.identity.data_centre
+    if target_ms is None or (is_near and call.body_bytes >= LARGE_BODY_BYTES):
         return None
     return target_ms - (now - call.event.now) * MILLISECONDS
--- a/briartack/core/calls/call_rules.py
+++ b/briartack/core/calls/call_rules.py
@@ -33,6 +33,7 @@
     retry_extra: float = 0.0
     # How far the rate of a cold upstream may be exceeded in one second.
     cold_overage: float = 1.0
+    cold_slack: float = 1.0
     # The load of near upstreams above which farther ones are chosen; above 1
     # a request waits for a slot.
     full_load: float = 1.0
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -13,6 +13,8 @@
 REPORT_SECONDS: Final = 10.0
 # A report alone never makes an idle upstream look full.
 REPORT_WEIGHT: Final = 0.5
+# A cold upstream counts as full once a request waits so long.
+FULL_WAIT_SECONDS: Final = 0.1
 NOTHING_ADMITTED: Final = Admission()
 
 
@@ -94,6 +96,11 @@
         """Take the limits of the present configuration and of the list."""
         self._limits = limits
         self._slots = slots
+        if limits.cold_per_second is not None:
+            self._cold.configure(
+                per_second=limits.cold_per_second * self._rules.cold_overage,
+                burst=self._rules.cold_slack,
+            )
 
     def take_doubt(self) -> bool:
         """Tell, once, whether a probe is needed before the next regular one."""
@@ -142,6 +149,12 @@
         )
         return self._count(now, admission)
 
+    def next_start_at(self, now: float) -> float | None:
+        """Return when a cold upstream may be given what waits."""
+        if not self._admission.queued or self._room(now) is None:
+            return None
+        return self._cold.next_start_at(now)
+
     def withdraw(self, attempt_id: AttemptId) -> None:
         """Take an attempt out of the queue."""
         self._admission.withdraw(attempt_id)
@@ -214,26 +227,24 @@
         self._ramp.restart(event.now)
         return True
 
-    def _allowed_cold(self) -> float:
-        rate = self._limits.cold_per_second or 0
-        return rate * self._rules.cold_overage
-
     def _room(self, now: float) -> int | None:
         """Count what a cold upstream may start now; `None` when it is warm."""
         if self._limits.cold_per_second is None or not self._cold.is_cold(now):
             return None
-        return max(0, int(self._allowed_cold()) - self._cold.taken(now))
+        return self._cold.room(now)
 
     def _cold_load(self, now: float) -> float:
+        """Return the load of a cold upstream: its wait as a share of slots."""
         if self._room(now) is None:
             return 0
-        return self._cold.taken(now) / max(self._allowed_cold(), 1)
+        waiting = self._admission.queued
+        return min(1.0, waiting * self._cold.step_seconds() / FULL_WAIT_SECONDS)
 
     def _step_seconds(self, now: float) -> float:
         step = self._ramp.mean_seconds / self.limit
         if self._room(now) is None:
             return step
-        return max(step, 1 / max(self._allowed_cold(), 1))
+        return max(step, self._cold.step_seconds())
 
     def _count(self, now: float, admission: Admission) -> Admission:
         for _ in admission.started:
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -21,6 +21,7 @@
     Dispatch,
     DropBody,
     Effects,
+    WakeAt,
 )
 from briartack.core.events import UpstreamAnswered, UpstreamFailed
 from briartack.core.messages import Attempt
@@ -201,6 +202,9 @@
             effects.extend(self._answers.refuse(now, record, reason))
         for started in admission.started:
             effects.append(self._dispatch(now, self._attempts[started]))
+        next_at = self._upstream.next_start_at(now)
+        if next_at is not None:
+            effects.append(WakeAt(at=next_at))
         return effects
 
     def _dispatch(self, now: float, record: OwnedAttempt) -> Dispatch:
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -38,6 +38,7 @@
     retry_budget_ratio: float = 0.2
     budget_extra: float = 0.0  # repeats within the window, of all daemons
     cold_overage: float = 1.0
+    cold_slack: float = 1.0
 
 
 @final
@@ -78,6 +79,7 @@
             retry_ratio=bounds.retry_budget_ratio,
             retry_extra=bounds.budget_extra,
             cold_overage=bounds.cold_overage,
+            cold_slack=bounds.cold_slack,
             full_load=_FULL_LOAD,
             full_load_large=_FULL_LOAD_LARGE,
             linger_seconds=_READY_MISSES * _READY_PERIOD_SECONDS,
--- /dev/null
+++ b/briartack/test/test_cold_gate.py
@@ -0,0 +1,74 @@
+"""Guards the bound of a cold upstream in any second."""
+
+import itertools
+import unittest
+from collections import deque
+
+from nose2.tools import params
+
+from briartack.core.calls.cold_gate import ColdGate
+
+
+def starts(gate: ColdGate, seconds: float, step: float) -> list[float]:
+    """Start whatever the gate allows, at every step."""
+    started: list[float] = []
+    for number in range(round(seconds / step)):
+        now = number * step
+        while gate.room(now):
+            gate.started(now)
+            started.append(now)
+    return started
+
+
+def most_in_a_second(times: list[float]) -> int:
+    """Count the starts in the fullest window of one second."""
+    window: deque[float] = deque()
+    most = 0
+    for at in times:
+        window.append(at)
+        while window[0] <= at - 1:
+            window.popleft()
+        most = max(most, len(window))
+    return most
+
+
+class ColdGateTest(unittest.TestCase):
+    @params(
+        (27.0, 5.0, 0.001),
+        (46.5, 5.0, 0.001),
+        (46.5, 5.0, 0.1),
+        (10.0, 1.0, 0.01),
+    )
+    def test_no_second_exceeds_the_bound(
+        self,
+        per_second: float,
+        burst: float,
+        step: float,
+    ) -> None:
+        gate = ColdGate()
+        gate.configure(per_second=per_second, burst=burst)
+        started = starts(gate, 4, step)
+        self.assertLessEqual(most_in_a_second(started), per_second + burst)
+
+    def test_starts_are_spread(self) -> None:
+        """Guards against a burst after which nothing starts for a second."""
+        gate = ColdGate()
+        gate.configure(per_second=27, burst=5)
+        times = starts(gate, 3, 0.001)
+        gaps = [later - one for one, later in itertools.pairwise(times)]
+        self.assertLess(max(gaps), 0.05)
+
+    def test_warm_starts_count_when_it_turns_cold(self) -> None:
+        """Guards against a burst on top of what has just been sent."""
+        gate = ColdGate()
+        gate.configure(per_second=27, burst=5)
+        for number in range(100):
+            gate.started(number / 100)
+        self.assertEqual(gate.room(1.0), 0)
+
+    def test_what_the_upstream_says_counts(self) -> None:
+        gate = ColdGate()
+        gate.presume(3)
+        self.assertTrue(gate.is_cold(2))
+        gate.set(1)
+        self.assertFalse(gate.is_cold(2))
--- a/briartack/test/test_platform_settings.py
+++ b/briartack/test/test_platform_settings.py
@@ -14,7 +14,7 @@
         'zones.sierra-uio=sierra',
         'seeds=',
         'bounds=grace_s=6,retry_budget_ratio=0.25,budget_extra=62,'
-        'cold_overage=1.5,unknown=yes',
+        'cold_overage=1.5,cold_slack=5,unknown=yes',
         '',
     ),
 )
--- /dev/null
+++ b/standins/platform_site.py
@@ -0,0 +1,262 @@
+"""A small site of the platform: machines, workers, store and daemons.
+
+Each machine is an address of the loopback range of its own, since daemons
+find each other by IP number and a port that is the same everywhere.
+"""
+
+import uuid
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final, final
+
+from geventhttpclient import URL, HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from standins.platform_store import PlatformStore
+from standins.platform_worker import PlatformWorker
+from standins.processes import LOOPBACK, Child, Ports
+from standins.wiring import write_text
+
+ZONES: Final = {'east-1': 'east', 'east-2': 'east', 'west-1': 'west'}
+SERVICES: Final = ('reads', 'buys')
+HOST: Final = 'shop.example'
+SLOTS: Final = 4
+TIMEOUT_SECONDS: Final = 5.0
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Machine:
+    """Hold one machine, its worker and its daemon."""
+
+    ip: str
+    zone: str
+    service: str
+    worker: PlatformWorker
+    daemon: Child
+    outbound: str
+    ready: str
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """Hold what a consumer got."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+def route(name: str, prefix: str, service: str, **more: Any) -> dict[str, Any]:
+    """Make a route of the operators' configuration."""
+    spec = {
+        'host': HOST,
+        'prefix': prefix,
+        'kind': 'idempotent',
+        'timeout_ms': 2000,
+        'target_latency_ms': 500,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 2,
+        'home_regions': [],
+        **more,
+    }
+    return {'resource_kind': 'routes', 'metadata': {'name': name}, 'spec': spec}
+
+
+def configuration(*routes: dict[str, Any]) -> dict[str, Any]:
+    """Make an operators' configuration with all services."""
+    services = [
+        {
+            'resource_kind': 'services',
+            'metadata': {'name': service},
+            'spec': {
+                'health_path': '/health',
+                'max_conns': 50,
+                'cold_start_s': 1.0,
+                'cold_per_s': 20.0,
+            },
+        }
+        for service in SERVICES
+    ]
+    return {'version': 1, 'resources': [*routes, *services]}
+
+
+DEFAULT_ROUTES: Final = (
+    route('reads', '/reads/', 'reads'),
+    route('buys', '/buys/', 'buys', kind='non_idempotent'),
+    route('home', '/home/', 'reads', home_regions=['west']),
+)
+
+
+@final
+class PlatformSite:
+    """Start and stop a machine of each service in each zone."""
+
+    __slots__ = ('store', 'machines', '_directory', '_ports', '_names')
+
+    def __init__(self, *, directory: Path) -> None:
+        self._directory = directory
+        self._ports = Ports()
+        self._names = [
+            _port(self._ports.address())
+            for _ in ('outbound', 'inbound', 'ready', 'app')
+        ]
+        self.store = PlatformStore(address=f'{LOOPBACK}:0')
+        self.machines: list[Machine] = []
+
+    def start(self) -> None:
+        """Start everything; the operators publish the default routes."""
+        self.store.server.start()
+        self.store.put('op/config', configuration(*DEFAULT_ROUTES))
+        for zone in ZONES:
+            for service in SERVICES:
+                self.add(zone, service)
+
+    def add(self, zone: str, service: str) -> Machine:
+        """Start a machine."""
+        number = len(self.machines) + 1
+        ip = f'127.0.1.{number}'
+        outbound, inbound, ready, app = (f'{ip}:{one}' for one in self._names)
+        worker = PlatformWorker(address=app, identity=f'i-{number}')
+        worker.server.start()
+        settings = self._directory / f'{ip}.conf'
+        write_text(settings, _settings())
+        arguments = ['briartack.main', '--dialect', 'platform']
+        flags = {
+            'boot': str(settings),
+            'instance-id': ip,
+            'service': f'op/{service}',
+            'data-centre': zone,
+            'region': ZONES[zone],
+            'caller-address': outbound,
+            'peer-address': inbound,
+            'operator-address': ready,
+            'upstream-address': app,
+            'store-address': self.store.server.address,
+            'drain-seconds': '5',
+            'log-stream': 'stdout',
+        }
+        for flag, text in flags.items():
+            arguments += [f'--{flag}', text]
+        daemon = Child(
+            name=ip,
+            arguments=arguments,
+            directory=self._directory,
+        )
+        machine = Machine(
+            ip=ip,
+            zone=zone,
+            service=service,
+            worker=worker,
+            daemon=daemon,
+            outbound=outbound,
+            ready=ready,
+        )
+        self.machines.append(machine)
+        self.register(machine)
+        daemon.start()
+        return machine
+
+    def register(self, machine: Machine, **status: Any) -> None:
+        """Write what a worker says of itself."""
+        self.store.put(
+            f'servers/{machine.worker.identity}',
+            {
+                'address': machine.worker.server.address,
+                'born': 1,
+                'info': {
+                    'service': machine.service,
+                    'version': 'v1',
+                    'zone': machine.zone,
+                    'slots': SLOTS,
+                },
+                'status': {
+                    'state': 'ready',
+                    'sequence': 1,
+                    'cold_left_ms': 0,
+                    **status,
+                },
+            },
+        )
+
+    def machine(self, zone: str, service: str) -> Machine:
+        """Find the first machine of a service in a zone."""
+        return next(
+            one
+            for one in self.machines
+            if one.zone == zone and one.service == service
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether all daemons say that they are ready."""
+        return all(
+            get(f'http://{one.ready}/readyz').status == 200
+            for one in self.machines
+        )
+
+    def stop(self) -> None:
+        """End the daemons, which this site has started, and the servers."""
+        for machine in self.machines:
+            machine.daemon.end()
+            machine.worker.server.stop()
+        self.store.server.stop()
+        self._ports.release()
+
+
+def ask(machine: Machine, path: str, body: bytes | None = None) -> Reply:
+    """Send a request as a consumer of a machine."""
+    return get(
+        f'http://{machine.outbound}{path}',
+        {
+            'Host': HOST,
+            'X-Attempt-Id': uuid.uuid4().hex,
+            'X-Deadline-Ms': '2000',
+        },
+        body,
+    )
+
+
+def get(
+    url: str,
+    headers: dict[str, str] | None = None,
+    body: bytes | None = None,
+) -> Reply:
+    """Send a request; a connection that fails has status 0."""
+    parsed = URL(url)
+    client = HTTPClient(
+        parsed.host,
+        parsed.port,
+        connection_timeout=TIMEOUT_SECONDS,
+        network_timeout=TIMEOUT_SECONDS,
+    )
+    method = 'GET' if body is None else 'POST'
+    try:
+        answer = client.request(
+            method,
+            parsed.request_uri,
+            body or b'',
+            headers or {},
+        )
+        return Reply(
+            status=answer.status_code,
+            body=bytes(answer.read()),
+            headers={name.lower(): text for name, text in answer.items()},
+        )
+    except (OSError, HTTPParseError) as error:
+        return Reply(status=0, body=str(error).encode(), headers={})
+    finally:
+        client.close()
+
+
+def _settings() -> str:
+    zones = '\n'.join(
+        f'zones.{zone}={region}' for zone, region in ZONES.items()
+    )
+    bounds = 'bounds=grace_s=6,retry_budget_ratio=0.2,budget_extra=60'
+    return f'{zones}\n{bounds},cold_overage=1.5\n'
+
+
+def _port(address: str) -> str:
+    return address.rpartition(':')[2]
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,153 @@
+"""Stand-in for the platform's metadata store: keys, pages, watches.
+
+A test or a demo calls `put` and `delete` in place of operators and servers.
+"""
+
+import base64
+import time
+from collections import Counter, deque
+from http import HTTPStatus
+from typing import Any, Final, final
+
+import msgspec
+from gevent.event import Event
+
+from standins.http_server import (
+    Broken,
+    HttpServer,
+    Request,
+    Response,
+    json_response,
+)
+
+PAGE_ITEMS: Final = 500
+MAX_WAIT_MS: Final = 30_000
+MS_PER_SECOND: Final = 1000.0
+HISTORY_ITEMS: Final = 1000
+
+
+@final
+class PlatformStore:
+    """Answer reads and watches, or misbehave."""
+
+    __slots__ = (
+        'outage',
+        'counts',
+        '_items',
+        '_history',
+        '_forgotten',
+        '_revision',
+        '_changed',
+        '_server',
+    )
+
+    def __init__(self, *, address: str) -> None:
+        self.outage = ''  # busy, many or reset; empty for none
+        self.counts: Counter[str] = Counter()
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: deque[dict[str, Any]] = deque(maxlen=HISTORY_ITEMS)
+        self._forgotten = 0
+        self._revision = 1
+        self._changed = Event()
+        self._server = HttpServer(address=address, application=self.answer)
+
+    @property
+    def server(self) -> HttpServer:
+        """Return the server of the protocol."""
+        return self._server
+
+    def put(self, key: str, value: object) -> int:
+        """Set a key to JSON, or to bytes as they are."""
+        payload = value if isinstance(value, bytes) else _encoded(value)
+        self._revision += 1
+        before = self._items.get(key)
+        item = {
+            'key': key,
+            'value': base64.b64encode(payload).decode(),
+            'rev': self._revision,
+            'created': before['created'] if before else self._revision,
+            'lease': 0,
+        }
+        self._items[key] = item
+        self._record(item)
+        return self._revision
+
+    def delete(self, key: str) -> int:
+        """Remove a key."""
+        self._items.pop(key, None)
+        self._revision += 1
+        self._record({'key': key, 'rev': self._revision, 'tombstone': True})
+        return self._revision
+
+    def forget_history(self) -> None:
+        """Refuse watches that begin before now."""
+        self._forgotten = self._revision
+        self._history.clear()
+        self._wake()
+
+    def answer(self, request: Request) -> Response | Broken:
+        """Answer one call."""
+        self.counts[request.path] += 1
+        failure = self._failure()
+        if failure is not None:
+            return failure
+        if request.path == '/api/kv-range':
+            return self._range(request.query)
+        if request.path == '/api/kv-watch':
+            return self._watch(request.query)
+        return json_response({'error': 'path'}, status=HTTPStatus.NOT_FOUND)
+
+    def _failure(self) -> Response | Broken | None:
+        if self.outage == 'reset':
+            return Broken(is_reset=True)
+        if self.outage == 'many':
+            return Response(status=HTTPStatus.TOO_MANY_REQUESTS)
+        if self.outage:
+            return Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        return None
+
+    def _range(self, query: dict[str, str]) -> Response:
+        prefix = query.get('prefix', '')
+        after = query.get('after', '')
+        found = [
+            item
+            for key, item in sorted(self._items.items())
+            if key.startswith(prefix) and key > after
+        ]
+        return json_response(
+            {
+                'items': found[:PAGE_ITEMS],
+                'has_more': len(found) > PAGE_ITEMS,
+                'as_of': self._revision,
+            },
+        )
+
+    def _watch(self, query: dict[str, str]) -> Response | Broken:
+        after = int(query['after'])
+        wait_ms = min(int(query.get('wait_ms', '0')), MAX_WAIT_MS)
+        until = time.monotonic() + wait_ms / MS_PER_SECOND
+        while True:
+            failure = self._failure()
+            if failure is not None:
+                return failure
+            if after < self._forgotten:
+                return json_response({}, status=HTTPStatus.GONE)
+            events = [one for one in self._history if one['rev'] > after]
+            left_seconds = until - time.monotonic()
+            if events or left_seconds <= 0:
+                answer = {'events': events, 'as_of': self._revision}
+                return json_response(answer)
+            self._changed.wait(left_seconds)
+
+    def _record(self, item: dict[str, Any]) -> None:
+        self._history.append(item)
+        self._wake()
+
+    def _wake(self) -> None:
+        changed = self._changed
+        self._changed = Event()
+        changed.set()
+
+
+def _encoded(value: object) -> bytes:
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/standins/platform_worker.py
@@ -0,0 +1,100 @@
+"""Stand-in for one worker of the platform."""
+
+import time
+from collections import Counter
+from http import HTTPStatus
+from typing import Final, final
+
+import gevent
+
+from standins.http_server import Broken, HttpServer, Request, Response
+
+MS_PER_SECOND: Final = 1000.0
+HEALTH_PATH: Final = '/health'
+
+
+@final
+class PlatformWorker:
+    """Run requests of one service under one identity."""
+
+    __slots__ = (
+        'identity',
+        'is_draining',
+        'cold_until',
+        'flaw',
+        'work_seconds',
+        'counts',
+        'seen',
+        '_server',
+    )
+
+    def __init__(self, *, address: str, identity: str) -> None:
+        self.identity = identity
+        self.is_draining = False
+        self.cold_until = 0.0  # monotonic seconds
+        self.flaw = ''  # cut, unsealed, foreign or refuse; empty for none
+        self.work_seconds = 0.001
+        self.counts: Counter[str] = Counter()
+        self.seen: list[tuple[str, str, dict[str, str]]] = []
+        self._server = HttpServer(address=address, application=self.answer)
+
+    @property
+    def server(self) -> HttpServer:
+        """Return the server of this worker."""
+        return self._server
+
+    def restart(self, identity: str) -> None:
+        """Begin another lifetime at the same address."""
+        self.identity = identity
+        self.is_draining = False
+
+    def answer(self, request: Request) -> Response | Broken:
+        """Answer a probe or run a request."""
+        if request.path == HEALTH_PATH:
+            return self._health()
+        body = request.body()
+        expected = request.header('X-Expect-Instance')
+        if expected and expected != self.identity:
+            return Response(
+                status=HTTPStatus.MISDIRECTED_REQUEST,
+                headers=(('X-Instance-Id', self.identity),),
+            )
+        if self.flaw == 'refuse':
+            return Response(
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+                headers=(('X-Not-Executed', '1'),),
+            )
+        return self._run(request, body)
+
+    def _run(self, request: Request, body: bytes) -> Response | Broken:
+        attempt_id = request.header('X-Attempt-Id')
+        headers = {
+            name: request.header(name)
+            for name in ('X-Deadline-Ms', 'X-Caller-Service')
+        }
+        self.counts['ran'] += 1
+        self.seen.append((attempt_id, request.path, headers))
+        gevent.sleep(self.work_seconds)
+        if self.flaw == 'cut':
+            return Broken(
+                sent=b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab',
+            )
+        if self.flaw == 'foreign':
+            attempt_id = 'another'
+        seal = () if self.flaw == 'unsealed' else (('X-Server-Seal', 's'),)
+        return Response(
+            body=self.identity.encode() + b' ' + body,
+            headers=(('X-Attempt-Id', attempt_id), *seal),
+        )
+
+    def _health(self) -> Response:
+        self.counts['probes'] += 1
+        status = HTTPStatus.OK
+        if self.is_draining:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+        headers = [('X-Instance-Id', self.identity)]
+        cold_seconds = self.cold_until - time.monotonic()
+        if cold_seconds > 0:
+            cold_ms = f'{cold_seconds * MS_PER_SECOND:.0f}'
+            headers.append(('X-Cold-Ms', cold_ms))
+        return Response(status=status, headers=tuple(headers))
