--- a/briartack/test/test_docs.py
+++ b/briartack/test/test_docs.py
@@ -65,7 +65,7 @@
 
     def test_audit_kinds(self) -> None:
         self.assertEqual(
-            first_cells(page('operations'), 'kind'),
+            first_cells(page('OPERATIONS'), 'kind'),
             in_code(AUDIT_KIND),
         )
 
@@ -81,7 +81,7 @@
             *constants.difference(ANSWERED_ONLY),
         }
         self.assertEqual(
-            first_cells(page('operations'), 'log code'),
+            first_cells(page('OPERATIONS'), 'log code'),
             written,
         )
 
