--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # `make demo` and `make test` need nothing but Python 3.11 and pip.
 PYTHON ?= python3.11
 DEPLOYMENT ?= pacifico
+# own, or platform for the interfaces of the users' platform.
+DIALECT ?= own
 VENV := .venv
 BIN := $(VENV)/bin
 
@@ -12,7 +14,11 @@
 	touch $@
 
 demo: $(VENV)/.installed
+ifeq ($(DIALECT),platform)
+	$(BIN)/python -m standins.platform_demo
+else
 	$(BIN)/python -m standins.demo --deployment $(DEPLOYMENT)
+endif
 
 test: $(VENV)/.installed
 	$(BIN)/python -m nose2 --start-dir briartack/test --top-level-directory .
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -92,6 +92,10 @@
         """Count the requests in flight."""
         return self._admission.running
 
+    def adopt(self, rules: CallRules) -> None:
+        """Follow other rules from now on."""
+        self._rules = rules
+
     def configure(self, limits: ServiceLimits, slots: int | None) -> None:
         """Take the limits of the present configuration and of the list."""
         self._limits = limits
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -14,7 +14,11 @@
     OwnedPhase,
     OwnerAnswers,
 )
-from briartack.core.calls.owner_checks import is_own_out, refusal
+from briartack.core.calls.owner_checks import (
+    has_left,
+    is_own_out,
+    refusal,
+)
 from briartack.core.calls.owner_runner import OwnerRunner, late_answer
 from briartack.core.calls.reasons import Reason
 from briartack.core.effects import (
@@ -201,8 +205,12 @@
 
     def upstream_probed(self, event: UpstreamProbed) -> Effects:
         """Take the health, identity and load of the upstream."""
-        has_restarted = self._upstream.probed(event)
-        return _ramp_log('probe') if has_restarted else []
+        upstream = self._upstream
+        before = (upstream.identity, upstream.is_open)
+        effects = _ramp_log('probe') if upstream.probed(event) else []
+        if before != (upstream.identity, upstream.is_open):
+            effects.append(_health_line(upstream, event))
+        return effects
 
     def tick(self, context: CallContext, now: float) -> Effects:
         """End attempts whose time is over; follow limits and doubts."""
@@ -242,11 +250,15 @@
         if self._was_out and not is_out:
             self._upstream.presume_cold(now)
         self._was_out = is_out
+        effects: Effects = []
+        if is_out or has_left(context, self._upstream.identity):
+            # What waits must not start at an upstream that leaves.
+            effects = self.expire_all(now, reasons.OUT_OF_SERVICE)
         is_moved = limits.health_path != self._probe_path
         self._probe_path = limits.health_path
         if self._upstream.take_doubt() or is_moved:
-            return [ProbeUpstream(path=limits.health_path)]
-        return []
+            effects.append(ProbeUpstream(path=limits.health_path))
+        return effects
 
     def _replay(
         self,
@@ -306,3 +318,17 @@
             fields=(('cause', cause),),
         ),
     ]
+
+
+def _health_line(upstream: LocalUpstream, event: UpstreamProbed) -> WriteLog:
+    cold_seconds = event.cold_seconds or 0
+    return WriteLog(
+        level=LogLevel.INFO,
+        code='upstream-health',
+        fields=(
+            ('upstream', upstream.identity),
+            ('open', str(upstream.is_open)),
+            ('cold_ms', f'{cold_seconds * MILLISECONDS:.0f}'),
+            ('running', str(upstream.running)),
+        ),
+    )
--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -51,7 +51,7 @@
     upstream.configure(limits, None if member is None else member.slots)
     if is_own_out(context, snapshot.platform):
         return reasons.OUT_OF_SERVICE
-    if _has_left(context, upstream.identity):
+    if has_left(context, upstream.identity):
         return reasons.OUT_OF_SERVICE
     if attempt.body_bytes > MAX_BODY_BYTES:
         return reasons.BODY_TOO_LARGE
@@ -68,7 +68,7 @@
     )
 
 
-def _has_left(context: CallContext, identity: str) -> bool:
+def has_left(context: CallContext, identity: str) -> bool:
     """Tell whether the list says so of this start of the upstream.
 
     The list may name another start of it as well, and lists none at first.
--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -158,7 +158,7 @@
 ) -> Effects:
     """Delay the next call to the store."""
     effects = observe(state, event.now, holdings)
-    state.store.on_failed(event)
+    effects.extend(state.store.on_failed(event))
     return effects
 
 
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -40,6 +40,8 @@
 WATCHES_PER_SECOND: Final = 5.0
 WATCHES_BURST: Final = 5
 REVISION_FELL: Final = 'store-revision-fell'
+STORE_LOST: Final = 'store-lost'
+STORE_BACK: Final = 'store-back'
 NO_REVISION: Final = Revision(0)
 
 
@@ -62,6 +64,7 @@
         '_complete',
         '_seen',
         '_is_answered',
+        '_is_lost',
         '_distance_seconds',
     )
 
@@ -92,6 +95,7 @@
         self._complete: Revision | None = None
         self._seen = NO_REVISION
         self._is_answered = False
+        self._is_lost = False
         self._distance_seconds: float | None = None
 
     @property
@@ -175,7 +179,7 @@
 
     def on_read(self, event: StoreRead) -> Effects:
         """Note an answer to a read."""
-        self._is_answered = True
+        effects = self._note_answer(event.revision)
         elapsed = event.elapsed_seconds
         if elapsed is not None:
             nearest = self._distance_seconds or elapsed
@@ -189,7 +193,8 @@
             self._instances_at = None
         if event.prefix == WHOLE_TREE:
             self._advance(event.revision)
-        return self._see(event.revision)
+        effects.extend(self._see(event.revision))
+        return effects
 
     def on_watched(self, event: StoreWatched) -> Effects:
         """Note an answer to a watch.
@@ -198,18 +203,37 @@
         announced, so a peer can't make this daemon skip an edit.
         """
         self._watch_deadline = None
-        self._is_answered = True
+        effects = self._note_answer(event.revision)
         self._backoff.succeed()
         if self._complete is not None:
             self._advance(event.revision)
-        effects = self._see(event.revision)
-        if effects:
+        fallen = self._see(event.revision)
+        effects.extend(fallen)
+        if fallen:
             # A store that fell behind may answer each watch at once.
             self._fail(event.now)
         return effects
 
-    def on_failed(self, event: StoreFailed) -> None:
+    def on_failed(self, event: StoreFailed) -> Effects:
         """Delay the next call."""
+        was_lost = self._is_lost
+        self._note_failure(event)
+        if was_lost or event.is_history_gone:
+            return []
+        self._is_lost = True
+        fields = (
+            ('operation', event.operation.value),
+            ('reason', event.reason),
+            ('seen', str(self._seen)),
+        )
+        line = WriteLog(
+            level=LogLevel.WARNING,
+            code=STORE_LOST,
+            fields=fields,
+        )
+        return [line]
+
+    def _note_failure(self, event: StoreFailed) -> None:
         if event.operation is StoreOperation.READ:
             self._reading.pop(event.prefix, None)
         elif self._watch_deadline is None:
@@ -236,6 +260,19 @@
     def _advance(self, revision: Revision) -> None:
         self._complete = max(self._complete or NO_REVISION, revision)
 
+    def _note_answer(self, revision: Revision) -> Effects:
+        self._is_answered = True
+        if not self._is_lost:
+            return []
+        self._is_lost = False
+        return [
+            WriteLog(
+                level=LogLevel.INFO,
+                code=STORE_BACK,
+                fields=(('revision', str(revision)),),
+            ),
+        ]
+
     def _see(self, revision: Revision) -> Effects:
         if self.is_behind_seen(revision):
             fields = (('seen', str(self._seen)), ('answered', str(revision)))
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -20,6 +20,7 @@
 from briartack.core.trail import AuditFields
 
 STORE: Final = 'store'
+MAX_SHOWN: Final = 10
 
 
 def merge(
@@ -33,6 +34,8 @@
     change = _apply_configuration(state, received)
     changed_instances = _apply_instances(state, now, received)
     effects.extend(_report(state, change, received.source or STORE, before))
+    if changed_instances:
+        effects.append(_instances_line(state, changed_instances, received))
     effects.extend(
         dissemination.on_merged(
             state.dissemination,
@@ -82,6 +85,25 @@
     )
 
 
+def _instances_line(
+    state: State,
+    changed: tuple[str, ...],
+    received: dissemination.Received,
+) -> WriteLog:
+    shown = ' '.join(sorted(changed)[:MAX_SHOWN])
+    return WriteLog(
+        level=LogLevel.INFO,
+        code='instances-changed',
+        fields=(
+            ('changed', str(len(changed))),
+            ('records', shown),
+            ('live', str(state.membership.instance_count)),
+            ('highest', str(state.membership.highest)),
+            ('source', received.source or STORE),
+        ),
+    )
+
+
 def _report(
     state: State,
     change: SnapshotChange,
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -11,7 +11,7 @@
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.calls_state import CallsState
 from briartack.core.dissemination import dissemination
-from briartack.core.effects import Effects, WriteAudit
+from briartack.core.effects import Effects, LogLevel, WriteAudit, WriteLog
 from briartack.core.events import (
     AttemptBodyRead,
     CallArrived,
@@ -148,7 +148,9 @@
 
 def _on_peer_connected(state: State, event: PeerConnected) -> Effects:
     state.membership.note_incarnation(event.peer, event.hello.incarnation)
+    fields = (('peer', event.peer), ('incarnation', event.hello.incarnation))
     return [
+        WriteLog(level=LogLevel.INFO, code='peer-back', fields=fields),
         *dissemination.on_peer_connected(
             state.dissemination,
             event,
@@ -160,7 +162,9 @@
 
 
 def _on_peer_disconnected(state: State, event: PeerDisconnected) -> Effects:
+    fields = (('peer', event.peer), ('reason', event.reason))
     return [
+        WriteLog(level=LogLevel.INFO, code='peer-lost', fields=fields),
         *dissemination.on_peer_disconnected(
             state.dissemination,
             event,
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -66,3 +66,8 @@
         )
         self.last_repeat_at = 0.0
         self.stopping = False
+
+    def adopt(self, rules: CallRules) -> None:
+        """Follow other rules from now on."""
+        self.rules = rules
+        self.calls.owner.upstream.adopt(rules)
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -13,13 +13,18 @@
 from briartack.callers import Callers
 from briartack.core import effects
 from briartack.core.calls.call_lines import REQUEST_CODES
-from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
+from briartack.core.calls.call_rules import CallRules
 from briartack.core.events import Started, StopRequested
 from briartack.core.identity import Identity
-from briartack.dialects import Dialects
-from briartack.error_texts import LISTENING, STOPPED
+from briartack.error_texts import (
+    LISTENING,
+    RELOAD_FAILED,
+    RELOADED,
+    STOPPED,
+)
 from briartack.event_loop import EventLoop, Handlers, Reduce
 from briartack.line_writer import LineWriters
+from briartack.link import Link, SettingsWatch
 from briartack.logs import AuditTrail, RequestLines, write_log
 from briartack.metrics import Metrics
 from briartack.operator_port import Describe, OperatorPort
@@ -32,7 +37,7 @@
 
 StateT = TypeVar('StateT')
 
-_SWEEP_SECONDS: Final = 5.0
+_SWEEP_SECONDS: Final = 2.0
 # Streams get this long to write what is queued when the daemon exits.
 _EXIT_SECONDS: Final = 1.0
 _EXIT_STEP_SECONDS: Final = 0.01
@@ -75,6 +80,8 @@
 
     __slots__ = (
         '_options',
+        '_adopt',
+        '_settings',
         '_identity',
         '_metrics',
         '_observer',
@@ -103,12 +110,16 @@
         describe: Describe[StateT],
         explain: Callable[[StateT, str, str, str], dict[str, object]],
         writers: LineWriters,
-        dialects: Dialects,
-        rules: CallRules = DEFAULT_RULES,
+        link: Link,
+        adopt: Callable[[CallRules], None],
         recorder: Recorder | None = None,
     ) -> None:
         """Make all parts; nothing listens or dials yet."""
         clock = boot_clock
+        dialects = link.dialects
+        rules = link.rules
+        self._adopt = adopt
+        self._settings = SettingsWatch(options)
         self._options = options
         self._identity = identity
         self._writers = writers
@@ -203,6 +214,19 @@
         self._callers.stop_keeping()
         self._loop.deliver(StopRequested(now=boot_clock()))
 
+    def reload(self) -> None:
+        """Take over what may change in the settings file."""
+        try:
+            link = self._settings.changed()
+        except ExceptionGroup as group:
+            problems = '; '.join(str(error) for error in group.exceptions)
+            fields = {'problems': problems}
+            write_log(effects.LogLevel.ERROR, RELOAD_FAILED, fields)
+            return
+        if link is not None:
+            self._adopt(link.rules)
+            write_log(effects.LogLevel.INFO, RELOADED, {})
+
     def wait(self) -> int:
         """Wait for the end and return the exit code."""
         code: int = self._exit_code.get()
@@ -228,6 +252,7 @@
             self._loop.flush_trace()
             self._writers.report(self._observer)
             self._request_lines.report(self._observer)
+            self.reload()
 
     def _handlers(self) -> Handlers:
         return {
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -31,6 +31,7 @@
 LINES_LOST: Final = 'lines-lost'
 ITEM_REFUSED: Final = 'item-refused'
 RELOADED: Final = 'reloaded'
+RELOAD_FAILED: Final = 'reload-failed'
 LINES_LEFT_OUT: Final = 'lines-left-out'
 
 _TEXTS: Final[Mapping[str, ErrorText]] = MappingProxyType(
@@ -82,6 +83,10 @@
         LISTENING: ErrorText('The daemon accepts connections.', ''),
         STOPPED: ErrorText('The daemon stops.', ''),
         RELOADED: ErrorText('The settings were read again.', ''),
+        RELOAD_FAILED: ErrorText(
+            'The changed settings file is wrong; the one before counts.',
+            'Correct what the line names.',
+        ),
         LINES_LEFT_OUT: ErrorText(
             'Lines about requests were left out to bound their number.',
             '',
@@ -227,6 +232,15 @@
             'The store answered with an older revision, which is ignored.',
             'If a backup was restored, see the operations page.',
         ),
+        'store-lost': ErrorText(
+            'A call to the store failed; it is tried again with a backoff.',
+            'Check the store if it lasts; what is held stays in force.',
+        ),
+        'store-back': ErrorText('The store answers.', ''),
+        'peer-lost': ErrorText('The stream to a peer ended.', ''),
+        'peer-back': ErrorText('A stream to a peer is up.', ''),
+        'instances-changed': ErrorText('The live list has changed.', ''),
+        'upstream-health': ErrorText('The upstream reports a change.', ''),
         'peers-suspected': ErrorText(
             'No parent answers; the tree is computed without them.',
             '',
--- a/briartack/link.py
+++ b/briartack/link.py
@@ -46,3 +46,37 @@
         rules=settings.rules,
         store_rules=settings.store_rules,
     )
+
+
+@final
+class SettingsWatch:
+    """Notice that the settings file has changed, with or without a signal."""
+
+    __slots__ = ('_options', '_content')
+
+    def __init__(self, options: Options) -> None:
+        """Remember the file as it was read at the start."""
+        self._options = options
+        self._content = b''
+        self._content = self._read()
+
+    def changed(self) -> Link | None:
+        """Return the link of a changed file.
+
+        Raises ExceptionGroup of OptionError; the file before stays in force.
+        """
+        content = self._read()
+        if content == self._content:
+            return None
+        self._content = content
+        return connect(self._options)
+
+    def _read(self) -> bytes:
+        path = self._options.boot
+        if path is None:
+            return b''
+        try:
+            return path.read_bytes()
+        except OSError:
+            # It is being replaced; the next look finds it.
+            return self._content
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -22,7 +22,6 @@
 from briartack.error_texts import (
     BAD_OPTION,
     CANNOT_LISTEN,
-    RELOADED,
     error_text,
 )
 from briartack.line_writer import LineWriter, LineWriters
@@ -89,22 +88,23 @@
     link: Link,
 ) -> int:
     seed = secrets.randbits(_SEED_BITS)
+    state = State(
+        identity=identity,
+        random=Random(seed),
+        drain_seconds=options.drain_seconds,
+        rules=link.rules,
+        store_rules=link.store_rules,
+    )
     daemon = Daemon(
         options=options,
         identity=identity,
-        state=State(
-            identity=identity,
-            random=Random(seed),
-            drain_seconds=options.drain_seconds,
-            rules=link.rules,
-            store_rules=link.store_rules,
-        ),
+        state=state,
         reduce=reduce,
         describe=describe,
         explain=explain,
         writers=writers,
-        dialects=link.dialects,
-        rules=link.rules,
+        link=link,
+        adopt=state.adopt,
         recorder=_recorder(options, identity, seed),
     )
     signals = _Signals(daemon)
@@ -134,7 +134,7 @@
         self._daemon.request_stop()
 
     def reload(self) -> None:
-        write_log(LogLevel.INFO, RELOADED, {})
+        self._daemon.reload()
 
 
 def _recorder(
--- a/briartack/test/test_docs.py
+++ b/briartack/test/test_docs.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from briartack import error_texts, options
-from briartack.core.calls import reasons
+from briartack.core.calls import call_lines, reasons
 from briartack.test.test_error_texts import LOG_CODE
 
 PACKAGE: Final = Path(__file__).parents[1]
@@ -77,8 +77,13 @@
         }
         written = {
             *in_code(LOG_CODE).difference(reasons.BY_CODE),
-            *in_code(re.compile("(?:REVISION_FELL|SUSPECTED): Final = '(.+)'")),
+            *in_code(
+                re.compile(
+                    "(?:FELL|SUSPECTED|STORE_LOST|STORE_BACK): Final = '(.+)'"
+                )
+            ),
             *constants.difference(ANSWERED_ONLY),
+            *call_lines.REQUEST_CODES,
         }
         self.assertEqual(
             first_cells(page('OPERATIONS'), 'log code'),
