--- a/briartack/core/calls/call_lines.py
+++ b/briartack/core/calls/call_lines.py
@@ -123,7 +123,7 @@
         RUN_ENDED,
         request=attempt.request_id,
         attempt=attempt.attempt_id,
-        upstream=upstream.identity,
+        upstream=upstream.health.identity,
         outcome=outcome,
         phase=phase,
         running=str(upstream.running),
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -6,6 +6,7 @@
 from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.calls.cold_gate import ColdGate
 from briartack.core.calls.ramp import RampState
+from briartack.core.calls.upstream_health import UpstreamHealth
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.events import UpstreamProbed
 from briartack.core.units import AttemptId
@@ -13,8 +14,6 @@
 REPORT_SECONDS: Final = 10.0
 # A report alone never makes an idle upstream look full.
 REPORT_WEIGHT: Final = 0.5
-# A cold upstream counts as full once a request waits so long.
-FULL_WAIT_SECONDS: Final = 0.1
 NOTHING_ADMITTED: Final = Admission()
 
 
@@ -29,10 +28,7 @@
         '_rules',
         '_limits',
         '_slots',
-        '_identity',
-        '_must_probe',
-        '_is_healthy',
-        '_is_draining',
+        '_health',
         '_reported_load',
         '_reported_at',
     )
@@ -44,29 +40,20 @@
         self._cold = ColdGate()
         self._rules = rules
         self._slots: int | None = None
-        self._identity = ''
-        self._must_probe = False
+        self._health = UpstreamHealth()
         self._limits = ServiceLimits(slots=1, connections=1, queue_length=0)
-        self._is_healthy = True
-        self._is_draining = False
         self._reported_load = float(0)
         self._reported_at = float('-inf')
 
     @property
     def is_open(self) -> bool:
         """Tell whether it takes new requests."""
-        is_known = bool(self._identity) or not self._rules.needs_identity
-        return self._is_healthy and not self._is_draining and is_known
+        return self._health.is_open(self._rules)
 
     @property
-    def identity(self) -> str:
-        """Name the present start of the upstream; empty if unknown."""
-        return self._identity
-
-    @property
-    def health_path(self) -> str:
-        """Give the path of its probes."""
-        return self._limits.health_path
+    def health(self) -> UpstreamHealth:
+        """Return what probes and failures say of it."""
+        return self._health
 
     @property
     def generation(self) -> int:
@@ -100,22 +87,12 @@
         """Take the limits of the present configuration and of the list."""
         self._limits = limits
         self._slots = slots
-        if limits.cold_per_second is not None:
-            self._cold.configure(
-                per_second=limits.cold_per_second * self._rules.cold_overage,
-                burst=self._rules.cold_slack,
-            )
-
-    def take_doubt(self) -> bool:
-        """Tell, once, whether a probe is needed before the next regular one."""
-        must_probe = self._must_probe
-        self._must_probe = False
-        return must_probe
+        self._cold.configure(limits.cold_per_second, self._rules)
 
     def presume_cold(self, now: float) -> None:
         """Take the upstream for cold until a probe says how long it is."""
         self._cold.presume(now + self._limits.ramp_seconds)
-        self._must_probe = True
+        self._health.doubt()
 
     def load(self, now: float) -> float:
         """Return the share of the present limit that is taken.
@@ -124,7 +101,9 @@
         towards itself by half.
         """
         taken = self._admission.running + self._admission.queued
-        own = max(taken / self.limit, self._cold_load(now))
+        own = max(
+            taken / self.limit, self._cold.load(now, self._admission.queued)
+        )
         if now - self._reported_at > REPORT_SECONDS:
             return own
         hint = min(max(self._reported_load, 0), 1)
@@ -137,8 +116,11 @@
             now,
             limit=self.limit,
             limits=self._limits,
-            step_seconds=self._step_seconds(now),
-            room=self._room(now),
+            step_seconds=max(
+                self._ramp.mean_seconds / self.limit,
+                self._cold.step_seconds(now),
+            ),
+            room=self._cold.room(now),
         )
         return self._count(now, admission)
 
@@ -149,15 +131,13 @@
         admission = self._admission.fill(
             now,
             limit=self.limit,
-            room=self._room(now),
+            room=self._cold.room(now),
         )
         return self._count(now, admission)
 
     def next_start_at(self, now: float) -> float | None:
         """Return when a cold upstream may be given what waits."""
-        if not self._admission.queued or self._room(now) is None:
-            return None
-        return self._cold.next_start_at(now)
+        return self._cold.next_start_at(now) if self._admission.queued else None
 
     def withdraw(self, attempt_id: AttemptId) -> None:
         """Take an attempt out of the queue."""
@@ -199,9 +179,10 @@
         otherwise.
         """
         self._admission.release()
-        self._must_probe = self._must_probe or is_reset
+        if is_reset:
+            self._health.doubt()
         if is_down and self._rules.needs_identity:
-            self._is_healthy = False
+            self._health.lose()
         if not is_reset or generation != self._ramp.generation:
             return False
         self._ramp.restart(now)
@@ -210,17 +191,15 @@
     def replaced(self, now: float, identity: str) -> bool:
         """Take the identity that refused a request meant for another one."""
         self.presume_cold(now)
-        self._identity = identity or self._identity
+        self._health.replace(identity)
         return self._ramp.identify(identity, now)
 
     def probed(self, event: UpstreamProbed) -> bool:
         """Take a probe; return whether the slow start began again."""
-        was_healthy = self._is_healthy
+        was_healthy = self._health.is_healthy
         if event.cold_seconds is not None:
             self._cold.set(event.now + event.cold_seconds)
-        self._identity = event.identity or self._identity
-        self._is_healthy = event.is_healthy
-        self._is_draining = event.is_draining
+        self._health.probed(event)
         if event.reported_load is not None:
             self._reported_load = event.reported_load
             self._reported_at = event.now
@@ -231,25 +210,6 @@
         self._ramp.restart(event.now)
         return True
 
-    def _room(self, now: float) -> int | None:
-        """Count what a cold upstream may start now; `None` when it is warm."""
-        if self._limits.cold_per_second is None or not self._cold.is_cold(now):
-            return None
-        return self._cold.room(now)
-
-    def _cold_load(self, now: float) -> float:
-        """Return the load of a cold upstream: its wait as a share of slots."""
-        if self._room(now) is None:
-            return 0
-        waiting = self._admission.queued
-        return min(1.0, waiting * self._cold.step_seconds() / FULL_WAIT_SECONDS)
-
-    def _step_seconds(self, now: float) -> float:
-        step = self._ramp.mean_seconds / self.limit
-        if self._room(now) is None:
-            return step
-        return max(step, self._cold.step_seconds())
-
     def _count(self, now: float, admission: Admission) -> Admission:
         for _ in admission.started:
             self._cold.started(now)
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -206,9 +206,9 @@
     def upstream_probed(self, event: UpstreamProbed) -> Effects:
         """Take the health, identity and load of the upstream."""
         upstream = self._upstream
-        before = (upstream.identity, upstream.is_open)
+        before = (upstream.health.identity, upstream.is_open)
         effects = _ramp_log('probe') if upstream.probed(event) else []
-        if before != (upstream.identity, upstream.is_open):
+        if before != (upstream.health.identity, upstream.is_open):
             effects.append(_health_line(upstream, event))
         return effects
 
@@ -251,12 +251,12 @@
             self._upstream.presume_cold(now)
         self._was_out = is_out
         effects: Effects = []
-        if is_out or has_left(context, self._upstream.identity):
+        if is_out or has_left(context, self._upstream.health.identity):
             # What waits must not start at an upstream that leaves.
             effects = self.expire_all(now, reasons.OUT_OF_SERVICE)
         is_moved = limits.health_path != self._probe_path
         self._probe_path = limits.health_path
-        if self._upstream.take_doubt() or is_moved:
+        if self._upstream.health.take_doubt() or is_moved:
             effects.append(ProbeUpstream(path=limits.health_path))
         return effects
 
@@ -326,7 +326,7 @@
         level=LogLevel.INFO,
         code='upstream-health',
         fields=(
-            ('upstream', upstream.identity),
+            ('upstream', upstream.health.identity),
             ('open', str(upstream.is_open)),
             ('cold_ms', f'{cold_seconds * MILLISECONDS:.0f}'),
             ('running', str(upstream.running)),
--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -51,7 +51,7 @@
     upstream.configure(limits, None if member is None else member.slots)
     if is_own_out(context, snapshot.platform):
         return reasons.OUT_OF_SERVICE
-    if has_left(context, upstream.identity):
+    if has_left(context, upstream.health.identity):
         return reasons.OUT_OF_SERVICE
     if attempt.body_bytes > MAX_BODY_BYTES:
         return reasons.BODY_TOO_LARGE
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -80,12 +80,6 @@
         )
         return self._apply(now, self._upstream.offer(waiting, now))
 
-    def _useful_until(self, now: float, attempt: Attempt) -> float:
-        if attempt.target_ms is None:
-            return float('inf')
-        left_seconds = attempt.target_ms / MILLISECONDS
-        return now + left_seconds - self._upstream.mean_seconds
-
     def cancel(self, now: float, record: OwnedAttempt) -> Effects:
         """Give up an attempt that nobody waits for.
 
@@ -207,6 +201,12 @@
             effects.append(WakeAt(at=next_at))
         return effects
 
+    def _useful_until(self, now: float, attempt: Attempt) -> float:
+        if attempt.target_ms is None:
+            return float('inf')
+        left_seconds = attempt.target_ms / MILLISECONDS
+        return now + left_seconds - self._upstream.mean_seconds
+
     def _dispatch(self, now: float, record: OwnedAttempt) -> Dispatch:
         record.phase = OwnedPhase.RUNNING
         record.generation = self._upstream.generation
@@ -219,7 +219,7 @@
             target=attempt.target,
             headers=for_upstream(attempt, remaining),
             timeout_seconds=remaining,
-            expected_identity=self._upstream.identity,
+            expected_identity=self._upstream.health.identity,
         )
 
 
--- a/briartack/core/calls/retry.py
+++ b/briartack/core/calls/retry.py
@@ -3,7 +3,12 @@
 from random import Random
 from typing import Final, final
 
-from briartack.core.calls.call_rules import CallRules
+from briartack.core.calls import reasons
+from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_rules import MAX_FREE_REFUSALS, CallRules
+from briartack.core.calls.call_table import Call
+from briartack.core.calls.reasons import Reason
+from briartack.core.verdict import Verdict, may_repeat
 
 BURST_TOKENS: Final = 10.0
 BASE_SECONDS: Final = 0.005
@@ -51,6 +56,52 @@
         self._tokens[service] = tokens - 1
         return True
 
+    def earn_for(self, context: CallContext, call: Call) -> None:
+        """Add the share of a call to the budget that bounds its service."""
+        service = call.share.service
+        budget = shared_budget(context.rules, context.members.instance_count)
+        if budget is None:
+            self.earn(service, call.route.policy.retry_percent)
+        else:
+            self.earn(service, *budget)
+
+    def may_retry(
+        self,
+        call: Call,
+        verdict: Verdict,
+        reason: Reason,
+    ) -> bool:
+        """Decide on a retry, and take its token.
+
+        A nested call is retried only if its request has not run: whatever
+        ran is retried by the daemon nearest to the failure.
+        """
+        policy = call.route.policy
+        if not reason.is_retried or call.attempts >= policy.max_attempts:
+            return False
+        if call.event.is_nested and verdict is not Verdict.NOT_RUN:
+            return False
+        if not may_repeat(verdict, repeatable=policy.repeatable):
+            return False
+        return self.spend(call.share.service)
+
+
+def is_free(
+    rules: CallRules,
+    call: Call,
+    verdict: Verdict,
+    reason: Reason,
+) -> bool:
+    """Tell whether the next try costs neither attempt nor token.
+
+    What an owner refused has not reached an upstream.
+    """
+    if rules.counts_refusals or verdict is not Verdict.NOT_RUN:
+        return False
+    is_from_upstream = reason is reasons.UPSTREAM_REFUSED
+    has_tries = call.free_refusals < MAX_FREE_REFUSALS
+    return reason.is_retried and has_tries and not is_from_upstream
+
 
 def shared_budget(rules: CallRules, instances: int) -> tuple[int, float] | None:
     """Return this daemon's percent and burst of a budget that all share."""
--- a/briartack/core/calls/routing.py
+++ b/briartack/core/calls/routing.py
@@ -77,9 +77,7 @@
         path = target.partition('?')[0]
         for length in self._lengths:
             for route in self._by_prefix.get(path[:length], ()):
-                if route.host not in {'', host}:
-                    continue
-                if not route.methods or method in route.methods:
+                if _is_allowed(route, method, host):
                     return route
         return None
 
@@ -141,6 +139,11 @@
             self._candidates.clear()
 
 
+def _is_allowed(route: RouteView, method: str, host: str) -> bool:
+    is_host = route.host in {'', host}
+    return is_host and (not route.methods or method in route.methods)
+
+
 def choose(
     random: Random,
     scopes: Scopes,
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -17,18 +17,13 @@
     call_ended,
     call_refused,
 )
-from briartack.core.calls.call_rules import MAX_FREE_REFUSALS
 from briartack.core.calls.call_table import Call, CallPhase, CallTable
 from briartack.core.calls.choice import Chooser, Chosen, NoChoice
 from briartack.core.calls.endpoints import EndpointsState
 from briartack.core.calls.owner import OwnerState
 from briartack.core.calls.placement import home_regions
 from briartack.core.calls.reasons import Reason
-from briartack.core.calls.retry import (
-    RetryState,
-    backoff_seconds,
-    shared_budget,
-)
+from briartack.core.calls.retry import RetryState, backoff_seconds, is_free
 from briartack.core.calls.routing import RoutingState
 from briartack.core.calls.streams import StreamsState
 from briartack.core.effects import (
@@ -46,7 +41,7 @@
     Headers,
 )
 from briartack.core.units import BodyId, CallId, InstanceId
-from briartack.core.verdict import Verdict, may_repeat
+from briartack.core.verdict import Verdict
 
 STREAM_WAIT_SECONDS: Final = 0.5
 # The shell ticks at least this often; nearer times need a wake-up.
@@ -111,7 +106,7 @@
             return [call, call_refused(event, call.reason)]
         self._table.add(call)
         self._streams.touch(call.share.service, event.now)
-        self._earn(context, call)
+        self._retry.earn_for(context, call)
         effects = _wake(event.now, call.deadline)
         if event.body_bytes == 0:
             effects.extend(self._next_attempt(context, event.now, call))
@@ -353,11 +348,11 @@
             call.tried = call.tried[:-1]
             return self._next_attempt(context, now, call)
         wait = backoff_seconds(context.random, call.attempts)
-        if self._is_free(context, call, verdict, reason):
+        if is_free(context.rules, call, verdict, reason):
             call.free_refusals += 1
             call.attempts -= 1
             return self._next_attempt(context, now, call)
-        if now + wait < call.deadline and self._may_retry(
+        if now + wait < call.deadline and self._retry.may_retry(
             call,
             verdict,
             reason,
@@ -369,51 +364,6 @@
             context, now, call, reason, verdict, is_from_owner=True
         )
 
-    def _earn(self, context: CallContext, call: Call) -> None:
-        service = call.share.service
-        budget = shared_budget(context.rules, context.members.instance_count)
-        if budget is None:
-            percent = call.route.policy.retry_percent
-            self._retry.earn(service, percent)
-        else:
-            self._retry.earn(service, *budget)
-
-    def _is_free(
-        self,
-        context: CallContext,
-        call: Call,
-        verdict: Verdict,
-        reason: Reason,
-    ) -> bool:
-        """Tell whether the next try costs neither attempt nor token."""
-        return (
-            not context.rules.counts_refusals
-            and verdict is Verdict.NOT_RUN
-            and reason.is_retried
-            and reason is not reasons.UPSTREAM_REFUSED
-            and call.free_refusals < MAX_FREE_REFUSALS
-        )
-
-    def _may_retry(
-        self,
-        call: Call,
-        verdict: Verdict,
-        reason: Reason,
-    ) -> bool:
-        """Decide on a retry, and take its token.
-
-        A nested call is retried only if its request has not run: whatever
-        ran is retried by the daemon nearest to the failure.
-        """
-        policy = call.route.policy
-        if not reason.is_retried or call.attempts >= policy.max_attempts:
-            return False
-        if call.event.is_nested and verdict is not Verdict.NOT_RUN:
-            return False
-        if not may_repeat(verdict, repeatable=policy.repeatable):
-            return False
-        return self._retry.spend(call.share.service)
-
     def _refuse(
         self,
         context: CallContext,
--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -5,9 +5,8 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
 from itertools import chain
-from typing import Final, final
+from typing import final
 
 from briartack.core.configuration.settings import InstanceState
 from briartack.core.dissemination.instance_records import (
@@ -17,27 +16,11 @@
     Refusal,
     record_id_of,
 )
+from briartack.core.dissemination.lapses import Lapses
 from briartack.core.dissemination.overlay import Member
 from briartack.core.entries import Entry, is_instance_key
 from briartack.core.units import Digest, Incarnation, InstanceId, Revision
 
-# A record that is deleted without notice counts for this long: upstreams that
-# leave have to be left alone 2 s after the store has accepted it.
-LAPSE_SECONDS: Final = 1.0
-# Upstreams that live are back this long after the store's return.
-RETURN_SECONDS: Final = 2.5
-MASS_LAPSE: Final = 0.3
-MIN_MASS_LAPSE: Final = 3
-
-
-@final
-@dataclass(slots=True, kw_only=True)
-class _Doubt:
-    """Hold a record that was deleted, and until when it still counts."""
-
-    held: HeldRecord
-    until: float
-
 
 @final
 class MembershipState:
@@ -46,7 +29,7 @@
     __slots__ = (
         '_records',
         '_goodbyes',
-        '_doubted',
+        '_lapses',
         '_by_instance',
         '_live',
         '_services',
@@ -57,7 +40,7 @@
         """Start with an empty list."""
         self._records = InstanceRecords()
         self._goodbyes: dict[InstanceId, Incarnation] = {}
-        self._doubted: dict[str, _Doubt] = {}
+        self._lapses = Lapses()
         # Built on demand, since the list is asked for with each call.
         self._by_instance: dict[InstanceId, HeldRecord] | None = None
         self._live: tuple[Member, ...] | None = None
@@ -91,8 +74,7 @@
 
     def record(self, record_id: str) -> HeldRecord | None:
         """Return what counts under the id of a record, also a deletion."""
-        doubt = self._doubted.get(record_id)
-        return self._records.get(record_id) if doubt is None else doubt.held
+        return self._lapses.get(record_id) or self._records.get(record_id)
 
     def is_leaving(self, instance: InstanceId) -> bool:
         """Tell whether the list or the instance itself says it is leaving."""
@@ -152,14 +134,7 @@
 
     def expire(self, now: float) -> None:
         """Take the records that have not come back as gone."""
-        over = [
-            record_id
-            for record_id, doubt in self._doubted.items()
-            if now >= doubt.until
-        ]
-        for record_id in over:
-            self._doubted.pop(record_id)
-        if over:
+        if self._lapses.expire(now):
             self._forget_views()
 
     def apply(
@@ -173,7 +148,7 @@
         """
         changes = self._records.apply(entries)
         if now is not None:
-            self._doubt(now, changes)
+            self._lapses.note(now, changes, self.instance_count)
         for change in changes:
             instance = _has_left(change)
             if instance is not None:
@@ -212,27 +187,6 @@
             self._goodbyes.pop(instance)
             self._forget_views()
 
-    def _doubt(self, now: float, changes: Iterable[RecordChange]) -> None:
-        """Keep records that lapsed, and end the doubt of those that are back.
-
-        Where many lapse together, the store has been away rather than the
-        instances.
-        """
-        listed = len(self.live_members())
-        for change in changes:
-            record_id = record_id_of(change.after.entry.key)
-            self._doubted.pop(record_id, None)
-            before = change.before
-            if change.after.member is not None or before is None:
-                continue
-            if before.state is InstanceState.LIVE:
-                until = now + LAPSE_SECONDS
-                self._doubted[record_id] = _Doubt(held=before, until=until)
-        if len(self._doubted) >= max(MIN_MASS_LAPSE, listed * MASS_LAPSE):
-            until = now + RETURN_SECONDS
-            for doubt in self._doubted.values():
-                doubt.until = max(doubt.until, until)
-
     def _present(self) -> dict[InstanceId, HeldRecord]:
         """Return the record that counts for each listed instance.
 
@@ -241,8 +195,7 @@
         """
         if self._by_instance is None:
             self._by_instance = {}
-            doubted = (doubt.held for doubt in self._doubted.values())
-            for held in chain(self._records, doubted):
+            for held in chain(self._records, self._lapses):
                 if held.member is not None:
                     _keep_newest(self._by_instance, held.member, held)
         return self._by_instance
--- a/briartack/core/dissemination/periodic_work.py
+++ b/briartack/core/dissemination/periodic_work.py
@@ -40,7 +40,7 @@
     effects.extend(synchronise(state, now, holdings))
     has_changed = state.announcer.note_store(
         watches=state.store.watches_well,
-        distance_seconds=state.store.distance_seconds,
+        distance_seconds=state.store.contact.distance_seconds,
     )
     effects.extend(_heartbeats(state, now, holdings, is_due=has_changed))
     effects.extend(_questions(state, now, holdings))
--- a/briartack/core/dissemination/store_duty.py
+++ b/briartack/core/dissemination/store_duty.py
@@ -27,7 +27,7 @@
 
 
 def _is_watched_nearer(state: DisseminationState, now: float) -> bool:
-    own = state.store.distance_seconds
+    own = state.store.contact.distance_seconds
     return any(
         own is None or distance + NEARER_SECONDS < own
         for distance in _watching(state, now)
@@ -36,7 +36,7 @@
 
 def _is_watched_elsewhere(state: DisseminationState, now: float) -> bool:
     """Tell whether another region is as near; one watcher each is enough."""
-    own = state.store.distance_seconds
+    own = state.store.contact.distance_seconds
     return any(
         own is None or distance < own + NEARER_SECONDS
         for distance in _watching(state, now)
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -8,6 +8,7 @@
     Backoff,
     TokenBudget,
 )
+from briartack.core.dissemination.store_contact import StoreContact
 from briartack.core.dissemination.store_rules import (
     DEFAULT_STORE_RULES,
     StoreRules,
@@ -40,8 +41,6 @@
 WATCHES_PER_SECOND: Final = 5.0
 WATCHES_BURST: Final = 5
 REVISION_FELL: Final = 'store-revision-fell'
-STORE_LOST: Final = 'store-lost'
-STORE_BACK: Final = 'store-back'
 NO_REVISION: Final = Revision(0)
 
 
@@ -63,9 +62,7 @@
         '_confirms_at',
         '_complete',
         '_seen',
-        '_is_answered',
-        '_is_lost',
-        '_distance_seconds',
+        '_contact',
     )
 
     def __init__(
@@ -94,9 +91,7 @@
         self._confirms_at: Revision | None = None
         self._complete: Revision | None = None
         self._seen = NO_REVISION
-        self._is_answered = False
-        self._is_lost = False
-        self._distance_seconds: float | None = None
+        self._contact = StoreContact()
 
     @property
     def rules(self) -> StoreRules:
@@ -117,12 +112,12 @@
     def watches_well(self) -> bool:
         """Tell whether a watch is kept up and the store answers."""
         is_covered = self._is_on_duty and self._complete is not None
-        return is_covered and self._is_answered
+        return is_covered and self._contact.is_answered
 
     @property
-    def distance_seconds(self) -> float | None:
-        """Return the shortest time that an answer took, if there was one."""
-        return self._distance_seconds
+    def contact(self) -> StoreContact:
+        """Return whether the store answers, and how far away it is."""
+        return self._contact
 
     @property
     def is_caught_up(self) -> bool:
@@ -179,11 +174,8 @@
 
     def on_read(self, event: StoreRead) -> Effects:
         """Note an answer to a read."""
-        effects = self._note_answer(event.revision)
-        elapsed = event.elapsed_seconds
-        if elapsed is not None:
-            nearest = self._distance_seconds or elapsed
-            self._distance_seconds = min(nearest, elapsed)
+        effects = self._contact.answer(event.revision)
+        self._contact.measure(event.elapsed_seconds)
         self._reading.pop(event.prefix, None)
         self._backoff.succeed()
         if event.prefix == PLATFORM_KEY:
@@ -203,7 +195,7 @@
         announced, so a peer can't make this daemon skip an edit.
         """
         self._watch_deadline = None
-        effects = self._note_answer(event.revision)
+        effects = self._contact.answer(event.revision)
         self._backoff.succeed()
         if self._complete is not None:
             self._advance(event.revision)
@@ -216,42 +208,15 @@
 
     def on_failed(self, event: StoreFailed) -> Effects:
         """Delay the next call."""
-        was_lost = self._is_lost
         self._note_failure(event)
-        if was_lost or event.is_history_gone:
-            return []
-        self._is_lost = True
-        fields = (
-            ('operation', event.operation.value),
-            ('reason', event.reason),
-            ('seen', str(self._seen)),
-        )
-        line = WriteLog(
-            level=LogLevel.WARNING,
-            code=STORE_LOST,
-            fields=fields,
-        )
-        return [line]
-
-    def _note_failure(self, event: StoreFailed) -> None:
-        if event.operation is StoreOperation.READ:
-            self._reading.pop(event.prefix, None)
-        elif self._watch_deadline is None:
-            return  # The failure of a cancelled watch says nothing.
-        else:
-            self._watch_deadline = None
-        if event.is_history_gone:
-            # The store works, so the whole tree is read at once.
-            self._complete = None
-            return
-        self._fail(event.now, event.retry_after_seconds)
+        return self._contact.lose(event, self._seen)
 
     def is_behind_seen(self, revision: Revision) -> bool:
         """Tell whether an answer is older than one seen before."""
         return revision < self._seen
 
     def _fail(self, now: float, least_seconds: float | None = None) -> None:
-        self._is_answered = False
+        self._contact.fail()
         bound = MAX_BACKOFF_SECONDS
         if self._is_on_duty:
             bound = min(bound, self._rules.duty_backoff_seconds)
@@ -260,18 +225,18 @@
     def _advance(self, revision: Revision) -> None:
         self._complete = max(self._complete or NO_REVISION, revision)
 
-    def _note_answer(self, revision: Revision) -> Effects:
-        self._is_answered = True
-        if not self._is_lost:
-            return []
-        self._is_lost = False
-        return [
-            WriteLog(
-                level=LogLevel.INFO,
-                code=STORE_BACK,
-                fields=(('revision', str(revision)),),
-            ),
-        ]
+    def _note_failure(self, event: StoreFailed) -> None:
+        if event.operation is StoreOperation.READ:
+            self._reading.pop(event.prefix, None)
+        elif self._watch_deadline is None:
+            return  # The failure of a cancelled watch says nothing.
+        else:
+            self._watch_deadline = None
+        if event.is_history_gone:
+            # The store works, so the whole tree is read at once.
+            self._complete = None
+            return
+        self._fail(event.now, event.retry_after_seconds)
 
     def _see(self, revision: Revision) -> Effects:
         if self.is_behind_seen(revision):
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import Final, Generic, TypeVar, final
 
@@ -74,6 +75,15 @@
         write_log(level, code, fields)
 
 
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reports(Generic[StateT]):
+    """Hold what describes the state to operators."""
+
+    describe: Describe[StateT]
+    explain: Callable[[StateT, str, str, str], dict[str, object]]
+
+
 @final
 class Daemon(Generic[StateT]):
     """Run one daemon until its reducer asks to exit."""
@@ -107,8 +117,7 @@
         identity: Identity,
         state: StateT,
         reduce: Reduce[StateT],
-        describe: Describe[StateT],
-        explain: Callable[[StateT, str, str, str], dict[str, object]],
+        reports: Reports[StateT],
         writers: LineWriters,
         link: Link,
         adopt: Callable[[CallRules], None],
@@ -167,8 +176,8 @@
             probe_path='' if rules.needs_identity else OWN_HEALTH_PATH,
         )
         self._operator_port = OperatorPort(
-            describe=lambda: describe(self._loop.state),
-            explain=partial(explain, self._loop.state),
+            describe=lambda: reports.describe(self._loop.state),
+            explain=partial(reports.explain, self._loop.state),
             metrics=self._metrics,
         )
         self._servers: list[BaseServer] = []
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -18,7 +18,7 @@
 from briartack.core.state import State
 from briartack.core.status import describe
 from briartack.core.units import Incarnation, InstanceId
-from briartack.daemon import Daemon
+from briartack.daemon import Daemon, Reports
 from briartack.error_texts import (
     BAD_OPTION,
     CANNOT_LISTEN,
@@ -100,8 +100,7 @@
         identity=identity,
         state=state,
         reduce=reduce,
-        describe=describe,
-        explain=explain,
+        reports=Reports(describe=describe, explain=explain),
         writers=writers,
         link=link,
         adopt=state.adopt,
--- a/briartack/own_dialects.py
+++ b/briartack/own_dialects.py
@@ -174,11 +174,11 @@
             decoded = msgspec.json.decode(body, type=_StoreAnswer)
         except msgspec.MsgspecError as error:
             raise StoreAnswerError(str(error)) from None
-        for entry in decoded.entries:
-            if entry.revision > decoded.revision:
+        for found in decoded.entries:
+            if found.revision > decoded.revision:
                 raise StoreAnswerError(
-                    f'{entry.key} has revision '
-                    f'{entry.revision} above {decoded.revision}',
+                    f'{found.key} has revision '
+                    f'{found.revision} above {decoded.revision}',
                 )
         return StorePage(
             revision=Revision(decoded.revision),
--- a/briartack/platform/callers.py
+++ b/briartack/platform/callers.py
@@ -22,6 +22,7 @@
 _SET_BY_US: Final = frozenset(
     name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, CALLER_SERVICE)
 )
+_SHOWN_CHARACTERS: Final = 32
 _PHRASES: Final = MappingProxyType(
     {status.value: status.phrase for status in HTTPStatus},
 )
@@ -30,9 +31,7 @@
     (
         HTTPStatus.BAD_REQUEST,
         HTTPStatus.NOT_FOUND,
-        HTTPStatus.CONTENT_TOO_LARGE
-        if hasattr(HTTPStatus, 'CONTENT_TOO_LARGE')
-        else HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     ),
 )
 
@@ -120,7 +119,8 @@
         remaining = math.nan
     if not 0 <= remaining < math.inf:
         raise RequestError(
-            f'{DEADLINE_MS} is {text[:32]!r}; give milliseconds.',
+            f'{DEADLINE_MS} is {text[:_SHOWN_CHARACTERS]!r}; '
+            'give milliseconds.',
         )
     return remaining
 
--- a/briartack/platform/registry.py
+++ b/briartack/platform/registry.py
@@ -12,6 +12,7 @@
 
 SERVERS: Final = 'servers/'
 _MILLISECONDS: Final = 1000
+_MAX_SLOTS: Final = 100_000  # the product's bound of such a setting
 _STATES: Final = {
     'ready': InstanceState.LIVE,
     'draining': InstanceState.LEAVING,
@@ -21,7 +22,7 @@
 class _Info(msgspec.Struct, frozen=True, kw_only=True):
     service: Annotated[str, Meta(min_length=1)]
     zone: str
-    slots: Annotated[int, Meta(ge=1, le=100_000)]
+    slots: Annotated[int, Meta(ge=1, le=_MAX_SLOTS)]
 
 
 class _Status(msgspec.Struct, frozen=True, kw_only=True):
--- a/briartack/test/mutants.py
+++ b/briartack/test/mutants.py
@@ -238,7 +238,7 @@
         invariant='I9',
         trace='cut_after_purchase_was_read',
         caught_by='SendAttempt occurred',
-        patches={'sender.may_repeat': always(True)},
+        patches={'retry.may_repeat': always(True)},
     ),
     Mutant(
         guard='a repeated attempt is known',
--- a/briartack/test/test_cold_gate.py
+++ b/briartack/test/test_cold_gate.py
@@ -6,9 +6,18 @@
 
 from nose2.tools import params
 
+from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.cold_gate import ColdGate
 
 
+def gate_of(per_second: float, burst: float) -> ColdGate:
+    """Make the gate of a cold upstream."""
+    gate = ColdGate()
+    gate.configure(per_second, CallRules(cold_overage=1, cold_slack=burst))
+    gate.presume(100)
+    return gate
+
+
 def starts(gate: ColdGate, seconds: float, step: float) -> list[float]:
     """Start whatever the gate allows, at every step."""
     started: list[float] = []
@@ -45,30 +54,33 @@
         burst: float,
         step: float,
     ) -> None:
-        gate = ColdGate()
-        gate.configure(per_second=per_second, burst=burst)
+        gate = gate_of(per_second, burst)
         started = starts(gate, 4, step)
         self.assertLessEqual(most_in_a_second(started), per_second + burst)
 
     def test_starts_are_spread(self) -> None:
         """Guards against a burst after which nothing starts for a second."""
-        gate = ColdGate()
-        gate.configure(per_second=27, burst=5)
+        gate = gate_of(27, 5)
         times = starts(gate, 3, 0.001)
         gaps = [later - one for one, later in itertools.pairwise(times)]
         self.assertLess(max(gaps), 0.05)
 
     def test_warm_starts_count_when_it_turns_cold(self) -> None:
         """Guards against a burst on top of what has just been sent."""
-        gate = ColdGate()
-        gate.configure(per_second=27, burst=5)
+        gate = gate_of(27, 5)
         for number in range(100):
             gate.started(number / 100)
         self.assertEqual(gate.room(1.0), 0)
 
     def test_what_the_upstream_says_counts(self) -> None:
-        gate = ColdGate()
-        gate.presume(3)
+        gate = gate_of(27, 5)
         self.assertTrue(gate.is_cold(2))
         gate.set(1)
         self.assertFalse(gate.is_cold(2))
+        self.assertIsNone(gate.room(2))
+
+    def test_without_a_rate_nothing_is_bounded(self) -> None:
+        gate = ColdGate()
+        gate.configure(None, CallRules())
+        gate.presume(100)
+        self.assertIsNone(gate.room(2))
--- a/briartack/test/test_platform_site.py
+++ b/briartack/test/test_platform_site.py
@@ -5,11 +5,12 @@
 import time
 import unittest
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any, ClassVar
 
 import gevent
-import gevent.socket
+from gevent import socket
 from nose2.tools import params
 
 from standins.platform_site import (
@@ -55,6 +56,10 @@
     def served(cls, zone: str, path: str, body: bytes | None = None) -> Reply:
         return ask(cls.site.machine(zone, 'reads'), path, body)
 
+    def is_served(self, path: str, body: bytes) -> bool:
+        """Tell whether the first zone answers with this body."""
+        return self.served('east-1', path).body == body
+
     def publish(self, *routes: dict[str, Any]) -> None:
         self.site.store.put('op/config', configuration(*routes))
 
@@ -89,10 +94,8 @@
 
     def test_evacuated_zone_gets_nothing(self) -> None:
         key = 'op/evacuate/east-1'
-        self.addCleanup(
-            eventually,
-            lambda: self.served('east-1', '/reads/').body == b'i-1 ',
-        )
+        for path, body in (('/reads/', b'i-1 '), ('/buys/', b'i-2 ')):
+            self.addCleanup(eventually, partial(self.is_served, path, body))
         self.addCleanup(self.site.store.delete, key)
         self.site.store.put(key, {})
         worker = self.site.machine('east-1', 'reads').worker
@@ -179,7 +182,7 @@
 def pipelined(machine: Machine, attempt_ids: tuple[str, ...]) -> list[str]:
     """Send requests ahead; return the ids of the answers in their order."""
     host, _, port = machine.outbound.rpartition(':')
-    sock = gevent.socket.create_connection((host, int(port)))
+    sock = socket.create_connection((host, int(port)))
     for attempt_id in attempt_ids:
         head = f'GET /reads/ HTTP/1.1\r\nHost: {HOST}\r\n'
         sock.sendall(f'{head}X-Attempt-Id: {attempt_id}\r\n\r\n'.encode())
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -83,7 +83,7 @@
             attempt_id = 'another'
         seal = () if self.flaw == 'unsealed' else (('X-Server-Seal', 's'),)
         return Response(
-            body=self.identity.encode() + b' ' + body,
+            body=b' '.join((self.identity.encode(), body)),
             headers=(('X-Attempt-Id', attempt_id), *seal),
         )
 
