--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -40,7 +40,7 @@
 
 _SWEEP_SECONDS: Final = 2.0
 # Streams get this long to write what is queued when the daemon exits.
-_EXIT_SECONDS: Final = 1.0
+_EXIT_SECONDS: Final = 0.5
 _EXIT_STEP_SECONDS: Final = 0.01
 
 
--- a/briartack/link.py
+++ b/briartack/link.py
@@ -23,6 +23,7 @@
     dialects: Dialects
     rules: CallRules
     store_rules: StoreRules
+    drain_seconds: float
 
 
 def connect(options: Options) -> Link:
@@ -33,6 +34,7 @@
             dialects=own_dialects(),
             rules=rules,
             store_rules=DEFAULT_STORE_RULES,
+            drain_seconds=options.drain_seconds,
         )
     try:
         if options.boot is None:
@@ -45,6 +47,7 @@
         dialects=platform_dialects(options, settings),
         rules=settings.rules,
         store_rules=settings.store_rules,
+        drain_seconds=min(options.drain_seconds, settings.drain_seconds),
     )
 
 
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -91,7 +91,7 @@
     state = State(
         identity=identity,
         random=Random(seed),
-        drain_seconds=options.drain_seconds,
+        drain_seconds=link.drain_seconds,
         rules=link.rules,
         store_rules=link.store_rules,
     )
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -16,6 +16,9 @@
 # owner refuses it.
 _FULL_LOAD: Final = 1.25
 _FULL_LOAD_LARGE: Final = 4.0
+# What runs in the last sixth of the grace time may be cut; the process needs
+# some of it to write out its last answers.
+_DRAIN_SHARE: Final = 0.85
 # How the platform asks for readiness: every second, out after two misses.
 _READY_PERIOD_SECONDS: Final = 1.1
 _READY_MISSES: Final = 2
@@ -69,7 +72,7 @@
     bounds = _bounds(fields.get(_BOUNDS, ''))
     return ProcessSettings(
         regions=regions,
-        drain_seconds=bounds.grace_s,
+        drain_seconds=bounds.grace_s * _DRAIN_SHARE,
         rules=CallRules(
             probe_seconds=probe_seconds,
             needs_identity=True,
--- a/briartack/test/test_platform_settings.py
+++ b/briartack/test/test_platform_settings.py
@@ -29,6 +29,15 @@
         self.assertEqual((rules.cold_overage, rules.probe_seconds), (1.5, 5))
         self.assertIs(rules.needs_identity, True)
 
+    def test_planned_stop_ends_within_the_grace_time(self) -> None:
+        """Guards against a kill while the last answers are written.
+
+        What runs in the last sixth of the time may be cut.
+        """
+        drain_seconds = decode_settings(FILE, 5).drain_seconds
+        self.assertGreaterEqual(drain_seconds, 6 * 5 / 6)
+        self.assertLess(drain_seconds, 6 - 0.5)
+
     @params(
         ('zones.a=b\nno separator', 'line 2'),
         ('node=x', 'zones.'),
