--- /dev/null
+++ b/briartack/test/test_call_rules.py
@@ -0,0 +1,180 @@
+"""Guards what a platform's rules bound: retries, shares, stops, admission."""
+
+import unittest
+from collections import Counter
+from random import Random
+from typing import Any, Final
+from unittest.mock import Mock
+
+from nose2.tools import params
+
+from briartack.core.calls import reasons
+from briartack.core.calls.admission import AdmissionState, Waiting
+from briartack.core.calls.call_rules import CallRules
+from briartack.core.calls.drain import DrainState
+from briartack.core.calls.reasons import Reason
+from briartack.core.calls.retry import RetryState, is_free, shared_budget
+from briartack.core.calls.routing import RoutingState
+from briartack.core.configuration.settings import ServiceLimits
+from briartack.core.units import AttemptId
+from briartack.core.verdict import Verdict
+from briartack.test.call_bench import BenchRoute, BenchShare
+
+RULES: Final = CallRules(
+    counts_refusals=False,
+    retry_ratio=0.2,
+    retry_extra=62,
+)
+DAEMONS: Final = 18
+LIMITS: Final = ServiceLimits(slots=2, connections=9, queue_length=3)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    @params((0, DAEMONS), (50, DAEMONS), (500, DAEMONS), (500, 1))
+    def test_all_daemons_together_keep_the_budget(
+        self,
+        calls: int,
+        daemons: int,
+    ) -> None:
+        """Guards against shares that add up to more than the whole."""
+        budget = shared_budget(RULES, daemons)
+        assert budget is not None
+        spent = 0
+        for retries in [RetryState() for _ in range(daemons)]:
+            retries.earn('s', *budget)
+            spent += _spend_all(retries)
+            for _ in range(calls):
+                retries.earn('s', *budget)
+                spent += _spend_all(retries)
+        bound = 0.2 * (calls + 1) * daemons + 62
+        self.assertLessEqual(spent, bound)
+        self.assertGreater(spent, 0)
+
+    def test_policies_bound_retries_without_a_shared_budget(self) -> None:
+        self.assertIsNone(shared_budget(CallRules(), 5))
+
+    @params(
+        (reasons.OVERLOAD, Verdict.NOT_RUN, 0, True),
+        (reasons.OVERLOAD, Verdict.NOT_RUN, 4, False),
+        (reasons.UPSTREAM_REFUSED, Verdict.NOT_RUN, 0, False),
+        (reasons.CONNECTION_LOST, Verdict.UNKNOWN, 0, False),
+        (reasons.NO_ROUTE, Verdict.NOT_RUN, 0, False),
+    )
+    def test_free_tries(
+        self,
+        reason: Reason,
+        verdict: Verdict,
+        tries: int,
+        expected: bool,
+    ) -> None:
+        """Guards against arrivals at upstreams that no budget counts."""
+        call: Any = Mock(free_refusals=tries)
+        self.assertIs(is_free(RULES, call, verdict, reason), expected)
+        self.assertFalse(is_free(CallRules(), call, verdict, reason))
+
+
+class ShareTest(unittest.TestCase):
+    @params((90, 10), (50, 50), (1, 0), (60, 40))
+    def test_parts_follow_their_weights(self, *weights: int) -> None:
+        """Guards against a part that is off by more than the tenth allowed."""
+        route: Any = BenchRoute(
+            shares=tuple(
+                BenchShare(service=str(place), limits=LIMITS, weight=weight)
+                for place, weight in enumerate(weights)
+            ),
+            policy=Mock(),
+        )
+        counts: Counter[str] = Counter()
+        for seed in range(DAEMONS):
+            routing = RoutingState()
+            random = Random(seed)
+            for _ in range(17):
+                counts[routing.share(random, route).service] += 1
+        total = sum(counts.values())
+        for place, weight in enumerate(weights):
+            expected = weight / sum(weights)
+            found = counts[str(place)] / total
+            self.assertLess(abs(found - expected), 0.1)
+            self.assertFalse(found and not weight)
+
+
+class DrainTest(unittest.TestCase):
+    @params((0, 0, True), (2.2, 2.1, False), (2.2, 2.3, True))
+    def test_lingers_until_callers_have_turned_away(
+        self,
+        linger_seconds: float,
+        seconds: float,
+        is_refusing: bool,
+    ) -> None:
+        drain = DrainState(drain_seconds=5, linger_seconds=linger_seconds)
+        self.assertFalse(drain.is_refusing)
+        drain.begin(10)
+        drain.follow(10 + seconds)
+        self.assertIs(drain.is_refusing, is_refusing)
+        self.assertTrue(drain.is_draining)
+
+
+class AdmissionTest(unittest.TestCase):
+    def offer(
+        self,
+        admission: AdmissionState,
+        name: str,
+        *,
+        rank: int = 0,
+        useful_until: float = float('inf'),
+        room: int | None = None,
+    ) -> str:
+        waiting = Waiting(
+            attempt_id=AttemptId(name),
+            deadline=100,
+            interactive=True,
+            rank=rank,
+            useful_until=useful_until,
+        )
+        outcome = admission.offer(
+            waiting,
+            0,
+            limit=2,
+            limits=LIMITS,
+            step_seconds=0.1,
+            room=room,
+        )
+        if outcome.started:
+            return 'started'
+        return f'refused {outcome.refused[0]}' if outcome.refused else 'queued'
+
+    def test_urgent_goes_first_and_displaces_the_last(self) -> None:
+        """Guards against a less urgent kind that is served better."""
+        admission = AdmissionState()
+        outcomes = [self.offer(admission, f'{one}', rank=2) for one in 'abcde']
+        self.assertEqual(outcomes, [*('started',) * 2, *('queued',) * 3])
+        self.assertEqual(self.offer(admission, 'x', rank=1), 'refused e')
+        self.assertEqual(self.offer(admission, 'y', rank=2), 'refused y')
+        admission.release()
+        self.assertEqual(admission.fill(0, limit=2).started, ('x',))
+
+    @params((0.15, 'refused c'), (0.25, 'queued'))
+    def test_too_late_to_be_useful(
+        self,
+        useful_until: float,
+        outcome: str,
+    ) -> None:
+        admission = AdmissionState()
+        for name in 'ab':
+            self.offer(admission, name)
+        self.offer(admission, 'between')
+        found = self.offer(admission, 'c', useful_until=useful_until)
+        self.assertEqual(found, outcome)
+
+    def test_no_room_at_a_cold_upstream(self) -> None:
+        admission = AdmissionState()
+        self.assertEqual(self.offer(admission, 'a', room=0), 'queued')
+        filled = admission.fill(0, limit=2, room=1)
+        self.assertEqual(filled.started, ('a',))
+
+
+def _spend_all(retries: RetryState) -> int:
+    spent = 0
+    while retries.spend('s'):
+        spent += 1
+    return spent
