--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -17,8 +17,9 @@
 from briartack.core.messages import MAX_BODY_BYTES
 from briartack.dialects import CallerDialect
 from briartack.error_texts import MALFORMED_REQUEST, TOO_LARGE
-from briartack.inbound_call import InboundCall, RequestHead
+from briartack.inbound_call import InboundCall
 from briartack.ports import Observer
+from briartack.request_head import RequestHead
 
 _READ_BYTES: Final = 65536
 _BAD_REQUEST: Final = 400
@@ -128,7 +129,7 @@
         call = InboundCall(
             head=head,
             connection=self._connection_header(),
-            encoder=self._calls.dialect,
+            dialect=self._calls.dialect,
         )
         self._calls.arrive(call, self._pipeline)
         if not call.is_body_read and not call.is_answered:
--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -96,19 +96,7 @@
 
         Raises RequestError.
         """
-        text = self._first.get(DEADLINE)
-        if text is None:
-            return None
-        try:
-            remaining = float(text)
-        except ValueError:
-            remaining = math.nan
-        if not 0 <= remaining < math.inf:
-            raise RequestError(
-                f'Briartack-Deadline-Ms is {_shown(text)}; '
-                'give the remaining milliseconds as a number.',
-            )
-        return remaining
+        return milliseconds('Briartack-Deadline-Ms', self._first.get(DEADLINE))
 
     def _check_framing(self) -> None:
         length = self._first.get(CONTENT_LENGTH)
@@ -130,6 +118,25 @@
             )
 
 
+def milliseconds(name: str, text: str | None) -> float | None:
+    """Read a header that holds milliseconds, if it is there.
+
+    Raises RequestError.
+    """
+    if text is None:
+        return None
+    try:
+        remaining = float(text)
+    except ValueError:
+        remaining = math.nan
+    if not 0 <= remaining < math.inf:
+        raise RequestError(
+            f'{name} is {_shown(text)}; '
+            'give the remaining milliseconds as a number.',
+        )
+    return remaining
+
+
 def check_raw_request_line(line: str) -> None:
     """Check a request line before pywsgi splits it at any white space.
 
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -15,7 +15,7 @@
 from briartack.core.messages import Headers
 from briartack.core.units import Revision
 from briartack.http_answer import HttpAnswer
-from briartack.inbound_call import RequestHead
+from briartack.request_head import RequestHead
 
 
 class CallerDialect(Protocol):
--- a/briartack/inbound_call.py
+++ b/briartack/inbound_call.py
@@ -1,12 +1,12 @@
 """One call of a caller, from its head to the answer on its socket."""
 
-from typing import Protocol, final
+from typing import final
 
 import gevent
-import msgspec
 
 from briartack.core.effects import AnswerCall
-from briartack.core.messages import Headers
+from briartack.dialects import CallerDialect
+from briartack.request_head import RequestHead
 
 
 @final
@@ -14,37 +14,6 @@
     """Interrupt the reading of a body that nothing needs any more."""
 
 
-@final
-class RequestHead(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what the head of a request says."""
-
-    method: str
-    target: str
-    headers: Headers
-    tenant: str
-    idempotency_key: str
-    deadline_ms: float | None
-    is_nested: bool
-    body_bytes: int | None
-    key_service: str  # not empty when the caller asks for a key
-    host: str = ''
-    request_id: str = ''
-
-
-class AnswerEncoder(Protocol):
-    """Encode answers to callers."""
-
-    def answer(
-        self,
-        effect: AnswerCall,
-        *,
-        body: bytes,
-        method: str,
-        connection: str,
-    ) -> bytes:
-        """Encode the whole answer that the core decided."""
-
-
 @final
 class InboundCall:
     """Hold one call from its head to its answer."""
@@ -58,7 +27,7 @@
         'is_body_read',
         'reader',
         '_connection',
-        '_encoder',
+        '_dialect',
     )
 
     def __init__(
@@ -66,7 +35,7 @@
         *,
         head: RequestHead,
         connection: str,
-        encoder: AnswerEncoder,
+        dialect: CallerDialect,
     ) -> None:
         """Start unanswered; `connection` is the Connection header to send."""
         self.call_id = ''
@@ -77,7 +46,7 @@
         self.is_body_read = head.body_bytes == 0
         self.reader: gevent.Greenlet | None = None
         self._connection = connection
-        self._encoder = encoder
+        self._dialect = dialect
 
     @property
     def is_answered(self) -> bool:
@@ -96,7 +65,7 @@
         if is_stopping or not self.is_body_read:
             connection = 'close'
         self.is_last = connection == 'close'
-        self.whole = self._encoder.answer(
+        self.whole = self._dialect.answer(
             effect,
             body=body,
             method=self.head.method,
--- a/briartack/own_dialects.py
+++ b/briartack/own_dialects.py
@@ -28,7 +28,7 @@
     first_value,
 )
 from briartack.http_answer import HttpAnswer
-from briartack.inbound_call import RequestHead
+from briartack.request_head import RequestHead
 
 _KEYS_PATH: Final = '/.briartack/keys'
 _STATUS_OK: Final = 200
--- a/briartack/platform/callers.py
+++ b/briartack/platform/callers.py
@@ -1,28 +1,26 @@
 """Requests of consumers and of upstreams, and the answers to them."""
 
-import math
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final, final
 
 from briartack.caller_answers import refusal_body
-from briartack.caller_headers import RequestError, RequestHeaders
+from briartack.caller_headers import RequestHeaders, milliseconds
 from briartack.core.effects import AnswerCall
 from briartack.core.messages import Headers
 from briartack.core.verdict import Verdict
 from briartack.headers import end_to_end
-from briartack.inbound_call import RequestHead
 from briartack.platform.names import (
     ATTEMPT_ID,
     CALLER_SERVICE,
     DEADLINE_MS,
     EXPECT_INSTANCE,
 )
+from briartack.request_head import RequestHead
 
 _SET_BY_US: Final = frozenset(
     name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, CALLER_SERVICE)
 )
-_SHOWN_CHARACTERS: Final = 32
 _PHRASES: Final = MappingProxyType(
     {status.value: status.phrase for status in HTTPStatus},
 )
@@ -67,7 +65,7 @@
             headers=(*kept, self._caller_header),
             tenant='',
             idempotency_key='',
-            deadline_ms=_deadline_ms(headers.get(DEADLINE_MS)),
+            deadline_ms=milliseconds(DEADLINE_MS, headers.get(DEADLINE_MS)),
             is_nested=False,
             body_bytes=body_bytes,
             key_service='',
@@ -110,21 +108,6 @@
         return _encode(status, headers, body, method, 'close')
 
 
-def _deadline_ms(text: str | None) -> float | None:
-    if text is None:
-        return None
-    try:
-        remaining = float(text)
-    except ValueError:
-        remaining = math.nan
-    if not 0 <= remaining < math.inf:
-        raise RequestError(
-            f'{DEADLINE_MS} is {text[:_SHOWN_CHARACTERS]!r}; '
-            'give milliseconds.',
-        )
-    return remaining
-
-
 def _status(effect: AnswerCall) -> int:
     """Choose a status that promises neither too much nor too little.
 
--- a/briartack/test/test_call_rules.py
+++ b/briartack/test/test_call_rules.py
@@ -40,7 +40,8 @@
         budget = shared_budget(RULES, daemons)
         assert budget is not None
         spent = 0
-        for retries in [RetryState() for _ in range(daemons)]:
+        fleet = [RetryState() for _ in range(daemons)]
+        for retries in fleet:
             retries.earn('s', *budget)
             spent += _spend_all(retries)
             for _ in range(calls):
--- a/briartack/test/test_platform_calls.py
+++ b/briartack/test/test_platform_calls.py
@@ -11,9 +11,9 @@
 from briartack.core.units import AttemptId, BodyId, CallId
 from briartack.core.verdict import Verdict
 from briartack.http_answer import HttpAnswer
-from briartack.inbound_call import RequestHead
 from briartack.platform.callers import PlatformCallerDialect
 from briartack.platform.upstream import PlatformUpstreamDialect
+from briartack.request_head import RequestHead
 
 CALLERS: Final = PlatformCallerDialect(service='huvo')
 UPSTREAM: Final = PlatformUpstreamDialect()
