--- a/briartack/core/dissemination/dissemination_state.py
+++ b/briartack/core/dissemination/dissemination_state.py
@@ -55,6 +55,7 @@
             identity=identity,
             random=random,
             tree=self.tree,
+            redial_seconds=rules.redial_seconds,
         )
         self.store: Final = StoreReadsState(random=random, rules=rules)
         self.sync: Final = PeerSyncState()
--- a/briartack/core/dissemination/links.py
+++ b/briartack/core/dissemination/links.py
@@ -32,6 +32,7 @@
         '_identity',
         '_random',
         '_tree',
+        '_redial_seconds',
         '_regions',
         '_subscribers',
         '_upward',
@@ -45,11 +46,13 @@
         identity: Identity,
         random: Random,
         tree: TreePosition,
+        redial_seconds: float = REDIAL_SECONDS,
     ) -> None:
         """Start without streams."""
         self._identity = identity
         self._random = random
         self._tree = tree
+        self._redial_seconds = redial_seconds
         self._regions: dict[InstanceId, str] = {}  # of connected peers
         self._subscribers = Subscribers()
         self._upward: frozenset[InstanceId] = frozenset()
@@ -165,11 +168,19 @@
         # Children dial by themselves, unless they have no list: one that
         # starts while the store is down hears of its parents only by this.
         for child in place.children:
-            yield DialRequest(member=child, delay_seconds=REDIAL_SECONDS)
+            yield self._later(child)
         for checked in map(membership.get, self._tree.checked):
             if checked is not None:
                 yield DialRequest(member=checked)
         for peer in (*self._tree.suspects, *membership.leaving_marks):
             doubted = membership.get(peer)
             if doubted is not None:
-                yield DialRequest(member=doubted, delay_seconds=REDIAL_SECONDS)
+                yield self._later(doubted)
+
+    def _later(self, member: Member) -> DialRequest:
+        """Ask for a stream that the other side would rather open."""
+        return DialRequest(
+            member=member,
+            delay_seconds=self._redial_seconds,
+            redial_seconds=self._redial_seconds,
+        )
--- a/briartack/core/dissemination/store_rules.py
+++ b/briartack/core/dissemination/store_rules.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from briartack.core.dissemination.dialling import REDIAL_SECONDS
+
 
 @final
 class StoreRules(msgspec.Struct, frozen=True, kw_only=True):
@@ -14,6 +16,10 @@
     # A daemon on duty tries a store that fails again after this at most; few
     # daemons are on duty.
     duty_backoff_seconds: float = 30.0
+    # Children in the tree, and instances that said goodbye, are dialled again
+    # after this time. A daemon that starts while the store is away hears of
+    # the fleet by that alone.
+    redial_seconds: float = REDIAL_SECONDS
     # Roots of other regions leave the watch to the roots nearest to the store,
     # so that its answers cross no link between regions.
     is_duty_by_distance: bool = False
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -24,6 +24,9 @@
 _READY_MISSES: Final = 2
 # Reads that may lag do not count toward the store's rate.
 _START_JITTER_SECONDS: Final = 0.1
+# A restarted machine is out of touch for 3 s; it needs its configuration well
+# before.
+_REDIAL_SECONDS: Final = 1.0
 # The bound of a change, 2 s, holds from 3 s after the store is back.
 _DUTY_BACKOFF_SECONDS: Final = 1.0
 
@@ -90,6 +93,7 @@
         store_rules=StoreRules(
             start_jitter_seconds=_START_JITTER_SECONDS,
             duty_backoff_seconds=_DUTY_BACKOFF_SECONDS,
+            redial_seconds=_REDIAL_SECONDS,
             reads_stale_list=True,
             is_duty_by_distance=True,
         ),
--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -196,6 +196,10 @@
         rest = () if isinstance(event, FROM_STORE) else (members,)
         if isinstance(event, events.PeerConnected):
             members.note_incarnation(event.peer, event.hello.incarnation)
+        message = getattr(event, 'message', None)
+        if isinstance(message, wire.Goodbye):
+            sender = getattr(event, 'peer', '')
+            members.mark_leaving(sender, message.incarnation)
         outcome = HANDLERS[type(event)](node.state, event, node.held, *rest)
         if isinstance(outcome, core.Received):
             self._run(name, outcome.effects)
@@ -217,7 +221,7 @@
         for effect in effects:
             match effect:
                 case out.SendMessage():
-                    self._send(name, effect.peer, effect.message)
+                    self.send(name, effect.peer, effect.message)
                 case out.Connect():
                     self._dial(name, effect.peer)
                 case out.ReadStore():
@@ -241,7 +245,7 @@
     ) -> None:
         self._later(seconds, partial(self.feed, name, make))
 
-    def _send(self, name: str, peer: str, message: wire.PeerMessage) -> None:
+    def send(self, name: str, peer: str, message: wire.PeerMessage) -> None:
         self.sent[type(message).__name__] += 1
         self.sent_bytes += len(msgspec.msgpack.encode(message))
         seconds = 0.0005 if name[:2] == peer[:2] else 0.012
--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -9,6 +9,7 @@
 
 from nose2.tools import params
 
+from briartack.core import messages as wire
 from briartack.core.dissemination.store_rules import StoreRules
 from briartack.core.units import Revision
 from briartack.test.fleet import Fleet
@@ -19,6 +20,7 @@
 RULES: Final = StoreRules(
     start_jitter_seconds=0.1,
     duty_backoff_seconds=1.0,
+    redial_seconds=1.0,
     is_duty_by_distance=True,
 )
 
@@ -123,3 +125,20 @@
         self.assertEqual(
             sorted(fleet.watchers()), sorted(fleet.roots('r0')[:2])
         )
+
+    @params(0, 1, 9, 17)
+    def test_restart_while_the_store_is_away(self, place: int) -> None:
+        """Guards against a daemon that nobody tells of the fleet."""
+        fleet = started()
+        name = sorted(fleet.names)[place]
+        fleet.store.is_down = True
+        fleet.run(1)
+        goodbye = wire.Goodbye(incarnation=fleet.nodes[name].hello.incarnation)
+        for peer in fleet.nodes:
+            fleet.send(name, peer, goodbye)
+        fleet.run(0.1)
+        fleet.kill(name)
+        fleet.run(1)
+        fleet.start(name)
+        fleet.run(IN_FORCE_SECONDS)
+        self.assertTrue(fleet.nodes[name].held.has_snapshot)
