Greet every peer that connects, so that a restarted daemon hears of the fleet

Cause: on a fake clock a daemon that restarted after its goodbye, while the store was away, was dialled and never told anything: whoever dialled it no longer counted it as a child, and it knew nobody to ask. Ruled out: redial alone (the case failed at 1 s too).

--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -168,21 +168,21 @@
     holdings: Holdings,
     membership: MembershipState,
 ) -> Effects:
-    """Greet a peer that the tree wants, or any peer before a snapshot."""
+    """Greet a peer with a summary of what is held."""
     effects = observe(state, event.now, holdings)
-    was_suspect = event.peer in state.tree.suspects
     state.sync.forget(event.peer)
     state.tree.note_contact(event.now, event.peer)
-    is_wanted = state.links.connect(event.peer, event.hello)
-    if is_wanted or was_suspect or not holdings.has_snapshot:
-        effects.extend(
-            state.announcer.send(
-                event.now,
-                (event.peer,),
-                holdings,
-                upward=state.links.upward,
-            ),
-        )
+    state.links.connect(event.peer, event.hello)
+    # Every peer is greeted: one that has just started may know nobody, and
+    # who dials it need not be a neighbour of it in the tree.
+    effects.extend(
+        state.announcer.send(
+            event.now,
+            (event.peer,),
+            holdings,
+            upward=state.links.upward,
+        ),
+    )
     effects.extend(work(state, event.now, holdings, membership))
     return effects
 
--- a/briartack/core/dissemination/links.py
+++ b/briartack/core/dissemination/links.py
@@ -89,10 +89,9 @@
         """Tell whether a connected peer runs in another region."""
         return self._regions.get(peer) != self._identity.region
 
-    def connect(self, peer: InstanceId, hello: Hello) -> bool:
-        """Note a stream and tell whether the tree wants it."""
+    def connect(self, peer: InstanceId, hello: Hello) -> None:
+        """Note a stream."""
         self._regions[peer] = hello.region
-        return any(member.instance == peer for member in self._wanted())
 
     def disconnect(self, now: float, peer: InstanceId) -> None:
         """Note that a stream is down, and plan to dial again soon."""
@@ -147,11 +146,6 @@
         peers = (*self._linked(members), *self._subscribers.current())
         return tuple(dict.fromkeys(peers))
 
-    def _wanted(self) -> Iterator[Member]:
-        yield from self._tree.place.parents
-        yield from self._remote_members()
-        yield from self._tree.place.children
-
     def _requests(self, membership: MembershipState) -> Iterator[DialRequest]:
         place = self._tree.place
         for parent in place.parents:
--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -17,6 +17,7 @@
 from briartack.core import messages as wire
 from briartack.core.dissemination import dissemination as core
 from briartack.core.dissemination.dissemination_state import DisseminationState
+from briartack.core.dissemination.membership import MembershipState
 from briartack.core.dissemination.overlay import rank
 from briartack.core.dissemination.store_rules import (
     DEFAULT_STORE_RULES,
@@ -184,6 +185,12 @@
             not in {held.revision for held in node.held.versions().values()}
         ]
 
+    def send(self, name: str, peer: str, message: wire.PeerMessage) -> None:
+        self.sent[type(message).__name__] += 1
+        self.sent_bytes += len(msgspec.msgpack.encode(message))
+        seconds = 0.0005 if name[:2] == peer[:2] else 0.012
+        self._later(seconds, partial(self._arrive, name, peer, message))
+
     def feed(self, name: str, make: Make) -> None:
         node = self.nodes.get(name)
         if node is None:
@@ -196,10 +203,8 @@
         rest = () if isinstance(event, FROM_STORE) else (members,)
         if isinstance(event, events.PeerConnected):
             members.note_incarnation(event.peer, event.hello.incarnation)
-        message = getattr(event, 'message', None)
-        if isinstance(message, wire.Goodbye):
-            sender = getattr(event, 'peer', '')
-            members.mark_leaving(sender, message.incarnation)
+        if isinstance(event, events.PeerMessageReceived):
+            _note_goodbye(members, event)
         outcome = HANDLERS[type(event)](node.state, event, node.held, *rest)
         if isinstance(outcome, core.Received):
             self._run(name, outcome.effects)
@@ -245,12 +250,6 @@
     ) -> None:
         self._later(seconds, partial(self.feed, name, make))
 
-    def send(self, name: str, peer: str, message: wire.PeerMessage) -> None:
-        self.sent[type(message).__name__] += 1
-        self.sent_bytes += len(msgspec.msgpack.encode(message))
-        seconds = 0.0005 if name[:2] == peer[:2] else 0.012
-        self._later(seconds, partial(self._arrive, name, peer, message))
-
     def _arrive(self, name: str, peer: str, message: wire.PeerMessage) -> None:
         is_linked = frozenset((name, peer)) in self.links
         if not is_linked or self.is_dropped(peer, message):
@@ -327,3 +326,12 @@
                     entries=entries,
                 )
                 self._answer(name, events.StoreOperation.WATCH, make)
+
+
+def _note_goodbye(
+    members: MembershipState,
+    event: events.PeerMessageReceived,
+) -> None:
+    """Do what the reducer does before it hands a goodbye on."""
+    if isinstance(event.message, wire.Goodbye):
+        members.mark_leaving(event.peer, event.message.incarnation)
