--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -136,4 +136,3 @@
     state: InstanceState = InstanceState.LIVE
     instance: str = ''
     slots: PositiveInt | None = None
-    cold_seconds: Annotated[float, Meta(ge=0, le=3600)] = 0
--- a/briartack/core/dissemination/instance_records.py
+++ b/briartack/core/dissemination/instance_records.py
@@ -39,7 +39,6 @@
     entry: Entry
     member: Member | None = None
     state: InstanceState | None = None
-    cold_seconds: float = 0  # left when the platform wrote the record
 
 
 @final
@@ -168,7 +167,6 @@
         entry=entry,
         member=member,
         state=record.state,
-        cold_seconds=record.cold_seconds,
     )
 
 
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -60,7 +60,6 @@
     failure: str = ''  # empty if the answer is the upstream's own
     has_run: bool = True  # false if the upstream says that it has not run
     identity: str = ''  # of the upstream that answered in place of another
-    reported_load: float | None = None
 
 
 class UpstreamDialect(Protocol):
--- a/briartack/http_answer.py
+++ b/briartack/http_answer.py
@@ -30,7 +30,6 @@
         """Start before the status line."""
         super().__init__(method=method)
         self.is_requested = False  # some of the request has been sent
-        self.has_passed_over = False
         self._parts: list[bytes] = []
         self._received = 0
         self._max_body_bytes = max_body_bytes
@@ -75,8 +74,6 @@
             return
         if self._is_expected is None or self._is_expected(self):
             self._is_whole = True
-        else:
-            self.has_passed_over = True
 
     def _on_body(self, buf: bytearray) -> None:
         self._received += len(buf)
--- a/briartack/platform/registry.py
+++ b/briartack/platform/registry.py
@@ -11,7 +11,6 @@
 from briartack.platform.names import qualified
 
 SERVERS: Final = 'servers/'
-_MILLISECONDS: Final = 1000
 _MAX_SLOTS: Final = 100_000  # the product's bound of such a setting
 _STATES: Final = {
     'ready': InstanceState.LIVE,
@@ -27,7 +26,6 @@
 
 class _Status(msgspec.Struct, frozen=True, kw_only=True):
     state: str
-    cold_left_ms: Annotated[float, Meta(ge=0)] = 0
 
 
 class _Server(msgspec.Struct, frozen=True, kw_only=True):
@@ -65,6 +63,5 @@
             state=state,
             instance=host,
             slots=server.info.slots,
-            cold_seconds=server.status.cold_left_ms / _MILLISECONDS,
         )
         return msgspec.json.encode(record).decode()
--- a/briartack/test/test_http_answer.py
+++ b/briartack/test/test_http_answer.py
@@ -51,4 +51,5 @@
         found = answer()
         found.feed(OTHER + OTHER)
         self.assertFalse(found.is_whole)
-        self.assertTrue(found.has_passed_over)
+        found.feed(OWN)
+        self.assertEqual(found.body, b'ok')
--- a/briartack/test/test_platform_store.py
+++ b/briartack/test/test_platform_store.py
@@ -121,7 +121,7 @@
         self.assertEqual(record['instance'], '10.1.0.8')
         self.assertEqual(record['peer_address'], '10.1.0.8:8300')
         self.assertEqual(record['region'], 'costa')
-        self.assertEqual(record['cold_seconds'], 1.5)
+        self.assertEqual((record['state'], record['slots']), ('live', 18))
 
     @params(
         {'status': {'state': 'asleep'}},
