Give no moment more to what had left before this daemon's first list

By reading: a daemon that restarts after the entry was removed reads a list that lags, and then takes the deletion for a lapse.

--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from itertools import chain
-from typing import final
+from typing import Final, final
 
 from briartack.core.configuration.settings import InstanceState
 from briartack.core.dissemination.instance_records import (
@@ -22,6 +22,10 @@
 from briartack.core.units import Digest, Incarnation, InstanceId, Revision
 
 
+# A list that was read from a copy of the store may be seconds old.
+SETTLE_SECONDS: Final = 3.0
+
+
 @final
 class MembershipState:
     """Own the instance records and the marks of instances that said goodbye."""
@@ -30,6 +34,7 @@
         '_records',
         '_goodbyes',
         '_lapses',
+        '_listed_at',
         '_by_instance',
         '_live',
         '_services',
@@ -41,6 +46,7 @@
         self._records = InstanceRecords()
         self._goodbyes: dict[InstanceId, Incarnation] = {}
         self._lapses = Lapses()
+        self._listed_at: float | None = None
         # Built on demand, since the list is asked for with each call.
         self._by_instance: dict[InstanceId, HeldRecord] | None = None
         self._live: tuple[Member, ...] | None = None
@@ -148,7 +154,7 @@
         """
         changes = self._records.apply(entries)
         if now is not None:
-            self._lapses.note(now, changes, self.instance_count)
+            self._note_lapses(now, changes)
         for change in changes:
             instance = _has_left(change)
             if instance is not None:
@@ -187,6 +193,13 @@
             self._goodbyes.pop(instance)
             self._forget_views()
 
+    def _note_lapses(self, now: float, changes: Iterable[RecordChange]) -> None:
+        if self._listed_at is None:
+            self._listed_at = now
+        # The first list may lag: what it still names may have left long ago.
+        if now - self._listed_at >= SETTLE_SECONDS:
+            self._lapses.note(now, changes, self.instance_count)
+
     def _present(self) -> dict[InstanceId, HeldRecord]:
         """Return the record that counts for each listed instance.
 
--- a/briartack/test/test_lapses.py
+++ b/briartack/test/test_lapses.py
@@ -64,6 +64,12 @@
         members.expire(10 + seconds)
         self.assertEqual(members.instance_count, left)
 
+    def test_late_news_after_a_start_count_at_once(self) -> None:
+        """Guards against a moment more for what left before the start."""
+        members = listed()
+        members.apply([entry(1, 100, None)], 0.5)
+        self.assertEqual(members.instance_count, SIZE - 1)
+
     def test_leaving_counts_at_once(self) -> None:
         """Guards against a delay where the upstream itself said so."""
         members = listed()
