--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -21,7 +21,6 @@
 from briartack.core.entries import Entry, is_instance_key
 from briartack.core.units import Digest, Incarnation, InstanceId, Revision
 
-
 # A list that was read from a copy of the store may be seconds old.
 SETTLE_SECONDS: Final = 3.0
 
