--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -86,7 +86,7 @@
     @property
     def next_at(self) -> float | None:
         """Return the earliest time at which a call needs a tick."""
-        return self._timers.next_at
+        return self._timers.next_at(self._calls.__contains__)
 
     def get(self, call_id: CallId) -> Call | None:
         """Find a call."""
--- a/briartack/core/calls/timers.py
+++ b/briartack/core/calls/timers.py
@@ -21,10 +21,14 @@
         self._heap: list[tuple[float, int, Key]] = []
         self._sequence = 0
 
-    @property
-    def next_at(self) -> float | None:
-        """Return the earliest time."""
-        return self._heap[0][0] if self._heap else None
+    def next_at(self, is_live: Callable[[Key], bool]) -> float | None:
+        """Return the earliest time of a key that is not over."""
+        while self._heap:
+            at, _, key = self._heap[0]
+            if is_live(key):
+                return at
+            heapq.heappop(self._heap)
+        return None
 
     def add(self, at: float, key: Key) -> None:
         """Make a key due at a time."""
--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -5,7 +5,7 @@
 """
 
 from dataclasses import dataclass
-from typing import TypeAlias, final
+from typing import Final, TypeAlias, final
 
 from briartack.core.dissemination.announcer import FIRST_SUMMARY_SECONDS
 from briartack.core.dissemination.dissemination_state import DisseminationState
@@ -45,6 +45,8 @@
 from briartack.core.units import InstanceId, Revision
 
 Source: TypeAlias = InstanceId | None  # None is the store
+# A little less than the time between two regular ticks of the shell, 0.1 s.
+WORK_SECONDS: Final = 0.08
 
 
 @final
@@ -105,9 +107,14 @@
     holdings: Holdings,
     membership: MembershipState,
 ) -> Effects:
-    """Do everything that time makes due."""
+    """Do everything that time makes due.
+
+    Wake-ups for single calls come between the regular ticks.
+    """
     effects = observe(state, event.now, holdings)
-    effects.extend(work(state, event.now, holdings, membership))
+    if event.now >= state.next_work_at:
+        state.next_work_at = event.now + WORK_SECONDS
+        effects.extend(work(state, event.now, holdings, membership))
     return effects
 
 
--- a/briartack/core/dissemination/dissemination_state.py
+++ b/briartack/core/dissemination/dissemination_state.py
@@ -38,6 +38,7 @@
         'announcer',
         'confirmation',
         'started_at',
+        'next_work_at',
         'snapshot_wait_seconds',
     )
 
@@ -62,6 +63,7 @@
         self.announcer: Final = Announcer(incarnation=identity.incarnation)
         self.confirmation: Final = Confirmation()
         self.started_at = float(0)
+        self.next_work_at = float('-inf')
         self.snapshot_wait_seconds: Final = (
             SNAPSHOT_WAIT_SECONDS
             + random.uniform(0, SNAPSHOT_WAIT_JITTER_SECONDS)
--- a/briartack/logs.py
+++ b/briartack/logs.py
@@ -1,11 +1,11 @@
-"""JSON lines: logs on stderr and the audit trail on stdout."""
+"""JSON lines: logs and the audit trail."""
 
 import datetime
 import logging
+import time
 from typing import Final, final
 
 import msgspec
-from pythonjsonlogger.json import JsonFormatter
 
 from briartack.core.effects import LogLevel
 from briartack.core.identity import Identity
@@ -20,42 +20,54 @@
 REQUEST_LINES_PER_SECOND: Final = 250.0
 REQUEST_LINES_BURST: Final = 500
 _COUNTER: Final = 'lines_left_out'
+# What log calls add to a record, in the order of the line.
+_EXTRA: Final = ('code', 'fields')
 
 
 def utc_now() -> str:
     """Return the wall-clock time in UTC with milliseconds."""
-    now = datetime.datetime.now(datetime.UTC)
-    return now.isoformat(timespec='milliseconds').replace('+00:00', 'Z')
+    return _utc(time.time())
+
+
+def _utc(seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    text = moment.isoformat(timespec='milliseconds')
+    return text.replace('+00:00', 'Z')
 
 
 @final
-class _Formatter(JsonFormatter):
-    """Put the time in UTC first on every line."""
+class _Formatter(logging.Formatter):
+    """Make one line of JSON of each record."""
+
+    def __init__(self, *, identity: Identity) -> None:
+        """Put the instance and its incarnation on every line."""
+        super().__init__()
+        self._static = {
+            'instance': identity.instance,
+            'incarnation': identity.incarnation,
+        }
+        self._encoder = msgspec.json.Encoder(enc_hook=str)
 
-    def formatTime(  # noqa: N802 (the name is that of the logging module)
-        self,
-        record: logging.LogRecord,
-        datefmt: str | None = None,
-    ) -> str:
-        """Return the time of a record."""
-        moment = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
-        text = moment.isoformat(timespec='milliseconds')
-        return text.replace('+00:00', 'Z')
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record, its time first."""
+        line: dict[str, object] = {
+            'time': _utc(record.created),
+            'level': record.levelname,
+            'message': record.getMessage(),
+            **self._static,
+        }
+        for name in _EXTRA:
+            if hasattr(record, name):
+                line[name] = getattr(record, name)
+        if record.exc_info:
+            line['exc_info'] = self.formatException(record.exc_info)
+        return self._encoder.encode(line).decode()
 
 
 def set_up_logs(*, level: str, identity: Identity, stream: LineSink) -> None:
     """Send all log lines of the process to a stream as JSON."""
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(
-        _Formatter(
-            '%(asctime)s %(levelname)s %(message)s',
-            rename_fields={'asctime': 'time', 'levelname': 'level'},
-            static_fields={
-                'instance': identity.instance,
-                'incarnation': identity.incarnation,
-            },
-        ),
-    )
+    handler.setFormatter(_Formatter(identity=identity))
     logging.basicConfig(
         level=level.upper(),
         handlers=[handler],
--- a/briartack/test/test_call_bounds.py
+++ b/briartack/test/test_call_bounds.py
@@ -328,6 +328,16 @@
         timers.compact(2, is_live)
         self.assertEqual(list(timers.due(2000)), [7, 800])
 
+    def test_ended_calls_need_no_tick(self) -> None:
+        """Guards against a wake-up at the deadline of each answered call."""
+        timers: Timers[int] = Timers()
+        timers.add(1, 1)
+        timers.add(2, 2)
+        timers.add(3, 3)
+        self.assertEqual(timers.next_at({2, 3}.__contains__), 2)
+        self.assertEqual(list(timers.due(5)), [2, 3])
+        self.assertIsNone(timers.next_at({2, 3}.__contains__))
+
     @params('a.i1', 'a.i1.short', 'a..0000000000010000000000000001', 'mine')
     def test_own_keys_of_callers_name_no_owner(self, key: str) -> None:
         self.assertIsNone(idempotency.parse_key(key))
--- a/briartack/test/test_dissemination.py
+++ b/briartack/test/test_dissemination.py
@@ -5,6 +5,7 @@
 
 import unittest
 from collections import Counter
+from unittest import mock
 
 from nose2.tools import params
 
@@ -81,6 +82,20 @@
         self.assertLessEqual(fleet.sent['Summary'], bound)
         self.assertLessEqual(len(fleet.store.calls), 2 * 2)
 
+    def test_wake_ups_for_calls_cost_no_dissemination(self) -> None:
+        """Guards against work on all streams for each wake-up of a call."""
+        fleet = _started(1, 1, 3)
+        node = next(iter(fleet.nodes.values()))
+        with mock.patch.object(core, 'work', return_value=[]) as work:
+            for late in (0.1, 0.11, 0.15, 0.2):
+                core.on_tick(
+                    node.state,
+                    events.Tick(now=fleet.now + late),
+                    node.held,
+                    node.held.membership,
+                )
+            self.assertEqual(work.call_count, 2)
+
     def test_burst_of_edits_is_batched(self) -> None:
         """Without the budget of watches, each edit is a call per watcher."""
         fleet = _started(1, 1, 3)
