Gather log lines of 50 ms; refuse at once what every owner has refused

Ruled out: the parser and framing. Audit lines do not wait. With both streams on standard output a lost line is counted once.

--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -8,6 +8,7 @@
 from briartack.core.body_ids import call_body
 from briartack.core.calls.call_context import RouteView, ShareView
 from briartack.core.calls.idempotency import IssuedKey
+from briartack.core.calls.reasons import Reason
 from briartack.core.calls.timers import Timers
 from briartack.core.events import CallArrived
 from briartack.core.messages import Headers
@@ -55,6 +56,7 @@
     sent_at: float = 0
     stale_clocks: int = 0
     free_refusals: int = 0
+    refused_for: Reason | None = None  # why the last owner did not start it
 
     @property
     def body_id(self) -> BodyId:
--- a/briartack/core/calls/choice.py
+++ b/briartack/core/calls/choice.py
@@ -92,6 +92,7 @@
             regions,
             slots=call.share.limits.slots,
             tried=call.tried,
+            repeats=call.refused_for is None,
             full_load=_full_load(context.rules, call.body_bytes),
         )
 
@@ -104,9 +105,14 @@
         *,
         slots: int,
         tried: tuple[InstanceId, ...] = (),
+        repeats: bool = True,
         full_load: float = FULL_LOAD,
     ) -> Choice:
-        """Choose among candidates, those not yet tried first."""
+        """Choose among candidates, those not yet tried first.
+
+        An owner that has just refused would do so again, so a call that one
+        refused `repeats` at none.
+        """
 
         def load_of(member: Member) -> float | None:  # noqa: WPS430
             return self._load_of(context, now, member, slots)
@@ -115,7 +121,7 @@
             return None if member.instance in tried else load_of(member)
 
         member = choose(context.random, scopes, untried_load_of, full_load)
-        if member is None and tried:
+        if member is None and tried and repeats:
             member = choose(context.random, scopes, load_of, full_load)
         if member is not None:
             return Chosen(member=member, regions=regions)
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -314,9 +314,8 @@
                 context, now, call, reasons.KEY_OWNER_GONE, Verdict.UNKNOWN
             )
         if choice is NoChoice.NO_ENDPOINT or context.snapshot is None:
-            return self._refuse(
-                context, now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN
-            )
+            reason = call.refused_for or reasons.NO_ENDPOINT
+            return self._refuse(context, now, call, reason, Verdict.NOT_RUN)
         regions = home_regions(
             context.snapshot,
             call.route,
@@ -350,6 +349,7 @@
         wait = backoff_seconds(context.random, call.attempts)
         if is_free(context.rules, call, verdict, reason):
             call.free_refusals += 1
+            call.refused_for = reason
             call.attempts -= 1
             return self._next_attempt(context, now, call)
         if now + wait < call.deadline and self._retry.may_retry(
--- a/briartack/line_writer.py
+++ b/briartack/line_writer.py
@@ -20,6 +20,9 @@
 
 # Room for several lines of the largest size, which lists a whole version.
 MAX_QUEUED_BYTES: Final = 4_194_304
+# A wake-up of the thread for each log line would cost more than the line; a
+# kill loses at most the log lines of this time. Audit lines do not wait.
+_GATHER_SECONDS: Final = 0.05
 _DRAIN_SECONDS: Final = 1.0
 _DRAIN_STEP_SECONDS: Final = 0.01
 _COUNTER: Final = 'lines_lost'
@@ -45,6 +48,7 @@
         '_descriptor',
         '_limit_bytes',
         '_queue',
+        '_is_urgent',
         '_taken_bytes',
         '_done_bytes',
         '_left_out',
@@ -61,6 +65,7 @@
         self._descriptor = descriptor
         self._limit_bytes = limit_bytes
         self._queue: queue.SimpleQueue[bytes] = queue.SimpleQueue()
+        self._is_urgent = threading.Event()
         # Each number is written by one thread alone: what was taken and left
         # out by the caller's, what was done and failed by the writing one.
         self._taken_bytes = 0
@@ -92,16 +97,22 @@
         self._queue.put(content)
 
     def flush(self) -> None:
-        """Do nothing, since the thread writes each line at once."""
+        """Ask the thread not to gather more lines."""
+        self._is_urgent.set()
 
     def _write_on(self) -> None:
         while True:
-            content = self._queue.get()
+            lines = [self._queue.get()]
+            self._is_urgent.wait(_GATHER_SECONDS)
+            self._is_urgent.clear()
+            while not self._queue.empty():
+                lines.append(self._queue.get())
+            content = b''.join(lines)
             try:
                 self._write_all(content)
             except OSError:
                 # Its reader may come back, as that of a named pipe does.
-                self._failed += 1
+                self._failed += len(lines)
             self._done_bytes += len(content)
 
     def _write_all(self, content: bytes) -> None:
@@ -130,7 +141,8 @@
 
     def report(self, observer: Observer) -> None:
         """Count what was lost since the last report."""
-        self._report(_LOG, self.logs.lost, observer)
+        if self.logs is not self.audit:
+            self._report(_LOG, self.logs.lost, observer)
         lost = self._report(_AUDIT, self.audit.lost, observer)
         if lost:
             observer.log(LogLevel.WARNING, LINES_LOST, lines=str(lost))
--- a/briartack/logs.py
+++ b/briartack/logs.py
@@ -64,10 +64,27 @@
         return self._encoder.encode(line).decode()
 
 
+@final
+class _Handler(logging.Handler):
+    """Give each line to a sink, which writes it soon."""
+
+    def __init__(self, sink: LineSink) -> None:
+        super().__init__()
+        self._sink = sink
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record."""
+        self._sink.write(f'{self.format(record)}\n')
+
+
 def set_up_logs(*, level: str, identity: Identity, stream: LineSink) -> None:
     """Send all log lines of the process to a stream as JSON."""
-    handler = logging.StreamHandler(stream)
+    handler = _Handler(stream)
     handler.setFormatter(_Formatter(identity=identity))
+    # No line names the thread or the process.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
     logging.basicConfig(
         level=level.upper(),
         handlers=[handler],
@@ -80,7 +97,11 @@
     if not _LOGGER.isEnabledFor(level):
         return
     text = error_text(code).text or code
-    _LOGGER.log(level, text, extra={'code': code, 'fields': fields})
+    # `Logger.log` would look up the caller's frame for each line.
+    record = logging.LogRecord(_LOGGER.name, level, '', 0, text, (), None)
+    record.code = code
+    record.fields = fields
+    _LOGGER.handle(record)
 
 
 def write_exception(code: str, fields: dict[str, str]) -> None:
--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -10,6 +10,7 @@
 from briartack.core import effects, events, messages
 from briartack.core.calls import calls
 from briartack.core.calls.call_context import CallContext, Member, Regions
+from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.calls_state import CallsState
 from briartack.core.configuration.settings import (
     PlatformSettings,
@@ -201,6 +202,7 @@
             ),
             random=self.random,
             is_confirmed=setup.get('is_confirmed', True),
+            rules=CallRules(**setup.get('rules', {})),
         )
 
     def _arrive(self, now: float, step: Step) -> effects.Effects:
--- a/briartack/test/test_line_writer.py
+++ b/briartack/test/test_line_writer.py
@@ -2,6 +2,7 @@
 
 import os
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
@@ -85,6 +86,31 @@
             self.wait_for(writer)
             self.assertEqual(writer.lost, expected)
 
+    def test_lines_of_a_moment_are_written_together(self) -> None:
+        """Guards against a wake-up of the thread and a write for each line."""
+        filled = fill(self.end)
+        os.set_blocking(self.end, True)
+        writer = LineWriter(self.end)
+        with mock.patch.object(os, 'write', wraps=os.write) as write:
+            for _ in range(20):
+                writer.write(LINE)
+            read(self.reader, filled)
+            self.assertEqual(
+                read(self.reader, 20 * len(LINE)).decode(),
+                20 * LINE,
+            )
+            self.wait_for(writer)
+            self.assertLessEqual(write.call_count, 2)
+
+    def test_one_stream_for_both_counts_a_loss_once(self) -> None:
+        """Guards against a loss that is counted under two names."""
+        observer = CountingObserver()
+        writer = LineWriter(None)
+        writers = LineWriters(audit=writer, logs=writer)
+        writer.write(LINE)
+        writers.report(observer)
+        self.assertEqual(observer.counts, {'lines_lost audit': 1})
+
     def test_losses_are_reported_once(self) -> None:
         """Guards against losses that operators can't see."""
         observer = CountingObserver()
