Let calls of a run be as urgent as the run, and go first among equals

The id of a call extends that of the run; it counts only while this daemon's upstream runs that request.

--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -137,6 +137,7 @@
                 target=head.target,
                 host=head.host,
                 request_id=head.request_id,
+                parent_id=head.parent_id,
                 headers=head.headers,
                 tenant=head.tenant,
                 idempotency_key=head.idempotency_key,
--- a/briartack/core/calls/admission.py
+++ b/briartack/core/calls/admission.py
@@ -17,6 +17,7 @@
     deadline: float
     interactive: bool
     rank: int = 0
+    is_of_run: bool = False  # a run at another upstream waits for it
     # A start after this time gives an answer that is worth less.
     useful_until: float = float('inf')
 
@@ -118,14 +119,16 @@
     def _ahead(self, waiting: Waiting) -> int:
         """Count what would start before an attempt."""
         ahead = 0 if waiting.interactive else len(self._interactive)
+        order = _order(waiting)
         return ahead + sum(
-            other.rank <= waiting.rank for other in self._queue(waiting)
+            _order(other) <= order for other in self._queue(waiting)
         )
 
     def _enqueue(self, waiting: Waiting) -> None:
         queue = self._queue(waiting)
         position = len(queue)
-        while position and queue[position - 1].rank > waiting.rank:
+        order = _order(waiting)
+        while position and _order(queue[position - 1]) > order:
             position -= 1
         queue.insert(position, waiting)
 
@@ -134,11 +137,16 @@
         if waiting.interactive and self._background:
             return self._background.pop()
         queue = self._queue(waiting)
-        if queue and queue[-1].rank > waiting.rank:
+        if queue and _order(queue[-1]) > _order(waiting):
             return queue.pop()
         return None
 
 
+def _order(waiting: Waiting) -> tuple[int, bool]:
+    """Put the urgent first, and among equals what runs wait for."""
+    return waiting.rank, not waiting.is_of_run
+
+
 def _without(
     queue: deque[Waiting],
     attempt_id: AttemptId,
--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -75,7 +75,8 @@
             body_digest=call.body_digest,
             interactive=call.interactive,
             request_id=call.event.request_id,
-            rank=call.route.policy.rank,
+            rank=call.rank,
+            is_of_run=call.is_of_own_run,
             target_ms=_target_left_ms(context, now, call, chosen),
             home_regions=listed_regions(chosen.regions),
             idempotency_key=call.event.idempotency_key,
@@ -139,8 +140,11 @@
     """Return the time in which an owner has to answer, or refuse at once.
 
     A large body may wait in its own data centre until its deadline, because
-    its way elsewhere costs more than the wait.
+    its way elsewhere costs more than the wait. A call of a run may be late,
+    since the run fails without it.
     """
+    if call.is_of_own_run:
+        return (call.deadline - now) * MILLISECONDS
     target_ms = call.route.policy.target_ms
     is_near = chosen.member.data_centre == context.identity.data_centre
     if target_ms is None or (is_near and call.body_bytes >= LARGE_BODY_BYTES):
--- a/briartack/core/calls/call_checks.py
+++ b/briartack/core/calls/call_checks.py
@@ -161,6 +161,7 @@
         route=route,
         share=share,
         issued_key=parse_key(key) if key else None,
+        rank=policy.rank,
         interactive=is_interactive and not is_background(event.headers),
         deadline=event.now + timeout_ms / MILLISECONDS,
         body_bytes=event.body_bytes or 0,
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -42,6 +42,7 @@
     route: RouteView
     share: ShareView  # the one of the route's services that was chosen
     issued_key: IssuedKey | None
+    rank: int  # 0 is the most urgent
     interactive: bool
     deadline: float
     body_bytes: int
@@ -56,6 +57,8 @@
     sent_at: float = 0
     stale_clocks: int = 0
     free_refusals: int = 0
+    # Made by a run of this daemon's own upstream, which waits for it.
+    is_of_own_run: bool = False
     refused_for: Reason | None = None  # why the last owner did not start it
 
     @property
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -81,6 +81,10 @@
         """Return the local upstream, for its load and health."""
         return self._upstream
 
+    def rank_of_run(self, request_id: str) -> int | None:
+        """Return the rank of a request that the upstream runs."""
+        return self._runner.rank_of_run(request_id)
+
     def next_outcome(self) -> LocalOutcome | None:
         """Take the next answer to an attempt of this daemon's sender."""
         return self._answers.next_local()
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -37,7 +37,13 @@
 class OwnerRunner:
     """Own the attempts that were accepted and have not been answered."""
 
-    __slots__ = ('_upstream', '_answers', '_attempts', '_timers')
+    __slots__ = (
+        '_upstream',
+        '_answers',
+        '_attempts',
+        '_timers',
+        '_ranks_of_runs',
+    )
 
     def __init__(
         self,
@@ -51,6 +57,7 @@
         self._answers = answers
         self._attempts = attempts
         self._timers: Timers[AttemptId] = Timers()
+        self._ranks_of_runs: dict[str, int] = {}  # by request
 
     def __iter__(self) -> Iterator[OwnedAttempt]:
         """List the attempts, so that each may end meanwhile."""
@@ -64,7 +71,14 @@
 
     def take(self, attempt_id: AttemptId) -> OwnedAttempt | None:
         """Take an attempt out."""
-        return self._attempts.pop(attempt_id, None)
+        record = self._attempts.pop(attempt_id, None)
+        if record is not None and record.phase is OwnedPhase.RUNNING:
+            self._ranks_of_runs.pop(record.attempt.request_id, None)
+        return record
+
+    def rank_of_run(self, request_id: str) -> int | None:
+        """Return the rank of a request that the upstream runs."""
+        return self._ranks_of_runs.get(request_id)
 
     def offer(self, now: float, record: OwnedAttempt) -> Effects:
         """Ask for a slot."""
@@ -76,6 +90,7 @@
             deadline=record.deadline,
             interactive=record.attempt.interactive,
             rank=record.attempt.rank,
+            is_of_run=record.attempt.is_of_run,
             useful_until=self._useful_until(now, record.attempt),
         )
         return self._apply(now, self._upstream.offer(waiting, now))
@@ -211,6 +226,8 @@
         record.phase = OwnedPhase.RUNNING
         record.generation = self._upstream.generation
         attempt = record.attempt
+        if attempt.request_id:
+            self._ranks_of_runs[attempt.request_id] = attempt.rank
         remaining = record.deadline - now
         return Dispatch(
             attempt_id=attempt.attempt_id,
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -63,6 +63,7 @@
         '_streams',
         '_chooser',
         '_sender',
+        '_owner',
     )
 
     def __init__(
@@ -78,6 +79,7 @@
         self._retry = RetryState()
         self._routing = routing
         self._streams = streams
+        self._owner = owner
         self._chooser = Chooser(
             routing=routing,
             endpoints=endpoints,
@@ -104,6 +106,7 @@
         call = enter(context, event, self._routing)
         if isinstance(call, AnswerCall):
             return [call, call_refused(event, call.reason)]
+        self._follow_run(call)
         self._table.add(call)
         self._streams.touch(call.share.service, event.now)
         self._retry.earn_for(context, call)
@@ -269,6 +272,13 @@
             effects.extend(self._give_up(context, now, call, reason))
         return effects
 
+    def _follow_run(self, call: Call) -> None:
+        """Let a call that a run makes be as urgent as the run."""
+        rank = self._owner.rank_of_run(call.event.parent_id)
+        if rank is not None:
+            call.rank = rank
+            call.is_of_own_run = True
+
     def _due(self, context: CallContext, now: float, call: Call) -> Effects:
         if now >= call.deadline:
             self._sender.suspect(call, now)
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -122,7 +122,8 @@
     method: str
     target: str  # path and query as received
     host: str = ''  # empty if the dialect does not route by host
-    request_id: str = ''  # that callers and upstreams know, for the log
+    request_id: str = ''  # that callers and upstreams know
+    parent_id: str = ''  # of the request whose run would make this one
     headers: Headers  # end-to-end headers only
     tenant: str = ''
     idempotency_key: str = ''
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -109,9 +109,10 @@
     home_regions: tuple[str, ...] = ()
     idempotency_key: str = ''
     body: bytes = b''  # the whole body, when it fits into one chunk
-    request_id: str = ''  # that callers and upstreams know, for the log
+    request_id: str = ''  # that callers and upstreams know
     rank: int = 0  # among calls of one priority, 0 first
     target_ms: float | None = None  # left until an answer is worth less
+    is_of_run: bool = False  # a run waits for it
 
 
 @final
--- a/briartack/platform/callers.py
+++ b/briartack/platform/callers.py
@@ -59,6 +59,7 @@
             if pair[0].lower() not in _SET_BY_US
         )
         host = headers.get('host') or ''
+        request_id = headers.get(ATTEMPT_ID) or ''
         return RequestHead(
             method=method,
             target=target,
@@ -70,7 +71,9 @@
             body_bytes=body_bytes,
             key_service='',
             host=host.partition(':')[0],
-            request_id=headers.get(ATTEMPT_ID) or '',
+            request_id=request_id,
+            # Upstreams extend the id of the request that they run.
+            parent_id=request_id.rpartition('.')[0],
         )
 
     def answer(
--- a/briartack/request_head.py
+++ b/briartack/request_head.py
@@ -22,3 +22,5 @@
     key_service: str  # not empty when the caller asks for a key
     host: str = ''
     request_id: str = ''
+    # The request whose run would make this one, if its id tells.
+    parent_id: str = ''
--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -257,6 +257,8 @@
             interactive=step.get('interactive', True),
             home_regions=tuple(step.get('home_regions', ())),
             idempotency_key=step.get('key', ''),
+            request_id=step.get('request', ''),
+            rank=step.get('rank', 0),
         )
         return self._message(calls.on_attempt, now, step, message)
 
--- a/briartack/test/test_call_rules.py
+++ b/briartack/test/test_call_rules.py
@@ -11,14 +11,18 @@
 from briartack.core.calls import reasons
 from briartack.core.calls.admission import AdmissionState, Waiting
 from briartack.core.calls.call_rules import CallRules
+from briartack.core.calls.calls import on_call_arrived
 from briartack.core.calls.drain import DrainState
 from briartack.core.calls.reasons import Reason
 from briartack.core.calls.retry import RetryState, is_free, shared_budget
 from briartack.core.calls.routing import RoutingState
 from briartack.core.configuration.settings import ServiceLimits
-from briartack.core.units import AttemptId
+from briartack.core.effects import SendAttempt
+from briartack.core.events import CallArrived
+from briartack.core.messages import Attempt
+from briartack.core.units import AttemptId, CallId
 from briartack.core.verdict import Verdict
-from briartack.test.call_bench import BenchRoute, BenchShare
+from briartack.test.call_bench import Bench, BenchRoute, BenchShare
 
 RULES: Final = CallRules(
     counts_refusals=False,
@@ -74,6 +78,50 @@
         self.assertFalse(is_free(CallRules(), call, verdict, reason))
 
 
+class CallOfRunTest(unittest.TestCase):
+    @params(
+        ({'parent': 'r1'}, 4, True),
+        ({'parent': 'r2'}, 0, False),
+        ({}, 0, False),
+    )
+    def test_calls_are_as_urgent_as_their_run(
+        self,
+        step: dict[str, str],
+        rank: int,
+        is_of_run: bool,
+    ) -> None:
+        """Guards against urgent work behind calls of less urgent runs."""
+        bench = Bench(setup={'members': 'ab'})
+        bench.run({'at': 1, 'do': 'connect', 'peer': 'b'})
+        run = {'attempt': 'x', 'request': 'r1', 'rank': 4}
+        bench.run({'at': 1, 'do': 'attempt', 'peer': 'b', **run})
+        sent = self.send(bench, step)
+        self.assertEqual((sent.rank, sent.is_of_run), (rank, is_of_run))
+        bench.run({'at': 2, 'do': 'upstream', 'attempt': 'x'})
+        self.assertFalse(self.send(bench, step).is_of_run)
+
+    def send(self, bench: Bench, step: dict[str, str]) -> Attempt:
+        """Let a call arrive while this daemon's own upstream is leaving."""
+        bench.change({'leaving': 'a'})
+        arrival = CallArrived(
+            now=2,
+            call_id=CallId(f'c{id(step)}'),
+            method='GET',
+            target='/s/x',
+            headers=(),
+            tenant='',
+            idempotency_key='',
+            deadline_ms=None,
+            is_nested=False,
+            body_bytes=0,
+            parent_id=step.get('parent', ''),
+        )
+        made = on_call_arrived(bench.state, bench.context, arrival)
+        return next(
+            effect.attempt for effect in made if isinstance(effect, SendAttempt)
+        )
+
+
 class ShareTest(unittest.TestCase):
     @params((90, 10), (50, 50), (1, 0), (60, 40))
     def test_parts_follow_their_weights(self, *weights: int) -> None:
@@ -122,6 +170,7 @@
         name: str,
         *,
         rank: int = 0,
+        is_of_run: bool = False,
         useful_until: float = float('inf'),
         room: int | None = None,
     ) -> str:
@@ -130,6 +179,7 @@
             deadline=100,
             interactive=True,
             rank=rank,
+            is_of_run=is_of_run,
             useful_until=useful_until,
         )
         outcome = admission.offer(
@@ -154,6 +204,18 @@
         admission.release()
         self.assertEqual(admission.fill(0, limit=2).started, ('x',))
 
+    def test_calls_of_runs_go_first_among_equals(self) -> None:
+        """Guards against runs that fail for calls behind new work."""
+        admission = AdmissionState()
+        for name in 'abcde':
+            self.offer(admission, name, rank=1)
+        found = self.offer(admission, 'x', rank=1, is_of_run=True)
+        self.assertEqual(found, 'refused e')
+        found = self.offer(admission, 'y', rank=2, is_of_run=True)
+        self.assertEqual(found, 'refused y')
+        admission.release()
+        self.assertEqual(admission.fill(0, limit=2).started, ('x',))
+
     @params((0.15, 'refused c'), (0.25, 'queued'))
     def test_too_late_to_be_useful(
         self,
--- a/briartack/test/test_platform_calls.py
+++ b/briartack/test/test_platform_calls.py
@@ -74,6 +74,7 @@
             'X-Caller-Service: forged\r\nX-Own: 1\r\n',
         )
         self.assertEqual((head.host, head.request_id), ('h.example', '9c41'))
+        self.assertEqual(head.parent_id, '')
         self.assertEqual(head.deadline_ms, 1500)
         self.assertEqual(
             head.headers,
@@ -85,6 +86,11 @@
             ),
         )
 
+    @params(('9c41.77', '9c41'), ('9c41', ''), ('a.b.c', 'a.b'))
+    def test_id_of_a_call_of_a_run(self, request_id: str, run: str) -> None:
+        head = head_of(f'X-Attempt-Id: {request_id}\r\n')
+        self.assertEqual((head.request_id, head.parent_id), (request_id, run))
+
     @params('soon', '-1', 'nan', 'inf')
     def test_malformed_deadline(self, text: str) -> None:
         with self.assertRaises(RequestError):
