--- a/briartack/core/calls/calls.py
+++ b/briartack/core/calls/calls.py
@@ -91,7 +91,7 @@
             event.now,
             event.peer,
             attempt,
-            is_stopping=context.is_stopping or state.drain.is_draining,
+            is_stopping=context.is_stopping or state.drain.is_leaving,
         ),
     )
 
@@ -198,7 +198,7 @@
         hello.clock,
         event.now,
     )
-    if state.drain.is_draining:
+    if state.drain.is_leaving:
         goodbye = Goodbye(incarnation=context.identity.incarnation)
         effects.append(SendMessage(peer=event.peer, message=goodbye))
     effects.extend(
@@ -255,8 +255,8 @@
 
 def on_tick(state: CallsState, context: CallContext, event: Tick) -> Effects:
     """End what is over and go on with what waited."""
-    state.drain.follow(event.now)
-    effects = state.sender.tick(context, event.now)
+    effects = _follow_stop(state, context, event.now)
+    effects.extend(state.sender.tick(context, event.now))
     effects.extend(state.owner.tick(context, event.now))
     effects.extend(state.keys.tick(event.now))
     if not state.drain.is_draining:
@@ -281,10 +281,7 @@
     """Begin the planned stop."""
     if not state.drain.begin(event.now):
         return []
-    goodbye = Goodbye(incarnation=context.identity.incarnation)
-    effects: Effects = [
-        SendMessage(peer=peer, message=goodbye) for peer in state.endpoints
-    ]
+    effects = _follow_stop(state, context, event.now)
     return settle(state, context, event.now, effects)
 
 
@@ -301,6 +298,18 @@
     return settle(state, context, now, effects)
 
 
+def _follow_stop(
+    state: CallsState,
+    context: CallContext,
+    now: float,
+) -> Effects:
+    """Say goodbye to the peers once it is time to."""
+    if not state.drain.follow(now):
+        return []
+    goodbye = Goodbye(incarnation=context.identity.incarnation)
+    return [SendMessage(peer=peer, message=goodbye) for peer in state.endpoints]
+
+
 def _context_of_new_call(
     state: CallsState, context: CallContext
 ) -> CallContext:
--- a/briartack/core/calls/drain.py
+++ b/briartack/core/calls/drain.py
@@ -1,6 +1,10 @@
 """Planned stop: what is in flight ends, then the process does."""
 
-from typing import final
+from typing import Final, final
+
+# Peers are told so long before callers are refused: time for what they have
+# sent until they hear it.
+GOODBYE_LEAD_SECONDS: Final = 0.4
 
 
 @final
@@ -10,6 +14,8 @@
     __slots__ = (
         '_drain_seconds',
         '_linger_seconds',
+        '_leaves_at',
+        '_is_leaving',
         '_refuses_at',
         '_is_refusing',
         '_bound',
@@ -25,6 +31,8 @@
         """Start in normal service."""
         self._drain_seconds = drain_seconds
         self._linger_seconds = linger_seconds
+        self._leaves_at = float('inf')
+        self._is_leaving = False
         self._refuses_at = float('inf')
         self._is_refusing = False
         self._bound: float | None = None
@@ -35,6 +43,11 @@
         """Tell whether the stop has begun."""
         return self._bound is not None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether peers are to send nothing new."""
+        return self._is_leaving
+
     @property
     def is_refusing(self) -> bool:
         """Tell whether callers have had time to turn elsewhere."""
@@ -51,12 +64,16 @@
             return False
         self._bound = now + self._drain_seconds
         self._refuses_at = now + self._linger_seconds
-        self.follow(now)
+        lead_seconds = min(GOODBYE_LEAD_SECONDS, self._linger_seconds)
+        self._leaves_at = self._refuses_at - lead_seconds
         return True
 
-    def follow(self, now: float) -> None:
-        """Note the time, which ends the service to callers."""
+    def follow(self, now: float) -> bool:
+        """Note the time; return whether peers are to be told now."""
+        was_leaving = self._is_leaving
+        self._is_leaving = now >= self._leaves_at
         self._is_refusing = now >= self._refuses_at
+        return self._is_leaving and not was_leaving
 
     def is_bound_over(self, now: float) -> bool:
         """Tell whether the time of the stop is over."""
--- a/briartack/test/test_call_rules.py
+++ b/briartack/test/test_call_rules.py
@@ -12,6 +12,7 @@
 from briartack.core.calls.admission import AdmissionState, Waiting
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.calls import on_call_arrived
+from briartack.core.calls.calls_state import CallsState
 from briartack.core.calls.drain import DrainState
 from briartack.core.calls.reasons import Reason
 from briartack.core.calls.retry import RetryState, is_free, shared_budget
@@ -160,9 +161,52 @@
         drain.begin(10)
         drain.follow(10 + seconds)
         self.assertIs(drain.is_refusing, is_refusing)
+        self.assertFalse(drain.follow(10 + seconds))
         self.assertTrue(drain.is_draining)
 
 
+class GoodbyeTest(unittest.TestCase):
+    """Without these, each restart takes its upstream out for longer."""
+
+    def stopping(self, linger_seconds: float) -> Bench:
+        rules = CallRules(linger_seconds=linger_seconds)
+        bench = Bench(
+            setup={'members': 'ab'},
+            state=CallsState(drain_seconds=5, rules=rules),
+        )
+        bench.run({'at': 1, 'do': 'connect', 'peer': 'b'})
+        return bench
+
+    @params((0, ['goodbye b', 'exit 0']), (2.2, []))
+    def test_peers_are_told_when_callers_have_had_time(
+        self,
+        linger_seconds: float,
+        expected: list[str],
+    ) -> None:
+        bench = self.stopping(linger_seconds)
+        self.assertEqual(bench.run({'at': 1, 'do': 'stop'}), expected)
+
+    def test_lingering_owner_serves_its_peers(self) -> None:
+        """Guards against refusals while the upstream could still run."""
+        bench = self.stopping(2.2)
+        bench.run({'at': 1, 'do': 'stop'})
+        attempt = {'at': 2, 'do': 'attempt', 'peer': 'b'}
+        self.assertEqual(
+            bench.run({**attempt, 'attempt': 'x'}),
+            ['dispatch x'],
+        )
+        bench.run({'at': 2.1, 'do': 'upstream', 'attempt': 'x'})
+        self.assertEqual(bench.run({'at': 2.7, 'do': 'tick'}), [])
+        self.assertEqual(bench.run({'at': 2.85, 'do': 'tick'}), ['goodbye b'])
+        self.assertEqual(
+            bench.run({**attempt, 'at': 2.9, 'attempt': 'y'}),
+            ['reply b y not-run stopping', 'drop attempt:y'],
+        )
+        # What was sent before the goodbye arrived still gets its answer.
+        self.assertEqual(bench.run({'at': 3.1, 'do': 'tick'}), [])
+        self.assertEqual(bench.run({'at': 3.3, 'do': 'tick'}), ['exit 0'])
+
+
 class AdmissionTest(unittest.TestCase):
     def offer(
         self,
