Choose upstreams that are much slower than their service last

Owners report the mean time of their latest answers; senders compare it within the service. Ruled out: a mean over the last 10 answers, which a few long runs of a mixed load move by half.

--- a/briartack/core/calls/calls.py
+++ b/briartack/core/calls/calls.py
@@ -119,7 +119,12 @@
     """Take the answer of an attempt, whose body is complete."""
     peer = event.peer
     state.endpoints.note_news(peer, None, answer.owner_clock, event.now)
-    state.endpoints.report_load(peer, answer.load, event.now)
+    state.endpoints.report_load(
+        peer,
+        answer.load,
+        answer.run_seconds,
+        event.now,
+    )
     body_id = None
     if answer.body_bytes:
         body_id = answer_body(answer.attempt_id)
--- a/briartack/core/calls/choice.py
+++ b/briartack/core/calls/choice.py
@@ -18,6 +18,7 @@
     choose,
     is_out,
 )
+from briartack.core.calls.run_times import TypicalTimes
 from briartack.core.calls.streams import dial_some
 from briartack.core.effects import Effects
 from briartack.core.rendezvous import rank
@@ -55,6 +56,7 @@
     routing: RoutingState
     endpoints: EndpointsState
     upstream: LocalUpstream
+    typical: TypicalTimes = msgspec.field(default_factory=TypicalTimes)
 
     def choose_for(
         self,
@@ -138,12 +140,49 @@
         if context.members.is_leaving(member.instance):
             return None
         if member.instance == context.identity.instance:
-            is_open = self.upstream.is_open
-            return self.upstream.load(now) if is_open else None
+            if not self.upstream.is_open:
+                return None
+            load = self.upstream.load(now)
+        else:
+            view = self.endpoints.get(member.instance)
+            if view is None or not view.is_usable(now):
+                return None
+            load = view.load_now(now, member.slots or slots)
+        if self._is_slow(context, now, member):
+            # Others are chosen as long as they have room.
+            load += context.rules.full_load
+        return load
+
+    def _is_slow(
+        self,
+        context: CallContext,
+        now: float,
+        member: Member,
+    ) -> bool:
+        """Compare an instance with the others of its service."""
+        service = member.service
+        if self.typical.is_due(service, now):
+            self.typical.note(
+                service,
+                now,
+                (
+                    self._run_seconds(context, now, other)
+                    for other in context.members.of_service(service)
+                ),
+            )
+        mean = self._run_seconds(context, now, member)
+        return self.typical.is_slow(service, mean)
+
+    def _run_seconds(
+        self,
+        context: CallContext,
+        now: float,
+        member: Member,
+    ) -> float | None:
+        if member.instance == context.identity.instance:
+            return self.upstream.run_seconds(now) or None
         view = self.endpoints.get(member.instance)
-        if view is None or not view.is_usable(now):
-            return None
-        return view.load_now(now, member.slots or slots)
+        return None if view is None else view.run_time.recent(now)
 
     def _key_owner(
         self,
--- a/briartack/core/calls/endpoints.py
+++ b/briartack/core/calls/endpoints.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final, final
 
+from briartack.core.calls.run_times import RunTime
 from briartack.core.units import Incarnation, InstanceId
 
 VIEW_SECONDS: Final = 10.0
@@ -28,6 +29,7 @@
         'clock',
         'load',
         'load_at',
+        'run_time',
         'in_flight',
         'last_seen_at',
         'is_draining',
@@ -47,6 +49,7 @@
         self.clock = clock
         self.load = float(0)
         self.load_at = now
+        self.run_time = RunTime()
         self.in_flight = 0
         self.last_seen_at = now
         self.is_draining = False
@@ -128,12 +131,19 @@
             view.silences = 0
             view.avoided_until = now
 
-    def report_load(self, peer: InstanceId, load: float, now: float) -> None:
-        """Take the load that an answer carried."""
+    def report_load(
+        self,
+        peer: InstanceId,
+        load: float,
+        run_seconds: float,
+        now: float,
+    ) -> None:
+        """Take the load and the run time that an answer carried."""
         view = self._views.get(peer)
         if view is not None:
             view.load = max(load, 0)
             view.load_at = now
+            view.run_time.report(now, run_seconds)
 
     def begin(self, peer: InstanceId) -> None:
         """Count an attempt that is sent."""
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -6,6 +6,7 @@
 from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.calls.cold_gate import ColdGate
 from briartack.core.calls.ramp import RampState
+from briartack.core.calls.run_times import RunTime
 from briartack.core.calls.upstream_health import UpstreamHealth
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.events import UpstreamProbed
@@ -29,6 +30,7 @@
         '_limits',
         '_slots',
         '_health',
+        '_run_time',
         '_reported_load',
         '_reported_at',
     )
@@ -42,6 +44,7 @@
         self._slots: int | None = None
         self._health = UpstreamHealth()
         self._limits = ServiceLimits(slots=1, connections=1, queue_length=0)
+        self._run_time = RunTime()
         self._reported_load = float(0)
         self._reported_at = float('-inf')
 
@@ -109,6 +112,10 @@
         hint = min(max(self._reported_load, 0), 1)
         return max(own, own + REPORT_WEIGHT * (hint - own))
 
+    def run_seconds(self, now: float) -> float:
+        """Return the mean time of its latest answers, 0 if unknown."""
+        return self._run_time.recent(now) or 0
+
     def offer(self, waiting: Waiting, now: float) -> Admission:
         """Start, queue or refuse an attempt."""
         admission = self._admission.offer(
@@ -157,6 +164,8 @@
     ) -> bool:
         """Free a slot; return whether the slow start began again."""
         self._admission.release()
+        if is_success:
+            self._run_time.note(now, elapsed_seconds)
         return self._ramp.answered(
             now,
             elapsed_seconds,
--- a/briartack/core/calls/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -201,6 +201,7 @@
             body_bytes=event.body_bytes,
             body_digest=event.body_digest,
             load=self._upstream.load(event.now),
+            run_seconds=self._upstream.run_seconds(event.now),
             owner_clock=event.now,
         )
         body_id = answer_body(event.attempt_id)
@@ -277,6 +278,7 @@
             answer,
             attempt_id=record.attempt.attempt_id,
             load=self._upstream.load(now),
+            run_seconds=self._upstream.run_seconds(now),
             owner_clock=now,
         )
         return self._deliver(record, repeated, body_id, is_kept=True)
@@ -340,6 +342,7 @@
             body_bytes=0,
             body_digest=EMPTY_DIGEST,
             load=self._upstream.load(now),
+            run_seconds=self._upstream.run_seconds(now),
             owner_clock=now,
         )
 
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -139,6 +139,7 @@
     load: float  # share of the owner's present limit that is taken
     owner_clock: float
     body: bytes = b''
+    run_seconds: float = 0  # the upstream's lately, 0 if unknown
 
 
 @final
--- a/briartack/test/call_bench.py
+++ b/briartack/test/call_bench.py
@@ -281,6 +281,7 @@
             body_digest=DIGEST,
             load=step.get('load', 0),
             owner_clock=step.get('clock', now),
+            run_seconds=step.get('run_seconds', 0),
         )
         return self._message(calls.on_answer, now, step, message)
 
--- a/briartack/test/test_call_bounds.py
+++ b/briartack/test/test_call_bounds.py
@@ -265,7 +265,7 @@
         state = EndpointsState()
         peer = InstanceId('b')
         state.connect(peer, OWN, 5, 1)
-        state.report_load(peer, 3, 1)
+        state.report_load(peer, 3, 0, 1)
         state.forget_news(9)
         view = state.get(peer)
         assert view is not None
