Watch the store alone after 1.3 s without a parent on the platform

Cause: a daemon that is cut from all others but reaches the store counts as in touch, and waited 6 s before it asked the store itself. Ruled out: the watchers; they spread the change in 0.12 s. Before: 7 of 18 places of test_change_reaches_a_daemon_that_hears_nobody fail.

--- a/briartack/core/dissemination/dissemination_state.py
+++ b/briartack/core/dissemination/dissemination_state.py
@@ -51,7 +51,11 @@
     ) -> None:
         """Start without streams, calls or a list."""
         self.identity: Final = identity
-        self.tree: Final = TreePosition(identity=identity, random=random)
+        self.tree: Final = TreePosition(
+            identity=identity,
+            random=random,
+            orphan_seconds=rules.orphan_seconds,
+        )
         self.links: Final = LinksState(
             identity=identity,
             random=random,
--- a/briartack/core/dissemination/store_rules.py
+++ b/briartack/core/dissemination/store_rules.py
@@ -6,6 +6,9 @@
 
 from briartack.core.dissemination.dialling import REDIAL_SECONDS
 
+# Three rounds of suspicion have passed, and each round only tries two peers.
+ORPHAN_SECONDS: Final = 6.0
+
 
 @final
 class StoreRules(msgspec.Struct, frozen=True, kw_only=True):
@@ -20,6 +23,8 @@
     # after this time. A daemon that starts while the store is away hears of
     # the fleet by that alone.
     redial_seconds: float = REDIAL_SECONDS
+    # A daemon that hears no parent for so long watches the store itself.
+    orphan_seconds: float = ORPHAN_SECONDS
     # Roots of other regions leave the watch to the roots nearest to the store,
     # so that its answers cross no link between regions.
     is_duty_by_distance: bool = False
--- a/briartack/core/dissemination/tree_position.py
+++ b/briartack/core/dissemination/tree_position.py
@@ -6,15 +6,13 @@
 from briartack.core.dissemination.checks import Checks
 from briartack.core.dissemination.membership import MembershipState
 from briartack.core.dissemination.overlay import Member, Place, Tree
+from briartack.core.dissemination.store_rules import ORPHAN_SECONDS
 from briartack.core.effects import Effects, LogLevel, WriteLog
 from briartack.core.identity import Identity
 from briartack.core.units import InstanceId
 
 SILENCE_SECONDS: Final = 1.5
 SILENCE_JITTER_SECONDS: Final = 0.5
-# A daemon without parents for this long watches the store itself: three
-# rounds of suspicion have passed, and each round only tries two peers.
-ORPHAN_SECONDS: Final = 6.0
 PEERS_SUSPECTED: Final = 'peers-suspected'
 
 
@@ -25,6 +23,7 @@
     __slots__ = (
         '_own',
         '_random',
+        '_orphan_seconds',
         '_place',
         '_tree',
         '_live',
@@ -37,8 +36,15 @@
         '_checks',
     )
 
-    def __init__(self, *, identity: Identity, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        random: Random,
+        orphan_seconds: float = ORPHAN_SECONDS,
+    ) -> None:
         """Start without a list."""
+        self._orphan_seconds = orphan_seconds
         self._own = Member(
             instance=identity.instance,
             service=identity.service,
@@ -87,7 +93,7 @@
         """Tell whether this daemon is to watch the store."""
         return self._is_listed and (
             self._place.is_first_root
-            or self.silence_seconds(now) > ORPHAN_SECONDS
+            or self.silence_seconds(now) > self._orphan_seconds
         )
 
     def silence_seconds(self, now: float) -> float:
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -27,6 +27,9 @@
 # A restarted machine is out of touch for 3 s; it needs its configuration well
 # before.
 _REDIAL_SECONDS: Final = 1.0
+# A machine that is cut from all others and reaches the store has to follow a
+# change within 2 s; parents send a heartbeat each second.
+_ORPHAN_SECONDS: Final = 1.3
 # The bound of a change, 2 s, holds from 3 s after the store is back.
 _DUTY_BACKOFF_SECONDS: Final = 1.0
 
@@ -94,6 +97,7 @@
             start_jitter_seconds=_START_JITTER_SECONDS,
             duty_backoff_seconds=_DUTY_BACKOFF_SECONDS,
             redial_seconds=_REDIAL_SECONDS,
+            orphan_seconds=_ORPHAN_SECONDS,
             reads_stale_list=True,
             is_duty_by_distance=True,
         ),
--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -5,7 +5,8 @@
 
 import unittest
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
+from unittest import mock
 
 from nose2.tools import params
 
@@ -21,6 +22,7 @@
     start_jitter_seconds=0.1,
     duty_backoff_seconds=1.0,
     redial_seconds=1.0,
+    orphan_seconds=1.3,
     is_duty_by_distance=True,
 )
 
@@ -114,6 +116,29 @@
         fleet.run(IN_FORCE_SECONDS)
         self.assertEqual(set(fleet.lacking(revision)) - set(lost), set())
 
+    @params(*range(18))
+    def test_change_reaches_a_daemon_that_hears_nobody(
+        self,
+        place: int,
+    ) -> None:
+        """Guards against a wait for peers beside a store that answers."""
+        fleet = started()
+        alone = fleet.names[place]
+        send = fleet.send
+
+        def send_to_others(name: str, peer: str, message: Any) -> None:
+            if alone not in {name, peer}:
+                send(name, peer, message)
+
+        with mock.patch.object(fleet, 'send', send_to_others):
+            revision = fleet.edit('teams/a', 'second')
+            fleet.run(IN_FORCE_SECONDS)
+            self.assertEqual(fleet.lacking(revision), [])
+        fleet.run(BOOT_SECONDS)
+        self.assertEqual(
+            sorted(fleet.watchers()), sorted(fleet.roots('r0')[:2])
+        )
+
     def test_duty_returns_to_the_nearest(self) -> None:
         fleet = started()
         lost = fleet.roots('r0')
