--- a/briartack/line_writer.py
+++ b/briartack/line_writer.py
@@ -23,7 +23,8 @@
 # A wake-up of the thread for each log line would cost more than the line; a
 # kill loses at most the log lines of this time. Audit lines do not wait.
 _GATHER_SECONDS: Final = 0.05
-_DRAIN_SECONDS: Final = 1.0
+# Together with the last answers this has to fit into the grace time of a stop.
+_DRAIN_SECONDS: Final = 0.3
 _DRAIN_STEP_SECONDS: Final = 0.01
 _COUNTER: Final = 'lines_lost'
 _AUDIT: Final = 'audit'
