--- /dev/null
+++ b/briartack/core/calls/call_endings.py
@@ -0,0 +1,90 @@
+"""How calls end: with the answer of an upstream, or with a refusal."""
+
+from typing import final
+
+from briartack.core.calls.call_checks import refused, retry_after
+from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_lines import call_ended
+from briartack.core.calls.call_table import Call, CallTable
+from briartack.core.calls.reasons import Reason
+from briartack.core.effects import AnswerCall, DropBody, Effects
+from briartack.core.messages import Answer, Headers
+from briartack.core.units import BodyId
+from briartack.core.verdict import Verdict
+
+
+@final
+class CallEndings:
+    """Take calls out of the table and answer them."""
+
+    __slots__ = ('_table',)
+
+    def __init__(self, *, table: CallTable) -> None:
+        """Use the calls of one daemon."""
+        self._table = table
+
+    def answer(
+        self,
+        now: float,
+        call: Call,
+        answer: Answer,
+        body_id: BodyId | None,
+        spent_body: Effects,
+    ) -> Effects:
+        """Answer a call as its upstream did; drop what is spent."""
+        self._table.remove(call)
+        return [
+            AnswerCall(
+                call_id=call.event.call_id,
+                verdict=Verdict.RAN,
+                status=answer.status,
+                headers=answer.headers,
+                reason=answer.reason,
+                body_id=body_id if answer.body_bytes else None,
+            ),
+            DropBody(body_id=call.body_id),
+            *spent_body,
+            call_ended(
+                now,
+                call,
+                verdict=Verdict.RAN,
+                status=answer.status,
+                reason=answer.reason,
+            ),
+        ]
+
+    def refuse(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        reason: Reason,
+        verdict: Verdict,
+        headers: Headers = (),
+        *,
+        is_from_owner: bool = False,
+    ) -> Effects:
+        """Answer a call without an upstream's answer.
+
+        `not-run` must hold for all attempts, and for a call with a key only
+        the key's owner can say it.
+        """
+        self._table.remove(call)
+        has_key = bool(call.event.idempotency_key)
+        if call.may_have_run or (has_key and not is_from_owner):
+            verdict = Verdict.UNKNOWN
+        answer = refused(
+            call.event.call_id,
+            reason,
+            verdict,
+            headers,
+            retry_after(context.random, call.route.policy),
+        )
+        line = call_ended(
+            now,
+            call,
+            verdict=verdict,
+            status=answer.status,
+            reason=reason.code,
+        )
+        return [answer, DropBody(body_id=call.body_id), line]
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -8,13 +8,11 @@
 from briartack.core.calls.call_checks import (
     enter,
     home_headers,
-    refused,
-    retry_after,
 )
 from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_endings import CallEndings
 from briartack.core.calls.call_lines import (
     attempt_failed,
-    call_ended,
     call_refused,
 )
 from briartack.core.calls.call_table import Call, CallPhase, CallTable
@@ -38,7 +36,6 @@
 from briartack.core.messages import (
     MAX_BODY_BYTES,
     Answer,
-    Headers,
 )
 from briartack.core.units import BodyId, CallId, InstanceId
 from briartack.core.verdict import Verdict
@@ -58,6 +55,7 @@
 
     __slots__ = (
         '_table',
+        '_endings',
         '_retry',
         '_routing',
         '_streams',
@@ -76,6 +74,7 @@
     ) -> None:
         """Start without calls."""
         self._table = CallTable()
+        self._endings = CallEndings(table=self._table)
         self._retry = RetryState()
         self._routing = routing
         self._streams = streams
@@ -123,7 +122,7 @@
         if call is None or call.phase is not CallPhase.READING_BODY:
             return [DropBody(body_id=call_body(event.call_id))]
         if event.body_bytes > MAX_BODY_BYTES:
-            return self._refuse(
+            return self._endings.refuse(
                 context,
                 event.now,
                 call,
@@ -169,26 +168,7 @@
             return [Count(name='answers_late'), *spent_body]
         self._sender.end(call)
         if answer.verdict is Verdict.RAN:
-            self._table.remove(call)
-            return [
-                AnswerCall(
-                    call_id=call.event.call_id,
-                    verdict=Verdict.RAN,
-                    status=answer.status,
-                    headers=answer.headers,
-                    reason=answer.reason,
-                    body_id=body_id if answer.body_bytes else None,
-                ),
-                DropBody(body_id=call.body_id),
-                *spent_body,
-                call_ended(
-                    now,
-                    call,
-                    verdict=Verdict.RAN,
-                    status=answer.status,
-                    reason=answer.reason,
-                ),
-            ]
+            return self._endings.answer(now, call, answer, body_id, spent_body)
         reason = reasons.BY_CODE.get(answer.reason, reasons.UPSTREAM_FAILED)
         self._sender.learn(peer, reason, now)
         line = attempt_failed(
@@ -286,7 +266,7 @@
         if now < call.wait_until:
             return []
         if call.phase is CallPhase.CONNECTING:
-            return self._refuse(
+            return self._endings.refuse(
                 context, now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN
             )
         if call.phase is CallPhase.BACKING_OFF:
@@ -320,18 +300,20 @@
         choice: NoChoice,
     ) -> Effects:
         if choice is NoChoice.KEY_OWNER_GONE:
-            return self._refuse(
+            return self._endings.refuse(
                 context, now, call, reasons.KEY_OWNER_GONE, Verdict.UNKNOWN
             )
         if choice is NoChoice.NO_ENDPOINT or context.snapshot is None:
             reason = call.refused_for or reasons.NO_ENDPOINT
-            return self._refuse(context, now, call, reason, Verdict.NOT_RUN)
+            return self._endings.refuse(
+                context, now, call, reason, Verdict.NOT_RUN
+            )
         regions = home_regions(
             context.snapshot,
             call.route,
             call.event.tenant,
         )
-        return self._refuse(
+        return self._endings.refuse(
             context,
             now,
             call,
@@ -370,46 +352,10 @@
             until = now + wait
             self._table.wait(call, CallPhase.BACKING_OFF, until)
             return [Count(name='retries'), *_wake(now, until)]
-        return self._refuse(
+        return self._endings.refuse(
             context, now, call, reason, verdict, is_from_owner=True
         )
 
-    def _refuse(
-        self,
-        context: CallContext,
-        now: float,
-        call: Call,
-        reason: Reason,
-        verdict: Verdict,
-        headers: Headers = (),
-        *,
-        is_from_owner: bool = False,
-    ) -> Effects:
-        """Answer a call without an upstream's answer.
-
-        `not-run` must hold for all attempts, and for a call with a key only
-        the key's owner can say it.
-        """
-        self._table.remove(call)
-        has_key = bool(call.event.idempotency_key)
-        if call.may_have_run or (has_key and not is_from_owner):
-            verdict = Verdict.UNKNOWN
-        answer = refused(
-            call.event.call_id,
-            reason,
-            verdict,
-            headers,
-            retry_after(context.random, call.route.policy),
-        )
-        line = call_ended(
-            now,
-            call,
-            verdict=verdict,
-            status=answer.status,
-            reason=reason.code,
-        )
-        return [answer, DropBody(body_id=call.body_id), line]
-
     def _give_up(
         self,
         context: CallContext,
@@ -419,7 +365,7 @@
     ) -> Effects:
         effects = self._sender.withdraw(context, now, call)
         effects.extend(
-            self._refuse(context, now, call, reason, Verdict.NOT_RUN)
+            self._endings.refuse(context, now, call, reason, Verdict.NOT_RUN)
         )
         return effects
 
--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -5,7 +5,8 @@
 
 import unittest
 from collections.abc import Callable
-from typing import Any, Final
+from functools import partial
+from typing import Final
 from unittest import mock
 
 from nose2.tools import params
@@ -78,6 +79,18 @@
     return ()
 
 
+def _send_to_others(
+    send: Callable[[str, str, wire.PeerMessage], None],
+    alone: str,
+    name: str,
+    peer: str,
+    message: wire.PeerMessage,
+) -> None:
+    """Lose without notice what one daemon sends or is sent."""
+    if alone not in {name, peer}:
+        send(name, peer, message)
+
+
 class StoreDutyTest(unittest.TestCase):
     def test_the_nearest_region_watches_twice(self) -> None:
         """Guards against store answers on paid links."""
@@ -124,13 +137,8 @@
         """Guards against a wait for peers beside a store that answers."""
         fleet = started()
         alone = fleet.names[place]
-        send = fleet.send
-
-        def send_to_others(name: str, peer: str, message: Any) -> None:
-            if alone not in {name, peer}:
-                send(name, peer, message)
-
-        with mock.patch.object(fleet, 'send', send_to_others):
+        send = partial(_send_to_others, fleet.send, alone)
+        with mock.patch.object(fleet, 'send', send):
             revision = fleet.edit('teams/a', 'second')
             fleet.run(IN_FORCE_SECONDS)
             self.assertEqual(fleet.lacking(revision), [])
