--- a/briartack/core/calls/call_lines.py
+++ b/briartack/core/calls/call_lines.py
@@ -49,9 +49,10 @@
     view: Endpoint | None,
 ) -> WriteLog:
     """Say where an attempt went and what spoke for it."""
-    load, age_ms = _LOCAL, '0'
+    load, run_ms, age_ms = _LOCAL, _LOCAL, '0'
     if view is not None:
         load = f'{view.load:.2f}'
+        run_ms = _milliseconds(view.run_time.recent(now) or 0)
         age_ms = _milliseconds(now - view.load_at)
     return _line(
         ATTEMPT_SENT,
@@ -63,7 +64,10 @@
         service=call.share.service,
         peer=peer,
         load=load,
+        run_ms=run_ms,
         load_age_ms=age_ms,
+        rank=str(call.rank),
+        of_run=str(call.is_of_own_run),
         number=str(call.attempts),
         left_ms=_milliseconds(call.deadline - now),
     )
--- a/briartack/test/test_call_rules.py
+++ b/briartack/test/test_call_rules.py
@@ -18,7 +18,7 @@
 from briartack.core.calls.retry import RetryState, is_free, shared_budget
 from briartack.core.calls.routing import RoutingState
 from briartack.core.configuration.settings import ServiceLimits
-from briartack.core.effects import SendAttempt
+from briartack.core.effects import Effects, SendAttempt, WriteLog
 from briartack.core.events import CallArrived
 from briartack.core.messages import Attempt
 from briartack.core.units import AttemptId, CallId
@@ -96,12 +96,16 @@
         bench.run({'at': 1, 'do': 'connect', 'peer': 'b'})
         run = {'attempt': 'x', 'request': 'r1', 'rank': 4}
         bench.run({'at': 1, 'do': 'attempt', 'peer': 'b', **run})
-        sent = self.send(bench, step)
+        made = self.arrive(bench, step)
+        sent = _attempt_of(made)
         self.assertEqual((sent.rank, sent.is_of_run), (rank, is_of_run))
+        self.assertIn(('of_run', str(is_of_run)), _fields_of(made))
+        self.assertIn(('rank', str(rank)), _fields_of(made))
         bench.run({'at': 2, 'do': 'upstream', 'attempt': 'x'})
-        self.assertFalse(self.send(bench, step).is_of_run)
+        later = _attempt_of(self.arrive(bench, step))
+        self.assertFalse(later.is_of_run)
 
-    def send(self, bench: Bench, step: dict[str, str]) -> Attempt:
+    def arrive(self, bench: Bench, step: dict[str, str]) -> Effects:
         """Let a call arrive while this daemon's own upstream is leaving."""
         bench.change({'leaving': 'a'})
         arrival = CallArrived(
@@ -117,10 +121,7 @@
             body_bytes=0,
             parent_id=step.get('parent', ''),
         )
-        made = on_call_arrived(bench.state, bench.context, arrival)
-        return next(
-            effect.attempt for effect in made if isinstance(effect, SendAttempt)
-        )
+        return on_call_arrived(bench.state, bench.context, arrival)
 
 
 class ShareTest(unittest.TestCase):
@@ -280,6 +281,18 @@
         self.assertEqual(filled.started, ('a',))
 
 
+def _attempt_of(made: Effects) -> Attempt:
+    return next(
+        effect.attempt for effect in made if isinstance(effect, SendAttempt)
+    )
+
+
+def _fields_of(made: Effects) -> tuple[tuple[str, str], ...]:
+    return next(
+        effect.fields for effect in made if isinstance(effect, WriteLog)
+    )
+
+
 def _spend_all(retries: RetryState) -> int:
     spent = 0
     while retries.spend('s'):
