--- a/briartack/link.py
+++ b/briartack/link.py
@@ -1,5 +1,6 @@
 """Which dialects and rules a daemon has, by its settings."""
 
+from pathlib import Path
 from typing import final
 
 import msgspec
@@ -60,26 +61,25 @@
     def __init__(self, options: Options) -> None:
         """Remember the file as it was read at the start."""
         self._options = options
-        self._content = b''
-        self._content = self._read()
+        self._content = _content_of(options.boot, otherwise=b'')
 
     def changed(self) -> Link | None:
         """Return the link of a changed file.
 
         Raises ExceptionGroup of OptionError; the file before stays in force.
         """
-        content = self._read()
+        content = _content_of(self._options.boot, otherwise=self._content)
         if content == self._content:
             return None
         self._content = content
         return connect(self._options)
 
-    def _read(self) -> bytes:
-        path = self._options.boot
-        if path is None:
-            return b''
-        try:
-            return path.read_bytes()
-        except OSError:
-            # It is being replaced; the next look finds it.
-            return self._content
+
+def _content_of(path: Path | None, *, otherwise: bytes) -> bytes:
+    if path is None:
+        return b''
+    try:
+        return path.read_bytes()
+    except OSError:
+        # It is being replaced; the next look finds it.
+        return otherwise
--- /dev/null
+++ b/briartack/test/effect_lines.py
@@ -0,0 +1,43 @@
+"""Effects of the call path as short lines, for tables of tests."""
+
+from briartack.core import effects
+
+
+def describe(effect: effects.Effect) -> str:  # noqa: WPS212, C901
+    """Write an effect as a short line; what no case looks at is empty."""
+    match effect:
+        case effects.AnswerCall():
+            parts = (
+                'answer',
+                effect.call_id,
+                effect.verdict.value,
+                str(effect.status),
+                effect.reason,
+                effect.body_id or '',
+            )
+            return ' '.join(part for part in parts if part)
+        case effects.SendAnswer():
+            answer = effect.answer
+            return (
+                f'reply {effect.peer} {answer.attempt_id} '
+                f'{answer.verdict.value} {answer.reason or answer.status}'
+            )
+        case effects.SendAttempt():
+            return f'send {effect.peer} {effect.attempt.attempt_id}'
+        case effects.SendMessage():
+            return f'{type(effect.message).__name__.lower()} {effect.peer}'
+        case effects.Dispatch():
+            return f'dispatch {effect.attempt_id}'
+        case effects.AbortDispatch():
+            return f'abort {effect.attempt_id}'
+        case effects.DropBody():
+            return f'drop {effect.body_id}'
+        case effects.ReadBody():
+            return f'read {effect.call_id}'
+        case effects.Connect():
+            return f'connect {effect.peer}'
+        case effects.Exit():
+            return f'exit {effect.code}'
+        case effects.Count():
+            return f'count {effect.name}'
+    return ''
