--- a/briartack/core/calls/run_times.py
+++ b/briartack/core/calls/run_times.py
@@ -1,7 +1,6 @@
 """How long upstreams take to run a request, to find those that are slow."""
 
 from collections.abc import Iterable
-from statistics import median_low
 from typing import Final, final
 
 # The mean follows about this many answers, so that one long run of a mixed
@@ -68,8 +67,11 @@
         means: Iterable[float | None],
     ) -> None:
         """Compute the typical time from the means of the instances."""
-        known = [mean for mean in means if mean is not None]
-        typical = median_low(known) if len(known) >= MIN_COMPARED else None
+        known = sorted(mean for mean in means if mean is not None)
+        typical = None
+        if len(known) >= MIN_COMPARED:
+            # The lower median.
+            typical = known[(len(known) - 1) // 2]
         self._times[service] = (now, typical)
 
     def is_slow(self, service: str, mean: float | None) -> bool:
