--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -79,11 +79,14 @@
 class StateReports(Generic[StateT]):
     """Hold the functions that describe the state to operators.
 
-    `describe` returns the status. `explain` takes the state and the method,
-    path and tenant of a request, and explains how the request is handled.
+    `describe` returns the status, and `is_ready` whether the daemon takes
+    work, which the platform asks each second. `explain` takes the state and
+    the method, path and tenant of a request, and explains how the request is
+    handled.
     """
 
     describe: DescribeState[StateT]
+    is_ready: Callable[[StateT], bool]
     explain: Callable[[StateT, str, str, str], dict[str, object]]
 
 
@@ -185,7 +188,8 @@
             probe_path='' if rules.requires_identity else DEFAULT_HEALTH_PATH,
         )
         self._operator_port = OperatorPort(
-            describe=lambda: reports.describe(self._loop.state),
+            describe=partial(reports.describe, self._loop.state),
+            is_ready=partial(reports.is_ready, self._loop.state),
             explain=partial(reports.explain, self._loop.state),
             metrics=self._metrics,
         )
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -16,7 +16,7 @@
 from briartack.core.identity import Identity
 from briartack.core.reducer import reduce
 from briartack.core.state import State
-from briartack.core.status import describe
+from briartack.core.status import describe, is_ready
 from briartack.core.units import Incarnation, InstanceId
 from briartack.daemon import Daemon, StateReports
 from briartack.error_texts import (
@@ -102,7 +102,9 @@
         identity=identity,
         state=state,
         reduce=reduce,
-        reports=StateReports(describe=describe, explain=explain),
+        reports=StateReports(
+            describe=describe, is_ready=is_ready, explain=explain
+        ),
         writers=writers,
         integration=integration,
         apply_rules=state.replace_rules,
--- a/briartack/operator_port.py
+++ b/briartack/operator_port.py
@@ -38,17 +38,19 @@
 class OperatorPort:
     """Serve the health, readiness, status, explanation and metrics paths."""
 
-    __slots__ = ('_describe', '_explain', '_metrics', '_handlers')
+    __slots__ = ('_describe', '_is_ready', '_explain', '_metrics', '_handlers')
 
     def __init__(
         self,
         *,
         describe: Callable[[], _JsonObject],
+        is_ready: Callable[[], bool],
         explain: ExplainCall,
         metrics: MetricRegistry,
     ) -> None:
         """Set the functions that describe the status and explain a call."""
         self._describe = describe
+        self._is_ready = is_ready
         self._explain = explain
         self._metrics = metrics
         self._handlers: dict[str, Callable[[str], _Answer]] = {
@@ -90,7 +92,7 @@
         return _OK, _JSON, b'{"status":"ok"}'
 
     def _handle_readiness(self, query: str) -> _Answer:
-        is_ready = self._describe().get('ready') is True
+        is_ready = self._is_ready()
         body = msgspec.json.encode({'ready': is_ready})
         return _OK if is_ready else _NOT_READY, _JSON, body
 
--- a/briartack/test/test_operator_port.py
+++ b/briartack/test/test_operator_port.py
@@ -13,7 +13,7 @@
 from briartack.core.identity import Identity
 from briartack.core.reducer import reduce
 from briartack.core.state import State
-from briartack.core.status import describe
+from briartack.core.status import describe, is_ready
 from briartack.core.units import Incarnation, InstanceId, Revision
 from briartack.metrics import MetricRegistry
 from briartack.operator_port import OperatorPort
@@ -38,8 +38,10 @@
     def setUp(self) -> None:
         self.state = State(identity=IDENTITY, random=Random(1), drain_seconds=1)
         self.metrics = MetricRegistry()
+        self.described = 0
         port = OperatorPort(
-            describe=lambda: describe(self.state),
+            describe=self.describe_state,
+            is_ready=partial(is_ready, self.state),
             explain=partial(explain, self.state),
             metrics=self.metrics,
         )
@@ -49,6 +51,11 @@
         self.address = f'{LOOPBACK}:{server.server_port}'
         reduce(self.state, Started(now=1, incarnation=IDENTITY.incarnation))
 
+    def describe_state(self) -> dict[str, object]:
+        """Return the status and count the call."""
+        self.described += 1
+        return describe(self.state)
+
     def load_snapshot(self) -> None:
         """Give the state a snapshot at revision 2."""
         tree = {
@@ -93,6 +100,16 @@
         self.assertEqual(self.get('/readyz').status, 503)
         self.assertEqual(self.get('/healthz').status, 200)
 
+    def test_readiness_does_not_build_a_status(self) -> None:
+        """Guard against readiness checks that cost the size of the fleet.
+
+        The platform asks each daemon once a second, and a status lists what
+        the daemon knows of all instances.
+        """
+        self.load_snapshot()
+        self.get('/readyz')
+        self.assertEqual(self.described, 0)
+
     def test_status_reports_the_held_configuration(self) -> None:
         """Guard against a status without the versions that are in force."""
         before = self.get_json('/status')
