--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -30,7 +30,12 @@
         return reasons.NO_SNAPSHOT
     if not context.is_confirmed:
         return reasons.UNCONFIRMED
-    return _find_ineligibility(context, snapshot, record.attempt, upstream)
+    ineligibility = _find_ineligibility(
+        context, snapshot, record.attempt, upstream
+    )
+    if ineligibility is None and upstream.breaker.is_paused(now):
+        return reasons.UPSTREAM_REFUSING
+    return ineligibility
 
 
 def _find_ineligibility(
