--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -152,9 +152,7 @@
         if context.members.is_leaving(member.instance):
             return None
         if member.instance == context.identity.instance:
-            if not self.upstream.is_open or self.upstream.breaker.is_paused(
-                now
-            ):
+            if not self.upstream.is_open:
                 return None
             load = self.upstream.load(now)
         else:
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -9,7 +9,6 @@
 )
 from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.calls.cold_start_limiter import ColdStartLimiter
-from briartack.core.calls.refusal_breaker import RefusalBreaker
 from briartack.core.calls.run_times import MeanRunTime
 from briartack.core.calls.slow_start import SlowStartState
 from briartack.core.calls.upstream_health import UpstreamHealth
@@ -20,8 +19,6 @@
 LOAD_REPORT_MAX_AGE_SECONDS: Final = 10.0
 # Below 1, so that a report alone never makes an idle upstream look full.
 LOAD_REPORT_WEIGHT: Final = 0.5
-# Reported while the upstream refuses requests, so that senders choose others.
-REFUSING_LOAD: Final = 1.5
 NOTHING_ADMITTED: Final = AdmissionResult()
 
 
@@ -37,7 +34,6 @@
         '_limits',
         '_slots',
         '_health',
-        '_breaker',
         '_run_time',
         '_reported_load',
         '_reported_at',
@@ -51,7 +47,6 @@
         self._rules = rules
         self._slots: int | None = None
         self._health = UpstreamHealth()
-        self._breaker = RefusalBreaker()
         self._limits = ServiceLimits(slots=1, connections=1, queue_length=0)
         self._run_time = MeanRunTime()
         self._reported_load = float(0)
@@ -62,11 +57,6 @@
         """Return whether the upstream accepts new requests."""
         return self._health.is_open(self._rules)
 
-    @property
-    def breaker(self) -> RefusalBreaker:
-        """Return the circuit breaker, which refusals in a row open."""
-        return self._breaker
-
     @property
     def health(self) -> UpstreamHealth:
         """Return the health, as probes and failed requests report it."""
@@ -131,8 +121,6 @@
         difference is added where the report is higher. Reports older than
         `LOAD_REPORT_MAX_AGE_SECONDS` are ignored.
         """
-        if self._breaker.is_tripped:
-            return REFUSING_LOAD
         taken = self._admission.running + self._admission.queued
         own_load = max(
             taken / self.limit,
@@ -195,7 +183,7 @@
         self._admission.withdraw(attempt_id)
 
     def abort(self) -> None:
-        """Free the slot of an aborted or refused request."""
+        """Free the slot of an aborted request."""
         self._admission.release()
 
     def handle_answer(
@@ -208,7 +196,6 @@
     ) -> bool:
         """Free a slot and return whether the slow start restarted."""
         self._admission.release()
-        self._breaker.reset()
         if is_success:
             self._run_time.update(now, elapsed_seconds)
         return self._ramp.handle_answer(
@@ -248,7 +235,6 @@
         Return whether the slow start restarted.
         """
         self.assume_cold(now)
-        self._breaker.reset()
         self._health.update_identity(identity)
         return self._ramp.update_identity(identity, now)
 
@@ -275,5 +261,4 @@
     ) -> AdmissionResult:
         for _ in admission.started:
             self._cold_start_limiter.record_start(now)
-            self._breaker.record_start(now)
         return admission
--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -30,12 +30,7 @@
         return reasons.NO_SNAPSHOT
     if not context.is_confirmed:
         return reasons.UNCONFIRMED
-    ineligibility = _find_ineligibility(
-        context, snapshot, record.attempt, upstream
-    )
-    if ineligibility is None and upstream.breaker.is_paused(now):
-        return reasons.UPSTREAM_REFUSING
-    return ineligibility
+    return _find_ineligibility(context, snapshot, record.attempt, upstream)
 
 
 def _find_ineligibility(
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -25,9 +25,7 @@
     Dispatch,
     DropBody,
     Effects,
-    LogLevel,
     WakeAt,
-    WriteLog,
 )
 from briartack.core.events import UpstreamAnswered, UpstreamFailed
 from briartack.core.messages import Attempt
@@ -176,8 +174,6 @@
         record: OwnedAttempt,
     ) -> tuple[Effects, bool]:
         """Answer the sender; also return whether the slow start restarted."""
-        if event.is_refusal and not event.identity:
-            return self._handle_refusal(event, record), False
         has_restarted = self._upstream.handle_failure(
             event.now,
             generation=record.generation,
@@ -185,6 +181,8 @@
             is_down=event.is_reset and not event.may_have_run,
         )
         reason = reasons.UPSTREAM_FAILED
+        if event.is_refusal:
+            reason = reasons.UPSTREAM_REFUSED
         if event.identity:
             has_restarted = self._upstream.handle_replacement(
                 event.now, event.identity
@@ -209,38 +207,6 @@
         effects.extend(self._apply(now, self._upstream.fill(now)))
         return effects
 
-    def _handle_refusal(
-        self, event: UpstreamFailed, record: OwnedAttempt
-    ) -> Effects:
-        """Pass on a refusal of the upstream.
-
-        Queued attempts are refused once the upstream refuses all: each would
-        only cost a retry of the shared budget.
-        """
-        now = event.now
-        self._upstream.abort()
-        has_opened = self._upstream.breaker.record_refusal(now)
-        effects = self._answers.fail(
-            now, record, Verdict.NOT_RUN, reasons.UPSTREAM_REFUSED
-        )
-        if has_opened:
-            effects.append(Count(name='upstream_refusals_in_row'))
-            effects.append(
-                WriteLog(
-                    level=LogLevel.WARNING,
-                    code='upstream-paused',
-                    fields=(('upstream', self._upstream.health.identity),),
-                )
-            )
-        if self._upstream.breaker.is_paused(now):
-            for queued in self:
-                if queued.phase is OwnedPhase.QUEUED:
-                    effects.extend(
-                        self.expire(now, queued, reasons.UPSTREAM_REFUSING)
-                    )
-        effects.extend(self._apply(now, self._upstream.fill(now)))
-        return effects
-
     def _apply(self, now: float, admission: AdmissionResult) -> Effects:
         effects: Effects = []
         for refused in admission.refused:
--- a/briartack/core/calls/reasons.py
+++ b/briartack/core/calls/reasons.py
@@ -105,10 +105,6 @@
     code='upstream-refused',
     status=UNAVAILABLE,
 )
-UPSTREAM_REFUSING: Final = Reason(
-    code='upstream-refusing',
-    status=UNAVAILABLE,
-)
 UPSTREAM_REPLACED: Final = Reason(
     code='upstream-replaced',
     status=UNAVAILABLE,
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -178,10 +178,6 @@
             'The upstream itself refused to run the request.',
             'Retry the request later, with a pause between retries.',
         ),
-        'upstream-refusing': ErrorText(
-            'The upstream refuses all requests, so none are sent for a moment.',
-            'Retry the request later, with a pause between retries.',
-        ),
         'upstream-replaced': ErrorText(
             'Another upstream has replaced the expected one.',
             'Retry the request after a moment.',
@@ -231,10 +227,6 @@
             'A removed resource is kept because another team refers to it.',
             'Publish the resource again, or remove the references.',
         ),
-        'upstream-paused': ErrorText(
-            'The upstream refuses all requests; only trials are sent to it.',
-            'Check the upstream, whose health check succeeds.',
-        ),
         'ramp-restarted': ErrorText(
             'The upstream appears cold; its concurrency ramp restarts at 1.',
             '',
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -377,7 +377,6 @@
             may_have_run=step['may_have_run'],
             is_reset=step.get('is_reset', False),
             reason='',
-            is_refusal=step.get('is_refusal', False),
         )
         return call_handlers.on_upstream_failed(self.state, self.context, event)
 
