Log who watches the store, answers of watches, and differences between peers

The logs could not tell a watch that was handed over late from one that was pending and silent. New lines: store-duty, store-watch-answered (with the time waited), store-history-gone, entries-differ; counters: store.watches, pulls, gaps.

--- a/briartack/core/calls/call_logs.py
+++ b/briartack/core/calls/call_logs.py
@@ -13,7 +13,7 @@
 from briartack.core.effects import LogLevel, WriteLog
 from briartack.core.events import CallArrived
 from briartack.core.messages import Attempt
-from briartack.core.units import InstanceId
+from briartack.core.units import MILLISECONDS_PER_SECOND, InstanceId
 from briartack.core.verdict import Verdict
 
 CALL_REFUSED: Final = 'call-refused'
@@ -25,7 +25,6 @@
 REQUEST_LOG_CODES: Final = frozenset(
     (CALL_REFUSED, ATTEMPT_SENT, ATTEMPT_FAILED, CALL_ENDED, RUN_ENDED),
 )
-_MILLISECONDS_PER_SECOND: Final = 1000
 # Replaces the load figures of attempts at the local upstream.
 _LOCAL_VALUE: Final = 'local'
 
@@ -143,7 +142,7 @@
 
 
 def _format_milliseconds(seconds: float) -> str:
-    return f'{seconds * _MILLISECONDS_PER_SECOND:.0f}'
+    return f'{seconds * MILLISECONDS_PER_SECOND:.0f}'
 
 
 def _build_line(code: str, **fields: str) -> WriteLog:
--- a/briartack/core/calls/idempotency.py
+++ b/briartack/core/calls/idempotency.py
@@ -12,7 +12,12 @@
 from typing import Final, final
 
 from briartack.core.messages import Answer
-from briartack.core.units import BodyId, Incarnation, InstanceId
+from briartack.core.units import (
+    MILLISECONDS_PER_SECOND,
+    BodyId,
+    Incarnation,
+    InstanceId,
+)
 
 MAX_OUTCOMES: Final = 1024
 MAX_OUTCOME_BYTES: Final = 65536
@@ -21,7 +26,6 @@
 _NONCE_DIGITS: Final = _CLOCK_DIGITS + _RANDOM_BITS // 4
 _HEX_BASE: Final = 16
 _HEX_DIGITS: Final = frozenset('0123456789abcdef')
-_MILLISECONDS_PER_SECOND: Final = 1000
 
 
 @final
@@ -67,7 +71,7 @@
 
     The nonce is the owner's clock in milliseconds and random bits, in hex.
     """
-    clock_ms = max(0, int(clock * _MILLISECONDS_PER_SECOND))
+    clock_ms = max(0, int(clock * MILLISECONDS_PER_SECOND))
     nonce = f'{clock_ms:012x}{random.getrandbits(_RANDOM_BITS):016x}'
     return f'{instance}.{incarnation}.{nonce}'
 
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -5,7 +5,7 @@
 queues them for a slot, and handles the upstream's answers and probes.
 """
 
-from typing import Final, final
+from typing import final
 
 from briartack.core.body_ids import attempt_body_id
 from briartack.core.calls import reasons
@@ -40,9 +40,12 @@
     UpstreamProbed,
 )
 from briartack.core.messages import Attempt
-from briartack.core.units import AttemptId, BodyId, InstanceId
-
-MILLISECONDS_PER_SECOND: Final = 1000
+from briartack.core.units import (
+    MILLISECONDS_PER_SECOND,
+    AttemptId,
+    BodyId,
+    InstanceId,
+)
 
 
 @final
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -29,13 +29,12 @@
 )
 from briartack.core.events import UpstreamAnswered, UpstreamFailed
 from briartack.core.messages import Attempt
-from briartack.core.units import AttemptId
+from briartack.core.units import MILLISECONDS_PER_SECOND, AttemptId
 from briartack.core.verdict import Verdict
 
 # From this status on, an answer is a failure of the upstream itself, which must
 # not raise its concurrency limit.
 MIN_SERVER_ERROR_STATUS: Final = 500
-MILLISECONDS_PER_SECOND: Final = 1000
 
 
 @final
--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -21,7 +21,13 @@
     is_ahead,
     revision_to_pull_after,
 )
-from briartack.core.effects import Count, Effects, SendMessage
+from briartack.core.effects import (
+    Count,
+    Effects,
+    LogLevel,
+    SendMessage,
+    WriteLog,
+)
 from briartack.core.entries import Entry
 from briartack.core.messages import (
     Entries,
@@ -30,7 +36,11 @@
     Pull,
     Summary,
 )
-from briartack.core.units import InstanceId, Revision
+from briartack.core.units import (
+    MILLISECONDS_PER_SECOND,
+    InstanceId,
+    Revision,
+)
 
 PULL_TIMEOUT_SECONDS: Final = 0.5
 PULLS_BEFORE_INVENTORY: Final = 2
@@ -43,6 +53,7 @@
 MIN_GAP_AGE_SECONDS: Final = 0.8
 MAX_ENTRIES_BYTES: Final = 4_000_000
 ENTRY_OVERHEAD_BYTES: Final = 64
+ENTRIES_DIFFER: Final = 'entries-differ'
 
 
 @final
@@ -213,7 +224,10 @@
             target_revision=view.summary.highest,
         )
         after = revision_to_pull_after(view.summary, holdings)
-        return [SendMessage(peer=peer, message=Pull(after=after))]
+        return [
+            Count(name='pulls'),
+            SendMessage(peer=peer, message=Pull(after=after)),
+        ]
 
     def _check_gap(
         self,
@@ -231,7 +245,16 @@
             return []
         view.record_try(holdings)
         view.delay_retry(now)
-        return [_inventory_message(peer, holdings)]
+        fields = (
+            ('peer', peer),
+            ('age_ms', f'{(now - since) * MILLISECONDS_PER_SECOND:.0f}'),
+            ('highest', str(holdings.highest)),
+        )
+        return [
+            Count(name='gaps'),
+            WriteLog(level=LogLevel.INFO, code=ENTRIES_DIFFER, fields=fields),
+            _inventory_message(peer, holdings),
+        ]
 
 
 def answer_pull(peer: InstanceId, pull: Pull, holdings: Holdings) -> Effects:
--- a/briartack/core/dissemination/store_reachability.py
+++ b/briartack/core/dissemination/store_reachability.py
@@ -58,11 +58,8 @@
         self._is_answered = False
 
     def report_failure(self, event: StoreFailed, seen: Revision) -> Effects:
-        """Log that calls fail, once until the next answer.
-
-        An answer that the requested history is gone is no failure of the store.
-        """
-        if self._is_failure_logged or event.is_history_gone:
+        """Log that calls fail, once until the next answer."""
+        if self._is_failure_logged:
             return []
         self._is_failure_logged = True
         fields = (
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -13,6 +13,11 @@
     TokenBucket,
 )
 from briartack.core.dissemination.store_reachability import StoreReachability
+from briartack.core.dissemination.store_reports import (
+    report_duty,
+    report_gone_history,
+    report_watch,
+)
 from briartack.core.dissemination.store_rules import (
     DEFAULT_STORE_RULES,
     StoreRules,
@@ -66,6 +71,7 @@
         '_read_deadlines',
         '_instance_read_at',
         '_watch_deadline',
+        '_watch_started_at',
         '_is_on_duty',
         '_must_read_revision',
         '_catch_up_revision',
@@ -94,6 +100,7 @@
         self._read_deadlines: dict[str, float] = {}  # deadlines by prefix
         self._instance_read_at: float | None = None
         self._watch_deadline: float | None = None
+        self._watch_started_at: float | None = None
         self._is_on_duty = False
         self._must_read_revision = False
         self._catch_up_revision: Revision | None = None
@@ -147,12 +154,17 @@
 
     def set_duty(self, *, is_on_duty: bool) -> Effects:
         """Set whether this daemon watches the store; cancel a watch if not."""
+        effects: Effects = []
+        if is_on_duty != self._is_on_duty:
+            effects = report_duty(
+                self._complete_revision, is_on_duty=is_on_duty
+            )
         self._is_on_duty = is_on_duty
         self._must_read_revision = self._must_read_revision and is_on_duty
         if is_on_duty or self._watch_deadline is None:
-            return []
+            return effects
         self._watch_deadline = None
-        return [CancelWatch()]
+        return [*effects, CancelWatch()]
 
     def resume(self) -> Effects:
         """Drop the calls in flight after a pause of this process.
@@ -214,6 +226,9 @@
         """
         self._watch_deadline = None
         effects = self._reachability.record_answer(event.revision)
+        effects.extend(
+            report_watch(event, self._complete_revision, self._watch_started_at)
+        )
         self._backoff.record_success()
         if self._complete_revision is not None:
             self._advance_complete(event.revision)
@@ -227,7 +242,10 @@
 
     def on_failed(self, event: StoreFailed) -> Effects:
         """Handle a failed call: log the failure and delay the next call."""
+        complete = self._complete_revision
         self._handle_failure(event)
+        if event.is_history_gone:
+            return report_gone_history(complete)
         return self._reachability.report_failure(event, self._highest_seen)
 
     def is_behind_seen(self, revision: Revision) -> bool:
@@ -314,4 +332,5 @@
         if self._watch_deadline is not None or not self._watches.take(now):
             return []
         self._watch_deadline = now + WATCH_WAIT_SECONDS + CALL_DEADLINE_SECONDS
+        self._watch_started_at = now
         return [WatchStore(after=after, wait_seconds=WATCH_WAIT_SECONDS)]
--- a/briartack/core/units.py
+++ b/briartack/core/units.py
@@ -4,7 +4,7 @@
 a monotonic clock.
 """
 
-from typing import NewType
+from typing import Final, NewType
 
 InstanceId = NewType('InstanceId', str)
 Incarnation = NewType('Incarnation', str)
@@ -13,3 +13,5 @@
 AttemptId = NewType('AttemptId', str)
 BodyId = NewType('BodyId', str)
 Digest = NewType('Digest', bytes)
+
+MILLISECONDS_PER_SECOND: Final = 1000
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -240,6 +240,18 @@
             'Check the store if this lasts; the current version stays active.',
         ),
         'store-back': ErrorText('The store responds again.', ''),
+        'store-duty': ErrorText(
+            'The daemon starts or stops to watch the store.', ''
+        ),
+        'store-watch-answered': ErrorText(
+            'A watch of the store returned changes.', ''
+        ),
+        'store-history-gone': ErrorText(
+            'The store has dropped its history; all keys are read again.', ''
+        ),
+        'entries-differ': ErrorText(
+            'A peer with the same highest revision holds other entries.', ''
+        ),
         'peer-lost': ErrorText('The stream to a peer ended.', ''),
         'peer-back': ErrorText('A stream to a peer is open.', ''),
         'instances-changed': ErrorText(
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -171,6 +171,8 @@
             self._watch = None
             self._deliver(self._record_failure(StoreOperation.WATCH, '', error))
             return
+        outcome = 'changes' if page.entries else 'empty'
+        self._observer.count('store.watches', outcome=outcome)
         # The reducer may start the next watch while it handles this event.
         self._watch = None
         self._deliver(
--- a/briartack/test/test_docs.py
+++ b/briartack/test/test_docs.py
@@ -87,7 +87,9 @@
             *find_names_in_code(LOG_CODE).difference(reasons.REASONS_BY_CODE),
             *find_names_in_code(
                 re.compile(
-                    "(?:FELL|SUSPECTED|STORE_LOST|STORE_BACK): Final = '(.+)'"
+                    '(?:FELL|SUSPECTED|STORE_LOST|STORE_BACK|DUTY_CHANGED|'
+                    'WATCH_ANSWERED|HISTORY_GONE|ENTRIES_DIFFER)'
+                    ": Final = '(.+)'"
                 )
             ),
             *constants.difference(ANSWERED_ONLY),
