Notice a store that is silent, and let other daemons take over the watch

Cause: the store accepted the calls of some daemons and answered none, both watchers among them. A watch waited up to 20 s for a change and 10 s more for its answer, and a watcher counted as healthy from its last answer on, until a call failed. So nobody took over. Class of fault: a dependency counts as alive because no failure was seen.

Now a watch is answered at least each watch_wait_seconds. An answer that is later than watch_grace_seconds is a failed call: it is logged (such calls were dropped without a line), the watch is cancelled, peers hear at once that the store is not watched, and the roots of other regions take over. On the platform both times are shares of config_apply_ms.

Evidence: test_store_duty failed before for 18 of 18 daemons (20 moments, and both watchers or the watching region silent), and passes.

--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -40,9 +40,8 @@
 from briartack.core.units import Revision
 
 ALL_KEYS_PREFIX: Final = ''
-WATCH_WAIT_SECONDS: Final = 20.0
-# A call counts as failed if the shell reports no outcome within this time.
-CALL_DEADLINE_SECONDS: Final = 10.0
+# A read counts as failed if the shell reports no outcome within this time.
+READ_DEADLINE_SECONDS: Final = 10.0
 READS_PER_SECOND: Final = 1.0
 READS_BURST: Final = 2
 # Each edit ends a watch, so a lower rate would delay edits in quick succession.
@@ -50,6 +49,7 @@
 WATCHES_PER_SECOND: Final = 5.0
 WATCHES_BURST: Final = 5
 REVISION_FELL: Final = 'store-revision-fell'
+NO_ANSWER: Final = 'no answer in time'
 NO_REVISION: Final = Revision(0)
 
 
@@ -186,10 +186,9 @@
 
     def start_due_calls(self, now: float, *, needs_full_read: bool) -> Effects:
         """Start the calls that are due and within the rate limits."""
-        self._expire_calls(now)
+        effects = self._expire_calls(now)
         if not self._backoff.is_over(now):
-            return []
-        effects: Effects = []
+            return effects
         if self._must_read_revision and self._is_on_duty:
             effects.extend(self._start_read(now, PLATFORM_KEY))
         if self._is_instance_read_due(now):
@@ -300,26 +299,34 @@
             self._instance_read_at is not None and now >= self._instance_read_at
         )
 
-    def _expire_calls(self, now: float) -> None:
+    def _expire_calls(self, now: float) -> Effects:
+        """Handle calls without an answer in time as failed calls."""
         expired = [
-            prefix
+            (StoreOperation.READ, prefix)
             for prefix, deadline in self._read_deadlines.items()
             if now >= deadline
         ]
-        for prefix in expired:
-            self._read_deadlines.pop(prefix)
-        is_watch_lost = (
-            self._watch_deadline is not None and now >= self._watch_deadline
-        )
-        if is_watch_lost:
-            self._watch_deadline = None
-        if expired or is_watch_lost:
-            self._record_failure(now)
+        effects: Effects = []
+        if self._watch_deadline is not None and now >= self._watch_deadline:
+            expired.append((StoreOperation.WATCH, ''))
+            effects.append(CancelWatch())
+        for operation, prefix in expired:
+            effects.extend(
+                self.on_failed(
+                    StoreFailed(
+                        now=now,
+                        operation=operation,
+                        prefix=prefix,
+                        reason=NO_ANSWER,
+                    ),
+                ),
+            )
+        return effects
 
     def _start_read(self, now: float, prefix: str) -> Effects:
         if prefix in self._read_deadlines or not self._reads.take(now):
             return []
-        self._read_deadlines[prefix] = now + CALL_DEADLINE_SECONDS
+        self._read_deadlines[prefix] = now + READ_DEADLINE_SECONDS
         is_list = prefix == INSTANCE_PREFIX
         return [
             ReadStore(
@@ -331,6 +338,9 @@
     def _start_watch(self, now: float, after: Revision) -> Effects:
         if self._watch_deadline is not None or not self._watches.take(now):
             return []
-        self._watch_deadline = now + WATCH_WAIT_SECONDS + CALL_DEADLINE_SECONDS
+        wait_seconds = self._rules.watch_wait_seconds
+        self._watch_deadline = (
+            now + wait_seconds + self._rules.watch_grace_seconds
+        )
         self._watch_started_at = now
-        return [WatchStore(after=after, wait_seconds=WATCH_WAIT_SECONDS)]
+        return [WatchStore(after=after, wait_seconds=wait_seconds)]
--- a/briartack/core/dissemination/store_rules.py
+++ b/briartack/core/dissemination/store_rules.py
@@ -20,6 +20,11 @@
     # Upper bound of the backoff of daemons on duty, that is, those that watch
     # the store. As few daemons are on duty, the bound may be short.
     duty_backoff_seconds: float = 30.0
+    # Time after which the store answers a watch without changes. An answer that
+    # is later than this by more than the grace time counts as a failure, so
+    # the sum bounds how long a silent store goes unnoticed.
+    watch_wait_seconds: float = 20.0
+    watch_grace_seconds: float = 5.0
     # Interval at which children in the tree, suspected peers and instances that
     # said goodbye are dialled. A daemon that starts while the store is down
     # learns of other daemons only if they dial it.
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -12,6 +12,7 @@
 
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.dissemination.store_rules import StoreRules
+from briartack.core.units import MILLISECONDS_PER_SECOND
 
 _ZONE_PREFIX: Final = 'zones.'
 _BOUNDS_FIELD: Final = 'bounds'
@@ -36,6 +37,11 @@
 # A machine that reaches the store but no other machine must apply a change
 # within 2 s; parents send a heartbeat every second.
 _ORPHAN_SECONDS: Final = 1.3
+# A change must be applied within the platform's bound. A watcher notices a
+# silent store after these shares of the bound, which leaves the rest for
+# another daemon to read the change and to spread it.
+_WATCH_WAIT_FRACTION: Final = 0.3
+_WATCH_GRACE_FRACTION: Final = 0.25
 # From 3 s after the store has recovered, a change must be applied within 2 s.
 _DUTY_BACKOFF_SECONDS: Final = 1.0
 
@@ -50,6 +56,7 @@
     """Represent the bounds that the product observes; others are ignored."""
 
     grace_s: float = 6.0
+    config_apply_ms: float = 2000.0
     retry_budget_ratio: float = 0.2
     budget_extra: float = 0.0  # retries within the window, of all daemons
     cold_overage: float = 1.0
@@ -90,6 +97,7 @@
             f'no field {_ZONE_PREFIX}NAME gives the region of a zone'
         )
     bounds = _parse_bounds(fields.get(_BOUNDS_FIELD, ''))
+    apply_seconds = bounds.config_apply_ms / MILLISECONDS_PER_SECOND
     return ProcessSettings(
         regions=regions,
         drain_seconds=bounds.grace_s * _DRAIN_FRACTION,
@@ -110,6 +118,8 @@
         store_rules=StoreRules(
             start_jitter_seconds=_START_JITTER_SECONDS,
             duty_backoff_seconds=_DUTY_BACKOFF_SECONDS,
+            watch_wait_seconds=apply_seconds * _WATCH_WAIT_FRACTION,
+            watch_grace_seconds=apply_seconds * _WATCH_GRACE_FRACTION,
             redial_seconds=_REDIAL_SECONDS,
             orphan_seconds=_ORPHAN_SECONDS,
             reads_stale_list=True,
--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -93,8 +93,10 @@
 
     The daemon `rX-Y-Z` is number Z of data centre `rX-Y` in region `rX`. Tests
     inject faults by `is_cut` (no connection between two names), `is_dropped`
-    (a message to a peer is lost), `store_seconds` (latency of the store) and
-    `is_frozen`. The store is in region `r0`, under the name `r0-store`.
+    (a message to a peer is lost), `store_seconds` (latency of the store),
+    `is_store_silent` (the store accepts a daemon's calls and never answers
+    them) and `is_frozen`. The store is in region `r0`, under the name
+    `r0-store`.
     """
 
     def __init__(
@@ -114,6 +116,7 @@
         self.sent_bytes = 0
         self.logs: Counter[str] = Counter()
         self.store_seconds: Callable[[str], float] = lambda name: 0.003
+        self.is_store_silent: Callable[[str], bool] = lambda name: False
         self.is_cut: Callable[[str, str], bool] = lambda left, right: False
         self.is_dropped: Callable[[str, wire.PeerMessage], bool] = (
             lambda peer, message: False
@@ -347,6 +350,8 @@
 
     def _read_store(self, name: str, prefix: str) -> None:
         self.store.calls.append((self.now, 'read'))
+        if self.is_store_silent(name):
+            return
         make_event = partial(
             events.StoreRead,
             prefix=prefix,
@@ -366,6 +371,8 @@
 
     def _answer_due_watches(self) -> None:
         for name, node in self.nodes.items():
+            if self.is_store_silent(name):
+                continue
             until, after = node.watch or (math.inf, self.store.revision)
             entries = self.store.edits_after(after)
             if self.now >= until or entries:
--- a/briartack/test/test_platform_settings.py
+++ b/briartack/test/test_platform_settings.py
@@ -40,6 +40,22 @@
         self.assertGreaterEqual(drain_seconds, 6 * 5 / 6)
         self.assertLess(drain_seconds, 6 - 0.5)
 
+    @params(2000, 3000)
+    def test_silent_store_is_noticed_within_the_bound_for_changes(
+        self, bound_ms: int
+    ) -> None:
+        """Guard against a watch that is silent for longer than the bound.
+
+        A quarter of the bound is left to read the change elsewhere and to
+        spread it.
+        """
+        text = f'zones.a=b\nbounds=config_apply_ms={bound_ms}'
+        rules = decode_settings(text, 5).store_rules
+        noticed_ms = 1000 * (
+            rules.watch_wait_seconds + rules.watch_grace_seconds
+        )
+        self.assertLessEqual(noticed_ms, bound_ms * 3 / 4)
+
     @params(
         ('zones.a=b\nno separator', 'line 2'),
         ('node=x', 'zones.'),
--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -26,6 +26,8 @@
     duty_backoff_seconds=1.0,
     redial_seconds=1.0,
     orphan_seconds=1.3,
+    watch_wait_seconds=0.6,
+    watch_grace_seconds=0.5,
     is_duty_by_distance=True,
 )
 
@@ -85,6 +87,26 @@
     return ()
 
 
+def silence_store_at_first_watcher(fleet: Fleet) -> tuple[str, ...]:
+    """Let the store ignore all calls of the first watcher."""
+    silent = fleet.rank_daemons('r0')[0]
+    fleet.is_store_silent = lambda name: name == silent
+    return ()
+
+
+def silence_store_at_both_watchers(fleet: Fleet) -> tuple[str, ...]:
+    """Let the store ignore all calls of both watchers."""
+    silent = fleet.rank_daemons('r0')[:2]
+    fleet.is_store_silent = lambda name: name in silent
+    return ()
+
+
+def silence_store_in_watching_region(fleet: Fleet) -> tuple[str, ...]:
+    """Let the store ignore all calls of the region that watches."""
+    fleet.is_store_silent = lambda name: name[:2] == 'r0'
+    return ()
+
+
 def _send_to_others(
     send: Callable[[str, str, wire.PeerMessage], None],
     isolated: str,
@@ -124,6 +146,9 @@
         freeze_both_watchers,
         kill_watching_region,
         cut_first_watcher_from_store,
+        silence_store_at_first_watcher,
+        silence_store_at_both_watchers,
+        silence_store_in_watching_region,
     )
     def test_change_is_in_force_in_time(
         self,
@@ -138,6 +163,23 @@
             set(fleet.find_daemons_without(revision)) - set(lost), set()
         )
 
+    # Guards against watches that are pending and silent, and count as healthy.
+    @params(*range(20))
+    def test_change_is_in_force_although_the_store_ignores_its_watchers(
+        self, tenths: int
+    ) -> None:
+        """Guard against watchers that wait for a store that is silent.
+
+        The store ignores both watchers from a moment before the change on.
+        """
+        fleet = started_fleet()
+        fleet.run(1 + tenths / 10)
+        silence_store_at_both_watchers(fleet)
+        fleet.run(tenths / 10)
+        revision = fleet.edit_store('teams/a', 'second')
+        fleet.run(IN_FORCE_SECONDS)
+        self.assertEqual(fleet.find_daemons_without(revision), [])
+
     @params(*range(18))
     def test_change_reaches_a_daemon_that_receives_no_messages(
         self,
--- a/briartack/test/test_store_reads.py
+++ b/briartack/test/test_store_reads.py
@@ -10,11 +10,12 @@
 
 from nose2.tools import params
 
+from briartack.core.dissemination.store_reachability import STORE_LOST
 from briartack.core.dissemination.store_reads import (
     REVISION_FELL,
     StoreReadsState,
 )
-from briartack.core.effects import ReadStore, WatchStore, WriteLog
+from briartack.core.effects import CancelWatch, ReadStore, WatchStore, WriteLog
 from briartack.core.events import (
     StoreFailed,
     StoreOperation,
@@ -126,6 +127,25 @@
             [WatchStore(after=Revision(after), wait_seconds=20)],
         )
 
+    def test_watch_without_an_answer_in_time_has_failed(self) -> None:
+        """Guard against a silent store that counts as healthy.
+
+        The watch waits 20 s, and its answer may take 5 s more.
+        """
+        self.reads.on_read(_read(10))
+        self.reads.start_due_calls(1, needs_full_read=False)
+        self.assertEqual(
+            self.reads.start_due_calls(25.9, needs_full_read=False), []
+        )
+        self.assertTrue(self.reads.is_watch_healthy)
+        cancel, *reports = self.reads.start_due_calls(26, needs_full_read=False)
+        self.assertEqual(cancel, CancelWatch())
+        codes = [
+            report.code for report in reports if isinstance(report, WriteLog)
+        ]
+        self.assertEqual(codes, [STORE_LOST])
+        self.assertFalse(self.reads.is_watch_healthy)
+
     def test_lower_revision_of_the_store_is_reported(self) -> None:
         """Guard against a store that is restored from a backup unnoticed."""
         self.assertEqual(self.reads.on_read(_read(10)), [])
