Pull entries above the highest revision of their own kind

Cause: one highest revision stood for configuration and instance records. A daemon that starts reads the list of instances alone. Its revision, told from peer to peer, lay above the configuration that no daemon had yet; so when one of them got the configuration, no peer counted as ahead, and only the search for differences at equal revisions found it, once a heartbeat. Class of fault: a high-water mark taken for completeness.

Now summaries state the highest revision of each kind, and a pull asks above each. Daemons of an earlier release state one revision, which counts for both.

--- a/briartack/core/dissemination/announcer.py
+++ b/briartack/core/dissemination/announcer.py
@@ -116,6 +116,7 @@
         *,
         wants_answers: bool,
     ) -> Summary:
+        held = holdings.highest_revisions
         return Summary(
             incarnation=self._incarnation,
             highest=holdings.highest,
@@ -125,4 +126,6 @@
             wants_answers=wants_answers,
             watches_store=self._watches_store,
             store_latency_seconds=self._store_answer_seconds,
+            configuration_highest=held.configuration,
+            instances_highest=held.instances,
         )
--- a/briartack/core/dissemination/combined_holdings.py
+++ b/briartack/core/dissemination/combined_holdings.py
@@ -9,7 +9,12 @@
 
 from briartack.core.configuration.snapshot import ConfigurationState
 from briartack.core.dissemination.membership import MembershipState
-from briartack.core.entries import Entry, KeyVersion, is_instance_key
+from briartack.core.entries import (
+    Entry,
+    HighestRevisions,
+    KeyVersion,
+    is_instance_key,
+)
 from briartack.core.units import Digest, Revision
 
 _VersionSources: TypeAlias = tuple[dict[str, Digest], dict[str, Revision]]
@@ -44,7 +49,15 @@
     @property
     def highest(self) -> Revision:
         """Return the highest revision of all held entries."""
-        return max(self._configuration.highest, self._membership.highest)
+        return max(self.highest_revisions)
+
+    @property
+    def highest_revisions(self) -> HighestRevisions:
+        """Return the highest revision of each kind of entries."""
+        return HighestRevisions(
+            configuration=self._configuration.highest,
+            instances=self._membership.highest,
+        )
 
     @property
     def configuration_digest(self) -> Digest:
@@ -61,11 +74,11 @@
         """Return whether any configuration has been accepted."""
         return self._configuration.snapshot is not None
 
-    def entries_after(self, revision: Revision) -> tuple[Entry, ...]:
-        """Return all entries whose revision is above the given one."""
+    def entries_after(self, revisions: HighestRevisions) -> tuple[Entry, ...]:
+        """Return all entries above the given revision of their kind."""
         return (
-            *self._configuration.entries_after(revision),
-            *self._membership.entries_after(revision),
+            *self._configuration.entries_after(revisions.configuration),
+            *self._membership.entries_after(revisions.instances),
         )
 
     def entries_for(self, keys: Iterable[str]) -> tuple[Entry, ...]:
--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -43,6 +43,7 @@
     InventoryReply,
     Pull,
     Summary,
+    request_entries_after,
 )
 from briartack.core.units import InstanceId, Revision
 
@@ -93,7 +94,7 @@
     effects = state.store.resume()
     # Summaries that arrive now may date from before the pause. Only the answer
     # to a pull that is sent now tells which entries are in force.
-    pull = Pull(after=holdings.highest)
+    pull = request_entries_after(holdings.highest_revisions)
     effects.extend(
         SendMessage(peer=parent, message=pull) for parent in state.links.parents
     )
--- a/briartack/core/dissemination/holdings.py
+++ b/briartack/core/dissemination/holdings.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from briartack.core.entries import Entry, KeyVersion
+from briartack.core.entries import Entry, HighestRevisions, KeyVersion
 from briartack.core.units import Digest, Revision
 
 
@@ -18,6 +18,10 @@
     def highest(self) -> Revision:
         """Return the highest revision of all held entries."""
 
+    @property
+    def highest_revisions(self) -> HighestRevisions:
+        """Return the highest revision of each kind of entries."""
+
     @property
     def configuration_digest(self) -> Digest:
         """Return the digest of the held configuration."""
@@ -30,8 +34,8 @@
     def has_snapshot(self) -> bool:
         """Return whether there is a configuration to handle calls with."""
 
-    def entries_after(self, revision: Revision) -> Iterable[Entry]:
-        """Return the entries whose revision is above the given one."""
+    def entries_after(self, revisions: HighestRevisions) -> Iterable[Entry]:
+        """Return the entries above the given revision of their kind."""
 
     def entries_for(self, keys: Iterable[str]) -> Iterable[Entry]:
         """Return the held entries of the given keys."""
--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -1,8 +1,8 @@
 """Synchronisation of entries with peers by pulls and inventories.
 
-A pull requests the entries above a revision from a peer that is ahead. An
-inventory compares the versions of all keys, to find gaps that pulls cannot
-find.
+A pull requests the entries above a revision of each kind from a peer that is
+ahead. An inventory compares the versions of all keys, to find gaps that pulls
+cannot find.
 """
 
 from collections.abc import Callable, Iterable
@@ -19,7 +19,7 @@
     PeerView,
     has_gap,
     is_ahead,
-    revision_to_pull_after,
+    revisions_to_pull_after,
 )
 from briartack.core.effects import (
     Count,
@@ -35,6 +35,7 @@
     InventoryReply,
     Pull,
     Summary,
+    request_entries_after,
 )
 from briartack.core.units import (
     MILLISECONDS_PER_SECOND,
@@ -223,10 +224,10 @@
             sent_at=now,
             target_revision=view.summary.highest,
         )
-        after = revision_to_pull_after(view.summary, holdings)
+        after = revisions_to_pull_after(view.summary, holdings)
         return [
             Count(name='pulls'),
-            SendMessage(peer=peer, message=Pull(after=after)),
+            SendMessage(peer=peer, message=request_entries_after(after)),
         ]
 
     def _check_gap(
@@ -258,9 +259,9 @@
 
 
 def answer_pull(peer: InstanceId, pull: Pull, holdings: Holdings) -> Effects:
-    """Send all entries above a revision, lowest first, in parts if large."""
+    """Send all requested entries, lowest revision first, in parts if large."""
     entries = sorted(
-        holdings.entries_after(pull.after),
+        holdings.entries_after(pull.after_revisions),
         key=lambda entry: entry.revision,
     )
     return _send_entries(peer, entries, holdings.highest)
--- a/briartack/core/dissemination/peer_views.py
+++ b/briartack/core/dissemination/peer_views.py
@@ -4,6 +4,7 @@
 from typing import Final, TypeAlias, final
 
 from briartack.core.dissemination.holdings import Holdings
+from briartack.core.entries import HighestRevisions
 from briartack.core.messages import Summary
 from briartack.core.units import Digest, Revision
 
@@ -11,13 +12,13 @@
 INITIAL_RETRY_DELAY_SECONDS: Final = 2.0
 MAX_RETRY_DELAY_SECONDS: Final = 30.0
 
-Fingerprint: TypeAlias = tuple[Revision, Digest, Digest]
+Fingerprint: TypeAlias = tuple[HighestRevisions, Digest, Digest]
 
 
 def fingerprint(holdings: Holdings | Summary) -> Fingerprint:
     """Return a value that is equal for daemons with the same entries."""
     return (
-        holdings.highest,
+        holdings.highest_revisions,
         holdings.configuration_digest,
         holdings.instances_digest,
     )
@@ -26,9 +27,8 @@
 def lacks_configuration(summary: Summary, holdings: Holdings) -> bool:
     """Return whether a peer has configuration and this daemon has none.
 
-    The highest revisions alone do not show this: instance records that this
-    daemon has read from the store may have raised its highest revision above
-    that of the configuration.
+    The highest revisions alone do not show this: a version that this daemon
+    holds may wait for another of a lower revision.
     """
     return (
         not holdings.has_snapshot
@@ -37,18 +37,24 @@
     )
 
 
-def revision_to_pull_after(summary: Summary, holdings: Holdings) -> Revision:
-    """Return the revision above which to request entries from a peer."""
+def revisions_to_pull_after(
+    summary: Summary, holdings: Holdings
+) -> HighestRevisions:
+    """Return the revisions above which to request entries from a peer."""
+    held = holdings.highest_revisions
     if lacks_configuration(summary, holdings):
-        return NO_REVISION
-    return holdings.highest
+        return held._replace(configuration=NO_REVISION)
+    return held
 
 
 def is_ahead(summary: Summary, holdings: Holdings) -> bool:
     """Return whether a pull from the peer is likely to return entries."""
-    return summary.highest > holdings.highest or lacks_configuration(
-        summary,
-        holdings,
+    theirs = summary.highest_revisions
+    held = holdings.highest_revisions
+    return (
+        theirs.configuration > held.configuration
+        or theirs.instances > held.instances
+        or lacks_configuration(summary, holdings)
     )
 
 
@@ -57,9 +63,9 @@
 
     A pull by revision cannot find such a difference.
     """
-    return summary.highest == holdings.highest and not has_same_entries(
-        summary,
-        holdings,
+    return (
+        summary.highest_revisions == holdings.highest_revisions
+        and not has_same_entries(summary, holdings)
     )
 
 
--- a/briartack/core/dissemination/periodic_work.py
+++ b/briartack/core/dissemination/periodic_work.py
@@ -16,7 +16,7 @@
 from briartack.core.dissemination.peer_views import has_same_entries
 from briartack.core.dissemination.store_duty import is_on_duty
 from briartack.core.effects import Effects, SendMessage
-from briartack.core.messages import Pull
+from briartack.core.messages import request_entries_after
 from briartack.core.units import InstanceId
 
 # The first root of this region usually has a change after this time.
@@ -133,7 +133,7 @@
         asked.extend(
             state.announcer.select_due_probes(now, linked, min_interval_seconds)
         )
-    pull = Pull(after=holdings.highest)
+    pull = request_entries_after(holdings.highest_revisions)
     return [SendMessage(peer=peer, message=pull) for peer in asked]
 
 
--- a/briartack/core/entries.py
+++ b/briartack/core/entries.py
@@ -1,6 +1,6 @@
 """Versioned store values in the form that daemons hold and exchange."""
 
-from typing import Final, final
+from typing import Final, NamedTuple, final
 
 import msgspec
 
@@ -46,6 +46,18 @@
     digest: Digest = Digest(b'')  # noqa: WPS404, RUF009
 
 
+@final
+class HighestRevisions(NamedTuple):
+    """Hold the highest revision of each kind of entries.
+
+    The kinds are read from the store separately. So entries of one kind may be
+    missing below the highest revision of the other kind.
+    """
+
+    configuration: Revision
+    instances: Revision
+
+
 def is_platform_key(key: str) -> bool:
     """Return whether a key holds an out-of-service list."""
     return key == PLATFORM_KEY or key.startswith(PLATFORM_PREFIX)
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from briartack.core.entries import Entry, KeyVersion
+from briartack.core.entries import Entry, HighestRevisions, KeyVersion
 from briartack.core.units import (
     AttemptId,
     Digest,
@@ -62,13 +62,35 @@
     watches_store: bool = False
     # The shortest time in which the store answered the sender.
     store_latency_seconds: float | None = None
+    # The highest revision of each kind of entries. A daemon of an earlier
+    # release states only `highest`.
+    configuration_highest: Revision | None = None
+    instances_highest: Revision | None = None
+
+    @property
+    def highest_revisions(self) -> HighestRevisions:
+        """Return the highest revision of each kind of entries."""
+        return HighestRevisions(
+            configuration=_or_default(self.configuration_highest, self.highest),
+            instances=_or_default(self.instances_highest, self.highest),
+        )
 
 
 @final
 class Pull(Message, frozen=True, kw_only=True, tag='pull'):
-    """Request all entries above a revision."""
+    """Request all entries above a revision of each kind."""
+
+    after: Revision  # of the configuration
+    # A daemon of an earlier release states one revision for all entries.
+    instances_after: Revision | None = None
 
-    after: Revision
+    @property
+    def after_revisions(self) -> HighestRevisions:
+        """Return the revision of each kind above which entries are wanted."""
+        return HighestRevisions(
+            configuration=self.after,
+            instances=_or_default(self.instances_after, self.after),
+        )
 
 
 @final
@@ -183,3 +205,14 @@
     | Cancel
     | Goodbye
 )
+
+
+def request_entries_after(revisions: HighestRevisions) -> Pull:
+    """Return a request for the entries above a revision of each kind."""
+    return Pull(
+        after=revisions.configuration, instances_after=revisions.instances
+    )
+
+
+def _or_default(stated: Revision | None, default: Revision) -> Revision:
+    return default if stated is None else stated
--- a/briartack/test/fake_holdings.py
+++ b/briartack/test/fake_holdings.py
@@ -4,7 +4,12 @@
 from hashlib import blake2b
 
 from briartack.core.dissemination.membership import MembershipState
-from briartack.core.entries import Entry, KeyVersion, is_instance_key
+from briartack.core.entries import (
+    Entry,
+    HighestRevisions,
+    KeyVersion,
+    is_instance_key,
+)
 from briartack.core.units import Digest, Revision
 
 NO_REVISION = Revision(0)
@@ -26,6 +31,13 @@
     def highest(self) -> Revision:
         return max(self.membership.highest, self._highest)
 
+    @property
+    def highest_revisions(self) -> HighestRevisions:
+        return HighestRevisions(
+            configuration=self._highest,
+            instances=self.membership.highest,
+        )
+
     @property
     def configuration_digest(self) -> Digest:
         return self._digest
@@ -38,13 +50,14 @@
     def has_snapshot(self) -> bool:
         return bool(self.configuration)
 
-    def entries_after(self, revision: Revision) -> list[Entry]:
+    def entries_after(self, revisions: HighestRevisions) -> list[Entry]:
         newer = [
             entry
             for entry in self.configuration.values()
-            if entry.revision > revision
+            if entry.revision > revisions.configuration
         ]
-        return [*newer, *self.membership.entries_after(revision)]
+        members = self.membership
+        return [*newer, *members.entries_after(revisions.instances)]
 
     def entries_for(self, keys: Iterable[str]) -> list[Entry]:
         keys = tuple(keys)
--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -5,6 +5,7 @@
 they fail.
 """
 
+import itertools
 import unittest
 from collections.abc import Callable
 from functools import partial
@@ -13,8 +14,10 @@
 
 from nose2.tools import params
 
+from briartack.core import events
 from briartack.core import messages as wire
 from briartack.core.dissemination.store_rules import StoreRules
+from briartack.core.entries import Entry
 from briartack.core.units import Revision
 from briartack.test.fleet import Fleet
 
@@ -201,6 +204,42 @@
             sorted(fleet.list_watchers()), sorted(fleet.rank_daemons('r0')[:2])
         )
 
+    # Guards against configuration below a revision that the list has raised.
+    @params(*itertools.permutations((0, 1, 5, 9, 17), 2))
+    def test_configuration_spreads_although_a_newer_list_came_first(
+        self, joiner: int, reader: int
+    ) -> None:
+        """Guard against a highest revision that stands for all entries.
+
+        A daemon reads the list of instances alone, at revision 27; then
+        another one reads the configuration of revision 25.
+        """
+        fleet = started_fleet()
+        before = fleet.store.revision
+        newer_list = Entry(
+            key='instances/r0-0-0',
+            revision=Revision(before + 7),
+            value=fleet.store.edits['instances/r0-0-0'].value,
+        )
+        read = partial(
+            events.StoreRead,
+            prefix='instances/',
+            revision=newer_list.revision,
+            entries=(*fleet.store.read('instances/')[1:], newer_list),
+        )
+        fleet.deliver(sorted(fleet.names)[joiner], read)
+        fleet.run(0.5)
+        self.assertEqual(fleet.find_daemons_without(newer_list.revision), [])
+        change = Entry(
+            key='teams/a', revision=Revision(before + 5), value='second'
+        )
+        watched = partial(
+            events.StoreWatched, revision=change.revision, entries=(change,)
+        )
+        fleet.deliver(sorted(fleet.names)[reader], watched)
+        fleet.run(0.5)
+        self.assertEqual(fleet.find_daemons_without(change.revision), [])
+
     def test_watch_returns_to_the_nearest_region(self) -> None:
         """Guard against a watch that stays in a distant region."""
         fleet = started_fleet()
