Do not merge the entries of a read that only asks for the store's revision

What callers would see: after a pause of a watching daemon, a change that its peers get a second or more late.

After a pause a watcher reads a single key to learn how far the store is. Its entries were merged and raised the highest revision of the configuration above changes that the watch had yet to return, so peers did not ask for those.

Now the answer only tells the revision; the watch brings the entries.

--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -25,7 +25,7 @@
 )
 from briartack.core.dissemination.store_reads import ALL_KEYS_PREFIX
 from briartack.core.effects import Effects, SendMessage
-from briartack.core.entries import INSTANCE_PREFIX, Entry
+from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_KEY, Entry
 from briartack.core.events import (
     PeerConnected,
     PeerDisconnected,
@@ -148,9 +148,13 @@
     effects.extend(
         state.store.start_due_calls(event.now, needs_full_read=False)
     )
+    # The read of one key only tells the revision of the store. Its entries
+    # would raise the highest revision above changes that the watch has yet to
+    # return, and peers would not ask for those.
+    is_list = event.prefix != PLATFORM_KEY
     return ReceivedEntries(
-        entries=event.entries,
-        full_read_prefix=None if is_old else event.prefix,
+        entries=event.entries if is_list else (),
+        full_read_prefix=event.prefix if is_list and not is_old else None,
         revision=event.revision,
         source=None,
         effects=effects,
--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -240,6 +240,37 @@
         fleet.run(0.5)
         self.assertEqual(fleet.find_daemons_without(change.revision), [])
 
+    # Guards against configuration below a revision that a single key raised.
+    @params(*itertools.permutations((0, 1, 5, 9, 17), 2))
+    def test_configuration_spreads_although_a_newer_key_came_first(
+        self, resumed: int, reader: int
+    ) -> None:
+        """Guard against a read of one key that counts as a read of all.
+
+        After a pause, a daemon reads one key at revision 27 to learn how far
+        the store is; then another one reads the configuration of revision 25.
+        """
+        fleet = started_fleet()
+        before = fleet.store.revision
+        key = Entry(key='platform', revision=Revision(before + 7), value='text')
+        read = partial(
+            events.StoreRead,
+            prefix='platform',
+            revision=key.revision,
+            entries=(key,),
+        )
+        fleet.deliver(sorted(fleet.names)[resumed], read)
+        fleet.run(0.5)
+        change = Entry(
+            key='teams/a', revision=Revision(before + 5), value='second'
+        )
+        watched = partial(
+            events.StoreWatched, revision=change.revision, entries=(change,)
+        )
+        fleet.deliver(sorted(fleet.names)[reader], watched)
+        fleet.run(0.5)
+        self.assertEqual(fleet.find_daemons_without(change.revision), [])
+
     def test_watch_returns_to_the_nearest_region(self) -> None:
         """Guard against a watch that stays in a distant region."""
         fleet = started_fleet()
