Keep the rate that an upstream says it takes

Cause: nothing read the header. Class of fault: a bound that the other side states is not an input of admission.

All requests to an upstream pass through the daemon beside it, whichever machine they began at, so one bound at that owner is the bound over all machines. StatedLimiter is a token bucket beside that of the cold start; the strictest limit in force counts (StrictestLimiter). It holds from the first answer that names a limit until a complete answer names none, or until another upstream process takes over. The load that owners report is 1 at the full rate, so senders turn to other upstreams before requests queue; what would miss its deadline is refused at once. A malformed limit is logged, counted and ignored.

Ruled out: shares of the limit at each sender, which would have to be dealt out and found again after restarts.

--- a/briartack/core/calls/cold_start_limiter.py
+++ b/briartack/core/calls/cold_start_limiter.py
@@ -3,6 +3,7 @@
 from typing import Final, final
 
 from briartack.core.calls.call_rules import CallRules
+from briartack.core.calls.start_bucket import StartBucket
 
 # Subtracted from the rate: starts that the upstream may count in another second
 # than this daemon does.
@@ -21,20 +22,14 @@
     __slots__ = (
         '_cold_until',
         '_has_rate_limit',
-        '_rate',
-        '_burst',
-        '_tokens',
-        '_refilled_at',
+        '_bucket',
     )
 
     def __init__(self) -> None:
         """Start warm, with an empty token bucket."""
         self._cold_until = float('-inf')
         self._has_rate_limit = False
-        self._rate = 1.0
-        self._burst = 1.0
-        self._tokens = 0.0
-        self._refilled_at: float | None = None
+        self._bucket = StartBucket()
 
     def configure(
         self,
@@ -44,8 +39,10 @@
         """Set the rate of starts per second; `None` allows any number."""
         self._has_rate_limit = per_second is not None
         rate = (per_second or 0) * rules.cold_overage
-        self._rate = max(1.0, rate - MARGIN_STARTS)
-        self._burst = max(1.0, rules.cold_slack)
+        self._bucket.configure(
+            rate=max(1.0, rate - MARGIN_STARTS),
+            burst=max(1.0, rules.cold_slack),
+        )
 
     def is_cold(self, now: float) -> bool:
         """Return whether the upstream is cold and a rate limit is set."""
@@ -67,15 +64,13 @@
 
         Starts at a warm upstream count too, because it may become cold.
         """
-        self._refill(now)
-        self._tokens = max(0.0, self._tokens - 1)
+        self._bucket.record_start(now)
 
     def count_available_starts(self, now: float) -> int | None:
         """Return the number of starts allowed now, or `None` for no limit."""
         if not self.is_cold(now):
             return None
-        self._refill(now)
-        return int(self._tokens)
+        return self._bucket.count_available_starts(now)
 
     def load(self, now: float, queued: int) -> float:
         """Return the load, 0 to 1, that the queue adds at a cold upstream."""
@@ -86,15 +81,8 @@
         """Return when the next request may start, or `None` for no limit."""
         if not self.is_cold(now):
             return None
-        self._refill(now)
-        return now + max(0.0, 1 - self._tokens) / self._rate
+        return self._bucket.next_start_at(now)
 
     def start_interval_seconds(self, now: float) -> float:
         """Return the seconds between two starts, or 0 for no limit."""
-        return 1 / self._rate if self.is_cold(now) else 0
-
-    def _refill(self, now: float) -> None:
-        if self._refilled_at is not None:
-            gained = (now - self._refilled_at) * self._rate
-            self._tokens = min(self._burst, self._tokens + gained)
-        self._refilled_at = now
+        return 1 / self._bucket.rate if self.is_cold(now) else 0
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -11,6 +11,8 @@
 from briartack.core.calls.cold_start_limiter import ColdStartLimiter
 from briartack.core.calls.run_times import MeanRunTime
 from briartack.core.calls.slow_start import SlowStartState
+from briartack.core.calls.start_limits import StrictestLimiter
+from briartack.core.calls.stated_limiter import StatedLimiter
 from briartack.core.calls.upstream_health import UpstreamHealth
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.events import UpstreamProbed
@@ -30,6 +32,8 @@
         '_admission',
         '_ramp',
         '_cold_start_limiter',
+        '_stated_limiter',
+        '_start_limits',
         '_rules',
         '_limits',
         '_slots',
@@ -44,6 +48,10 @@
         self._admission = AdmissionState()
         self._ramp = SlowStartState()
         self._cold_start_limiter = ColdStartLimiter()
+        self._stated_limiter = StatedLimiter()
+        self._start_limits = StrictestLimiter(
+            limiters=(self._cold_start_limiter, self._stated_limiter),
+        )
         self._rules = rules
         self._slots: int | None = None
         self._health = UpstreamHealth()
@@ -124,7 +132,7 @@
         taken = self._admission.running + self._admission.queued
         own_load = max(
             taken / self.limit,
-            self._cold_start_limiter.load(now, self._admission.queued),
+            self._start_limits.load(now, self._admission.queued),
         )
         if now - self._reported_at > LOAD_REPORT_MAX_AGE_SECONDS:
             return own_load
@@ -146,11 +154,9 @@
             limits=self._limits,
             start_interval_seconds=max(
                 self._ramp.mean_seconds / self.limit,
-                self._cold_start_limiter.start_interval_seconds(now),
-            ),
-            available_starts=self._cold_start_limiter.count_available_starts(
-                now
+                self._start_limits.start_interval_seconds(now),
             ),
+            available_starts=self._start_limits.count_available_starts(now),
         )
         return self._record_starts(now, admission)
 
@@ -161,19 +167,17 @@
         admission = self._admission.fill(
             now,
             limit=self.limit,
-            available_starts=self._cold_start_limiter.count_available_starts(
-                now
-            ),
+            available_starts=self._start_limits.count_available_starts(now),
         )
         return self._record_starts(now, admission)
 
     def next_start_at(self, now: float) -> float | None:
-        """Return when the rate of a cold upstream allows the next start.
+        """Return when the limits of starts allow the next one.
 
-        Return `None` if nothing is queued or the upstream is not cold.
+        Return `None` if nothing is queued or no limit is in force.
         """
         return (
-            self._cold_start_limiter.next_start_at(now)
+            self._start_limits.next_start_at(now)
             if self._admission.queued
             else None
         )
@@ -186,6 +190,13 @@
         """Free the slot of an aborted request."""
         self._admission.release()
 
+    def update_stated_limit(self, per_second: float | None) -> bool:
+        """Set the requests per second that the upstream says it takes.
+
+        `None` ends the limit. Return whether the limit changed.
+        """
+        return self._stated_limiter.update(per_second)
+
     def handle_answer(
         self,
         now: float,
@@ -235,12 +246,15 @@
         Return whether the slow start restarted.
         """
         self.assume_cold(now)
+        self._stated_limiter.update(None)
         self._health.update_identity(identity)
         return self._ramp.update_identity(identity, now)
 
     def handle_probe(self, event: UpstreamProbed) -> bool:
         """Record the result of a probe; return whether slow start restarted."""
         was_healthy = self._health.is_healthy
+        if event.identity not in {'', self._health.identity}:
+            self._stated_limiter.update(None)
         if event.cold_seconds is not None:
             self._cold_start_limiter.record_cold_until(
                 event.now + event.cold_seconds
@@ -260,5 +274,5 @@
         self, now: float, admission: AdmissionResult
     ) -> AdmissionResult:
         for _ in admission.started:
-            self._cold_start_limiter.record_start(now)
+            self._start_limits.record_start(now)
         return admission
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -203,7 +203,9 @@
         record = self._runner.remove(event.attempt_id)
         if record is None:
             return drop_late_answer(event.attempt_id)
+        limit_effects = self._update_stated_limit(event.stated_limit)
         effects, has_restarted = self._runner.handle_answer(event, record)
+        effects.extend(limit_effects)
         if has_restarted:
             effects.extend(_report_ramp_restart('answers'))
         return effects
@@ -213,7 +215,11 @@
         record = self._runner.remove(event.attempt_id)
         if record is None:
             return drop_late_answer(event.attempt_id)
+        limit_effects: Effects = []
+        if event.stated_limit is not None:
+            limit_effects = self._update_stated_limit(event.stated_limit)
         effects, has_restarted = self._runner.handle_failure(event, record)
+        effects.extend(limit_effects)
         if has_restarted:
             effects.extend(_report_ramp_restart('reset'))
         return effects
@@ -252,6 +258,17 @@
             effects.extend(self._runner.abort(now, record))
         return effects
 
+    def _update_stated_limit(self, per_second: float | None) -> Effects:
+        if not self._upstream.update_stated_limit(per_second):
+            return []
+        fields = (
+            ('upstream', self._upstream.health.identity),
+            ('per_second', '' if per_second is None else f'{per_second:g}'),
+        )
+        return [
+            WriteLog(level=LogLevel.INFO, code='upstream-limit', fields=fields),
+        ]
+
     def _apply_configuration(self, context: CallContext, now: float) -> Effects:
         """Apply the service's configuration and request a probe if needed.
 
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -171,6 +171,9 @@
     body_bytes: int
     body_digest: Digest
     elapsed_seconds: float
+    # Requests per second that the upstream says it takes; `None` if it states
+    # no limit.
+    stated_limit: float | None = None
 
 
 @final
@@ -189,6 +192,8 @@
     # Identity of the upstream that answered, if it is not the expected one;
     # empty otherwise.
     identity: str = ''
+    # Stated by a refusal; `None` says nothing about an earlier limit.
+    stated_limit: float | None = None
 
 
 @final
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -67,6 +67,10 @@
     has_run: bool = True
     # Id of the upstream that answered, if another upstream was expected.
     identity: str = ''
+    # Requests per second that the upstream says it takes, if it states any.
+    stated_limit: float | None = None
+    # A statement about the upstream that is malformed and therefore ignored.
+    refused_statement: str = ''
 
 
 class UpstreamDialect(Protocol):
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -36,6 +36,7 @@
 RELOADED: Final = 'reloaded'
 RELOAD_FAILED: Final = 'reload-failed'
 LINES_LEFT_OUT: Final = 'lines-left-out'
+STATEMENT_REFUSED: Final = 'statement-refused'
 
 _TEXTS: Final[Mapping[str, ErrorText]] = MappingProxyType(
     {
@@ -257,6 +258,13 @@
         'instances-changed': ErrorText(
             'The list of live instances has changed.', ''
         ),
+        STATEMENT_REFUSED: ErrorText(
+            'A header of the upstream is malformed and was ignored.',
+            'Correct the upstream that sends it.',
+        ),
+        'upstream-limit': ErrorText(
+            'The upstream states a limit, or states it no longer.', ''
+        ),
         'upstream-health': ErrorText(
             'The state of the upstream has changed.', ''
         ),
--- a/briartack/platform/names.py
+++ b/briartack/platform/names.py
@@ -13,6 +13,7 @@
 SEAL: Final = 'X-Server-Seal'
 NOT_EXECUTED: Final = 'X-Not-Executed'
 LOAD: Final = 'X-Server-Load'  # running, waiting, slots
+LIMIT: Final = 'Server-Limit'  # requests per second that an upstream takes
 COLD_MS: Final = 'X-Cold-Ms'
 
 
--- a/briartack/platform/upstream.py
+++ b/briartack/platform/upstream.py
@@ -1,5 +1,6 @@
 """Implement the platform's upstream dialect."""
 
+import math
 from http import HTTPStatus
 from typing import Final, final
 
@@ -16,6 +17,7 @@
     DEADLINE_MS,
     EXPECT_INSTANCE,
     INSTANCE_ID,
+    LIMIT,
     LOAD,
     NOT_EXECUTED,
     SEAL,
@@ -85,11 +87,19 @@
                 has_run=False,
                 identity=response.get_single_value(INSTANCE_ID),
             )
+        stated_limit, refused_statement = _parse_limit(
+            response.get_single_value(LIMIT)
+        )
         if (
             response.get_single_value(NOT_EXECUTED)
             and status >= _FIRST_NON_SUCCESS_STATUS
         ):
-            return UpstreamResult(failure='refused', has_run=False)
+            return UpstreamResult(
+                failure='refused',
+                has_run=False,
+                stated_limit=stated_limit,
+                refused_statement=refused_statement,
+            )
         flaw = _find_flaw(effect, response, status)
         if flaw:
             return UpstreamResult(failure=flaw)
@@ -99,6 +109,8 @@
                 for pair in select_end_to_end(response.header_pairs)
                 if pair[0].lower() not in _INTERNAL_HEADERS
             ),
+            stated_limit=stated_limit,
+            refused_statement=refused_statement,
         )
 
     def encode_probe(self, path: str, host: str) -> bytes:
@@ -157,6 +169,19 @@
     return ''
 
 
+def _parse_limit(text: str) -> tuple[float | None, str]:
+    """Return the stated limit, and the statement if it is malformed."""
+    if not text:
+        return None, ''
+    try:
+        per_second = float(text)
+    except ValueError:
+        per_second = math.nan
+    if math.isfinite(per_second) and per_second >= 0:
+        return per_second, ''
+    return None, f'{LIMIT}: {text}'
+
+
 def _parse_cold_seconds(milliseconds: str) -> float:
     try:
         return max(0.0, float(milliseconds) / _MILLISECONDS_PER_SECOND)
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -14,7 +14,12 @@
 from briartack.bodies import BodyStore
 from briartack.core.body_ids import answer_body_id
 from briartack.core.calls.call_rules import DEFAULT_RULES
-from briartack.core.effects import AbortDispatch, Dispatch, ProbeUpstream
+from briartack.core.effects import (
+    AbortDispatch,
+    Dispatch,
+    LogLevel,
+    ProbeUpstream,
+)
 from briartack.core.events import (
     UpstreamAnswered,
     UpstreamFailed,
@@ -22,6 +27,7 @@
 )
 from briartack.core.messages import MAX_BODY_BYTES
 from briartack.dialects import UpstreamDialect, UpstreamResult
+from briartack.error_texts import STATEMENT_REFUSED
 from briartack.framing import compute_body_digest
 from briartack.http_exchange import (
     Exchange,
@@ -168,6 +174,13 @@
         except ExchangeError as error:
             return self._record_failure(effect, error)
         result = self._dialect.decode_result(effect, response)
+        if result.refused_statement:
+            self._observer.count('upstream.statements_refused')
+            self._observer.log(
+                LogLevel.WARNING,
+                STATEMENT_REFUSED,
+                statement=result.refused_statement,
+            )
         if result.failure:
             return self._record_refusal(effect, result)
         return self._record_response(effect, response, result, started_at)
@@ -192,6 +205,7 @@
             body_bytes=len(body),
             body_digest=compute_body_digest(body),
             elapsed_seconds=now - started_at,
+            stated_limit=result.stated_limit,
         )
 
     def _record_failure(
@@ -223,6 +237,7 @@
             reason=result.failure,
             is_refusal=not result.has_run,
             identity=result.identity,
+            stated_limit=result.stated_limit,
         )
 
     def _send_probe(self) -> UpstreamProbed:
