Send no new requests to an upstream that says that it leaves

What upstreams would see: an upstream that leaves names it in all its answers (Server-Leaving), maybe before the list does, and the list may never say so; it would get requests until its record changed (DRAIN).

Cause: nothing read the header; a leaving upstream was known from the list only.

The peers keep it with the membership, so it outlives a restart of that daemon. The statement holds for one start of the upstream, named by the id of its record and the time of its start (the platform's field born): another start under the same id is used again, a record that lapses and returns is not.

Ruled out: a message of its own, on which daemons of an earlier release would close the stream; an end of the statement by a healthy probe, since health answers may be false.

--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -12,7 +12,6 @@
 
 from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.configuration.settings import (
-    InstanceState,
     PlatformSettings,
     Policy,
     ServiceLimits,
@@ -124,14 +123,6 @@
         """Return the upstream's slots, or `None` if the list states none."""
 
 
-class UpstreamRecord(Protocol):
-    """Describe the platform's record of one start of an upstream."""
-
-    @property
-    def state(self) -> InstanceState | None:
-        """Return the upstream's state, or `None` if its record was deleted."""
-
-
 class MembershipView(Protocol):
     """Look up instances and upstream records in the live instance list."""
 
@@ -148,8 +139,8 @@
     def is_leaving(self, instance: InstanceId) -> bool:
         """Return whether an instance is listed as about to stop."""
 
-    def find_record(self, record_id: str) -> UpstreamRecord | None:
-        """Return the record with an upstream's id, even if it was deleted."""
+    def is_upstream_leaving(self, record_id: str) -> bool:
+        """Return whether an upstream leaves or its record was deleted."""
 
     @property
     def instance_count(self) -> int:
--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -5,10 +5,7 @@
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import OwnedAttempt
 from briartack.core.calls.reasons import Reason
-from briartack.core.configuration.settings import (
-    InstanceState,
-    PlatformSettings,
-)
+from briartack.core.configuration.settings import PlatformSettings
 from briartack.core.messages import MAX_BODY_BYTES, Attempt
 
 
@@ -74,10 +71,9 @@
 
 
 def is_upstream_leaving(context: CallContext, identity: str) -> bool:
-    """Return whether the upstream's record says leaving, or was deleted.
+    """Return whether the upstream leaves, or its record was deleted.
 
     `identity` names one start of the upstream process. The instance list may
     also hold a record of another start, and may not hold one of this start yet.
     """
-    record = context.members.find_record(identity) if identity else None
-    return record is not None and record.state is not InstanceState.LIVE
+    return bool(identity) and context.members.is_upstream_leaving(identity)
--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -139,3 +139,6 @@
     state: InstanceState = InstanceState.LIVE
     instance: str = ''
     slots: PositiveInt | None = None
+    # Unix time of the upstream's start, on platforms that may list several
+    # starts under one id.
+    started_ms: int | None = None
--- a/briartack/core/dissemination/announcer.py
+++ b/briartack/core/dissemination/announcer.py
@@ -9,6 +9,7 @@
 from typing import Final, final
 
 from briartack.core.dissemination.holdings import Holdings
+from briartack.core.dissemination.leaving_upstreams import UpstreamStart
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.messages import Summary
 from briartack.core.units import Incarnation, InstanceId
@@ -31,7 +32,8 @@
     """Send summaries and decide which peers are due for one.
 
     Holds the times at which each peer was last sent a summary and a liveness
-    probe, and the store status that summaries report.
+    probe, and the status of the store and of the local upstream that summaries
+    report.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         '_last_probe_at',
         '_watches_store',
         '_store_answer_seconds',
+        '_leaving_upstream',
     )
 
     def __init__(self, *, incarnation: Incarnation) -> None:
@@ -48,6 +51,7 @@
         self._last_probe_at: dict[InstanceId, float] = {}
         self._watches_store = False
         self._store_answer_seconds: float | None = None
+        self._leaving_upstream: UpstreamStart | None = None
 
     def remove_peer(self, peer: InstanceId) -> None:
         """Remove the send times of a peer whose stream is down."""
@@ -69,6 +73,10 @@
         self._store_answer_seconds = min_answer_seconds
         return has_changed
 
+    def announce_leaving(self, upstream: UpstreamStart) -> None:
+        """Report in all later summaries that the local upstream leaves."""
+        self._leaving_upstream = upstream
+
     def send_summaries(
         self,
         now: float,
@@ -117,6 +125,7 @@
         wants_answers: bool,
     ) -> Summary:
         held = holdings.highest_revisions
+        leaving = self._leaving_upstream
         return Summary(
             incarnation=self._incarnation,
             highest=holdings.highest,
@@ -128,4 +137,8 @@
             store_latency_seconds=self._store_answer_seconds,
             configuration_highest=held.configuration,
             instances_highest=held.instances,
+            leaving_upstream='' if leaving is None else leaving.record_id,
+            leaving_upstream_started_ms=None
+            if leaving is None
+            else leaving.started_ms,
         )
--- a/briartack/core/dissemination/instance_records.py
+++ b/briartack/core/dissemination/instance_records.py
@@ -40,6 +40,7 @@
     entry: Entry
     member: Member | None = None
     state: InstanceState | None = None
+    started_ms: int | None = None
 
 
 @final
@@ -173,6 +174,7 @@
         entry=entry,
         member=member,
         state=record.state,
+        started_ms=record.started_ms,
     )
 
 
--- a/briartack/core/dissemination/lapsed_records.py
+++ b/briartack/core/dissemination/lapsed_records.py
@@ -21,6 +21,8 @@
 LAPSE_GRACE_SECONDS: Final = 1.0
 # Live upstreams are listed again within this time after the store is back.
 MASS_LAPSE_GRACE_SECONDS: Final = 2.5
+# The first list may be read from a replica of the store that lags by seconds.
+FIRST_LIST_SETTLE_SECONDS: Final = 3.0
 MASS_LAPSE_RATIO: Final = 0.3  # of the live instances
 MIN_MASS_LAPSE_RECORDS: Final = 3
 
@@ -38,10 +40,11 @@
 class LapsedRecords:
     """Hold the lapsed records in their grace period, by record id."""
 
-    __slots__ = ('_lapsed',)
+    __slots__ = ('_lapsed', '_first_listed_at')
 
     def __init__(self) -> None:
         self._lapsed: dict[str, _LapsedRecord] = {}
+        self._first_listed_at: float | None = None
 
     def __iter__(self) -> Iterator[HeldRecord]:
         """Iterate over the records in their grace period."""
@@ -62,7 +65,14 @@
 
         `listed_count` is the number of live instances; a mass lapse relative
         to it extends the grace period of all lapsed records.
+
+        The first list may lag: instances in it may have left long ago, so
+        their deletions get no grace period.
         """
+        if self._first_listed_at is None:
+            self._first_listed_at = now
+        if now - self._first_listed_at < FIRST_LIST_SETTLE_SECONDS:
+            return
         for change in changes:
             record_id = record_id_of(change.after.entry.key)
             self._lapsed.pop(record_id, None)
--- a/briartack/core/dissemination/links.py
+++ b/briartack/core/dissemination/links.py
@@ -63,6 +63,11 @@
         self._dialler = Dialler()
         self._remote_probe = RemoteProbe(region=identity.region, random=random)
 
+    @property
+    def connected_peers(self) -> tuple[InstanceId, ...]:
+        """Return all peers to which a stream is up."""
+        return tuple(self._regions)
+
     @property
     def parents(self) -> tuple[InstanceId, ...]:
         """Return the parents to which a stream is up."""
--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -7,7 +7,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from itertools import chain
-from typing import Final, final
+from typing import final
 
 from briartack.core.configuration.settings import InstanceState
 from briartack.core.dissemination.instance_records import (
@@ -18,27 +18,29 @@
     record_id_of,
 )
 from briartack.core.dissemination.lapsed_records import LapsedRecords
+from briartack.core.dissemination.leaving_upstreams import (
+    LeavingUpstreams,
+    UpstreamStart,
+)
 from briartack.core.dissemination.overlay import Member
 from briartack.core.entries import Entry, is_instance_key
 from briartack.core.units import Digest, Incarnation, InstanceId, Revision
 
-# The first list may be read from a replica of the store that lags by seconds.
-FIRST_LIST_SETTLE_SECONDS: Final = 3.0
-
 
 @final
 class MembershipState:
     """Track which instances are listed, live, leaving or lapsed.
 
     Holds the instance records, the instances that said goodbye with their
-    incarnation, the lapsed records, and caches derived from them.
+    incarnation, the upstreams that said that they leave, the lapsed records,
+    and caches derived from them.
     """
 
     __slots__ = (
         '_records',
         '_departed',
         '_lapsed',
-        '_first_listed_at',
+        '_leaving_upstreams',
         '_record_by_instance',
         '_live_members',
         '_services',
@@ -49,7 +51,7 @@
         self._records = InstanceRecords()
         self._departed: dict[InstanceId, Incarnation] = {}
         self._lapsed = LapsedRecords()
-        self._first_listed_at: float | None = None
+        self._leaving_upstreams = LeavingUpstreams()
         # Caches, built on demand because each call reads the list.
         self._record_by_instance: dict[InstanceId, HeldRecord] | None = None
         self._live_members: tuple[Member, ...] | None = None
@@ -85,13 +87,23 @@
         """Return the record in force under an id, which may be a deletion."""
         return self._lapsed.get(record_id) or self._records.get(record_id)
 
+    def is_upstream_leaving(self, record_id: str) -> bool:
+        """Return whether an upstream leaves or its record was deleted."""
+        held = self.find_record(record_id)
+        if held is not None and held.state is not InstanceState.LIVE:
+            return True
+        return record_id in self._leaving_upstreams
+
     def is_leaving(self, instance: InstanceId) -> bool:
-        """Return whether the list or a goodbye says the instance is leaving."""
+        """Return whether the instance or its upstream is about to stop.
+
+        The list, a goodbye or the upstream itself may say so.
+        """
         held = self._preferred_records().get(instance)
-        is_listed_leaving = (
-            held is not None and held.state is InstanceState.LEAVING
+        is_record_leaving = held is not None and not _is_staying(
+            held, self._leaving_upstreams
         )
-        return is_listed_leaving or instance in self._departed
+        return is_record_leaving or instance in self._departed
 
     def live_members(self) -> tuple[Member, ...]:
         """Return all live instances, as the same object until a change."""
@@ -160,8 +172,9 @@
         """
         changes = self._records.apply(entries)
         if now is not None:
-            self._record_lapses(now, changes)
+            self._lapsed.record_changes(now, changes, self.instance_count)
         for change in changes:
+            self._leaving_upstreams.apply(change)
             instance = _departed_instance(change)
             if instance is not None:
                 self._departed.pop(instance, None)
@@ -180,6 +193,25 @@
         deletions = self._records.implied_deletions(revision, entries)
         return self.apply(entries + deletions, now)
 
+    def mark_upstream_leaving(
+        self, start: UpstreamStart
+    ) -> UpstreamStart | None:
+        """Record that an upstream says that it leaves.
+
+        Return its start, or `None` if that is known or if the list has another
+        start of the upstream.
+        """
+        held = self._records.get(start.record_id)
+        listed_ms = None if held is None else held.started_ms
+        if start.started_ms is None:
+            start = start._replace(started_ms=listed_ms)
+        if listed_ms not in {None, start.started_ms}:
+            return None
+        if not self._leaving_upstreams.add(start):
+            return None
+        self._clear_caches()
+        return start
+
     def mark_leaving(
         self,
         instance: InstanceId,
@@ -203,16 +235,6 @@
             self._departed.pop(instance)
             self._clear_caches()
 
-    def _record_lapses(
-        self, now: float, changes: Iterable[RecordChange]
-    ) -> None:
-        if self._first_listed_at is None:
-            self._first_listed_at = now
-        # The first list may lag: instances in it may have left long ago, so
-        # their deletions get no grace period.
-        if now - self._first_listed_at >= FIRST_LIST_SETTLE_SECONDS:
-            self._lapsed.record_changes(now, changes, self.instance_count)
-
     def _preferred_records(self) -> dict[InstanceId, HeldRecord]:
         """Return the record in force for each listed instance.
 
@@ -224,7 +246,12 @@
             self._record_by_instance = {}
             for held in chain(self._records, self._lapsed):
                 if held.member is not None:
-                    _keep_preferred(self._record_by_instance, held.member, held)
+                    _keep_preferred(
+                        self._record_by_instance,
+                        held.member,
+                        held,
+                        self._leaving_upstreams,
+                    )
         return self._record_by_instance
 
     def _clear_caches(self) -> None:
@@ -256,14 +283,25 @@
     kept: dict[InstanceId, HeldRecord],
     member: Member,
     held: HeldRecord,
+    leaving: LeavingUpstreams,
 ) -> None:
     present = kept.get(member.instance)
-    if present is None or _preference(present) < _preference(held):
+    if present is None or (
+        _preference(present, leaving) < _preference(held, leaving)
+    ):
         kept[member.instance] = held
 
 
-def _preference(held: HeldRecord) -> tuple[bool, Revision]:
-    return (held.state is InstanceState.LIVE, held.entry.revision)
+def _preference(
+    held: HeldRecord, leaving: LeavingUpstreams
+) -> tuple[bool, Revision]:
+    return (_is_staying(held, leaving), held.entry.revision)
+
+
+def _is_staying(held: HeldRecord, leaving: LeavingUpstreams) -> bool:
+    """Return whether neither the record nor its upstream says leaving."""
+    is_live = held.state is InstanceState.LIVE
+    return is_live and record_id_of(held.entry.key) not in leaving
 
 
 def _group_by_service(
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -174,6 +174,9 @@
     # Requests per second that the upstream says it takes; `None` if it states
     # no limit.
     stated_limit: float | None = None
+    # Identity of the upstream that answered, if it says that it leaves; empty
+    # otherwise.
+    leaving_identity: str = ''
 
 
 @final
@@ -194,6 +197,7 @@
     identity: str = ''
     # Stated by a refusal; `None` says nothing about an earlier limit.
     stated_limit: float | None = None
+    leaving_identity: str = ''  # as in `UpstreamAnswered`
 
 
 @final
@@ -206,6 +210,7 @@
     identity: str
     reported_load: float | None
     cold_seconds: float | None = None  # remaining; `None` if not reported
+    leaving_identity: str = ''  # as in `UpstreamAnswered`
 
 
 @final
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -66,6 +66,10 @@
     # release states only `highest`.
     configuration_highest: Revision | None = None
     instances_highest: Revision | None = None
+    # The record id of the sender's upstream, if it has said that it leaves,
+    # and the time of its start, if known.
+    leaving_upstream: str = ''
+    leaving_upstream_started_ms: int | None = None
 
     @property
     def highest_revisions(self) -> HighestRevisions:
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -304,10 +304,14 @@
     event: _UpstreamEvent,
     handle: Callable[[CallsState, CallContext, Any], Effects],
 ) -> Effects:
-    """Handle an upstream event; audit a restart of the slow start."""
+    """Handle an upstream event; audit a restart of the slow start.
+
+    Peers hear that the upstream leaves before they get its answer.
+    """
     upstream = state.calls.owner.upstream
     before = upstream.generation
-    effects = handle(state.calls, make_call_context(state), event)
+    effects = _report_leaving(state, event)
+    effects.extend(handle(state.calls, make_call_context(state), event))
     if upstream.generation != before:
         fields = {'cause': type(event).__name__, 'limit': upstream.limit}
         record = state.audit_trail.record('ramp_restarted', dict(fields))
@@ -315,6 +319,18 @@
     return effects
 
 
+def _report_leaving(state: State, event: _UpstreamEvent) -> Effects:
+    if not event.leaving_identity:
+        return []
+    return dissemination.on_upstream_leaving(
+        state.dissemination,
+        event.now,
+        event.leaving_identity,
+        state.holdings,
+        state.membership,
+    )
+
+
 def _on_stop_requested(state: State, event: StopRequested) -> Effects:
     state.is_stopping = True
     record = state.audit_trail.record('stopping', {})
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -69,6 +69,7 @@
     identity: str = ''
     # Requests per second that the upstream says it takes, if it states any.
     stated_limit: float | None = None
+    is_leaving: bool = False  # the upstream says that it leaves
     # A statement about the upstream that is malformed and therefore ignored.
     refused_statement: str = ''
 
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -262,6 +262,9 @@
             'A header of the upstream is malformed and was ignored.',
             'Correct the upstream that sends it.',
         ),
+        'upstream-leaving': ErrorText(
+            'An upstream says that it leaves; it gets no new requests.', ''
+        ),
         'upstream-limit': ErrorText(
             'The upstream states a limit, or states it no longer.', ''
         ),
--- a/briartack/platform/names.py
+++ b/briartack/platform/names.py
@@ -14,6 +14,7 @@
 NOT_EXECUTED: Final = 'X-Not-Executed'
 LOAD: Final = 'X-Server-Load'  # running, waiting, slots
 LIMIT: Final = 'Server-Limit'  # requests per second that an upstream takes
+LEAVING: Final = 'Server-Leaving'  # an upstream that leaves says 1
 COLD_MS: Final = 'X-Cold-Ms'
 
 
--- a/briartack/platform/registry.py
+++ b/briartack/platform/registry.py
@@ -38,6 +38,7 @@
     address: str  # of the upstream; its daemon has the same IP address
     info: _Info
     status: _Status
+    born: int | None = None  # Unix milliseconds of the server's start
 
 
 @final
@@ -72,5 +73,6 @@
             state=state,
             instance=host,
             slots=server.info.slots,
+            started_ms=server.born,
         )
         return msgspec.json.encode(record).decode()
--- a/briartack/platform/upstream.py
+++ b/briartack/platform/upstream.py
@@ -17,6 +17,7 @@
     DEADLINE_MS,
     EXPECT_INSTANCE,
     INSTANCE_ID,
+    LEAVING,
     LIMIT,
     LOAD,
     NOT_EXECUTED,
@@ -87,6 +88,7 @@
                 has_run=False,
                 identity=response.get_single_value(INSTANCE_ID),
             )
+        is_leaving = _is_leaving(response)
         stated_limit, refused_statement = _parse_limit(
             response.get_single_value(LIMIT)
         )
@@ -98,6 +100,7 @@
                 failure='refused',
                 has_run=False,
                 stated_limit=stated_limit,
+                is_leaving=is_leaving,
                 refused_statement=refused_statement,
             )
         flaw = _find_flaw(effect, response, status)
@@ -110,6 +113,7 @@
                 if pair[0].lower() not in _INTERNAL_HEADERS
             ),
             stated_limit=stated_limit,
+            is_leaving=is_leaving,
             refused_statement=refused_statement,
         )
 
@@ -132,16 +136,18 @@
                 identity='',
                 reported_load=None,
             )
+        identity = response.get_single_value(INSTANCE_ID)
         return UpstreamProbed(
             now=now,
             is_healthy=response.get_code() == HTTPStatus.OK,
             is_draining=False,
-            identity=response.get_single_value(INSTANCE_ID),
+            identity=identity,
             # All requests pass through this daemon, so its own count is exact.
             reported_load=None,
             cold_seconds=_parse_cold_seconds(
                 response.get_single_value(COLD_MS)
             ),
+            leaving_identity=identity if _is_leaving(response) else '',
         )
 
 
@@ -149,6 +155,10 @@
     return find_header(effect.headers, _ATTEMPT_ID_LOWER) or ''
 
 
+def _is_leaving(response: CollectedResponse) -> bool:
+    return response.get_single_value(LEAVING).strip() == '1'
+
+
 def _find_flaw(
     effect: Dispatch, response: CollectedResponse, status: int
 ) -> str:
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -93,8 +93,9 @@
     def instance_count(self) -> int:
         return len(self.members)
 
-    def find_record(self, record_id: str) -> None:
-        """Return no record: no upstream here starts under a new id."""
+    def is_upstream_leaving(self, record_id: str) -> bool:
+        """Return false: no upstream here is listed under an id of its own."""
+        return False
 
     def live_members_of(self, service: str) -> tuple[Member, ...]:
         return self.members if service == 's' else ()
--- a/briartack/test/test_platform_site.py
+++ b/briartack/test/test_platform_site.py
@@ -142,6 +142,53 @@
             ),
         )
 
+    def test_worker_with_a_limit_gets_no_more_than_it_takes(self) -> None:
+        """Guard against requests beyond the limit that a worker names.
+
+        The worker takes nothing, so the rule allows 5 requests in 4 s.
+        """
+        worker = self.site.find_machine('east-1', 'reads').worker
+        self.addCleanup(
+            becomes_true, partial(self.is_answered_with, '/reads/', b'i-1 ')
+        )
+        self.addCleanup(setattr, worker, 'stated_limit', None)
+        worker.stated_limit = 0
+        self.assertEqual(self.request_from('east-1', '/reads/').body, b'i-1 ')
+        started = time.monotonic()
+        ran = worker.counts['ran']
+        for _ in range(30):
+            self.assertEqual(self.request_from('east-1', '/reads/').status, 200)
+        windows = 1 + (time.monotonic() - started) // 4
+        self.assertLessEqual(worker.counts['ran'] - ran, 5 * windows)
+
+    def test_worker_that_says_it_leaves_gets_no_requests(self) -> None:
+        """Guard against requests to a worker that the store calls ready."""
+        machine = self.site.find_machine('east-2', 'buys')
+        worker = machine.worker
+        before = worker.identity
+        self.addCleanup(
+            becomes_true,
+            lambda: self.request_from('east-2', '/buys/').body[:4] == b'i-re',
+        )
+        self.addCleanup(self.site.register_worker, machine)
+        self.addCleanup(worker.restart, 'i-restarted')
+        self.addCleanup(self.site.store.delete, f'servers/{before}')
+        worker.is_leaving = True
+        identity = before.encode()
+        self.assertTrue(
+            becomes_true(
+                lambda: (
+                    not self.request_from('east-2', '/buys/').body.startswith(
+                        identity
+                    )
+                ),
+            ),
+        )
+        ran = worker.counts['ran']
+        for _ in range(10):
+            self.assertEqual(self.request_from('east-2', '/buys/').status, 200)
+        self.assertEqual(worker.counts['ran'], ran)
+
     @params('busy', 'many', 'reset')
     def test_requests_are_served_during_store_outage(self, outage: str) -> None:
         """Guard against requests that need the store."""
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -206,6 +206,7 @@
             body_digest=compute_body_digest(body),
             elapsed_seconds=now - started_at,
             stated_limit=result.stated_limit,
+            leaving_identity=_leaving_identity(effect, result),
         )
 
     def _record_failure(
@@ -238,6 +239,7 @@
             is_refusal=not result.has_run,
             identity=result.identity,
             stated_limit=result.stated_limit,
+            leaving_identity=_leaving_identity(effect, result),
         )
 
     def _send_probe(self) -> UpstreamProbed:
@@ -256,3 +258,7 @@
             self._observer.count('upstream.probe_failures')
             return self._dialect.decode_probe(self._clock(), None)
         return self._dialect.decode_probe(self._clock(), response)
+
+
+def _leaving_identity(effect: Dispatch, result: UpstreamResult) -> str:
+    return effect.expected_identity if result.is_leaving else ''
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -23,6 +23,8 @@
         'cold_until',
         'active_fault',
         'work_seconds',
+        'stated_limit',
+        'is_leaving',
         'counts',
         'received_requests',
         '_server',
@@ -35,6 +37,8 @@
         # One of cut, unsealed, foreign and refuse; empty for none.
         self.active_fault = ''
         self.work_seconds = 0.001
+        self.stated_limit: float | None = None  # requests per second
+        self.is_leaving = False  # named in answers, whatever the store says
         self.counts: Counter[str] = Counter()
         self.received_requests: list[tuple[str, str, dict[str, str]]] = []
         self._server = HttpServer(address=address, application=self.answer)
@@ -48,6 +52,7 @@
         """Simulate a restart at the same address under a new identity."""
         self.identity = identity
         self.is_draining = False
+        self.is_leaving = False
 
     def answer(self, request: Request) -> Response | BrokenResponse:
         """Answer a health probe or run a request."""
@@ -87,9 +92,21 @@
         )
         return Response(
             body=b' '.join((self.identity.encode(), body)),
-            headers=(('X-Attempt-Id', attempt_id), *seal),
+            headers=(
+                ('X-Attempt-Id', attempt_id),
+                *seal,
+                *self._build_statements(),
+            ),
         )
 
+    def _build_statements(self) -> list[tuple[str, str]]:
+        statements = []
+        if self.stated_limit is not None:
+            statements.append(('Server-Limit', f'{self.stated_limit:g}'))
+        if self.is_leaving:
+            statements.append(('Server-Leaving', '1'))
+        return statements
+
     def _answer_probe(self) -> Response:
         self.counts['probes'] += 1
         status = HTTPStatus.OK
