Exceed a stated rate only where requests have no other place

Cause: the stated rate was a hard bound, and the load showed the limit only when it was used up.

Now two buckets count the starts. The one at the stated rate sets the load, and goes into debt, so the upstream looks full to senders at its rate and they turn to others. The other, at stated_limit_overage times the rate (1.2 on the platform, 1 elsewhere), bounds the starts; only requests for which everything else is full get that far.

Ruled out: a bound at the whole tolerance of 1.5, which leaves nothing for a restarted daemon that has yet to hear of the limit.

--- a/briartack/core/calls/call_rules.py
+++ b/briartack/core/calls/call_rules.py
@@ -38,6 +38,9 @@
     # second: a factor on the rate, and a burst of requests on top.
     cold_overage: float = 1.0
     cold_slack: float = 1.0
+    # Factor by which requests for which no other upstream has room may exceed
+    # the rate that an upstream says it takes.
+    stated_limit_overage: float = 1.0
     # Load of near upstreams from which farther ones are chosen. At a load
     # above 1, requests wait for a slot.
     full_load: float = 1.0
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -111,6 +111,7 @@
         self._limits = limits
         self._slots = slots
         self._cold_start_limiter.configure(limits.cold_per_second, self._rules)
+        self._stated_limiter.configure(self._rules)
 
     def assume_cold(self, now: float) -> None:
         """Assume a cold upstream for `ramp_seconds`, and request a probe.
--- a/briartack/core/calls/start_bucket.py
+++ b/briartack/core/calls/start_bucket.py
@@ -7,13 +7,16 @@
 class StartBucket:
     """Hold the rate, the burst and the tokens left for request starts.
 
-    At most the burst plus the rate times the seconds may start in any span.
+    At most the burst plus the rate times the seconds may start in any span, if
+    no request starts without a token. With debt, starts without a token count
+    too, up to the burst.
     """
 
-    __slots__ = ('_rate', '_burst', '_tokens', '_refilled_at')
+    __slots__ = ('_has_debt', '_rate', '_burst', '_tokens', '_refilled_at')
 
-    def __init__(self) -> None:
+    def __init__(self, *, has_debt: bool = False) -> None:
         """Start with an empty bucket."""
+        self._has_debt = has_debt
         self._rate = 1.0
         self._burst = 1.0
         self._tokens = 0.0
@@ -32,7 +35,8 @@
     def record_start(self, now: float) -> None:
         """Take a token for a start."""
         self._refill(now)
-        self._tokens = max(0.0, self._tokens - 1)
+        lowest = -self._burst if self._has_debt else 0
+        self._tokens = max(lowest, self._tokens - 1)
 
     def count_available_starts(self, now: float) -> int:
         """Return the number of starts allowed now."""
@@ -45,7 +49,10 @@
         return now + max(0.0, 1 - self._tokens) / self._rate
 
     def used_share(self, now: float) -> float:
-        """Return the share of the burst that recent starts have used."""
+        """Return the share of the burst that recent starts have used.
+
+        The share is above 1 if there is debt.
+        """
         self._refill(now)
         return 1 - self._tokens / self._burst
 
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -21,6 +21,10 @@
 # only if the owner refuses it.
 _FULL_LOAD: Final = 1.25
 _FULL_LOAD_LARGE_BODY: Final = 4.0
+# The platform lets an upstream get half as many requests again as it says it
+# takes. Most of that is left for a restarted daemon that has yet to hear of
+# the limit.
+_STATED_LIMIT_OVERAGE: Final = 1.2
 # Requests that run in the last sixth of the grace time may be aborted. The
 # process needs part of the grace time to write its last responses.
 _DRAIN_FRACTION: Final = 0.85
@@ -111,6 +115,7 @@
             retry_burst=bounds.budget_extra,
             cold_overage=bounds.cold_overage,
             cold_slack=bounds.cold_slack,
+            stated_limit_overage=_STATED_LIMIT_OVERAGE,
             full_load=_FULL_LOAD,
             large_body_full_load=_FULL_LOAD_LARGE_BODY,
             linger_seconds=_FAILED_READY_PROBES * _READY_PERIOD_SECONDS,
--- a/briartack/test/test_stated_limit.py
+++ b/briartack/test/test_stated_limit.py
@@ -4,6 +4,7 @@
 limit holds. All requests to it pass through the daemon beside it.
 """
 
+import itertools
 import unittest
 from collections import deque
 from typing import Final
@@ -31,6 +32,7 @@
 MAX_EXCESS: Final = 1.5
 MAX_EXTRA: Final = 5
 STEP_SECONDS: Final = 0.02
+FULL_LOAD: Final = 1.25  # of the platform
 
 
 def count_busiest_window(times: list[float]) -> int:
@@ -45,9 +47,10 @@
     return busiest
 
 
-def make_upstream() -> LocalUpstream:
+def make_upstream(overage: float = 1) -> LocalUpstream:
     """Make a probed upstream with 12 slots that has a rate for cold starts."""
-    upstream = LocalUpstream(rules=CallRules(requires_identity=True))
+    rules = CallRules(requires_identity=True, stated_limit_overage=overage)
+    upstream = LocalUpstream(rules=rules)
     upstream.configure(
         ServiceLimits(
             slots=12, connections=120, queue_length=48, cold_per_second=18
@@ -76,16 +79,16 @@
     """Check starts, load and refusals at an upstream with a limit."""
 
     # Guards against more requests than an upstream has said it takes.
-    @params(0, 0.4, 1, 7.9, 25.6, 200)
+    @params(*itertools.product((0, 0.4, 1, 7.9, 25.6, 200), (1, 1.2)))
     def test_starts_in_any_window_are_within_the_stated_limit(
-        self, per_second: float
+        self, per_second: float, overage: float
     ) -> None:
         """Guard against an overloaded upstream that has named its limit.
 
         Far more requests arrive than the upstream takes, and each run is
         short; the limit is named after 5 s.
         """
-        upstream = make_upstream()
+        upstream = make_upstream(overage)
         started: list[float] = []
         for step in range(round(30 / STEP_SECONDS)):
             now = step * STEP_SECONDS
@@ -96,7 +99,9 @@
         allowed = MAX_EXCESS * per_second * WINDOW_SECONDS + MAX_EXTRA
         self.assertLessEqual(count_busiest_window(started), allowed)
         # What the upstream takes is not withheld from callers either.
-        self.assertGreaterEqual(len(started), int(per_second * 25 * 0.95))
+        self.assertGreaterEqual(
+            len(started), int(per_second * overage * 25 * 0.95)
+        )
 
     def test_limit_that_is_no_longer_stated_ends(self) -> None:
         """Guard against an upstream that stays limited for ever."""
@@ -133,6 +138,20 @@
         self.assertGreaterEqual(upstream.load(0), 1)
         self.assertLess(upstream.load(2), 0.1)
 
+    def test_load_is_full_before_the_stated_rate_is_exceeded(self) -> None:
+        """Guard against requests above the rate while others have room.
+
+        Senders turn to other upstreams at the full load.
+        """
+        upstream = make_upstream(1.2)
+        upstream.update_stated_limit(20)
+        started: list[float] = []
+        for step in range(round(20 / STEP_SECONDS)):
+            now = step * STEP_SECONDS
+            if upstream.load(now) < FULL_LOAD:
+                started.extend(self._run_step(upstream, now, step, offered=1))
+        self.assertLessEqual(len(started), 20 * 20 + 10)
+
     @params(('25.6', 25.6), ('0', 0), ('nan', None), ('-1', None), ('x', None))
     def test_limit_is_decoded_from_answers_and_refusals(
         self, text: str, per_second: float | None
@@ -178,14 +197,14 @@
         self.assertEqual(refused, [False, False, True, True], lines)
 
     def _run_step(
-        self, upstream: LocalUpstream, now: float, step: int
+        self, upstream: LocalUpstream, now: float, step: int, offered: int = 12
     ) -> list[float]:
-        """Offer 12 requests, run all that start, and return their times."""
+        """Offer requests, run all that start, and return their times."""
         admitted = [
             *upstream.fill(now).started,
             *(
                 attempt
-                for number in range(12)
+                for number in range(offered)
                 for attempt in upstream.offer(
                     SlotRequest(
                         attempt_id=AttemptId(f'a{step}-{number}'),
