Close idle connections to the store when a call is not answered in time

What callers would see: after all connections have gone silent, a change that comes into force seconds late, since the next watch takes a pooled connection that is silent too and waits its time out again.

Cause: a timeout said something about one connection only.

Evidence: test_cancelled_watch_closes_idle_connections and test_timeout_closes_idle_connections; both failed before (the connection stayed open for the 10 s of the wait).

--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -37,13 +37,15 @@
         *,
         may_have_run: bool,
         is_reset: bool = False,
+        is_timeout: bool = False,
     ) -> None:
         """Store the reason and whether the server may have run the request.
 
         `is_reset` is true if the server refused, reset or closed the
-        connection.
+        connection, `is_timeout` if no answer came in time.
         """
         super().__init__(reason)
+        self.is_timeout = is_timeout
         self.may_have_run = may_have_run
         self.is_reset = is_reset
 
@@ -80,6 +82,11 @@
         self._semaphore.acquire()
         return sock
 
+    def close_idle(self) -> None:
+        """Close the idle connections."""
+        while not self._socket_queue.empty():
+            self._socket_queue.get_nowait().close()
+
     def _create_socket(self) -> socket.socket:
         sock = super()._create_socket()
         # `finish` sets one timeout for the whole exchange; a timeout on the
@@ -178,6 +185,7 @@
             raise ExchangeError(
                 'timeout',
                 may_have_run=self._response.has_sent_bytes,
+                is_timeout=True,
             ) from None
         finally:
             timeout.close()
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -105,8 +105,13 @@
         self._watch = gevent.spawn(self._run_watch, effect)
 
     def cancel_watch(self, effect: CancelWatch) -> None:
-        """Close the connection of the watch; no event follows."""
+        """Close the connection of the watch; no event follows.
+
+        Idle connections are closed too: the reducer cancels a watch that is
+        not answered, and all connections to the store may have gone silent.
+        """
         self._stop_watch()
+        self._pool.close_idle()
 
     def _stop_watch(self) -> None:
         watch = self._watch
@@ -220,6 +225,8 @@
                 timeout_seconds=timeout_seconds,
             )
         except ExchangeError as error:
+            if error.is_timeout:
+                self._pool.close_idle()
             raise _StoreError(str(error)) from None
         return _extract_body(response)
 
--- a/briartack/test/test_upstream.py
+++ b/briartack/test/test_upstream.py
@@ -5,10 +5,12 @@
 
 import unittest
 from functools import partial
+from unittest import mock
 
 import gevent
 from nose2.tools import params
 
+from briartack import store_client
 from briartack.core import effects, events
 from briartack.core.units import AttemptId, BodyId, Revision
 from briartack.http_exchange import Exchange, KeepAlivePool
@@ -22,6 +24,12 @@
 
 OK_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 STORE_HEAD = b'HTTP/1.1 %b\r\n%bContent-Length: %d\r\n\r\n%b'
+EMPTY_LIST = STORE_HEAD % (
+    b'200 OK',
+    b'',
+    30,
+    b'{"revision": 1, "entries": []}',
+)
 
 
 def dispatch_effect(number: int, method: str = 'POST') -> effects.Dispatch:
@@ -192,6 +200,32 @@
         wait = 1.5 if headers else None
         self.assertEqual(failed.retry_after_seconds, wait)
 
+    # Guards against calls on connections that have gone silent.
+    def test_cancelled_watch_closes_idle_connections(self) -> None:
+        """Guard against a next watch on a connection that is silent too.
+
+        Connections may go silent without a reset, while new ones work. A
+        watch without an answer in time is cancelled.
+        """
+        server, shell = self.serve(EMPTY_LIST, is_waiting=True)
+        shell.store.read(effects.ReadStore(prefix='teams/'))
+        shell.state.wait_for(events.StoreRead)
+        self.assertEqual(server.connection_ends, [])
+        shell.store.cancel_watch(effects.CancelWatch())
+        wait_until(lambda: b'' in server.connection_ends)
+
+    def test_timeout_closes_idle_connections(self) -> None:
+        """Guard against a next read on a connection that is silent too."""
+        server, shell = self.serve(is_waiting=True)
+        with mock.patch.object(store_client, '_READ_TIMEOUT_SECONDS', 0.5):
+            shell.store.read(effects.ReadStore(prefix='teams/'))
+            wait_until(partial(_has_request, server, b'teams'))
+        server.answer = EMPTY_LIST
+        shell.store.read(effects.ReadStore(prefix='instances/'))
+        shell.state.wait_for(events.StoreRead)
+        shell.state.wait_for(events.StoreFailed)
+        wait_until(lambda: server.connection_ends.count(b'') == 2)
+
     def test_new_watch_and_cancellation_close_the_watch(self) -> None:
         """Guard against two watches at once, and events of a cancelled one."""
         server, shell = self.serve(is_waiting=True)
