Read all keys at the start of a watch and after a silent one

Cause: a daemon that took over the watch trusted the next watch, which was silent too; and so did a watcher whose watch had not been answered. Only the reset and the answer that the history is gone led to a read.

Now a daemon that takes over, and one whose watch was not answered in time, reads all keys beside the new watch. The read is answered at once and has what the silent watch held back.

Ruled out: empty answers that skip changes.

--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -74,6 +74,7 @@
         '_watch_started_at',
         '_is_on_duty',
         '_must_read_revision',
+        '_must_read_all',
         '_catch_up_revision',
         '_complete_revision',
         '_highest_seen',
@@ -103,6 +104,7 @@
         self._watch_started_at: float | None = None
         self._is_on_duty = False
         self._must_read_revision = False
+        self._must_read_all = False
         self._catch_up_revision: Revision | None = None
         self._complete_revision: Revision | None = None
         self._highest_seen = NO_REVISION
@@ -159,6 +161,8 @@
             effects = report_duty(
                 self._complete_revision, is_on_duty=is_on_duty
             )
+            # The watch before may have been silent, and so may the next.
+            self._must_read_all = is_on_duty
         self._is_on_duty = is_on_duty
         self._must_read_revision = self._must_read_revision and is_on_duty
         if is_on_duty or self._watch_deadline is None:
@@ -193,11 +197,12 @@
             effects.extend(self._start_read(now, PLATFORM_KEY))
         if self._is_instance_read_due(now):
             effects.extend(self._start_read(now, INSTANCE_PREFIX))
-        if self._complete_revision is None:
-            if needs_full_read or self._is_on_duty:
-                effects.extend(self._start_read(now, ALL_KEYS_PREFIX))
-        elif self._is_on_duty:
-            effects.extend(self._start_watch(now, self._complete_revision))
+        complete = self._complete_revision
+        needs_all_keys = complete is None or self._must_read_all
+        if needs_all_keys and (needs_full_read or self._is_on_duty):
+            effects.extend(self._start_read(now, ALL_KEYS_PREFIX))
+        if self._is_on_duty and complete is not None:
+            effects.extend(self._start_watch(now, complete))
         return effects
 
     def on_read(self, event: StoreRead) -> Effects:
@@ -212,6 +217,7 @@
         if event.prefix in {ALL_KEYS_PREFIX, INSTANCE_PREFIX}:
             self._instance_read_at = None
         if event.prefix == ALL_KEYS_PREFIX:
+            self._must_read_all = False
             self._advance_complete(event.revision)
         effects.extend(self._record_revision(event.revision))
         return effects
@@ -309,6 +315,7 @@
         effects: Effects = []
         if self._watch_deadline is not None and now >= self._watch_deadline:
             expired.append((StoreOperation.WATCH, ''))
+            self._must_read_all = True
             effects.append(CancelWatch())
         for operation, prefix in expired:
             effects.extend(
--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -95,8 +95,8 @@
     inject faults by `is_cut` (no connection between two names), `is_dropped`
     (a message to a peer is lost), `store_seconds` (latency of the store),
     `is_store_silent` (the store accepts a daemon's calls and never answers
-    them) and `is_frozen`. The store is in region `r0`, under the name
-    `r0-store`.
+    them), `are_watches_silent` (it does so with all watches) and `is_frozen`.
+    The store is in region `r0`, under the name `r0-store`.
     """
 
     def __init__(
@@ -117,6 +117,7 @@
         self.logs: Counter[str] = Counter()
         self.store_seconds: Callable[[str], float] = lambda name: 0.003
         self.is_store_silent: Callable[[str], bool] = lambda name: False
+        self.are_watches_silent = False
         self.is_cut: Callable[[str, str], bool] = lambda left, right: False
         self.is_dropped: Callable[[str, wire.PeerMessage], bool] = (
             lambda peer, message: False
@@ -371,7 +372,7 @@
 
     def _answer_due_watches(self) -> None:
         for name, node in self.nodes.items():
-            if self.is_store_silent(name):
+            if self.are_watches_silent or self.is_store_silent(name):
                 continue
             until, after = node.watch or (math.inf, self.store.revision)
             entries = self.store.edits_after(after)
--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -183,6 +183,23 @@
         fleet.run(IN_FORCE_SECONDS)
         self.assertEqual(fleet.find_daemons_without(revision), [])
 
+    # Guards against a daemon that trusts a watch after one that was silent.
+    @params(*range(20))
+    def test_change_is_in_force_although_all_watches_are_silent(
+        self, tenths: int
+    ) -> None:
+        """Guard against silent watches that are followed by watches only.
+
+        The store answers reads, and no watch from a moment before the change.
+        """
+        fleet = started_fleet()
+        fleet.run(1 + tenths / 10)
+        fleet.are_watches_silent = True
+        fleet.run(tenths / 10)
+        revision = fleet.edit_store('teams/a', 'second')
+        fleet.run(IN_FORCE_SECONDS)
+        self.assertEqual(fleet.find_daemons_without(revision), [])
+
     @params(*range(18))
     def test_change_reaches_a_daemon_that_receives_no_messages(
         self,
