Let daemons below the roots watch a store that answers no root

What callers would see: if the store answers no root of a region, and no other region takes over, a change never comes into force.

Cause: only roots could take over the watch. A daemon that took over also counted as healthy by an answer from long before, so that others relied on it until its first call had failed, more than a second later.

Now a daemon counts as watching only by an answer since it began to. Summaries name a daemon that watches the store, if the sender knows one; a daemon below the roots whose parents know none but itself for 0.4 s takes over, and gives the watch back as soon as a parent names another.

Evidence: test_change_is_in_force_although_the_store_ignores_all_roots, 1 to 3 regions, 21 cases.

--- a/briartack/core/dissemination/announcer.py
+++ b/briartack/core/dissemination/announcer.py
@@ -25,6 +25,7 @@
 # Both ends of a new stream send a summary at once, so a reply to the first
 # summary of a peer would only repeat it.
 SUMMARY_REPLY_INTERVAL_SECONDS: Final = 0.5
+NO_INSTANCE: Final = InstanceId('')
 
 
 @final
@@ -41,6 +42,7 @@
         '_last_summary_at',
         '_last_probe_at',
         '_watches_store',
+        '_watcher',
         '_store_answer_seconds',
         '_leaving_upstream',
     )
@@ -50,6 +52,7 @@
         self._last_summary_at: dict[InstanceId, float] = {}
         self._last_probe_at: dict[InstanceId, float] = {}
         self._watches_store = False
+        self._watcher = NO_INSTANCE
         self._store_answer_seconds: float | None = None
         self._leaving_upstream: UpstreamStart | None = None
 
@@ -62,14 +65,17 @@
         self,
         *,
         watches: bool,
+        watcher: InstanceId,
         min_answer_seconds: float | None,
     ) -> bool:
         """Set the store status that summaries report.
 
-        Return whether the daemon started or stopped watching the store.
+        Return whether this daemon started or stopped watching the store, or
+        whether it knows another watcher than before.
         """
-        has_changed = watches != self._watches_store
+        has_changed = (watches, watcher) != (self._watches_store, self._watcher)
         self._watches_store = watches
+        self._watcher = watcher
         self._store_answer_seconds = min_answer_seconds
         return has_changed
 
@@ -134,6 +140,7 @@
             clock=now,
             wants_answers=wants_answers,
             watches_store=self._watches_store,
+            watcher=self._watcher,
             store_latency_seconds=self._store_answer_seconds,
             configuration_highest=held.configuration,
             instances_highest=held.instances,
--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -12,7 +12,6 @@
 )
 from briartack.core.dissemination.dissemination_state import DisseminationState
 from briartack.core.dissemination.holdings import Holdings
-from briartack.core.dissemination.leaving_upstreams import UpstreamStart
 from briartack.core.dissemination.membership import MembershipState
 from briartack.core.dissemination.peer_sync import (
     answer_inventory,
@@ -25,12 +24,10 @@
     synchronise,
 )
 from briartack.core.dissemination.store_reads import ALL_KEYS_PREFIX
-from briartack.core.effects import (
-    Effects,
-    LogLevel,
-    SendMessage,
-    WriteLog,
+from briartack.core.dissemination.upstream_notices import (
+    record_leaving_upstream,
 )
+from briartack.core.effects import Effects, SendMessage
 from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_KEY, Entry
 from briartack.core.events import (
     PeerConnected,
@@ -251,7 +248,7 @@
     message = event.message
     if isinstance(message, Entries):
         return _handle_entries(state, event, message, effects)
-    effects.extend(_record_leaving_upstream(event, membership))
+    effects.extend(record_leaving_upstream(event, membership))
     effects.extend(_handle_message(state, event, holdings))
     _check_parents_of_child(state, event, membership)
     effects.extend(run_periodic_work(state, event.now, holdings, membership))
@@ -262,33 +259,6 @@
     )
 
 
-def on_upstream_leaving(
-    state: DisseminationState,
-    now: float,
-    record_id: str,
-    holdings: Holdings,
-    membership: MembershipState,
-) -> Effects:
-    """Tell all connected peers that the local upstream says that it leaves.
-
-    The store may say so later, or never.
-    """
-    start = membership.mark_upstream_leaving(UpstreamStart(record_id))
-    if start is None:
-        return []
-    state.announcer.announce_leaving(start)
-    effects: Effects = [_build_leaving_line(record_id, state.identity.instance)]
-    effects.extend(
-        state.announcer.send_summaries(
-            now,
-            state.links.connected_peers,
-            holdings,
-            sync_sources=state.links.sync_sources,
-        ),
-    )
-    return effects
-
-
 def on_merged(
     state: DisseminationState,
     now: float,
@@ -388,25 +358,6 @@
     )
 
 
-def _record_leaving_upstream(
-    event: PeerMessageReceived, membership: MembershipState
-) -> Effects:
-    message = event.message
-    if not isinstance(message, Summary) or not message.leaving_upstream:
-        return []
-    start = UpstreamStart(
-        message.leaving_upstream, message.leaving_upstream_started_ms
-    )
-    if membership.mark_upstream_leaving(start) is None:
-        return []
-    return [_build_leaving_line(start.record_id, event.peer)]
-
-
-def _build_leaving_line(record_id: str, instance: InstanceId) -> WriteLog:
-    fields = (('upstream', record_id), ('instance', instance))
-    return WriteLog(level=LogLevel.INFO, code='upstream-leaving', fields=fields)
-
-
 def _check_parents_of_child(
     state: DisseminationState,
     event: PeerMessageReceived,
--- a/briartack/core/dissemination/dissemination_state.py
+++ b/briartack/core/dissemination/dissemination_state.py
@@ -46,6 +46,7 @@
         'started_at',
         'next_work_at',
         'snapshot_wait_seconds',
+        'unwatched_since',
     )
 
     def __init__(
@@ -73,6 +74,8 @@
         self.confirmation: Final = PauseConfirmation()
         self.started_at = float(0)
         self.next_work_at = float('-inf')
+        # Since when no parent knows a daemon that watches the store.
+        self.unwatched_since: float | None = None
         self.snapshot_wait_seconds: Final = (
             SNAPSHOT_WAIT_SECONDS
             + random.uniform(0, SNAPSHOT_WAIT_JITTER_SECONDS)
--- a/briartack/core/dissemination/overlay.py
+++ b/briartack/core/dissemination/overlay.py
@@ -44,6 +44,7 @@
     remote_roots: tuple[Member, ...] = ()  # empty unless the daemon is a root
     is_first_root: bool = False
     is_second_root: bool = False
+    is_below_roots: bool = False  # its parents are the roots of its region
 
     @property
     def is_root(self) -> bool:
@@ -137,12 +138,14 @@
         """Return the neighbours of this daemon."""
         is_root = self._own in self._roots
         is_first_root = self._own == self._roots[0]
+        parents = self.parents(self._own)
         return Neighbours(
-            parents=self.parents(self._own),
+            parents=parents,
             children=self._own_children(),
             remote_roots=self._remote_roots if is_root else (),
             is_first_root=is_first_root,
             is_second_root=is_root and not is_first_root,
+            is_below_roots=not is_root and parents == self._roots,
         )
 
     def parents(self, member: Member) -> tuple[Member, ...]:
--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -101,6 +101,14 @@
             if view.is_remote and view.last_seen_at >= since
         ]
 
+    def summaries_since(self, since: float) -> dict[InstanceId, Summary]:
+        """Return the summaries received since a time, by peer."""
+        return {
+            peer: view.summary
+            for peer, view in self._views.items()
+            if view.last_seen_at >= since
+        }
+
     def remove_peer(self, peer: InstanceId) -> None:
         """Remove a peer whose stream is down."""
         self._views.pop(peer, None)
--- a/briartack/core/dissemination/periodic_work.py
+++ b/briartack/core/dissemination/periodic_work.py
@@ -14,7 +14,7 @@
 from briartack.core.dissemination.membership import MembershipState
 from briartack.core.dissemination.peer_sync import REMOTE_PULL_DELAY_SECONDS
 from briartack.core.dissemination.peer_views import has_same_entries
-from briartack.core.dissemination.store_duty import is_on_duty
+from briartack.core.dissemination.store_duty import find_watcher, is_on_duty
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.messages import request_entries_after
 from briartack.core.units import InstanceId
@@ -46,6 +46,7 @@
     effects.extend(synchronise(state, now, holdings))
     has_changed = state.announcer.set_store_status(
         watches=state.store.is_watch_healthy,
+        watcher=find_watcher(state, now),
         min_answer_seconds=state.store.reachability.min_answer_seconds,
     )
     effects.extend(_send_heartbeats(state, now, holdings, is_due=has_changed))
@@ -89,13 +90,15 @@
     *,
     is_due: bool,
 ) -> Effects:
+    local_seconds = HEARTBEAT_INTERVAL_SECONDS
     remote_seconds = REMOTE_HEARTBEAT_INTERVAL_SECONDS
     if state.store.rules.is_duty_by_distance and is_due:
+        local_seconds = 0
         remote_seconds = 0
     elif state.store.rules.is_duty_by_distance and state.store.is_watch_healthy:
         remote_seconds = WATCHER_HEARTBEAT_INTERVAL_SECONDS
     groups = (
-        (state.links.local_neighbours, HEARTBEAT_INTERVAL_SECONDS),
+        (state.links.local_neighbours, local_seconds),
         (state.links.remote_neighbours, remote_seconds),
     )
     effects: Effects = []
--- a/briartack/core/dissemination/store_duty.py
+++ b/briartack/core/dissemination/store_duty.py
@@ -3,17 +3,26 @@
 By default the first root of each region watches the store. With duty by
 distance, both roots of the region nearest to the store do, so that each change
 arrives even if one of the two has just failed; the roots of other regions take
-over when they no longer hear either of the two. Any number of watchers is safe,
+over when they no longer hear either of the two. If no root knows a watcher, the
+daemons below the roots take over. Any number of watchers is safe,
 because versions only grow.
 """
 
 from typing import Final
 
+from briartack.core.dissemination.announcer import NO_INSTANCE
 from briartack.core.dissemination.dissemination_state import DisseminationState
+from briartack.core.messages import Summary
+from briartack.core.units import InstanceId
 
 # Tolerates two late heartbeats, and leaves time to take over the watch, since a
 # change must be in force 2 s after it was made.
 WATCHER_SILENCE_SECONDS: Final = 1.0
+# Neighbours in this region send a heartbeat each second.
+NEIGHBOUR_SILENCE_SECONDS: Final = 2.5
+# The roots of other regions take over within this time, and their watch is
+# known here.
+UNWATCHED_SECONDS: Final = 0.4
 # Regions whose answer times differ by less count as equally near.
 DISTANCE_TOLERANCE_SECONDS: Final = 0.005
 
@@ -24,9 +33,62 @@
         return state.tree.is_watcher(now)
     if state.tree.is_watcher(now):
         return not _is_watched_nearer(state, now)
-    if not state.tree.neighbours.is_second_root:
-        return False
-    return not _is_watched_as_near(state, now)
+    neighbours = state.tree.neighbours
+    if neighbours.is_second_root:
+        return not _is_watched_as_near(state, now)
+    return neighbours.is_below_roots and _is_unwatched(state, now)
+
+
+def find_watcher(state: DisseminationState, now: float) -> InstanceId:
+    """Return a daemon that watches the store, if this daemon knows one.
+
+    A child comes last, so that one that has taken over hears of any other.
+    """
+    own = state.identity.instance
+    if state.store.is_watch_healthy:
+        return own
+    children = {child.instance for child in state.tree.neighbours.children}
+    watchers = [
+        peer
+        for peer, summary in _recent_summaries(state, now).items()
+        if summary.watches_store
+    ]
+    return min(
+        watchers,
+        key=lambda peer: (peer in children, peer),
+        default=NO_INSTANCE,
+    )
+
+
+def _recent_summaries(
+    state: DisseminationState, now: float
+) -> dict[InstanceId, Summary]:
+    remote = now - WATCHER_SILENCE_SECONDS
+    return {
+        peer: summary
+        for peer, summary in state.sync.summaries_since(
+            now - NEIGHBOUR_SILENCE_SECONDS
+        ).items()
+        if not state.links.is_remote(peer)
+        or peer in state.sync.summaries_since(remote)
+    }
+
+
+def _is_unwatched(state: DisseminationState, now: float) -> bool:
+    """Return whether no parent has known another watcher for too long."""
+    summaries = state.sync.summaries_since(now - NEIGHBOUR_SILENCE_SECONDS)
+    told = [
+        summaries[parent].watcher
+        for parent in state.links.parents
+        if parent in summaries
+    ]
+    unknown = {NO_INSTANCE, state.identity.instance}
+    if not told or not unknown.issuperset(told):
+        state.unwatched_since = None
+    elif state.unwatched_since is None:
+        state.unwatched_since = now
+    since = state.unwatched_since
+    return since is not None and now - since >= UNWATCHED_SECONDS
 
 
 def _is_watched_nearer(state: DisseminationState, now: float) -> bool:
--- a/briartack/core/dissemination/store_reachability.py
+++ b/briartack/core/dissemination/store_reachability.py
@@ -57,6 +57,10 @@
         """Record that a call was not answered."""
         self._is_answered = False
 
+    def forget_answer(self) -> None:
+        """Require a new answer before the store counts as answering."""
+        self._is_answered = False
+
     def report_failure(self, event: StoreFailed, seen: Revision) -> Effects:
         """Log that calls fail, once until the next answer."""
         if self._is_failure_logged:
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -161,8 +161,10 @@
             effects = report_duty(
                 self._complete_revision, is_on_duty=is_on_duty
             )
-            # The watch before may have been silent, and so may the next.
+            # The watch before may have been silent, and so may the next. An
+            # answer from before does not show that the store answers now.
             self._must_read_all = is_on_duty
+            self._reachability.forget_answer()
         self._is_on_duty = is_on_duty
         self._must_read_revision = self._must_read_revision and is_on_duty
         if is_on_duty or self._watch_deadline is None:
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -68,6 +68,8 @@
     instances_highest: Revision | None = None
     # The record id of the sender's upstream, if it has said that it leaves,
     # and the time of its start, if known.
+    # A daemon that watches the store, the sender or another, if it knows one.
+    watcher: InstanceId = InstanceId('')  # noqa: WPS404, RUF009
     leaving_upstream: str = ''
     leaving_upstream_started_ms: int | None = None
 
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -11,6 +11,7 @@
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.calls_state import CallsState
 from briartack.core.dissemination import dissemination
+from briartack.core.dissemination.upstream_notices import on_upstream_leaving
 from briartack.core.effects import Effects, LogLevel, WriteAudit, WriteLog
 from briartack.core.events import (
     AttemptBodyRead,
@@ -322,7 +323,7 @@
 def _report_leaving(state: State, event: _UpstreamEvent) -> Effects:
     if not event.leaving_identity:
         return []
-    return dissemination.on_upstream_leaving(
+    return on_upstream_leaving(
         state.dissemination,
         event.now,
         event.leaving_identity,
--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -19,7 +19,7 @@
 from briartack.core.dissemination.store_rules import StoreRules
 from briartack.core.entries import Entry
 from briartack.core.units import Revision
-from briartack.test.fleet import Fleet
+from briartack.test.fleet import TICK_SECONDS, Fleet
 
 # The platform's bound for a change to be in force in every daemon.
 IN_FORCE_SECONDS: Final = 2.0
@@ -35,15 +35,27 @@
 )
 
 
-def started_fleet() -> Fleet:
-    """Return a fleet of 3 regions, each with 2 data centres of 3 daemons."""
-    fleet = Fleet(3, 2, 3, rules=RULES)
+def started_fleet(regions: int = 3) -> Fleet:
+    """Return a fleet of regions, each with 2 data centres of 3 daemons."""
+    fleet = Fleet(regions, 2, 3, rules=RULES)
     fleet.store_seconds = lambda name: 0.004 if name[:2] == 'r0' else 0.028
     fleet.start()
     fleet.run(BOOT_SECONDS)
     return fleet
 
 
+def collect_watchers(fleet: Fleet, seconds: float) -> set[str]:
+    """Return all daemons that watch at some moment of a time.
+
+    At a single moment, a watcher may be between two watches.
+    """
+    found: set[str] = set()
+    for _ in range(round(seconds / TICK_SECONDS)):
+        fleet.run(TICK_SECONDS)
+        found.update(fleet.list_watchers())
+    return found
+
+
 def no_fault(fleet: Fleet) -> tuple[str, ...]:
     """Leave the fleet without a fault."""
     return ()
@@ -110,6 +122,16 @@
     return ()
 
 
+def silence_store_at_all_roots(fleet: Fleet) -> tuple[str, ...]:
+    """Let the store ignore all calls of the roots of every region."""
+    regions = {name[:2] for name in fleet.names}
+    silent = {
+        root for region in regions for root in fleet.rank_daemons(region)[:2]
+    }
+    fleet.is_store_silent = lambda name: name in silent
+    return ()
+
+
 def _send_to_others(
     send: Callable[[str, str, wire.PeerMessage], None],
     isolated: str,
@@ -183,6 +205,29 @@
         fleet.run(IN_FORCE_SECONDS)
         self.assertEqual(fleet.find_daemons_without(revision), [])
 
+    # Guards against a store that nobody watches but silent roots.
+    @params(*itertools.product((1, 2, 3), range(0, 20, 3)))
+    def test_change_is_in_force_although_the_store_ignores_all_roots(
+        self, regions: int, tenths: int
+    ) -> None:
+        """Guard against a watch that only roots of a region may take over.
+
+        The store ignores the roots of all regions from a moment before the
+        change on. When it answers them again, only they watch.
+        """
+        fleet = started_fleet(regions)
+        fleet.run(1 + tenths / 10)
+        silence_store_at_all_roots(fleet)
+        fleet.run(tenths / 10)
+        revision = fleet.edit_store('teams/a', 'second')
+        fleet.run(IN_FORCE_SECONDS)
+        self.assertEqual(fleet.find_daemons_without(revision), [])
+        fleet.is_store_silent = lambda name: False
+        fleet.run(BOOT_SECONDS)
+        self.assertEqual(
+            collect_watchers(fleet, 1), set(fleet.rank_daemons('r0')[:2])
+        )
+
     # Guards against a daemon that trusts a watch after one that was silent.
     @params(*range(20))
     def test_change_is_in_force_although_all_watches_are_silent(
