Look up known watchers without copies; record outside the decision since when none is known

The decision who watches had a side effect, and each message collected all recent summaries anew. Behaviour stays, but that the time without a known watcher starts anew when a daemon's place in the tree changes. One copy of FULL_WAIT_SECONDS and of NO_INSTANCE.

--- a/briartack/core/calls/cold_start_limiter.py
+++ b/briartack/core/calls/cold_start_limiter.py
@@ -3,13 +3,11 @@
 from typing import Final, final
 
 from briartack.core.calls.call_rules import CallRules
-from briartack.core.calls.start_bucket import StartBucket
+from briartack.core.calls.start_bucket import FULL_WAIT_SECONDS, StartBucket
 
 # Subtracted from the rate: starts that the upstream may count in another second
 # than this daemon does.
 MARGIN_STARTS: Final = 2.0
-# A cold upstream counts as full once a queued request waits this long.
-FULL_WAIT_SECONDS: Final = 0.1
 
 
 @final
--- a/briartack/core/calls/start_bucket.py
+++ b/briartack/core/calls/start_bucket.py
@@ -1,6 +1,9 @@
 """Token bucket for the request starts at the local upstream."""
 
-from typing import final
+from typing import Final, final
+
+# An upstream counts as full once a queued request waits this long for a token.
+FULL_WAIT_SECONDS: Final = 0.1
 
 
 @final
--- a/briartack/core/calls/stated_limiter.py
+++ b/briartack/core/calls/stated_limiter.py
@@ -3,7 +3,7 @@
 from typing import Final, final
 
 from briartack.core.calls.call_rules import CallRules
-from briartack.core.calls.start_bucket import StartBucket
+from briartack.core.calls.start_bucket import FULL_WAIT_SECONDS, StartBucket
 
 # Requests that arrive close together may start together, if the upstream got
 # less than it takes during this time.
@@ -11,8 +11,6 @@
 # An upstream that takes nothing still gets a request now and then, because only
 # its answers tell whether the limit has ended.
 MIN_STARTS_PER_SECOND: Final = 0.25
-# A wait in the queue that adds 1 to the load.
-FULL_WAIT_SECONDS: Final = 0.1
 
 
 @final
@@ -32,11 +30,6 @@
         self._stated = StartBucket(has_debt=True)
         self._bound = StartBucket()
 
-    @property
-    def per_second(self) -> float | None:
-        """Return the stated requests per second, `None` without a limit."""
-        return self._per_second
-
     def configure(self, rules: CallRules) -> None:
         """Set how far the stated rate may be exceeded."""
         self._overage = rules.stated_limit_overage
--- a/briartack/core/dissemination/announcer.py
+++ b/briartack/core/dissemination/announcer.py
@@ -12,7 +12,7 @@
 from briartack.core.dissemination.leaving_upstreams import UpstreamStart
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.messages import Summary
-from briartack.core.units import Incarnation, InstanceId
+from briartack.core.units import NO_INSTANCE, Incarnation, InstanceId
 
 HEARTBEAT_INTERVAL_SECONDS: Final = 1.0
 REMOTE_HEARTBEAT_INTERVAL_SECONDS: Final = 2.0
@@ -25,7 +25,6 @@
 # Both ends of a new stream send a summary at once, so a reply to the first
 # summary of a peer would only repeat it.
 SUMMARY_REPLY_INTERVAL_SECONDS: Final = 0.5
-NO_INSTANCE: Final = InstanceId('')
 
 
 @final
--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -101,13 +101,24 @@
             if view.is_remote and view.last_seen_at >= since
         ]
 
-    def summaries_since(self, since: float) -> dict[InstanceId, Summary]:
-        """Return the summaries received since a time, by peer."""
-        return {
-            peer: view.summary
+    def recent_summary(self, peer: InstanceId, since: float) -> Summary | None:
+        """Return the last summary of a peer if it came since a time."""
+        view = self._views.get(peer)
+        if view is None or view.last_seen_at < since:
+            return None
+        return view.summary
+
+    def list_watchers(
+        self, *, local_since: float, remote_since: float
+    ) -> list[InstanceId]:
+        """Return the peers that have said since a time that they watch."""
+        since = {True: remote_since, False: local_since}  # by remoteness
+        return [
+            peer
             for peer, view in self._views.items()
-            if view.last_seen_at >= since
-        }
+            if view.summary.watches_store
+            and view.last_seen_at >= since[view.is_remote]
+        ]
 
     def remove_peer(self, peer: InstanceId) -> None:
         """Remove a peer whose stream is down."""
--- a/briartack/core/dissemination/periodic_work.py
+++ b/briartack/core/dissemination/periodic_work.py
@@ -14,7 +14,11 @@
 from briartack.core.dissemination.membership import MembershipState
 from briartack.core.dissemination.peer_sync import REMOTE_PULL_DELAY_SECONDS
 from briartack.core.dissemination.peer_views import has_same_entries
-from briartack.core.dissemination.store_duty import find_watcher, is_on_duty
+from briartack.core.dissemination.store_duty import (
+    find_watcher,
+    is_on_duty,
+    record_unwatched,
+)
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.messages import request_entries_after
 from briartack.core.units import InstanceId
@@ -38,7 +42,7 @@
     effects = state.tree.suspect_silent_peers(now)
     state.tree.update(now, membership)
     effects.extend(state.links.dial_missing_peers(now, membership))
-    effects.extend(state.store.set_duty(is_on_duty=is_on_duty(state, now)))
+    effects.extend(_update_duty(state, now))
     needs_full_read = state.needs_full_read(now, holdings)
     effects.extend(
         state.store.start_due_calls(now, needs_full_read=needs_full_read)
@@ -54,6 +58,11 @@
     return effects
 
 
+def _update_duty(state: DisseminationState, now: float) -> Effects:
+    record_unwatched(state, now)
+    return state.store.set_duty(is_on_duty=is_on_duty(state, now))
+
+
 def synchronise(
     state: DisseminationState,
     now: float,
--- a/briartack/core/dissemination/store_duty.py
+++ b/briartack/core/dissemination/store_duty.py
@@ -4,16 +4,14 @@
 distance, both roots of the region nearest to the store do, so that each change
 arrives even if one of the two has just failed; the roots of other regions take
 over when they no longer hear either of the two. If no root knows a watcher, the
-daemons below the roots take over. Any number of watchers is safe,
-because versions only grow.
+daemons below the roots take over. Any number of watchers is safe, because
+versions only grow.
 """
 
 from typing import Final
 
-from briartack.core.dissemination.announcer import NO_INSTANCE
 from briartack.core.dissemination.dissemination_state import DisseminationState
-from briartack.core.messages import Summary
-from briartack.core.units import InstanceId
+from briartack.core.units import NO_INSTANCE, InstanceId
 
 # Tolerates two late heartbeats, and leaves time to take over the watch, since a
 # change must be in force 2 s after it was made.
@@ -36,7 +34,7 @@
     neighbours = state.tree.neighbours
     if neighbours.is_second_root:
         return not _is_watched_as_near(state, now)
-    return neighbours.is_below_roots and _is_unwatched(state, now)
+    return _is_unwatched(state, now)
 
 
 def find_watcher(state: DisseminationState, now: float) -> InstanceId:
@@ -44,49 +42,35 @@
 
     A child comes last, so that one that has taken over hears of any other.
     """
-    own = state.identity.instance
     if state.store.is_watch_healthy:
-        return own
-    children = {child.instance for child in state.tree.neighbours.children}
-    watchers = [
-        peer
-        for peer, summary in _recent_summaries(state, now).items()
-        if summary.watches_store
-    ]
-    return min(
-        watchers,
-        key=lambda peer: (peer in children, peer),
-        default=NO_INSTANCE,
+        return state.identity.instance
+    watchers = state.sync.list_watchers(
+        local_since=now - NEIGHBOUR_SILENCE_SECONDS,
+        remote_since=now - WATCHER_SILENCE_SECONDS,
     )
+    if not watchers:
+        return NO_INSTANCE
+    children = {child.instance for child in state.tree.neighbours.children}
+    return min(watchers, key=lambda peer: (peer in children, peer))
 
 
-def _recent_summaries(
-    state: DisseminationState, now: float
-) -> dict[InstanceId, Summary]:
-    remote = now - WATCHER_SILENCE_SECONDS
-    return {
-        peer: summary
-        for peer, summary in state.sync.summaries_since(
-            now - NEIGHBOUR_SILENCE_SECONDS
-        ).items()
-        if not state.links.is_remote(peer)
-        or peer in state.sync.summaries_since(remote)
-    }
-
-
-def _is_unwatched(state: DisseminationState, now: float) -> bool:
-    """Return whether no parent has known another watcher for too long."""
-    summaries = state.sync.summaries_since(now - NEIGHBOUR_SILENCE_SECONDS)
-    told = [
-        summaries[parent].watcher
+def record_unwatched(state: DisseminationState, now: float) -> None:
+    """Record since when no parent has known a watcher but this daemon."""
+    if not state.tree.neighbours.is_below_roots:
+        state.unwatched_since = None
+        return
+    summaries = (
+        state.sync.recent_summary(parent, now - NEIGHBOUR_SILENCE_SECONDS)
         for parent in state.links.parents
-        if parent in summaries
-    ]
-    unknown = {NO_INSTANCE, state.identity.instance}
-    if not told or not unknown.issuperset(told):
+    )
+    told = {summary.watcher for summary in summaries if summary is not None}
+    if not told or told.difference((NO_INSTANCE, state.identity.instance)):
         state.unwatched_since = None
     elif state.unwatched_since is None:
         state.unwatched_since = now
+
+
+def _is_unwatched(state: DisseminationState, now: float) -> bool:
     since = state.unwatched_since
     return since is not None and now - since >= UNWATCHED_SECONDS
 
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -9,6 +9,7 @@
 
 from briartack.core.entries import Entry, HighestRevisions, KeyVersion
 from briartack.core.units import (
+    NO_INSTANCE,
     AttemptId,
     Digest,
     Incarnation,
@@ -69,7 +70,7 @@
     # The record id of the sender's upstream, if it has said that it leaves,
     # and the time of its start, if known.
     # A daemon that watches the store, the sender or another, if it knows one.
-    watcher: InstanceId = InstanceId('')  # noqa: WPS404, RUF009
+    watcher: InstanceId = NO_INSTANCE
     leaving_upstream: str = ''
     leaving_upstream_started_ms: int | None = None
 
--- a/briartack/core/units.py
+++ b/briartack/core/units.py
@@ -14,4 +14,5 @@
 BodyId = NewType('BodyId', str)
 Digest = NewType('Digest', bytes)
 
+NO_INSTANCE: Final = InstanceId('')
 MILLISECONDS_PER_SECOND: Final = 1000
