Take a stated limit from health probes too

What an upstream would get: after a restart of its daemon, as many requests as it has slots, until its first answer names the limit again; below about 5 requests a second that may exceed what the platform lets it get in 4 s.

Cause: only answers to requests were read for the limit. A daemon probes the upstream before it sends the first request, so an upstream that names the limit in all its answers tells it in time. A probe without the header ends nothing.

Evidence: test_probe_tells_the_limit_before_the_first_request failed before (load 0 at a limit of 2). Whether the users' upstreams name the limit in health answers is not known.

--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -235,6 +235,8 @@
         )
         if before != (upstream.health.identity, upstream.is_open):
             effects.append(_create_health_line(upstream, event))
+        if event.stated_limit is not None:
+            effects.extend(self._update_stated_limit(event.stated_limit))
         return effects
 
     def tick(self, context: CallContext, now: float) -> Effects:
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -210,6 +210,8 @@
     identity: str
     reported_load: float | None
     cold_seconds: float | None = None  # remaining; `None` if not reported
+    # Requests per second; `None` says nothing about an earlier limit.
+    stated_limit: float | None = None
     leaving_identity: str = ''  # as in `UpstreamAnswered`
 
 
--- a/briartack/platform/upstream.py
+++ b/briartack/platform/upstream.py
@@ -147,6 +147,7 @@
             cold_seconds=_parse_cold_seconds(
                 response.get_single_value(COLD_MS)
             ),
+            stated_limit=_parse_limit(response.get_single_value(LIMIT))[0],
             leaving_identity=identity if _is_leaving(response) else '',
         )
 
--- a/briartack/test/test_stated_limit.py
+++ b/briartack/test/test_stated_limit.py
@@ -9,11 +9,13 @@
 from collections import deque
 from typing import Final
 
+import msgspec
 from nose2.tools import params
 
 from briartack.core.calls.admission import SlotRequest
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.local_upstream import LocalUpstream
+from briartack.core.calls.owner import OwnerState
 from briartack.core.calls.stated_limiter import StatedLimiter
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.events import UpstreamProbed
@@ -169,6 +171,21 @@
             self.assertEqual(result.stated_limit, per_second)
             self.assertEqual(bool(result.refused_statement), per_second is None)
 
+    def test_probe_tells_the_limit_before_the_first_request(self) -> None:
+        """Guard against an owner that has restarted and starts everything."""
+        answer = parse_answer(
+            '200 OK', 'X-Instance-Id: i-1\r\nServer-Limit: 2\r\n'
+        )
+        probed = PlatformUpstreamDialect().decode_probe(0, answer)
+        owner = OwnerState(rules=CallRules())
+        owner.handle_upstream_probe(probed)
+        self.assertGreaterEqual(owner.upstream.load(0), 1)
+        # A probe without a limit does not end it; only answers do.
+        owner.handle_upstream_probe(
+            msgspec.structs.replace(probed, stated_limit=None)
+        )
+        self.assertGreaterEqual(owner.upstream.load(0), 1)
+
     def test_excess_is_refused_at_once(self) -> None:
         """Guard against requests that wait although they can't be served.
 
