--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -132,6 +132,14 @@
     return ()
 
 
+def deliver_change(fleet: Fleet, place: int, revision: Revision) -> Revision:
+    """Let the watch of one daemon return a change of the configuration."""
+    change = Entry(key='teams/a', revision=revision, value='second')
+    watched = partial(events.StoreWatched, revision=revision, entries=(change,))
+    fleet.deliver(sorted(fleet.names)[place], watched)
+    return revision
+
+
 def _send_to_others(
     send: Callable[[str, str, wire.PeerMessage], None],
     isolated: str,
@@ -292,15 +300,9 @@
         fleet.deliver(sorted(fleet.names)[joiner], read)
         fleet.run(0.5)
         self.assertEqual(fleet.find_daemons_without(newer_list.revision), [])
-        change = Entry(
-            key='teams/a', revision=Revision(before + 5), value='second'
-        )
-        watched = partial(
-            events.StoreWatched, revision=change.revision, entries=(change,)
-        )
-        fleet.deliver(sorted(fleet.names)[reader], watched)
+        change = deliver_change(fleet, reader, Revision(before + 5))
         fleet.run(0.5)
-        self.assertEqual(fleet.find_daemons_without(change.revision), [])
+        self.assertEqual(fleet.find_daemons_without(change), [])
 
     # Guards against configuration below a revision that a single key raised.
     @params(*itertools.permutations((0, 1, 5, 9, 17), 2))
@@ -323,15 +325,9 @@
         )
         fleet.deliver(sorted(fleet.names)[resumed], read)
         fleet.run(0.5)
-        change = Entry(
-            key='teams/a', revision=Revision(before + 5), value='second'
-        )
-        watched = partial(
-            events.StoreWatched, revision=change.revision, entries=(change,)
-        )
-        fleet.deliver(sorted(fleet.names)[reader], watched)
+        change = deliver_change(fleet, reader, Revision(before + 5))
         fleet.run(0.5)
-        self.assertEqual(fleet.find_daemons_without(change.revision), [])
+        self.assertEqual(fleet.find_daemons_without(change), [])
 
     def test_watch_returns_to_the_nearest_region(self) -> None:
         """Guard against a watch that stays in a distant region."""
