Refuse requests that urgent ones have overtaken for too long

A status read waited 1.1 s in the queue of an upstream, started 0.4 s before its deadline, and was cut.

Cause: the queue estimates the wait when a request arrives. Urgent requests go ahead of it later, and nothing looked at the estimate again before the deadline.

Now each fill of the queue refuses requests that would start too late to be answered by their deadline, even if the first of the queue starts at once.

Ruled out: the same bound when a request arrives, which a stated case of the call tables excludes; a bound at the latency target, which would refuse requests that can still be answered late.

--- a/briartack/core/calls/admission.py
+++ b/briartack/core/calls/admission.py
@@ -21,6 +21,9 @@
     is_awaited_by_run: bool = False
     # An attempt that starts later misses its latency target.
     useful_until: float = float('inf')
+    # An attempt that starts later can't be answered by its deadline. It is
+    # refused once urgent attempts have moved it back that far in the queue.
+    latest_start: float = float('inf')
 
 
 @final
@@ -101,15 +104,20 @@
         *,
         limit: int,
         available_starts: int | None = None,
+        start_interval_seconds: float = 0,
     ) -> AdmissionResult:
-        """Start as many attempts as the limits allow; refuse overdue ones."""
+        """Start as many attempts as the limits allow.
+
+        Refuse overdue attempts, and those that have been overtaken so often
+        that they can't be answered in time.
+        """
         bound = (
             limit
             if available_starts is None
             else min(limit, self._running + available_starts)
         )
         started: list[AttemptId] = []
-        refused: list[AttemptId] = []
+        refused = self._drop_overtaken(now, start_interval_seconds)
         for queue in (self._interactive, self._background):
             while queue and (self._running < bound or queue[0].deadline <= now):
                 waiting = queue.popleft()
@@ -120,6 +128,24 @@
                 started.append(waiting.attempt_id)
         return AdmissionResult(started=tuple(started), refused=tuple(refused))
 
+    def _drop_overtaken(
+        self, now: float, start_interval_seconds: float
+    ) -> list[AttemptId]:
+        """Remove and return the attempts that would start too late.
+
+        The first attempt in the queue might start now.
+        """
+        dropped: list[AttemptId] = []
+        starts_at = now
+        for queue in (self._interactive, self._background):
+            for waiting in tuple(queue):
+                if starts_at > waiting.latest_start:
+                    queue.remove(waiting)
+                    dropped.append(waiting.attempt_id)
+                else:
+                    starts_at += start_interval_seconds
+        return dropped
+
     def _select_queue(self, waiting: SlotRequest) -> deque[SlotRequest]:
         return self._interactive if waiting.interactive else self._background
 
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -169,6 +169,10 @@
             now,
             limit=self.limit,
             available_starts=self._start_limits.count_available_starts(now),
+            start_interval_seconds=max(
+                self._ramp.mean_seconds / self.limit,
+                self._start_limits.start_interval_seconds(now),
+            ),
         )
         return self._record_starts(now, admission)
 
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -95,6 +95,7 @@
             rank=record.attempt.rank,
             is_awaited_by_run=record.attempt.is_awaited_by_run,
             useful_until=self._compute_useful_until(now, record.attempt),
+            latest_start=record.deadline - self._upstream.mean_seconds,
         )
         return self._apply(now, self._upstream.offer(waiting, now))
 
