--- a/briartack/test/test_framing.py
+++ b/briartack/test/test_framing.py
@@ -18,6 +18,7 @@
     Entries,
     PeerMessage,
     Pull,
+    Summary,
 )
 from briartack.core.units import AttemptId, Digest, Incarnation, Revision
 from briartack.core.verdict import Verdict
@@ -87,6 +88,32 @@
             after_cut = list(reader.feed(frames[cut:]))
             self.assertEqual([*before_cut, *after_cut], [ATTEMPT, ANSWER], cut)
 
+    @params(
+        (['summary', 'i', 7, b'a', b'b', 1.0, False, False, None], (7, 7)),
+        (
+            ['summary', 'i', 7, b'a', b'b', 1.0, False, False, None, 5, 7],
+            (5, 7),
+        ),
+        (['pull', 5], (5, 5)),
+        (['pull', 5, 7, 'a field of a later release'], (5, 7)),
+    )
+    def test_other_releases_are_understood(
+        self, fields: list[object], revisions: tuple[int, int]
+    ) -> None:
+        """Guard against streams that close during a rolling upgrade.
+
+        Each row states a message with fewer or more fields, and the revisions
+        of configuration and instances that it means.
+        """
+        found = [
+            message.highest_revisions
+            if isinstance(message, Summary)
+            else message.after_revisions
+            for message in decode_stream(msgpack.packb(fields))
+            if isinstance(message, Summary | Pull)
+        ]
+        self.assertEqual(found, [revisions])
+
     def test_large_entries_are_compressed(self) -> None:
         """Guard against configuration sent uncompressed on paid links."""
         self.assertLess(len(encode(ENTRIES)), 2000)
