Count lapses as one only if they come together

Cause: a worker left without notice, so that its record lapsed for a second. Meanwhile the records of machines that were cut off ran out one by one. When the fourth had, all four counted as lapsed together, as after an outage of the store, and the grace period of the first was extended by 2.5 s. Class of fault: a count over a window that is as long as the grace period itself.

Now records that lapse within 0.3 s of each other count together, and only their grace period is extended. A store that is back tells of all of them in one or two answers.

Evidence: test_deletions_one_by_one_are_no_mass_lapse failed before.

--- a/briartack/core/dissemination/lapsed_records.py
+++ b/briartack/core/dissemination/lapsed_records.py
@@ -25,6 +25,9 @@
 FIRST_LIST_SETTLE_SECONDS: Final = 3.0
 MASS_LAPSE_RATIO: Final = 0.3  # of the live instances
 MIN_MASS_LAPSE_RECORDS: Final = 3
+# Records that lapse within this time lapse together: a store that is back tells
+# of all of them in one or two answers.
+MASS_LAPSE_SECONDS: Final = 0.3
 
 
 @final
@@ -33,6 +36,7 @@
     """Hold a deleted record and the end of its grace period."""
 
     held: HeldRecord
+    since: float
     until: float
 
 
@@ -64,7 +68,7 @@
         """Add the records that lapsed and drop those that are listed again.
 
         `listed_count` is the number of live instances; a mass lapse relative
-        to it extends the grace period of all lapsed records.
+        to it extends the grace period of the records that lapsed together.
 
         The first list may lag: instances in it may have left long ago, so
         their deletions get no grace period.
@@ -82,13 +86,18 @@
             if before.state is InstanceState.LIVE:
                 until = now + LAPSE_GRACE_SECONDS
                 self._lapsed[record_id] = _LapsedRecord(
-                    held=before, until=until
+                    held=before, since=now, until=until
                 )
-        if len(self._lapsed) >= max(
+        together = [
+            lapse
+            for lapse in self._lapsed.values()
+            if now - lapse.since <= MASS_LAPSE_SECONDS
+        ]
+        if len(together) >= max(
             MIN_MASS_LAPSE_RECORDS, listed_count * MASS_LAPSE_RATIO
         ):
             until = now + MASS_LAPSE_GRACE_SECONDS
-            for lapse in self._lapsed.values():
+            for lapse in together:
                 lapse.until = max(lapse.until, until)
 
     def expire(self, now: float) -> bool:
--- a/briartack/test/test_lapsed_records.py
+++ b/briartack/test/test_lapsed_records.py
@@ -55,6 +55,23 @@
 
 
 class LapsesTest(unittest.TestCase):
+    # Guards against requests to an upstream that left while others lapsed.
+    def test_deletions_one_by_one_are_no_mass_lapse(self) -> None:
+        """Guard against a departure that counts as an outage of the store.
+
+        One instance leaves without notice; then the records of instances that
+        were cut off run out, one each 0.25 s.
+        """
+        members = live_members()
+        members.apply([entry(1, 100, None)], 10)
+        for number in range(2, 7):
+            now = 10 + 0.25 * (number - 1)
+            members.expire(now)
+            members.apply([entry(number, 100 + number, None)], now)
+        members.expire(10 + DRAIN_SECONDS)
+        live = {member.instance for member in members.live_members()}
+        self.assertNotIn('10.0.0.1', live)
+
     @params(
         (1, 0.5, 12),
         (1, DRAIN_SECONDS, 11),
