--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -19,9 +19,8 @@
 from briartack.core.calls.reasons import Reason
 from briartack.core.effects import Effects, SendAttempt, SendMessage
 from briartack.core.messages import Attempt, Cancel
-from briartack.core.units import InstanceId
+from briartack.core.units import MILLISECONDS_PER_SECOND, InstanceId
 
-MILLISECONDS_PER_SECOND: Final = 1000
 # Refusals whose cause lasts, so that the peer is avoided for a short time.
 AVOIDANCE_REASON_CODES: Final = frozenset(
     (
--- a/briartack/core/calls/call_checks.py
+++ b/briartack/core/calls/call_checks.py
@@ -28,10 +28,9 @@
 from briartack.core.effects import AnswerCall
 from briartack.core.events import CallArrived
 from briartack.core.messages import MAX_BODY_BYTES, Headers
-from briartack.core.units import CallId
+from briartack.core.units import MILLISECONDS_PER_SECOND, CallId
 from briartack.core.verdict import Verdict
 
-MILLISECONDS_PER_SECOND: Final = 1000
 # A retry after this share of the target leaves most of the target time.
 RETRY_AFTER_TARGET_RATIO: Final = 0.25
 RETRY_AFTER_JITTER_RATIO: Final = 0.5
--- a/briartack/core/calls/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -32,10 +32,15 @@
 from briartack.core.events import UpstreamAnswered
 from briartack.core.identity import Identity
 from briartack.core.messages import Answer, Attempt
-from briartack.core.units import AttemptId, BodyId, Digest, InstanceId
+from briartack.core.units import (
+    MILLISECONDS_PER_SECOND,
+    AttemptId,
+    BodyId,
+    Digest,
+    InstanceId,
+)
 from briartack.core.verdict import Verdict
 
-MILLISECONDS_PER_SECOND: Final = 1000
 EMPTY_DIGEST: Final = Digest(b'')
 
 
--- a/briartack/platform/store.py
+++ b/briartack/platform/store.py
@@ -16,7 +16,7 @@
 
 from briartack.core.effects import ReadStore
 from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_PREFIX, Entry
-from briartack.core.units import Revision
+from briartack.core.units import MILLISECONDS_PER_SECOND, Revision
 from briartack.dialects import RefusedItem, StoreAnswerError, StorePage
 from briartack.platform.configuration import (
     CONFIG_KEY,
@@ -26,7 +26,6 @@
 from briartack.platform.registry import SERVER_PREFIX, RegistrationDecoder
 
 _EVACUATION_PREFIX: Final = 'op/evacuate/'
-_MILLISECONDS_PER_SECOND: Final = 1000
 # The prefix in the platform's store for each prefix that the product reads.
 _STORE_PREFIXES: Final[Mapping[str, str]] = MappingProxyType(
     {'': '', INSTANCE_PREFIX: SERVER_PREFIX, 'platform': _EVACUATION_PREFIX},
@@ -87,7 +86,7 @@
         query = {
             'prefix': '',
             'after': str(after),
-            'wait_ms': str(int(wait_seconds * _MILLISECONDS_PER_SECOND)),
+            'wait_ms': str(int(wait_seconds * MILLISECONDS_PER_SECOND)),
         }
         return f'/api/kv-watch?{urlencode(query)}'
 
--- a/briartack/platform/upstream.py
+++ b/briartack/platform/upstream.py
@@ -7,6 +7,7 @@
 from briartack.core.calls.call_headers import OWN_HEADER_PREFIX
 from briartack.core.effects import Dispatch
 from briartack.core.events import UpstreamProbed
+from briartack.core.units import MILLISECONDS_PER_SECOND
 from briartack.dialects import UpstreamResult
 from briartack.headers import find_header, select_end_to_end
 from briartack.http_response import CollectedResponse
@@ -24,7 +25,6 @@
     SEAL,
 )
 
-_MILLISECONDS_PER_SECOND: Final = 1000
 _ATTEMPT_ID_LOWER: Final = ATTEMPT_ID.lower()
 _FIRST_NON_SUCCESS_STATUS: Final = 300
 # Statuses that guarantee that a request has not run. A response of an upstream
@@ -56,7 +56,7 @@
             if not pair[0].lower().startswith(OWN_HEADER_PREFIX)
         )
         remaining_ms = max(
-            1, int(effect.timeout_seconds * _MILLISECONDS_PER_SECOND)
+            1, int(effect.timeout_seconds * MILLISECONDS_PER_SECOND)
         )
         headers = (
             *kept,
@@ -195,7 +195,7 @@
 
 def _parse_cold_seconds(milliseconds: str) -> float:
     try:
-        return max(0.0, float(milliseconds) / _MILLISECONDS_PER_SECOND)
+        return max(0.0, float(milliseconds) / MILLISECONDS_PER_SECOND)
     except ValueError:
         # A warm upstream does not send the header.
         return 0.0
