Fill the queue once a tick

A tick filled the queue twice at the same time. The first fill starts all that the slots and limits allow and refuses what is overdue or overtaken, so the second found nothing; since fills look at the whole queue now, it cost a pass more. Only a second, equal wake-up goes.

--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -204,7 +204,6 @@
         # if no answer frees a slot.
         effects.extend(self._apply(now, self._upstream.fill(now)))
         self._timers.compact(len(self._attempts), self._attempts.__contains__)
-        effects.extend(self._apply(now, self._upstream.fill(now)))
         return effects
 
     def _apply(self, now: float, admission: AdmissionResult) -> Effects:
