Prefer packages that have wheels when the environment is set up

Callers saw nothing; a developer on arm64 could not run `make test`: pip took the newest z3-solver, found no wheel for this machine's libc and its build from source failed ("Unable to configure Z3"). Ruled out: pinning z3-solver, since both kinds of machine have wheels of different newest releases.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --editable '.[dev]'
+	$(BIN)/pip install --quiet --prefer-binary --editable '.[dev]'
 	touch $@
 
 demo: $(VENV)/.installed
