Log the era of the store and versions that lose by their order

The logs could not tell the hypotheses apart: no line named the era of the store, and a version that was older than the active one left no line.

The dialects decode the header of the era (Store-Era on the users' platform, X-Store-Era in the own protocol); a read whose pages come from two eras fails. New log codes: store-era, version-outdated; store-watch-answered names the era. No decision changes except for the failed read.

--- a/briartack/core/configuration/batch_decoder.py
+++ b/briartack/core/configuration/batch_decoder.py
@@ -8,7 +8,10 @@
 
 import msgspec
 
-from briartack.core.configuration.change_reports import RefusedVersion
+from briartack.core.configuration.change_reports import (
+    OutdatedVersion,
+    RefusedVersion,
+)
 from briartack.core.configuration.problems import (
     Code,
     InvalidValueError,
@@ -90,7 +93,8 @@
     """Decode the entries of one batch and classify them.
 
     `candidates` are new valid versions, `late_entries` are older than the
-    active version of their key, and `refused_versions` carry their problems.
+    active version of their key, `outdated_versions` report those with another
+    value, and `refused_versions` carry their problems.
     `stale_count` counts entries already held, refused before or late.
     """
 
@@ -98,6 +102,7 @@
         'candidates',
         'late_entries',
         'refused_versions',
+        'outdated_versions',
         'stale_count',
         '_slots',
         '_pool',
@@ -113,6 +118,7 @@
         self.candidates: list[Version] = []
         self.late_entries: list[Entry] = []  # older than the active version
         self.refused_versions: list[RefusedVersion] = []
+        self.outdated_versions: list[OutdatedVersion] = []
         self.stale_count = 0
         self._slots = slots
         self._pool = pool
@@ -143,6 +149,7 @@
         if slot.is_below_active(entry.revision):
             self.stale_count += 1
             self.late_entries.append(entry)
+            self._report_outdated(slot, entry)
             # Entries of the store carry no definitions, so late ones need no
             # decoding.
             return bool(entry.definitions) and _decode_late(entry) is not None
@@ -189,6 +196,18 @@
         else:
             self._pool.add_if_newer(resource_id, decoded)
 
+    def _report_outdated(self, slot: KeySlot, entry: Entry) -> None:
+        active = slot.active
+        if active is None or active.text == entry.value:
+            return
+        self.outdated_versions.append(
+            OutdatedVersion(
+                key=entry.key,
+                revision=entry.revision,
+                active_revision=active.revision,
+            ),
+        )
+
     def _report_problem(self, entry: Entry, code: Code, detail: object) -> None:
         self._report_refused(
             entry, (make_problem(entry.key, ROOT, code, detail),)
--- a/briartack/core/configuration/change_reports.py
+++ b/briartack/core/configuration/change_reports.py
@@ -27,6 +27,16 @@
     problems: tuple[Problem, ...]
 
 
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OutdatedVersion:
+    """Identify a version that lost to another value with a later version."""
+
+    key: str
+    revision: Revision
+    active_revision: Revision
+
+
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SnapshotChange:
@@ -39,6 +49,7 @@
     refused: tuple[RefusedVersion, ...]
     retained: tuple[str, ...]  # KIND/TEAM/NAME, new with this batch
     stale_count: int  # entries already held, refused before or outdated
+    outdated: tuple[OutdatedVersion, ...] = ()
 
 
 NOTHING_CHANGED: Final = SnapshotChange(
--- a/briartack/core/configuration/snapshot.py
+++ b/briartack/core/configuration/snapshot.py
@@ -166,6 +166,7 @@
             refused=tuple(decoder.refused_versions),
             retained=_list_newly_retained(before, self._snapshot),
             stale_count=decoder.stale_count,
+            outdated=tuple(decoder.outdated_versions),
         )
 
     def apply_full_read(
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -12,6 +12,7 @@
     Backoff,
     TokenBucket,
 )
+from briartack.core.dissemination.store_eras import StoreEras
 from briartack.core.dissemination.store_reachability import StoreReachability
 from briartack.core.dissemination.store_reports import (
     report_duty,
@@ -79,6 +80,7 @@
         '_complete_revision',
         '_highest_seen',
         '_reachability',
+        '_eras',
     )
 
     def __init__(
@@ -109,6 +111,7 @@
         self._complete_revision: Revision | None = None
         self._highest_seen = NO_REVISION
         self._reachability = StoreReachability()
+        self._eras = StoreEras()
 
     @property
     def rules(self) -> StoreRules:
@@ -210,6 +213,7 @@
     def on_read(self, event: StoreRead) -> Effects:
         """Handle the answer to a read."""
         effects = self._reachability.record_answer(event.revision)
+        effects.extend(self._eras.record_answer(event))
         self._reachability.record_answer_time(event.elapsed_seconds)
         self._read_deadlines.pop(event.prefix, None)
         self._backoff.record_success()
@@ -233,6 +237,7 @@
         """
         self._watch_deadline = None
         effects = self._reachability.record_answer(event.revision)
+        effects.extend(self._eras.record_answer(event))
         effects.extend(
             report_watch(event, self._complete_revision, self._watch_started_at)
         )
--- a/briartack/core/dissemination/store_reports.py
+++ b/briartack/core/dissemination/store_reports.py
@@ -29,6 +29,7 @@
     fields = (
         ('after', str(complete)),
         ('revision', str(event.revision)),
+        ('era', str(event.era)),
         ('entries', str(len(event.entries))),
         ('waited_ms', f'{waited_seconds * MILLISECONDS_PER_SECOND:.0f}'),
     )
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -12,9 +12,11 @@
 from briartack.core.entries import Entry
 from briartack.core.messages import Headers, Hello, PeerMessage
 from briartack.core.units import (
+    FIRST_ERA,
     AttemptId,
     CallId,
     Digest,
+    Era,
     Incarnation,
     InstanceId,
     Revision,
@@ -54,6 +56,7 @@
     revision: Revision
     entries: tuple[Entry, ...]
     elapsed_seconds: float | None = None
+    era: Era = FIRST_ERA
 
 
 @final
@@ -63,6 +66,7 @@
     now: float
     revision: Revision
     entries: tuple[Entry, ...]
+    era: Era = FIRST_ERA
 
 
 @final
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -121,6 +121,7 @@
     before: Snapshot | None,
 ) -> Effects:
     effects = _report_refused(state, change, source)
+    effects.extend(_report_outdated(change, source))
     effects.extend(_report_waiting(change))
     effects.extend(_report_retained(change))
     after = state.configuration.snapshot
@@ -156,6 +157,27 @@
     return effects
 
 
+def _report_outdated(change: SnapshotChange, source: str) -> Effects:
+    """Log the versions of the store that are not used because of their order.
+
+    Peers often send versions that are outdated by the time they arrive.
+    """
+    if source != STORE_SOURCE:
+        return []
+    return [
+        WriteLog(
+            level=LogLevel.INFO,
+            code='version-outdated',
+            fields=(
+                ('key', outdated.key),
+                ('revision', str(outdated.revision)),
+                ('active', str(outdated.active_revision)),
+            ),
+        )
+        for outdated in change.outdated
+    ]
+
+
 def _report_waiting(change: SnapshotChange) -> Effects:
     return [
         WriteLog(
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -6,7 +6,7 @@
 two calls.
 """
 
-from typing import Protocol, final
+from typing import Final, Protocol, final
 
 import msgspec
 
@@ -15,10 +15,13 @@
 from briartack.core.entries import Entry
 from briartack.core.events import UpstreamProbed
 from briartack.core.messages import Headers
-from briartack.core.units import Revision
+from briartack.core.units import FIRST_ERA, Era, Revision
 from briartack.http_response import CollectedResponse
 from briartack.request_head import RequestHead
 
+_ERA_DIGITS: Final = 6
+_SHOWN_CHARACTERS: Final = 40
+
 
 class CallerDialect(Protocol):
     """Decode the heads of callers' requests and encode responses."""
@@ -119,6 +122,7 @@
     entries: tuple[Entry, ...]
     refused: tuple[RefusedItem, ...] = ()
     next_after: str = ''  # last key of this page; empty on the final page
+    era: Era = FIRST_ERA
 
 
 class StoreDialect(Protocol):
@@ -133,6 +137,12 @@
     def encode_watch_target(self, after: Revision, wait_seconds: float) -> str:
         """Return the path and query that watch for later revisions."""
 
+    def decode_era(self, response: CollectedResponse) -> Era:
+        """Return the era of the store in which it sent a response.
+
+        Raises StoreAnswerError.
+        """
+
     def decode_read_page(self, body: bytes) -> StorePage:
         """Decode the response to a read.
 
@@ -151,6 +161,22 @@
     """Report a response of the store that cannot be decoded."""
 
 
+def decode_era_header(response: CollectedResponse, name: str) -> Era:
+    """Return the era in a header of the store; the first one if it is absent.
+
+    Raises StoreAnswerError.
+    """
+    stated = response.get(name)
+    if stated is None:
+        return FIRST_ERA
+    text = str(stated)
+    if not (text.isascii() and text.isdigit() and len(text) <= _ERA_DIGITS):
+        raise StoreAnswerError(
+            f'header {name} is no number: {text[:_SHOWN_CHARACTERS]!r}'
+        )
+    return Era(int(text))
+
+
 @final
 class Dialects(msgspec.Struct, frozen=True, kw_only=True):
     """Group the three dialects of one daemon."""
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -220,6 +220,10 @@
             'A configuration version is invalid and was refused.',
             'Correct the problems that the line lists and publish again.',
         ),
+        'version-outdated': ErrorText(
+            'The store returned a version that is older than the active one.',
+            'If the store was restored, publish the current version again.',
+        ),
         'version-waits': ErrorText(
             'A version waits for resources that no team has defined.',
             'Publish the missing resources, or correct the references.',
@@ -236,6 +240,7 @@
             'The store returned an older revision, which is ignored.',
             'If a backup was restored, see the operations page.',
         ),
+        'store-era': ErrorText('The store was restored from a copy.', ''),
         'store-lost': ErrorText(
             'A request to the store failed; it is retried with backoff.',
             'Check the store if this lasts; the current version stays active.',
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -12,12 +12,13 @@
 from briartack.core.entries import Entry
 from briartack.core.events import UpstreamProbed
 from briartack.core.messages import Headers
-from briartack.core.units import Revision
+from briartack.core.units import Era, Revision
 from briartack.dialects import (
     Dialects,
     StoreAnswerError,
     StorePage,
     UpstreamResult,
+    decode_era_header,
 )
 from briartack.headers import (
     ATTEMPT,
@@ -31,6 +32,7 @@
 from briartack.request_head import RequestHead
 
 _KEYS_PATH: Final = '/.briartack/keys'
+_STORE_ERA: Final = 'X-Store-Era'
 _STATUS_OK: Final = 200
 _CRLF: Final = b'\r\n'
 _METHODS_WITH_BODY: Final = frozenset(('POST', 'PUT', 'PATCH'))
@@ -184,6 +186,13 @@
         """Return the path and query that read a prefix in one page."""
         return f'/v1/entries?prefix={quote(effect.prefix, safe="")}'
 
+    def decode_era(self, response: CollectedResponse) -> Era:
+        """Return the era of the store; the first one if none is stated.
+
+        Raises StoreAnswerError.
+        """
+        return decode_era_header(response, _STORE_ERA)
+
     def encode_watch_target(self, after: Revision, wait_seconds: float) -> str:
         """Return the path and query that watch for later revisions."""
         return f'/v1/watch?after={after}&wait={wait_seconds:g}'
--- a/briartack/platform/names.py
+++ b/briartack/platform/names.py
@@ -15,6 +15,7 @@
 LOAD: Final = 'X-Server-Load'  # running, waiting, slots
 LIMIT: Final = 'Server-Limit'  # requests per second that an upstream takes
 LEAVING: Final = 'Server-Leaving'  # an upstream that leaves says 1
+STORE_ERA: Final = 'Store-Era'  # rises each time the store is restored
 COLD_MS: Final = 'X-Cold-Ms'
 
 
--- a/briartack/platform/store.py
+++ b/briartack/platform/store.py
@@ -16,13 +16,20 @@
 
 from briartack.core.effects import ReadStore
 from briartack.core.entries import INSTANCE_PREFIX, PLATFORM_PREFIX, Entry
-from briartack.core.units import MILLISECONDS_PER_SECOND, Revision
-from briartack.dialects import RefusedItem, StoreAnswerError, StorePage
+from briartack.core.units import MILLISECONDS_PER_SECOND, Era, Revision
+from briartack.dialects import (
+    RefusedItem,
+    StoreAnswerError,
+    StorePage,
+    decode_era_header,
+)
+from briartack.http_response import CollectedResponse
 from briartack.platform.configuration import (
     CONFIG_KEY,
     TEAM_KEY,
     translate_subtree,
 )
+from briartack.platform.names import STORE_ERA
 from briartack.platform.registry import SERVER_PREFIX, RegistrationDecoder
 
 _EVACUATION_PREFIX: Final = 'op/evacuate/'
@@ -90,6 +97,13 @@
         }
         return f'/api/kv-watch?{urlencode(query)}'
 
+    def decode_era(self, response: CollectedResponse) -> Era:
+        """Return the era of the store; the first one if none is stated.
+
+        Raises StoreAnswerError.
+        """
+        return decode_era_header(response, STORE_ERA)
+
     def decode_read_page(self, body: bytes) -> StorePage:
         """Decode the response to a read.
 
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -7,6 +7,7 @@
 from typing import Final, final
 
 import gevent
+import msgspec
 from gevent.greenlet import Greenlet
 
 from briartack.addresses import Address, format_address
@@ -136,6 +137,7 @@
                 revision=page.revision,
                 entries=page.entries,
                 elapsed_seconds=self._clock() - started_at,
+                era=page.era,
             ),
         )
 
@@ -143,23 +145,28 @@
         """Read all pages and return their entries as one page.
 
         The result has the revision of the first page; the watch reports
-        changes made during the read.
+        changes made during the read. Raises _StoreError if the pages come from
+        two eras of the store.
         """
         dialect = self._dialect
         entries: list[Entry] = []
         first: StorePage | None = None
         after = ''
         while first is None or after:
-            body = self._send_request(
+            response = self._send_request(
                 StoreOperation.READ,
                 dialect.encode_read_target(effect, after),
                 _READ_TIMEOUT_SECONDS,
             )
-            page = self._decode_page(dialect.decode_read_page, body)
+            page = self._decode_page(dialect.decode_read_page, response)
             first = first or page
+            if page.era != first.era:
+                raise _StoreError('the store was restored during the read')
             entries.extend(page.entries)
             after = page.next_after
-        return StorePage(revision=first.revision, entries=tuple(entries))
+        return StorePage(
+            revision=first.revision, entries=tuple(entries), era=first.era
+        )
 
     def _run_watch(self, effect: WatchStore) -> None:
         wait = effect.wait_seconds
@@ -185,16 +192,19 @@
                 now=self._clock(),
                 revision=page.revision,
                 entries=page.entries,
+                era=page.era,
             ),
         )
 
     def _decode_page(
         self,
         decode: Callable[[bytes], StorePage],
-        body: bytes,
+        response: CollectedResponse,
     ) -> StorePage:
         try:
-            page = decode(body)
+            page = msgspec.structs.replace(
+                decode(response.body), era=self._dialect.decode_era(response)
+            )
         except StoreAnswerError as error:
             raise _StoreError(f'malformed answer: {error}') from None
         for refused in page.refused:
@@ -213,7 +223,7 @@
         operation: StoreOperation,
         target: str,
         timeout_seconds: float,
-    ) -> bytes:
+    ) -> CollectedResponse:
         self._observer.count('store.calls', operation=operation.value)
         request = f'GET {target} HTTP/1.1\r\nHost: {self._host_header}\r\n\r\n'
         try:
@@ -228,7 +238,8 @@
             if error.is_timeout:
                 self._pool.close_idle()
             raise _StoreError(str(error)) from None
-        return _extract_body(response)
+        _raise_for_status(response)
+        return response
 
     def _record_failure(
         self,
@@ -247,7 +258,8 @@
         )
 
 
-def _extract_body(response: CollectedResponse) -> bytes:
+def _raise_for_status(response: CollectedResponse) -> None:
+    """Raise _StoreError unless the store answered the call."""
     status = response.get_code()
     if status == _STATUS_TOO_MANY:
         raise _StoreError(
@@ -259,7 +271,6 @@
             f'status {status}',
             is_history_gone=status == _STATUS_GONE,
         )
-    return response.body
 
 
 def _parse_retry_after(response: CollectedResponse) -> float | None:
--- a/briartack/test/test_docs.py
+++ b/briartack/test/test_docs.py
@@ -88,7 +88,7 @@
             *find_names_in_code(
                 re.compile(
                     '(?:FELL|SUSPECTED|STORE_LOST|STORE_BACK|DUTY_CHANGED|'
-                    'WATCH_ANSWERED|HISTORY_GONE|ENTRIES_DIFFER)'
+                    'WATCH_ANSWERED|HISTORY_GONE|ENTRIES_DIFFER|ERA_CHANGED)'
                     ": Final = '(.+)'"
                 )
             ),
