Place what a daemon reads first in a later era before the restore

Found by reading and shown by tests, not seen by callers: a daemon that starts or takes over the watch after a restore has not seen it. It took the copy for what is newest: an outage that had ended was back at all daemons, an upstream that had left was listed again, a key that the copy lacks counted as deleted, and a change that it was the first to read was lost if it knew the era by its peers alone.

What a number is worth depends on which era it is of, and only a daemon that saw the era begin knew the era of an entry. Now the first answer of any later era starts the time to settle, a key that is held in an era is ordered by its numbers in that era, and between two values of one revision the order that the writer states decides. Versions of instances that peers compare state their order too, and whether a deletion or a record comes later is one comparison, the same in both directions.

Ruled out: taking the lowest held number of an era as a bound for all keys, since a key without a stated order may be placed in the era after it has settled.

The premise of test_copy_of_a_fresh_peer changed (the copy is now placed in the era before); it checks both placements. test_membership compares the revisions of versions().

--- a/briartack/core/configuration/batch_decoder.py
+++ b/briartack/core/configuration/batch_decoder.py
@@ -155,7 +155,8 @@
             self.stale_count += 1
             return False
         for version in slot.versions:
-            if version.revision == entry.revision:
+            is_same_revision = version.revision == entry.revision
+            if is_same_revision and not is_later_version(entry, version):
                 return self._check_same_value(version, entry)
         return self._decode(entry)
 
--- a/briartack/core/dissemination/combined_holdings.py
+++ b/briartack/core/dissemination/combined_holdings.py
@@ -4,7 +4,7 @@
 dissemination read them through this view only.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import TypeAlias, final
 
 from briartack.core.configuration.snapshot import ConfigurationState
@@ -17,7 +17,7 @@
 )
 from briartack.core.units import Digest, Revision
 
-_VersionSources: TypeAlias = tuple[dict[str, Digest], dict[str, Revision]]
+_VersionSources: TypeAlias = tuple[dict[str, Digest], dict[str, KeyVersion]]
 
 
 @final
@@ -108,13 +108,7 @@
             or sources[1] is not instances
         ):
             self._version_sources = (digests, instances)
-            self._cached_versions = self._merge_versions(instances)
+            versions = self._configuration.versions()
+            versions.update(instances)
+            self._cached_versions = versions
         return self._cached_versions
-
-    def _merge_versions(
-        self, instances: Mapping[str, Revision]
-    ) -> dict[str, KeyVersion]:
-        versions = self._configuration.versions()
-        for key, revision in instances.items():
-            versions[key] = KeyVersion(revision=revision)
-        return versions
--- a/briartack/core/dissemination/instance_records.py
+++ b/briartack/core/dissemination/instance_records.py
@@ -191,24 +191,26 @@
 
 
 def _is_newer(entry: Entry, held: Entry) -> bool:
-    if entry.value is None:
-        # A deletion that a full read implies has the revision of the read,
-        # which may equal the revision of the held record.
-        return entry.revision > held.revision or (
-            held.value is not None and entry.revision == held.revision
-        )
-    if held.value is None and _is_repeated(entry, held):
-        return False
+    if entry.value is not None and held.value is None:
+        return _has_returned(entry, held)
+    if entry.value is None and held.value is not None:
+        return not _has_returned(held, entry)
     return is_later_version(entry, held)
 
 
-def _is_repeated(entry: Entry, deletion: Entry) -> bool:
-    """Return whether a restored store repeats a record that was deleted."""
-    return (
-        era_of(entry.revision) != era_of(deletion.revision)
-        and have_same_writer(entry.stated, deletion.stated)
-        and entry.stated <= deletion.stated
-    )
+def _has_returned(record: Entry, deletion: Entry) -> bool:
+    """Return whether a record comes after a deletion.
+
+    A deletion that a full read implies has the revision of the read, which may
+    equal that of the record. A record of a later era than the deletion may be
+    one that a restored store repeats.
+    """
+    is_later = record.revision > deletion.revision
+    if era_of(record.revision) == era_of(deletion.revision):
+        return is_later
+    if is_later and have_same_writer(record.stated, deletion.stated):
+        return record.stated > deletion.stated
+    return is_later
 
 
 def _keep_stated_order(entry: Entry, before: HeldRecord | None) -> Entry:
--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -23,7 +23,7 @@
     UpstreamStart,
 )
 from briartack.core.dissemination.overlay import Member
-from briartack.core.entries import Entry, is_instance_key
+from briartack.core.entries import Entry, KeyVersion, is_instance_key
 from briartack.core.units import Digest, Incarnation, InstanceId, Revision
 
 
@@ -56,7 +56,7 @@
         self._record_by_instance: dict[InstanceId, HeldRecord] | None = None
         self._live_members: tuple[Member, ...] | None = None
         self._services: dict[str, tuple[Member, ...]] = {}
-        self._cached_versions: dict[str, Revision] | None = None
+        self._cached_versions: dict[str, KeyVersion] | None = None
 
     @property
     def highest(self) -> Revision:
@@ -122,14 +122,17 @@
             self._services = _group_by_service(self.live_members())
         return self._services.get(service, ())
 
-    def versions(self) -> dict[str, Revision]:
-        """Return the revision of each key, deletions included.
+    def versions(self) -> dict[str, KeyVersion]:
+        """Return the version of each key, deletions included.
 
         The result is the same object until a change.
         """
         if self._cached_versions is None:
             self._cached_versions = {
-                held.entry.key: held.entry.revision for held in self._records
+                held.entry.key: KeyVersion(
+                    revision=held.entry.revision, stated=held.entry.stated
+                )
+                for held in self._records
             }
         return self._cached_versions
 
--- a/briartack/core/dissemination/store_eras.py
+++ b/briartack/core/dissemination/store_eras.py
@@ -47,11 +47,6 @@
         self._lowest = 0
         self._settled_at: float | None = None
 
-    @property
-    def settled_at(self) -> float | None:
-        """Return when the era settles; `None` if no restore was seen."""
-        return self._settled_at
-
     def is_settled(self, now: float) -> bool:
         """Return whether a key that the store lacks counts as deleted."""
         return self._settled_at is None or now >= self._settled_at
@@ -60,30 +55,31 @@
         """Return whether the store has answered in a later era."""
         return self._era is not None and era < self._era
 
-    def record_answer(
-        self, event: StoreRead | StoreWatched, holdings: Holdings
-    ) -> Effects:
-        """Record the era of an answer; return a log line if it is a new one."""
+    def record_answer(self, event: StoreAnswer, holdings: Holdings) -> Effects:
+        """Record the era of an answer; return a log line if it is a new one.
+
+        The first answer of a later era than the first may follow a restore
+        that this daemon has not seen.
+        """
         if event.era == self._era:
             self._lowest = min(self._lowest, event.revision)
         if event.era == self._era or self.is_former(event.era):
             return []
-        known = self._find_known_era(event.era, holdings)
+        known = self._era
         self._era = event.era
         self._lowest = event.revision
-        if known is None:
+        if event.era == FIRST_ERA:
             return []
-        self._previous = known
+        self._previous = known or _find_previous(event.era, holdings)
         self._settled_at = event.now + SETTLE_SECONDS
         fields = (
             ('era', str(event.era)),
-            ('before', str(known)),
+            ('before', str(known or 'unknown')),
             ('revision', str(event.revision)),
             ('answer', type(event).__name__),
         )
-        return [
-            WriteLog(level=LogLevel.WARNING, code=ERA_CHANGED, fields=fields)
-        ]
+        level = LogLevel.WARNING if known else LogLevel.INFO
+        return [WriteLog(level=level, code=ERA_CHANGED, fields=fields)]
 
     def place(self, event: StoreAnswer, holdings: Holdings) -> StoreAnswer:
         """Return an answer with revisions that order across eras."""
@@ -106,17 +102,6 @@
             event, revision=revision, entries=entries
         )
 
-    def _find_known_era(self, era: Era, holdings: Holdings) -> Era | None:
-        """Return the era before this one; `None` if nothing is known of it.
-
-        A daemon may know the store only by what its peers have sent.
-        """
-        if self._era is not None:
-            return self._era
-        if era <= FIRST_ERA or holdings.highest == NO_REVISION:
-            return None
-        return min(era_of(holdings.highest), Era(era - 1))
-
     def _find_era(
         self,
         event: StoreRead | StoreWatched,
@@ -127,6 +112,9 @@
         is_new = entry.revision > self._lowest
         if is_new or event.era != self._era or self._settled_at is None:
             return event.era
+        if held is not None and era_of(held.revision) == event.era:
+            # All numbers of the key from here on are of this era.
+            return event.era
         if held is None:
             is_rewritten = self.is_settled(event.now)
         elif _is_same(entry, held):
@@ -140,6 +128,14 @@
         return event.era if is_rewritten else self._previous
 
 
+def _find_previous(era: Era, holdings: Holdings) -> Era:
+    """Return an era before the given one that what peers sent may be of."""
+    previous = Era(era - 1)
+    if holdings.highest == NO_REVISION:
+        return previous
+    return min(era_of(holdings.highest), previous)
+
+
 def _is_same(entry: Entry, held: Entry) -> bool:
     is_same_number = entry.revision == number_of(held.revision)
     return is_same_number and entry.value == held.value
--- a/briartack/core/entries.py
+++ b/briartack/core/entries.py
@@ -81,12 +81,16 @@
     """Return whether a version of a key comes after another one.
 
     Within an era of the store the revisions decide. A restored store may repeat
-    earlier versions, so across eras the order that the writer states decides
-    first.
+    earlier versions, and a daemon that starts after the restore may place a
+    version in the era before it. So the order that the writer states decides
+    across eras and between two versions of one revision.
     """
+    is_ordered = version.revision != other.revision and era_of(
+        version.revision
+    ) == era_of(other.revision)
     if (
-        version.stated != other.stated
-        and era_of(version.revision) != era_of(other.revision)
+        not is_ordered
+        and version.stated != other.stated
         and have_same_writer(version.stated, other.stated)
     ):
         return version.stated > other.stated
--- a/briartack/test/fake_holdings.py
+++ b/briartack/test/fake_holdings.py
@@ -68,12 +68,11 @@
         return [*held, *self.membership.entries_for(keys)]
 
     def versions(self) -> dict[str, KeyVersion]:
-        held = {key: held.revision for key, held in self.configuration.items()}
-        revisions = held | self.membership.versions()
-        return {
-            key: KeyVersion(revision=revision)
-            for key, revision in revisions.items()
+        held = {
+            key: KeyVersion(revision=held.revision, stated=held.stated)
+            for key, held in self.configuration.items()
         }
+        return held | self.membership.versions()
 
     def merge(
         self,
--- a/briartack/test/test_membership.py
+++ b/briartack/test/test_membership.py
@@ -44,7 +44,7 @@
         for number in order:
             self.members.apply([entries[number - 1]])
         self.assertIsNone(self.members.get(INSTANCE))
-        self.assertEqual(self.members.versions(), {KEY: 3})
+        self.assertEqual(_revisions(self.members), {KEY: 3})
         self.assertEqual(self.members.digest, MembershipState().digest)
 
     def test_full_read_deletes_missing_records_up_to_its_revision(self) -> None:
@@ -72,7 +72,7 @@
         malformed_entry = Entry(key=KEY, revision=Revision(2), value=text)
         self.assertEqual(self.members.apply([malformed_entry]), frozenset())
         self.members.apply_full_read(Revision(3), [malformed_entry])
-        self.assertEqual(self.members.versions(), {KEY: 1})
+        self.assertEqual(_revisions(self.members), {KEY: 1})
         reported = [refusal.key for refusal in self.members.take_refusals()]
         self.assertEqual(reported, [KEY, KEY])
         self.assertEqual(self.members.take_refusals(), ())
@@ -119,3 +119,7 @@
         self.assertEqual(self.members.digest, other.digest)
         other.apply([_entry(ord('c'))])
         self.assertNotEqual(self.members.digest, other.digest)
+
+
+def _revisions(members: MembershipState) -> dict[str, Revision]:
+    return {key: held.revision for key, held in members.versions().items()}
--- a/briartack/test/test_restored_store.py
+++ b/briartack/test/test_restored_store.py
@@ -5,150 +5,24 @@
 is in force must stay so, and later changes must come into force.
 """
 
-import json
 import unittest
-from random import Random
-from typing import Any, Final, NamedTuple
+from typing import Final
 
 from nose2.tools import params
 
-from briartack.core import events
-from briartack.core.entries import Entry
-from briartack.core.identity import Identity
-from briartack.core.reducer import reduce
-from briartack.core.state import State
-from briartack.core.units import (
-    Era,
-    Incarnation,
-    InstanceId,
-    Revision,
-    place_in_era,
+from briartack.core.units import Era, place_in_era
+from briartack.test.store_reader import (
+    RECORD_KEY,
+    SETTLED,
+    Daemon,
+    Read,
+    Watched,
+    record,
+    subtree,
+    version,
+    zone,
 )
 
-TEAM_KEY: Final = 'teams/op'
-ZONE_KEY: Final = 'platform/north-2'
-RECORD_KEY: Final = 'instances/i-1'
-# Later than what was lost counts as written again or gone.
-SETTLED: Final = 10.0
-
-
-class Read(NamedTuple):
-    """Describe the answer to a read of all keys."""
-
-    now: float
-    era: int
-    revision: int
-    entries: tuple[Entry, ...]
-
-
-class Watched(NamedTuple):
-    """Describe the answer to a watch."""
-
-    now: float
-    era: int
-    revision: int
-    entries: tuple[Entry, ...]
-
-
-def subtree(number: int) -> str:
-    """Return the subtree of a team that differs by a number."""
-    return json.dumps(
-        {'services': {'main': {'slots': number, 'connections': 8}}}
-    )
-
-
-def version(revision: int, number: int, stated: int | None = None) -> Entry:
-    """Return a version of the configuration, as the store gives it."""
-    return Entry(
-        key=TEAM_KEY,
-        revision=Revision(revision),
-        value=subtree(number),
-        stated=() if stated is None else (stated,),
-    )
-
-
-def zone(revision: int, *, is_out: bool = True) -> Entry:
-    """Return that a data centre is out of service, or the end of it."""
-    text = json.dumps({'data_centres_out': ['north-2']})
-    return Entry(
-        key=ZONE_KEY,
-        revision=Revision(revision),
-        value=text if is_out else None,
-    )
-
-
-def record(
-    revision: int, state: str | None, sequence: int, born: int = 1000
-) -> Entry:
-    """Return the record of an upstream; `None` deletes it."""
-    text = {
-        'service': 'op/main',
-        'data_centre': 'north-1',
-        'region': 'north',
-        'peer_address': '10.0.0.1:1',
-        'instance': '10.0.0.1',
-        'state': state,
-        'started_ms': born,
-    }
-    return Entry(
-        key=RECORD_KEY,
-        revision=Revision(revision),
-        value=None if state is None else json.dumps(text),
-        stated=() if state is None else (born, sequence),
-    )
-
-
-class Daemon:
-    """Run the reducer of a daemon that reads and watches the store."""
-
-    def __init__(self) -> None:
-        self.state = State(
-            identity=Identity(
-                instance=InstanceId('x'),
-                incarnation=Incarnation('x.1'),
-                service='op/main',
-                data_centre='north-1',
-                region='north',
-            ),
-            random=Random(1),
-            drain_seconds=1,
-        )
-
-    @property
-    def active_value(self) -> str | None:
-        """Return the value of the configuration in force."""
-        held = self.state.configuration.entries_for((TEAM_KEY,))
-        return held[0].value if held else None
-
-    @property
-    def data_centres_out(self) -> tuple[str, ...]:
-        """Return the data centres that are out of service."""
-        snapshot = self.state.configuration.snapshot
-        return () if snapshot is None else snapshot.platform.data_centres_out
-
-    @property
-    def listed_state(self) -> str | None:
-        """Return the state of the upstream in the list, `None` if gone."""
-        held = self.state.membership.find_record('i-1')
-        if held is None or held.state is None:
-            return None
-        return str(held.state.value)
-
-    def deliver(self, *answers: Read | Watched) -> None:
-        """Deliver answers of the store."""
-        for answer in answers:
-            fields: dict[str, Any] = {
-                'now': answer.now,
-                'revision': Revision(answer.revision),
-                'entries': answer.entries,
-                'era': Era(answer.era),
-            }
-            if isinstance(answer, Read):
-                reduce(self.state, events.StoreRead(prefix='', **fields))
-            else:
-                reduce(self.state, events.StoreWatched(**fields))
-
-
 # Revision 23 is in force in era 1; version 12 is what the operators state.
 BEFORE: Final = (
     Read(1, 1, 21, (version(21, 1, 9),)),
@@ -245,21 +119,20 @@
         self.assertEqual(daemon.active_value, subtree(3))
 
     # Guards against an older configuration from a daemon that started with the
-    # copy, and whose revision is above that of what is in force.
+    # copy, also if its revision is above that of what is in force.
     def test_copy_of_a_fresh_peer_does_not_replace_what_is_in_force(
         self,
     ) -> None:
         fresh = Daemon()
         fresh.deliver(Read(1, 2, 21, (version(21, 1, 9),)))
-        held = fresh.state.configuration.entries_for((TEAM_KEY,))
-        self.assertEqual(held[0].revision, place_in_era(Era(2), 21))
         daemon = Daemon()
         daemon.deliver(*BEFORE)
-        daemon.state.configuration.apply(held)
+        daemon.learn_from(fresh, 4)
+        copied = version(place_in_era(Era(2), 21), 1, 9)
+        daemon.state.configuration.apply([copied])
         self.assertEqual(daemon.active_value, subtree(3))
-        fresh.state.configuration.apply(
-            daemon.state.configuration.entries_for((TEAM_KEY,))
-        )
+        fresh.state.configuration.apply([copied])
+        fresh.learn_from(daemon, 4)
         self.assertEqual(fresh.active_value, subtree(3))
 
 
