Let the order that a writer states decide between any two versions

A daemon that starts after a restore places what it reads in the era before, where the same or a higher number may stand for an older version at a daemon that was cut off. Between the two the revision decided, so the older version could take the place of the newer one.

The order that the writer states holds in all of them and now decides wherever both versions state one.

Evidence: the second row of test_version_of_a_number_that_was_given_out_twice failed before.

--- a/briartack/core/entries.py
+++ b/briartack/core/entries.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from briartack.core.units import Digest, Revision, era_of
+from briartack.core.units import Digest, Revision
 
 TEAM_PREFIX: Final = 'teams/'
 INSTANCE_PREFIX: Final = 'instances/'
@@ -80,18 +80,12 @@
 def is_later_version(version: _Ordered, other: _Ordered) -> bool:
     """Return whether a version of a key comes after another one.
 
-    Within an era of the store the revisions decide. A restored store may repeat
-    earlier versions, and a daemon that starts after the restore may place a
-    version in the era before it. So the order that the writer states decides
-    across eras and between two versions of one revision.
+    The order that the writer states holds across eras of the store. Revisions
+    decide between versions that state none: the era in which a version was
+    written is not always known, and a restored store repeats earlier versions.
     """
-    is_ordered = version.revision != other.revision and era_of(
-        version.revision
-    ) == era_of(other.revision)
-    if (
-        not is_ordered
-        and version.stated != other.stated
-        and have_same_writer(version.stated, other.stated)
+    if version.stated != other.stated and have_same_writer(
+        version.stated, other.stated
     ):
         return version.stated > other.stated
     return version.revision > other.revision
--- a/briartack/test/fake_holdings.py
+++ b/briartack/test/fake_holdings.py
@@ -2,20 +2,29 @@
 
 from collections.abc import Iterable
 from hashlib import blake2b
+from typing import NamedTuple
 
 from briartack.core.dissemination.membership import MembershipState
 from briartack.core.entries import (
     Entry,
     HighestRevisions,
     KeyVersion,
+    StatedOrder,
     is_instance_key,
     is_later_version,
 )
-from briartack.core.units import Digest, Revision
+from briartack.core.units import FIRST_ERA, Digest, Era, Revision
 
 NO_REVISION = Revision(0)
 
 
+class StoreCopy(NamedTuple):
+    """Hold the edits of a store up to a revision."""
+
+    revision: Revision
+    edits: dict[str, Entry]
+
+
 class FakeHoldings:
     """Fake the configuration and the instance list that a daemon holds.
 
@@ -121,6 +130,7 @@
     """Fake the store: keep the last edit of each key and log the calls."""
 
     def __init__(self) -> None:
+        self.era = FIRST_ERA
         self.revision = Revision(0)
         self.edits: dict[str, Entry] = {}
         self.calls: list[tuple[float, str]] = []
@@ -129,12 +139,26 @@
     def count(self, kind: str) -> int:
         return sum(1 for _at, called in self.calls if called == kind)
 
-    def put(self, key: str, value: str | None) -> Entry:
+    def put(
+        self, key: str, value: str | None, stated: StatedOrder = ()
+    ) -> Entry:
         """Store a value at the next revision; `None` deletes the key."""
         self.revision = Revision(self.revision + 1)
-        self.edits[key] = Entry(key=key, revision=self.revision, value=value)
+        self.edits[key] = Entry(
+            key=key, revision=self.revision, value=value, stated=stated
+        )
         return self.edits[key]
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(self.revision, dict(self.edits))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, in a new era."""
+        self.era = Era(self.era + 1)
+        self.revision = copy.revision
+        self.edits = dict(copy.edits)
+
     def read(self, prefix: str) -> tuple[Entry, ...]:
         return tuple(
             edit
--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -27,6 +27,7 @@
     DEFAULT_STORE_RULES,
     StoreRules,
 )
+from briartack.core.entries import Entry, StatedOrder
 from briartack.core.identity import Identity
 from briartack.core.units import Incarnation, InstanceId, Revision
 from briartack.test.fake_holdings import FakeHoldings, FakeStore
@@ -131,7 +132,7 @@
             f'r{position[0]}-{position[1]}-{position[2]}'
             for position in positions
         ]
-        self.store.put('teams/a', 'first')
+        self.store.put('teams/a', '1')
         for name in self.names:
             self.list_instance(name)
 
@@ -203,9 +204,11 @@
         """Return the names of the daemons with a pending watch of the store."""
         return [name for name, node in self.nodes.items() if node.watch]
 
-    def edit_store(self, key: str, text: str | None) -> Revision:
+    def edit_store(
+        self, key: str, text: str | None, stated: StatedOrder = ()
+    ) -> Revision:
         """Put a value under a key of the store; `None` deletes the key."""
-        revision = self.store.put(key, text).revision
+        revision = self.store.put(key, text, stated).revision
         self._answer_due_watches()
         return revision
 
@@ -358,6 +361,7 @@
             prefix=prefix,
             revision=self.store.revision,
             entries=self.store.read(prefix),
+            era=self.store.era,
             elapsed_seconds=self.store_seconds(name),
         )
         self._answer_from_store(name, events.StoreOperation.READ, make_event)
@@ -376,17 +380,33 @@
                 continue
             until, after = node.watch or (math.inf, self.store.revision)
             entries = self.store.edits_after(after)
-            if self.now >= until or entries:
+            is_gone = after > self.store.revision
+            if self.now >= until or entries or is_gone:
                 node.watch = None
-                make_event = partial(
-                    events.StoreWatched,
-                    revision=self.store.revision,
-                    entries=entries,
-                )
+                make_event = self._gone if is_gone else self._changes(entries)
                 self._answer_from_store(
                     name, events.StoreOperation.WATCH, make_event
                 )
 
+    def _changes(self, entries: tuple[Entry, ...]) -> EventFactory:
+        return partial(
+            events.StoreWatched,
+            revision=self.store.revision,
+            entries=entries,
+            era=self.store.era,
+        )
+
+    @property
+    def _gone(self) -> EventFactory:
+        """Return the answer to a watch after a revision that was lost."""
+        return partial(
+            events.StoreFailed,
+            operation=events.StoreOperation.WATCH,
+            prefix='',
+            reason='gone',
+            is_history_gone=True,
+        )
+
 
 def _mark_leaving(
     members: MembershipState,
--- a/briartack/test/test_restored_peers.py
+++ b/briartack/test/test_restored_peers.py
@@ -4,11 +4,14 @@
 the copy, and what was lost is known to its peers alone.
 """
 
+import itertools
 import unittest
 
+import msgspec
 from nose2.tools import params
 
-from briartack.core.entries import is_instance_key
+from briartack.core.entries import Entry, is_instance_key
+from briartack.core.units import Era, place_in_era
 from briartack.test.store_reader import (
     SETTLED,
     Daemon,
@@ -30,6 +33,10 @@
 COPY = (version(21, 3, 9), record(20, 'live', 5))
 
 
+COPIED = place_in_era(Era(2), 21)
+DELETION = msgspec.structs.replace(record(23, None, 0), stated=(1000, 5))
+
+
 class StartedAfterRestoreTest(unittest.TestCase):
     # Guards against a data centre that gets work again because a daemon that
     # started after the restore takes a key that the copy lacks for deleted.
@@ -95,13 +102,15 @@
         other.deliver(Read(SETTLED * 2, 2, 31, (change,)))
         self.assertEqual(other.active_value, subtree(4))
 
-    # Guards against a version that is refused because a daemon that started
-    # after the restore has placed it in the era before.
-    def test_version_of_a_revision_that_was_given_out_twice_is_in_force(
-        self,
+    # Guards against a version that is refused, or lost, because a daemon that
+    # started after the restore has placed it in the era before, where the same
+    # or a higher number stands for an older version.
+    @params(22, 35)
+    def test_version_of_a_number_that_was_given_out_twice_is_in_force(
+        self, number: int
     ) -> None:
         lagging = Daemon()
-        lagging.deliver(Read(1, 1, 22, (version(22, 2, 11),)))
+        lagging.deliver(Read(1, 1, number, (version(number, 2, 11),)))
         fresh = Daemon()
         fresh.deliver(Read(4, 2, 22, (version(22, 3, 12),)))
         lagging.learn_from(fresh, 4.1)
@@ -110,6 +119,30 @@
         self.assertEqual(fresh.active_value, subtree(3))
 
 
+class DeletedInstanceTest(unittest.TestCase):
+    # Guards against lists that differ for good, or change with every message,
+    # because two daemons order a record and its deletion differently.
+    @params(
+        # The restored store repeats a record that was deleted.
+        (DELETION, record(COPIED, 'live', 5), None),
+        # The upstream has written again after the deletion.
+        (DELETION, record(COPIED, 'live', 6), 'live'),
+        # Another start of the upstream has its id.
+        (DELETION, record(COPIED, 'live', 1, born=2000), 'live'),
+        # The restored store lacks the record, although it is a later one.
+        (record(COPIED, None, 0), record(25, 'live', 9), None),
+    )
+    def test_daemons_agree_whatever_came_first(
+        self, deletion: Entry, listed: Entry, state: str | None
+    ) -> None:
+        for order in itertools.permutations((deletion, listed)):
+            daemon = Daemon()
+            daemon.deliver(*OLD_DAEMON)
+            daemon.state.membership.apply(order)
+            daemon.state.membership.apply(order)
+            self.assertEqual(daemon.listed_state, state, order)
+
+
 class InventoryOfInstancesTest(unittest.TestCase):
     # Guards against daemons that list different upstreams for good: the order
     # that upstreams state decides between eras, so peers have to compare it.
--- a/briartack/test/test_store_reads.py
+++ b/briartack/test/test_store_reads.py
@@ -15,29 +15,43 @@
     REVISION_FELL,
     StoreReadsState,
 )
-from briartack.core.effects import CancelWatch, ReadStore, WatchStore, WriteLog
+from briartack.core.effects import (
+    CancelWatch,
+    Effect,
+    ReadStore,
+    WatchStore,
+    WriteLog,
+)
 from briartack.core.events import (
     StoreFailed,
     StoreOperation,
     StoreRead,
     StoreWatched,
 )
-from briartack.core.units import Revision
+from briartack.core.units import FIRST_ERA, Era, Revision
+from briartack.test.fake_holdings import FakeHoldings
 
 
-def _read(revision: int, prefix: str = '', now: float = 1) -> StoreRead:
+def _read(
+    revision: int, prefix: str = '', now: float = 1, era: Era = FIRST_ERA
+) -> StoreRead:
     """Return the empty answer to a full read."""
     return StoreRead(
         now=now,
         prefix=prefix,
         revision=Revision(revision),
         entries=(),
+        era=era,
     )
 
 
-def _watched(revision: int, now: float = 2) -> StoreWatched:
+def _watched(
+    revision: int, now: float = 2, era: Era = FIRST_ERA
+) -> StoreWatched:
     """Return the empty answer to a watch."""
-    return StoreWatched(now=now, revision=Revision(revision), entries=())
+    return StoreWatched(
+        now=now, revision=Revision(revision), entries=(), era=era
+    )
 
 
 FAILURE: Final = StoreFailed(
@@ -173,3 +187,56 @@
         self.assertTrue(self.reads.is_caught_up)
         self.reads.resume()
         self.assertFalse(self.reads.is_caught_up)
+
+
+SECOND_ERA: Final = Era(2)
+KEYS_READ: Final = ReadStore(prefix='')
+
+
+class RestoredStoreReadsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reads = StoreReadsState(random=Random(1))
+        self.reads.set_duty(is_on_duty=True)
+        self.reads.start_due_calls(0, needs_full_read=True)
+        self.deliver(_read(7, now=1))
+        self.reads.start_due_calls(3, needs_full_read=False)
+
+    def deliver(self, event: StoreRead | StoreWatched) -> list[Effect]:
+        """Deliver an answer as dissemination does; return the effects."""
+        placed, effects = self.reads.place_answer(event, FakeHoldings())
+        if isinstance(placed, StoreRead):
+            return [*effects, *self.reads.on_read(placed)]
+        return [*effects, *self.reads.on_watched(placed)]
+
+    # Guards against a watch that goes on after a number of the era before,
+    # which the restored store reaches again, and so misses changes.
+    @params(
+        _read(5, prefix='instances/', now=4, era=SECOND_ERA),
+        _watched(9, now=4, era=SECOND_ERA),
+    )
+    def test_all_keys_are_read_again_before_the_next_watch(
+        self, answer: StoreRead | StoreWatched
+    ) -> None:
+        effects = self.deliver(answer)
+        is_watch_pending = isinstance(answer, StoreRead)
+        self.assertEqual(CancelWatch() in effects, is_watch_pending)
+        due = self.reads.start_due_calls(5, needs_full_read=False)
+        self.assertEqual(due, [KEYS_READ])
+        self.deliver(_read(9, now=5.1, era=SECOND_ERA))
+        due = self.reads.start_due_calls(5.2, needs_full_read=False)
+        self.assertEqual([type(effect) for effect in due], [WatchStore])
+
+    # Guards against keys that count as there for good although the copy lacks
+    # them, and against more reads than the two of a restore.
+    def test_all_keys_are_read_again_once_the_era_has_settled(self) -> None:
+        self.deliver(_read(5, now=4, era=SECOND_ERA))
+        self.reads.start_due_calls(5, needs_full_read=False)
+        self.deliver(_read(5, now=5, era=SECOND_ERA))
+        reads = []
+        for step in range(60):
+            now = 5 + step / 10
+            due = self.reads.start_due_calls(now, needs_full_read=False)
+            if KEYS_READ in due:
+                reads.append(now)
+                self.deliver(_read(5, now=now, era=SECOND_ERA))
+        self.assertEqual(reads, [6.5])
