Name the era and the stated version in the trail and on the command line

Users must be able to say which configuration every proxy held when. After a restore one number of the store stands for two contents, and the trail had the number only (as one large integer after the fix). The audit line `configuration` and the status now have `stated`, what the writers of the active versions state (on the users' platform the operators' version). `held` shows `teams/op 2:23 (states 14)`, `status` shows HIGHEST as ERA:NUMBER and `era` in the column BEHIND of a daemon that holds only an older era.

Lines of earlier releases have no `stated` and are read as before.

--- a/briartack/cli.py
+++ b/briartack/cli.py
@@ -17,6 +17,12 @@
 import msgspec
 
 from briartack.check import check_tree
+from briartack.core.units import (
+    NO_REVISION,
+    Revision,
+    era_of,
+    format_revision,
+)
 from briartack.diff import diff_trees
 from briartack.held import Held, find_held_configurations, read_audit_lines
 from briartack.operator_client import OperatorError, fetch
@@ -199,7 +205,7 @@
 
 
 def _format_status(found: list[dict[str, object]]) -> Iterator[str]:
-    newest = max((_get_highest_revision(daemon) for daemon in found), default=0)
+    newest = max(map(_get_highest_revision, found), default=NO_REVISION)
     yield _STATUS_ROW.format(
         'ADDRESS',
         'INSTANCE',
@@ -218,8 +224,8 @@
             daemon['address'],
             daemon['instance'],
             'yes' if daemon['ready'] else 'no',
-            _get_highest_revision(daemon),
-            newest - _get_highest_revision(daemon),
+            format_revision(_get_highest_revision(daemon)),
+            _format_distance(_get_highest_revision(daemon), newest),
             daemon['digest'],
         )
         yield from _format_status_details(daemon)
@@ -254,9 +260,32 @@
             yield f'    {name}: {_format_value(detail)}'
 
 
-def _get_highest_revision(daemon: dict[str, object]) -> int:
+def _get_highest_revision(daemon: dict[str, object]) -> Revision:
     highest = daemon.get('highest')
-    return highest if isinstance(highest, int) else 0
+    return Revision(highest) if isinstance(highest, int) else NO_REVISION
+
+
+def _format_distance(revision: Revision, newest: Revision) -> str:
+    """Return how many revisions lie between two; `era` in different eras."""
+    is_same_era = era_of(revision) == era_of(newest)
+    return str(newest - revision) if is_same_era else 'era'
+
+
+def _format_versions(answer: Held) -> str:
+    """Return the revision of each key and the order that its writer states."""
+    if answer.versions is None:
+        return '-'
+    found = []
+    for key, revision in answer.versions.items():
+        shown = format_revision(Revision(revision))
+        stated = (answer.stated or {}).get(key)
+        suffix = f' (states {_format_stated(stated)})' if stated else ''
+        found.append(f'{key} {shown}{suffix}')
+    return ', '.join(found)
+
+
+def _format_stated(stated: tuple[int, ...]) -> str:
+    return ' '.join(map(str, stated))
 
 
 def _convert_held_to_dict(answer: Held) -> dict[str, object]:
@@ -275,9 +304,10 @@
     if not answer.digest:
         return f'{answer.instance}: {answer.note}'
     return (
-        f'{answer.instance}: revision {answer.highest}, '
+        f'{answer.instance}: '
+        f'revision {format_revision(Revision(answer.highest))}, '
         f'digest {answer.digest}, since {answer.since}: '
-        f'{_format_value(answer.versions)}'
+        f'{_format_versions(answer)}'
     )
 
 
--- a/briartack/core/configuration/resolved_snapshot.py
+++ b/briartack/core/configuration/resolved_snapshot.py
@@ -23,7 +23,7 @@
     Version,
     list_references,
 )
-from briartack.core.entries import is_platform_key
+from briartack.core.entries import StatedOrder, is_platform_key
 from briartack.core.units import Digest, Revision
 
 _EMPTY_PLATFORM: Final = PlatformSettings()
@@ -74,6 +74,8 @@
     """Hold the effective configuration and the versions that state it."""
 
     versions: tuple[tuple[str, Revision], ...]  # of active keys, sorted
+    # Of the active versions whose writers state an order.
+    stated: tuple[tuple[str, StatedOrder], ...]
     digest: Digest  # of active versions and pooled definitions
     highest: Revision
     routes: tuple[ResolvedRoute, ...]  # longest prefix first, then by team
@@ -124,6 +126,11 @@
                 (key, configuration.active[key].revision)
                 for key in self._resolved_teams
             ),
+            stated=tuple(
+                (key, configuration.active[key].stated)
+                for key in self._resolved_teams
+                if configuration.active[key].stated
+            ),
             digest=configuration.digest,
             highest=max(
                 version.revision for version in configuration.active.values()
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -214,6 +214,7 @@
     fields = {
         **snapshot_fields(after),
         'versions': dict(after.versions),
+        'stated': {key: list(stated) for key, stated in after.stated},
         'cause': _cause_of(source),
         'source': source,
     }
--- a/briartack/core/status.py
+++ b/briartack/core/status.py
@@ -42,11 +42,12 @@
 def _describe_snapshot(state: State) -> dict[str, object]:
     snapshot = state.configuration.snapshot
     if snapshot is None:
-        return {'highest': 0, 'digest': '', 'versions': {}}
+        return {'highest': 0, 'digest': '', 'versions': {}, 'stated': {}}
     return {
         'highest': snapshot.highest,
         'digest': snapshot.digest.hex(),
         'versions': dict(snapshot.versions),
+        'stated': {key: list(stated) for key, stated in snapshot.stated},
         'retained': list(snapshot.retained),
         'data_centres_out': list(snapshot.platform.data_centres_out),
         'instances_out': list(snapshot.platform.instances_out),
--- a/briartack/held.py
+++ b/briartack/held.py
@@ -27,6 +27,8 @@
     digest: str = ''
     highest: int = 0
     versions: dict[str, int] | None = None
+    # The order that the writers of the versions state, by key.
+    stated: dict[str, tuple[int, ...]] | None = None
     cause: str = ''
     source: str = ''
 
@@ -45,6 +47,7 @@
     digest: str = ''
     highest: int = 0
     versions: dict[str, int] | None = None
+    stated: dict[str, tuple[int, ...]] | None = None
     since: datetime | None = None
     unknown_from: datetime | None = None
     unknown_until: datetime | None = None
@@ -70,16 +73,16 @@
     `at` must have a UTC offset. `instance` selects one instance.
     """
     by_instance: dict[str, dict[tuple[str, int], AuditLine]] = {}
-    digests: dict[str, dict[str, int]] = {}
+    contents: dict[str, AuditLine] = {}  # by digest
     for line in lines:
         if line.versions is not None:
-            digests[line.digest] = line.versions
+            contents[line.digest] = line
         if instance in {None, line.instance}:
             # Overlapping logs contain the same line more than once.
             own = by_instance.setdefault(line.instance, {})
             own[(line.incarnation, line.sequence)] = line
     return [
-        _find_held(name, sorted(found.values(), key=_sort_key), at, digests)
+        _find_held(name, sorted(found.values(), key=_sort_key), at, contents)
         for name, found in sorted(by_instance.items())
     ]
 
@@ -92,7 +95,7 @@
     instance: str,
     lines: list[AuditLine],
     at: datetime,
-    digests: dict[str, dict[str, int]],
+    contents: dict[str, AuditLine],
 ) -> Held:
     position = bisect.bisect_right(lines, at, key=lambda line: line.time)
     after = lines[position] if position < len(lines) else None
@@ -115,13 +118,13 @@
             unknown_until=after.time if after else None,
             note=gap,
         )
-    return _build_answer(instance, past, digests)
+    return _build_answer(instance, past, contents)
 
 
 def _build_answer(
     instance: str,
     past: list[AuditLine],
-    digests: dict[str, dict[str, int]],
+    contents: dict[str, AuditLine],
 ) -> Held:
     incarnation = past[-1].incarnation
     own = [line for line in past if line.incarnation == incarnation]
@@ -135,6 +138,7 @@
             note='held no configuration and served nothing',
         )
     last = statements[-1]
+    content = contents.get(last.digest)
     first = next(line for line in statements if line.digest == last.digest)
     return Held(
         instance=instance,
@@ -142,7 +146,8 @@
         is_known=True,
         digest=last.digest,
         highest=last.highest,
-        versions=digests.get(last.digest),
+        versions=None if content is None else content.versions,
+        stated=None if content is None else content.stated,
         since=first.time,
     )
 
--- a/briartack/test/fleet.py
+++ b/briartack/test/fleet.py
@@ -6,7 +6,6 @@
 
 import heapq
 import itertools
-import math
 from collections import Counter
 from collections.abc import Callable, Mapping
 from functools import partial
@@ -27,7 +26,7 @@
     DEFAULT_STORE_RULES,
     StoreRules,
 )
-from briartack.core.entries import Entry, StatedOrder
+from briartack.core.entries import StatedOrder
 from briartack.core.identity import Identity
 from briartack.core.units import Incarnation, InstanceId, Revision
 from briartack.test.fake_holdings import FakeHoldings, FakeStore
@@ -378,17 +377,31 @@
         for name, node in self.nodes.items():
             if self.are_watches_silent or self.is_store_silent(name):
                 continue
-            until, after = node.watch or (math.inf, self.store.revision)
-            entries = self.store.edits_after(after)
-            is_gone = after > self.store.revision
-            if self.now >= until or entries or is_gone:
+            make_event = self._make_watch_answer(node.watch)
+            if make_event is not None:
                 node.watch = None
-                make_event = self._gone if is_gone else self._changes(entries)
                 self._answer_from_store(
                     name, events.StoreOperation.WATCH, make_event
                 )
 
-    def _changes(self, entries: tuple[Entry, ...]) -> EventFactory:
+    def _make_watch_answer(
+        self, watch: tuple[float, Revision] | None
+    ) -> EventFactory | None:
+        """Return the answer to a watch, `None` if it is not due."""
+        if watch is None:
+            return None
+        until, after = watch
+        if after > self.store.revision:
+            return partial(
+                events.StoreFailed,
+                operation=events.StoreOperation.WATCH,
+                prefix='',
+                reason='gone',
+                is_history_gone=True,
+            )
+        entries = self.store.edits_after(after)
+        if not entries and self.now < until:
+            return None
         return partial(
             events.StoreWatched,
             revision=self.store.revision,
@@ -396,17 +409,6 @@
             era=self.store.era,
         )
 
-    @property
-    def _gone(self) -> EventFactory:
-        """Return the answer to a watch after a revision that was lost."""
-        return partial(
-            events.StoreFailed,
-            operation=events.StoreOperation.WATCH,
-            prefix='',
-            reason='gone',
-            is_history_gone=True,
-        )
-
 
 def _mark_leaving(
     members: MembershipState,
--- a/briartack/test/store_reader.py
+++ b/briartack/test/store_reader.py
@@ -6,6 +6,7 @@
 
 from briartack.core import events
 from briartack.core.dissemination.dissemination import ReceivedEntries
+from briartack.core.effects import Effects
 from briartack.core.entries import INSTANCE_PREFIX, Entry
 from briartack.core.identity import Identity
 from briartack.core.merging import merge
@@ -137,8 +138,9 @@
             return None
         return str(held.state.value)
 
-    def deliver(self, *answers: Read | ListRead | Watched) -> None:
-        """Deliver answers of the store."""
+    def deliver(self, *answers: Read | ListRead | Watched) -> Effects:
+        """Deliver answers of the store; return the effects."""
+        effects: Effects = []
         for answer in answers:
             fields: dict[str, Any] = {
                 'now': answer.now,
@@ -147,10 +149,13 @@
                 'era': Era(answer.era),
             }
             if isinstance(answer, Watched):
-                reduce(self.state, events.StoreWatched(**fields))
+                event = events.StoreWatched(**fields)
+                effects.extend(reduce(self.state, event))
                 continue
             prefix = INSTANCE_PREFIX if isinstance(answer, ListRead) else ''
-            reduce(self.state, events.StoreRead(prefix=prefix, **fields))
+            read = events.StoreRead(prefix=prefix, **fields)
+            effects.extend(reduce(self.state, read))
+        return effects
 
     def learn_from(self, peer: 'Daemon', now: float) -> None:
         """Merge all entries that another daemon holds."""
--- a/briartack/test/test_restored_fleet.py
+++ b/briartack/test/test_restored_fleet.py
@@ -51,7 +51,7 @@
         self.fleet: Fleet = started_fleet()
         self.version = 1
         # The store of the product's own dialect states no order of versions.
-        self._is_stated = self.random.random() < 0.5
+        self._is_stated = self.random.choice((True, False))
         self.went_back: list[str] = []
         self._held: dict[str, Held] = {}
         self._copies: list[StoreCopy] = []
@@ -125,13 +125,7 @@
         """Return the daemons that list other upstreams than those there."""
         expected = set(self.fleet.names) - self._gone
         return [
-            name
-            for name, node in self.fleet.nodes.items()
-            if {
-                str(member.instance)
-                for member in node.holdings.membership.live_members()
-            }
-            != expected
+            name for name in self.fleet.nodes if self._list_of(name) != expected
         ]
 
     def _write_lost(self, copy: StoreCopy, lost: StoreCopy) -> None:
@@ -154,6 +148,10 @@
         else:
             self.fleet.list_instance(entry.key.removeprefix('instances/'))
 
+    def _list_of(self, name: str) -> set[str]:
+        listed = self.fleet.nodes[name].holdings.membership.live_members()
+        return {str(member.instance) for member in listed}
+
     def _version_of(self, name: str) -> int:
         held = self.fleet.nodes[name].holdings.configuration.get(KEY)
         return 0 if held is None else int(held.value or 0)
@@ -182,7 +180,7 @@
             random.choice((played.publish, played.unlist))()
         played.run(1)
         for _ in range(random.randrange(1, 3)):
-            is_disturbed = random.random() < 0.6
+            is_disturbed = random.choice((True, True, False))
             if is_disturbed:
                 played.disturb()
             played.run(random.uniform(0.1, 1))
