Restore the stand-in of the platform's store from a copy

The stand-in states its era in every answer, goes back to a copy, gives its revisions out again and answers a watch after one that it lacks with 410. A test with real processes plays the incident: two changes are lost, the newest is written again, and a later change must be in force at all machines.

--- a/briartack/held.py
+++ b/briartack/held.py
@@ -73,16 +73,18 @@
     `at` must have a UTC offset. `instance` selects one instance.
     """
     by_instance: dict[str, dict[tuple[str, int], AuditLine]] = {}
-    contents: dict[str, AuditLine] = {}  # by digest
+    stated_lines: dict[str, AuditLine] = {}  # by digest
     for line in lines:
         if line.versions is not None:
-            contents[line.digest] = line
+            stated_lines[line.digest] = line
         if instance in {None, line.instance}:
             # Overlapping logs contain the same line more than once.
             own = by_instance.setdefault(line.instance, {})
             own[(line.incarnation, line.sequence)] = line
     return [
-        _find_held(name, sorted(found.values(), key=_sort_key), at, contents)
+        _find_held(
+            name, sorted(found.values(), key=_sort_key), at, stated_lines
+        )
         for name, found in sorted(by_instance.items())
     ]
 
@@ -95,7 +97,7 @@
     instance: str,
     lines: list[AuditLine],
     at: datetime,
-    contents: dict[str, AuditLine],
+    stated_lines: dict[str, AuditLine],
 ) -> Held:
     position = bisect.bisect_right(lines, at, key=lambda line: line.time)
     after = lines[position] if position < len(lines) else None
@@ -118,13 +120,13 @@
             unknown_until=after.time if after else None,
             note=gap,
         )
-    return _build_answer(instance, past, contents)
+    return _build_answer(instance, past, stated_lines)
 
 
 def _build_answer(
     instance: str,
     past: list[AuditLine],
-    contents: dict[str, AuditLine],
+    stated_lines: dict[str, AuditLine],
 ) -> Held:
     incarnation = past[-1].incarnation
     own = [line for line in past if line.incarnation == incarnation]
@@ -138,7 +140,7 @@
             note='held no configuration and served nothing',
         )
     last = statements[-1]
-    content = contents.get(last.digest)
+    content = stated_lines.get(last.digest)
     first = next(line for line in statements if line.digest == last.digest)
     return Held(
         instance=instance,
--- a/briartack/test/test_platform_site.py
+++ b/briartack/test/test_platform_site.py
@@ -41,6 +41,7 @@
     """Test one site; each test restores the site at its end."""
 
     site: ClassVar[PlatformSite]
+    version: ClassVar[int] = 1
 
     @classmethod
     def setUpClass(cls) -> None:
@@ -68,8 +69,23 @@
         return self.request_from('east-1', path).body == body
 
     def publish_routes(self, *routes: dict[str, Any]) -> None:
-        """Replace the routes in the operators' configuration."""
-        self.site.store.put('op/config', build_configuration(*routes))
+        """Replace the routes in a new version of the configuration."""
+        type(self).version += 1
+        self.republish_routes(*routes)
+
+    def republish_routes(self, *routes: dict[str, Any]) -> None:
+        """Write the present version of the configuration again."""
+        configuration = build_configuration(*routes, version=self.version)
+        self.site.store.put('op/config', configuration)
+
+    def is_served_everywhere(self, path: str) -> bool:
+        """Return whether all machines serve a path within the wait."""
+        return becomes_true(
+            lambda: all(
+                send_consumer_request(machine, path).status == 200
+                for machine in self.site.machines
+            ),
+        )
 
     def test_request_reaches_a_worker_unchanged(self) -> None:
         """Guard against a changed path or body, and missing headers."""
@@ -97,14 +113,7 @@
         self.publish_routes(
             *DEFAULT_ROUTES, build_route('new', '/new/', 'buys')
         )
-        self.assertTrue(
-            becomes_true(
-                lambda: all(
-                    send_consumer_request(machine, '/new/').status == 200
-                    for machine in self.site.machines
-                ),
-            ),
-        )
+        self.assertTrue(self.is_served_everywhere('/new/'))
 
     def test_evacuated_zone_gets_no_requests(self) -> None:
         """Guard against requests to a zone that operators have evacuated."""
@@ -210,6 +219,24 @@
             ),
         )
 
+    # Guards against changes that are in force nowhere after the store came back
+    # from a copy and gives revisions out again, and against the copy in force.
+    def test_changes_are_in_force_after_the_store_was_restored(self) -> None:
+        self.addCleanup(self.publish_routes, *DEFAULT_ROUTES)
+        store = self.site.store
+        lost = build_route('lost', '/lost/', 'buys')
+        copy = store.copy()
+        self.publish_routes(*DEFAULT_ROUTES, build_route('a', '/a/', 'buys'))
+        self.publish_routes(*DEFAULT_ROUTES, lost)
+        self.assertTrue(self.is_served_everywhere('/lost/'))
+        store.restore(copy)
+        self.republish_routes(*DEFAULT_ROUTES, lost)
+        self.publish_routes(
+            *DEFAULT_ROUTES, lost, build_route('later', '/later/', 'buys')
+        )
+        self.assertTrue(self.is_served_everywhere('/later/'))
+        self.assertTrue(self.is_served_everywhere('/lost/'))
+
     @params(
         ('cut', '/buys/', 502),
         ('unsealed', '/buys/', 502),
--- a/briartack/test/test_restored_fleet.py
+++ b/briartack/test/test_restored_fleet.py
@@ -149,11 +149,13 @@
             self.fleet.list_instance(entry.key.removeprefix('instances/'))
 
     def _list_of(self, name: str) -> set[str]:
-        listed = self.fleet.nodes[name].holdings.membership.live_members()
+        holdings = self.fleet.nodes[name].holdings
+        listed = holdings.membership.live_members()
         return {str(member.instance) for member in listed}
 
     def _version_of(self, name: str) -> int:
-        held = self.fleet.nodes[name].holdings.configuration.get(KEY)
+        holdings = self.fleet.nodes[name].holdings
+        held = holdings.configuration.get(KEY)
         return 0 if held is None else int(held.value or 0)
 
     def _check_versions(self) -> None:
--- a/briartack/test/test_restored_trail.py
+++ b/briartack/test/test_restored_trail.py
@@ -24,7 +24,7 @@
 
 SECOND_ERA_REVISION: Final = place_in_era(Era(2), 23)
 # Number 23 stands for version 12 in the first era and for 14 in the second.
-TRAIL: Final = (
+TRAIL: Final[tuple[tuple[int, str, dict[str, Any]], ...]] = (
     (1, 'started', {}),
     (2, 'configuration', {'revision': 23, 'digest': 'd1', 'stated': 12}),
     (5, 'held', {'revision': 23, 'digest': 'd1'}),
@@ -61,7 +61,7 @@
     }
     if held:
         encoded.update(digest=held['digest'], highest=held['revision'])
-    if 'stated' in held:
+    if kind == 'configuration':
         encoded['versions'] = {TEAM_KEY: held['revision']}
         encoded['stated'] = {TEAM_KEY: [held['stated']]}
     return json.dumps(encoded)
@@ -92,16 +92,13 @@
     # Guards against a daemon of the first era that seems to be behind by a
     # million million revisions.
     def test_status_names_the_era(self) -> None:
-        answers = {
-            'a:1': {'highest': 23, 'instance': 'a'},
-            'b:1': {'highest': SECOND_ERA_REVISION, 'instance': 'b'},
-        }
-
-        def answer(address: str, _: str) -> dict[str, object]:
-            return {**answers[address], 'ready': True, 'digest': 'd'}
-
-        with patch.object(cli, 'fetch', answer):
-            rows = run_command('status', *answers).splitlines()
+        known = {'ready': True, 'digest': 'd'}
+        answers = (
+            {**known, 'highest': 23, 'instance': 'a'},
+            {**known, 'highest': SECOND_ERA_REVISION, 'instance': 'b'},
+        )
+        with patch.object(cli, 'fetch', side_effect=answers):
+            rows = run_command('status', 'a:1', 'b:1').splitlines()
         self.assertEqual(rows[1].split()[3:5], ['23', 'era'])
         self.assertEqual(rows[2].split()[3:5], ['2:23', '0'])
 
--- a/briartack/test/test_store_reads.py
+++ b/briartack/test/test_store_reads.py
@@ -203,10 +203,11 @@
 
     def deliver(self, event: StoreRead | StoreWatched) -> list[Effect]:
         """Deliver an answer as dissemination does; return the effects."""
-        placed, effects = self.reads.place_answer(event, FakeHoldings())
-        if isinstance(placed, StoreRead):
-            return [*effects, *self.reads.on_read(placed)]
-        return [*effects, *self.reads.on_watched(placed)]
+        if isinstance(event, StoreRead):
+            read, effects = self.reads.place_answer(event, FakeHoldings())
+            return [*effects, *self.reads.on_read(read)]
+        watched, effects = self.reads.place_answer(event, FakeHoldings())
+        return [*effects, *self.reads.on_watched(watched)]
 
     # Guards against a watch that goes on after a number of the era before,
     # which the restored store reaches again, and so misses changes.
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -67,7 +67,9 @@
     return {'resource_kind': 'routes', 'metadata': {'name': name}, 'spec': spec}
 
 
-def build_configuration(*routes: dict[str, Any]) -> dict[str, Any]:
+def build_configuration(
+    *routes: dict[str, Any], version: int = 1
+) -> dict[str, Any]:
     """Create an operators' configuration with all services."""
     services = [
         {
@@ -82,7 +84,7 @@
         }
         for service in SERVICES
     ]
-    return {'version': 1, 'resources': [*routes, *services]}
+    return {'version': version, 'resources': [*routes, *services]}
 
 
 DEFAULT_ROUTES: Final = (
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,6 +6,7 @@
 import base64
 import time
 from collections import Counter, deque
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Any, Final, final
 
@@ -26,6 +27,16 @@
 HISTORY_ITEMS: Final = 1000
 
 
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """Hold what the store held at a revision."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    history: tuple[dict[str, Any], ...]
+
+
 @final
 class PlatformStore:
     """Answer reads and watches, with simulated outages on request."""
@@ -33,6 +44,7 @@
     __slots__ = (
         'outage',
         'counts',
+        '_era',
         '_items',
         '_history',
         '_oldest_revision',
@@ -44,6 +56,7 @@
     def __init__(self, *, address: str) -> None:
         self.outage = ''  # busy (503), many (429) or reset; empty for none
         self.counts: Counter[str] = Counter()
+        self._era = 1
         self._items: dict[str, dict[str, Any]] = {}
         self._history: deque[dict[str, Any]] = deque(maxlen=HISTORY_ITEMS)
         self._oldest_revision = 0
@@ -81,6 +94,22 @@
         )
         return self._revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(
+            revision=self._revision,
+            items=dict(self._items),
+            history=tuple(self._history),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose what was written after a copy; a new era begins."""
+        self._era += 1
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = deque(copy.history, maxlen=HISTORY_ITEMS)
+        self._wake_watches()
+
     def drop_history(self) -> None:
         """Drop the history, so that watches after an older revision get 410."""
         self._oldest_revision = self._revision
@@ -89,6 +118,13 @@
 
     def answer(self, request: Request) -> Response | BrokenResponse:
         """Answer one request of the store's protocol."""
+        answer = self._answer_call(request)
+        if isinstance(answer, BrokenResponse):
+            return answer
+        era = ('Store-Era', str(self._era))
+        return replace(answer, headers=(*answer.headers, era))
+
+    def _answer_call(self, request: Request) -> Response | BrokenResponse:
         self.counts[request.path] += 1
         failure = self._simulate_outage()
         if failure is not None:
@@ -132,7 +168,7 @@
             failure = self._simulate_outage()
             if failure is not None:
                 return failure
-            if after < self._oldest_revision:
+            if not self._oldest_revision <= after <= self._revision:
                 return json_response({}, status=HTTPStatus.GONE)
             events = [one for one in self._history if one['rev'] > after]
             left_seconds = until - time.monotonic()
