Play restores in the product's own stand-in, process tests and fault runs

The stand-in of the store states its era (X-Store-Era), goes back to a revision on request, answers a watch after a lost revision with 410, and writes what was lost again. Fault runs choose `restore` among the faults of the store, so their seeds plan other faults than before. The process test plays a change after a restore in the dialect that states no order of versions.

--- a/benchmarks/fault_actions.py
+++ b/benchmarks/fault_actions.py
@@ -18,6 +18,9 @@
 FAULTY_ANSWER_COUNT: Final = 5
 STORE_DELAY_SECONDS: Final = 3.0
 STALE_REVISION_COUNT: Final = 3
+LOST_REVISION_COUNT: Final = 3
+# What a restored store has lost is written again after this time.
+REWRITE_SECONDS: Final = 1.0
 TEAM_KEY: Final = 'teams/generated'
 OWNER_KEY: Final = 'teams/owner'
 
@@ -131,6 +134,13 @@
         elif fault.kind == 'stale':
             newest = int(control('stats')['revision'])
             control('stale', revision=newest - STALE_REVISION_COUNT)
+        elif fault.kind == 'restore':
+            newest = int(control('stats')['revision'])
+            control(
+                'restore',
+                revision=max(newest - LOST_REVISION_COUNT, 1),
+                seconds=REWRITE_SECONDS,
+            )
         elif fault.kind == 'cross':
             control('cross', count=FAULTY_ANSWER_COUNT)
         else:
--- a/benchmarks/fault_schedule.py
+++ b/benchmarks/fault_schedule.py
@@ -8,7 +8,7 @@
 # repeated entry is chosen more often.
 DAEMON_FAULTS: Final = ('kill', 'freeze', 'freeze', 'planned_stop')
 UPSTREAM_FAULTS: Final = ('cold', 'cut', 'reset', 'truncate', 'down')
-STORE_FAULTS: Final = ('refuse', '503', 'stale', 'cross', 'late')
+STORE_FAULTS: Final = ('refuse', '503', 'stale', 'cross', 'late', 'restore')
 EDIT_FAULTS: Final = ('good', 'malformed', 'remove', 'put_back')
 DATA_CENTRE_FAULTS: Final = ('out', 'restart_all')
 FAULT_GROUPS: Final = (
--- a/briartack/test/test_processes.py
+++ b/briartack/test/test_processes.py
@@ -14,6 +14,7 @@
 
 import gevent
 
+from briartack.core.units import Era, place_in_era
 from standins.client import Answer, call
 from standins.deployment import DEFAULT_OPTIONS, Deployment
 from standins.deployment_plans import plan_generated
@@ -69,6 +70,11 @@
     return deployment.put('teams/generated', json.dumps(team))
 
 
+def store_revision(deployment: Deployment) -> int:
+    """Return the revision of the store."""
+    return int(deployment.control_store('stats')['revision'])
+
+
 def status_of(deployment: Deployment, name: str) -> Status | None:
     """Return the status of a daemon, or `None` if no answer arrives."""
     try:
@@ -165,6 +171,25 @@
             deployment.control_store('outage', mode='')
             deployment.wait_until_in_force(revision, LIMIT_SECONDS)
 
+    # Guards against changes that are in force nowhere after the store came back
+    # from a copy, in a dialect that states no order of versions.
+    def test_change_is_in_force_after_the_store_was_restored(self) -> None:
+        with running_fleet() as deployment:
+            copied = publish_change(deployment)
+            for _ in range(3):
+                lost = publish_change(deployment)
+            deployment.wait_until_in_force(lost, LIMIT_SECONDS)
+            deployment.control_store('restore', revision=copied, seconds=0.2)
+            wait_until(
+                lambda: store_revision(deployment) > copied,
+                'the lost change is written again',
+            )
+            revision = publish_change(deployment)
+            self.assertLessEqual(revision, lost)
+            deployment.wait_until_in_force(
+                place_in_era(Era(2), revision), LIMIT_SECONDS
+            )
+
 
 class PauseTest(unittest.TestCase):
     def test_resumed_daemon_applies_the_missed_change(self) -> None:
--- a/briartack/test/test_restored_trail.py
+++ b/briartack/test/test_restored_trail.py
@@ -6,7 +6,7 @@
 import tempfile
 import unittest
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, TypeAlias
 from unittest.mock import patch
 
 from nose2.tools import params
@@ -23,8 +23,9 @@
 )
 
 SECOND_ERA_REVISION: Final = place_in_era(Era(2), 23)
+_TrailLine: TypeAlias = tuple[int, str, dict[str, Any]]
 # Number 23 stands for version 12 in the first era and for 14 in the second.
-TRAIL: Final[tuple[tuple[int, str, dict[str, Any]], ...]] = (
+TRAIL: Final[tuple[_TrailLine, ...]] = (
     (1, 'started', {}),
     (2, 'configuration', {'revision': 23, 'digest': 'd1', 'stated': 12}),
     (5, 'held', {'revision': 23, 'digest': 'd1'}),
@@ -49,7 +50,7 @@
     return output.getvalue()
 
 
-def encode_line(sequence: int, line: tuple[int, str, dict[str, Any]]) -> str:
+def encode_line(sequence: int, line: _TrailLine) -> str:
     """Return an audit line of the trail."""
     second, kind, held = line
     encoded: dict[str, Any] = {
--- a/briartack/test/test_standins.py
+++ b/briartack/test/test_standins.py
@@ -123,6 +123,22 @@
         self.send_command('stale', revision=None)
         self.assertEqual(watch.get(timeout=WAIT_SECONDS).json()['revision'], 2)
 
+    def test_restored_store_gives_revisions_out_again(self) -> None:
+        """Guard against a restore that loses nothing, or for good."""
+        self.send_command('put', key='teams/a', value='1')
+        self.send_command('put', key='teams/b', value='[]')
+        watch = self.start_watch(3)
+        self.send_command('restore', revision=1, seconds=0.2)
+        self.assertEqual(watch.get(timeout=WAIT_SECONDS).status, 410)
+        answer = self.read_store()
+        self.assertEqual(answer.headers['x-store-era'], '2')
+        self.assertEqual(answer.json()['revision'], 1)
+        self.assertEqual(len(answer.json()['entries']), 1)
+        for after in (1, 2):
+            target = f'/v1/watch?after={after}&wait={WAIT_SECONDS}'
+            rewritten = self.read_store(target).json()
+        self.assertEqual(rewritten['revision'], 3)
+
     def test_crossed_answer_waits_for_a_later_one(self) -> None:
         """Guard against a command to cross answers that has no effect."""
         self.send_command('cross', count=1)
--- a/standins/store.py
+++ b/standins/store.py
@@ -34,6 +34,10 @@
 RETRY_AFTER_SECONDS: Final = 1
 
 
+class _LostRevisionError(Exception):
+    """Report a watch after a revision that a restored store lacks."""
+
+
 @final
 class Store:
     """Answer reads and watches up to a rate limit, with faults on request."""
@@ -91,6 +95,13 @@
         self._changed = Event()
         changed.set()
 
+    def restore(self, revision: int, rewrite_seconds: float) -> None:
+        """Lose what came after a revision; its last values are put again."""
+        lost = self._state.restore(revision)
+        self.wake_watches()
+        for key, value in lost.items():
+            gevent.spawn_later(rewrite_seconds, self.put, key, value)
+
     def stats(self) -> dict[str, int]:
         """Return the revision, and counts and peaks since the last reset."""
         return {
@@ -152,6 +163,8 @@
                 return self._create_response(kind, self._read(query))
             if kind == 'watch':
                 return self._create_response(kind, self._watch(query))
+        except _LostRevisionError:
+            return Response(status=HTTPStatus.GONE, headers=self._era_headers)
         except ValueError as error:
             return json_response(
                 {'error': str(error)},
@@ -176,6 +189,8 @@
 
     def _watch(self, query: dict[str, str]) -> bytes:
         after = int(query['after']) if 'after' in query else 0
+        if after > self._state.revision:
+            raise _LostRevisionError
         wait_seconds = min(float(query.get('wait', 0)), MAX_WAIT_SECONDS)
         self._waiting_watches += 1
         try:
@@ -194,6 +209,8 @@
             remaining = until - time.monotonic()
             if remaining <= 0 or self.faults.outage:
                 return
+            if after > self._state.revision:
+                raise _LostRevisionError
             self._changed.wait(remaining)
 
     def _encode_changes(self, after: int, as_of: int) -> bytes:
@@ -206,6 +223,10 @@
             self._encoded_changes = (request, msgspec.json.encode(answer))
         return self._encoded_changes[1]
 
+    @property
+    def _era_headers(self) -> tuple[tuple[str, str], ...]:
+        return (('X-Store-Era', str(self._state.era)),)
+
     def _create_response(self, kind: str, body: bytes) -> Response:
         if self.faults.outage:
             return self._answer_outage()
@@ -213,7 +234,7 @@
         self._counts[f'bytes_out_{kind}'] += len(body)
         return Response(
             body=body,
-            headers=(('Content-Type', 'application/json'),),
+            headers=(('Content-Type', 'application/json'), *self._era_headers),
         )
 
 
--- a/standins/store_control.py
+++ b/standins/store_control.py
@@ -39,6 +39,9 @@
     def wake_watches(self) -> None:
         """Make every waiting watch check for changes."""
 
+    def restore(self, revision: int, rewrite_seconds: float) -> None:
+        """Lose what came after a revision; its last values are put again."""
+
     def stats(self) -> dict[str, int]:
         """Return the revision, and counts and peaks since the last reset."""
 
@@ -77,6 +80,7 @@
             'cross': self._set_cross,
             'late': self._set_late,
             'instance-lag': self._set_instance_lag,
+            'restore': self._restore,
             'stats': self._stats,
             'reset-stats': self._reset_stats,
         }
@@ -144,6 +148,12 @@
         self._store.faults.instance_lag_seconds = request_fields.seconds
         return {'seconds': request_fields.seconds}
 
+    def _restore(self, request_fields: ControlRequest) -> object:
+        if request_fields.revision is None:
+            raise ValueError('restore needs a revision')
+        self._store.restore(request_fields.revision, request_fields.seconds)
+        return {'revision': request_fields.revision}
+
     def _stats(self, _control: ControlRequest) -> object:
         return self._store.stats()
 
--- a/standins/store_state.py
+++ b/standins/store_state.py
@@ -22,9 +22,10 @@
 class StoreState:
     """Hold the recent versions of each key and number the changes."""
 
-    __slots__ = ('_versions', '_revision')
+    __slots__ = ('_versions', '_revision', '_era')
 
     def __init__(self) -> None:
+        self._era = 1
         self._revision = 0
         self._versions: dict[str, deque[Version]] = {}
 
@@ -33,6 +34,26 @@
         """Return the revision of the last change."""
         return self._revision
 
+    @property
+    def era(self) -> int:
+        """Return how many histories the store has had."""
+        return self._era
+
+    def restore(self, revision: int) -> dict[str, str | None]:
+        """Go back to a revision; return the last values of what is lost."""
+        lost = {
+            entry.key: entry.value
+            for entry in self.list_changes(revision, as_of=self._revision)
+        }
+        self._era += 1
+        self._revision = revision
+        for key, versions in self._versions.items():
+            self._versions[key] = deque(
+                (kept for kept in versions if kept[0] <= revision),
+                maxlen=MAX_VERSIONS_PER_KEY,
+            )
+        return lost
+
     def put(self, key: str, value: str | None) -> int:
         """Set or delete a key; return the revision.
 
