Do not take the copy of a refusal for the answer to a later request

Cause: an answer without an id was taken for the answer to whatever request was pending, and so was the copy of a refusal of the same attempt id if the request came again on the same connection. Ids of other requests were told apart before.

Now a connection is closed after an answer that names no request, so that no copy of one can follow, and a request does not go out on a connection on which a request with its id has failed. A refusal that names its request keeps the connection. The dialects name requests and answers (identify_request, identify_response); the shell compares them.

Ruled out: closing after every refusal, which costs a full worker most; taking an answer without an id as unknown, since the worker's example of a refusal on the wire has none.

--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -83,10 +83,14 @@
     def encode_request(self, effect: Dispatch, body: bytes, host: str) -> bytes:
         """Encode the HTTP request of an attempt."""
 
-    def is_response_to(
-        self, effect: Dispatch, response: CollectedResponse
-    ) -> bool:
-        """Return whether a response belongs to the request of an attempt."""
+    def identify_request(self, effect: Dispatch) -> str:
+        """Return the id that the response to an attempt repeats.
+
+        Empty if responses name no requests.
+        """
+
+    def identify_response(self, response: CollectedResponse) -> str:
+        """Return the id of the request that a response names, if any."""
 
     def decode_result(
         self, effect: Dispatch, response: CollectedResponse
--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -16,13 +16,20 @@
 from geventhttpclient.response import HTTPParseError
 
 from briartack.addresses import Address
-from briartack.http_response import CollectedResponse, IsExpected
+from briartack.http_response import (
+    CollectedResponse,
+    IdentifyResponse,
+    identify_nothing,
+)
 from briartack.socket_options import configure_socket
 
 _SocketAddress: TypeAlias = tuple[str, int] | tuple[str, int, int, int]
 
 _RECEIVE_BYTES: Final = 65536
 _CONNECT_TIMEOUT_SECONDS: Final = 2.0
+_FIRST_ERROR_STATUS: Final = 400
+# A connection that has failed more requests is not used again.
+_MAX_FAILED_IDS: Final = 64
 _RESET_ERRORS: Final = frozenset(
     (errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE),
 )
@@ -50,6 +57,21 @@
         self.is_reset = is_reset
 
 
+@final
+class PooledSocket(socket.socket):
+    """Add to a connection the ids of the requests that failed on it.
+
+    The server may write an earlier answer once more, which cannot be told from
+    the answer to another request with the same id.
+    """
+
+    __slots__ = ('failed_ids',)
+
+    def __init__(self, family: int, kind: int, protocol: int) -> None:
+        super().__init__(family, kind, protocol)
+        self.failed_ids: set[str] = set()
+
+
 @final
 class KeepAlivePool(ConnectionPool):
     """Pool keep-alive connections to one address, with TCP_NODELAY."""
@@ -70,23 +92,43 @@
         """
         configure_socket(sock)
 
-    def take_idle(self) -> socket.socket | None:
-        """Return an idle connection, or None if none is ready at once."""
+    def take_idle(self, request_id: str) -> PooledSocket | None:
+        """Return an idle connection, or None if none is ready at once.
+
+        A connection on which a request with the id has failed is closed.
+        """
         if self._socket_queue.empty() or self._semaphore.locked():
             return None
         # With an idle connection and a free pool slot, no call here blocks.
         sock = self._socket_queue.get_nowait()
-        if not self._is_socket_alive(sock):
+        is_ambiguous = request_id in sock.failed_ids
+        if is_ambiguous or not self._is_socket_alive(sock):
             sock.close()
             return None
         self._semaphore.acquire()
         return sock
 
+    def acquire(self, request_id: str) -> PooledSocket:
+        """Return a connection, idle or new; wait for a free place.
+
+        Raises OSError.
+        """
+        sock = self.get_socket()
+        while request_id in sock.failed_ids:
+            self.release_socket(sock)
+            sock = self.get_socket()
+        return sock
+
     def close_idle(self) -> None:
         """Close the idle connections."""
         while not self._socket_queue.empty():
             self._socket_queue.get_nowait().close()
 
+    def _create_tcp_socket(
+        self, family: int, socktype: int, protocol: int
+    ) -> PooledSocket:
+        return PooledSocket(family, socktype, protocol)
+
     def _create_socket(self) -> socket.socket:
         sock = super()._create_socket()
         # `finish` sets one timeout for the whole exchange; a timeout on the
@@ -120,6 +162,7 @@
     __slots__ = (
         '_pool',
         '_request',
+        '_request_id',
         '_response',
         '_sock',
         '_sent_bytes',
@@ -133,17 +176,23 @@
         method: str,
         request: bytes,
         max_body_bytes: int,
-        is_expected: IsExpected | None = None,
+        request_id: str = '',
+        identify_response: IdentifyResponse = identify_nothing,
     ) -> None:
-        """Prepare the exchange without sending anything."""
+        """Prepare the exchange without sending anything.
+
+        `request_id` is the id that the response names; empty if it names none.
+        """
         self._pool = pool
         self._request = request
+        self._request_id = request_id
         self._response = CollectedResponse(
             method=method,
             max_body_bytes=max_body_bytes,
-            is_expected=is_expected,
+            request_id=request_id,
+            identify_response=identify_response,
         )
-        self._sock: socket.socket | None = None
+        self._sock: PooledSocket | None = None
         self._sent_bytes = 0
         self._send_error: OSError | None = None
 
@@ -153,7 +202,7 @@
         The server can then start before the greenlet that calls `finish` runs.
         The caller must call `finish` or `abandon` afterwards.
         """
-        self._sock = self._pool.take_idle()
+        self._sock = self._pool.take_idle(self._request_id)
         if self._sock is None:
             return
         try:
@@ -192,7 +241,7 @@
         return self._response
 
     def _transfer(self) -> None:
-        sock = self._sock or _acquire_socket(self._pool)
+        sock = self._sock or _acquire_socket(self._pool, self._request_id)
         # From here on, this method returns the socket, and `abandon` must not.
         self._sock = None
         is_reusable = False
@@ -200,16 +249,24 @@
         try:
             self._send_request(sock)
             _receive_response(sock, self._response)
-            is_reusable = self._is_reusable
+            is_reusable = self._is_reusable(sock)
         finally:
             _return_socket(self._pool, sock, is_reusable=is_reusable)
 
-    @property
-    def _is_reusable(self) -> bool:
+    def _is_reusable(self, sock: PooledSocket) -> bool:
+        """Return whether the connection may carry another request."""
         # After an early response, the server still expects the rest of the
         # request on this connection.
         is_sent = self._sent_bytes == len(self._request)
-        return is_sent and not self._response.should_close()
+        if not is_sent or self._response.should_close():
+            return False
+        if not self._request_id:
+            return True
+        if self._response.get_code() >= _FIRST_ERROR_STATUS:
+            sock.failed_ids.add(self._request_id)
+        # A copy of an answer that names no request could answer any of them.
+        is_named = self._response.is_named
+        return is_named and len(sock.failed_ids) <= _MAX_FAILED_IDS
 
     def _send_request(self, sock: socket.socket) -> None:
         if self._send_error is not None:
@@ -269,9 +326,9 @@
     return request_exchange.finish(timeout_seconds)
 
 
-def _acquire_socket(pool: KeepAlivePool) -> socket.socket:
+def _acquire_socket(pool: KeepAlivePool, request_id: str) -> PooledSocket:
     try:
-        return pool.get_socket()
+        return pool.acquire(request_id)
     except OSError as error:
         raise ExchangeError(
             _format_os_error('connect', error),
--- a/briartack/http_response.py
+++ b/briartack/http_response.py
@@ -9,15 +9,20 @@
 
 _FIRST_FINAL_STATUS: Final = 200
 
-IsExpected: TypeAlias = Callable[['CollectedResponse'], bool]
+IdentifyResponse: TypeAlias = Callable[['CollectedResponse'], str]
+
+
+def identify_nothing(response: 'CollectedResponse') -> str:
+    """Return an empty text: the response names no request."""
+    return ''
 
 
 @final
 class CollectedResponse(HTTPResponse):
     """Represent one HTTP response and collect its body up to a limit.
 
-    Interim (1xx) responses are skipped, and so are responses that belong to an
-    earlier request according to `is_expected`.
+    Interim (1xx) responses are skipped, and so are responses that name another
+    request.
     """
 
     def __init__(
@@ -25,18 +30,20 @@
         *,
         method: str,
         max_body_bytes: int,
-        is_expected: IsExpected | None = None,
+        request_id: str = '',
+        identify_response: IdentifyResponse = identify_nothing,
     ) -> None:
-        """Collect the response to a request with this method.
+        """Collect the response to a request with this method and id.
 
-        `is_expected` returns false for a response to an earlier request.
+        `identify_response` returns the id of the request that a response names.
         """
         super().__init__(method=method)
         self.has_sent_bytes = False  # part of the request has been sent
         self._body_parts: list[bytes] = []
         self._received_bytes = 0
         self._max_body_bytes = max_body_bytes
-        self._is_expected = is_expected
+        self._request_id = request_id
+        self._identify_response = identify_response
         self._is_whole = False
 
     @property
@@ -44,6 +51,11 @@
         """Return whether the expected final response is complete."""
         return self._is_whole
 
+    @property
+    def is_named(self) -> bool:
+        """Return whether the response names its request, if it should."""
+        return self._identify_response(self) == self._request_id
+
     @property
     def is_oversize(self) -> bool:
         """Return whether the body exceeds the limit."""
@@ -75,8 +87,10 @@
         super()._on_message_complete()
         if self.get_code() < _FIRST_FINAL_STATUS:
             return
-        if self._is_expected is None or self._is_expected(self):
-            self._is_whole = True
+        # A response that names no request is taken for the one of this request,
+        # since a connection is closed after the first of this kind.
+        named = self._identify_response(self)
+        self._is_whole = named in {'', self._request_id}
 
     def _on_body(self, buf: bytearray) -> None:
         self._received_bytes += len(buf)
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -119,11 +119,13 @@
         # The caller dialect has removed all but end-to-end headers.
         return encode_request(effect, effect.headers, body, host)
 
-    def is_response_to(
-        self, effect: Dispatch, response: CollectedResponse
-    ) -> bool:
-        """Return True: responses arrive in the order of requests."""
-        return True
+    def identify_request(self, effect: Dispatch) -> str:
+        """Return an empty text: responses arrive in the order of requests."""
+        return ''
+
+    def identify_response(self, response: CollectedResponse) -> str:
+        """Return an empty text: responses name no requests."""
+        return ''
 
     def decode_result(
         self, effect: Dispatch, response: CollectedResponse
--- a/briartack/platform/upstream.py
+++ b/briartack/platform/upstream.py
@@ -65,17 +65,13 @@
         )
         return encode_request(effect, headers, body, host)
 
-    def is_response_to(
-        self, effect: Dispatch, response: CollectedResponse
-    ) -> bool:
-        """Return whether a response belongs to the request of an attempt.
+    def identify_request(self, effect: Dispatch) -> str:
+        """Return the attempt id of the caller, which responses repeat."""
+        return _get_attempt_id(effect)
 
-        A response without an attempt id is taken to belong to the attempt.
-        """
-        return response.get_single_value(ATTEMPT_ID) in {
-            '',
-            _get_attempt_id(effect),
-        }
+    def identify_response(self, response: CollectedResponse) -> str:
+        """Return the attempt id in a response, empty if there is none."""
+        return response.get_single_value(ATTEMPT_ID)
 
     def decode_result(
         self, effect: Dispatch, response: CollectedResponse
--- a/briartack/test/shell_fixture.py
+++ b/briartack/test/shell_fixture.py
@@ -10,6 +10,7 @@
 from briartack.callers import CallerServer
 from briartack.core import effects
 from briartack.core.units import InstanceId
+from briartack.dialects import UpstreamDialect
 from briartack.event_loop import EventLoop
 from briartack.native_dialects import create_native_dialects
 from briartack.peers import Peers
@@ -38,6 +39,7 @@
         upstream: Address = (LOCAL_HOST, 1),
         peer: InstanceId | None = None,
         incarnation: str = 'i1',
+        upstream_dialect: UpstreamDialect | None = None,
     ) -> None:
         self.name = InstanceId(name)
         self.state = FakeState(peer=peer)
@@ -68,7 +70,7 @@
         self.upstream = UpstreamClient(
             address=upstream,
             bodies=self.bodies,
-            dialect=dialects.upstream,
+            dialect=upstream_dialect or dialects.upstream,
             **shared_arguments,
         )
         self.store = StoreClient(
--- a/briartack/test/test_platform_calls.py
+++ b/briartack/test/test_platform_calls.py
@@ -231,9 +231,9 @@
     ) -> None:
         """Guard against the answer to another request on the connection."""
         answer = parse_answer('200 OK', f'X-Attempt-Id: {attempt_id}\r\n')
-        self.assertIs(
-            UPSTREAM_DIALECT.is_response_to(DISPATCH, answer), is_expected
-        )
+        named = UPSTREAM_DIALECT.identify_response(answer)
+        own = UPSTREAM_DIALECT.identify_request(DISPATCH)
+        self.assertIs(named == own, is_expected)
 
     @params(
         ('200 OK', 'X-Server-Load: 3,6,18\r\n', True, None, 0),
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -3,7 +3,6 @@
 Executes the upstream effects of the core; each result returns as an event.
 """
 
-from functools import partial
 from typing import Final, TypeAlias, final
 
 import gevent
@@ -111,7 +110,8 @@
                 self._host_header,
             ),
             max_body_bytes=MAX_BODY_BYTES,
-            is_expected=partial(self._dialect.is_response_to, effect),
+            request_id=self._dialect.identify_request(effect),
+            identify_response=self._dialect.identify_response,
         )
         # The greenlet starts only after all greenlets that are scheduled before
         # it, so the request is sent here.
