Test that an answer which ends in its head is never complete

It cannot happen here: the parser and the exchange fail such an answer with an unknown outcome. Shown for every prefix of an answer of known length, in chunks, and without a length, for six heads over real sockets, and with a whole site, where the caller gets 502.

--- a/briartack/test/test_http_answer.py
+++ b/briartack/test/test_http_answer.py
@@ -4,6 +4,7 @@
 or bytes that follow the answer.
 """
 
+import contextlib
 import unittest
 
 from geventhttpclient.response import HTTPParseError
@@ -22,7 +23,8 @@
     return CollectedResponse(
         method='GET',
         max_body_bytes=100,
-        is_expected=lambda head: head.get_single_value('X-Id') == 'own',
+        request_id='own',
+        identify_response=lambda head: head.get_single_value('X-Id'),
     )
 
 
@@ -58,6 +60,25 @@
         )
         self.assertTrue(parsed.should_close())
 
+    # Guards against an upstream that stops within the head of its answer, which
+    # callers would get as a whole answer with an empty body (MIXED, ORDER).
+    @params(
+        b'Content-Length: 2\r\n\r\nok',
+        b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+        # The end of the connection ends the body, but not the head.
+        b'Connection: close\r\n\r\n',
+    )
+    def test_answer_that_ends_early_is_never_complete(
+        self, rest: bytes
+    ) -> None:
+        whole = b'HTTP/1.1 200 OK\r\nX-Id: own\r\nX-Server-Seal: s\r\n%b' % rest
+        for length, _ in enumerate(whole):
+            parsed = new_answer()
+            with contextlib.suppress(HTTPParseError):
+                parsed.feed(whole[:length])
+                parsed.feed(b'')
+            self.assertFalse(parsed.is_complete, whole[:length])
+
     def test_unexpected_answers_are_skipped(self) -> None:
         """Guard against the answer to an earlier request on the connection."""
         parsed = new_answer()
--- a/briartack/test/test_platform_site.py
+++ b/briartack/test/test_platform_site.py
@@ -239,6 +239,7 @@
 
     @params(
         ('cut', '/buys/', 502),
+        ('head', '/buys/', 502),
         ('unsealed', '/buys/', 502),
         ('foreign', '/buys/', 504),
         ('refuse', '/buys/', 503),
--- a/briartack/test/test_upstream.py
+++ b/briartack/test/test_upstream.py
@@ -84,6 +84,16 @@
             'answer cut off',
         ),
         (b'SMTP ready\r\n\r\n', 'malformed answer'),
+        # The upstream stops within the head.
+        (b'HTTP/1.1 200', 'answer cut off'),
+        (b'HTTP/1.1 200 OK\r\n', 'answer cut off'),
+        (b'HTTP/1.1 200 OK\r\nX-A: 1\r\n', 'answer cut off'),
+        (b'HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Le', 'answer cut off'),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n', 'answer cut off'),
+        (
+            b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: 1\r\n\r',
+            'answer cut off',
+        ),
         (
             STORE_HEAD % (b'200 OK', b'', 17_000_000, b'x' * 17_000_000),
             'answer is too large',
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -34,7 +34,7 @@
         self.identity = identity
         self.is_draining = False
         self.cold_until = 0.0  # monotonic seconds
-        # One of cut, unsealed, foreign and refuse; empty for none.
+        # One of cut, head, unsealed, foreign and refuse; empty for none.
         self.active_fault = ''
         self.work_seconds = 0.001
         self.stated_limit: float | None = None  # requests per second
@@ -85,6 +85,9 @@
             return BrokenResponse(
                 sent=b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab',
             )
+        if self.active_fault == 'head':
+            named = f'X-Attempt-Id: {attempt_id}\r\nX-Server-Seal: s\r\n'
+            return BrokenResponse(sent=f'HTTP/1.1 200 OK\r\n{named}'.encode())
         if self.active_fault == 'foreign':
             attempt_id = 'another'
         seal = (
