--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -58,7 +58,7 @@
 
 
 @final
-class PooledSocket(socket.socket):
+class PooledSocket(socket.socket):  # type: ignore[misc]
     """Add to a connection the ids of the requests that failed on it.
 
     The server may write an earlier answer once more, which cannot be told from
@@ -100,7 +100,7 @@
         if self._socket_queue.empty() or self._semaphore.locked():
             return None
         # With an idle connection and a free pool slot, no call here blocks.
-        sock = self._socket_queue.get_nowait()
+        sock: PooledSocket = self._socket_queue.get_nowait()
         is_ambiguous = request_id in sock.failed_ids
         if is_ambiguous or not self._is_socket_alive(sock):
             sock.close()
@@ -113,7 +113,7 @@
 
         Raises OSError.
         """
-        sock = self.get_socket()
+        sock: PooledSocket = self.get_socket()
         while request_id in sock.failed_ids:
             self.release_socket(sock)
             sock = self.get_socket()
