Refuse numbers of the store that would be taken for a later era

A revision holds the era above the number, so a number of 2^40 or more, or below zero, would change the era. Both dialects now refuse the answer as malformed. Not seen by callers; found by reading. Rows for both dialects failed before.

Also tested: entries of a release without what writers state, and of a later one with more fields, are understood between peers (no change of the code).

--- a/briartack/core/units.py
+++ b/briartack/core/units.py
@@ -21,6 +21,8 @@
 # The first era, and that of a store that states none.
 FIRST_ERA: Final = Era(1)
 _NUMBER_BITS: Final = 40
+# Highest number that the store may give to a change.
+MAX_STORE_NUMBER: Final = (1 << _NUMBER_BITS) - 1
 NO_INSTANCE: Final = InstanceId('')
 NO_REVISION: Final = Revision(0)  # revisions of the store start at 1
 MILLISECONDS_PER_SECOND: Final = 1000
@@ -42,7 +44,7 @@
 
 def number_of(revision: Revision) -> int:
     """Return the number that the store gave to a revision."""
-    return revision & ((1 << _NUMBER_BITS) - 1)
+    return revision & MAX_STORE_NUMBER
 
 
 def format_revision(revision: Revision) -> str:
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -6,16 +6,22 @@
 two calls.
 """
 
-from typing import Final, Protocol, final
+from typing import Annotated, Final, Protocol, TypeAlias, final
 
 import msgspec
+from msgspec import Meta
 
 from briartack.caller_headers import RequestHeaders
 from briartack.core.effects import AnswerCall, Dispatch, ReadStore
 from briartack.core.entries import Entry
 from briartack.core.events import UpstreamProbed
 from briartack.core.messages import Headers
-from briartack.core.units import FIRST_ERA, Era, Revision
+from briartack.core.units import (
+    FIRST_ERA,
+    MAX_STORE_NUMBER,
+    Era,
+    Revision,
+)
 from briartack.http_response import CollectedResponse
 from briartack.request_head import RequestHead
 
@@ -23,6 +29,10 @@
 _SHOWN_CHARACTERS: Final = 40
 
 
+# The number that the store gives to a change, in its present era.
+StoreNumber: TypeAlias = Annotated[int, Meta(ge=0, le=MAX_STORE_NUMBER)]
+
+
 class CallerDialect(Protocol):
     """Decode the heads of callers' requests and encode responses."""
 
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -1,10 +1,9 @@
 """Implement the product's own dialects for callers, upstream and store."""
 
-from typing import Annotated, Final, final
+from typing import Final, final
 from urllib.parse import parse_qs, quote
 
 import msgspec
-from msgspec import Meta
 
 from briartack.caller_headers import RequestError, RequestHeaders
 from briartack.caller_responses import encode_call_answer, encode_refusal
@@ -16,6 +15,7 @@
 from briartack.dialects import (
     Dialects,
     StoreAnswerError,
+    StoreNumber,
     StorePage,
     UpstreamResult,
     decode_era_header,
@@ -36,7 +36,6 @@
 _STATUS_OK: Final = 200
 _CRLF: Final = b'\r\n'
 _METHODS_WITH_BODY: Final = frozenset(('POST', 'PUT', 'PATCH'))
-_StoreRevision = Annotated[int, Meta(ge=0)]
 
 
 @final
@@ -167,14 +166,14 @@
     """Represent one entry of a response; a `value` of None marks a deletion."""
 
     key: str
-    revision: _StoreRevision
+    revision: StoreNumber
     value: str | None
 
 
 class _StoreAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Represent the response body of a read or a watch."""
 
-    revision: _StoreRevision
+    revision: StoreNumber
     entries: tuple[_StoreEntry, ...]
 
 
--- a/briartack/platform/store.py
+++ b/briartack/platform/store.py
@@ -25,6 +25,7 @@
 from briartack.dialects import (
     RefusedItem,
     StoreAnswerError,
+    StoreNumber,
     StorePage,
     decode_era_header,
 )
@@ -54,7 +55,7 @@
     """Represent one item; a truthy `tombstone` marks a deleted item."""
 
     key: str
-    rev: int
+    rev: StoreNumber
     value: str = ''  # base64
     tombstone: object = None
 
@@ -64,14 +65,14 @@
 
     items: tuple[_Item, ...] = ()
     has_more: bool = False
-    as_of: int
+    as_of: StoreNumber
 
 
 class _Events(msgspec.Struct, frozen=True, kw_only=True):
     """Represent the response to a watch."""
 
     events: tuple[_Item, ...] = ()
-    as_of: int
+    as_of: StoreNumber
 
 
 @final
--- a/briartack/test/test_framing.py
+++ b/briartack/test/test_framing.py
@@ -114,6 +114,26 @@
         ]
         self.assertEqual(found, [revisions])
 
+    @params(
+        (['teams/a', 5, '{}', []], ()),
+        (['teams/a', 5, '{}', [], [12], 'a field of a later release'], (12,)),
+    )
+    def test_entries_of_other_releases_are_understood(
+        self, entry: list[object], stated: tuple[int, ...]
+    ) -> None:
+        """Guard against streams that close during a rolling upgrade.
+
+        An earlier release does not send what the writer of an entry states.
+        """
+        packed = msgpack.packb(['entries', 5, [entry]])
+        found = [
+            (entry.revision, entry.stated)
+            for message in decode_stream(packed)
+            if isinstance(message, Entries)
+            for entry in message.entries
+        ]
+        self.assertEqual(found, [(5, stated)])
+
     def test_large_entries_are_compressed(self) -> None:
         """Guard against configuration sent uncompressed on paid links."""
         self.assertLess(len(encode(ENTRIES)), 2000)
--- a/briartack/test/test_platform_store.py
+++ b/briartack/test/test_platform_store.py
@@ -186,7 +186,14 @@
             (Entry(key='platform/z', revision=Revision(8), value=None),),
         )
 
-    @params(b'', b'{}', b'{"items": [], "as_of": "x"}')
+    @params(
+        b'',
+        b'{}',
+        b'{"items": [], "as_of": "x"}',
+        # It would be taken for a number of a later era.
+        b'{"items": [], "as_of": 1099511627776}',
+        b'{"items": [{"key": "k", "rev": -1}], "as_of": 3}',
+    )
     def test_malformed_answer_raises(self, body: bytes) -> None:
         """Guard against a malformed answer that is taken for an empty store."""
         with self.assertRaises(StoreAnswerError):
--- a/briartack/test/test_upstream.py
+++ b/briartack/test/test_upstream.py
@@ -182,6 +182,12 @@
     @params(
         (b'200 OK', b'', b'{"revision": 3}', 'malformed answer'),
         (b'200 OK', b'', b'<html>', 'malformed answer'),
+        (
+            b'200 OK',
+            b'',
+            b'{"revision": 1099511627776, "entries": []}',
+            'malformed answer',
+        ),
         (
             b'200 OK',
             b'',
