--- a/briartack/test/test_standins.py
+++ b/briartack/test/test_standins.py
@@ -258,6 +258,8 @@
         # A request above the limit fails at once and does not add to the peak.
         self.assertEqual(upstream.stats.peak_cold_concurrency, 3)
         self.assertEqual(upstream.stats.counts['collapsed'], 3)
+        # An upstream that answers 500 has run the request.
+        self.assertEqual(sum(upstream.stats.runs.values()), 5)
 
     def test_cancelled_and_late_requests_are_ended(self) -> None:
         """Guard against requests that run although nobody waits for them."""
--- a/standins/upstream_server.py
+++ b/standins/upstream_server.py
@@ -149,7 +149,7 @@
             self.stats.in_system
             > self.cold_start_progress.compute_safe_concurrency(now)
         ):
-            return self._collapse()
+            return self._collapse(received)
         if received.fault.kind == 'cut-before':
             return BrokenResponse()
         remaining = (
@@ -164,7 +164,9 @@
             self.stats.in_service -= 1
             self._slots.release()
 
-    def _collapse(self) -> AnyResponse:
+    def _collapse(self, received: ReceivedRequest) -> AnyResponse:
+        """Fail a request that has begun to run."""
+        self.stats.record_run(received.request_id, time.time())
         if self._options.collapses_by_reset:
             self.stats.counts['collapsed'] += 1
             return BrokenResponse(is_reset=True)
