Check I1 in the order that writers state

The monitor of replays compared revisions alone, so it would report a later version with a lower number after a restore, and miss an earlier one with a higher number. The daemon doesn't use the monitor.

--- a/briartack/test/test_restored_trail.py
+++ b/briartack/test/test_restored_trail.py
@@ -12,7 +12,9 @@
 from nose2.tools import params
 
 from briartack import cli
+from briartack.core import events
 from briartack.core.effects import WriteAudit
+from briartack.core.invariant_monitor import InvariantMonitor
 from briartack.core.units import Era, place_in_era
 from briartack.test.store_reader import (
     TEAM_KEY,
@@ -119,3 +121,19 @@
         ]
         self.assertEqual(stated[0], {TEAM_KEY: [12]})
         self.assertEqual(stated[-1], {TEAM_KEY: [14]})
+
+    # Guards against a monitor that takes the number of a version for its place.
+    @params(((23, 12), (22, 14), 0), ((23, 12), (24, 11), 1))
+    def test_monitor_follows_the_order_that_writers_state(
+        self, before: tuple[int, int], after: tuple[int, int], found: int
+    ) -> None:
+        monitor = InvariantMonitor()
+        violations = []
+        for revision, stated in (before, after):
+            # A daemon each, since none would go back by itself.
+            daemon = Daemon()
+            answer = Read(1, 1, revision, (version(revision, 1, stated),))
+            daemon.deliver(answer)
+            event = events.Tick(now=1)
+            violations.extend(monitor.observe(daemon.state, event, []))
+        self.assertEqual(len(violations), found)
