--- a/briartack/core/dissemination/store_eras.py
+++ b/briartack/core/dissemination/store_eras.py
@@ -11,7 +11,6 @@
 import msgspec
 
 from briartack.core.dissemination.holdings import Holdings
-from briartack.core.effects import Effects, LogLevel, WriteLog
 from briartack.core.entries import Entry, have_same_writer, is_team_key
 from briartack.core.events import StoreRead, StoreWatched
 from briartack.core.units import (
@@ -23,7 +22,6 @@
     place_in_era,
 )
 
-ERA_CHANGED: Final = 'store-era'
 # Operators and upstreams have written again what a restored store has lost.
 SETTLE_SECONDS: Final = 2.5
 
@@ -47,6 +45,11 @@
         self._lowest = 0
         self._settled_at: float | None = None
 
+    @property
+    def era(self) -> Era | None:
+        """Return the era of the store; `None` before its first answer."""
+        return self._era
+
     def is_settled(self, now: float) -> bool:
         """Return whether a key that the store lacks counts as deleted."""
         return self._settled_at is None or now >= self._settled_at
@@ -55,8 +58,8 @@
         """Return whether the store has answered in a later era."""
         return self._era is not None and era < self._era
 
-    def record_answer(self, event: StoreAnswer, holdings: Holdings) -> Effects:
-        """Record the era of an answer; return a log line if it is a new one.
+    def record_answer(self, event: StoreAnswer, holdings: Holdings) -> bool:
+        """Record the era of an answer; return whether a restore precedes it.
 
         The first answer of a later era than the first may follow a restore
         that this daemon has not seen.
@@ -64,22 +67,15 @@
         if event.era == self._era:
             self._lowest = min(self._lowest, event.revision)
         if event.era == self._era or self.is_former(event.era):
-            return []
+            return False
         known = self._era
         self._era = event.era
         self._lowest = event.revision
         if event.era == FIRST_ERA:
-            return []
+            return False
         self._previous = known or _find_previous(event.era, holdings)
         self._settled_at = event.now + SETTLE_SECONDS
-        fields = (
-            ('era', str(event.era)),
-            ('before', str(known or 'unknown')),
-            ('revision', str(event.revision)),
-            ('answer', type(event).__name__),
-        )
-        level = LogLevel.WARNING if known else LogLevel.INFO
-        return [WriteLog(level=level, code=ERA_CHANGED, fields=fields)]
+        return True
 
     def place(self, event: StoreAnswer, holdings: Holdings) -> StoreAnswer:
         """Return an answer with revisions that order across eras."""
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -17,6 +17,7 @@
 from briartack.core.dissemination.store_reachability import StoreReachability
 from briartack.core.dissemination.store_reports import (
     report_duty,
+    report_era,
     report_gone_history,
     report_watch,
 )
@@ -230,8 +231,10 @@
         In a new era of the store, all keys are read again and a new watch is
         started: the pending one continues from a number of another era.
         """
-        effects = self._eras.record_answer(event, holdings)
-        if effects:
+        before = self._eras.era
+        effects: Effects = []
+        if self._eras.record_answer(event, holdings):
+            effects = report_era(event, before)
             self._complete_revision = None
             self._must_read_all = True
             self._must_read_settled = True
--- a/briartack/core/dissemination/store_reports.py
+++ b/briartack/core/dissemination/store_reports.py
@@ -3,9 +3,10 @@
 from typing import Final
 
 from briartack.core.effects import Effects, LogLevel, WriteLog
-from briartack.core.events import StoreWatched
+from briartack.core.events import StoreRead, StoreWatched
 from briartack.core.units import (
     MILLISECONDS_PER_SECOND,
+    Era,
     Revision,
     format_revision,
 )
@@ -13,6 +14,7 @@
 DUTY_CHANGED: Final = 'store-duty'
 WATCH_ANSWERED: Final = 'store-watch-answered'
 HISTORY_GONE: Final = 'store-history-gone'
+ERA_CHANGED: Final = 'store-era'
 
 
 def report_duty(complete: Revision | None, *, is_on_duty: bool) -> Effects:
@@ -40,6 +42,18 @@
     return [WriteLog(level=LogLevel.INFO, code=WATCH_ANSWERED, fields=fields)]
 
 
+def report_era(event: StoreRead | StoreWatched, before: Era | None) -> Effects:
+    """Log that the store answered in a later era than before."""
+    fields = (
+        ('era', str(event.era)),
+        ('before', str(before or 'unknown')),
+        ('revision', str(event.revision)),
+        ('answer', type(event).__name__),
+    )
+    level = LogLevel.WARNING if before else LogLevel.INFO
+    return [WriteLog(level=level, code=ERA_CHANGED, fields=fields)]
+
+
 def report_gone_history(complete: Revision | None) -> Effects:
     """Log that the store no longer has the changes after a revision."""
     fields = (('complete', _format(complete)),)
--- a/briartack/test/fake_reducer.py
+++ b/briartack/test/fake_reducer.py
@@ -324,7 +324,7 @@
     def _handle(self, sock: Any, address: Any) -> None:
         # The client under test may close the connection at any point.
         with contextlib.suppress(OSError):
-            self.requests.append(read_request(sock))
+            self.requests.append(read_message(sock))
             sock.sendall(self.answer)
             if self._waits_for_client:
                 self.connection_ends.append(sock.recv(1))
@@ -343,7 +343,7 @@
 
     def handle(self, sock: Any, address: Any) -> None:
         while True:
-            request = read_request(sock)
+            request = read_message(sock)
             if not request:
                 self.closed_connection_count += 1
                 return
@@ -365,16 +365,16 @@
             gevent.sleep(0.001)
 
 
-def read_request(sock: Any) -> bytes:
-    """Read one HTTP request, with the body that Content-Length announces.
+def read_message(sock: Any) -> bytes:
+    """Read one HTTP message, with the body that Content-Length announces.
 
-    Return the bytes received so far if the client closes within the head.
+    Return nothing if the other side closes within the message.
     """
     received = b''
     while b'\r\n\r\n' not in received:
         part = sock.recv(65536)
         if not part:
-            return received
+            return b''
         received += part
     head, _, body = received.partition(b'\r\n\r\n')
     length = 0
@@ -382,5 +382,8 @@
         if line.startswith(b'content-length:'):
             length = int(line.partition(b':')[2])
     while len(body) < length:
-        body += sock.recv(65536)
+        part = sock.recv(65536)
+        if not part:
+            return b''
+        body += part
     return b'\r\n\r\n'.join((head, body))
--- a/briartack/test/test_late_in_grace.py
+++ b/briartack/test/test_late_in_grace.py
@@ -17,6 +17,7 @@
 from gevent import socket
 from nose2.tools import params
 
+from briartack.test.fake_reducer import read_message
 from briartack.test.test_platform_site import becomes_true
 from standins.platform_site import (
     HOST,
@@ -79,7 +80,7 @@
             named = f'X-Attempt-Id: {request_id}\r\nX-Deadline-Ms: 6000\r\n'
             try:
                 sock.sendall(f'{head}{named}Content-Length: 0\r\n\r\n'.encode())
-                answer = _receive(sock)
+                answer = read_message(sock)
             except OSError:
                 answer = b''
             if not answer:
@@ -152,24 +153,3 @@
         for machine in site.machines
         for request_id, _, _ in machine.worker.received_requests
     }
-
-
-def _receive(sock: Any) -> bytes:
-    """Return one answer, with the body that Content-Length announces."""
-    received = b''
-    while b'\r\n\r\n' not in received:
-        part = sock.recv(65536)
-        if not part:
-            return b''
-        received += part
-    head, _, body = received.partition(b'\r\n\r\n')
-    length = 0
-    for line in head.lower().split(b'\r\n'):
-        if line.startswith(b'content-length:'):
-            length = int(line.partition(b':')[2])
-    while len(body) < length:
-        part = sock.recv(65536)
-        if not part:
-            return b''
-        body += part
-    return received
--- a/briartack/test/test_repeated_refusal.py
+++ b/briartack/test/test_repeated_refusal.py
@@ -13,7 +13,7 @@
 from briartack.core import effects, events
 from briartack.core.units import AttemptId, BodyId
 from briartack.platform.upstream import PlatformUpstreamDialect
-from briartack.test.fake_reducer import LOCAL_HOST, read_request
+from briartack.test.fake_reducer import LOCAL_HOST, read_message
 from briartack.test.shell_fixture import ShellFixture
 
 REFUSAL: Final = (
@@ -45,7 +45,7 @@
         self.connection_count += 1
         copy = b''
         while True:
-            request = read_request(sock)
+            request = read_message(sock)
             if not request:
                 return
             named = b'X-Attempt-Id: %b\r\n' % _find_attempt_id(request)
@@ -63,6 +63,19 @@
 
 
 class RepeatedRefusalTest(unittest.TestCase):
+    def serve(
+        self, *, names_requests: bool
+    ) -> tuple[RepeatingUpstream, ShellFixture]:
+        """Return a running upstream and a shell that uses it."""
+        upstream = RepeatingUpstream(names_requests=names_requests)
+        self.addCleanup(upstream.stop)
+        shell = ShellFixture(
+            upstream=(LOCAL_HOST, upstream.server_port),
+            upstream_dialect=PlatformUpstreamDialect(),
+        )
+        self.addCleanup(shell.stop)
+        return upstream, shell
+
     # Guards against a request that runs, or runs at a second upstream, after
     # the caller was told that it has not run (REFUSED, TWICE).
     @params(
@@ -75,13 +88,7 @@
     def test_copy_of_a_refusal_does_not_answer_a_later_request(
         self, names_requests: bool, later_id: str
     ) -> None:
-        upstream = RepeatingUpstream(names_requests=names_requests)
-        self.addCleanup(upstream.stop)
-        shell = ShellFixture(
-            upstream=(LOCAL_HOST, upstream.server_port),
-            upstream_dialect=PlatformUpstreamDialect(),
-        )
-        self.addCleanup(shell.stop)
+        upstream, shell = self.serve(names_requests=names_requests)
         shell.upstream.dispatch(make_dispatch('a1', 'id-1'))
         refused = shell.state.wait_for(events.UpstreamFailed)[0]
         self.assertFalse(refused.may_have_run)
@@ -95,13 +102,7 @@
     def test_connection_is_kept_after_a_refusal_that_names_its_request(
         self,
     ) -> None:
-        upstream = RepeatingUpstream(names_requests=True)
-        self.addCleanup(upstream.stop)
-        shell = ShellFixture(
-            upstream=(LOCAL_HOST, upstream.server_port),
-            upstream_dialect=PlatformUpstreamDialect(),
-        )
-        self.addCleanup(shell.stop)
+        upstream, shell = self.serve(names_requests=True)
         shell.upstream.dispatch(make_dispatch('a1', 'id-1'))
         shell.state.wait_for(events.UpstreamFailed)
         shell.upstream.dispatch(make_dispatch('a2', 'id-2'))
