End the crossing of the store's answers when the fault ends

Both watchers got the change 10.0 s after they asked, as `store-watch-answered` says: the stand-in held their answers for its maximum of 10 s, although the fault had ended by its own record, from which the check counts. The end of the fault releases the answers now; the check is unchanged. That a watch which is silent for less than 25 s goes unnoticed with the product's own defaults stays open in docs/findings.md.

Evidence: the new test of the stand-in failed before.

--- a/briartack/test/test_standins.py
+++ b/briartack/test/test_standins.py
@@ -139,6 +139,16 @@
             rewritten = self.read_store(target).json()
         self.assertEqual(rewritten['revision'], 3)
 
+    def test_end_of_crossing_releases_the_answers(self) -> None:
+        """Guard against a fault that lasts longer than the run assumes."""
+        self.send_command('cross', count=1)
+        watch = self.start_watch(1)
+        self.send_command('put', key='teams/a', value='1')
+        gevent.sleep(0.05)
+        self.assertFalse(watch.ready())
+        self.send_command('cross', count=0)
+        self.assertEqual(watch.get(timeout=WAIT_SECONDS).status, 200)
+
     def test_crossed_answer_waits_for_a_later_one(self) -> None:
         """Guard against a command to cross answers that has no effect."""
         self.send_command('cross', count=1)
--- a/standins/store_faults.py
+++ b/standins/store_faults.py
@@ -30,8 +30,15 @@
         self._held_answers: list[tuple[int, Event]] = []
 
     def cross_answers(self, count: int) -> None:
-        """Delay each of the next `count` watch answers until a later answer."""
+        """Delay each of the next `count` watch answers until a later answer.
+
+        The end of the fault, a count of 0, releases the delayed answers.
+        """
         self._answers_to_cross = count
+        if not count:
+            for _, released in self._held_answers:
+                released.set()
+            self._held_answers.clear()
 
     def delay_answer(self, revision: int) -> None:
         """Wait until the answer of a watch at a revision may be sent.
