Know a refused version by its value, not by its number alone

Callers at that daemon would have got 404.

Cause, from its log: it started after a restore and read a malformed version written in the new era as number 17. A daemon that has not seen a restore places what it reads in the era before, where 17 is the valid version that its peers hold. A refused version was remembered by its revision, so the valid one counted as refused before, whenever a peer sent it.

Ruled out: late messages (entries-differ went on for 62 s, the peers sent the entry) and load (the new test has none).

Evidence: RefusedVersionTest failed before. With the value in what is remembered the peers' version is decoded and comes into force.

--- a/briartack/core/configuration/batch_decoder.py
+++ b/briartack/core/configuration/batch_decoder.py
@@ -23,25 +23,32 @@
 from briartack.core.configuration.versions import (
     ResourceId,
     Version,
+    compute_digest,
     decode_definition,
     decode_version,
 )
 from briartack.core.entries import Definition, Entry, is_later_version
-from briartack.core.units import NO_REVISION, Revision, format_revision
+from briartack.core.units import (
+    NO_REVISION,
+    Digest,
+    Revision,
+    format_revision,
+)
 
 
 @final
 class KeySlot:
     """Hold the active, the waiting and the refused versions of one key."""
 
-    __slots__ = ('active', 'waiting', 'refused_revisions')
+    __slots__ = ('active', 'waiting', 'refused')
 
     def __init__(self) -> None:
         self.active: Version | None = None
         self.waiting: Version | None = None
-        # Refused revisions above the active one. They are kept so that a
-        # malformed version is decoded and reported only once.
-        self.refused_revisions: set[Revision] = set()
+        # Revisions and digests of the refused versions above the active one.
+        # They are kept so that a malformed version is decoded and reported only
+        # once. After a restore, one number may stand for a valid value too.
+        self.refused: set[tuple[Revision, Digest]] = set()
 
     @property
     def versions(self) -> tuple[Version, ...]:
@@ -81,9 +88,7 @@
         self.waiting = waiting
         if active is not None:
             floor = active.revision
-            self.refused_revisions = {
-                seen for seen in self.refused_revisions if seen > floor
-            }
+            self.refused = {seen for seen in self.refused if seen[0] > floor}
 
 
 @final
@@ -151,7 +156,7 @@
             # Entries of the store carry no definitions, so late ones need no
             # decoding.
             return bool(entry.definitions) and _decode_late(entry) is not None
-        if entry.revision in slot.refused_revisions:
+        if slot.refused and _identify(entry) in slot.refused:
             self.stale_count += 1
             return False
         for version in slot.versions:
@@ -181,7 +186,7 @@
 
     def _remember_refused(self, entry: Entry) -> None:
         slot = self._slots.setdefault(entry.key, KeySlot())
-        slot.refused_revisions.add(entry.revision)
+        slot.refused.add(_identify(entry))
 
     def _pool_definition(self, entry: Entry, definition: Definition) -> None:
         resource_id = ResourceId(
@@ -225,6 +230,12 @@
         )
 
 
+def _identify(entry: Entry) -> tuple[Revision, Digest]:
+    # A malformed text may not be encodable as it is.
+    text = (entry.value or '').encode(errors='surrogatepass')
+    return entry.revision, compute_digest(text)
+
+
 def _decode_late(entry: Entry) -> Version | None:
     """Decode a version below the active one; return `None` if malformed."""
     try:
--- a/briartack/test/test_restored_peers.py
+++ b/briartack/test/test_restored_peers.py
@@ -119,6 +119,21 @@
         self.assertEqual(fresh.active_value, subtree(3))
 
 
+class RefusedVersionTest(unittest.TestCase):
+    # Guards against a daemon without a team's configuration for good: it starts
+    # after the restore and reads a malformed version, whose number stands for
+    # the version in force in the era before.
+    def test_valid_version_is_not_taken_for_a_refused_one(self) -> None:
+        old = Daemon()
+        old.deliver(Read(1, 1, 17, (version(17, 3),)))
+        malformed = msgspec.structs.replace(version(17, 0), value='{"x": 1}')
+        fresh = Daemon()
+        fresh.deliver(Read(4, 2, 19, (malformed,)))
+        self.assertIsNone(fresh.active_value)
+        fresh.learn_from(old, 4.1)
+        self.assertEqual(fresh.active_value, subtree(3))
+
+
 class DeletedInstanceTest(unittest.TestCase):
     # Guards against lists that differ for good, or change with every message,
     # because two daemons order a record and its deletion differently.
