Do not repeat an answer of the era before in the stand-in of the store

The stand-in encodes the answer to a watch once for each pair of revisions. The new test failed before ('lost' instead of 'new').

--- a/briartack/test/test_standins.py
+++ b/briartack/test/test_standins.py
@@ -139,6 +139,15 @@
             rewritten = self.read_store(target).json()
         self.assertEqual(rewritten['revision'], 3)
 
+    def test_restored_store_does_not_repeat_an_answer(self) -> None:
+        """Guard against the changes of the era before under the same numbers."""
+        target = f'/v1/watch?after=1&wait={WAIT_SECONDS}'
+        for value in ('lost', 'new'):
+            self.send_command('put', key='teams/b', value=value)
+            answer = self.read_store(target).json()
+            self.assertEqual(answer['entries'][0]['value'], value)
+            self.store.restore(1, WAIT_SECONDS)
+
     def test_end_of_crossing_releases_the_answers(self) -> None:
         """Guard against a fault that lasts longer than the run assumes."""
         self.send_command('cross', count=1)
--- a/standins/store.py
+++ b/standins/store.py
@@ -216,7 +216,7 @@
     def _encode_changes(self, after: int, as_of: int) -> bytes:
         # A change wakes all watches at once. Most of them get the same answer,
         # which is encoded once.
-        request = (after, as_of)
+        request = (self._state.era, after, as_of)
         if self._encoded_changes[0] != request:
             entries = self._state.list_changes(after, as_of=as_of)
             answer = {'revision': as_of, 'entries': entries}
