Record failed requests apart from the reuse of connections; one NO_REVISION

_is_reusable answered a question and changed the connection. settings_tree and fake_holdings had their own NO_REVISION beside that of units. No change of behaviour; found by reading the change again.

--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -249,10 +249,17 @@
         try:
             self._send_request(sock)
             _receive_response(sock, self._response)
+            self._record_failed_id(sock)
             is_reusable = self._is_reusable(sock)
         finally:
             _return_socket(self._pool, sock, is_reusable=is_reusable)
 
+    def _record_failed_id(self, sock: PooledSocket) -> None:
+        """Record on the connection that the server failed the request."""
+        is_failed = self._response.get_code() >= _FIRST_ERROR_STATUS
+        if self._request_id and is_failed:
+            sock.failed_ids.add(self._request_id)
+
     def _is_reusable(self, sock: PooledSocket) -> bool:
         """Return whether the connection may carry another request."""
         # After an early response, the server still expects the rest of the
@@ -260,10 +267,6 @@
         is_sent = self._sent_bytes == len(self._request)
         if not is_sent or self._response.should_close():
             return False
-        if not self._request_id:
-            return True
-        if self._response.get_code() >= _FIRST_ERROR_STATUS:
-            sock.failed_ids.add(self._request_id)
         # A copy of an answer that names no request could answer any of them.
         is_named = self._response.is_named
         return is_named and len(sock.failed_ids) <= _MAX_FAILED_IDS
--- a/briartack/settings_tree.py
+++ b/briartack/settings_tree.py
@@ -23,9 +23,8 @@
     decode_version,
 )
 from briartack.core.entries import PLATFORM_KEY, TEAM_PREFIX
-from briartack.core.units import Revision
+from briartack.core.units import NO_REVISION
 
-_NO_REVISION: Final = Revision(0)
 _FILE_SUFFIX: Final = '.json'
 _TEAMS_DIRECTORY: Final = TEAM_PREFIX.rstrip('/')
 
@@ -93,7 +92,7 @@
         tree.problems.append(make_problem(key, ROOT, Code.UNREADABLE, error))
         return
     try:
-        version = decode_version(key, _NO_REVISION, text)
+        version = decode_version(key, NO_REVISION, text)
     except InvalidValueError as invalid:
         tree.problems.extend(invalid.problems)
         return
--- a/briartack/test/fake_holdings.py
+++ b/briartack/test/fake_holdings.py
@@ -13,9 +13,7 @@
     is_instance_key,
     is_later_version,
 )
-from briartack.core.units import FIRST_ERA, Digest, Era, Revision
-
-NO_REVISION = Revision(0)
+from briartack.core.units import FIRST_ERA, NO_REVISION, Digest, Era, Revision
 
 
 class StoreCopy(NamedTuple):
