--- a/briartack/test/test_standins.py
+++ b/briartack/test/test_standins.py
@@ -140,7 +140,7 @@
         self.assertEqual(rewritten['revision'], 3)
 
     def test_restored_store_does_not_repeat_an_answer(self) -> None:
-        """Guard against the changes of the era before under the same numbers."""
+        """Guard against changes of the era before under the same numbers."""
         target = f'/v1/watch?after=1&wait={WAIT_SECONDS}'
         for value in ('lost', 'new'):
             self.send_command('put', key='teams/b', value=value)
