--- a/review/site.py
+++ b/review/site.py
@@ -38,11 +38,13 @@
 POLL_SECONDS: Final = 0.05
 OK: Final = 200
 METRICS_PORT: Final = 9464
+COLD_SECONDS: Final = 3.0
+COLD_PER_SECOND: Final = 18.0
 SERVICE_SPEC: Final = {
     'health_path': '/health',
     'max_conns': 130,
-    'cold_start_s': 3.0,
-    'cold_per_s': 18.0,
+    'cold_start_s': COLD_SECONDS,
+    'cold_per_s': COLD_PER_SECOND,
 }
 LIMITS_SPEC: Final = {
     'max_header_bytes': 16384,
