Refuse unreadable JSON from outside alone

Cause: msgspec raises RecursionError for nested JSON, also in fields that it skips. No caller expected it, so the greenlet that read the store's answer ended, and the reducer got no event. Each later answer held the same entry. Class of fault: bytes from outside pass a decoder that raises what its caller does not expect, and a greenlet that ends so ends its task without notice.

Ruled out: order and revision of the writes; the added route was in the answer that was given up.

Fix: decode_json raises one error for any text. An unexpected error in the greenlet of a store call, an attempt or a peer's stream is counted, logged and ends that one operation; background tasks start again.

--- a/briartack/core/dissemination/instance_records.py
+++ b/briartack/core/dissemination/instance_records.py
@@ -20,6 +20,7 @@
     is_instance_key,
     is_later_version,
 )
+from briartack.core.json_decoding import MalformedJsonError, decode_json
 from briartack.core.units import (
     NO_REVISION,
     Digest,
@@ -144,7 +145,7 @@
         entry = _keep_stated_order(entry, before)
         try:
             after = _decode(record_id, entry)
-        except msgspec.MsgspecError as error:
+        except MalformedJsonError as error:
             self._refuse(entry, str(error))
             return None
         self._replace(record_id, before, after)
@@ -173,7 +174,7 @@
 def _decode(record_id: str, entry: Entry) -> HeldRecord:
     if entry.value is None:
         return HeldRecord(entry=entry)
-    record = _DECODER.decode(entry.value)
+    record = decode_json(entry.value, _DECODER)
     member = Member(
         instance=InstanceId(record.instance or record_id),
         service=record.service,
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -24,6 +24,7 @@
     STOPPED,
 )
 from briartack.event_loop import EventLoop, Handlers, Reduce
+from briartack.greenlets import run_forever
 from briartack.integration import PlatformIntegration, SettingsFileWatcher
 from briartack.line_writer import OutputWriters
 from briartack.logs import AuditTrail, RequestLogLimiter, write_log
@@ -226,9 +227,12 @@
             ),
         )
         self._background = [
-            gevent.spawn(self._loop.tick_forever),
-            gevent.spawn(self._upstream.probe_forever),
-            gevent.spawn(self._run_maintenance),
+            gevent.spawn(run_forever, run, task=task, observer=self._observer)
+            for task, run in (
+                ('tick', self._loop.tick_forever),
+                ('probe', self._upstream.probe_forever),
+                ('maintenance', self._run_maintenance),
+            )
         ]
 
     def request_stop(self) -> None:
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -25,6 +25,7 @@
 MESSAGE_TOO_LARGE: Final = 'message-too-large'
 REDUCER_FAILED: Final = 'reducer-failed'
 EFFECT_FAILED: Final = 'effect-failed'
+TASK_FAILED: Final = 'task-failed'
 BAD_OPTION: Final = 'bad-option'
 CANNOT_LISTEN: Final = 'cannot-listen'
 TRACE_FAILED: Final = 'trace-failed'
@@ -68,6 +69,10 @@
             'An effect could not be executed and was skipped.',
             'Report this with the traceback of the line.',
         ),
+        TASK_FAILED: ErrorText(
+            'A task of the daemon ended by an unexpected error.',
+            'Report this with the traceback of the line.',
+        ),
         BAD_OPTION: ErrorText(
             'Flags or environment variables are invalid.',
             'Correct each of the listed problems and start again.',
--- a/briartack/framing.py
+++ b/briartack/framing.py
@@ -152,12 +152,14 @@
             'frame is not an array that starts with a tag'
         )
     tag = frame[0]
+    if not isinstance(tag, str):
+        raise MalformedFrameError(f'unknown tag of type {type(tag).__name__}')
     if tag == _COMPRESSED_TAG:
         return _decode_compressed(frame)
-    message_class = _MESSAGE_CLASSES.get(tag) if isinstance(tag, str) else None
+    message_class = _MESSAGE_CLASSES.get(tag)
     if message_class is None:
         raise MalformedFrameError(
-            f'unknown tag {str(tag)[:_MAX_SHOWN_TAG_CHARACTERS]!r}'
+            f'unknown tag {tag[:_MAX_SHOWN_TAG_CHARACTERS]!r}'
         )
     try:
         return msgspec.convert(frame, message_class)
--- a/briartack/held.py
+++ b/briartack/held.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from briartack.core.json_decoding import MalformedJsonError, decode_json
+
 _STATEMENT_KINDS: Final = frozenset(('configuration', 'held'))
 
 
@@ -54,12 +56,15 @@
     note: str = ''
 
 
+_AUDIT_LINE_DECODER: Final = msgspec.json.Decoder(AuditLine)
+
+
 def read_audit_lines(texts: Iterable[str]) -> Iterator[AuditLine]:
     """Yield the audit lines; skip malformed lines and lines of other kinds."""
     for text in texts:
         try:
-            yield msgspec.json.decode(text, type=AuditLine)
-        except msgspec.DecodeError:
+            yield decode_json(text, _AUDIT_LINE_DECODER)
+        except MalformedJsonError:
             continue
 
 
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -10,6 +10,7 @@
 from briartack.core.effects import AnswerCall, Dispatch, ReadStore
 from briartack.core.entries import Entry
 from briartack.core.events import UpstreamProbed
+from briartack.core.json_decoding import MalformedJsonError, decode_json
 from briartack.core.messages import Headers
 from briartack.core.units import Era, Revision
 from briartack.dialects import (
@@ -107,6 +108,9 @@
     load: float | None = None
 
 
+_PROBE_ANSWER_DECODER: Final = msgspec.json.Decoder(_ProbeAnswer)
+
+
 @final
 class NativeUpstreamDialect:
     """Implement the upstream interface that docs/configuration.md defines."""
@@ -177,6 +181,9 @@
     entries: tuple[_StoreEntry, ...]
 
 
+_STORE_ANSWER_DECODER: Final = msgspec.json.Decoder(_StoreAnswer)
+
+
 @final
 class NativeStoreDialect:
     """Implement the store interface that docs/design.md defines."""
@@ -204,8 +211,8 @@
         Raises StoreAnswerError.
         """
         try:
-            decoded = msgspec.json.decode(body, type=_StoreAnswer)
-        except msgspec.MsgspecError as error:
+            decoded = decode_json(body, _STORE_ANSWER_DECODER)
+        except MalformedJsonError as error:
             raise StoreAnswerError(str(error)) from None
         for found in decoded.entries:
             if found.revision > decoded.revision:
@@ -278,8 +285,8 @@
 
 def _decode_probe(body: bytes) -> _ProbeAnswer:
     try:
-        health = msgspec.json.decode(body, type=_ProbeAnswer)
-    except msgspec.MsgspecError:
+        health = decode_json(body, _PROBE_ANSWER_DECODER)
+    except MalformedJsonError:
         # A response in another format still shows that the upstream is up.
         return _ProbeAnswer()
     if health.load is not None and not 0 <= health.load <= 1:
--- a/briartack/operator_client.py
+++ b/briartack/operator_client.py
@@ -6,7 +6,10 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
+from briartack.core.json_decoding import decode_json
+
 _TIMEOUT_SECONDS: Final = 3.0
+_DECODER: Final = msgspec.json.Decoder(dict[str, Any])
 
 
 @final
@@ -21,7 +24,7 @@
     """
     try:
         return _decode_object(_get_body(address, path))
-    except (OSError, ValueError, msgspec.DecodeError) as error:
+    except (OSError, ValueError) as error:
         raise OperatorError(
             f'{address}: {error}; give the operator address as IP:PORT',
         ) from error
@@ -42,4 +45,4 @@
 
 
 def _decode_object(body: bytes) -> dict[str, Any]:
-    return msgspec.json.decode(body, type=dict[str, Any])
+    return decode_json(body, _DECODER)
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -21,6 +21,7 @@
 from briartack.core.units import InstanceId
 from briartack.error_texts import MALFORMED_FRAME
 from briartack.framing import MalformedFrameError, encode
+from briartack.greenlets import report_failed_task
 from briartack.peer_inbox import PeerInbox
 from briartack.peer_stream import PeerStream
 from briartack.peer_traffic import PeerTraffic
@@ -167,6 +168,9 @@
             self._log_malformed(stream, expected, str(error))
         except OSError as error:
             reason = f'connection failed: {error}'
+        except Exception as error:
+            reason = f'unexpected error: {type(error).__name__}'
+            report_failed_task(self._observer, 'peer stream')
         if stream.hello is not None:
             self.handle_lost_stream(stream.hello.instance, stream, reason)
         stream.close()
--- a/briartack/platform/configuration.py
+++ b/briartack/platform/configuration.py
@@ -5,7 +5,7 @@
 workspace, and the translated routes refer to these by name.
 """
 
-from typing import Annotated, Any, Final, TypeAlias, final
+from typing import Annotated, Final, TypeAlias, TypeVar, final
 
 import msgspec
 from msgspec import Meta
@@ -19,6 +19,7 @@
     Workspace,
 )
 from briartack.core.entries import TEAM_PREFIX, StatedOrder
+from briartack.core.json_decoding import decode_json
 from briartack.core.messages import MAX_INTEGER
 from briartack.platform.names import TEAM
 
@@ -26,6 +27,7 @@
 TEAM_KEY: Final = TEAM_PREFIX + TEAM
 _MAX_ATTEMPTS: Final = 10  # the product's limit for a policy
 
+_Spec = TypeVar('_Spec')
 _Milliseconds: TypeAlias = Annotated[float, Meta(gt=0)]
 
 
@@ -81,17 +83,19 @@
     cold_per_s: Annotated[float, Meta(gt=0)] | None = None
 
 
+_CONFIG_DECODER: Final = msgspec.json.Decoder(_Config)
+_ROUTE_DECODER: Final = msgspec.json.Decoder(_Route)
+_SERVICE_DECODER: Final = msgspec.json.Decoder(_Service)
+
+
 def translate_subtree(payload: bytes) -> tuple[str, StatedOrder]:
     """Translate a configuration to the JSON of a team's subtree.
 
     Returns the subtree and the version that the operators state. Raises
     ValueError if the configuration is malformed.
     """
-    try:
-        config = msgspec.json.decode(payload, type=_Config)
-        settings = _Translator(config).translate()
-    except msgspec.MsgspecError as error:
-        raise ValueError(str(error)) from None
+    config = decode_json(payload, _CONFIG_DECODER)
+    settings = _Translator(config).translate()
     return msgspec.json.encode(settings).decode(), (config.version,)
 
 
@@ -116,11 +120,13 @@
             name = resource.metadata.name
             if resource.resource_kind == 'services':
                 services[name] = _translate_service(
-                    _decode_spec(resource, _Service)
+                    _decode_spec(resource, _SERVICE_DECODER)
                 )
             elif resource.resource_kind == 'routes':
                 routes.append(
-                    self._translate_route(name, _decode_spec(resource, _Route))
+                    self._translate_route(
+                        name, _decode_spec(resource, _ROUTE_DECODER)
+                    )
                 )
         return TeamSettings(
             services=services,
@@ -167,8 +173,10 @@
         )
 
 
-def _decode_spec(resource: _Resource, kind: type[Any]) -> Any:
-    return msgspec.json.decode(resource.spec, type=kind)
+def _decode_spec(
+    resource: _Resource, decoder: msgspec.json.Decoder[_Spec]
+) -> _Spec:
+    return decode_json(bytes(resource.spec), decoder)
 
 
 def _round_milliseconds(milliseconds: float | None) -> int | None:
--- a/briartack/platform/registry.py
+++ b/briartack/platform/registry.py
@@ -9,6 +9,7 @@
 from briartack.addresses import format_address, parse_address
 from briartack.core.configuration.settings import InstanceRecord, InstanceState
 from briartack.core.entries import StatedOrder
+from briartack.core.json_decoding import decode_json
 from briartack.core.messages import MAX_INTEGER
 from briartack.platform.names import qualify_service
 
@@ -45,6 +46,9 @@
     born: Annotated[int, Meta(ge=0, le=MAX_INTEGER)] | None = None
 
 
+_SERVER_DECODER: Final = msgspec.json.Decoder(_Server)
+
+
 @final
 class RegistrationDecoder:
     """Decode the registrations that servers write to the store."""
@@ -62,7 +66,7 @@
         Returns the record and its place among the writes of the server. Raises
         ValueError if the registration is malformed.
         """
-        server = msgspec.json.decode(payload, type=_Server)
+        server = decode_json(payload, _SERVER_DECODER)
         state = _INSTANCE_STATES.get(server.status.state)
         if state is None:
             raise ValueError(f'unknown state {server.status.state!r}')
--- a/briartack/platform/store.py
+++ b/briartack/platform/store.py
@@ -21,6 +21,7 @@
     Entry,
     StatedOrder,
 )
+from briartack.core.json_decoding import MalformedJsonError, decode_json
 from briartack.core.units import MILLISECONDS_PER_SECOND, Era, Revision
 from briartack.dialects import (
     RefusedItem,
@@ -75,6 +76,10 @@
     as_of: StoreNumber
 
 
+_RANGE_DECODER: Final = msgspec.json.Decoder(_Range)
+_EVENTS_DECODER: Final = msgspec.json.Decoder(_Events)
+
+
 @final
 class PlatformStoreDialect:
     """Encode request targets and decode responses of the store."""
@@ -118,7 +123,7 @@
 
         Raises StoreAnswerError.
         """
-        page = _decode(body, _Range)
+        page = _decode(body, _RANGE_DECODER)
         last = page.items[-1].key if page.items and page.has_more else ''
         return self._translate_page(page.as_of, page.items, last)
 
@@ -127,7 +132,7 @@
 
         Raises StoreAnswerError.
         """
-        page = _decode(body, _Events)
+        page = _decode(body, _EVENTS_DECODER)
         return self._translate_page(page.as_of, page.events, '')
 
     def _translate_page(
@@ -208,8 +213,8 @@
     return ''
 
 
-def _decode(body: bytes, response_type: type[_Decoded]) -> _Decoded:
+def _decode(body: bytes, decoder: msgspec.json.Decoder[_Decoded]) -> _Decoded:
     try:
-        return msgspec.json.decode(body, type=response_type)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, decoder)
+    except MalformedJsonError as error:
         raise StoreAnswerError(str(error)) from None
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -26,6 +26,7 @@
 )
 from briartack.dialects import StoreAnswerError, StoreDialect, StorePage
 from briartack.error_texts import ITEM_REFUSED
+from briartack.greenlets import report_failed_task
 from briartack.http_exchange import (
     ExchangeError,
     KeepAlivePool,
@@ -125,7 +126,7 @@
         started_at = self._clock()
         try:
             page = self._read_pages(effect)
-        except _StoreError as error:
+        except Exception as error:
             self._deliver(
                 self._record_failure(StoreOperation.READ, prefix, error)
             )
@@ -179,7 +180,7 @@
                     StoreOperation.WATCH, target, timeout_seconds
                 ),
             )
-        except _StoreError as error:
+        except Exception as error:
             self._watch = None
             self._deliver(self._record_failure(StoreOperation.WATCH, '', error))
             return
@@ -245,9 +246,13 @@
         self,
         operation: StoreOperation,
         prefix: str,
-        error: _StoreError,
+        error: Exception,
     ) -> StoreFailed:
         self._observer.count('store.failures', operation=operation.value)
+        if not isinstance(error, _StoreError):
+            # Without an event, the reducer would wait for this call forever.
+            report_failed_task(self._observer, f'store {operation.value}')
+            error = _StoreError(f'unexpected error: {error!r}')
         return StoreFailed(
             now=self._clock(),
             operation=operation,
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -28,6 +28,7 @@
 from briartack.dialects import UpstreamDialect, UpstreamResult
 from briartack.error_texts import STATEMENT_REFUSED
 from briartack.framing import compute_body_digest
+from briartack.greenlets import report_failed_task
 from briartack.http_exchange import (
     Exchange,
     ExchangeError,
@@ -158,7 +159,17 @@
         request: Exchange,
         started_at: float,
     ) -> None:
-        event = self._await_result(effect, request, started_at)
+        try:
+            event = self._await_result(effect, request, started_at)
+        except Exception as error:
+            report_failed_task(self._observer, 'attempt')
+            event = self._record_failure(
+                effect,
+                ExchangeError(
+                    f'unexpected error: {type(error).__name__}',
+                    may_have_run=True,
+                ),
+            )
         # An aborted attempt must not report a result.
         if self._running.pop(effect.attempt_id, None) is not None:
             self._deliver(event)
