Bound what an upstream sends without end

Cause: a read of a gevent socket gives others a turn only if it has to wait, and a fast sender kept the loop in one greenlet, with all timers. Only the body of an answer counted towards a limit; heads, trailers, chunk extensions, interim answers and answers to other requests did not. Nothing limited all bodies of an upstream together.

Ruled out: the deadline itself, which fires once the loop has a turn.

Fix: a greenlet ends its turn after 64 KiB that it read without waiting; all bytes of an answer count; the bodies that are being received share 48 MiB, and those without a stated length are given up first.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -24,6 +24,7 @@
 from briartack.inbound_call import InboundCall
 from briartack.request_head import RequestHead
 from briartack.shell_interfaces import Observer
+from briartack.turns import TurnLimit
 
 _READ_BYTES: Final = 65536
 _STATUS_BAD_REQUEST: Final = 400
@@ -180,6 +181,7 @@
     def _receive_body(self, call: InboundCall) -> bytes | None:
         parts: list[bytes] = []
         received = 0
+        turn = TurnLimit()
         while not call.is_answered:
             part = self.wsgi_input.read(_READ_BYTES)
             if not part:
@@ -190,6 +192,7 @@
             parts.append(part)
             if received == call.head.body_bytes:
                 break
+            turn.count_read(len(part))
         return b''.join(parts)
 
     def _refuse_broken_body(self, call: InboundCall, error: Exception) -> None:
@@ -236,9 +239,10 @@
         Closing with unread input would reset the connection, and the caller
         could lose responses that it has not read.
         """
+        turn = TurnLimit()
         try:
-            while self.socket.recv(_READ_BYTES):
-                """Discard the bytes; no further request is served."""
+            while discarded := self.socket.recv(_READ_BYTES):
+                turn.count_read(len(discarded))
         except OSError:
             return
 
--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -16,12 +16,14 @@
 from geventhttpclient.response import HTTPParseError
 
 from briartack.addresses import Address
+from briartack.body_budget import BodyBudget
 from briartack.http_response import (
     CollectedResponse,
     IdentifyResponse,
     identify_nothing,
 )
 from briartack.socket_options import configure_socket
+from briartack.turns import TurnLimit
 
 _SocketAddress: TypeAlias = tuple[str, int] | tuple[str, int, int, int]
 
@@ -178,10 +180,12 @@
         max_body_bytes: int,
         request_id: str = '',
         identify_response: IdentifyResponse = identify_nothing,
+        budget: BodyBudget | None = None,
     ) -> None:
         """Prepare the exchange without sending anything.
 
         `request_id` is the id that the response names; empty if it names none.
+        `budget` limits the bodies of several responses together.
         """
         self._pool = pool
         self._request = request
@@ -191,6 +195,7 @@
             max_body_bytes=max_body_bytes,
             request_id=request_id,
             identify_response=identify_response,
+            budget=budget,
         )
         self._sock: PooledSocket | None = None
         self._sent_bytes = 0
@@ -238,6 +243,7 @@
             ) from None
         finally:
             timeout.close()
+            self._response.release_budget()
         return self._response
 
     def _transfer(self) -> None:
@@ -361,12 +367,15 @@
 
 
 def _receive_response(sock: socket.socket, response: CollectedResponse) -> None:
+    turn = TurnLimit()
     while not response.is_complete:
         try:
             received = sock.recv(_RECEIVE_BYTES)
         except OSError as error:
             raise _make_read_error(error) from None
         _parse_received(response, received)
+        if not response.is_complete:
+            turn.count_read(len(received))
 
 
 def _receive_available(descriptor: int, response: CollectedResponse) -> None:
--- a/briartack/http_response.py
+++ b/briartack/http_response.py
@@ -5,9 +5,14 @@
 
 from geventhttpclient.response import HTTPProtocolViolationError, HTTPResponse
 
+from briartack.body_budget import BodyBudget
 from briartack.core.messages import Headers
 
 _FIRST_FINAL_STATUS: Final = 200
+# Heads, trailers and chunk sizes may take so many bytes, and so many more for
+# each byte of a body: a chunk of one byte has a frame of five.
+_MAX_FRAMING_BYTES: Final = 65536
+_FRAMING_PER_BODY_BYTE: Final = 5
 
 IdentifyResponse: TypeAlias = Callable[['CollectedResponse'], str]
 
@@ -22,7 +27,7 @@
     """Represent one HTTP response and collect its body up to a limit.
 
     Interim (1xx) responses are skipped, and so are responses that name another
-    request.
+    request. All bytes count towards a limit, also those that are not kept.
     """
 
     def __init__(
@@ -32,16 +37,22 @@
         max_body_bytes: int,
         request_id: str = '',
         identify_response: IdentifyResponse = identify_nothing,
+        budget: BodyBudget | None = None,
     ) -> None:
         """Collect the response to a request with this method and id.
 
         `identify_response` returns the id of the request that a response names.
+        `budget` limits the bodies of several responses together.
         """
         super().__init__(method=method)
         self.has_sent_bytes = False  # part of the request has been sent
         self._body_parts: list[bytes] = []
-        self._received_bytes = 0
+        self._body_bytes = 0
+        self._fed_bytes = 0  # of all responses, with their heads
+        self._fed_body_bytes = 0  # of all responses
         self._max_body_bytes = max_body_bytes
+        self._budget = budget
+        self._is_dropped = False
         self._request_id = request_id
         self._identify_response = identify_response
         self._is_whole = False
@@ -58,8 +69,25 @@
 
     @property
     def is_oversize(self) -> bool:
-        """Return whether the body exceeds the limit."""
-        return self._received_bytes > self._max_body_bytes
+        """Return whether the bytes that arrived exceed a limit."""
+        skipped_bytes = self._fed_body_bytes - self._body_bytes
+        framing_bytes = self._fed_bytes - self._fed_body_bytes
+        return (
+            self._is_dropped
+            or max(self._body_bytes, skipped_bytes) > self._max_body_bytes
+            or framing_bytes
+            > _MAX_FRAMING_BYTES + _FRAMING_PER_BODY_BYTE * self._fed_body_bytes
+        )
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the part of the body that is held."""
+        return 0 if self._is_dropped else self._body_bytes
+
+    @property
+    def is_open_ended(self) -> bool:
+        """Return whether the head states no length of the body."""
+        return self.get('content-length') is None
 
     @property
     def body(self) -> bytes:
@@ -71,6 +99,21 @@
         """Return the headers in the order of arrival."""
         return tuple(self.items())
 
+    def feed(self, data: str | bytes) -> None:
+        """Parse the next bytes of the connection."""
+        self._fed_bytes += len(data)
+        super().feed(data)
+
+    def drop_body(self) -> None:
+        """Give up the body, which counts as too large from now on."""
+        self._is_dropped = True
+        self._body_parts.clear()
+
+    def release_budget(self) -> None:
+        """Stop counting the body towards the limit of several responses."""
+        if self._budget is not None:
+            self._budget.release(self)
+
     def get_single_value(self, name: str) -> str:
         """Return a header's value; empty if it is absent or repeated."""
         found = self.get(name)
@@ -79,8 +122,9 @@
     def _on_message_begin(self) -> None:
         if self._is_whole:
             raise HTTPProtocolViolationError('bytes follow the response')
+        self.release_budget()
         self._body_parts.clear()
-        self._received_bytes = 0
+        self._body_bytes = 0
         super()._on_message_begin()
 
     def _on_message_complete(self) -> None:
@@ -93,6 +137,10 @@
         self._is_whole = named in {'', self._request_id}
 
     def _on_body(self, buf: bytearray) -> None:
-        self._received_bytes += len(buf)
-        if not self.is_oversize:
-            self._body_parts.append(bytes(buf))
+        self._body_bytes += len(buf)
+        self._fed_body_bytes += len(buf)
+        if self._is_dropped or self._body_bytes > self._max_body_bytes:
+            return
+        self._body_parts.append(bytes(buf))
+        if self._budget is not None:
+            self._budget.admit(self, len(buf))
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -15,6 +15,7 @@
 from briartack.peer_outbox import PeerOutbox
 from briartack.peer_traffic import PeerTraffic
 from briartack.socket_options import configure_socket
+from briartack.turns import TurnLimit
 
 _MAX_RECEIVE_BYTES: Final = 262144
 _DRAIN_TIMEOUT_SECONDS: Final = 5.0
@@ -85,11 +86,13 @@
 
         Raises MalformedFrameError and OSError.
         """
+        turn = TurnLimit()
         while True:
             received = self._sock.recv(_MAX_RECEIVE_BYTES)
             if not received:
                 return
             yield from self._frame_reader.feed(received)
+            turn.count_read(len(received))
 
     def flush(self) -> None:
         """Write what the socket accepts now and the rest in a greenlet."""
--- a/briartack/test/test_platform_site.py
+++ b/briartack/test/test_platform_site.py
@@ -25,6 +25,7 @@
 )
 
 WAIT_SECONDS = 20.0
+MEMORY_MB = 150.0  # the smallest limit of the platform's deployments
 
 
 def becomes_true(condition: Callable[[], bool]) -> bool:
@@ -261,6 +262,31 @@
         reply = self.request_from('east-1', path, b'x')
         self.assertEqual(reply.status, status, reply.body)
 
+    # Guards against an upstream that stops its daemon by bytes without end, and
+    # against a daemon above the memory that the platform gives it.
+    @params('endless-head', 'endless-body')
+    def test_endless_answers_leave_the_others_served(self, fault: str) -> None:
+        self.addCleanup(
+            becomes_true, partial(self.is_answered_with, '/buys/', b'i-2 ')
+        )
+        for machine in self.site.machines:
+            if machine.service == 'buys':
+                self.addCleanup(setattr, machine.worker, 'active_fault', '')
+                machine.worker.active_fault = fault
+        faulty = [
+            gevent.spawn(self.request_from, 'east-1', '/buys/', b'x')
+            for _ in range(18)
+        ]
+        gevent.sleep(0.1)
+        for _ in range(20):
+            self.assertEqual(self.request_from('east-1', '/reads/').status, 200)
+            gevent.sleep(0.05)
+        for greenlet in faulty:
+            self.assertIn(greenlet.get().status, {502, 503, 504})
+        for machine in self.site.machines:
+            memory_mb = machine.daemon.read_peak_memory_kb() / 1024
+            self.assertLess(memory_mb, MEMORY_MB)
+
     def test_pipelined_requests_run_concurrently(self) -> None:
         """Guard against answers out of order, and requests run in sequence."""
         machine = self.site.find_machine('west-1', 'reads')
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -11,6 +11,7 @@
 
 from briartack.addresses import Address, format_address
 from briartack.bodies import BodyStore
+from briartack.body_budget import BodyBudget
 from briartack.core.body_ids import answer_body_id
 from briartack.core.calls.call_rules import DEFAULT_RULES
 from briartack.core.effects import (
@@ -47,6 +48,8 @@
 # Probe path until the configuration sets one; an empty path disables probes.
 DEFAULT_HEALTH_PATH: Final = '/healthz'
 _MAX_PROBE_BYTES: Final = 65536
+# Limits the bodies that are being received for all attempts together.
+_MAX_COLLECTED_BYTES: Final = 3 * MAX_BODY_BYTES
 
 _RunningAttempts: TypeAlias = dict[str, tuple[Greenlet, Exchange]]
 
@@ -61,6 +64,7 @@
     __slots__ = (
         '_pool',
         '_probe_pool',
+        '_body_budget',
         '_host_header',
         '_bodies',
         '_dialect',
@@ -88,6 +92,7 @@
         """Create the connection pools without connecting."""
         self._pool = KeepAlivePool(address, size=_MAX_CONNECTIONS)
         self._probe_pool = KeepAlivePool(address, size=1)
+        self._body_budget = BodyBudget(max_bytes=_MAX_COLLECTED_BYTES)
         self._host_header = format_address(address)
         self._bodies = bodies
         self._dialect = dialect
@@ -113,6 +118,7 @@
             max_body_bytes=MAX_BODY_BYTES,
             request_id=self._dialect.identify_request(effect),
             identify_response=self._dialect.identify_response,
+            budget=self._body_budget,
         )
         # The greenlet starts only after all greenlets that are scheduled before
         # it, so the request is sent here.
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -2,8 +2,10 @@
 
 import time
 from collections import Counter
+from collections.abc import Mapping
 from http import HTTPStatus
-from typing import Final, final
+from types import MappingProxyType
+from typing import Final, NoReturn, final
 
 import gevent
 
@@ -11,6 +13,14 @@
 
 MS_PER_SECOND: Final = 1000.0
 HEALTH_PATH: Final = '/health'
+ENDLESS_BLOCK_BYTES: Final = 65536
+# The beginning of an answer without end, and the bytes that follow it.
+ENDLESS_ANSWERS: Final[Mapping[str, tuple[bytes, bytes]]] = MappingProxyType(
+    {
+        'endless-head': (b'HTTP/1.1 200 OK\r\n', b'X-Filler: 01234567\r\n'),
+        'endless-body': (b'HTTP/1.1 200 OK\r\n\r\n', b'0123456789abcdef'),
+    }
+)
 
 
 @final
@@ -34,7 +44,8 @@
         self.identity = identity
         self.is_draining = False
         self.cold_until = 0.0  # monotonic seconds
-        # One of cut, head, unsealed, foreign and refuse; empty for none.
+        # One of cut, head, unsealed, foreign, refuse and the keys of
+        # ENDLESS_ANSWERS; empty for none.
         self.active_fault = ''
         self.work_seconds = 0.001
         self.stated_limit: float | None = None  # requests per second
@@ -81,6 +92,9 @@
         self.counts['ran'] += 1
         self.received_requests.append((attempt_id, request.path, headers))
         gevent.sleep(self.work_seconds)
+        endless = ENDLESS_ANSWERS.get(self.active_fault)
+        if endless is not None:
+            _send_without_end(request, *endless)
         if self.active_fault == 'cut':
             return BrokenResponse(
                 sent=b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab',
@@ -121,3 +135,15 @@
             cold_ms = f'{cold_seconds * MS_PER_SECOND:.0f}'
             headers.append(('X-Cold-Ms', cold_ms))
         return Response(status=status, headers=tuple(headers))
+
+
+def _send_without_end(
+    request: Request, opening: bytes, repeated: bytes
+) -> NoReturn:
+    """Send until the caller closes; raise OSError then."""
+    block = repeated * (ENDLESS_BLOCK_BYTES // len(repeated))
+    request.connection.sendall(opening)
+    while True:
+        request.connection.sendall(block)
+        # The other greenlets of the stand-ins run in the same process.
+        gevent.sleep(0)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -136,6 +136,16 @@
                 start_new_session=True,
             )
 
+    def read_peak_memory_kb(self) -> int:
+        """Return the largest resident memory so far; Linux only."""
+        status = Path(f'/proc/{self.pid}/status').read_text('utf-8')
+        peaks = [
+            line.split()[1]
+            for line in status.splitlines()
+            if line.startswith('VmHWM')
+        ]
+        return int(peaks[0])
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is still running."""
         if self._process is not None and self.is_running:
