Leave out malformed entries alone

Cause: isinstance(True, int) holds, so the truth value went to peers as part of the order of the entry. Their decoder refused the whole message and closed the stream, with the requests on it, again at each pull. Class of fault: input passes one decoder in a type that the next process refuses, and what is refused ends more than itself.

Ruled out: the other oddities of the entry (service, address), and all other fields with odd values (77 rows).

Fix: a truth value is no sequence; the store's entries pass the decoder of peers first; a malformed entry in a message that passes on lists is left out alone, and the stream stays.

--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -21,6 +21,7 @@
 TOO_LARGE: Final = 'body-too-large'
 MALFORMED_REQUEST: Final = 'malformed-request'
 MALFORMED_FRAME: Final = 'malformed-frame'
+ENTRY_REFUSED: Final = 'entry-refused'
 PEER_QUEUE_FULL: Final = 'peer-queue-full'
 MESSAGE_TOO_LARGE: Final = 'message-too-large'
 REDUCER_FAILED: Final = 'reducer-failed'
@@ -53,6 +54,10 @@
             'A peer sent a malformed message; its stream was closed.',
             'Check that all daemons run compatible versions.',
         ),
+        ENTRY_REFUSED: ErrorText(
+            'A malformed entry in a message of a peer was left out.',
+            'Check that all daemons run compatible versions.',
+        ),
         PEER_QUEUE_FULL: ErrorText(
             'A peer reads too slowly; its stream was closed.',
             'Check the load of the peer and the link to it.',
--- a/briartack/framing.py
+++ b/briartack/framing.py
@@ -13,6 +13,7 @@
 import msgpack
 import msgspec
 
+from briartack.core.entries import Entry, KeyVersion
 from briartack.core.messages import (
     Answer,
     Attempt,
@@ -72,6 +73,13 @@
 )
 
 
+# Messages with a list that contains what other processes have written.
+_LIST_INDEX: Final = 2
+_ELEMENT_TYPES: Final[Mapping[str, object]] = MappingProxyType(
+    {'entries': Entry, 'inventory_reply': tuple[str, KeyVersion]}
+)
+
+
 @final
 class MalformedFrameError(Exception):
     """Report why received bytes are not a valid message."""
@@ -88,9 +96,7 @@
 
 def encode(message: PeerMessage) -> bytes:
     """Encode a message as one frame."""
-    packed: bytes = msgpack.packb(
-        msgspec.to_builtins(message, builtin_types=_BUILTIN_TYPES),
-    )
+    packed = _pack(message)
     if (
         isinstance(message, Entries)
         and len(packed) > COMPRESSION_THRESHOLD_BYTES
@@ -100,22 +106,36 @@
     return packed
 
 
+def _pack(message: PeerMessage) -> bytes:
+    packed: bytes = msgpack.packb(
+        msgspec.to_builtins(message, builtin_types=_BUILTIN_TYPES),
+    )
+    return packed
+
+
 @final
 class FrameReader:
     """Decode the bytes of one stream into messages."""
 
-    __slots__ = ('_unpacker', '_frame_end', '_last_frame_bytes')
+    __slots__ = ('_unpacker', '_frame_end', '_last_frame_bytes', '_refused')
 
     def __init__(self) -> None:
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         self._frame_end = 0
         self._last_frame_bytes = 0
+        self._refused: list[str] = []
 
     @property
     def last_frame_bytes(self) -> int:
         """Return the encoded size of the last message in bytes."""
         return self._last_frame_bytes
 
+    def take_refused(self) -> tuple[str, ...]:
+        """Return why elements were left out since the last call."""
+        refused = tuple(self._refused)
+        self._refused.clear()
+        return refused
+
     def feed(self, received: bytes) -> Iterator[PeerMessage]:
         """Yield the messages that the received bytes complete.
 
@@ -139,13 +159,14 @@
             position = self._unpacker.tell()
             self._last_frame_bytes = position - self._frame_end
             self._frame_end = position
-            yield decode(frame)
+            yield decode(frame, self._refused)
 
 
-def decode(frame: object) -> PeerMessage:
+def decode(frame: object, refused: list[str]) -> PeerMessage:
     """Convert an unpacked msgpack array to a message.
 
-    Raises MalformedFrameError.
+    Malformed elements of a list that the peer passes on are left out, with the
+    reasons added to `refused`. Raises MalformedFrameError.
     """
     if not isinstance(frame, list) or not frame:
         raise MalformedFrameError(
@@ -155,7 +176,7 @@
     if not isinstance(tag, str):
         raise MalformedFrameError(f'unknown tag of type {type(tag).__name__}')
     if tag == _COMPRESSED_TAG:
-        return _decode_compressed(frame)
+        return _decode_compressed(frame, refused)
     message_class = _MESSAGE_CLASSES.get(tag)
     if message_class is None:
         raise MalformedFrameError(
@@ -164,10 +185,56 @@
     try:
         return msgspec.convert(frame, message_class)
     except msgspec.ValidationError as error:
-        raise MalformedFrameError(f'{tag}: {error}') from None
+        kept = _keep_valid_elements(tag, frame, refused)
+        if kept is None:
+            raise MalformedFrameError(f'{tag}: {error}') from None
+    return _convert(kept, message_class)
+
+
+def check_entry(entry: Entry) -> str:
+    """Return why a peer would leave out an entry; empty if it would not."""
+    refused: list[str] = []
+    message = Entries(highest=entry.revision, entries=(entry,))
+    try:
+        decode(msgpack.unpackb(_pack(message)), refused)
+    except (MalformedFrameError, OverflowError, ValueError) as error:
+        return str(error)
+    return '; '.join(refused)
+
+
+def _convert(
+    frame: list[object], message_class: PeerMessageType
+) -> PeerMessage:
+    try:
+        return msgspec.convert(frame, message_class)
+    except msgspec.ValidationError as error:
+        raise MalformedFrameError(f'{frame[0]}: {error}') from None
+
+
+def _keep_valid_elements(
+    tag: str, frame: list[object], refused: list[str]
+) -> list[object] | None:
+    """Return a frame without the malformed elements of its list.
+
+    Returns None if the message passes on no list. One such element must not
+    end the stream, which carries the calls of other routes.
+    """
+    element_type = _ELEMENT_TYPES.get(tag)
+    elements = frame[_LIST_INDEX] if len(frame) > _LIST_INDEX else None
+    if element_type is None or not isinstance(elements, list):
+        return None
+    kept: list[object] = []
+    for element in elements:
+        try:
+            msgspec.convert(element, element_type)
+        except msgspec.ValidationError as error:
+            refused.append(f'{tag}: {error}')
+        else:
+            kept.append(element)
+    return [*frame[:_LIST_INDEX], kept, *frame[_LIST_INDEX + 1 :]]
 
 
-def _decode_compressed(frame: list[object]) -> PeerMessage:
+def _decode_compressed(frame: list[object], refused: list[str]) -> PeerMessage:
     if len(frame) != 2 or not isinstance(frame[1], bytes):
         raise MalformedFrameError('compressed frame has no bytes')
     decompressor = zlib.decompressobj()
@@ -183,4 +250,4 @@
         raise MalformedFrameError(f'compressed frame: {error}') from None
     if not isinstance(inner, list) or inner[:1] != ['entries']:
         raise MalformedFrameError('compressed frame does not contain entries')
-    return decode(inner)
+    return decode(inner, refused)
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -19,7 +19,7 @@
 from briartack.core.identity import Identity
 from briartack.core.messages import PROTOCOL_VERSION, Hello, PeerMessage
 from briartack.core.units import InstanceId
-from briartack.error_texts import MALFORMED_FRAME
+from briartack.error_texts import ENTRY_REFUSED, MALFORMED_FRAME
 from briartack.framing import MalformedFrameError, encode
 from briartack.greenlets import report_failed_task
 from briartack.peer_inbox import PeerInbox
@@ -208,6 +208,7 @@
             else:
                 self._observer.count('peers.messages_received')
                 stream.traffic.count_received(stream.last_frame_bytes, message)
+                self._report_refused(stream.hello.instance, stream)
                 self._inbox.handle_message(stream.hello.instance, message)
 
     def _handle_hello(self, stream: PeerStream, hello: Hello) -> None:
@@ -272,6 +273,13 @@
             PeerDisconnected(now=self._clock(), peer=peer, reason=reason),
         )
 
+    def _report_refused(self, peer: InstanceId, stream: PeerStream) -> None:
+        for reason in stream.take_refused():
+            self._observer.count('peers.entries_refused')
+            self._observer.log(
+                LogLevel.WARNING, ENTRY_REFUSED, peer=peer, reason=reason
+            )
+
     def _log_malformed(
         self,
         stream: PeerStream,
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -76,6 +76,10 @@
         """Return the encoded size of the last received message in bytes."""
         return self._frame_reader.last_frame_bytes
 
+    def take_refused(self) -> tuple[str, ...]:
+        """Return why elements of messages were left out since the last call."""
+        return self._frame_reader.take_refused()
+
     def set_timeout(self, seconds: float | None) -> None:
         """Limit the time of each socket operation; None removes the limit."""
         if not self._is_closed:
--- a/briartack/platform/registry.py
+++ b/briartack/platform/registry.py
@@ -89,7 +89,10 @@
 
 def _find_order(server: _Server) -> StatedOrder:
     sequence = server.status.sequence
-    if server.born is None or not isinstance(sequence, int):
+    # A bool is an `int` for `isinstance`, but not for the decoder of a peer.
+    if isinstance(sequence, bool) or not isinstance(sequence, int):
+        return ()
+    if server.born is None:
         return ()
     if not 0 <= sequence <= MAX_INTEGER:
         return ()
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -24,8 +24,14 @@
     StoreRead,
     StoreWatched,
 )
-from briartack.dialects import StoreAnswerError, StoreDialect, StorePage
+from briartack.dialects import (
+    RefusedItem,
+    StoreAnswerError,
+    StoreDialect,
+    StorePage,
+)
 from briartack.error_texts import ITEM_REFUSED
+from briartack.framing import check_entry
 from briartack.greenlets import report_failed_task
 from briartack.http_exchange import (
     ExchangeError,
@@ -208,7 +214,8 @@
             )
         except StoreAnswerError as error:
             raise _StoreError(f'malformed answer: {error}') from None
-        for refused in page.refused:
+        sendable, unsendable = _split_entries(page.entries)
+        for refused in (*page.refused, *unsendable):
             self._observer.count('store.items_refused')
             self._observer.log(
                 LogLevel.WARNING,
@@ -217,7 +224,7 @@
                 revision=str(refused.revision),
                 problem=refused.reason,
             )
-        return page
+        return msgspec.structs.replace(page, entries=sendable)
 
     def _send_request(
         self,
@@ -263,6 +270,25 @@
         )
 
 
+def _split_entries(
+    entries: tuple[Entry, ...],
+) -> tuple[tuple[Entry, ...], tuple[RefusedItem, ...]]:
+    """Separate the entries that peers would refuse."""
+    sendable: list[Entry] = []
+    refused: list[RefusedItem] = []
+    for entry in entries:
+        reason = check_entry(entry)
+        if reason:
+            refused.append(
+                RefusedItem(
+                    key=entry.key, revision=entry.revision, reason=reason
+                )
+            )
+        else:
+            sendable.append(entry)
+    return tuple(sendable), tuple(refused)
+
+
 def _raise_for_status(response: CollectedResponse) -> None:
     """Raise _StoreError unless the store answered the call."""
     status = response.get_code()
--- a/briartack/test/test_outside_input.py
+++ b/briartack/test/test_outside_input.py
@@ -11,16 +11,22 @@
 from unittest import mock
 
 import gevent
+import msgpack
 from nose2.tools import params
 
-from briartack import greenlets
+from briartack import greenlets, peers
 from briartack.core import effects, events
 from briartack.core.dissemination.instance_records import InstanceRecords
-from briartack.core.entries import Entry
-from briartack.core.messages import Pull
+from briartack.core.entries import Entry, KeyVersion
+from briartack.core.messages import (
+    Entries,
+    InventoryReply,
+    PeerMessage,
+    Pull,
+)
 from briartack.core.units import Revision
-from briartack.dialects import StoreAnswerError
-from briartack.framing import FrameReader, MalformedFrameError
+from briartack.dialects import StoreAnswerError, StorePage
+from briartack.framing import FrameReader, MalformedFrameError, encode
 from briartack.greenlets import run_forever
 from briartack.http_response import CollectedResponse
 from briartack.native_dialects import NativeStoreDialect, NativeUpstreamDialect
@@ -49,6 +55,20 @@
 DEEPER: Final = b'[' * 100_000 + b']' * 100_000
 LONE_SURROGATE: Final = json.dumps('\ud800').encode().strip(b'"')
 VALID: Final = json.dumps(SERVER).encode()
+ODD_VALUES: Final = (
+    b'true',
+    b'false',
+    b'null',
+    b'-1',
+    b'1.5',
+    b'1e30',
+    b'9223372036854775808',
+    b'18446744073709551616',
+    b'"7"',
+    b'[]',
+    b'{}',
+)
+ENTRY: Final = Entry(key='instances/i-1', revision=Revision(1), value=None)
 RECORD: Final = json.dumps(
     {
         'service': 'op/main',
@@ -147,6 +167,101 @@
         self.assertEqual(held, ['instances/i-2'])
 
 
+class PassedOnTest(unittest.TestCase):
+    """Test what daemons pass on to their peers."""
+
+    # Guards against an entry that peers refuse with all that is sent beside it,
+    # and with the stream, as long as the store holds the entry.
+    @params(
+        *(
+            (field, old, odd)
+            for field, old in (
+                (b'sequence', b'4'),
+                (b'slots', b'18'),
+                (b'cold_left_ms', b'1500'),
+                (b'born', b'7'),
+                (b'address', b'"10.1.0.8:8301"'),
+                (b'service', b'"huvo"'),
+                (b'state', b'"ready"'),
+            )
+            for odd in ODD_VALUES
+        )
+    )
+    def test_translated_registration_is_decoded_by_peers(
+        self, field: bytes, old: bytes, odd: bytes
+    ) -> None:
+        registration = with_field(VALID, b'born', b'7')
+        value = registration.replace(
+            b'"%b": %b' % (field, old), b'"%b": %b' % (field, odd)
+        )
+        self.assertNotEqual(value, registration)
+        page = DIALECT.decode_read_page(
+            encode_read_answer(item('servers/i-1', value))
+        )
+        sent = Entries(highest=Revision(7), entries=page.entries)
+        self.assertEqual(list(FrameReader().feed(encode(sent))), [sent])
+
+    # Guards against an entry that is delivered in a form that peers refuse.
+    @params((True,), (1 << 64,), (1.5,), ('x',))
+    def test_unsendable_entry_of_the_store_is_refused_alone(
+        self, *stated: int
+    ) -> None:
+        odd = Entry(
+            key='instances/odd', revision=Revision(1), value='', stated=stated
+        )
+        page = StorePage(revision=Revision(1), entries=(odd, ENTRY))
+        server = ScriptedServer(OK_ANSWER)
+        self.addCleanup(server.stop)
+        shell = ShellFixture(upstream=server.address)
+        self.addCleanup(shell.stop)
+        with mock.patch.object(
+            NativeStoreDialect, 'decode_read_page', return_value=page
+        ):
+            shell.store.read(effects.ReadStore(prefix=''))
+            read = shell.state.wait_for(events.StoreRead)[0]
+        self.assertEqual(read.entries, (ENTRY,))
+        self.assertEqual(shell.observer.counts['store.items_refused'], 1)
+
+    # Guards against a malformed entry of a peer that ends the stream, with the
+    # requests on it, and hides the entries beside it.
+    @params(
+        (
+            ['entries', 9, [['k', 9, None, [], [7, True]], ['k', 9, 'x']]],
+            Entries(
+                highest=Revision(9),
+                entries=(Entry(key='k', revision=Revision(9), value='x'),),
+            ),
+        ),
+        (
+            ['inventory_reply', [], [['a', [9, b'', [True]]], ['b', [9]]]],
+            InventoryReply(
+                buckets=(), versions=(('b', KeyVersion(revision=Revision(9))),)
+            ),
+        ),
+    )
+    def test_malformed_entry_of_a_peer_is_left_out_alone(
+        self, frame: list[object], message: PeerMessage
+    ) -> None:
+        shells = [ShellFixture('a-1'), ShellFixture('b-1')]
+        for shell in shells:
+            self.addCleanup(shell.stop)
+        shells[0].dial(shells[1])
+        for shell in shells:
+            shell.state.wait_for(events.PeerConnected)
+        with mock.patch.object(
+            peers, 'encode', return_value=msgpack.packb(frame)
+        ):
+            shells[0].send_messages(
+                effects.SendMessage(peer=shells[1].name, message=message)
+            )
+        received = shells[1].state.wait_for(events.PeerMessageReceived)[0]
+        self.assertEqual(received.message, message)
+        self.assertEqual(shells[1].observer.counts['peers.entries_refused'], 1)
+        code, fields = shells[1].observer.logs[0]
+        self.assertEqual((code, fields['peer']), ('entry-refused', 'a-1'))
+        self.assertEqual(shells[1].state.events_of(events.PeerDisconnected), [])
+
+
 class AnswerTest(unittest.TestCase):
     # Guards against a health answer that ends all later probes.
     def test_nested_health_answer_counts_as_plain(self) -> None:
