Wait for addresses that the daemon of before still uses

Cause: a planned stop serves at the same addresses for up to the grace time, and a start gave up at the first address in use. Class of fault: a condition that ends by itself is taken for a final one.

Ruled out: closed connections and local ends of other sockets at the port.

--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -27,6 +27,7 @@
 from briartack.greenlets import run_forever
 from briartack.integration import PlatformIntegration, SettingsFileWatcher
 from briartack.line_writer import OutputWriters
+from briartack.listening import start_servers
 from briartack.logs import AuditTrail, RequestLogLimiter, write_log
 from briartack.metrics import MetricRegistry
 from briartack.operator_port import DescribeState, OperatorPort
@@ -115,6 +116,7 @@
         '_store',
         '_upstream',
         '_operator_port',
+        '_is_stopping',
         '_servers',
         '_background',
         '_exit_code',
@@ -196,6 +198,7 @@
             explain=partial(reports.explain, self._loop.state),
             metrics=self._metrics,
         )
+        self._is_stopping = False
         self._servers: list[BaseServer] = []
         self._background: list[gevent.Greenlet] = []
         self._exit_code: AsyncResult[int] = AsyncResult()
@@ -207,7 +210,9 @@
     def start(self) -> None:
         """Listen on all addresses and start the background work.
 
-        Raises OSError if an address cannot be bound.
+        Waits for addresses that another process holds, such as the daemon of
+        before that still serves its grace time. Raises OSError if an address
+        cannot be bound.
         """
         options = self._options
         self._servers = [
@@ -219,8 +224,13 @@
             self._servers.append(
                 self._operator_port.create_server(options.metrics_address),
             )
-        for server in self._servers:
-            server.start()
+        if not start_servers(
+            self._servers,
+            clock=boot_clock,
+            is_stopping=lambda: self._is_stopping,
+        ):
+            self._exit_code.set(0)
+            return
         write_log(effects.LogLevel.INFO, LISTENING, options.format_fields())
         self._loop.deliver(
             Started(
@@ -239,6 +249,7 @@
 
     def request_stop(self) -> None:
         """Ask the reducer for a graceful stop."""
+        self._is_stopping = True
         self._callers.stop_keep_alive()
         self._loop.deliver(StopRequested(now=boot_clock()))
 
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -29,6 +29,7 @@
 TASK_FAILED: Final = 'task-failed'
 BAD_OPTION: Final = 'bad-option'
 CANNOT_LISTEN: Final = 'cannot-listen'
+ADDRESS_IN_USE: Final = 'address-in-use'
 TRACE_FAILED: Final = 'trace-failed'
 UNKNOWN_PATH: Final = 'unknown-path'
 LISTENING: Final = 'listening'
@@ -86,6 +87,10 @@
             'An address cannot be bound.',
             'Choose an address of this instance that no other process uses.',
         ),
+        ADDRESS_IN_USE: ErrorText(
+            'Another process uses an address; the daemon waits for it.',
+            'Wait for the daemon of before to end, or end the other process.',
+        ),
         TRACE_FAILED: ErrorText(
             'The event trace can no longer be written; recording has stopped.',
             'Check the trace file given with --record and its file system.',
