Let a repeated SIGTERM change nothing

Cause: the second stop signal ended the process at once. Class of fault: a repeated order is taken for another one.

Ruled out: the end of the grace time, 5 s away.

Fix: a SIGTERM during a stop is logged and changes nothing. SIGINT during a stop ends the process, as before.

The test of the second signal expected the end at SIGTERM, which cuts requests. It now expects that the request goes on after SIGTERM and the end at SIGINT, with the same exit code and the same checks of the lines.

--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -34,6 +34,7 @@
 UNKNOWN_PATH: Final = 'unknown-path'
 LISTENING: Final = 'listening'
 STOPPED: Final = 'stopped'
+STOP_REPEATED: Final = 'stop-repeated'
 LINES_LOST: Final = 'lines-lost'
 ITEM_REFUSED: Final = 'item-refused'
 RELOADED: Final = 'reloaded'
@@ -101,6 +102,10 @@
         ),
         LISTENING: ErrorText('The daemon accepts connections.', ''),
         STOPPED: ErrorText('The daemon has stopped.', ''),
+        STOP_REPEATED: ErrorText(
+            'A planned stop was asked for again; the one under way goes on.',
+            'To end the daemon at once, send SIGINT or SIGKILL.',
+        ),
         RELOADED: ErrorText('The changed settings were applied.', ''),
         RELOAD_FAILED: ErrorText(
             'The changed settings file is invalid; the previous one applies.',
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -22,6 +22,7 @@
 from briartack.error_texts import (
     BAD_OPTION,
     CANNOT_LISTEN,
+    STOP_REPEATED,
     get_error_text,
 )
 from briartack.integration import PlatformIntegration, load_integration
@@ -114,7 +115,7 @@
     )
     signals = _SignalHandler(daemon)
     gevent.signal_handler(signal.SIGTERM, signals.handle_stop)
-    gevent.signal_handler(signal.SIGINT, signals.handle_stop)
+    gevent.signal_handler(signal.SIGINT, signals.handle_interrupt)
     gevent.signal_handler(signal.SIGHUP, signals.handle_reload)
     # All objects created so far live as long as the process, so exclude them
     # from collections.
@@ -125,7 +126,7 @@
 
 
 class _SignalHandler:
-    """Handle signals: drain at the first stop signal, exit at the second."""
+    """Handle signals: drain at a stop signal, exit at an interrupt after it."""
 
     __slots__ = ('_daemon', '_is_stopping')
 
@@ -135,10 +136,17 @@
 
     def handle_stop(self) -> None:
         if self._is_stopping:
-            os._exit(EXIT_FAILED)
+            # The stop has its time limit; ending now would cut requests.
+            write_log(LogLevel.INFO, STOP_REPEATED, {})
+            return
         self._is_stopping = True
         self._daemon.request_stop()
 
+    def handle_interrupt(self) -> None:
+        if self._is_stopping:
+            os._exit(EXIT_FAILED)
+        self.handle_stop()
+
     def handle_reload(self) -> None:
         self._daemon.reload()
 
--- a/briartack/test/test_main.py
+++ b/briartack/test/test_main.py
@@ -39,7 +39,7 @@
     'Idempotency-Key': 'secret-key',
     'X-Secret': 'secret-header',
 }
-# Longer than the tests take, so that only a second signal ends the wait.
+# Longer than the tests take, so that only an interrupt ends the wait.
 HOUR_SECONDS: Final = 3600
 # Stands for the modules of the daemon and gets a signal while it is loaded.
 LAUNCH: Final = """
@@ -160,6 +160,11 @@
     return [record['kind'] for record in json_lines(path)]
 
 
+def log_codes(path: Path) -> list[str]:
+    """Return the code of each log line of a file."""
+    return [line.get('code', '') for line in json_lines(path)]
+
+
 class StartTest(unittest.TestCase):
     def test_every_invalid_setting_is_reported(self) -> None:
         """Guard against a start that reports only its first invalid setting."""
@@ -293,7 +298,10 @@
 
 
 class SignalTest(unittest.TestCase):
-    def test_second_signal_ends_at_once_and_lines_hide_requests(self) -> None:
+    # Guards against requests that a repeated SIGTERM cuts.
+    def test_interrupt_ends_a_stop_at_once_and_lines_hide_requests(
+        self,
+    ) -> None:
         """Guard against request data in the output, and wrong exit codes.
 
         One daemon refuses a call because of its home regions, the other
@@ -305,7 +313,7 @@
         )
         with Deployment(plan_with_home_region(), options) as deployment:
             self.call_both_regions(deployment)
-            self.stop_with_second_signal(deployment)
+            self.interrupt_stop(deployment)
             away = deployment.get_daemon_process(AWAY)
             away.send_signal(signal.SIGTERM)
             self.assertEqual(away.wait(LIMIT_SECONDS), 0)
@@ -324,8 +332,8 @@
             )
             self.assertEqual(answer.status, expected)
 
-    def stop_with_second_signal(self, deployment: Deployment) -> None:
-        """Send two signals while a request is at the upstream."""
+    def interrupt_stop(self, deployment: Deployment) -> None:
+        """Send three signals while a request is at the upstream."""
         deployment.control_upstream(
             HOME,
             'fault',
@@ -343,8 +351,13 @@
             lambda: 'stopping' in audit_kinds(home.stdout),
             'the planned stop began',
         )
-        self.assertTrue(home.is_running)
         home.send_signal(signal.SIGTERM)
+        wait_until(
+            lambda: 'stop-repeated' in log_codes(home.stderr),
+            'the second signal is handled',
+        )
+        self.assertEqual(deployment.status(HOME)['upstream']['in_flight'], 1)
+        home.send_signal(signal.SIGINT)
         self.assertEqual(home.wait(LIMIT_SECONDS), 1)
         caller.join()
 
