Accept names and numbers of any form from the platform

Cause: the product's own form of names and limits of numbers were applied to what the platform had accepted. Class of fault: a limit of one's own is applied to what another system has accepted.

Ruled out: prefix and host of the route.

Fix: the adapter translates each name into one that the product allows and brings numbers into the product's range. With the dialect of the platform the options allow any name; the own dialect is as strict as before.

--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -1,7 +1,7 @@
 """Types of the decoded values of the store: teams, platform, instances."""
 
 import enum
-from typing import Annotated, final
+from typing import Annotated, Final, final
 
 import msgspec
 from msgspec import Meta
@@ -12,7 +12,14 @@
     str,
     Meta(pattern=r'^([a-z][a-z0-9-]{0,62}/)?[a-z][a-z0-9-]{0,62}\Z'),
 ]
-PositiveInt = Annotated[int, Meta(ge=1, le=100_000)]
+MAX_COUNT: Final = 100_000
+MAX_MILLISECONDS: Final = 3_600_000
+MAX_RAMP_SECONDS: Final = 3600.0
+MAX_COLD_PER_SECOND: Final = 100_000.0
+MAX_ATTEMPTS: Final = 10
+MAX_RANK: Final = 1000
+MAX_WEIGHT: Final = 1_000_000.0
+PositiveInt = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
 
 
 class Setting(
@@ -40,11 +47,13 @@
     slots: PositiveInt
     connections: PositiveInt
     # Time in which the slow start grows from one slot to all slots.
-    ramp_seconds: Annotated[float, Meta(ge=0, le=3600)] = 10.0
+    ramp_seconds: Annotated[float, Meta(ge=0, le=MAX_RAMP_SECONDS)] = 10.0
     queue_length: Annotated[int, Meta(ge=0, le=10_000)] = 40
     # Requests per second sent to a cold upstream. If set, this rate replaces
     # the growing concurrency limit of the slow start.
-    cold_per_second: Annotated[float, Meta(gt=0, le=100_000)] | None = None
+    cold_per_second: (
+        Annotated[float, Meta(gt=0, le=MAX_COLD_PER_SECOND)] | None
+    ) = None
     health_path: Annotated[str, Meta(pattern='^/', max_length=1024)] = (
         '/healthz'
     )
@@ -54,15 +63,15 @@
 class Policy(Setting, frozen=True, kw_only=True):
     """Set the timeout, retries and priority of the calls of a route."""
 
-    timeout_ms: Annotated[int, Meta(ge=1, le=3_600_000)] = 1000
-    max_attempts: Annotated[int, Meta(ge=1, le=10)] = 2
+    timeout_ms: Annotated[int, Meta(ge=1, le=MAX_MILLISECONDS)] = 1000
+    max_attempts: Annotated[int, Meta(ge=1, le=MAX_ATTEMPTS)] = 2
     # Retries earned by calls, as a percentage of the number of calls.
     retry_percent: Annotated[int, Meta(ge=0, le=100)] = 10
     priority: Priority = Priority.INTERACTIVE
     # Position among the calls of the same priority; 0 is served first.
-    rank: Annotated[int, Meta(ge=0, le=1000)] = 0
+    rank: Annotated[int, Meta(ge=0, le=MAX_RANK)] = 0
     # Target latency; an answer after that time is worth less to the caller.
-    target_ms: Annotated[int, Meta(ge=1, le=3_600_000)] | None = None
+    target_ms: Annotated[int, Meta(ge=1, le=MAX_MILLISECONDS)] | None = None
     # Whether a request that may have run may be attempted again.
     repeatable: bool = False
 
@@ -80,7 +89,7 @@
     """Assign a weighted part of the calls of a route to a service."""
 
     service: Reference
-    weight: Annotated[float, Meta(ge=0, le=1_000_000)]
+    weight: Annotated[float, Meta(ge=0, le=MAX_WEIGHT)]
 
 
 @final
--- a/briartack/integration.py
+++ b/briartack/integration.py
@@ -17,6 +17,11 @@
 from briartack.native_dialects import create_native_dialects
 from briartack.options import OptionError, Options
 from briartack.platform.connect import create_platform_dialects
+from briartack.platform.names import (
+    encode_name,
+    qualify_service,
+    strip_team,
+)
 from briartack.platform.settings import SettingsError, decode_settings
 
 
@@ -28,6 +33,8 @@
     rules: CallRules
     store_rules: StoreRules
     drain_seconds: float
+    service: str  # as the list of instances names it
+    region: str
     settings_content: bytes = b''  # of the settings file, as it was read
 
 
@@ -43,6 +50,8 @@
             rules=rules,
             store_rules=DEFAULT_STORE_RULES,
             drain_seconds=options.drain_seconds,
+            service=options.service,
+            region=options.region,
         )
     try:
         if options.boot is None:
@@ -57,6 +66,8 @@
         rules=settings.rules,
         store_rules=settings.store_rules,
         drain_seconds=min(options.drain_seconds, settings.drain_seconds),
+        service=qualify_service(strip_team(options.service)),
+        region=encode_name(options.region),
         settings_content=content,
     )
 
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -56,9 +56,9 @@
     identity = Identity(
         instance=InstanceId(options.instance_id),
         incarnation=Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
-        service=options.service,
+        service=integration.service,
         data_centre=options.data_centre,
-        region=options.region,
+        region=integration.region,
     )
     output = LineWriter(_get_descriptor(sys.stdout))
     logs = output
--- a/briartack/options.py
+++ b/briartack/options.py
@@ -9,6 +9,7 @@
 import re
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Final, NoReturn, TypeAlias, final
 
@@ -21,6 +22,9 @@
 _SERVICE_PATTERN: Final = re.compile(
     '[a-z][a-z0-9-]{0,62}/[a-z][a-z0-9-]{0,62}'
 )
+# A platform chooses names of any form; its dialect translates them.
+_FOREIGN_NAME_PATTERN: Final = re.compile(r'\S{1,255}')
+_FOREIGN_SERVICE_PATTERN: Final = re.compile(r'[a-z][a-z0-9-]{0,62}/\S{1,255}')
 _MAX_SECONDS: Final = 3600
 _DIALECTS: Final = ('own', 'platform')
 _LOG_STREAMS: Final = ('stderr', 'stdout')
@@ -74,6 +78,7 @@
     fix: str
     default: str | None = None
     is_optional: bool = False
+    parse_foreign: _Parse | None = None  # with the dialect of a platform
 
     @property
     def flag(self) -> str:
@@ -108,12 +113,16 @@
     """
     flag_texts, errors = _parse_arguments(arguments)
     parsed: dict[str, object] = {}
+    texts = {
+        setting.name: _find_text(setting, flag_texts, environment)
+        for setting in _SETTINGS
+    }
+    is_foreign = texts['dialect'] == 'platform'
     for setting in _SETTINGS:
-        text = flag_texts.get(setting.name)
-        if text is None:
-            text = environment.get(setting.variable_name, setting.default)
         try:
-            parsed[setting.name] = _parse_setting(setting, text)
+            parsed[setting.name] = _parse_setting(
+                setting, texts[setting.name], is_foreign=is_foreign
+            )
         except OptionError as error:
             errors.append(error)
     errors.extend(_find_address_clashes(parsed))
@@ -148,13 +157,29 @@
     ]
 
 
-def _parse_setting(setting: _Setting, text: str | None) -> object:
+def _find_text(
+    setting: _Setting,
+    flag_texts: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> str | None:
+    text = flag_texts.get(setting.name)
+    if text is None:
+        return environment.get(setting.variable_name, setting.default)
+    return text
+
+
+def _parse_setting(
+    setting: _Setting, text: str | None, *, is_foreign: bool
+) -> object:
     if text is None:
         if setting.is_optional:
             return None
         raise setting.create_error('missing')
+    parse = setting.parse
+    if is_foreign and setting.parse_foreign is not None:
+        parse = setting.parse_foreign
     try:
-        return setting.parse(text)
+        return parse(text)
     except (ValueError, OSError) as error:
         raise setting.create_error(str(error)) from None
 
@@ -186,18 +211,26 @@
     return text
 
 
-def _parse_name(text: str) -> str:
-    if _NAME_PATTERN.fullmatch(text) is None:
+def _parse_name(text: str, pattern: re.Pattern[str] = _NAME_PATTERN) -> str:
+    if pattern.fullmatch(text) is None:
         raise ValueError(f'{text!r} is not a valid name')
     return text
 
 
-def _parse_service(text: str) -> str:
-    if _SERVICE_PATTERN.fullmatch(text) is None:
+def _parse_service(
+    text: str, pattern: re.Pattern[str] = _SERVICE_PATTERN
+) -> str:
+    if pattern.fullmatch(text) is None:
         raise ValueError(f'{text!r} is not of the form TEAM/NAME')
     return text
 
 
+_parse_foreign_name: Final = partial(_parse_name, pattern=_FOREIGN_NAME_PATTERN)
+_parse_foreign_service: Final = partial(
+    _parse_service, pattern=_FOREIGN_SERVICE_PATTERN
+)
+
+
 def _parse_seconds(text: str) -> float:
     try:
         seconds = float(text)
@@ -257,9 +290,17 @@
         name='service',
         parse=_parse_service,
         fix='Give TEAM/NAME, as the platform lists it for this instance.',
+        parse_foreign=_parse_foreign_service,
+    ),
+    *(
+        _Setting(
+            name=name,
+            parse=_parse_name,
+            fix=_NAME_FIX,
+            parse_foreign=_parse_foreign_name,
+        )
+        for name in ('data_centre', 'region')
     ),
-    _Setting(name='data_centre', parse=_parse_name, fix=_NAME_FIX),
-    _Setting(name='region', parse=_parse_name, fix=_NAME_FIX),
     *(
         _Setting(name=name, parse=parse_address, fix=_ADDRESS_FIX)
         for name in (
--- a/briartack/platform/configuration.py
+++ b/briartack/platform/configuration.py
@@ -5,12 +5,20 @@
 workspace, and the translated routes refer to these by name.
 """
 
+from collections import Counter
 from typing import Annotated, Final, TypeAlias, TypeVar, final
 
 import msgspec
 from msgspec import Meta
 
 from briartack.core.configuration.settings import (
+    MAX_ATTEMPTS,
+    MAX_COLD_PER_SECOND,
+    MAX_COUNT,
+    MAX_MILLISECONDS,
+    MAX_RAMP_SECONDS,
+    MAX_RANK,
+    MAX_WEIGHT,
     Policy,
     Route,
     ServiceLimits,
@@ -21,11 +29,12 @@
 from briartack.core.entries import TEAM_PREFIX, StatedOrder
 from briartack.core.json_decoding import decode_json
 from briartack.core.messages import MAX_INTEGER
-from briartack.platform.names import TEAM
+from briartack.platform.names import TEAM, encode_name
 
 CONFIG_KEY: Final = 'op/config'
 TEAM_KEY: Final = TEAM_PREFIX + TEAM
-_MAX_ATTEMPTS: Final = 10  # the product's limit for a policy
+# A cold upstream that takes no requests; the product has no rate of zero.
+_LOWEST_COLD_PER_SECOND: Final = 0.001
 
 _Spec = TypeVar('_Spec')
 _Milliseconds: TypeAlias = Annotated[float, Meta(gt=0)]
@@ -68,10 +77,11 @@
     timeout_ms: _Milliseconds
     target_latency_ms: _Milliseconds | None = None
     priority: Annotated[int, Meta(ge=0)] = 0  # 0 is the most urgent
-    service: str = ''
-    split: tuple[_Part, ...] = ()
+    service: str | None = None
+    split: tuple[_Part, ...] | None = None
     max_attempts: Annotated[int, Meta(ge=1)] = 1
-    home_regions: tuple[str, ...] = ()  # an empty list allows all regions
+    # An empty list allows all regions.
+    home_regions: tuple[str, ...] | None = None
 
 
 class _Service(msgspec.Struct, frozen=True, kw_only=True):
@@ -80,7 +90,7 @@
     health_path: str = '/health'
     max_conns: Annotated[int, Meta(ge=1)]  # over all callers together
     cold_start_s: Annotated[float, Meta(ge=0)] = 0
-    cold_per_s: Annotated[float, Meta(gt=0)] | None = None
+    cold_per_s: Annotated[float, Meta(ge=0)] | None = None
 
 
 _CONFIG_DECODER: Final = msgspec.json.Decoder(_Config)
@@ -106,12 +116,13 @@
     Holds the names given to the distinct policies and workspaces so far.
     """
 
-    __slots__ = ('_config', '_policies', '_workspaces')
+    __slots__ = ('_config', '_policies', '_workspaces', '_route_counts')
 
     def __init__(self, config: _Config) -> None:
         self._config = config
         self._policies: dict[Policy, str] = {}
         self._workspaces: dict[Workspace, str] = {}
+        self._route_counts: Counter[str] = Counter()
 
     def translate(self) -> TeamSettings:
         services: dict[str, ServiceLimits] = {}
@@ -119,7 +130,7 @@
         for resource in self._config.resources:
             name = resource.metadata.name
             if resource.resource_kind == 'services':
-                services[name] = _translate_service(
+                services[encode_name(name)] = _translate_service(
                     _decode_spec(resource, _SERVICE_DECODER)
                 )
             elif resource.resource_kind == 'routes':
@@ -139,34 +150,40 @@
 
     def _translate_route(self, name: str, spec: _Route) -> Route:
         policy = Policy(
-            timeout_ms=max(1, round(spec.timeout_ms)),
-            max_attempts=min(spec.max_attempts, _MAX_ATTEMPTS),
-            rank=spec.priority,
-            target_ms=_round_milliseconds(spec.target_latency_ms),
+            timeout_ms=_round_milliseconds(spec.timeout_ms),
+            max_attempts=min(spec.max_attempts, MAX_ATTEMPTS),
+            rank=min(spec.priority, MAX_RANK),
+            target_ms=_round_optional(spec.target_latency_ms),
             repeatable=spec.kind == 'idempotent',
         )
         policy_name = self._policies.setdefault(
             policy,
             f'p{len(self._policies)}',
         )
-        split = tuple(
-            Share(service=part.service, weight=part.weight)
-            for part in spec.split
-        )
+        split = _translate_split(spec.split or ())
+        service = encode_name(spec.service) if spec.service else ''
         return Route(
-            name=name,
+            name=self._register_route(name),
             path_prefix=spec.prefix,
             host=spec.host,
-            service=spec.service or _first_service(split),
+            service=service or _first_service(split),
             split=split,
             policy=policy_name,
-            workspace=self._register_workspace(spec.home_regions),
+            workspace=self._register_workspace(spec.home_regions or ()),
         )
 
+    def _register_route(self, name: str) -> str:
+        """Return a name that no route before has."""
+        self._route_counts[name] += 1
+        count = self._route_counts[name]
+        return encode_name(name if count == 1 else f'{name} {count}')
+
     def _register_workspace(self, homes: tuple[str, ...]) -> str | None:
         if not homes:
             return None
-        workspace = Workspace(home_regions=homes)
+        # Keeps the order and drops repeated names.
+        regions = dict.fromkeys(encode_name(region) for region in homes)
+        workspace = Workspace(home_regions=tuple(regions))
         return self._workspaces.setdefault(
             workspace,
             f'homes{len(self._workspaces)}',
@@ -179,21 +196,41 @@
     return decode_json(bytes(resource.spec), decoder)
 
 
-def _round_milliseconds(milliseconds: float | None) -> int | None:
-    return None if milliseconds is None else max(1, round(milliseconds))
+def _round_milliseconds(milliseconds: float) -> int:
+    return max(1, round(min(milliseconds, MAX_MILLISECONDS)))
+
+
+def _round_optional(milliseconds: float | None) -> int | None:
+    return None if milliseconds is None else _round_milliseconds(milliseconds)
+
+
+def _translate_split(parts: tuple[_Part, ...]) -> tuple[Share, ...]:
+    """Keep the proportions of weights above the product's limit."""
+    largest = max((part.weight for part in parts), default=0)
+    scale = MAX_WEIGHT / largest if largest > MAX_WEIGHT else 1
+    return tuple(
+        Share(service=encode_name(part.service), weight=part.weight * scale)
+        for part in parts
+    )
 
 
 def _translate_service(spec: _Service) -> ServiceLimits:
     return ServiceLimits(
         # A default, since the registry of servers states the slots of each
         # upstream.
-        slots=spec.max_conns,
-        connections=spec.max_conns,
-        ramp_seconds=spec.cold_start_s,
-        cold_per_second=spec.cold_per_s,
+        slots=min(spec.max_conns, MAX_COUNT),
+        connections=min(spec.max_conns, MAX_COUNT),
+        ramp_seconds=min(spec.cold_start_s, MAX_RAMP_SECONDS),
+        cold_per_second=_translate_rate(spec.cold_per_s),
         health_path=spec.health_path,
     )
 
 
+def _translate_rate(per_second: float | None) -> float | None:
+    if per_second is None:
+        return None
+    return min(max(per_second, _LOWEST_COLD_PER_SECOND), MAX_COLD_PER_SECOND)
+
+
 def _first_service(split: tuple[Share, ...]) -> str:
     return split[0].service if split else ''
--- a/briartack/platform/names.py
+++ b/briartack/platform/names.py
@@ -1,5 +1,7 @@
 """Define names of the platform that several modules use."""
 
+import hashlib
+import re
 from typing import Final
 
 # The team whose subtree holds the operators' configuration.
@@ -19,9 +21,31 @@
 COLD_MS: Final = 'X-Cold-Ms'
 
 
+_PRODUCT_NAME: Final = re.compile('[a-z][a-z0-9-]{0,62}')
+_FOREIGN_CHARACTERS: Final = re.compile('[^a-z0-9]+')
+# Begins the names that stand for names which the product does not allow.
+_ENCODED_PREFIX: Final = 'x--'
+_SHOWN_CHARACTERS: Final = 40
+_DIGEST_BYTES: Final = 8
+
+
+def encode_name(name: str) -> str:
+    """Return the product's name for a name of any form.
+
+    A name that the product allows stands for itself. Any other becomes a
+    readable part and a digest, so that two names never become one.
+    """
+    is_allowed = _PRODUCT_NAME.fullmatch(name) is not None
+    if is_allowed and not name.startswith(_ENCODED_PREFIX):
+        return name
+    readable = _FOREIGN_CHARACTERS.sub('-', name.lower())[:_SHOWN_CHARACTERS]
+    digest = hashlib.blake2b(name.encode(), digest_size=_DIGEST_BYTES)
+    return f'{_ENCODED_PREFIX}{readable}-{digest.hexdigest()}'
+
+
 def qualify_service(service: str) -> str:
     """Return the product's name of a service, with the team."""
-    return f'{TEAM}/{service}'
+    return f'{TEAM}/{encode_name(service)}'
 
 
 def strip_team(service: str) -> str:
--- a/briartack/platform/registry.py
+++ b/briartack/platform/registry.py
@@ -7,14 +7,17 @@
 from msgspec import Meta
 
 from briartack.addresses import format_address, parse_address
-from briartack.core.configuration.settings import InstanceRecord, InstanceState
+from briartack.core.configuration.settings import (
+    MAX_COUNT,
+    InstanceRecord,
+    InstanceState,
+)
 from briartack.core.entries import StatedOrder
 from briartack.core.json_decoding import decode_json
 from briartack.core.messages import MAX_INTEGER
-from briartack.platform.names import qualify_service
+from briartack.platform.names import encode_name, qualify_service
 
 SERVER_PREFIX: Final = 'servers/'
-_MAX_SLOTS: Final = 100_000  # the product's limit for the setting `slots`
 _INSTANCE_STATES: Final = {
     'ready': InstanceState.LIVE,
     'draining': InstanceState.LEAVING,
@@ -26,7 +29,7 @@
 
     service: Annotated[str, Meta(min_length=1)]
     zone: str
-    slots: Annotated[int, Meta(ge=1, le=_MAX_SLOTS)]
+    slots: Annotated[int, Meta(ge=1)]
 
 
 class _Status(msgspec.Struct, frozen=True, kw_only=True):
@@ -77,11 +80,11 @@
         record = InstanceRecord(
             service=qualify_service(server.info.service),
             data_centre=server.info.zone,
-            region=region,
+            region=encode_name(region),
             peer_address=format_address((host, self._peer_port)),
             state=state,
             instance=host,
-            slots=server.info.slots,
+            slots=min(server.info.slots, MAX_COUNT),
             started_ms=server.born,
         )
         return msgspec.json.encode(record).decode(), _find_order(server)
--- /dev/null
+++ b/briartack/test/test_platform_limits.py
@@ -0,0 +1,189 @@
+"""Test that a proper configuration is accepted, whatever its names and numbers.
+
+The platform's pages say nothing of the form of names, and set no limits to the
+numbers. The product's own limits must not refuse a version of the operators.
+"""
+
+import json
+import unittest
+from typing import Any, Final
+
+from nose2.tools import params
+
+from briartack.core.configuration.resolved_snapshot import ResolvedRoute
+from briartack.core.configuration.snapshot import ConfigurationState
+from briartack.options import Options, read_options
+from briartack.platform.names import encode_name, qualify_service
+from briartack.test.test_options import VALID_ENVIRONMENT
+from briartack.test.test_platform_store import (
+    DIALECT,
+    ROUTE,
+    SERVER,
+    SERVICE,
+    decode_single_entry,
+    item,
+)
+
+INFO: Final = {'service': 'huvo', 'zone': 'costa-gye', 'slots': 18}
+NAMES: Final = (
+    'tariff',
+    'tariff_v2',
+    'Tariff',
+    '2tariff',
+    'tariff.v2',
+    'tariff-',
+    'x' * 80,
+    'x' * 300,
+    'x--tariff',
+    'preço',
+    '料金',
+    'a b',
+    'a/b',
+    '..',
+    '-',
+    '%2e',
+)
+
+
+def resource(kind: str, name: str, spec: dict[str, Any]) -> dict[str, Any]:
+    """Return one resource of the operators' configuration."""
+    return {
+        'resource_kind': kind,
+        'metadata': {'name': name},
+        'spec': spec,
+    }
+
+
+def accept(*resources: dict[str, Any]) -> tuple[ResolvedRoute, ...]:
+    """Return the routes in force after a version; fail if it is refused."""
+    snapshots = ConfigurationState()
+    value = {'version': 7, 'resources': list(resources)}
+    change = snapshots.apply((decode_single_entry(item('op/config', value)),))
+    assert not change.refused, change.refused
+    assert snapshots.snapshot is not None
+    return snapshots.snapshot.routes
+
+
+class NameTest(unittest.TestCase):
+    # Guards against a version that is refused whole for the form of a name.
+    @params(*NAMES)
+    def test_name_of_any_form_is_accepted(self, name: str) -> None:
+        routes = accept(
+            resource('services', name, SERVICE),
+            resource(
+                'routes',
+                name,
+                {**ROUTE, 'service': name, 'home_regions': [name, name]},
+            ),
+        )
+        self.assertEqual(routes[0].service, qualify_service(name))
+        self.assertEqual(routes[0].home_regions, {encode_name(name)})
+
+    # Guards against requests for one service that another one runs.
+    def test_names_stay_apart(self) -> None:
+        encoded = {encode_name(name) for name in NAMES}
+        self.assertEqual(len(encoded), len(NAMES))
+        # Another route may have the name that stands for one of these.
+        stand_in = encode_name('Tariff')
+        self.assertNotEqual(encode_name(stand_in), stand_in)
+
+    # Guards against a version that is refused for a repeated label.
+    def test_routes_of_one_name_are_accepted(self) -> None:
+        routes = accept(
+            resource('services', 'huvo', SERVICE),
+            resource('routes', 'same', ROUTE),
+            resource('routes', 'same', {**ROUTE, 'prefix': '/b/'}),
+        )
+        self.assertEqual(len(routes), 2)
+
+    # Guards against a service whose upstreams are not found by its name.
+    @params(*NAMES)
+    def test_registration_names_the_same_service(self, name: str) -> None:
+        info = {**INFO, 'service': name}
+        entry = decode_single_entry(
+            item('servers/i-1', {**SERVER, 'info': info})
+        )
+        record = json.loads(entry.value or '')
+        self.assertEqual(record['service'], qualify_service(name))
+
+    # Guards against a daemon that does not start for the form of a name.
+    @params('Saldo_1', '2saldo', 'saldo.v2', 'x' * 80, 'preço', 'a/b')
+    def test_daemon_starts_with_names_of_any_form(self, name: str) -> None:
+        options = self.read(name, 'platform')
+        self.assertEqual(options.service, f'op/{name}')
+        self.assertEqual((options.data_centre, options.region), (name, name))
+        with self.assertRaises(ExceptionGroup):
+            self.read(name, 'own')
+
+    def read(self, name: str, dialect: str) -> Options:
+        """Return the options of a daemon whose names are all the same."""
+        flags = [
+            *('--service', f'op/{name}', '--data-centre', name),
+            *('--region', name, '--dialect', dialect),
+        ]
+        return read_options(flags, VALID_ENVIRONMENT)
+
+
+class NumberTest(unittest.TestCase):
+    # Guards against a version that is refused for a number of a route.
+    @params(
+        {'timeout_ms': 0.2},
+        {'timeout_ms': 10_000_000},
+        {'timeout_ms': 1e300},
+        {'target_latency_ms': 10_000_000},
+        {'target_latency_ms': None},
+        {'priority': 5000},
+        {'max_attempts': 1000},
+        {'split': None},
+        {'service': None, 'split': [{'service': 'huvo', 'weight': 1e12}]},
+        {'service': '', 'split': [{'service': 'huvo', 'weight': 1e-9}]},
+        {'home_regions': None},
+    )
+    def test_number_of_a_route_is_accepted(
+        self, fields: dict[str, Any]
+    ) -> None:
+        routes = accept(
+            resource('services', 'huvo', SERVICE),
+            resource('routes', 'r', {**ROUTE, **fields}),
+        )
+        self.assertEqual(routes[0].service, 'op/huvo')
+
+    # Guards against a version that is refused for a number of a service.
+    @params(
+        {'max_conns': 1_000_000},
+        {'cold_start_s': 100_000},
+        {'cold_per_s': 0},
+        {'cold_per_s': 1e9},
+        {'cold_per_s': None},
+    )
+    def test_number_of_a_service_is_accepted(
+        self, fields: dict[str, Any]
+    ) -> None:
+        routes = accept(
+            resource('services', 'huvo', {**SERVICE, **fields}),
+            resource('routes', 'r', ROUTE),
+        )
+        self.assertEqual(routes[0].service, 'op/huvo')
+
+    # Guards against shares that change when large weights are limited.
+    def test_large_weights_keep_their_proportion(self) -> None:
+        parts = [{'service': 'huvo', 'weight': weight} for weight in (3e9, 1e9)]
+        routes = accept(
+            resource('services', 'huvo', SERVICE),
+            resource('routes', 'r', {**ROUTE, 'split': parts}),
+        )
+        weights = [share.weight for share in routes[0].shares]
+        self.assertAlmostEqual(weights[0] / weights[1], 3)
+
+    # Guards against an upstream that is left out for its size.
+    def test_many_slots_are_accepted(self) -> None:
+        info = {**INFO, 'slots': 10_000_000}
+        page = DIALECT.decode_read_page(
+            json.dumps(
+                {
+                    'items': [item('servers/i-1', {**SERVER, 'info': info})],
+                    'as_of': 9,
+                }
+            ).encode()
+        )
+        self.assertEqual(page.refused, ())
--- a/briartack/test/test_platform_site.py
+++ b/briartack/test/test_platform_site.py
@@ -108,12 +108,11 @@
             reply = self.request_from('east-1', '/home/')
             self.assertEqual((reply.status, reply.body), (200, b'i-5 '))
 
-    def test_new_configuration_is_in_force_everywhere(self) -> None:
-        """Guard against a daemon that misses a change."""
+    @params('new', 'Tariff_v2', '2tariff', 'tariff.v2', 'x' * 80)
+    def test_new_configuration_is_in_force_everywhere(self, name: str) -> None:
+        """Guard against a daemon that misses a change, and a refused name."""
         self.addCleanup(self.publish_routes, *DEFAULT_ROUTES)
-        self.publish_routes(
-            *DEFAULT_ROUTES, build_route('new', '/new/', 'buys')
-        )
+        self.publish_routes(*DEFAULT_ROUTES, build_route(name, '/new/', 'buys'))
         self.assertTrue(self.is_served_everywhere('/new/'))
 
     def test_evacuated_zone_gets_no_requests(self) -> None:
