Ignore a cold time that is not finite

An upstream that answers a probe with X-Cold-Ms: inf or 1e400 counted as cold without end: at its limited rate for as long as its owner ran, if no later answer took that back.

Two rows of test_probe_reports_health_load_and_cold_time failed before.

--- a/briartack/platform/upstream.py
+++ b/briartack/platform/upstream.py
@@ -191,7 +191,8 @@
 
 def _parse_cold_seconds(milliseconds: str) -> float:
     try:
-        return max(0.0, float(milliseconds) / MILLISECONDS_PER_SECOND)
+        seconds = float(milliseconds) / MILLISECONDS_PER_SECOND
     except ValueError:
         # A warm upstream does not send the header.
         return 0.0
+    return max(0.0, seconds) if math.isfinite(seconds) else 0.0
--- a/briartack/test/test_platform_calls.py
+++ b/briartack/test/test_platform_calls.py
@@ -238,6 +238,10 @@
     @params(
         ('200 OK', 'X-Server-Load: 3,6,18\r\n', True, None, 0),
         ('200 OK', 'X-Cold-Ms: 1500\r\n', True, None, 1.5),
+        # An upstream that says no finite time must not stay cold for good.
+        ('200 OK', 'X-Cold-Ms: inf\r\n', True, None, 0),
+        ('200 OK', 'X-Cold-Ms: 1e400\r\n', True, None, 0),
+        ('200 OK', 'X-Cold-Ms: nan\r\n', True, None, 0),
         ('503 Draining', 'X-Server-Load: ?\r\n', False, None, 0),
     )
     def test_probe_reports_health_load_and_cold_time(
