Count a body towards the shared limit only as far as it is held

A body above its own limit, and its skipped rest, lowered the count of all bodies by more than they had added, so the limit of all bodies grew with each such answer. Found by reading the change; nothing had run on it yet.

--- a/briartack/http_response.py
+++ b/briartack/http_response.py
@@ -47,7 +47,8 @@
         super().__init__(method=method)
         self.has_sent_bytes = False  # part of the request has been sent
         self._body_parts: list[bytes] = []
-        self._body_bytes = 0
+        self._body_bytes = 0  # of the present response
+        self._held_bytes = 0  # of its body
         self._fed_bytes = 0  # of all responses, with their heads
         self._fed_body_bytes = 0  # of all responses
         self._max_body_bytes = max_body_bytes
@@ -82,7 +83,7 @@
     @property
     def held_bytes(self) -> int:
         """Return the size of the part of the body that is held."""
-        return 0 if self._is_dropped else self._body_bytes
+        return self._held_bytes
 
     @property
     def is_open_ended(self) -> bool:
@@ -107,7 +108,7 @@
     def drop_body(self) -> None:
         """Give up the body, which counts as too large from now on."""
         self._is_dropped = True
-        self._body_parts.clear()
+        self._clear_body()
 
     def release_budget(self) -> None:
         """Stop counting the body towards the limit of several responses."""
@@ -123,7 +124,7 @@
         if self._is_whole:
             raise HTTPProtocolViolationError('bytes follow the response')
         self.release_budget()
-        self._body_parts.clear()
+        self._clear_body()
         self._body_bytes = 0
         super()._on_message_begin()
 
@@ -142,5 +143,10 @@
         if self._is_dropped or self._body_bytes > self._max_body_bytes:
             return
         self._body_parts.append(bytes(buf))
+        self._held_bytes += len(buf)
         if self._budget is not None:
             self._budget.admit(self, len(buf))
+
+    def _clear_body(self) -> None:
+        self._body_parts.clear()
+        self._held_bytes = 0
--- a/briartack/test/test_endless_input.py
+++ b/briartack/test/test_endless_input.py
@@ -210,6 +210,35 @@
         for greenlet in greenlets:
             self.assertIsInstance(greenlet.exception, ExchangeError)
 
+    # Guards against a limit that grows with each body above its own limit.
+    def test_oversized_body_is_counted_once(self) -> None:
+        budget = BodyBudget(max_bytes=1000)
+        answer = CollectedResponse(
+            method='GET', max_body_bytes=100, budget=budget
+        )
+        answer.feed(b'%bContent-Length: 400\r\n\r\n' % OK)
+        for _ in range(4):
+            answer.feed(b'a' * 90)
+        self.assertTrue(answer.is_oversize)
+        self.assertEqual(budget.held_bytes, 90)
+        answer.release_budget()
+        self.assertEqual(budget.held_bytes, 0)
+
+    # Guards against the body of a skipped answer that stays counted.
+    def test_skipped_body_is_not_counted(self) -> None:
+        budget = BodyBudget(max_bytes=1000)
+        response = CollectedResponse(
+            method='GET',
+            max_body_bytes=100,
+            request_id='own',
+            identify_response=lambda head: head.get_single_value('X-Id'),
+            budget=budget,
+        )
+        response.feed(FOREIGN * 3)
+        self.assertEqual(budget.held_bytes, 2)
+        response.feed(b'%bX-Id: own\r\nContent-Length: 3\r\n\r\nyes' % OK)
+        self.assertEqual((budget.held_bytes, response.body), (3, b'yes'))
+
 
 class EndlessSenderTest(unittest.TestCase):
     """Test that peers and callers that never pause do not stop the others."""
