Write one line for all malformed entries of a message

A peer that sends a message full of them would fill the log: one line each, with up to 20 MB of entries in a message. Found by reading the change.

--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -274,11 +274,17 @@
         )
 
     def _report_refused(self, peer: InstanceId, stream: PeerStream) -> None:
-        for reason in stream.take_refused():
-            self._observer.count('peers.entries_refused')
-            self._observer.log(
-                LogLevel.WARNING, ENTRY_REFUSED, peer=peer, reason=reason
-            )
+        refused = stream.take_refused()
+        if not refused:
+            return
+        self._observer.count('peers.entries_refused')
+        self._observer.log(
+            LogLevel.WARNING,
+            ENTRY_REFUSED,
+            peer=peer,
+            entries=str(len(refused)),
+            reason=refused[0],
+        )
 
     def _log_malformed(
         self,
