--- a/briartack/test/test_platform_site.py
+++ b/briartack/test/test_platform_site.py
@@ -25,6 +25,11 @@
 )
 
 WAIT_SECONDS = 20.0
+NESTED = b'[' * 2000 + b']' * 2000
+ODD_SERVER = (
+    b'{"address": "%b", "born": 1, "info": {"service": "another", "zone": '
+    b'"east-1", "slots": 4}, "status": {"state": "ready", "sequence": %b}}'
+)
 MEMORY_MB = 150.0  # the smallest limit of the platform's deployments
 
 
@@ -79,6 +84,18 @@
         configuration = build_configuration(*routes, version=self.version)
         self.site.store.put('op/config', configuration)
 
+    def count_failures(self) -> int:
+        """Return how often the daemons logged a failure of their own."""
+        logs = [
+            machine.daemon.stdout.read_text('utf-8')
+            for machine in self.site.machines
+        ]
+        return sum(
+            log.count(sign)
+            for log in logs
+            for sign in ('malformed-frame', 'Traceback')
+        )
+
     def is_served_everywhere(self, path: str) -> bool:
         """Return whether all machines serve a path within the wait."""
         return becomes_true(
@@ -219,6 +236,25 @@
             ),
         )
 
+    # Guards against an entry of another writer that stops all changes, or
+    # closes the streams between daemons.
+    @params(
+        b'{"labels": %b}' % NESTED,
+        b'{"status": {"state": %b}}' % NESTED,
+        ODD_SERVER % (b'127.0.9.9:80', b'true'),
+        ODD_SERVER % (b'127.0.9.9:80', b'1e400'),
+        ODD_SERVER % (b'127.0.9.9:70000', b'1'),
+        b'\xff',
+    )
+    def test_odd_registration_hides_no_change(self, value: bytes) -> None:
+        self.addCleanup(self.publish_routes, *DEFAULT_ROUTES)
+        self.addCleanup(self.site.store.delete, 'servers/odd')
+        before = self.count_failures()
+        self.site.store.put('servers/odd', value)
+        self.publish_routes(*DEFAULT_ROUTES, build_route('n', '/n/', 'buys'))
+        self.assertTrue(self.is_served_everywhere('/n/'))
+        self.assertEqual(self.count_failures(), before)
+
     # Guards against changes that are in force nowhere after the store came back
     # from a copy and gives revisions out again, and against the copy in force.
     def test_changes_are_in_force_after_the_store_was_restored(self) -> None:
