Let others run between the messages of one read

Traced: a turn was counted for each read of up to 256 KiB, and a read may hold 37,000 messages of seven bytes.

A stream that is closed meanwhile yields no more messages.

Two new cases failed before; they need no time.

--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -86,7 +86,7 @@
             self._sock.settimeout(seconds)
 
     def read_messages(self) -> Iterator[PeerMessage]:
-        """Yield messages until the peer ends the stream.
+        """Yield messages until the peer ends or this side closes the stream.
 
         Raises MalformedFrameError and OSError.
         """
@@ -95,8 +95,12 @@
             received = self._sock.recv(_MAX_RECEIVE_BYTES)
             if not received:
                 return
-            yield from self._frame_reader.feed(received)
-            turn.count_read(len(received))
+            for message in self._frame_reader.feed(received):
+                yield message
+                # One read may hold thousands of messages.
+                turn.count_read(self.last_frame_bytes)
+                if self._is_closed:
+                    return
 
     def flush(self) -> None:
         """Write what the socket accepts now and the rest in a greenlet."""
--- a/briartack/test/test_endless_input.py
+++ b/briartack/test/test_endless_input.py
@@ -10,6 +10,7 @@
 import unittest
 from collections import deque
 from typing import Any, Final
+from unittest import mock
 
 import gevent
 from nose2.tools import params
@@ -250,6 +251,21 @@
         sock = socket.create_connection(address)
         threading.Thread(target=sender.send, args=(sock,), daemon=True).start()
 
+    def open_stream(self) -> tuple[PeerStream, Any]:
+        """Return a stream and the socket of the peer."""
+        listener = socket.create_server((LOCAL_HOST, 0))
+        peer = socket.create_connection(listener.getsockname())
+        self.addCleanup(peer.close)
+        sock = gevent.socket.socket(fileno=listener.accept()[0].detach())
+        listener.close()
+        stream = PeerStream(
+            sock=sock,
+            is_outgoing=False,
+            traffic=PeerTraffic(CountingObserver()),
+        )
+        self.addCleanup(stream.close)
+        return stream, peer
+
     # Guards against a caller whose rejected request never ends.
     def test_endless_request_leaves_others_their_turn(self) -> None:
         shell = ShellFixture()
@@ -260,6 +276,26 @@
         gevent.sleep(READ_SECONDS)
         self.assertLess(turns.stop(), MAX_WAIT_SECONDS)
 
+    # Guards against thousands of messages of one read that are one turn.
+    def test_messages_of_one_read_are_many_turns(self) -> None:
+        stream, right = self.open_stream()
+        right.sendall(b'\x92\xa4pull\x01' * 1000)
+        right.shutdown(socket.SHUT_WR)
+        turns: list[int] = []
+        with mock.patch.object(gevent, 'sleep', turns.append):
+            self.assertEqual(len(list(stream.read_messages())), 1000)
+        self.assertGreater(len(turns), 20)
+
+    # Guards against messages of a stream that was closed meanwhile.
+    def test_closed_stream_yields_no_more_messages(self) -> None:
+        stream, right = self.open_stream()
+        right.sendall(b'\x92\xa4pull\x01' * 3)
+        seen = []
+        for message in stream.read_messages():
+            seen.append(message)
+            stream.close()
+        self.assertEqual(len(seen), 1)
+
     # Guards against a peer that sends messages faster than they are decoded.
     def test_endless_messages_leave_others_their_turn(self) -> None:
         sender = EndlessSender(b'', b'\x92\xa4pull\x01')
