Log who holds, announces and misses a version

- `call-refused` names the revision in force.
- `configuration-announced` names the source of a new version and the peers that hear of it.
- `configuration-lags` warns once when a peer has held a newer version for 1.5 s, with the tries so far and the pull in flight.
- `peer-unreachable` is a failed dial; `peer-lost` is the end of a stream.
The reason comes before the peer, so that a line that is cut short keeps it.

--- a/briartack/core/calls/call_logs.py
+++ b/briartack/core/calls/call_logs.py
@@ -33,15 +33,18 @@
 _LOCAL_VALUE: Final = 'local'
 
 
-def log_call_refused(event: CallArrived, reason: str) -> WriteLog:
+def log_call_refused(
+    context: CallContext, event: CallArrived, reason: str
+) -> WriteLog:
     """Log that a call was refused before any attempt, and the reason."""
     return _build_line(
         CALL_REFUSED,
         request=event.request_id,
         call=event.call_id,
+        reason=reason,
+        configuration=_format_revision(context),
         method=event.method,
         host=event.host,
-        reason=reason,
     )
 
 
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -118,7 +118,7 @@
         """Handle a new call: refuse it, send it or read its body."""
         call = route_call(context, event, self._routing)
         if isinstance(call, AnswerCall):
-            return [call, log_call_refused(event, call.reason)]
+            return [call, log_call_refused(context, event, call.reason)]
         self._inherit_run_rank(call)
         self._table.add(call)
         self._streams.record_call(call.share.service, event.now)
--- a/briartack/core/dissemination/announcer.py
+++ b/briartack/core/dissemination/announcer.py
@@ -5,14 +5,20 @@
 """
 
 import math
-from collections.abc import Container, Iterable
+from collections.abc import Collection, Container, Iterable
 from typing import Final, final
 
 from briartack.core.dissemination.holdings import Holdings
 from briartack.core.dissemination.leaving_upstreams import UpstreamStart
-from briartack.core.effects import Effects, SendMessage
+from briartack.core.effects import Effects, LogLevel, SendMessage, WriteLog
 from briartack.core.messages import Summary
-from briartack.core.units import NO_INSTANCE, Incarnation, InstanceId
+from briartack.core.units import (
+    NO_INSTANCE,
+    Digest,
+    Incarnation,
+    InstanceId,
+    format_revision,
+)
 
 HEARTBEAT_INTERVAL_SECONDS: Final = 1.0
 REMOTE_HEARTBEAT_INTERVAL_SECONDS: Final = 2.0
@@ -25,6 +31,7 @@
 # Both ends of a new stream send a summary at once, so a reply to the first
 # summary of a peer would only repeat it.
 SUMMARY_REPLY_INTERVAL_SECONDS: Final = 0.5
+CONFIGURATION_ANNOUNCED: Final = 'configuration-announced'
 
 
 @final
@@ -44,6 +51,7 @@
         '_watcher',
         '_store_answer_seconds',
         '_leaving_upstream',
+        '_announced_digest',
     )
 
     def __init__(self, *, incarnation: Incarnation) -> None:
@@ -54,6 +62,7 @@
         self._watcher = NO_INSTANCE
         self._store_answer_seconds: float | None = None
         self._leaving_upstream: UpstreamStart | None = None
+        self._announced_digest = Digest(b'')
 
     def remove_peer(self, peer: InstanceId) -> None:
         """Remove the send times of a peer whose stream is down."""
@@ -82,6 +91,28 @@
         """Report in all later summaries that the local upstream leaves."""
         self._leaving_upstream = upstream
 
+    def report_announcement(
+        self, peers: Collection[InstanceId], holdings: Holdings, source: str
+    ) -> Effects:
+        """Log to which peers a changed configuration is announced."""
+        digest = holdings.configuration_digest
+        if digest == self._announced_digest:
+            return []
+        self._announced_digest = digest
+        held = holdings.highest_revisions.configuration
+        fields = (
+            ('configuration', format_revision(held)),
+            ('source', source),
+            ('peers', ' '.join(peers)),
+        )
+        return [
+            WriteLog(
+                level=LogLevel.INFO,
+                code=CONFIGURATION_ANNOUNCED,
+                fields=fields,
+            ),
+        ]
+
     def send_summaries(
         self,
         now: float,
--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -51,6 +51,7 @@
 from briartack.core.units import InstanceId, Revision
 
 EntrySource: TypeAlias = InstanceId | None  # `None`: the store
+STORE_SOURCE: Final = 'store'
 # Slightly less than the 0.1 s between two regular ticks of the shell, so that
 # each regular tick runs the periodic work.
 PERIODIC_WORK_INTERVAL_SECONDS: Final = 0.08
@@ -285,6 +286,11 @@
             if peer != source
             and not has_announced_same_entries(state, peer, holdings)
         ]
+        effects.extend(
+            state.announcer.report_announcement(
+                outdated, holdings, source or STORE_SOURCE
+            ),
+        )
         effects.extend(
             state.announcer.send_summaries(
                 now,
--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -56,6 +56,7 @@
 MAX_ENTRIES_BYTES: Final = 4_000_000
 ENTRY_OVERHEAD_BYTES: Final = 64
 ENTRIES_DIFFER: Final = 'entries-differ'
+CONFIGURATION_LAGS: Final = 'configuration-lags'
 
 
 @final
@@ -177,9 +178,11 @@
     ) -> Effects:
         """Pull from a peer that is ahead, and send inventories to find gaps."""
         self._remote_delay_seconds = remote_delay_seconds
-        for view in self._views.values():
-            view.record_differences(now, holdings)
         effects = self._expire_pull(now)
+        for name, view in self._views.items():
+            view.record_differences(now, holdings)
+            if view.detect_lag(now):
+                effects.append(self._report_lag(now, name, holdings))
         if self._pull is None:
             effects.extend(self._pull_next(now, holdings))
         for peer in self._views:
@@ -187,6 +190,24 @@
                 effects.extend(self._check_gap(now, peer, holdings))
         return effects
 
+    def _report_lag(
+        self, now: float, peer: InstanceId, holdings: Holdings
+    ) -> WriteLog:
+        view = self._views[peer]
+        held = holdings.highest_revisions.configuration
+        offered = view.summary.highest_revisions.configuration
+        fields = (
+            ('peer', peer),
+            ('offered', format_revision(offered)),
+            ('configuration', format_revision(held)),
+            ('tries', str(view.try_count)),
+            ('pulls_from', self.pulled_peer or ''),
+            ('delayed', str(view.is_retry_delayed(now, holdings))),
+        )
+        return WriteLog(
+            level=LogLevel.WARNING, code=CONFIGURATION_LAGS, fields=fields
+        )
+
     def _expire_pull(self, now: float) -> Effects:
         pull = self._pull
         if pull is None or now - pull.sent_at < PULL_TIMEOUT_SECONDS:
--- a/briartack/core/dissemination/peer_views.py
+++ b/briartack/core/dissemination/peer_views.py
@@ -10,6 +10,8 @@
 
 INITIAL_RETRY_DELAY_SECONDS: Final = 2.0
 MAX_RETRY_DELAY_SECONDS: Final = 30.0
+# Longer than a pull from another region takes, delay included.
+CONFIGURATION_LAG_SECONDS: Final = 1.5
 
 Fingerprint: TypeAlias = tuple[HighestRevisions, Digest, Digest]
 
@@ -50,9 +52,16 @@
     """Return whether a pull from the peer is likely to return entries."""
     theirs = summary.highest_revisions
     held = holdings.highest_revisions
+    return theirs.instances > held.instances or has_newer_configuration(
+        summary, holdings
+    )
+
+
+def has_newer_configuration(summary: Summary, holdings: Holdings) -> bool:
+    """Return whether a peer holds a configuration that is missing here."""
+    theirs = summary.highest_revisions.configuration
     return (
-        theirs.configuration > held.configuration
-        or theirs.instances > held.instances
+        theirs > holdings.highest_revisions.configuration
         or lacks_configuration(summary, holdings)
     )
 
@@ -80,13 +89,16 @@
 
     A try is a pull or an inventory. `tried_states` are the fingerprints of the
     peer and of this daemon at the last try, `try_count` is the number of tries
-    with these states.
+    with these states. `outdated_since` is the time since which the peer has
+    held a newer configuration than this daemon.
     """
 
     summary: Summary
     last_seen_at: float
     is_remote: bool
     ahead_since: float | None = None
+    outdated_since: float | None = None
+    is_lag_reported: bool = False
     differs_since: float | None = None
     tried_states: tuple[Fingerprint, Fingerprint] | None = None
     try_count: int = 0
@@ -99,11 +111,24 @@
             self.ahead_since = None
         elif self.ahead_since is None:
             self.ahead_since = now
+        if not has_newer_configuration(self.summary, holdings):
+            self.outdated_since = None
+            self.is_lag_reported = False
+        elif self.outdated_since is None:
+            self.outdated_since = now
         if has_same_entries(self.summary, holdings):
             self.differs_since = None
         elif self.differs_since is None:
             self.differs_since = now
 
+    def detect_lag(self, now: float) -> bool:
+        """Return whether the configuration has just become overdue here."""
+        since = self.outdated_since
+        if self.is_lag_reported or since is None:
+            return False
+        self.is_lag_reported = now - since >= CONFIGURATION_LAG_SECONDS
+        return self.is_lag_reported
+
     def record_try(self, holdings: Holdings) -> int:
         """Record a try and return the number of tries with the same states."""
         states = (fingerprint(self.summary), fingerprint(holdings))
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -9,6 +9,7 @@
 from briartack.core.audit_trail import AuditFields
 from briartack.core.configuration.snapshot import Snapshot, SnapshotChange
 from briartack.core.dissemination import dissemination
+from briartack.core.dissemination.dissemination import STORE_SOURCE
 from briartack.core.effects import (
     Count,
     Effects,
@@ -20,7 +21,6 @@
 from briartack.core.state import State
 from briartack.core.units import format_revision
 
-STORE_SOURCE: Final = 'store'
 MAX_LOGGED_RECORDS: Final = 10
 
 
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -51,6 +51,8 @@
 # The `held` record is repeated at this interval, so that a lost audit line is
 # noticed after at most this time.
 AUDIT_REPEAT_SECONDS: Final = 10.0
+PEER_LOST: Final = 'peer-lost'
+PEER_UNREACHABLE: Final = 'peer-unreachable'
 
 _Handler: TypeAlias = Callable[[State, Any], Effects]
 _UpstreamEvent: TypeAlias = UpstreamAnswered | UpstreamFailed | UpstreamProbed
@@ -175,9 +177,11 @@
 
 
 def _on_peer_disconnected(state: State, event: PeerDisconnected) -> Effects:
-    fields = (('peer', event.peer), ('reason', event.reason))
+    fields = (('reason', event.reason), ('peer', event.peer))
+    was_linked = state.dissemination.links.is_linked(event.peer)
+    code = PEER_LOST if was_linked else PEER_UNREACHABLE
     return [
-        WriteLog(level=LogLevel.INFO, code='peer-lost', fields=fields),
+        WriteLog(level=LogLevel.INFO, code=code, fields=fields),
         *dissemination.on_peer_disconnected(
             state.dissemination,
             event,
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -275,10 +275,18 @@
         'store-history-gone': ErrorText(
             'The store has dropped its history; all keys are read again.', ''
         ),
+        'configuration-announced': ErrorText(
+            'A changed configuration is announced to peers.', ''
+        ),
+        'configuration-lags': ErrorText(
+            'A peer holds a newer configuration that has not arrived here.',
+            'Check the link to the peer if this lasts.',
+        ),
         'entries-differ': ErrorText(
             'A peer with the same highest revision holds other entries.', ''
         ),
         'peer-lost': ErrorText('The stream to a peer ended.', ''),
+        'peer-unreachable': ErrorText('A peer could not be dialled.', ''),
         'peer-back': ErrorText('A stream to a peer is open.', ''),
         'instances-changed': ErrorText(
             'The list of live instances has changed.', ''
--- a/briartack/test/test_docs.py
+++ b/briartack/test/test_docs.py
@@ -88,7 +88,8 @@
             *find_names_in_code(
                 re.compile(
                     '(?:FELL|SUSPECTED|STORE_LOST|STORE_BACK|DUTY_CHANGED|'
-                    'WATCH_ANSWERED|HISTORY_GONE|ENTRIES_DIFFER|ERA_CHANGED)'
+                    'WATCH_ANSWERED|HISTORY_GONE|ENTRIES_DIFFER|ERA_CHANGED|'
+                    'ANNOUNCED|LAGS|PEER_LOST|PEER_UNREACHABLE)'
                     ": Final = '(.+)'"
                 )
             ),
