Keep the version in force while a refused one stands in the store

What callers saw: 404 on every route. A version of the configuration that the adapter refuses (no JSON, no base64, a missing field) was left out of the answer of a full read, and a key that a full read lacks counts as deleted. So any full read (start of a watch, silent watch, dropped history, restored store) withdrew the version that was in force, and peers got the deletion.

Ruled out: the watch, which ignores refused items; refusals inside the core, which are remembered by revision.

A read now states the keys whose values were refused, and no deletion is inferred for them. The same goes for entries that peers could not decode. A malformed registration still counts as deleted, since it names no upstream.

--- a/briartack/core/configuration/snapshot.py
+++ b/briartack/core/configuration/snapshot.py
@@ -4,7 +4,7 @@
 peers request, and keeps the immutable snapshot of the effective configuration.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import final
 
 from briartack.core.configuration.accepted_configuration import (
@@ -185,16 +185,19 @@
         prefix: str,
         revision: Revision,
         entries: Iterable[Entry],
+        unusable_keys: Iterable[str] = (),
     ) -> SnapshotChange:
         """Apply all entries of the store under a prefix at a revision.
 
-        A held key that the read lacks was deleted. No deletion is inferred
-        if the read is older than the highest revision seen before.
+        A held key that the read lacks was deleted; a key whose value was
+        refused is in the store. No deletion is inferred if the read is older
+        than the highest revision seen before.
         """
         present = tuple(entries)
         deletions: tuple[Entry, ...] = ()
         if revision >= self._highest_seen:
-            deletions = self._infer_deletions(prefix, revision, present)
+            listed = {*unusable_keys, *(entry.key for entry in present)}
+            deletions = self._infer_deletions(prefix, revision, listed)
         self._highest_seen = max(self._highest_seen, revision)
         return self.apply((*present, *deletions))
 
@@ -202,9 +205,8 @@
         self,
         prefix: str,
         revision: Revision,
-        present: tuple[Entry, ...],
+        listed: Container[str],
     ) -> tuple[Entry, ...]:
-        listed = {entry.key for entry in present}
         # A key of which only definitions are held is deleted too, so that
         # these definitions are dropped.
         return tuple(
--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -62,12 +62,14 @@
 class ReceivedEntries:
     """Hold entries to merge into the holdings, and the handler's effects.
 
-    If `full_read_prefix` is set, `entries` are all entries under that prefix,
-    so held keys under the prefix that are missing here were deleted.
+    If `full_read_prefix` is set, `entries` are all usable entries under that
+    prefix, so held keys under the prefix that are neither here nor in
+    `unusable_keys` were deleted.
     """
 
     entries: tuple[Entry, ...] = ()
     full_read_prefix: str | None = None
+    unusable_keys: tuple[str, ...] = ()
     revision: Revision
     source: EntrySource
     effects: Effects
@@ -163,6 +165,7 @@
         full_read_prefix=(
             event.prefix if is_list and may_infer_deletions else None
         ),
+        unusable_keys=event.unusable_keys,
         revision=event.revision,
         source=None,
         effects=effects,
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -55,6 +55,8 @@
     prefix: str
     revision: Revision
     entries: tuple[Entry, ...]
+    # Keys that the store holds, but whose values were refused.
+    unusable_keys: tuple[str, ...] = ()
     elapsed_seconds: float | None = None
     era: Era = FIRST_ERA
 
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -76,7 +76,7 @@
     if prefix is None or prefix.startswith(INSTANCE_PREFIX):
         return state.configuration.apply(entries)
     return state.configuration.apply_full_read(
-        prefix, received.revision, entries
+        prefix, received.revision, entries, received.unusable_keys
     )
 
 
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -135,6 +135,8 @@
     revision: Revision
     entries: tuple[Entry, ...]
     refused: tuple[RefusedItem, ...] = ()
+    # Keys that the store holds, but whose values were refused.
+    unusable_keys: tuple[str, ...] = ()
     next_after: str = ''  # last key of this page; empty on the final page
     era: Era = FIRST_ERA
 
--- a/briartack/platform/store.py
+++ b/briartack/platform/store.py
@@ -143,6 +143,7 @@
     ) -> StorePage:
         entries: list[Entry] = []
         refused: list[RefusedItem] = []
+        unusable_keys: list[str] = []
         for item in items:
             key = _translate_key(item.key)
             try:
@@ -156,6 +157,7 @@
                     ),
                 )
                 if not item.key.startswith(SERVER_PREFIX):
+                    unusable_keys.append(key)
                     continue
                 # Treat a malformed registration as deleted, since it names no
                 # upstream.
@@ -173,6 +175,7 @@
             revision=Revision(revision),
             entries=tuple(entries),
             refused=tuple(refused),
+            unusable_keys=tuple(unusable_keys),
             next_after=next_after,
         )
 
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -143,6 +143,7 @@
                 prefix=prefix,
                 revision=page.revision,
                 entries=page.entries,
+                unusable_keys=page.unusable_keys,
                 elapsed_seconds=self._clock() - started_at,
                 era=page.era,
             ),
@@ -157,6 +158,7 @@
         """
         dialect = self._dialect
         entries: list[Entry] = []
+        unusable_keys: list[str] = []
         first: StorePage | None = None
         after = ''
         while first is None or after:
@@ -170,9 +172,13 @@
             if page.era != first.era:
                 raise _StoreError('the store was restored during the read')
             entries.extend(page.entries)
+            unusable_keys.extend(page.unusable_keys)
             after = page.next_after
         return StorePage(
-            revision=first.revision, entries=tuple(entries), era=first.era
+            revision=first.revision,
+            entries=tuple(entries),
+            unusable_keys=tuple(unusable_keys),
+            era=first.era,
         )
 
     def _run_watch(self, effect: WatchStore) -> None:
@@ -224,7 +230,14 @@
                 revision=str(refused.revision),
                 problem=refused.reason,
             )
-        return msgspec.structs.replace(page, entries=sendable)
+        return msgspec.structs.replace(
+            page,
+            entries=sendable,
+            unusable_keys=(
+                *page.unusable_keys,
+                *(unsent.key for unsent in unsendable),
+            ),
+        )
 
     def _send_request(
         self,
--- a/briartack/test/shell_fixture.py
+++ b/briartack/test/shell_fixture.py
@@ -10,7 +10,7 @@
 from briartack.callers import CallerServer
 from briartack.core import effects
 from briartack.core.units import InstanceId
-from briartack.dialects import UpstreamDialect
+from briartack.dialects import StoreDialect, UpstreamDialect
 from briartack.event_loop import EventLoop
 from briartack.native_dialects import create_native_dialects
 from briartack.peers import Peers
@@ -40,6 +40,7 @@
         peer: InstanceId | None = None,
         incarnation: str = 'i1',
         upstream_dialect: UpstreamDialect | None = None,
+        store_dialect: StoreDialect | None = None,
     ) -> None:
         self.name = InstanceId(name)
         self.state = FakeState(peer=peer)
@@ -75,7 +76,7 @@
         )
         self.store = StoreClient(
             address=upstream,
-            dialect=dialects.store,
+            dialect=store_dialect or dialects.store,
             **shared_arguments,
         )
         self.loop.attach_handlers(
