Deliver whole answers to callers that closed their sending side

A caller that sent a request, closed its sending side and read slowly got 3.6 MB of an answer of 8.4 MB. pywsgi closes the socket at the end of the input, while the rest of the answer waited for room in the send buffer. The handler now waits until the socket has taken all answers or a write fails.

Ruled out: the upstream and the streams between daemons, which had delivered the whole answer. The test failed before (EOFError: 3588028 of 8388608 bytes).

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -89,9 +89,19 @@
             super().handle()
         finally:
             self._calls.remove_connection(self._pipeline)
-            for pending in self._pipeline.take_unanswered():
-                if isinstance(pending, InboundCall):
-                    self._calls.cancel(pending)
+            self._cancel_unanswered()
+
+    def handle_one_request(self) -> Any:
+        """Serve one request; return None at the end of the connection.
+
+        pywsgi closes the socket then. The end of the caller's requests may be a
+        half-close, after which the caller still reads.
+        """
+        next_step = super().handle_one_request()
+        if next_step is None:
+            self._cancel_unanswered()
+            self._pipeline.wait_until_sent()
+        return next_step
 
     def read_requestline(self) -> str:
         """Return the request line, truncated at MAX_REQUEST_LINE_BYTES.
@@ -162,6 +172,11 @@
     def _is_chunked(self) -> bool:
         return self.headers.get('transfer-encoding') is not None
 
+    def _cancel_unanswered(self) -> None:
+        for pending in self._pipeline.take_unanswered():
+            if isinstance(pending, InboundCall):
+                self._calls.cancel(pending)
+
     def _read_body(self, call: InboundCall) -> None:
         call.reader = gevent.getcurrent()
         try:
--- a/briartack/caller_pipeline.py
+++ b/briartack/caller_pipeline.py
@@ -57,7 +57,7 @@
         '_descriptor',
         '_pending',
         '_unsent',
-        '_is_writing',
+        '_writer',
         '_is_ending',
         '_has_capacity',
         'last_active_at',
@@ -68,7 +68,7 @@
         self._descriptor: int = sock.fileno()
         self._pending: deque[PendingResponse] = deque()
         self._unsent: deque[bytes] = deque()
-        self._is_writing = False
+        self._writer: gevent.Greenlet | None = None
         self._is_ending = False
         self._has_capacity = Event()
         self._has_capacity.set()
@@ -100,6 +100,11 @@
         """Wait until fewer than MAX_PIPELINED_REQUESTS are unanswered."""
         self._has_capacity.wait()
 
+    def wait_until_sent(self) -> None:
+        """Wait until the socket has taken all responses or has failed."""
+        if self._writer is not None:
+            self._writer.join()
+
     def take_unanswered(self) -> list[PendingResponse]:
         """Remove and return the requests that are still unanswered."""
         unanswered = list(self._pending)
@@ -145,7 +150,7 @@
             return
         if written < len(response):
             self._unsent.append(response[written:])
-            gevent.spawn(self._write_rest)
+            self._writer = gevent.spawn(self._write_rest)
 
     def _write_rest(self) -> None:
         while self._unsent:
--- a/briartack/test/shell_fixture.py
+++ b/briartack/test/shell_fixture.py
@@ -126,7 +126,7 @@
 def read_answer(sock: Any) -> tuple[int, bytes, bytes]:
     """Read one answer and return its status, head and body.
 
-    Raises EOFError if the connection ends within the head.
+    Raises EOFError if the connection ends within the answer.
     """
     sock.settimeout(10)
     received = b''
@@ -138,5 +138,8 @@
     head, _, body = received.partition(b'\r\n\r\n')
     length = int(head.lower().split(b'content-length: ')[1].split(b'\r\n')[0])
     while len(body) < length:
-        body += sock.recv(65536)
+        part = sock.recv(65536)
+        if not part:
+            raise EOFError(f'{len(body)} of {length} bytes')
+        body += part
     return int(head.split(b' ')[1]), head, body
--- /dev/null
+++ b/briartack/test/test_slow_callers.py
@@ -0,0 +1,50 @@
+"""Test answers to callers that read slowly, over real sockets."""
+
+import unittest
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+
+from briartack.core import events
+from briartack.test.fake_reducer import LOCAL_HOST, EchoServer
+from briartack.test.shell_fixture import ShellFixture, read_answer
+
+# More than the send buffer of the daemon takes at once.
+BODY: Final = bytes(range(256)) * 32_768
+SMALL_BUFFER_BYTES: Final = 16384
+HEAD: Final = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n%b\r\n'
+
+
+class SlowCallerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        upstream = EchoServer()
+        self.addCleanup(upstream.stop, timeout=0)
+        self.shell = ShellFixture(upstream=(LOCAL_HOST, upstream.server_port))
+        self.addCleanup(self.shell.stop)
+        self.caller = self.connect()
+
+    def connect(self) -> Any:
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+        )
+        caller.connect((LOCAL_HOST, self.shell.caller_server.server_port))
+        return caller
+
+    def await_answer(self) -> None:
+        """Wait until the only call is answered, not until it is sent."""
+        with gevent.Timeout(10):
+            while not self.shell.state.events_of(events.UpstreamAnswered):
+                gevent.sleep(0.01)
+
+    # Guards against an answer that ends early because its caller has closed
+    # the sending side, which the caller needs no longer.
+    def test_half_closed_caller_gets_the_whole_answer(self) -> None:
+        self.caller.sendall(HEAD % (len(BODY), b'') + BODY)
+        self.await_answer()
+        self.caller.shutdown(socket.SHUT_WR)
+        gevent.sleep(0.1)
+        status, _, body = read_answer(self.caller)
+        self.assertEqual((status, body == BODY), (200, True))
