Write 100 Continue in the order of the responses

A caller that sent a request with Expect: 100-continue behind another one, and read slowly, got the interim response inside the body of the first answer, which looked complete. pywsgi writes it to the socket itself while the rest of that answer waits for room in the send buffer. The pipeline writes it now, once the request is the first without an answer.

Ruled out: the upstream's bytes, which the daemon held whole. The test of the order failed before (the body differed); the one of a single request guards what pywsgi did.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -124,11 +124,11 @@
 
         Returns an empty environment, since no WSGI application runs.
         """
-        expects = self.headers.get('expect', '').lower() == '100-continue'
+        # Without a socket, pywsgi leaves "100 Continue" to the pipeline.
         self.wsgi_input = Input(
             self.rfile,
             self.content_length,
-            socket=self.socket if expects else None,
+            socket=None,
             chunked_input=self._is_chunked,
         )
         return {}
@@ -172,12 +172,23 @@
     def _is_chunked(self) -> bool:
         return self.headers.get('transfer-encoding') is not None
 
+    @property
+    def _awaits_continue(self) -> bool:
+        expectation: str = self.headers.get('expect', '')
+        return (
+            expectation.lower() == '100-continue'
+            and self.request_version != 'HTTP/1.0'
+        )
+
     def _cancel_unanswered(self) -> None:
         for pending in self._pipeline.take_unanswered():
             if isinstance(pending, InboundCall):
                 self._calls.cancel(pending)
 
     def _read_body(self, call: InboundCall) -> None:
+        if self._awaits_continue:
+            call.request_body()
+            self._pipeline.flush()
         call.reader = gevent.getcurrent()
         try:
             body = self._receive_body(call)
--- a/briartack/caller_pipeline.py
+++ b/briartack/caller_pipeline.py
@@ -28,6 +28,9 @@
     def closes_connection(self) -> bool:
         """Return whether the connection closes after the response."""
 
+    def take_interim(self) -> bytes:
+        """Return an interim response that is due before the response, once."""
+
 
 @final
 class ReadyResponse:
@@ -43,6 +46,10 @@
         """Return True: no further request is served."""
         return True
 
+    def take_interim(self) -> bytes:
+        """Return nothing: the response is known."""
+        return b''
+
 
 @final
 class Pipeline:
@@ -121,6 +128,7 @@
             pending = self._pending[0]
             response = pending.response
             if response is None:
+                self._write(pending.take_interim())
                 break
             self._pending.popleft()
             self._write(response)
@@ -136,6 +144,8 @@
         self._shutdown(socket.SHUT_RDWR)
 
     def _write(self, response: bytes) -> None:
+        if not response:
+            return
         if self._unsent:
             self._unsent.append(response)
             return
--- a/briartack/inbound_call.py
+++ b/briartack/inbound_call.py
@@ -1,6 +1,6 @@
 """Track one call from its decoded request head to its encoded response."""
 
-from typing import final
+from typing import Final, final
 
 import gevent
 
@@ -8,6 +8,8 @@
 from briartack.dialects import CallerDialect
 from briartack.request_head import RequestHead
 
+_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+
 
 @final
 class AlreadyAnsweredError(OSError):
@@ -29,6 +31,7 @@
         'closes_connection',
         'is_body_read',
         'reader',
+        '_interim',
         '_connection',
         '_dialect',
     )
@@ -51,6 +54,7 @@
         self.closes_connection = False
         self.is_body_read = head.body_bytes == 0
         self.reader: gevent.Greenlet | None = None
+        self._interim = b''
         self._connection = connection
         self._dialect = dialect
 
@@ -59,6 +63,16 @@
         """Return whether the response has been encoded."""
         return self.response is not None
 
+    def request_body(self) -> None:
+        """Tell a caller that waits for it to send the request body."""
+        self._interim = _CONTINUE
+
+    def take_interim(self) -> bytes:
+        """Return the interim response that is due, once."""
+        interim = self._interim
+        self._interim = b''
+        return interim
+
     def answer(
         self,
         effect: AnswerCall,
--- a/briartack/test/test_slow_callers.py
+++ b/briartack/test/test_slow_callers.py
@@ -39,6 +39,31 @@
             while not self.shell.state.events_of(events.UpstreamAnswered):
                 gevent.sleep(0.01)
 
+    # Guards against "100 Continue" for a later request inside the body of an
+    # earlier answer, which then differs from the upstream's.
+    def test_interim_answer_follows_the_earlier_answer(self) -> None:
+        self.caller.sendall(HEAD % (len(BODY), b'') + BODY)
+        self.await_answer()
+        expect = b'Expect: 100-continue\r\n'
+        self.caller.sendall(HEAD % (3, expect))
+        gevent.sleep(0.1)
+        status, _, received = read_answer(self.caller)
+        body, interim = received[: len(BODY)], received[len(BODY) :]
+        self.assertEqual((status, body == BODY), (200, True))
+        while not interim.endswith(b'\r\n\r\n'):
+            interim += self.caller.recv(1)
+        self.assertEqual(interim, b'HTTP/1.1 100 Continue\r\n\r\n')
+        self.caller.sendall(b'abc')
+        self.assertEqual(read_answer(self.caller)[2], b'abc')
+
+    # Guards against a caller that waits for "100 Continue" without end.
+    def test_expecting_caller_is_asked_for_the_body(self) -> None:
+        expect = b'Expect: 100-continue\r\n'
+        self.caller.sendall(HEAD % (3, expect))
+        self.assertIn(b' 100 Continue\r\n', self.caller.recv(100))
+        self.caller.sendall(b'abc')
+        self.assertEqual(read_answer(self.caller)[2], b'abc')
+
     # Guards against an answer that ends early because its caller has closed
     # the sending side, which the caller needs no longer.
     def test_half_closed_caller_gets_the_whole_answer(self) -> None:
