Keep a closing connection until the caller has got the answer

A caller that got an answer with Connection: close, read nothing for 1.2 s and sent another request got a reset in place of the rest of the answer. The connection was closed in both directions a second after the answer was written, though the send buffer still held part of it, and later bytes of the caller made the system reset the connection. It now stays half open until the other side has acknowledged all bytes, for 60 s at most.

Ruled out: the daemon's queue, which had handed the whole answer to the socket. The test failed before (ConnectionResetError).

--- a/briartack/caller_pipeline.py
+++ b/briartack/caller_pipeline.py
@@ -8,13 +8,19 @@
 from gevent import socket
 from gevent.event import Event
 
+from briartack.socket_options import count_unacknowledged_bytes
+
 # Maximum number of unanswered requests on one connection. At this number, the
 # handler reads the next request only after a response.
 MAX_PIPELINED_REQUESTS: Final = 32
-# Closing a socket with unread input sends a reset, which could discard the
-# response before the caller reads it. The connection therefore stays half open
-# for this long after the last response.
+# Closing a socket with unread input, or input after the close, sends a reset,
+# which could discard the response before the caller reads it. The connection
+# therefore stays half open for this long after the last response, and until the
+# caller has got the response.
 LINGER_SECONDS: Final = 1.0
+# A caller that reads nothing for so long is taken for gone.
+MAX_LINGER_SECONDS: Final = 60.0
+_LINGER_POLL_SECONDS: Final = 0.1
 
 
 class PendingResponse(Protocol):
@@ -175,7 +181,14 @@
 
     def _half_close(self) -> None:
         self._shutdown(socket.SHUT_WR)
-        gevent.spawn_later(LINGER_SECONDS, self.shut_down)
+        gevent.spawn(self._linger)
+
+    def _linger(self) -> None:
+        gevent.sleep(LINGER_SECONDS)
+        with gevent.Timeout(MAX_LINGER_SECONDS, exception=False):
+            while count_unacknowledged_bytes(self._sock):
+                gevent.sleep(_LINGER_POLL_SECONDS)
+        self.shut_down()
 
     def _shutdown(self, how: int) -> None:
         try:
--- a/briartack/socket_options.py
+++ b/briartack/socket_options.py
@@ -1,5 +1,8 @@
-"""Set options of the sockets to peers, the store and the upstream."""
+"""Set options of sockets, and read the state of their send buffers."""
 
+import fcntl
+import sys
+import termios
 from typing import Any, Final
 
 from gevent import socket
@@ -10,6 +13,7 @@
 _KEEPALIVE_INTERVAL_SECONDS: Final = 1
 _KEEPALIVE_PROBE_COUNT: Final = 2
 _USER_TIMEOUT_MILLISECONDS: Final = 3000
+_INT_BYTES: Final = 4
 
 
 def configure_socket(sock: Any) -> None:
@@ -21,3 +25,15 @@
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBE_COUNT)
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MILLISECONDS)
+
+
+def count_unacknowledged_bytes(sock: Any) -> int:
+    """Return the number of written bytes that the other side has yet to get.
+
+    Returns 0 if the socket is closed or the system doesn't tell.
+    """
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(answer, sys.byteorder)
--- a/briartack/test/test_slow_callers.py
+++ b/briartack/test/test_slow_callers.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent import socket
 
+from briartack.caller_pipeline import LINGER_SECONDS
 from briartack.core import events
 from briartack.test.fake_reducer import LOCAL_HOST, EchoServer
 from briartack.test.shell_fixture import ShellFixture, read_answer
@@ -73,3 +74,17 @@
         gevent.sleep(0.1)
         status, _, body = read_answer(self.caller)
         self.assertEqual((status, body == BODY), (200, True))
+
+    # Guards against a reset that discards the end of an answer, because the
+    # caller sent more after the connection was closed.
+    def test_later_bytes_of_the_caller_do_not_cut_the_answer(self) -> None:
+        close = b'Connection: close\r\n'
+        # The send buffer of the daemon takes all of this answer.
+        body = BODY[:1_000_000]
+        self.caller.sendall(HEAD % (len(body), close) + body)
+        self.await_answer()
+        gevent.sleep(LINGER_SECONDS + 0.2)
+        self.caller.sendall(HEAD % (0, b''))
+        gevent.sleep(0.2)
+        status, _, received = read_answer(self.caller)
+        self.assertEqual((status, received == body), (200, True))
