End with 0 at a stop during the start, ignore SIGHUP sooner

Operators saw daemons end by signal although nothing had failed: SIGHUP 0 to 20 ms after the start ended them with -1 (20 of 20), SIGTERM 0 to 200 ms after it with -15 (20 of 20; real processes, the command of the deploy file).

Cause: `python3 -m` loads runpy, and the launcher loaded `signal`, hence `enum`, before SIGHUP was ignored; SIGTERM and SIGINT had no handler until all modules were loaded. Since the interpreter restores the default action of a signal with a Python handler while it ends, the program ignores the signals once it has an exit code.

Ruled out: -E, -I and -X frozen_modules change nothing (10.5 to 11.2 ms to the first line of a file, 56 ms without -S). A handler that imports `os` was interrupted in the same import, and one start went on after its SIGTERM.

Evidence: two rows of test_signals_are_handled_before_the_modules_are_loaded, test_launcher_loads_no_other_module and test_program_of_the_deploy_file_starts failed before. What remains is the start of the interpreter.

--- a/briartack/launcher.py
+++ b/briartack/launcher.py
@@ -1,19 +1,32 @@
 """Start the program briartackd.
 
 The modules of the daemon take a few tenths of a second to load, in which a
-signal that has no handler yet would end the process.
+signal that has no handler yet would end the process. So this module imports
+nothing that is not built in before it has set the handlers.
 """
 
-import signal
-from importlib import import_module
+# The module `signal` loads `enum`, which takes as long as half of the start of
+# the interpreter.
+import _signal  # type: ignore[import-not-found]
+from posix import _exit  # noqa: WPS436
 
 
 def main() -> None:
     """Run a daemon and exit with its exit code."""
     # A changed settings file needs no notice yet: the daemon reads it later.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+    # Nothing has been accepted yet, so a stop has nothing to wait for.
+    _signal.signal(_signal.SIGTERM, _exit_at_once)
+    _signal.signal(_signal.SIGINT, _exit_at_once)
+    from importlib import import_module  # noqa: PLC0415, WPS433
+
     import_module('briartack.main').main()
 
 
+def _exit_at_once(number: int, frame: object) -> None:
+    # An exception could be caught by the module that is being loaded.
+    _exit(0)
+
+
 if __name__ == '__main__':
     main()
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -42,7 +42,12 @@
 
 def main() -> None:
     """Run a daemon and exit with its exit code."""
-    sys.exit(run(sys.argv[1:]))
+    code = run(sys.argv[1:])
+    # The interpreter restores the default actions of signals while it ends,
+    # and those would replace the exit code.
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
+    sys.exit(code)
 
 
 def run(arguments: list[str]) -> int:
--- a/briartack/test/test_main.py
+++ b/briartack/test/test_main.py
@@ -12,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import tomllib
 import unittest
 from collections.abc import Iterator
 from pathlib import Path
@@ -50,7 +51,7 @@
 class Finder:
     def find_spec(self, name, path, target=None):
         if name == 'briartack.main':
-            os.kill(os.getpid(), signal.SIGHUP)
+            os.kill(os.getpid(), int(sys.argv[1]))
             sys.modules[name] = Module(name)
             import importlib.machinery
             return importlib.machinery.ModuleSpec(name, self)
@@ -62,6 +63,12 @@
 from briartack.launcher import main
 main()
 """
+LIST_LAUNCHER_MODULES: Final = """
+import sys
+before = set(sys.modules)
+import briartack.launcher
+print(*sorted(set(sys.modules) - before))
+"""
 SIGHUP_BIT: Final = 1 << (signal.SIGHUP - 1)
 
 
@@ -260,16 +267,70 @@
             child.send_signal(signal.SIGTERM)
             self.assertEqual(child.wait(LIMIT_SECONDS), 0)
 
-    # Guards against the modules of the daemon being loaded first.
-    def test_sighup_is_ignored_before_the_modules_are_loaded(self) -> None:
+    # Guards against a start that a signal ends with a failure: the platform
+    # may change the settings file or stop the daemon at any moment.
+    @params(
+        (signal.SIGHUP, 'alive\n'), (signal.SIGTERM, ''), (signal.SIGINT, '')
+    )
+    def test_signals_are_handled_before_the_modules_are_loaded(
+        self, number: int, output: str
+    ) -> None:
+        """Each row states a signal and what the daemon does after it."""
         ended = subprocess.run(
-            [sys.executable, '-c', LAUNCH],
+            [sys.executable, '-c', LAUNCH, str(int(number))],
             cwd=ROOT,
             capture_output=True,
             text=True,
             check=False,
         )
-        self.assertEqual((ended.returncode, ended.stdout), (0, 'alive\n'))
+        self.assertEqual((ended.returncode, ended.stdout), (0, output))
+
+    # Guards against a start that a signal ends, since modules are loaded
+    # before the launcher sets its handlers.
+    def test_launcher_loads_no_other_module(self) -> None:
+        ended = subprocess.run(
+            [sys.executable, '-S', '-c', LIST_LAUNCHER_MODULES],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual(
+            ended.stdout.split(), ['briartack', 'briartack.launcher']
+        )
+
+    # Guards against a deploy file whose program does not start.
+    def test_program_of_the_deploy_file_starts(self) -> None:
+        deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text('utf-8'))
+        _, *words = deploy['roles']['daemon']['run'].split()
+        program = words[: words.index('--dialect')]
+        self.assertNotIn('-m', program)
+        library = os.pathsep.join(path for path in sys.path if path)
+        ended = subprocess.run(
+            [sys.executable, *program, '--other'],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+            env={'PYTHONPATH': library},
+        )
+        self.assertEqual(ended.returncode, EXIT_USAGE)
+        self.assertIn('--other: unknown argument', ended.stderr)
+
+    # Guards against a signal that ends the process while the interpreter ends.
+    @params(signal.SIGHUP, signal.SIGTERM)
+    def test_repeated_signals_do_not_replace_the_exit_code(
+        self, number: int
+    ) -> None:
+        flags = isolated_flags(PortAllocator())
+        quiet = subprocess.DEVNULL
+        with running_daemon(flags, stdout=quiet, stderr=quiet) as child:
+            wait_until(lambda: is_healthy(flags), 'the daemon answers')
+            child.send_signal(signal.SIGTERM)
+            while child.poll() is None:
+                child.send_signal(number)
+                gevent.sleep(0.001)
+            self.assertEqual(child.wait(LIMIT_SECONDS), 0)
 
 
 class OutputTest(unittest.TestCase):
