Deliver accepted answers to slow callers before a planned stop ends

An answer of 12 MB that a caller read at 3 MB a second ended after 10.7 MB when the caller's daemon got SIGTERM: the process ended 2.3 s after the signal, though the grace time is 6 s. A call counts as answered once its response is queued, and the exit waited 0.5 s for bytes to peers and not at all for those to callers. It now waits until callers have acknowledged all bytes, up to 0.5 s after the time limit of the stop, and for peers as long as they take some within 0.5 s.

Ruled out: the grace time, the upstream and the streams between daemons; the fault is the same with the upstream beside the daemon.

--- a/briartack/caller_pipeline.py
+++ b/briartack/caller_pipeline.py
@@ -97,6 +97,11 @@
         """Return whether responses are outstanding or bytes are unsent."""
         return bool(self._pending) or bool(self._unsent)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether the caller has yet to get part of a response."""
+        return bool(self._unsent) or count_unacknowledged_bytes(self._sock) > 0
+
     @property
     def unanswered_count(self) -> int:
         """Return the number of requests whose response is not written yet."""
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -78,6 +78,11 @@
         """Return the number of calls without an answer."""
         return len(self._calls)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether callers have yet to get parts of responses."""
+        return any(connection.has_unsent for connection in self._connections)
+
     @property
     def dialect(self) -> CallerDialect:
         """Return the codec for request heads and responses."""
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -41,7 +41,8 @@
 StateT = TypeVar('StateT')
 
 _MAINTENANCE_INTERVAL_SECONDS: Final = 2.0
-# Time to write queued messages to peers when the daemon exits.
+# Time to write the last bytes when the daemon exits. A peer that has taken
+# nothing for so long is not waited for.
 _EXIT_FLUSH_SECONDS: Final = 0.5
 _EXIT_POLL_SECONDS: Final = 0.01
 
@@ -117,6 +118,8 @@
         '_upstream',
         '_operator_port',
         '_is_stopping',
+        '_drain_seconds',
+        '_drained_by',
         '_servers',
         '_background',
         '_exit_code',
@@ -199,6 +202,8 @@
             metrics=self._metrics,
         )
         self._is_stopping = False
+        self._drain_seconds = integration.drain_seconds
+        self._drained_by = float('-inf')
         self._servers: list[BaseServer] = []
         self._background: list[gevent.Greenlet] = []
         self._exit_code: AsyncResult[int] = AsyncResult()
@@ -250,6 +255,7 @@
     def request_stop(self) -> None:
         """Ask the reducer for a graceful stop."""
         self._is_stopping = True
+        self._drained_by = boot_clock() + self._drain_seconds
         self._callers.stop_keep_alive()
         self._loop.deliver(StopRequested(now=boot_clock()))
 
@@ -276,20 +282,34 @@
         return code
 
     def stop(self) -> None:
-        """Close all servers and streams.
-
-        Queued messages to peers have _EXIT_FLUSH_SECONDS to be written first.
-        """
+        """Close all servers and streams once the last bytes have arrived."""
         self._peers.end_all_streams()
-        with gevent.Timeout(_EXIT_FLUSH_SECONDS, exception=False):
-            while self._peers.queued_bytes:
-                gevent.sleep(_EXIT_POLL_SECONDS)
+        self._await_last_bytes()
         for server in self._servers:
             server.stop(timeout=0)
         gevent.killall(self._background)
         self._loop.close()
         write_log(effects.LogLevel.INFO, STOPPED, {})
 
+    def _await_last_bytes(self) -> None:
+        """Wait until callers and peers have got what was sent to them.
+
+        Waits at most _EXIT_FLUSH_SECONDS longer than the stop may take.
+        """
+        now = boot_clock()
+        until = max(now, self._drained_by) + _EXIT_FLUSH_SECONDS
+        peer_bytes = self._peers.unsent_bytes
+        peers_wait_until = now + _EXIT_FLUSH_SECONDS
+        while now < until:
+            waits_for_peers = peer_bytes > 0 and now < peers_wait_until
+            if not waits_for_peers and not self._callers.has_unsent:
+                return
+            gevent.sleep(_EXIT_POLL_SECONDS)
+            now = boot_clock()
+            if self._peers.unsent_bytes != peer_bytes:
+                peer_bytes = self._peers.unsent_bytes
+                peers_wait_until = now + _EXIT_FLUSH_SECONDS
+
     def _run_maintenance(self) -> None:
         while True:
             gevent.sleep(_MAINTENANCE_INTERVAL_SECONDS)
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -14,7 +14,10 @@
 from briartack.framing import FrameReader
 from briartack.peer_outbox import PeerOutbox
 from briartack.peer_traffic import PeerTraffic
-from briartack.socket_options import configure_socket
+from briartack.socket_options import (
+    configure_socket,
+    count_unacknowledged_bytes,
+)
 from briartack.turns import TurnLimit
 
 _MAX_RECEIVE_BYTES: Final = 262144
@@ -66,6 +69,11 @@
         """Return whether this side has closed the socket."""
         return self._is_closed
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that the peer has yet to get."""
+        return self.outbox.queued_bytes + count_unacknowledged_bytes(self._sock)
+
     @property
     def remote_address(self) -> str:
         """Return the address of the peer as HOST:PORT, for logs."""
--- a/briartack/peers.py
+++ b/briartack/peers.py
@@ -72,11 +72,9 @@
         self._last_encoded: tuple[PeerMessage | None, bytes] = (None, b'')
 
     @property
-    def queued_bytes(self) -> int:
-        """Return the number of bytes queued for all peers."""
-        return sum(
-            stream.outbox.queued_bytes for stream in self._connections.streams
-        )
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that peers have yet to get."""
+        return sum(stream.unsent_bytes for stream in self._connections.streams)
 
     def create_server(self, address: Address) -> StreamServer:
         """Create the server for peers, which does not listen yet."""
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -231,7 +231,7 @@
             )
         lost = shell.state.wait_for(events.PeerDisconnected)
         self.assertIn('queue is full', lost[0].reason)
-        self.assertEqual(shell.peers.queued_bytes, 0)
+        self.assertEqual(shell.peers.unsent_bytes, 0)
 
     @params(10, 65536, 65537, 5_000_000)
     def test_bodies_arrive_whole_in_both_directions(self, size: int) -> None:
