Wait for a usable settings file at the start

Operators saw a daemon that did not start (exit 2) where the platform had not written its settings file yet, or only in part; with standard error closed or without a reader it ended with 1 and a traceback.

Cause: the file was read once. The start now reads an unusable file again for 10 s, says so at once, is not ready meanwhile, and ends with 0 at a stop. An error text that nobody can read changes no exit code.

Ruled out: other invalid settings still end the start at once, since flags and variables cannot change.

Evidence: all seven rows of test_start_waits_for_a_usable_settings_file and test_stop_ends_the_wait_for_a_settings_file failed before and pass now.

--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -39,6 +39,7 @@
 ITEM_REFUSED: Final = 'item-refused'
 RELOADED: Final = 'reloaded'
 RELOAD_FAILED: Final = 'reload-failed'
+SETTINGS_AWAITED: Final = 'settings-awaited'
 LINES_LEFT_OUT: Final = 'lines-left-out'
 STATEMENT_REFUSED: Final = 'statement-refused'
 
@@ -111,6 +112,10 @@
             'The changed settings file is invalid; the previous one applies.',
             'Correct the problems that the line lists.',
         ),
+        SETTINGS_AWAITED: ErrorText(
+            'The settings file is unusable; the daemon waits for another.',
+            'Correct the problems listed below.',
+        ),
         LINES_LEFT_OUT: ErrorText(
             'Log lines about requests were omitted to limit their number.',
             '',
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import sys
+import time
 from random import Random
 from typing import Final, TextIO, cast
 
@@ -22,6 +23,7 @@
 from briartack.error_texts import (
     BAD_OPTION,
     CANNOT_LISTEN,
+    SETTINGS_AWAITED,
     STOP_REPEATED,
     get_error_text,
 )
@@ -35,6 +37,10 @@
 EXIT_USAGE: Final = 2
 _INCARNATION_BYTES: Final = 8
 _SEED_BITS: Final = 63
+# The platform writes the settings file at each start and at each change, and a
+# daemon may start between the two.
+_SETTINGS_WAIT_SECONDS: Final = 10.0
+_SETTINGS_POLL_SECONDS: Final = 0.05
 # With the default of 700 allocations, a collection of the youngest generation
 # would run during most calls.
 _GC_THRESHOLDS: Final = (20_000, 20, 50)
@@ -54,7 +60,7 @@
     """Run a daemon until the daemon stops, and return its exit code."""
     try:
         options = read_options(arguments, os.environ)
-        integration = load_integration(options)
+        integration = _await_integration(options)
     except ExceptionGroup as group:
         _print_errors(group)
         return EXIT_USAGE
@@ -84,6 +90,25 @@
             writers.drain()
 
 
+def _await_integration(options: Options) -> PlatformIntegration:
+    """Return what the options select, once the settings file is usable.
+
+    Raises ExceptionGroup of OptionError.
+    """
+    try:
+        return load_integration(options)
+    except ExceptionGroup as group:
+        if options.boot is None:
+            raise
+        _print_errors(group, SETTINGS_AWAITED)
+    until = time.monotonic() + _SETTINGS_WAIT_SECONDS
+    while time.monotonic() < until:
+        time.sleep(_SETTINGS_POLL_SECONDS)
+        with contextlib.suppress(ExceptionGroup):
+            return load_integration(options)
+    return load_integration(options)
+
+
 def _get_descriptor(stream: TextIO | None) -> int | None:
     # `sys.stdout` and `sys.stderr` are None if closed before the start.
     return None if stream is None else stream.fileno()
@@ -172,11 +197,17 @@
     return Recorder(trace=options.record.open('wb'), header=header)
 
 
-def _print_errors(group: ExceptionGroup[Exception]) -> None:
-    bad_option = get_error_text(BAD_OPTION)
-    sys.stderr.write(f'briartackd: {bad_option.text} {bad_option.fix}\n')
-    for error in group.exceptions:
-        sys.stderr.write(f'  {error}\n')
+def _print_errors(
+    group: ExceptionGroup[Exception], code: str = BAD_OPTION
+) -> None:
+    error_text = get_error_text(code)
+    lines = [f'briartackd: {error_text.text} {error_text.fix}']
+    lines.extend(f'  {error}' for error in group.exceptions)
+    if sys.stderr is None:
+        return  # closed before the start
+    # A reader of the output that is gone must not change the exit code.
+    with contextlib.suppress(OSError):
+        sys.stderr.write('\n'.join((*lines, '')))
 
 
 if __name__ == '__main__':
--- a/briartack/options.py
+++ b/briartack/options.py
@@ -261,7 +261,8 @@
 
 def _parse_boot(text: str) -> Path:
     path = Path(text)
-    if not path.is_file():
+    # The platform may not have written the file yet.
+    if not text or path.is_dir():
         raise ValueError(f'{text!r} is not a file')
     return path
 
--- a/briartack/test/test_main.py
+++ b/briartack/test/test_main.py
@@ -8,10 +8,12 @@
 import io
 import json
 import os
+import shlex
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import tomllib
 import unittest
 from collections.abc import Iterator
@@ -333,6 +335,60 @@
             self.assertEqual(child.wait(LIMIT_SECONDS), 0)
 
 
+class SettingsFileTest(unittest.TestCase):
+    # Guards against a start that a settings file ends which the platform is
+    # still writing.
+    @params(None, b'', b'zones.no', b'zones.north-1=north\nbounds=grace_s=\xff')
+    def test_start_waits_for_a_usable_settings_file(
+        self, content: bytes | None
+    ) -> None:
+        """Each row states what the file holds at first, or that none exists."""
+        with tempfile.TemporaryDirectory() as name:
+            path = Path(name, 'node.conf')
+            if content is not None:
+                path.write_bytes(content)
+            flags = isolated_flags(PortAllocator())
+            with running_daemon(
+                [*flags, '--dialect=platform', f'--boot={path}'],
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.PIPE,
+            ) as child:
+                assert child.stderr is not None
+                self.assertIn(b'settings file', child.stderr.readline())
+                path.write_text('zones.north-1=north\n', 'utf-8')
+                self.assertIn(b'--boot', child.stderr.readline())
+                self.assertIn(b'"listening"', child.stderr.readline())
+                child.send_signal(signal.SIGTERM)
+                self.assertEqual(child.wait(LIMIT_SECONDS), 0)
+
+    # Guards against a wait that SIGTERM does not end, and against an exit code
+    # that depends on who reads the output.
+    @params('read', 'gone', 'closed')
+    def test_stop_ends_the_wait_for_a_settings_file(self, reader: str) -> None:
+        flags = isolated_flags(PortAllocator())
+        read_end, write_end = os.pipe()
+        if reader == 'gone':
+            os.close(read_end)
+        command = shlex.join(
+            [sys.executable, '-m', 'briartack.launcher', *flags]
+        )
+        redirection = '2>&-' if reader == 'closed' else ''
+        child = subprocess.Popen(
+            f'exec {command} --dialect=platform --boot=/none {redirection}',
+            shell=True,
+            cwd=ROOT,
+            stderr=write_end,
+        )
+        os.close(write_end)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            child.wait(1)
+        self.assertIsNone(child.poll())
+        child.send_signal(signal.SIGTERM)
+        self.assertEqual(child.wait(LIMIT_SECONDS), 0)
+        if reader != 'gone':
+            os.close(read_end)
+
+
 class OutputTest(unittest.TestCase):
     @params('full', 'closed')
     def test_unread_output_does_not_stop_the_daemon(self, kind: str) -> None:
