Wait for an upstream that reads a long request late

A request with a body of 200 KB or 16 MB to an upstream that read nothing for 4 s ended with 502 after 3 s ("read failed: ETIMEDOUT"), and the upstream was cut off. TCP_USER_TIMEOUT, which finds connections that went silent, also ends those whose other side has no room in its buffer. For requests above 16 KB the limit is now that of the exchange.

Ruled out: the deadline of the request, 10 s.

--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -22,7 +22,11 @@
     IdentifyResponse,
     identify_nothing,
 )
-from briartack.socket_options import configure_socket
+from briartack.socket_options import (
+    DEFAULT_SILENCE_SECONDS,
+    configure_socket,
+    limit_silence,
+)
 from briartack.turns import TurnLimit
 
 _SocketAddress: TypeAlias = tuple[str, int] | tuple[str, int, int, int]
@@ -32,6 +36,9 @@
 _FIRST_ERROR_STATUS: Final = 400
 # A connection that has failed more requests is not used again.
 _MAX_FAILED_IDS: Final = 64
+# A server may take its time to read a longer request, such as one that reads
+# the body late. The exchange itself has a time limit.
+_MAX_SHORT_REQUEST_BYTES: Final = 16384
 _RESET_ERRORS: Final = frozenset(
     (errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE),
 )
@@ -232,7 +239,7 @@
         """
         timeout = gevent.Timeout.start_new(timeout_seconds)
         try:
-            self._transfer()
+            self._transfer(timeout_seconds)
         except gevent.Timeout as expired:
             if expired is not timeout:
                 raise
@@ -246,20 +253,30 @@
             self._response.release_budget()
         return self._response
 
-    def _transfer(self) -> None:
+    @property
+    def _is_long(self) -> bool:
+        return len(self._request) > _MAX_SHORT_REQUEST_BYTES
+
+    def _transfer(self, timeout_seconds: float) -> None:
         sock = self._sock or _acquire_socket(self._pool, self._request_id)
         # From here on, this method returns the socket, and `abandon` must not.
         self._sock = None
         is_reusable = False
         # Return the socket on every path, also if the greenlet is killed.
         try:
-            self._send_request(sock)
+            self._send_request(sock, timeout_seconds)
             _receive_response(sock, self._response)
-            self._record_failed_id(sock)
-            is_reusable = self._is_reusable(sock)
+            is_reusable = self._conclude(sock)
         finally:
             _return_socket(self._pool, sock, is_reusable=is_reusable)
 
+    def _conclude(self, sock: PooledSocket) -> bool:
+        """Prepare the connection for reuse; return whether it is reusable."""
+        self._record_failed_id(sock)
+        if self._is_long:
+            limit_silence(sock, DEFAULT_SILENCE_SECONDS)
+        return self._is_reusable(sock)
+
     def _record_failed_id(self, sock: PooledSocket) -> None:
         """Record on the connection that the server failed the request."""
         is_failed = self._response.get_code() >= _FIRST_ERROR_STATUS
@@ -277,7 +294,11 @@
         is_named = self._response.is_named
         return is_named and len(sock.failed_ids) <= _MAX_FAILED_IDS
 
-    def _send_request(self, sock: socket.socket) -> None:
+    def _send_request(
+        self, sock: socket.socket, timeout_seconds: float
+    ) -> None:
+        if self._is_long:
+            limit_silence(sock, max(timeout_seconds, DEFAULT_SILENCE_SECONDS))
         if self._send_error is not None:
             raise _make_write_error(self._send_error, may_have_run=False)
         if self._sent_bytes == 0:
--- a/briartack/socket_options.py
+++ b/briartack/socket_options.py
@@ -12,7 +12,8 @@
 _KEEPALIVE_IDLE_SECONDS: Final = 1
 _KEEPALIVE_INTERVAL_SECONDS: Final = 1
 _KEEPALIVE_PROBE_COUNT: Final = 2
-_USER_TIMEOUT_MILLISECONDS: Final = 3000
+DEFAULT_SILENCE_SECONDS: Final = 3.0
+_MILLISECONDS_PER_SECOND: Final = 1000
 _INT_BYTES: Final = 4
 
 
@@ -24,7 +25,19 @@
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBE_COUNT)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MILLISECONDS)
+    limit_silence(sock, DEFAULT_SILENCE_SECONDS)
+
+
+def limit_silence(sock: Any, seconds: float) -> None:
+    """Let a connection fail after a time without progress in sending.
+
+    Another side that lives, but takes no bytes, counts as silent too.
+    """
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        int(seconds * _MILLISECONDS_PER_SECOND),
+    )
 
 
 def count_unacknowledged_bytes(sock: Any) -> int:
