Answer callers whose call ends while the body arrives

An upload that outlasted its deadline got no answer at all, 12 of 12 with real processes, while the log said that the caller was answered. The same holds for calls that end after a pause or at the end of a planned stop. To interrupt the reader of the body, the code passed block=False to gevent.kill, which takes no such argument; the TypeError made the event loop skip the effect before the response was written. The reader is now interrupted in a turn of its own and only while it reads.

Ruled out: the reducer, whose effect was right, and load. Three of three rows of the test failed before (TypeError).

--- a/briartack/inbound_call.py
+++ b/briartack/inbound_call.py
@@ -96,4 +96,9 @@
             connection=connection,
         )
         if self.reader is not None:
-            gevent.kill(self.reader, AlreadyAnsweredError(), block=False)
+            gevent.get_hub().loop.run_callback(self._interrupt_reader)
+
+    def _interrupt_reader(self) -> None:
+        # Meanwhile the body may have been read to its end.
+        if self.reader is not None:
+            self.reader.throw(AlreadyAnsweredError())
--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -6,8 +6,9 @@
 import gevent
 from nose2.tools import params
 
-from briartack.core import events
+from briartack.core import effects, events
 from briartack.core.messages import MAX_BODY_BYTES
+from briartack.core.verdict import Verdict
 from briartack.test.fake_reducer import LOCAL_HOST, EchoServer
 from briartack.test.shell_fixture import ShellFixture, read_answer
 
@@ -172,6 +173,35 @@
         self.assertIn(b'Retry-After: 1', head)
         self.assertEqual(json.loads(body)['code'], 'overload')
 
+    # Guards against a caller without an answer (LOST) whose call ends while its
+    # body arrives, at its deadline or at the end of a planned stop.
+    @params(
+        b'Content-Length: 500000\r\n\r\nabc',
+        b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
+        b'Content-Length: 500000\r\nExpect: 100-continue\r\n\r\n',
+    )
+    def test_caller_is_answered_while_its_body_arrives(
+        self, request: bytes
+    ) -> None:
+        self.caller.sendall(b'POST / HTTP/1.1\r\n%b' % request)
+        arrived = self.shell.state.wait_for(events.CallArrived)[0]
+        gevent.sleep(0.01)
+        self.shell.callers.answer(
+            effects.AnswerCall(
+                call_id=arrived.call_id,
+                verdict=Verdict.NOT_RUN,
+                status=504,
+                headers=(),
+                reason='deadline',
+            )
+        )
+        self.caller.settimeout(5)
+        answer = self.caller.recv(1000)
+        self.assertIn(b'HTTP/1.1 504 ', answer)
+        self.assertIn(b'Connection: close\r\n', answer)
+        self.caller.sendall(b'x' * 1000)
+        self.assertEqual(self.shell.state.events_of(events.CallCancelled), [])
+
     def test_disconnect_cancels_call(self) -> None:
         """Check that a call is cancelled when its caller disconnects."""
         self.shell.state.is_silent = True
