Work without the metrics address, wait for one not yet assigned

Operators saw daemons end with 1 where another process used the metrics port (after 10 s, never ready), or where an address of the daemon was not assigned to the machine yet (at once).

Cause: the metrics were one of the servers without which no daemon starts, and of the errors of an address only EADDRINUSE counted as one that passes. The metrics server now starts beside the others and is tried again each second; EADDRNOTAVAIL is waited for like EADDRINUSE.

Ruled out: waiting longer for the needed addresses; a daemon without them can do nothing.

Evidence: both rows of test_daemon_works_without_its_metrics_address and test_start_waits_for_an_address_that_is_not_assigned failed before, pass now.

--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -27,7 +27,7 @@
 from briartack.greenlets import run_forever
 from briartack.integration import PlatformIntegration, SettingsFileWatcher
 from briartack.line_writer import OutputWriters
-from briartack.listening import start_servers
+from briartack.listening import start_metrics_server, start_servers
 from briartack.logs import AuditTrail, RequestLogLimiter, write_log
 from briartack.metrics import MetricRegistry
 from briartack.operator_port import DescribeState, OperatorPort
@@ -217,7 +217,7 @@
 
         Waits for addresses that another process holds, such as the daemon of
         before that still serves its grace time. Raises OSError if an address
-        cannot be bound.
+        other than that of the metrics cannot be bound.
         """
         options = self._options
         self._servers = [
@@ -225,10 +225,6 @@
             self._peers.create_server(options.peer_address),
             self._callers.create_server(options.caller_address),
         ]
-        if options.metrics_address is not None:
-            self._servers.append(
-                self._operator_port.create_server(options.metrics_address),
-            )
         if not start_servers(
             self._servers,
             clock=boot_clock,
@@ -251,6 +247,10 @@
                 ('maintenance', self._run_maintenance),
             )
         ]
+        if options.metrics_address is not None:
+            server = self._operator_port.create_server(options.metrics_address)
+            self._servers.append(server)
+            self._background.append(gevent.spawn(start_metrics_server, server))
 
     def request_stop(self) -> None:
         """Ask the reducer for a graceful stop."""
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -30,6 +30,7 @@
 BAD_OPTION: Final = 'bad-option'
 CANNOT_LISTEN: Final = 'cannot-listen'
 ADDRESS_IN_USE: Final = 'address-in-use'
+METRICS_UNAVAILABLE: Final = 'metrics-unavailable'
 TRACE_FAILED: Final = 'trace-failed'
 UNKNOWN_PATH: Final = 'unknown-path'
 LISTENING: Final = 'listening'
@@ -90,9 +91,13 @@
             'Choose an address of this instance that no other process uses.',
         ),
         ADDRESS_IN_USE: ErrorText(
-            'Another process uses an address; the daemon waits for it.',
+            'An address is in use or not assigned; the daemon waits for it.',
             'Wait for the daemon of before to end, or end the other process.',
         ),
+        METRICS_UNAVAILABLE: ErrorText(
+            'The metrics address cannot be bound; the daemon works without.',
+            'Free the address; the daemon tries again each second.',
+        ),
         TRACE_FAILED: ErrorText(
             'The event trace can no longer be written; recording has stopped.',
             'Check the trace file given with --record and its file system.',
--- a/briartack/test/test_main.py
+++ b/briartack/test/test_main.py
@@ -252,6 +252,56 @@
                 child.send_signal(signal.SIGTERM)
                 self.assertEqual(child.wait(LIMIT_SECONDS / 4), 0)
 
+    # Guards against a daemon that ends since its metrics cannot be served.
+    @params('127.0.0.1:{port}', '192.0.2.1:{port}')
+    def test_daemon_works_without_its_metrics_address(
+        self, address: str
+    ) -> None:
+        """Each row states an address in use or one of another machine."""
+        flags = isolated_flags(PortAllocator())
+        with contextlib.ExitStack() as stack:
+            holder = stack.enter_context(socket.socket())
+            holder.bind(('127.0.0.1', 0))
+            holder.listen()
+            address = address.format(port=holder.getsockname()[1])
+            child = stack.enter_context(
+                running_daemon(
+                    [*flags, f'--metrics-address={address}'],
+                    stdout=subprocess.DEVNULL,
+                    stderr=subprocess.PIPE,
+                )
+            )
+            assert child.stderr is not None
+            self.assertIn(b'"listening"', child.stderr.readline())
+            lines = iter(child.stderr.readline, b'')
+            self.assertTrue(
+                any(b'metrics-unavailable' in line for line in lines)
+            )
+            self.assertTrue(is_healthy(flags))
+            holder.close()
+            if address.startswith('127'):
+                wait_until(
+                    lambda: is_healthy([f'--operator-address={address}']),
+                    'the metrics are served',
+                )
+            child.send_signal(signal.SIGTERM)
+            self.assertEqual(child.wait(LIMIT_SECONDS), 0)
+
+    # Guards against a daemon that ends since its address is assigned later.
+    def test_start_waits_for_an_address_that_is_not_assigned(self) -> None:
+        flags = isolated_flags(PortAllocator())
+        with running_daemon(
+            [*flags, '--caller-address=192.0.2.1:8300'],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+        ) as child:
+            assert child.stderr is not None
+            self.assertIn(b'address-in-use', child.stderr.readline())
+            with self.assertRaises(subprocess.TimeoutExpired):
+                child.wait(1)
+            child.send_signal(signal.SIGTERM)
+            self.assertEqual(child.wait(LIMIT_SECONDS), 0)
+
 
 class StartSignalTest(unittest.TestCase):
     # Guards against a daemon that SIGHUP ends while it starts: a changed
