Ask each peer that is ahead before any is asked again

On the fake clock, a change is in force after 2.4 s instead of 2 s in daemons whose two parents were paused just after they had announced it, although a third peer that holds the change is linked and answers.

Cause: only the last peer that did not answer a pull was remembered. With two such peers, each of them is the better choice while the other is the last one, so they are asked alternately, 0.5 s each, until both have had two pulls and an inventory. Class of fault: the choice of the next source forgets sources that have failed, so sources that work starve.

Ruled out: the takeover of the store's watch, which rightly stays off, since a daemon that watches is heard; and the suspicion of the parents, which comes after 1.5 to 2 s and does not change which peer is asked, because the streams to paused processes stay open.

Peers are now asked in the order of their last pull without an answer, and those without one first. An answer, or a moment at which no peer is ready, ends that.

--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -5,6 +5,7 @@
 cannot find.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final, final
@@ -73,16 +74,16 @@
 class PeerSyncState:
     """Decide when to pull from which peer and when to send an inventory.
 
-    Holds the last summary of each peer, the pull in flight, and the peer that
-    did not answer the last pull in time.
+    Holds the last summary of each peer, the pull in flight, and when each peer
+    was sent a pull that it has not answered in time.
     """
 
-    __slots__ = ('_views', '_pull', '_timed_out_peer', '_remote_delay_seconds')
+    __slots__ = ('_views', '_pull', '_unanswered_at', '_remote_delay_seconds')
 
     def __init__(self) -> None:
         self._views: dict[InstanceId, PeerView] = {}
         self._pull: _PendingPull | None = None
-        self._timed_out_peer: InstanceId | None = None
+        self._unanswered_at: dict[InstanceId, float] = {}
         self._remote_delay_seconds = REMOTE_PULL_DELAY_SECONDS
 
     @property
@@ -125,6 +126,7 @@
     def remove_peer(self, peer: InstanceId) -> None:
         """Remove a peer whose stream is down."""
         self._views.pop(peer, None)
+        self._unanswered_at.pop(peer, None)
         if self.pulled_peer == peer:
             self._pull = None
 
@@ -159,6 +161,7 @@
 
         A part of an answer does not end the pull, but restarts its timeout.
         """
+        self._unanswered_at.pop(peer, None)
         pull = self._pull
         if pull is None or pull.peer != peer:
             return
@@ -212,7 +215,7 @@
         pull = self._pull
         if pull is None or now - pull.sent_at < PULL_TIMEOUT_SECONDS:
             return []
-        self._timed_out_peer = pull.peer
+        self._unanswered_at[pull.peer] = pull.sent_at
         self._pull = None
         return [Count(name='pull_timeouts')]
 
@@ -223,14 +226,15 @@
             if self._may_pull(now, view, holdings)
         ]
         if not ready:
-            self._timed_out_peer = None
+            self._unanswered_at.clear()
             return []
-        # A peer that did not answer in time is asked again only if no other
-        # peer is ready.
+        # Peers that did not answer in time are asked again only if no other
+        # peer is ready, and then in turn. Otherwise two of them would be asked
+        # alternately, and never a third one that answers.
         peer = min(
             ready,
             key=lambda name: (
-                name == self._timed_out_peer,
+                self._unanswered_at.get(name, -math.inf),
                 self._views[name].is_remote,
                 self._views[name].ahead_since,
             ),
