Stop sending a request that ended its upstreams

Cause: a caller's repeat has a new id, and nothing else was known of a request. From the logs: one path without a body was running at the ends at 5.22 s and 5.59 s and came 11 times more until 6.73 s; all other requests that were running at an end had paths of their own and completed elsewhere. The owner of the ended upstream knew and told nobody. Ruled out: our own second attempts alone; most of the attempts came from new calls.

Now a request is known by a digest of service, method, target and body. An owner whose upstream ended counts that against what was running there, and its summary tells all peers at once. From the second end on the request is refused with 503 (502 if an attempt of the call ran) by senders, by owners and in their queues, for 30 s and four times as long after each further end. A completion, time or an operator (briartack clear-suspect) ends that. After the first end all daemons send the request to the same upstream, and those that ran beside it to others.

--- a/briartack/cli.py
+++ b/briartack/cli.py
@@ -25,7 +25,7 @@
 )
 from briartack.diff import diff_trees
 from briartack.held import Held, find_held_configurations, read_audit_lines
-from briartack.operator_client import OperatorError, fetch
+from briartack.operator_client import OperatorError, fetch, post
 from briartack.recorder import TraceError
 from briartack.replay import replay_trace
 
@@ -34,6 +34,13 @@
 EXIT_USAGE: Final = 2
 EXIT_UNREACHABLE: Final = 3
 
+_STATUS_DETAILS: Final = (
+    'data_centres_out',
+    'instances_out',
+    'retained',
+    'waiting',
+    'crash_suspects',
+)
 _STATUS_ROW: Final = '{:<22} {:<16} {:<6} {:>8} {:>7}  {}'
 _ENDPOINT_ROW: Final = '    {:<16} {:<16} {:<10} {}'
 
@@ -114,6 +121,22 @@
     return EXIT_OK
 
 
+def clear_suspect(address: str, fingerprint: str) -> int:
+    """Let all daemons serve a request that is suspected to crash upstreams.
+
+    :param address: operator address of any daemon that lists it, IP:PORT
+    :param fingerprint: as `status` shows it
+    """
+    query = urlencode({'fingerprint': fingerprint})
+    try:
+        answer = post(address, f'/clear-suspect?{query}')
+    except OperatorError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_UNREACHABLE
+    sys.stdout.write(f'{json.dumps(answer)}\n')
+    return EXIT_OK if 'fingerprint' in answer else EXIT_FAILED
+
+
 def held(
     *logs: Path,
     time: str,
@@ -164,7 +187,9 @@
 def main() -> None:
     """Run a subcommand and exit with its code."""
     try:
-        code = defopt.run([check, diff, status, explain, held, replay])
+        code = defopt.run(
+            [check, diff, status, explain, clear_suspect, held, replay]
+        )
     except (OSError, UsageError) as error:
         sys.stderr.write(f'{error}\n')
         code = EXIT_USAGE
@@ -254,7 +279,7 @@
 
 
 def _format_status_details(daemon: dict[str, object]) -> Iterator[str]:
-    for name in ('data_centres_out', 'instances_out', 'retained', 'waiting'):
+    for name in _STATUS_DETAILS:
         detail = daemon.get(name)
         if detail:
             yield f'    {name}: {_format_value(detail)}'
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -10,6 +10,7 @@
 from briartack.core.calls import reasons
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.calls_state import CallsState, end_calls, finish_event
+from briartack.core.calls.fingerprint import Fingerprint
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.events import (
     AttemptBodyRead,
@@ -21,6 +22,7 @@
     PeerDisconnected,
     PeerMessageReceived,
     StopRequested,
+    SuspectClearRequested,
     Tick,
     UpstreamAnswered,
     UpstreamFailed,
@@ -184,14 +186,21 @@
     event: PeerMessageReceived,
     summary: Summary,
 ) -> Effects:
-    """Record the clock reading in a peer's summary."""
+    """Record the clock reading and the evidence in a peer's summary."""
     state.endpoints.record_clock_reading(
         event.peer,
         summary.incarnation,
         summary.clock,
         event.now,
     )
-    return []
+    if not summary.crash_evidence:
+        return []
+    return finish_event(
+        state,
+        context,
+        event.now,
+        state.owner.suspects.merge(event.now, summary.crash_evidence),
+    )
 
 
 def on_peer_connected(
@@ -276,7 +285,12 @@
     event: UpstreamProbed,
 ) -> Effects:
     """Record the result of a health probe of the local upstream."""
-    return state.owner.handle_upstream_probe(event)
+    return finish_event(
+        state,
+        context,
+        event.now,
+        state.owner.handle_upstream_probe(event),
+    )
 
 
 def on_tick(state: CallsState, context: CallContext, event: Tick) -> Effects:
@@ -315,6 +329,18 @@
     return finish_event(state, context, event.now, effects)
 
 
+def on_suspect_clear_requested(
+    state: CallsState, context: CallContext, event: SuspectClearRequested
+) -> Effects:
+    """Discount the evidence against a request, here and at all peers."""
+    return finish_event(
+        state,
+        context,
+        event.now,
+        state.owner.suspects.clear(Fingerprint(event.fingerprint), 'operator'),
+    )
+
+
 def on_pause(state: CallsState, context: CallContext, now: float) -> Effects:
     """Discard peer state and end all calls after this process was paused.
 
--- a/briartack/core/calls/call_responses.py
+++ b/briartack/core/calls/call_responses.py
@@ -5,6 +5,7 @@
 
 from typing import final
 
+from briartack.core.calls import reasons
 from briartack.core.calls.call_checks import (
     build_refusal,
     draw_retry_after_seconds,
@@ -13,7 +14,7 @@
 from briartack.core.calls.call_logs import log_call_ended
 from briartack.core.calls.call_table import Call, CallTable
 from briartack.core.calls.reasons import Reason
-from briartack.core.effects import AnswerCall, DropBody, Effects
+from briartack.core.effects import AnswerCall, Count, DropBody, Effects
 from briartack.core.messages import Answer, Headers
 from briartack.core.units import BodyId
 from briartack.core.verdict import Verdict
@@ -71,6 +72,7 @@
         headers: Headers = (),
         *,
         is_from_owner: bool = False,
+        retry_after_seconds: float | None = None,
     ) -> Effects:
         """Refuse a call that no upstream answered.
 
@@ -82,12 +84,16 @@
         has_key = bool(call.event.idempotency_key)
         if call.may_have_run or (has_key and not is_from_owner):
             verdict = Verdict.UNKNOWN
+        if retry_after_seconds is None:
+            retry_after_seconds = draw_retry_after_seconds(
+                context.random, call.route.policy
+            )
         answer = build_refusal(
             call.event.call_id,
             reason,
             verdict,
             headers,
-            draw_retry_after_seconds(context.random, call.route.policy),
+            retry_after_seconds,
         )
         log_line = log_call_ended(
             now,
@@ -97,3 +103,23 @@
             reason=reason.code,
         )
         return [answer, DropBody(body_id=call.body_id), log_line]
+
+    def refuse_suspect(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        refused_seconds: float,
+    ) -> Effects:
+        """Refuse a call whose request is suspected to crash its upstreams."""
+        return [
+            Count(name='suspects_refused'),
+            *self.refuse(
+                context,
+                now,
+                call,
+                reasons.CRASH_SUSPECT,
+                Verdict.NOT_RUN,
+                retry_after_seconds=refused_seconds,
+            ),
+        ]
--- a/briartack/core/calls/calls_state.py
+++ b/briartack/core/calls/calls_state.py
@@ -95,6 +95,8 @@
     both steps.
     """
     own = context.identity.instance
+    if state.owner.suspects.take_growth():
+        effects.extend(state.owner.refuse_suspects(now))
     for outcome in iter(state.owner.pop_outcome, None):
         effects.extend(
             state.sender.handle_answer(
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from itertools import chain
 from typing import Final, TypeAlias, final
 
 import msgspec
@@ -13,6 +14,7 @@
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.call_table import Call
 from briartack.core.calls.endpoints import EndpointsState
+from briartack.core.calls.fingerprint import Fingerprint
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.routing import (
     FULL_LOAD,
@@ -66,9 +68,15 @@
         context: CallContext,
         now: float,
         call: Call,
+        suspect: Fingerprint | None = None,
     ) -> EndpointChoice:
         """Choose the endpoint of the next attempt of a call.
 
+        `suspect` is the fingerprint of a request that was running when an
+        upstream ended. All daemons choose the same endpoint for it, so that it
+        does not reach several upstreams at once, and different ones for the
+        requests that ran beside it.
+
         Home regions and instances out of service are read from the active
         snapshot, because the snapshot that routed the call may be minutes old.
         """
@@ -90,12 +98,26 @@
             call.share.service,
             regions,
         )
+        slots = call.share.limits.slots
+        if suspect is not None:
+            member = min(
+                (
+                    one
+                    for one in chain.from_iterable(scopes)
+                    if one.instance not in call.tried_instances
+                    and self._compute_load(context, now, one, slots) is not None
+                ),
+                key=lambda one: rank(suspect.hex(), one.instance),
+                default=None,
+            )
+            if member is not None:
+                return ChosenEndpoint(member=member, regions=regions)
         return self.choose_among(
             context,
             now,
             scopes,
             regions,
-            slots=call.share.limits.slots,
+            slots=slots,
             tried_instances=call.tried_instances,
             allows_tried=call.last_refusal is None,
             full_load=_select_full_load(context.rules, call.body_bytes),
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -11,6 +11,8 @@
 from briartack.core.calls import reasons
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.call_rules import CallRules
+from briartack.core.calls.crash_suspects import CrashSuspects
+from briartack.core.calls.crash_watch import CrashWatch
 from briartack.core.calls.dedup import DedupState
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import (
@@ -60,6 +62,8 @@
         '_runner',
         '_probe_path',
         '_was_out_of_service',
+        '_suspects',
+        '_crash_watch',
     )
 
     def __init__(self, *, rules: CallRules) -> None:
@@ -67,6 +71,8 @@
         self._upstream = LocalUpstream(rules=rules)
         self._probe_path = ''
         self._was_out_of_service = False
+        self._suspects = CrashSuspects()
+        self._crash_watch = CrashWatch(suspects=self._suspects)
         self._dedup = DedupState()
         self._attempts: dict[AttemptId, OwnedAttempt] = {}
         self._answers = OwnerAnswers(
@@ -89,6 +95,11 @@
         """Return the local upstream, which reports its load and health."""
         return self._upstream
 
+    @property
+    def suspects(self) -> CrashSuspects:
+        """Return the requests that are suspected to crash their upstreams."""
+        return self._suspects
+
     def find_running_rank(self, request_id: str) -> int | None:
         """Return the rank of a running request, or `None` if not running."""
         return self._runner.find_running_rank(request_id)
@@ -204,6 +215,9 @@
         if record is None:
             return drop_late_answer(event.attempt_id)
         limit_effects = self._update_stated_limit(event.stated_limit)
+        limit_effects.extend(
+            self._crash_watch.handle_answer(event.now, record.attempt)
+        )
         effects, has_restarted = self._runner.handle_answer(event, record)
         effects.extend(limit_effects)
         if has_restarted:
@@ -218,21 +232,27 @@
         limit_effects: Effects = []
         if event.stated_limit is not None:
             limit_effects = self._update_stated_limit(event.stated_limit)
+        self._crash_watch.handle_failure(event, record.attempt)
         effects, has_restarted = self._runner.handle_failure(event, record)
         effects.extend(limit_effects)
         if has_restarted:
             effects.extend(_report_ramp_restart('reset'))
+        if event.is_reset and event.may_have_run:
+            # Evidence on a crash waits for the probe.
+            effects.extend(
+                _probe_if_requested(self._upstream, self._probe_path)
+            )
         return effects
 
     def handle_upstream_probe(self, event: UpstreamProbed) -> Effects:
         """Record the health, identity and load that a probe reports."""
         upstream = self._upstream
         before = (upstream.health.identity, upstream.is_open)
-        effects = (
-            _report_ramp_restart('probe')
-            if upstream.handle_probe(event)
-            else []
+        effects = self._crash_watch.handle_probe(
+            event, upstream.health.identity, upstream.running
         )
+        if upstream.handle_probe(event):
+            effects.extend(_report_ramp_restart('probe'))
         if before != (upstream.health.identity, upstream.is_open):
             effects.append(_create_health_line(upstream, event))
         if event.stated_limit is not None:
@@ -242,6 +262,7 @@
     def tick(self, context: CallContext, now: float) -> Effects:
         """Expire overdue attempts, apply new limits and request due probes."""
         effects = self._runner.tick(now)
+        effects.extend(self._suspects.expire(now))
         effects.extend(self._apply_configuration(context, now))
         return effects
 
@@ -253,6 +274,17 @@
             for effect in self._runner.expire(now, record, reason)
         ]
 
+    def refuse_suspects(self, now: float) -> Effects:
+        """Refuse the attempts that wait and whose request became a suspect."""
+        return [
+            effect
+            for record in self._runner
+            if self._crash_watch.is_refused(record.attempt, now)
+            for effect in self._runner.expire(
+                now, record, reasons.CRASH_SUSPECT
+            )
+        ]
+
     def abort_all(self, now: float) -> Effects:
         """End all attempts; the outcome of running ones is unknown."""
         effects = self.expire_all(now, reasons.STOPPING)
@@ -297,8 +329,9 @@
             effects = self.expire_all(now, reasons.OUT_OF_SERVICE)
         has_path_changed = limits.health_path != self._probe_path
         self._probe_path = limits.health_path
-        if self._upstream.health.take_probe_request() or has_path_changed:
-            effects.append(ProbeUpstream(path=limits.health_path))
+        if has_path_changed:
+            self._upstream.health.request_probe()
+        effects.extend(_probe_if_requested(self._upstream, self._probe_path))
         return effects
 
     def _answer_if_repeated(
@@ -333,6 +366,8 @@
             self._upstream,
             is_stopping=is_stopping,
         )
+        if reason is None and self._crash_watch.is_refused(record.attempt, now):
+            reason = reasons.CRASH_SUSPECT
         if reason is not None:
             return self._answers.refuse(now, record, reason)
         return self._runner.offer(now, record)
@@ -352,6 +387,12 @@
     )
 
 
+def _probe_if_requested(upstream: LocalUpstream, path: str) -> Effects:
+    if not upstream.health.take_probe_request():
+        return []
+    return [ProbeUpstream(path=path)]
+
+
 def _report_ramp_restart(cause: str) -> Effects:
     return [
         Count(name='ramps_restarted', attributes=(('cause', cause),)),
--- a/briartack/core/calls/reasons.py
+++ b/briartack/core/calls/reasons.py
@@ -109,6 +109,11 @@
     code='upstream-replaced',
     status=UNAVAILABLE,
 )
+CRASH_SUSPECT: Final = Reason(
+    code='crash-suspect',
+    status=UNAVAILABLE,
+    is_retryable=False,
+)
 STALE_INCARNATION: Final = Reason(
     code='stale-incarnation',
     status=UNAVAILABLE,
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -36,6 +36,7 @@
 )
 from briartack.core.calls.routing import RoutingState
 from briartack.core.calls.streams import StreamsState
+from briartack.core.calls.suspect_calls import find_suspicion
 from briartack.core.effects import (
     AnswerCall,
     Count,
@@ -314,7 +315,14 @@
         """
         if now >= call.deadline:
             return self._abandon_call(context, now, call, reasons.DEADLINE)
-        choice = self._chooser.choose_for_call(context, now, call)
+        suspicion = find_suspicion(self._owner.suspects, call, now)
+        if suspicion.refused_seconds:
+            return self._responder.refuse_suspect(
+                context, now, call, suspicion.refused_seconds
+            )
+        choice = self._chooser.choose_for_call(
+            context, now, call, suspicion.isolated
+        )
         if isinstance(choice, ChosenEndpoint):
             return self._attempt_sender.send(context, now, call, choice)
         if isinstance(choice, SelectionFailure):
@@ -371,6 +379,7 @@
         """
         if verdict is Verdict.UNKNOWN:
             call.may_have_run = True
+            call.has_failed_run = reason is reasons.UPSTREAM_FAILED
         if (
             reason is reasons.STALE_CLOCK
             and call.stale_clock_refusals < MAX_STALE_CLOCK_RETRIES
--- a/briartack/core/dissemination/announcer.py
+++ b/briartack/core/dissemination/announcer.py
@@ -11,7 +11,7 @@
 from briartack.core.dissemination.holdings import Holdings
 from briartack.core.dissemination.leaving_upstreams import UpstreamStart
 from briartack.core.effects import Effects, LogLevel, SendMessage, WriteLog
-from briartack.core.messages import Summary
+from briartack.core.messages import CrashEvidence, Summary
 from briartack.core.units import (
     NO_INSTANCE,
     Digest,
@@ -51,6 +51,7 @@
         '_watcher',
         '_store_answer_seconds',
         '_leaving_upstream',
+        '_crash_evidence',
         '_announced_digest',
     )
 
@@ -62,6 +63,7 @@
         self._watcher = NO_INSTANCE
         self._store_answer_seconds: float | None = None
         self._leaving_upstream: UpstreamStart | None = None
+        self._crash_evidence: tuple[CrashEvidence, ...] = ()
         self._announced_digest = Digest(b'')
 
     def remove_peer(self, peer: InstanceId) -> None:
@@ -91,6 +93,10 @@
         """Report in all later summaries that the local upstream leaves."""
         self._leaving_upstream = upstream
 
+    def announce_crashes(self, evidence: tuple[CrashEvidence, ...]) -> None:
+        """Report evidence on crashes in all later summaries."""
+        self._crash_evidence = evidence
+
     def report_announcement(
         self, peers: Collection[InstanceId], holdings: Holdings, source: str
     ) -> Effects:
@@ -178,4 +184,5 @@
             leaving_upstream_started_ms=None
             if leaving is None
             else leaving.started_ms,
+            crash_evidence=self._crash_evidence,
         )
--- a/briartack/core/dissemination/upstream_notices.py
+++ b/briartack/core/dissemination/upstream_notices.py
@@ -1,6 +1,6 @@
-"""News of upstreams that say that they leave, between daemons.
+"""News of upstreams between daemons: of those that leave, and of crashes.
 
-The daemon beside such an upstream names it in its summaries.
+Summaries carry the news.
 """
 
 from briartack.core.dissemination.dissemination_state import DisseminationState
@@ -9,7 +9,7 @@
 from briartack.core.dissemination.membership import MembershipState
 from briartack.core.effects import Effects, LogLevel, WriteLog
 from briartack.core.events import PeerMessageReceived
-from briartack.core.messages import Summary
+from briartack.core.messages import CrashEvidence, Summary
 from briartack.core.units import InstanceId
 
 
@@ -55,6 +55,29 @@
     return [_build_leaving_line(start.record_id, event.peer)]
 
 
+def announce_crash_evidence(
+    state: DisseminationState,
+    now: float,
+    changes: tuple[CrashEvidence, ...],
+    standing: tuple[CrashEvidence, ...],
+    holdings: Holdings,
+) -> Effects:
+    """Send changed evidence to all connected peers at once.
+
+    Later summaries carry the standing suspects, for daemons that start later
+    or missed a message.
+    """
+    state.announcer.announce_crashes(changes)
+    effects = state.announcer.send_summaries(
+        now,
+        state.links.connected_peers,
+        holdings,
+        sync_sources=state.links.sync_sources,
+    )
+    state.announcer.announce_crashes(standing)
+    return effects
+
+
 def _build_leaving_line(record_id: str, instance: InstanceId) -> WriteLog:
     fields = (('upstream', record_id), ('instance', instance))
     return WriteLog(level=LogLevel.INFO, code='upstream-leaving', fields=fields)
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -228,6 +228,14 @@
     now: float
 
 
+@final
+class SuspectClearRequested(msgspec.Struct, frozen=True, kw_only=True):
+    """Report that an operator clears a request suspected of crashes."""
+
+    now: float
+    fingerprint: bytes
+
+
 Event: TypeAlias = (
     Started
     | Tick
@@ -246,4 +254,5 @@
     | UpstreamFailed
     | UpstreamProbed
     | StopRequested
+    | SuspectClearRequested
 )
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -49,6 +49,20 @@
     clock: float
 
 
+@final
+class CrashEvidence(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """State under which ends of upstreams a request was running.
+
+    The ids name ends of upstream processes. Those in `cleared` count no longer,
+    because the request has completed since or an operator cleared it.
+    """
+
+    fingerprint: bytes
+    ends: tuple[bytes, ...]
+    cleared: tuple[bytes, ...] = ()
+    age_seconds: float = 0  # of the latest end
+
+
 @final
 class Summary(Message, frozen=True, kw_only=True, tag='summary'):
     """Announce the state of the sender; this is also the heartbeat."""
@@ -74,6 +88,8 @@
     watcher: InstanceId = NO_INSTANCE
     leaving_upstream: str = ''
     leaving_upstream_started_ms: int | None = None
+    # Requests that were running when upstreams ended.
+    crash_evidence: tuple[CrashEvidence, ...] = ()
 
     @property
     def highest_revisions(self) -> HighestRevisions:
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -11,7 +11,10 @@
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.calls_state import CallsState
 from briartack.core.dissemination import dissemination
-from briartack.core.dissemination.upstream_notices import on_upstream_leaving
+from briartack.core.dissemination.upstream_notices import (
+    announce_crash_evidence,
+    on_upstream_leaving,
+)
 from briartack.core.effects import Effects, LogLevel, WriteAudit, WriteLog
 from briartack.core.events import (
     AttemptBodyRead,
@@ -28,6 +31,7 @@
     StoreFailed,
     StoreRead,
     StoreWatched,
+    SuspectClearRequested,
     Tick,
     UpstreamAnswered,
     UpstreamFailed,
@@ -60,8 +64,10 @@
 
 def reduce(state: State, event: Event) -> Effects:
     """Apply one event and return the effects for the shell to perform."""
+    state.last_event_at = event.now
     effects = _advance_clock(state, event.now)
     effects.extend(_HANDLERS[type(event)](state, event))
+    effects.extend(_spread_crash_evidence(state, event))
     return effects
 
 
@@ -90,6 +96,21 @@
     return effects
 
 
+def _spread_crash_evidence(state: State, event: Event) -> Effects:
+    suspects = state.calls.owner.suspects
+    is_tick = isinstance(event, Tick)
+    changes = suspects.take_changes(event.now, is_tick=is_tick)
+    if not (changes or is_tick):
+        return []
+    standing = suspects.list_standing(event.now)
+    if not changes:
+        state.dissemination.announcer.announce_crashes(standing)
+        return []
+    return announce_crash_evidence(
+        state.dissemination, event.now, changes, standing, state.holdings
+    )
+
+
 def _on_started(state: State, event: Started) -> Effects:
     record = state.audit_trail.record(
         'started',
@@ -347,6 +368,14 @@
     ]
 
 
+def _on_suspect_clear_requested(
+    state: State, event: SuspectClearRequested
+) -> Effects:
+    return call_handlers.on_suspect_clear_requested(
+        state.calls, make_call_context(state), event
+    )
+
+
 _MESSAGE_HANDLERS: Final[dict[type[PeerMessage], _Handler]] = {
     Summary: _on_summary,
     Pull: _on_synchronisation_message,
@@ -377,4 +406,5 @@
     UpstreamFailed: _on_upstream_failed,
     UpstreamProbed: _on_upstream_probed,
     StopRequested: _on_stop_requested,
+    SuspectClearRequested: _on_suspect_clear_requested,
 }
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -27,6 +27,7 @@
         'holdings',
         'identity',
         'last_audit_repeat_at',
+        'last_event_at',
         'membership',
         'random',
         'rules',
@@ -68,6 +69,7 @@
             incarnation=identity.incarnation,
         )
         self.last_audit_repeat_at = 0.0
+        self.last_event_at = 0.0
         self.is_stopping = False
 
     def replace_rules(self, rules: CallRules) -> None:
--- a/briartack/core/status.py
+++ b/briartack/core/status.py
@@ -25,6 +25,9 @@
         ],
         'dissemination': _describe_dissemination(state),
         'upstream': _describe_upstream(state),
+        'crash_suspects': list(
+            state.calls.owner.suspects.describe(state.last_event_at)
+        ),
     }
     described.update(_describe_snapshot(state))
     return described
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -15,7 +15,11 @@
 from briartack.core import effects
 from briartack.core.calls.call_logs import REQUEST_LOG_CODES
 from briartack.core.calls.call_rules import CallRules
-from briartack.core.events import Started, StopRequested
+from briartack.core.events import (
+    Started,
+    StopRequested,
+    SuspectClearRequested,
+)
 from briartack.core.identity import Identity
 from briartack.error_texts import (
     LISTENING,
@@ -199,6 +203,7 @@
             describe=partial(reports.describe, self._loop.state),
             is_ready=partial(reports.is_ready, self._loop.state),
             explain=partial(reports.explain, self._loop.state),
+            clear_suspect=self.clear_suspect,
             metrics=self._metrics,
         )
         self._is_stopping = False
@@ -259,6 +264,12 @@
         self._callers.stop_keep_alive()
         self._loop.deliver(StopRequested(now=boot_clock()))
 
+    def clear_suspect(self, fingerprint: bytes) -> None:
+        """Discount the evidence that a request crashes its upstreams."""
+        self._loop.deliver(
+            SuspectClearRequested(now=boot_clock(), fingerprint=fingerprint)
+        )
+
     def reload(self) -> None:
         """Apply the call rules of a changed settings file.
 
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -308,6 +308,20 @@
         'upstream-leaving': ErrorText(
             'An upstream says that it leaves; it gets no new requests.', ''
         ),
+        'crash-suspect': ErrorText(
+            'Upstreams ended each time they ran this request.',
+            'Find the request by its fingerprint, and correct the upstream.',
+        ),
+        'request-suspected': ErrorText(
+            'A request was running when several upstreams ended.',
+            'Look for the cause in the logs of these upstreams.',
+        ),
+        'suspect-cleared': ErrorText(
+            'A request is no longer suspected to crash upstreams.', ''
+        ),
+        'upstream-ended': ErrorText(
+            'The local upstream ended while it was running requests.', ''
+        ),
         'upstream-limit': ErrorText(
             'The upstream states a limit, or states it no longer.', ''
         ),
--- a/briartack/operator_client.py
+++ b/briartack/operator_client.py
@@ -30,7 +30,20 @@
         ) from error
 
 
-def _get_body(address: str, path: str) -> bytes:
+def post(address: str, path: str) -> dict[str, Any]:
+    """Send a command to a daemon, and return its answer.
+
+    Raises OperatorError.
+    """
+    try:
+        return _decode_object(_get_body(address, path, method='POST'))
+    except (OSError, ValueError) as error:
+        raise OperatorError(
+            f'{address}: {error}; give the operator address as IP:PORT',
+        ) from error
+
+
+def _get_body(address: str, path: str, *, method: str = 'GET') -> bytes:
     parts = urlsplit(f'//{address}')
     client = HTTPClient(
         parts.hostname or address,
@@ -39,7 +52,7 @@
         network_timeout=_TIMEOUT_SECONDS,
     )
     try:
-        return bytes(client.get(path).read())
+        return bytes(client.request(method, path).read())
     finally:
         client.close()
 
--- a/briartack/operator_port.py
+++ b/briartack/operator_port.py
@@ -9,7 +9,7 @@
 
 from briartack.addresses import Address
 from briartack.caller_responses import encode_refusal_body
-from briartack.error_texts import UNKNOWN_PATH
+from briartack.error_texts import MALFORMED_REQUEST, UNKNOWN_PATH
 from briartack.metrics import MetricRegistry
 from briartack.shell_interfaces import LISTEN_BACKLOG
 
@@ -25,6 +25,7 @@
 _OK: Final = '200 OK'
 _NOT_READY: Final = '503 Service Unavailable'
 _NOT_FOUND: Final = '404 Not Found'
+_BAD_REQUEST: Final = '400 Bad Request'
 
 
 class _StartResponse(Protocol):
@@ -38,7 +39,15 @@
 class OperatorPort:
     """Serve the health, readiness, status, explanation and metrics paths."""
 
-    __slots__ = ('_describe', '_is_ready', '_explain', '_metrics', '_handlers')
+    __slots__ = (
+        '_describe',
+        '_is_ready',
+        '_explain',
+        '_clear_suspect',
+        '_metrics',
+        '_handlers',
+        '_commands',
+    )
 
     def __init__(
         self,
@@ -46,12 +55,14 @@
         describe: Callable[[], _JsonObject],
         is_ready: Callable[[], bool],
         explain: ExplainCall,
+        clear_suspect: Callable[[bytes], None],
         metrics: MetricRegistry,
     ) -> None:
-        """Set the functions that describe the status and explain a call."""
+        """Set the functions that answer and obey operators."""
         self._describe = describe
         self._is_ready = is_ready
         self._explain = explain
+        self._clear_suspect = clear_suspect
         self._metrics = metrics
         self._handlers: dict[str, Callable[[str], _Answer]] = {
             '/healthz': self._handle_health,
@@ -60,6 +71,10 @@
             '/explain': self._handle_explain,
             '/metrics': self._handle_metrics,
         }
+        # These change the state of the daemon, and need a POST.
+        self._commands: dict[str, Callable[[str], _Answer]] = {
+            '/clear-suspect': self._handle_clear_suspect,
+        }
 
     def create_server(self, address: Address) -> WSGIServer:
         """Create the HTTP server for operators, which does not listen yet."""
@@ -77,7 +92,9 @@
         environ: dict[str, str],
         start_response: _StartResponse,
     ) -> Iterable[bytes]:
-        handler = self._handlers.get(environ['PATH_INFO'], _handle_unknown_path)
+        is_command = environ['REQUEST_METHOD'] == 'POST'
+        handlers = self._commands if is_command else self._handlers
+        handler = handlers.get(environ['PATH_INFO'], _handle_unknown_path)
         status, content_type, body = handler(environ['QUERY_STRING'])
         start_response(
             status,
@@ -108,6 +125,23 @@
         )
         return _OK, _JSON, msgspec.json.encode(explanation, enc_hook=str)
 
+    def _handle_clear_suspect(self, query: str) -> _Answer:
+        text = dict(parse_qsl(query)).get('fingerprint', '')
+        try:
+            fingerprint = bytes.fromhex(text)
+        except ValueError:
+            fingerprint = b''
+        if not fingerprint:
+            detail = f'fingerprint {text!r} is not hexadecimal'
+            return (
+                _BAD_REQUEST,
+                _JSON,
+                encode_refusal_body(MALFORMED_REQUEST, detail),
+            )
+        self._clear_suspect(fingerprint)
+        body = msgspec.json.encode({'fingerprint': fingerprint.hex()})
+        return _OK, _JSON, body
+
     def _handle_metrics(self, query: str) -> _Answer:
         text_lines = [*self._metrics.format_lines(), '']
         return _OK, _PLAIN_TEXT, '\n'.join(text_lines).encode()
--- a/briartack/test/test_operator_port.py
+++ b/briartack/test/test_operator_port.py
@@ -39,10 +39,12 @@
         self.state = State(identity=IDENTITY, random=Random(1), drain_seconds=1)
         self.metrics = MetricRegistry()
         self.described = 0
+        self.cleared: list[bytes] = []
         port = OperatorPort(
             describe=self.describe_state,
             is_ready=partial(is_ready, self.state),
             explain=partial(explain, self.state),
+            clear_suspect=self.cleared.append,
             metrics=self.metrics,
         )
         server = port.create_server((LOOPBACK, 0))
@@ -129,6 +131,19 @@
         unrouted = self.get_json('/explain?path=/svc-1/other/x')
         self.assertIn('no route matches', unrouted['outcome'])
 
+    @params(
+        ('POST', 'fingerprint=00ff', 200, [b'\x00\xff']),
+        ('POST', 'fingerprint=x', 400, []),
+        ('POST', '', 400, []),
+        ('GET', 'fingerprint=00ff', 404, []),
+    )
+    def test_suspect_is_cleared_by_a_post(
+        self, method: str, query: str, status: int, cleared: list[bytes]
+    ) -> None:
+        """Guard against a collector or a typing error that clears a suspect."""
+        answer = call(self.address, method, f'/clear-suspect?{query}')
+        self.assertEqual((answer.status, self.cleared), (status, cleared))
+
     @params('/', '/status/', '/nothing')
     def test_unknown_path_is_answered_with_404(self, path: str) -> None:
         """Guard against a probe of a misspelt path that succeeds."""
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -212,14 +212,17 @@
 
 
 def send_consumer_request(
-    machine: Machine, path: str, body: bytes | None = None
+    machine: Machine,
+    path: str,
+    body: bytes | None = None,
+    attempt_id: str = '',
 ) -> ConsumerResponse:
     """Send a request to a machine's daemon as a consumer would."""
     return send_request(
         f'http://{machine.caller_address}{path}',
         {
             'Host': HOST,
-            'X-Attempt-Id': uuid.uuid4().hex,
+            'X-Attempt-Id': attempt_id or uuid.uuid4().hex,
             'X-Deadline-Ms': '2000',
         },
         body,
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -35,6 +35,8 @@
         'work_seconds',
         'stated_limit',
         'is_leaving',
+        'deadly_path',
+        'down_seconds',
         'counts',
         'received_requests',
         '_server',
@@ -50,6 +52,8 @@
         self.work_seconds = 0.001
         self.stated_limit: float | None = None  # requests per second
         self.is_leaving = False  # named in answers, whatever the store says
+        self.deadly_path = ''  # a request to it ends this worker
+        self.down_seconds = 0.5  # until this worker starts again
         self.counts: Counter[str] = Counter()
         self.received_requests: list[tuple[str, str, dict[str, str]]] = []
         self._server = HttpServer(address=address, application=self.answer)
@@ -65,6 +69,14 @@
         self.is_draining = False
         self.is_leaving = False
 
+    def end(self) -> None:
+        """Simulate the end of the process and its start after a time."""
+        self.counts['ended'] += 1
+        self._server.stop()
+        gevent.sleep(self.down_seconds)
+        self.restart(f'{self.identity}.{self.counts["ended"]}')
+        self._server.start()
+
     def answer(self, request: Request) -> Response | BrokenResponse:
         """Answer a health probe or run a request."""
         if request.path == HEALTH_PATH:
@@ -91,7 +103,11 @@
         }
         self.counts['ran'] += 1
         self.received_requests.append((attempt_id, request.path, headers))
-        gevent.sleep(self.work_seconds)
+        try:
+            self._work(request.path)
+        except gevent.GreenletExit:
+            # The server is stopping, and would answer with status 500.
+            return BrokenResponse(is_reset=True)
         endless = ENDLESS_ANSWERS.get(self.active_fault)
         if endless is not None:
             _send_without_end(request, *endless)
@@ -116,6 +132,13 @@
             ),
         )
 
+    def _work(self, path: str) -> None:
+        gevent.sleep(self.work_seconds)
+        if path == self.deadly_path:
+            gevent.spawn(self.end)
+            # The end kills the greenlet of this request.
+            gevent.sleep(self.down_seconds)
+
     def _build_statements(self) -> list[tuple[str, str]]:
         statements = []
         if self.stated_limit is not None:
