Log exceptions of all greenlets as JSON lines, counted and bounded

make test prints plain tracebacks of greenlets (ExchangeError: answer is too large). But any other greenlet of a daemon that ends by an exception did write plain text, uncounted, and tracebacks in JSON lines had no limit. One handler now logs and counts them all, and the log takes 20 tracebacks at once and one a second after that; the next one says how many were left out.

Without the handler, the test finds plain text and no line.

--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -28,7 +28,7 @@
     STOPPED,
 )
 from briartack.event_loop import EventLoop, Handlers, Reduce
-from briartack.greenlets import run_forever
+from briartack.greenlets import install_error_handler, run_forever
 from briartack.integration import PlatformIntegration, SettingsFileWatcher
 from briartack.line_writer import OutputWriters
 from briartack.listening import start_metrics_server, start_servers
@@ -224,6 +224,7 @@
         before that still serves its grace time. Raises OSError if an address
         other than that of the metrics cannot be bound.
         """
+        install_error_handler(self._observer)
         options = self._options
         self._servers = [
             self._operator_port.create_server(options.operator_address),
--- a/briartack/greenlets.py
+++ b/briartack/greenlets.py
@@ -2,10 +2,13 @@
 
 A greenlet that ends by an exception ends its task without notice. Tasks that
 run as long as the daemon are started again; all others report the failure of
-their one operation as an event.
+their one operation as an event. What any other greenlet raises is logged and
+counted.
 """
 
 from collections.abc import Callable
+from functools import partial
+from types import TracebackType
 from typing import Final
 
 import gevent
@@ -15,6 +18,7 @@
 from briartack.shell_interfaces import Observer
 
 RESTART_SECONDS: Final = 0.5
+_GREENLET_TASK: Final = 'greenlet'
 
 
 def report_failed_task(observer: Observer, task: str) -> None:
@@ -23,6 +27,27 @@
     write_exception(TASK_FAILED, {'task': task})
 
 
+def install_error_handler(observer: Observer) -> None:
+    """Log the exceptions that end greenlets as lines of JSON, and count them.
+
+    gevent would write plain text, with the request's headers for some of them.
+    """
+    gevent.get_hub().print_exception = partial(_report_greenlet, observer)
+
+
+def _report_greenlet(
+    observer: Observer,
+    context: object,
+    error_type: type[BaseException],
+    error: BaseException | None,
+    traceback: TracebackType | None,
+) -> None:
+    observer.count('tasks.failed', task=_GREENLET_TASK)
+    write_exception(
+        TASK_FAILED, {'task': _GREENLET_TASK}, error or error_type()
+    )
+
+
 def run_forever(
     run: Callable[[], None], *, task: str, observer: Observer
 ) -> None:
--- a/briartack/logs.py
+++ b/briartack/logs.py
@@ -19,6 +19,9 @@
 # per second on each daemon.
 REQUEST_LINES_PER_SECOND: Final = 250.0
 REQUEST_LINES_BURST: Final = 500
+# One cause may raise an exception for each request.
+EXCEPTION_LINES_PER_SECOND: Final = 1.0
+EXCEPTION_LINES_BURST: Final = 20
 _LEFT_OUT_COUNTER: Final = 'lines_left_out'
 # Attributes that log calls add to a record, in the order of the JSON line.
 _EXTRA_ATTRIBUTES: Final = ('code', 'fields')
@@ -64,16 +67,60 @@
         return self._encoder.encode(line).decode()
 
 
+@final
+class _TokenBucket:
+    """Limit the rate of lines."""
+
+    __slots__ = ('_clock', '_per_second', '_burst', '_tokens', '_refilled_at')
+
+    def __init__(self, clock: Clock, *, per_second: float, burst: int) -> None:
+        """Start with a full bucket."""
+        self._clock = clock
+        self._per_second = per_second
+        self._burst = burst
+        self._tokens = float(burst)
+        self._refilled_at = clock()
+
+    def take(self) -> bool:
+        """Take a token; return False if there is none."""
+        now = self._clock()
+        gained = (now - self._refilled_at) * self._per_second
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._refilled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
 @final
 class _Handler(logging.Handler):
-    """Pass each log line to a line sink."""
+    """Pass each log line to a line sink; limit the rate of tracebacks."""
 
     def __init__(self, sink: LineSink) -> None:
         super().__init__()
         self._sink = sink
+        self._bucket = _TokenBucket(
+            time.monotonic,
+            per_second=EXCEPTION_LINES_PER_SECOND,
+            burst=EXCEPTION_LINES_BURST,
+        )
+        self._left_out_lines = 0
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Pass the line of a record to the sink."""
+        """Pass the line of a record to the sink.
+
+        The next traceback names the number of those that were left out.
+        """
+        if record.exc_info:
+            if not self._bucket.take():
+                self._left_out_lines += 1
+                return
+            if self._left_out_lines:
+                fields = getattr(record, 'fields', {})
+                left_out = str(self._left_out_lines)
+                record.fields = {**fields, 'left_out': left_out}
+                self._left_out_lines = 0
         self._sink.write(f'{self.format(record)}\n')
 
 
@@ -106,10 +153,13 @@
     _LOGGER.handle(record)
 
 
-def write_exception(code: str, fields: dict[str, str]) -> None:
-    """Write a log line with the traceback of the current exception."""
-    _LOGGER.exception(
+def write_exception(
+    code: str, fields: dict[str, str], error: BaseException | None = None
+) -> None:
+    """Write a log line with a traceback, by default of the one in handling."""
+    _LOGGER.error(
         get_error_text(code).text,
+        exc_info=error or True,
         extra={'code': code, 'fields': fields},
     )
 
@@ -121,26 +171,23 @@
     Lines over the limit are left out and counted.
     """
 
-    __slots__ = ('_clock', '_tokens', '_refilled_at', '_left_out_lines')
+    __slots__ = ('_bucket', '_left_out_lines')
 
     def __init__(self, clock: Clock) -> None:
         """Start with a full bucket."""
-        self._clock = clock
-        self._tokens = float(REQUEST_LINES_BURST)
-        self._refilled_at = clock()
+        self._bucket = _TokenBucket(
+            clock,
+            per_second=REQUEST_LINES_PER_SECOND,
+            burst=REQUEST_LINES_BURST,
+        )
         self._left_out_lines = 0
 
     def write(self, level: LogLevel, code: str, fields: dict[str, str]) -> None:
         """Write a line, or count the line as left out if over the limit."""
-        now = self._clock()
-        gained = (now - self._refilled_at) * REQUEST_LINES_PER_SECOND
-        self._tokens = min(REQUEST_LINES_BURST, self._tokens + gained)
-        self._refilled_at = now
-        if self._tokens < 1:
+        if self._bucket.take():
+            write_log(level, code, fields)
+        else:
             self._left_out_lines += 1
-            return
-        self._tokens -= 1
-        write_log(level, code, fields)
 
     def report_dropped_lines(self, observer: Observer) -> None:
         """Count and log the lines left out since the last report."""
--- a/briartack/test/test_logs.py
+++ b/briartack/test/test_logs.py
@@ -6,16 +6,21 @@
 import logging
 import unittest
 from collections.abc import Iterator
+from unittest import mock
+
+import gevent
 
 from briartack.core.audit_trail import AuditRecorder
 from briartack.core.effects import LogLevel
+from briartack.greenlets import install_error_handler
 from briartack.logs import (
+    EXCEPTION_LINES_BURST,
     AuditTrail,
     configure_logging,
     write_exception,
     write_log,
 )
-from briartack.test.fake_reducer import make_identity
+from briartack.test.fake_reducer import CountingObserver, make_identity
 
 UTC_TIME = r'^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z$'
 
@@ -52,6 +57,40 @@
             self.assertEqual(line['incarnation'], 'i1')
         return decoded
 
+    # Guards against plain text among the lines of JSON, without a limit, from
+    # greenlets that end by an exception.
+    def test_failed_greenlets_are_logged_counted_and_bounded(self) -> None:
+        clock = mock.Mock(return_value=0.0)
+        with mock.patch('time.monotonic', clock):
+            configure_logging(
+                level='info',
+                identity=make_identity('saldo-1', 'i1'),
+                stream=self.stream,
+            )
+        hub = gevent.get_hub()
+        self.addCleanup(hub.__dict__.pop, 'print_exception')
+        observer = CountingObserver()
+        install_error_handler(observer)
+        plain_text = io.StringIO()
+        with contextlib.redirect_stderr(plain_text):
+            failing = [gevent.spawn(int, 'x') for _ in range(100)]
+            gevent.joinall(failing)
+        lines = self.lines()
+        self.assertEqual(plain_text.getvalue(), '')
+        self.assertEqual(observer.counts, {'tasks.failed': len(failing)})
+        self.assertEqual(lines[0]['code'], 'task-failed')
+        self.assertIn('ValueError', str(lines[0]['exc_info']))
+        self.assertEqual(len(lines), EXCEPTION_LINES_BURST)
+        write_log(LogLevel.INFO, 'stopped', {})
+        self.assertEqual(self.lines()[-1]['code'], 'stopped')
+        clock.return_value = 10.0
+        write_exception('effect-failed', {'effect': 'Exit'}, ValueError())
+        left_out = str(len(failing) - EXCEPTION_LINES_BURST)
+        self.assertEqual(
+            self.lines()[-1]['fields'],
+            {'effect': 'Exit', 'left_out': left_out},
+        )
+
     def test_log_record_is_one_line_of_json(self) -> None:
         """Guard against a record of several lines or one that isn't JSON.
 
