Compare the hosts of routes and requests without regard to case

What callers saw: 404 (no-route) on a route that is in force, if the Host header has other capitals than the operator's configuration. Seen with a real process: `Host: Shop.Example` on a route of `shop.example`.

Cause: the hosts were compared letter by letter, and HTTP says that hosts are not case-sensitive. Ruled out: the port in the header, which is left out already.

--- a/briartack/core/calls/routing.py
+++ b/briartack/core/calls/routing.py
@@ -78,9 +78,11 @@
     ) -> RouteView | None:
         """Return the route with the longest prefix that accepts a request.
 
-        The route's host and methods must match too.
+        The route's host and methods must match too. Hosts are compared
+        without regard to case.
         """
         self._update_index(snapshot)
+        host = host.lower()
         path = target.partition('?')[0]
         for length in self._prefix_lengths:
             for route in self._by_prefix.get(path[:length], ()):
@@ -155,7 +157,7 @@
 
 
 def _accepts_request(route: RouteView, method: str, host: str) -> bool:
-    matches_host = route.host in {'', host}
+    matches_host = route.host.lower() in {'', host}
     return matches_host and (not route.methods or method in route.methods)
 
 
