--- a/briartack/core/calls/routing.py
+++ b/briartack/core/calls/routing.py
@@ -107,7 +107,11 @@
         best = 0
         for index, share in enumerate(route.shares):
             credits[index] += share.weight
-            if credits[index] > credits[best] or not route.shares[best].weight:
+            # A share of weight 0 keeps its credit, which may be the highest.
+            is_better = (
+                credits[index] > credits[best] or not route.shares[best].weight
+            )
+            if share.weight and is_better:
                 best = index
         credits[best] -= total
         return route.shares[best]
--- a/briartack/test/test_call_rules.py
+++ b/briartack/test/test_call_rules.py
@@ -177,6 +177,23 @@
             self.assertLess(abs(found - expected), 0.1)
             self.assertFalse(found and not weight)
 
+    # Guards against a call for a share of weight 0, which the random credits
+    # at the start or a new snapshot let win.
+    @params((1, 1, 0), (1, 0, 1), (0, 1, 1), (1, 1, 0, 9), (0, 0, 1))
+    def test_share_of_weight_zero_gets_no_call(self, *weights: int) -> None:
+        route: Any = FakeRoute(
+            shares=tuple(
+                FakeShare(service=str(place), limits=LIMITS, weight=weight)
+                for place, weight in enumerate(weights)
+            ),
+            policy=Mock(),
+        )
+        for seed in range(200):
+            routing = RoutingState()
+            random = Random(seed)
+            chosen = [routing.choose_share(random, route) for _ in range(20)]
+            self.assertTrue(all(share.weight for share in chosen), seed)
+
 
 class DrainStateTest(unittest.TestCase):
     """Check that callers are served for the linger time of a planned stop.
