Send only requests with evidence of a crash past near upstreams; spare sound ones

Now only evidence of an end isolates a request, and only to upstreams with room. A completion within 2 s of an end, at any upstream, discounts it. An answer of the same process, if it isn't cold, withdraws an end.

What remains: in a dialect whose probes name no identity, an end can't be withdrawn.

--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -54,7 +54,6 @@
     attempts: int = 0
     tried_instances: tuple[InstanceId, ...] = ()
     may_have_run: bool = False
-    has_failed_run: bool = False  # the upstream of the last run failed
     sent_at: float = 0
     stale_clock_refusals: int = 0
     free_refusals: int = 0
--- a/briartack/core/calls/crash_detection.py
+++ b/briartack/core/calls/crash_detection.py
@@ -29,14 +29,21 @@
 class CrashDetector:
     """Hold the latest resets and completions at the local upstream."""
 
-    __slots__ = ('_resets', '_completions', '_end_id', '_has_answered')
+    __slots__ = (
+        '_resets',
+        '_completions',
+        '_end_id',
+        '_has_answered',
+        '_ended',
+    )
 
     def __init__(self) -> None:
         self._resets: dict[Fingerprint, float] = {}
-        # Times by the hash of a request, the latest at the end.
-        self._completions: dict[int, float] = {}
+        self._completions: dict[Fingerprint, float] = {}  # the latest last
         self._end_id = b''
         self._has_answered = True
+        # The requests that count the latest end against them.
+        self._ended: dict[Fingerprint, None] = {}
 
     @property
     def end_id(self) -> bytes:
@@ -45,19 +52,27 @@
 
     def record_completion(self, now: float, attempt: Attempt) -> None:
         """Record that the upstream answered a request."""
-        key = _hash_request(attempt)
-        self._completions.pop(key, None)
-        self._completions[key] = now
+        fingerprint = compute_attempt_fingerprint(attempt)
+        self._completions.pop(fingerprint, None)
+        self._completions[fingerprint] = now
         if len(self._completions) > MAX_COMPLETIONS:
             self._completions.pop(next(iter(self._completions)))
 
+    def has_completed(self, fingerprint: Fingerprint, ended_at: float) -> bool:
+        """Return whether a request completed shortly before an end or since."""
+        completed_at = self._completions.get(fingerprint)
+        return (
+            completed_at is not None
+            and ended_at - completed_at < COMPLETION_SECONDS
+        )
+
     def record_reset(self, now: float, attempt: Attempt) -> None:
         """Record that the connection of a running request was reset."""
-        completed_at = self._completions.get(_hash_request(attempt))
-        if completed_at is not None and now - completed_at < COMPLETION_SECONDS:
+        fingerprint = compute_attempt_fingerprint(attempt)
+        if self.has_completed(fingerprint, now):
             return
         if len(self._resets) < MAX_RESETS:
-            self._resets[compute_attempt_fingerprint(attempt)] = now
+            self._resets[fingerprint] = now
 
     def handle_probe(
         self, event: UpstreamProbed, known_identity: str, running: int
@@ -81,10 +96,26 @@
         if ended and self._has_answered:
             self._end_id = _compute_end_id(known_identity, event.now, ended)
             self._has_answered = False
+            self._ended.clear()
+        self._ended.update(dict.fromkeys(ended))
         if event.is_healthy:
             self._has_answered = True
         return ended
 
+    def take_withdrawn(
+        self, event: UpstreamProbed, known_identity: str
+    ) -> tuple[Fingerprint, ...]:
+        """Return the requests of an end that a probe disproves, once.
+
+        The process from before answers. One that has just started is cold.
+        """
+        if not event.identity:
+            return ()
+        is_same = event.identity == known_identity and not event.cold_seconds
+        withdrawn = tuple(self._ended) if is_same else ()
+        self._ended.clear()
+        return withdrawn
+
 
 def compute_attempt_fingerprint(attempt: Attempt) -> Fingerprint:
     """Return the fingerprint of the request of an attempt."""
@@ -103,14 +134,3 @@
     """Return an id that differs from those of all other ends."""
     parts = (identity.encode(), repr(now).encode(), *fingerprints)
     return blake2b(b'\n'.join(parts), digest_size=END_ID_BYTES).digest()
-
-
-def _hash_request(attempt: Attempt) -> int:
-    return hash(
-        (
-            attempt.method,
-            attempt.target,
-            attempt.body_bytes,
-            attempt.body_digest,
-        ),
-    )
--- a/briartack/core/calls/crash_suspects.py
+++ b/briartack/core/calls/crash_suspects.py
@@ -5,7 +5,7 @@
 none since, is refused for a time. All daemons exchange the evidence.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 from typing import Final, final
@@ -70,12 +70,33 @@
 class CrashSuspects:
     """Hold the evidence against requests, by fingerprint, and its changes."""
 
-    __slots__ = ('_suspects', '_changed', '_is_urgent', '_has_grown')
+    __slots__ = (
+        '_suspects',
+        '_changed',
+        '_learned',
+        '_is_urgent',
+        '_has_grown',
+        '_has_completed',
+    )
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        has_completed: Callable[[Fingerprint, float], bool] = (
+            lambda fingerprint, ended_at: False
+        ),
+    ) -> None:
+        """Start without evidence.
+
+        `has_completed` tells whether the local upstream completed a request
+        shortly before an end of another one or since.
+        """
+        self._has_completed = has_completed
         # The entry that changed last is at the end.
         self._suspects: dict[Fingerprint, _Suspect] = {}
         self._changed: dict[Fingerprint, None] = {}
+        # What peers told and not all others may know.
+        self._learned: dict[Fingerprint, None] = {}
         self._is_urgent = False
         self._has_grown = False
 
@@ -132,6 +153,22 @@
         self._mark_changed(fingerprint, is_urgent=was_suspect)
         return _report_cleared(fingerprint, cause) if was_suspect else []
 
+    def withdraw_end(
+        self, end_id: bytes, fingerprints: Iterable[Fingerprint]
+    ) -> Effects:
+        """Discount an end of the local upstream that did not happen."""
+        effects: Effects = []
+        for fingerprint in fingerprints:
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None or end_id not in suspect.ends:
+                continue
+            before = suspect.counted_ends
+            suspect.cleared.add(end_id)
+            self._mark_changed(fingerprint, is_urgent=True)
+            if suspect.counted_ends < MIN_ENDS <= before:
+                effects.extend(_report_cleared(fingerprint, 'withdrawn'))
+        return effects
+
     def expire(self, now: float) -> Effects:
         """Remove evidence that is too old."""
         expired = [
@@ -142,7 +179,7 @@
         effects: Effects = []
         for fingerprint in expired:
             suspect = self._suspects.pop(fingerprint)
-            self._changed.pop(fingerprint, None)
+            self._forget_changes(fingerprint)
             if suspect.counted_ends >= MIN_ENDS:
                 effects.extend(_report_cleared(fingerprint, 'age'))
         return effects
@@ -163,13 +200,18 @@
         """
         if not (self._is_urgent or (is_tick and self._changed)):
             return ()
-        records: list[CrashEvidence] = []
-        for fingerprint in tuple(islice(self._changed, MAX_RECORDS)):
-            self._changed.pop(fingerprint)
-            suspect = self._suspects[fingerprint]
-            records.append(_build_record(now, fingerprint, suspect))
+        records = self._take_records(now, self._changed)
         self._is_urgent = self._is_urgent and bool(self._changed)
-        return tuple(records)
+        return records
+
+    def take_learned(self, now: float) -> tuple[CrashEvidence, ...]:
+        """Return the evidence to pass on to the neighbours in the tree.
+
+        The daemon beside an upstream tells all its peers itself. If each of
+        them told all others again, the messages would grow with the square of
+        the fleet.
+        """
+        return self._take_records(now, self._learned)
 
     def list_standing(self, now: float) -> tuple[CrashEvidence, ...]:
         """Return the latest suspects, for daemons that missed the messages."""
@@ -191,6 +233,16 @@
                     'refused_seconds': round(suspect.refused_seconds(now), 3),
                 }
 
+    def _take_records(
+        self, now: float, pending: dict[Fingerprint, None]
+    ) -> tuple[CrashEvidence, ...]:
+        records: list[CrashEvidence] = []
+        for fingerprint in tuple(islice(pending, MAX_RECORDS)):
+            pending.pop(fingerprint)
+            suspect = self._suspects[fingerprint]
+            records.append(_build_record(now, fingerprint, suspect))
+        return tuple(records)
+
     def _merge_record(self, now: float, record: CrashEvidence) -> Effects:
         fingerprint = Fingerprint(record.fingerprint)
         known = self._suspects.get(fingerprint)
@@ -199,12 +251,12 @@
             return []
         effects: Effects = []
         before = suspect.counted_ends
+        size_before = len(suspect.ends) + len(suspect.cleared)
         suspect.cleared.update(
             set(record.cleared).intersection((*suspect.ends, *record.ends))
         )
         if before >= MIN_ENDS and suspect.counted_ends < MIN_ENDS:
             effects.extend(_report_cleared(fingerprint, 'peer'))
-            self._mark_changed(fingerprint, is_urgent=True)
         effects.extend(
             self._add_ends(
                 now,
@@ -214,11 +266,10 @@
                 now - record.age_seconds,
             )
         )
-        if suspect.counted_ends > max(before, MIN_ENDS - 1):
-            self._mark_changed(fingerprint, is_urgent=True)
+        has_grown = len(suspect.ends) + len(suspect.cleared) > size_before
         missed_by_peer = suspect.cleared.difference(record.cleared)
-        if missed_by_peer.intersection(record.ends):
-            self._mark_changed(fingerprint, is_urgent=False)
+        if has_grown or missed_by_peer.intersection(record.ends):
+            self._learned[fingerprint] = None
         return effects
 
     def _add_ends(
@@ -239,6 +290,8 @@
         suspect.ends.update(islice(new_ends, max(room, 0)))
         if suspect.counted_ends > before:
             suspect.last_end_at = max(suspect.last_end_at, ended_at)
+        if new_ends and self._has_completed(fingerprint, ended_at):
+            suspect.cleared.update(suspect.ends.intersection(new_ends))
         if fingerprint not in self._suspects:
             self._make_room()
             self._suspects[fingerprint] = suspect
@@ -261,7 +314,11 @@
             next(iter(self._suspects)),
         )
         self._suspects.pop(oldest)
-        self._changed.pop(oldest, None)
+        self._forget_changes(oldest)
+
+    def _forget_changes(self, fingerprint: Fingerprint) -> None:
+        self._changed.pop(fingerprint, None)
+        self._learned.pop(fingerprint, None)
 
     def _mark_changed(
         self, fingerprint: Fingerprint, *, is_urgent: bool
--- a/briartack/core/calls/crash_watch.py
+++ b/briartack/core/calls/crash_watch.py
@@ -19,9 +19,16 @@
 
     __slots__ = ('_suspects', '_detector')
 
-    def __init__(self, *, suspects: CrashSuspects) -> None:
-        self._suspects = suspects
+    def __init__(self) -> None:
         self._detector = CrashDetector()
+        self._suspects = CrashSuspects(
+            has_completed=self._detector.has_completed
+        )
+
+    @property
+    def suspects(self) -> CrashSuspects:
+        """Return the suspects, of this daemon and of its peers."""
+        return self._suspects
 
     def is_refused(self, attempt: Attempt, now: float) -> bool:
         """Return whether the request of an attempt is refused as a suspect."""
@@ -51,11 +58,15 @@
         running: int,
     ) -> Effects:
         """Record the evidence if the probe shows that the upstream ended."""
+        end_id = self._detector.end_id
+        withdrawn = self._detector.take_withdrawn(event, known_identity)
+        effects = self._suspects.withdraw_end(end_id, withdrawn)
         ended = self._detector.handle_probe(event, known_identity, running)
         if not ended:
-            return []
+            return effects
         end_id = self._detector.end_id
         return [
+            *effects,
             _report_end(known_identity, end_id, ended),
             *self._suspects.record_end(event.now, end_id, ended),
         ]
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -73,9 +73,9 @@
         """Choose the endpoint of the next attempt of a call.
 
         `suspect` is the fingerprint of a request that was running when an
-        upstream ended. All daemons choose the same endpoint for it, so that it
-        does not reach several upstreams at once, and different ones for the
-        requests that ran beside it.
+        upstream ended. All daemons choose the same endpoint for it while that
+        has room, so that it does not reach several upstreams at once, and
+        different ones for the requests that ran beside it.
 
         Home regions and instances out of service are read from the active
         snapshot, because the snapshot that routed the call may be minutes old.
@@ -98,18 +98,8 @@
             call.share.service,
             regions,
         )
-        slots = call.share.limits.slots
         if suspect is not None:
-            member = min(
-                (
-                    one
-                    for one in chain.from_iterable(scopes)
-                    if one.instance not in call.tried_instances
-                    and self._compute_load(context, now, one, slots) is not None
-                ),
-                key=lambda one: rank(suspect.hex(), one.instance),
-                default=None,
-            )
+            member = self._choose_isolated(context, now, call, scopes, suspect)
             if member is not None:
                 return ChosenEndpoint(member=member, regions=regions)
         return self.choose_among(
@@ -117,7 +107,7 @@
             now,
             scopes,
             regions,
-            slots=slots,
+            slots=call.share.limits.slots,
             tried_instances=call.tried_instances,
             allows_tried=call.last_refusal is None,
             full_load=_select_full_load(context.rules, call.body_bytes),
@@ -160,6 +150,34 @@
         dials = dial_nearest(context, now, scopes, self.endpoints)
         return SelectionFailure.NO_ENDPOINT if dials is None else dials
 
+    def _choose_isolated(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        scopes: Scopes,
+        suspect: Fingerprint,
+    ) -> Member | None:
+        """Choose the endpoint of a suspect, `None` if all are full."""
+        full_load = _select_full_load(context.rules, call.body_bytes)
+
+        def has_room(member: Member) -> bool:  # noqa: WPS430
+            load = self._compute_load(
+                context, now, member, call.share.limits.slots
+            )
+            return load is not None and load < full_load
+
+        return min(
+            (
+                member
+                for member in chain.from_iterable(scopes)
+                if member.instance not in call.tried_instances
+                and has_room(member)
+            ),
+            key=lambda member: rank(suspect.hex(), member.instance),
+            default=None,
+        )
+
     def _compute_load(
         self,
         context: CallContext,
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -62,7 +62,6 @@
         '_runner',
         '_probe_path',
         '_was_out_of_service',
-        '_suspects',
         '_crash_watch',
     )
 
@@ -71,8 +70,7 @@
         self._upstream = LocalUpstream(rules=rules)
         self._probe_path = ''
         self._was_out_of_service = False
-        self._suspects = CrashSuspects()
-        self._crash_watch = CrashWatch(suspects=self._suspects)
+        self._crash_watch = CrashWatch()
         self._dedup = DedupState()
         self._attempts: dict[AttemptId, OwnedAttempt] = {}
         self._answers = OwnerAnswers(
@@ -98,7 +96,7 @@
     @property
     def suspects(self) -> CrashSuspects:
         """Return the requests that are suspected to crash their upstreams."""
-        return self._suspects
+        return self._crash_watch.suspects
 
     def find_running_rank(self, request_id: str) -> int | None:
         """Return the rank of a running request, or `None` if not running."""
@@ -262,7 +260,7 @@
     def tick(self, context: CallContext, now: float) -> Effects:
         """Expire overdue attempts, apply new limits and request due probes."""
         effects = self._runner.tick(now)
-        effects.extend(self._suspects.expire(now))
+        effects.extend(self.suspects.expire(now))
         effects.extend(self._apply_configuration(context, now))
         return effects
 
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -379,7 +379,6 @@
         """
         if verdict is Verdict.UNKNOWN:
             call.may_have_run = True
-            call.has_failed_run = reason is reasons.UPSTREAM_FAILED
         if (
             reason is reasons.STALE_CLOCK
             and call.stale_clock_refusals < MAX_STALE_CLOCK_RETRIES
--- a/briartack/core/calls/suspect_calls.py
+++ b/briartack/core/calls/suspect_calls.py
@@ -24,7 +24,7 @@
     suspects: CrashSuspects, call: Call, now: float
 ) -> Suspicion:
     """Return the suspicion against the request of a call."""
-    if not (suspects or call.has_failed_run):
+    if not suspects:
         return NO_SUSPICION
     fingerprint = compute_fingerprint(
         service=call.share.service,
@@ -33,7 +33,7 @@
         body_bytes=call.body_bytes,
         body_digest=call.body_digest,
     )
-    is_isolated = call.has_failed_run or suspects.has_evidence(fingerprint)
+    is_isolated = suspects.has_evidence(fingerprint)
     return Suspicion(
         suspects.refused_seconds(fingerprint, now),
         fingerprint if is_isolated else None,
--- a/briartack/core/dissemination/upstream_notices.py
+++ b/briartack/core/dissemination/upstream_notices.py
@@ -3,6 +3,8 @@
 Summaries carry the news.
 """
 
+from collections.abc import Iterable
+
 from briartack.core.dissemination.dissemination_state import DisseminationState
 from briartack.core.dissemination.holdings import Holdings
 from briartack.core.dissemination.leaving_upstreams import UpstreamStart
@@ -59,23 +61,16 @@
     state: DisseminationState,
     now: float,
     changes: tuple[CrashEvidence, ...],
-    standing: tuple[CrashEvidence, ...],
+    peers: Iterable[InstanceId],
     holdings: Holdings,
 ) -> Effects:
-    """Send changed evidence to all connected peers at once.
-
-    Later summaries carry the standing suspects, for daemons that start later
-    or missed a message.
-    """
+    """Send changed evidence to peers at once, if there is any."""
+    if not changes:
+        return []
     state.announcer.announce_crashes(changes)
-    effects = state.announcer.send_summaries(
-        now,
-        state.links.connected_peers,
-        holdings,
-        sync_sources=state.links.sync_sources,
+    return state.announcer.send_summaries(
+        now, peers, holdings, sync_sources=state.links.sync_sources
     )
-    state.announcer.announce_crashes(standing)
-    return effects
 
 
 def _build_leaving_line(record_id: str, instance: InstanceId) -> WriteLog:
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -102,13 +102,30 @@
     changes = suspects.take_changes(event.now, is_tick=is_tick)
     if not (changes or is_tick):
         return []
-    standing = suspects.list_standing(event.now)
-    if not changes:
-        state.dissemination.announcer.announce_crashes(standing)
-        return []
-    return announce_crash_evidence(
-        state.dissemination, event.now, changes, standing, state.holdings
+    links = state.dissemination.links
+    effects = announce_crash_evidence(
+        state.dissemination,
+        event.now,
+        changes,
+        links.connected_peers,
+        state.holdings,
     )
+    if is_tick:
+        effects.extend(
+            announce_crash_evidence(
+                state.dissemination,
+                event.now,
+                suspects.take_learned(event.now),
+                (*links.local_neighbours, *links.remote_neighbours),
+                state.holdings,
+            ),
+        )
+    # Later summaries carry the standing suspects, for daemons that start later
+    # or missed a message.
+    state.dissemination.announcer.announce_crashes(
+        suspects.list_standing(event.now)
+    )
+    return effects
 
 
 def _on_started(state: State, event: Started) -> Effects:
--- a/briartack/test/test_crash_suspects.py
+++ b/briartack/test/test_crash_suspects.py
@@ -7,6 +7,7 @@
 import unittest
 from typing import Final
 
+import msgspec
 from nose2.tools import params
 
 from briartack.core.calls.crash_detection import (
@@ -24,9 +25,10 @@
     RETENTION_SECONDS,
     CrashSuspects,
 )
+from briartack.core.calls.crash_watch import CrashWatch
 from briartack.core.calls.fingerprint import Fingerprint, compute_fingerprint
 from briartack.core.effects import Count, Effects
-from briartack.core.events import UpstreamProbed
+from briartack.core.events import UpstreamFailed, UpstreamProbed
 from briartack.core.messages import Attempt, CrashEvidence
 from briartack.core.units import AttemptId, Digest, Incarnation
 
@@ -44,6 +46,14 @@
     return [effect.name for effect in effects if isinstance(effect, Count)]
 
 
+def take_all(suspects: CrashSuspects, now: float) -> tuple[CrashEvidence, ...]:
+    """Return all evidence that a daemon sends to its neighbours by a tick."""
+    return (
+        *suspects.take_changes(now, is_tick=True),
+        *suspects.take_learned(now),
+    )
+
+
 def suspect_after(*ended_at: float) -> CrashSuspects:
     """Make suspects after the ends of upstreams that ran `DEADLY`."""
     suspects = CrashSuspects()
@@ -164,16 +174,30 @@
         self.assertTrue(third.is_refused(DEADLY, 1))
         self.assertFalse(third.is_refused(SOUND, 1))
         # The third daemon passes on what neither owner knows.
-        self.assertTrue(third.take_changes(1, is_tick=False))
+        self.assertTrue(third.take_learned(1))
 
     def test_known_evidence_is_not_passed_on(self) -> None:
         """Guard against messages without end between daemons."""
         first, second = suspect_after(0, 1), CrashSuspects()
-        second.merge(1, first.take_changes(1, is_tick=False))
-        first.merge(1, second.take_changes(1, is_tick=False))
+        second.merge(1, take_all(first, 1))
+        first.merge(1, take_all(second, 1))
         second.merge(1, first.list_standing(1))
         for one in (first, second):
-            self.assertEqual(one.take_changes(1, is_tick=True), ())
+            self.assertEqual(take_all(one, 1), ())
+
+    # Guards against messages that grow with the square of the fleet: every
+    # daemon told all others what one of them had told all.
+    def test_only_the_owner_tells_all_peers(self) -> None:
+        owners = [suspect_after(0), suspect_after(0)]
+        owners[1].record_end(0, number_end(9), [DEADLY])
+        others = [CrashSuspects() for _ in range(50)]
+        for owner in owners:
+            records = owner.take_changes(0, is_tick=False)
+            for other in others:
+                other.merge(0, records)
+        for other in others:
+            self.assertTrue(other.is_refused(DEADLY, 0))
+            self.assertEqual(other.take_changes(0, is_tick=True), ())
 
     def test_clearing_reaches_a_daemon_that_missed_it(self) -> None:
         """Guard against a daemon that revives cleared evidence."""
@@ -184,7 +208,7 @@
         first.take_changes(1, is_tick=True)
         first.merge(2, second.list_standing(2))
         self.assertFalse(first.is_refused(DEADLY, 2))
-        second.merge(2, first.take_changes(2, is_tick=True))
+        second.merge(2, take_all(first, 2))
         self.assertFalse(second.is_refused(DEADLY, 2))
 
     def test_exchange_does_not_renew_evidence(self) -> None:
@@ -262,6 +286,17 @@
     )
 
 
+def fail(now: float) -> UpstreamFailed:
+    """Make the failure of a running request by a reset."""
+    return UpstreamFailed(
+        now=now,
+        attempt_id=AttemptId('a.1'),
+        may_have_run=True,
+        is_reset=True,
+        reason='reset',
+    )
+
+
 class DetectionTest(unittest.TestCase):
     @params(
         # No connection is accepted, or another process answers.
@@ -286,6 +321,48 @@
         )
         self.assertEqual(bool(ended), has_ended)
 
+    # Guards against a live upstream that counts as ended, because one probe
+    # failed after a reset. One that started again under its id is cold.
+    @params(('i-1', None, False), ('i-1', 2.5, True), ('i-2', None, True))
+    def test_later_answer_disproves_an_end(
+        self, identity: str, cold_seconds: float | None, is_refused: bool
+    ) -> None:
+        watch = CrashWatch()
+        for now in (1, 5):
+            watch.handle_failure(fail(now), make_attempt('/x'))
+            failed = probe(now + 0.1, '', is_healthy=False)
+            watch.handle_probe(failed, 'i-1', 0)
+            answer = msgspec.structs.replace(
+                probe(now + 0.2, identity, is_healthy=True),
+                cold_seconds=cold_seconds,
+            )
+            watch.handle_probe(answer, 'i-1', 0)
+        self.assertEqual(watch.is_refused(make_attempt('/x'), 6), is_refused)
+
+    # Guards against a sound request that all daemons refuse, because two of
+    # the many upstreams that ran it were killed.
+    @params((2.9, False), (3.05, False), (0.5, True))
+    def test_completion_elsewhere_discounts_an_end(
+        self, completed_at: float, is_refused: bool
+    ) -> None:
+        elsewhere = CrashWatch()
+        request = make_attempt('/popular')
+        elsewhere.handle_answer(completed_at, request)
+        killed = [CrashWatch(), CrashWatch()]
+        for number, watch in enumerate(killed):
+            watch.handle_failure(fail(3), request)
+            failed = probe(3.1, '', is_healthy=False)
+            watch.handle_probe(failed, f'i-{number}', 0)
+            evidence = watch.suspects.take_changes(3.1, is_tick=False)
+            elsewhere.suspects.merge(3.12, evidence)
+        told = take_all(elsewhere.suspects, 3.2)
+        for watch in killed:
+            watch.suspects.merge(3.2, told)
+        self.assertEqual(
+            {one.is_refused(request, 3.2) for one in (*killed, elsewhere)},
+            {is_refused},
+        )
+
     @params((0.5, False), (5, True))
     def test_recent_completion_is_no_evidence(
         self, seconds_before: float, is_evidence: bool
