Close the connection of a caller whose response can't be made

The test, which makes the encoding fail, timed out before; the caller now sees the end of its connection at once.

--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -206,11 +206,17 @@
         call, pipeline = self._calls.pop(effect.call_id, (None, None))
         if call is None or pipeline is None:
             return
-        call.answer(
-            effect,
-            self._bodies.get(effect.body_id),
-            is_stopping=self._is_stopping and pipeline.unanswered_count == 1,
-        )
+        is_last = pipeline.unanswered_count == 1
+        try:
+            call.answer(
+                effect,
+                self._bodies.get(effect.body_id),
+                is_stopping=self._is_stopping and is_last,
+            )
+        except Exception:
+            # Otherwise the caller would wait for the response without end.
+            pipeline.shut_down()
+            raise
         pipeline.flush()
         now = self._clock()
         pipeline.last_active_at = now
--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest import mock
 
 import gevent
 from nose2.tools import params
@@ -9,6 +10,7 @@
 from briartack.core import effects, events
 from briartack.core.messages import MAX_BODY_BYTES
 from briartack.core.verdict import Verdict
+from briartack.inbound_call import InboundCall
 from briartack.test.fake_reducer import LOCAL_HOST, EchoServer
 from briartack.test.shell_fixture import ShellFixture, read_answer
 
@@ -202,6 +204,14 @@
         self.caller.sendall(b'x' * 1000)
         self.assertEqual(self.shell.state.events_of(events.CallCancelled), [])
 
+    # Guards against a caller that waits without end, because its response
+    # can't be encoded.
+    def test_failed_response_closes_the_connection(self) -> None:
+        with mock.patch.object(InboundCall, 'answer', side_effect=ValueError):
+            self.caller.sendall(b'GET / HTTP/1.1\r\n\r\n')
+            self.caller.settimeout(5)
+            self.assertEqual(self.caller.recv(1), b'')
+
     def test_disconnect_cancels_call(self) -> None:
         """Check that a call is cancelled when its caller disconnects."""
         self.shell.state.is_silent = True
