Keep a stream whose large answers wait to be sent

Three purchases with answers of 12.8 MB through another daemon ran, ended with 200 at their owner and were answered with 502: a queue of more than 32 MiB was taken for a peer that doesn't read, so the next frame closed the stream, 4 ms after the third answer was queued.

Ruled out: the planned stop of the owners, 2 s away, and the pause of the callers' daemon, 1.5 s. The first row of the test failed before; the other row and a second test keep the bounds.

--- a/briartack/peer_outbox.py
+++ b/briartack/peer_outbox.py
@@ -1,14 +1,19 @@
 """Queue the frames and bodies to be written to one peer."""
 
 from collections import deque
+from time import monotonic
 from typing import Final, final
 
 from briartack.core.messages import MAX_CHUNK_BYTES, Chunk
 from briartack.core.units import AttemptId
 from briartack.framing import encode
+from briartack.socket_options import DEFAULT_SILENCE_SECONDS
 
 # A peer whose queue exceeds this size reads too slowly.
 MAX_QUEUED_BYTES: Final = 33_554_432
+# Several large answers may be ready faster than a link carries them. More of
+# them are kept while the stream doesn't count as silent.
+MAX_QUEUED_BODY_BYTES: Final = 3 * MAX_QUEUED_BYTES
 
 
 @final
@@ -50,13 +55,20 @@
 class PeerOutbox:
     """Queue frames, and large bodies whose chunks are sent between frames."""
 
-    __slots__ = ('_frames', '_frame_bytes', '_bodies', '_body_bytes')
+    __slots__ = (
+        '_frames',
+        '_frame_bytes',
+        '_bodies',
+        '_body_bytes',
+        '_body_taken_at',
+    )
 
     def __init__(self) -> None:
         self._frames: deque[bytes] = deque()
         self._frame_bytes = 0
         self._bodies: deque[_ChunkedBody] = deque()
         self._body_bytes = 0
+        self._body_taken_at: float = 0  # monotonic seconds
 
     @property
     def queued_bytes(self) -> int:
@@ -65,8 +77,16 @@
 
     @property
     def is_over_limit(self) -> bool:
-        """Return whether the queue exceeds MAX_QUEUED_BYTES."""
-        return self.queued_bytes > MAX_QUEUED_BYTES
+        """Return whether the queue exceeds the limit of frames or bodies."""
+        if self._frame_bytes > MAX_QUEUED_BYTES:
+            return True
+        if self._body_bytes <= MAX_QUEUED_BYTES:
+            return False
+        stalled_seconds = monotonic() - self._body_taken_at
+        return (
+            stalled_seconds > DEFAULT_SILENCE_SECONDS
+            or self._body_bytes > MAX_QUEUED_BODY_BYTES
+        )
 
     def queue(self, frame: bytes) -> None:
         """Append a frame to the queue."""
@@ -81,6 +101,8 @@
         body: bytes,
     ) -> None:
         """Append a body that is sent in chunks."""
+        if not self._bodies:
+            self._body_taken_at = monotonic()
         self._bodies.append(
             _ChunkedBody(
                 attempt_id=attempt_id,
@@ -117,6 +139,7 @@
             return frames
         body = self._bodies.popleft()
         chunk = body.take_chunk()
+        self._body_taken_at = monotonic()
         self._body_bytes -= len(chunk.payload)
         if body.remaining_bytes:
             self._bodies.append(body)
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -13,7 +13,14 @@
 from nose2.tools import params
 
 from briartack.core import effects, events
-from briartack.core.messages import Cancel, Pull, Summary
+from briartack.core.body_ids import answer_body_id
+from briartack.core.messages import (
+    MAX_BODY_BYTES,
+    Answer,
+    Cancel,
+    Pull,
+    Summary,
+)
 from briartack.core.units import (
     AttemptId,
     Digest,
@@ -21,7 +28,10 @@
     InstanceId,
     Revision,
 )
-from briartack.framing import encode
+from briartack.core.verdict import Verdict
+from briartack.framing import compute_body_digest, encode
+from briartack.peer_outbox import PeerOutbox
+from briartack.socket_options import DEFAULT_SILENCE_SECONDS
 from briartack.test.fake_reducer import (
     LOCAL_HOST,
     WAIT_SECONDS,
@@ -233,6 +243,52 @@
         self.assertIn('queue is full', lost[0].reason)
         self.assertEqual(shell.peers.unsent_bytes, 0)
 
+    # Guards against a stream that is closed, and attempts that are lost with it
+    # (502), because large answers are ready faster than they are sent.
+    @params((3, False), (12, True))
+    def test_several_large_answers_do_not_close_the_stream(
+        self, count: int, is_closed: bool
+    ) -> None:
+        shell = self.start_shell('b')
+        raw = self._connect_raw(shell)
+        raw.sendall(msgpack.packb(HELLO))
+        shell.state.wait_for(events.PeerConnected)
+        body = bytes(MAX_BODY_BYTES)
+        for number in range(count):
+            attempt_id = AttemptId(f'a{number}')
+            shell.bodies.put(answer_body_id(attempt_id), body)
+            shell.peers.send_answer(
+                effects.SendAnswer(
+                    peer=RAW_PEER,
+                    answer=_answer(attempt_id, body),
+                    body_id=answer_body_id(attempt_id),
+                )
+            )
+        shell.send_messages(
+            effects.SendMessage(peer=RAW_PEER, message=_summary(digest=b''))
+        )
+        lost = shell.state.events_of(events.PeerDisconnected)
+        self.assertEqual(bool(lost), is_closed)
+
+    # Guards against a peer that takes no bytes and whose queue is kept.
+    def test_large_answers_for_a_stalled_peer_close_the_stream(self) -> None:
+        outbox = PeerOutbox()
+        with patch('briartack.peer_outbox.monotonic', return_value=1.0) as now:
+            for number in range(3):
+                outbox.queue_body(
+                    attempt_id=AttemptId(f'a{number}'),
+                    is_answer=True,
+                    body=bytes(MAX_BODY_BYTES),
+                )
+            outbox.take_frames_and_chunk()
+            self.assertFalse(outbox.is_over_limit)
+            now.return_value += DEFAULT_SILENCE_SECONDS - 0.1
+            outbox.take_frames_and_chunk()
+            now.return_value += DEFAULT_SILENCE_SECONDS - 0.1
+            self.assertFalse(outbox.is_over_limit)
+            now.return_value += 0.2
+            self.assertTrue(outbox.is_over_limit)
+
     @params(10, 65536, 65537, 5_000_000)
     def test_bodies_arrive_whole_in_both_directions(self, size: int) -> None:
         """Guard against bodies that are truncated or mixed with messages.
@@ -348,6 +404,20 @@
     return effects.SendMessage(peer=peer, message=Pull(after=Revision(1)))
 
 
+def _answer(attempt_id: AttemptId, body: bytes) -> Answer:
+    return Answer(
+        attempt_id=attempt_id,
+        verdict=Verdict.RAN,
+        status=200,
+        reason='',
+        headers=(),
+        body_bytes=len(body),
+        body_digest=compute_body_digest(body),
+        load=0,
+        owner_clock=0,
+    )
+
+
 def _summary(digest: bytes = b'') -> Summary:
     """Return a summary whose size depends on its digest."""
     return Summary(
