Let records of unnamed services hide no upstream

Entries of another writer for a service that the configuration doesn't name, at the addresses of all upstreams, made every request of a small site fail with 503 (12 of 12, real processes): one record counts for each address, and the newer live one won. Records of services that the configuration in force names now come first, also if they say that their upstream leaves.

Ruled out: the decoding, the entries are valid. Two of three rows of the test failed before; a second test keeps the rule for an address that another named service uses again.

--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -5,9 +5,10 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
 from itertools import chain
-from typing import final
+from typing import TypeAlias, final
 
 from briartack.core.configuration.settings import InstanceState
 from briartack.core.dissemination.instance_records import (
@@ -26,9 +27,13 @@
 from briartack.core.entries import Entry, KeyVersion, is_instance_key
 from briartack.core.units import Digest, Incarnation, InstanceId, Revision
 
+# Whether the configuration names the service, whether neither the record nor
+# its upstream says leaving, and the revision.
+_Preference: TypeAlias = tuple[bool, bool, Revision]
+
 
 @final
-class MembershipState:
+class MembershipState:  # noqa: WPS214
     """Track which instances are listed, live, leaving or lapsed.
 
     Holds the instance records, the instances that said goodbye with their
@@ -41,6 +46,7 @@
         '_departed',
         '_lapsed',
         '_leaving_upstreams',
+        '_named_services',
         '_record_by_instance',
         '_live_members',
         '_services',
@@ -52,6 +58,7 @@
         self._departed: dict[InstanceId, Incarnation] = {}
         self._lapsed = LapsedRecords()
         self._leaving_upstreams = LeavingUpstreams()
+        self._named_services: frozenset[str] = frozenset()
         # Caches, built on demand because each call reads the list.
         self._record_by_instance: dict[InstanceId, HeldRecord] | None = None
         self._live_members: tuple[Member, ...] | None = None
@@ -83,6 +90,16 @@
         held = self._preferred_records().get(instance)
         return None if held is None else held.member
 
+    def name_services(self, services: Iterable[str]) -> None:
+        """Set the services that the configuration names.
+
+        A record of any other service hides no record of these.
+        """
+        named = frozenset(services)
+        if named != self._named_services:
+            self._named_services = named
+            self._clear_caches()
+
     def find_record(self, record_id: str) -> HeldRecord | None:
         """Return the record in force under an id, which may be a deletion."""
         return self._lapsed.get(record_id) or self._records.get(record_id)
@@ -242,18 +259,22 @@
         """Return the record in force for each listed instance.
 
         Several records may name the same instance, because a platform may
-        still list an upstream that has ended beside its replacement. Live
-        records take precedence, then those of a higher revision.
+        still list an upstream that has ended beside its replacement, and
+        another writer may have written one of them. Records of services that
+        the configuration names take precedence, then live records, then those
+        of a higher revision.
         """
         if self._record_by_instance is None:
             self._record_by_instance = {}
+            preference = partial(
+                _preference,
+                leaving=self._leaving_upstreams,
+                named_services=self._named_services,
+            )
             for held in chain(self._records, self._lapsed):
                 if held.member is not None:
                     _keep_preferred(
-                        self._record_by_instance,
-                        held.member,
-                        held,
-                        self._leaving_upstreams,
+                        self._record_by_instance, held.member, held, preference
                     )
         return self._record_by_instance
 
@@ -286,19 +307,21 @@
     kept: dict[InstanceId, HeldRecord],
     member: Member,
     held: HeldRecord,
-    leaving: LeavingUpstreams,
+    preference: Callable[[HeldRecord], _Preference],
 ) -> None:
     present = kept.get(member.instance)
-    if present is None or (
-        _preference(present, leaving) < _preference(held, leaving)
-    ):
+    if present is None or preference(present) < preference(held):
         kept[member.instance] = held
 
 
 def _preference(
-    held: HeldRecord, leaving: LeavingUpstreams
-) -> tuple[bool, Revision]:
-    return (_is_staying(held, leaving), held.entry.revision)
+    held: HeldRecord,
+    *,
+    leaving: LeavingUpstreams,
+    named_services: frozenset[str],
+) -> _Preference:
+    is_named = held.member is not None and held.member.service in named_services
+    return (is_named, _is_staying(held, leaving), held.entry.revision)
 
 
 def _is_staying(held: HeldRecord, leaving: LeavingUpstreams) -> bool:
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -37,6 +37,9 @@
         return effects
     before = state.configuration.snapshot
     change = _apply_configuration(state, received)
+    snapshot = state.configuration.snapshot
+    if snapshot is not None and change.is_changed:
+        state.membership.name_services(snapshot.services)
     changed_instances = _apply_instances(state, now, received)
     effects.extend(
         _report_changes(state, change, received.source or STORE_SOURCE, before)
--- a/briartack/test/test_membership.py
+++ b/briartack/test/test_membership.py
@@ -23,9 +23,13 @@
     revision: int,
     state: str | None = 'live',
     key: str = KEY,
+    service: str = 's',
+    instance: str | None = None,
 ) -> Entry:
     """Return the record of an instance; `None` as state deletes it."""
-    record = {'service': 's', 'data_centre': 'd', 'region': 'r'}
+    record = {'service': service, 'data_centre': 'd', 'region': 'r'}
+    if instance is not None:
+        record['instance'] = instance
     record.update(peer_address=f'192.0.2.1:{revision}', state=state or '')
     text = None if state is None else msgspec.json.encode(record).decode()
     return Entry(key=key, revision=Revision(revision), value=text)
@@ -47,6 +51,38 @@
         self.assertEqual(_revisions(self.members), {KEY: 3})
         self.assertEqual(self.members.digest, MembershipState().digest)
 
+    # Guards against a record of another writer, for a service that the
+    # configuration doesn't name, that hides a live upstream at its address, and
+    # with it all requests for the service (503).
+    @params(
+        ('live', 'live', ['s']),
+        ('live', 'leaving', ['s']),
+        # The upstream leaves, whatever the other record says.
+        ('leaving', 'live', []),
+    )
+    def test_record_of_an_unnamed_service_hides_none(
+        self, state: str, other_state: str, expected: list[str]
+    ) -> None:
+        host = '192.0.2.1'
+        self.members.name_services(['s', 't'])
+        other = _entry(2, other_state, 'instances/b', 'unnamed', host)
+        for entries in itertools.permutations(
+            [_entry(1, state, KEY, 's', host), other]
+        ):
+            self.members.apply(entries)
+            found = [held.service for held in self.members.live_members()]
+            self.assertEqual(found, expected)
+
+    # Guards against the record of an upstream that has ended, which hides its
+    # replacement of another service at the same address.
+    def test_newer_record_of_a_named_service_counts(self) -> None:
+        host = '192.0.2.1'
+        self.members.name_services(['s', 't'])
+        self.members.apply([_entry(1, 'live', KEY, 's', host)])
+        self.members.apply([_entry(2, 'live', 'instances/b', 't', host)])
+        found = [held.service for held in self.members.live_members()]
+        self.assertEqual(found, ['t'])
+
     def test_full_read_deletes_missing_records_up_to_its_revision(self) -> None:
         """Guard against an instance whose deletion no watch reported.
 
