Read the store when peers announce a version and do not deliver it

Callers behind a cut that loses messages in one direction were served by an older configuration for 3 s and more, though their daemons reach the store.

Cause: the daemons there hear a nearer watcher, so none of them watches, and what they ask for never reaches a peer. A peer that is heard counted as one that delivers. Ruled out: the backoff of pulls; they went out every 0.5 s.

A daemon now reads all keys if a newer configuration has been announced for 0.8 s (1.1 s below the roots) without progress.

--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -16,6 +16,7 @@
     build_reply,
     find_difference,
 )
+from briartack.core.dissemination.overdue_versions import OverdueVersions
 from briartack.core.dissemination.peer_views import (
     PeerView,
     has_gap,
@@ -40,6 +41,7 @@
 )
 from briartack.core.units import (
     MILLISECONDS_PER_SECOND,
+    NO_REVISION,
     InstanceId,
     Revision,
     format_revision,
@@ -74,13 +76,21 @@
 class PeerSyncState:
     """Decide when to pull from which peer and when to send an inventory.
 
-    Holds the last summary of each peer, the pull in flight, and when each peer
-    was sent a pull that it has not answered in time.
+    Holds the last summary of each peer, the pull in flight, when each peer was
+    sent a pull that it has not answered in time, and the wait for announced
+    versions.
     """
 
-    __slots__ = ('_views', '_pull', '_unanswered_at', '_remote_delay_seconds')
+    __slots__ = (
+        'overdue',
+        '_views',
+        '_pull',
+        '_unanswered_at',
+        '_remote_delay_seconds',
+    )
 
     def __init__(self) -> None:
+        self.overdue: Final = OverdueVersions()
         self._views: dict[InstanceId, PeerView] = {}
         self._pull: _PendingPull | None = None
         self._unanswered_at: dict[InstanceId, float] = {}
@@ -133,6 +143,7 @@
     def resume(self) -> None:
         """Drop the pull in flight after a pause of this process."""
         self._pull = None
+        self.overdue.resume()
 
     def on_summary(
         self,
@@ -186,6 +197,11 @@
             view.record_differences(now, holdings)
             if view.detect_lag(now):
                 effects.append(self._report_lag(now, name, holdings))
+        self.overdue.record(
+            now,
+            holdings.highest_revisions.configuration,
+            self._announced_configuration(),
+        )
         if self._pull is None:
             effects.extend(self._pull_next(now, holdings))
         for peer in self._views:
@@ -193,6 +209,17 @@
                 effects.extend(self._check_gap(now, peer, holdings))
         return effects
 
+    def _announced_configuration(self) -> Revision:
+        """Return the highest revision of the peers that are ahead."""
+        return max(
+            (
+                view.summary.highest_revisions.configuration
+                for view in self._views.values()
+                if view.outdated_since is not None
+            ),
+            default=NO_REVISION,
+        )
+
     def _report_lag(
         self, now: float, peer: InstanceId, holdings: Holdings
     ) -> WriteLog:
--- a/briartack/core/dissemination/periodic_work.py
+++ b/briartack/core/dissemination/periodic_work.py
@@ -19,12 +19,19 @@
     is_on_duty,
     record_unwatched,
 )
-from briartack.core.effects import Effects, SendMessage
+from briartack.core.effects import (
+    Effects,
+    LogLevel,
+    SendMessage,
+    WriteLog,
+)
 from briartack.core.messages import request_entries_after
-from briartack.core.units import InstanceId
+from briartack.core.units import InstanceId, format_revision
 
 # The first root of this region usually has a change after this time.
 DUTY_REMOTE_PULL_DELAY_SECONDS: Final = 0.3
+BELOW_ROOTS_OVERDUE_SECONDS: Final = 0.3
+CONFIGURATION_OVERDUE: Final = 'configuration-overdue'
 
 
 def run_periodic_work(
@@ -42,7 +49,7 @@
     effects = state.tree.suspect_silent_peers(now)
     state.tree.update(now, membership)
     effects.extend(state.links.dial_missing_peers(now, membership))
-    effects.extend(_update_duty(state, now))
+    effects.extend(_update_duty(state, now, holdings))
     needs_full_read = state.needs_full_read(now, holdings)
     effects.extend(
         state.store.start_due_calls(now, needs_full_read=needs_full_read)
@@ -58,9 +65,38 @@
     return effects
 
 
-def _update_duty(state: DisseminationState, now: float) -> Effects:
+def _update_duty(
+    state: DisseminationState, now: float, holdings: Holdings
+) -> Effects:
     record_unwatched(state, now)
-    return state.store.set_duty(is_on_duty=is_on_duty(state, now))
+    effects = state.store.set_duty(is_on_duty=is_on_duty(state, now))
+    if _is_overdue(state, now, holdings):
+        state.store.is_read_requested = True
+        effects.append(_report_overdue(holdings))
+    return effects
+
+
+def _is_overdue(
+    state: DisseminationState, now: float, holdings: Holdings
+) -> bool:
+    """Return whether to read what peers announce and do not deliver.
+
+    Daemons below the roots wait longer, as the read of a root may serve them.
+    """
+    if not holdings.has_snapshot:
+        return False
+    delay_seconds = state.store.rules.overdue_seconds
+    if not state.tree.neighbours.is_root:
+        delay_seconds += BELOW_ROOTS_OVERDUE_SECONDS
+    return state.sync.overdue.take_overdue(now, delay_seconds)
+
+
+def _report_overdue(holdings: Holdings) -> WriteLog:
+    held = holdings.highest_revisions.configuration
+    fields = (('configuration', format_revision(held)),)
+    return WriteLog(
+        level=LogLevel.WARNING, code=CONFIGURATION_OVERDUE, fields=fields
+    )
 
 
 def synchronise(
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -4,6 +4,7 @@
 up to which the answers cover all keys.
 """
 
+import math
 from random import Random
 from typing import Final, final
 
@@ -65,11 +66,13 @@
     """Schedule the calls to the store and track their answers.
 
     Holds the calls in flight with their deadlines, the rate limits, the
-    backoff, the revision up to which answers cover all keys, and the highest
-    revision seen in any answer.
+    backoff, the revision up to which answers cover all keys, the highest
+    revision seen in any answer, and whether to read all keys once although
+    another daemon may watch.
     """
 
     __slots__ = (
+        'is_read_requested',
         '_random',
         '_rules',
         '_reads',
@@ -96,6 +99,7 @@
         random: Random,
         rules: StoreRules = DEFAULT_STORE_RULES,
     ) -> None:
+        self.is_read_requested = False
         self._random = random
         self._rules = rules
         self._reads = TokenBucket(
@@ -108,7 +112,7 @@
         )
         self._backoff = Backoff(random=random)
         self._read_deadlines: dict[str, float] = {}  # deadlines by prefix
-        self._instance_read_at: float | None = None
+        self._instance_read_at = math.inf
         self._watch_deadline: float | None = None
         self._watch_started_at: float | None = None
         self._is_on_duty = False
@@ -212,13 +216,16 @@
             return effects
         if self._must_read_revision and self._is_on_duty:
             effects.extend(self._start_read(now, PLATFORM_KEY))
-        list_read_at = self._instance_read_at
-        if list_read_at is not None and now >= list_read_at:
+        if now >= self._instance_read_at:
             effects.extend(self._start_read(now, INSTANCE_PREFIX))
         complete = self._complete_revision
         needs_all_keys = complete is None or self._must_read_all
-        if needs_all_keys and (needs_full_read or self._is_on_duty):
-            effects.extend(self._start_read(now, ALL_KEYS_PREFIX))
+        may_read = needs_full_read or self._is_on_duty
+        if self.is_read_requested or (needs_all_keys and may_read):
+            started = self._start_read(now, ALL_KEYS_PREFIX)
+            # A read in flight may have missed what is requested.
+            self.is_read_requested = self.is_read_requested and not started
+            effects.extend(started)
         if self._is_on_duty and complete is not None:
             effects.extend(self._start_watch(now, complete))
         return effects
@@ -259,7 +266,7 @@
             self._must_read_revision = False
             self._catch_up_revision = event.revision
         if event.prefix in {ALL_KEYS_PREFIX, INSTANCE_PREFIX}:
-            self._instance_read_at = None
+            self._instance_read_at = math.inf
         if event.prefix == ALL_KEYS_PREFIX:
             self._must_read_all = False
             self._advance_complete(event.revision)
--- a/briartack/core/dissemination/store_rules.py
+++ b/briartack/core/dissemination/store_rules.py
@@ -8,6 +8,7 @@
 
 # Long enough for three rounds of suspicion, each of which tries only two peers.
 ORPHAN_SECONDS: Final = 6.0
+OVERDUE_SECONDS: Final = 6.0
 
 
 @final
@@ -31,6 +32,9 @@
     redial_seconds: float = REDIAL_INTERVAL_SECONDS
     # A daemon that hears no parent for this time watches the store itself.
     orphan_seconds: float = ORPHAN_SECONDS
+    # A root that lacks, for this time, a configuration that a peer announces
+    # reads all keys itself.
+    overdue_seconds: float = OVERDUE_SECONDS
     # Whether only the roots nearest to the store watch the store, so that its
     # answers cross no link between regions.
     is_duty_by_distance: bool = False
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -292,6 +292,11 @@
             'A peer holds a newer configuration that has not arrived here.',
             'Check the link to the peer if this lasts.',
         ),
+        'configuration-overdue': ErrorText(
+            'Peers announce a configuration that they do not deliver; '
+            'all keys are read from the store.',
+            'Check for links that lose what this daemon sends.',
+        ),
         'entries-differ': ErrorText(
             'A peer with the same highest revision holds other entries.', ''
         ),
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -40,6 +40,9 @@
 # A machine that reaches the store but no other machine must apply a change
 # within 2 s; parents send a heartbeat every second.
 _ORPHAN_SECONDS: Final = 1.3
+# A pull that is not answered has timed out after 0.5 s, after a delay of 0.3 s
+# if the peer is in another region.
+_OVERDUE_SECONDS: Final = 0.8
 # A change must be applied within the platform's bound. A watcher notices a
 # silent store after these shares of the bound, which leaves the rest for
 # another daemon to read the change and to spread it.
@@ -118,6 +121,7 @@
             watch_grace_seconds=apply_seconds * _WATCH_GRACE_FRACTION,
             redial_seconds=_REDIAL_SECONDS,
             orphan_seconds=_ORPHAN_SECONDS,
+            overdue_seconds=_OVERDUE_SECONDS,
             reads_stale_list=True,
             is_duty_by_distance=True,
         ),
--- a/briartack/test/test_docs.py
+++ b/briartack/test/test_docs.py
@@ -89,7 +89,7 @@
                 re.compile(
                     '(?:FELL|SUSPECTED|STORE_LOST|STORE_BACK|DUTY_CHANGED|'
                     'WATCH_ANSWERED|HISTORY_GONE|ENTRIES_DIFFER|ERA_CHANGED|'
-                    'ANNOUNCED|LAGS|PEER_LOST|PEER_UNREACHABLE)'
+                    'ANNOUNCED|LAGS|OVERDUE|PEER_LOST|PEER_UNREACHABLE)'
                     ": Final = '(.+)'"
                 )
             ),
--- a/briartack/test/test_store_duty.py
+++ b/briartack/test/test_store_duty.py
@@ -29,6 +29,7 @@
     duty_backoff_seconds=1.0,
     redial_seconds=1.0,
     orphan_seconds=1.3,
+    overdue_seconds=0.8,
     watch_wait_seconds=0.6,
     watch_grace_seconds=0.5,
     is_duty_by_distance=True,
