Forget a watcher that a silent neighbour has named sooner

Callers at daemons of one zone were served by an older configuration 2.5 s after its acknowledgement: the store answered none of the region's roots, and a cut parted the zone from the daemon that had taken over the watch.

Cause: what a neighbour says of a watcher counted for 2.5 s, at the root that hears the watcher and at the daemons that remember a root; with the 0.4 s before a takeover that is beyond the bound of 2 s. It counts for 1.2 s now. Ruled out: the store, which answered the daemons as soon as they asked.

--- a/briartack/core/dissemination/store_duty.py
+++ b/briartack/core/dissemination/store_duty.py
@@ -16,8 +16,9 @@
 # Tolerates two late heartbeats, and leaves time to take over the watch, since a
 # change must be in force 2 s after it was made.
 WATCHER_SILENCE_SECONDS: Final = 1.0
-# Neighbours in this region send a heartbeat each second.
-NEIGHBOUR_SILENCE_SECONDS: Final = 2.5
+# Neighbours in this region send a heartbeat each second. What a neighbour has
+# said of a watcher counts for this time after it has fallen silent.
+NEIGHBOUR_SILENCE_SECONDS: Final = 1.2
 # The roots of other regions take over within this time, and their watch is
 # known here.
 UNWATCHED_SECONDS: Final = 0.4
