Tie the longer grace of lapsed records to an outage

Cause: 30 % of the list lapsing within 0.3 s was taken for a store that had been away, and such records counted as listed for 2.5 s. The daemon now notes its own failed calls and tells in its summaries how long ago the store was away; a summary precedes the entries at each hop. The longer grace needs both.

Ruled out: late news of the deletion.

One row pair of test_lapsed_records asked for the fault: it expected the longer grace after any mass deletion.

--- a/briartack/core/dissemination/announcer.py
+++ b/briartack/core/dissemination/announcer.py
@@ -10,6 +10,7 @@
 
 from briartack.core.dissemination.holdings import Holdings
 from briartack.core.dissemination.leaving_upstreams import UpstreamStart
+from briartack.core.dissemination.store_outages import StoreOutages
 from briartack.core.effects import Effects, LogLevel, SendMessage, WriteLog
 from briartack.core.messages import CrashEvidence, Summary
 from briartack.core.units import (
@@ -53,9 +54,13 @@
         '_leaving_upstream',
         '_crash_evidence',
         '_announced_digest',
+        '_outages',
     )
 
-    def __init__(self, *, incarnation: Incarnation) -> None:
+    def __init__(
+        self, *, incarnation: Incarnation, outages: StoreOutages
+    ) -> None:
+        self._outages = outages
         self._incarnation = incarnation
         self._last_summary_at: dict[InstanceId, float] = {}
         self._last_probe_at: dict[InstanceId, float] = {}
@@ -185,4 +190,5 @@
             if leaving is None
             else leaving.started_ms,
             crash_evidence=self._crash_evidence,
+            store_away_seconds_ago=self._outages.seconds_since(now),
         )
--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -360,6 +360,7 @@
         summary,
         is_remote=state.links.is_remote(event.peer),
     )
+    state.store.outages.record_told(event.now, summary.store_away_seconds_ago)
     if not summary.wants_answers:
         return []
     if not state.links.renew_subscriber(event.now, event.peer):
--- a/briartack/core/dissemination/dissemination_state.py
+++ b/briartack/core/dissemination/dissemination_state.py
@@ -70,7 +70,9 @@
         )
         self.store: Final = StoreReadsState(random=random, rules=rules)
         self.sync: Final = PeerSyncState()
-        self.announcer: Final = Announcer(incarnation=identity.incarnation)
+        self.announcer: Final = Announcer(
+            incarnation=identity.incarnation, outages=self.store.outages
+        )
         self.confirmation: Final = PauseConfirmation()
         self.started_at = float(0)
         self.next_work_at = float('-inf')
--- a/briartack/core/dissemination/lapsed_records.py
+++ b/briartack/core/dissemination/lapsed_records.py
@@ -1,8 +1,8 @@
 """Records of instances that were deleted without a leaving notice.
 
 A lapsed record counts as listed for a grace period. The period is longer if
-many records lapse together, because then the store has probably been
-unavailable rather than the instances.
+many records lapse together after an outage of the store, because then the
+instances could not renew their records.
 """
 
 from collections.abc import Iterable, Iterator
@@ -64,11 +64,14 @@
         now: float,
         changes: Iterable[RecordChange],
         listed_count: int,
+        *,
+        is_after_outage: bool,
     ) -> None:
         """Add the records that lapsed and drop those that are listed again.
 
-        `listed_count` is the number of live instances; a mass lapse relative
-        to it extends the grace period of the records that lapsed together.
+        `listed_count` is the number of live instances; after an outage, a mass
+        lapse relative to it extends the grace period of the records that
+        lapsed together.
 
         The first list may lag: instances in it may have left long ago, so
         their deletions get no grace period.
@@ -88,17 +91,8 @@
                 self._lapsed[record_id] = _LapsedRecord(
                     held=before, since=now, until=until
                 )
-        together = [
-            lapse
-            for lapse in self._lapsed.values()
-            if now - lapse.since <= MASS_LAPSE_SECONDS
-        ]
-        if len(together) >= max(
-            MIN_MASS_LAPSE_RECORDS, listed_count * MASS_LAPSE_RATIO
-        ):
-            until = now + MASS_LAPSE_GRACE_SECONDS
-            for lapse in together:
-                lapse.until = max(lapse.until, until)
+        if is_after_outage:
+            self._extend_mass_lapse(now, listed_count)
 
     def expire(self, now: float) -> bool:
         """Remove records after their grace period; return whether any were."""
@@ -110,3 +104,16 @@
         for record_id in over:
             self._lapsed.pop(record_id)
         return bool(over)
+
+    def _extend_mass_lapse(self, now: float, listed_count: int) -> None:
+        together = [
+            lapse
+            for lapse in self._lapsed.values()
+            if now - lapse.since <= MASS_LAPSE_SECONDS
+        ]
+        if len(together) >= max(
+            MIN_MASS_LAPSE_RECORDS, listed_count * MASS_LAPSE_RATIO
+        ):
+            until = now + MASS_LAPSE_GRACE_SECONDS
+            for lapse in together:
+                lapse.until = max(lapse.until, until)
--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -184,15 +184,23 @@
         self,
         entries: Iterable[Entry],
         now: float | None = None,
+        *,
+        is_after_outage: bool = False,
     ) -> frozenset[str]:
         """Merge entries by revision and return the keys that changed.
 
         If `now` is given, records deleted without a leaving notice count as
-        listed for a grace period.
+        listed for a grace period, which is longer for many records that are
+        deleted together after an outage of the store.
         """
         changes = self._records.apply(entries)
         if now is not None:
-            self._lapsed.record_changes(now, changes, self.instance_count)
+            self._lapsed.record_changes(
+                now,
+                changes,
+                self.instance_count,
+                is_after_outage=is_after_outage,
+            )
         for change in changes:
             self._leaving_upstreams.apply(change)
             instance = _departed_instance(change)
@@ -207,11 +215,15 @@
         revision: Revision,
         entries: Iterable[Entry],
         now: float | None = None,
+        *,
+        is_after_outage: bool = False,
     ) -> frozenset[str]:
         """Merge a full read at a revision; missing records count as deleted."""
         entries = tuple(entries)
         deletions = self._records.implied_deletions(revision, entries)
-        return self.apply(entries + deletions, now)
+        return self.apply(
+            entries + deletions, now, is_after_outage=is_after_outage
+        )
 
     def mark_upstream_leaving(
         self, start: UpstreamStart
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -15,6 +15,7 @@
     TokenBucket,
 )
 from briartack.core.dissemination.store_eras import StoreAnswer, StoreEras
+from briartack.core.dissemination.store_outages import StoreOutages
 from briartack.core.dissemination.store_reachability import StoreReachability
 from briartack.core.dissemination.store_reports import (
     report_duty,
@@ -91,6 +92,7 @@
         '_highest_seen',
         '_reachability',
         '_eras',
+        'outages',
     )
 
     def __init__(
@@ -125,6 +127,7 @@
         self._highest_seen = NO_REVISION
         self._reachability = StoreReachability()
         self._eras = StoreEras()
+        self.outages: Final = StoreOutages()
 
     @property
     def rules(self) -> StoreRules:
@@ -255,6 +258,7 @@
     def on_read(self, event: StoreRead) -> Effects:
         """Handle the answer to a read."""
         effects = self._reachability.record_answer(event.revision)
+        self.outages.record_answer(event.now)
         self._reachability.record_answer_time(event.elapsed_seconds)
         self._read_deadlines.pop(event.prefix, None)
         self._backoff.record_success()
@@ -282,6 +286,7 @@
         """
         self._watch_deadline = None
         effects = self._reachability.record_answer(event.revision)
+        self.outages.record_answer(event.now)
         effects.extend(
             report_watch(event, self._complete_revision, self._watch_started_at)
         )
@@ -312,6 +317,7 @@
         self, now: float, min_delay_seconds: float | None = None
     ) -> None:
         self._reachability.record_failure()
+        self.outages.record_failure(now)
         bound = MAX_BACKOFF_SECONDS
         if self._is_on_duty:
             bound = min(bound, self._rules.duty_backoff_seconds)
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -92,10 +92,19 @@
     prefix = received.full_read_prefix
     membership = state.membership
     since = now if state.rules.requires_identity else None
+    outages = state.dissemination.store.outages
+    is_after_outage = outages.seconds_since(now) is not None
     if prefix is None or not INSTANCE_PREFIX.startswith(prefix):
-        return tuple(membership.apply(entries, since))
+        return tuple(
+            membership.apply(entries, since, is_after_outage=is_after_outage)
+        )
     return tuple(
-        membership.apply_full_read(received.revision, entries, since),
+        membership.apply_full_read(
+            received.revision,
+            entries,
+            since,
+            is_after_outage=is_after_outage,
+        ),
     )
 
 
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -90,6 +90,8 @@
     leaving_upstream_started_ms: int | None = None
     # Requests that were running when upstreams ended.
     crash_evidence: tuple[CrashEvidence, ...] = ()
+    # How long ago the sender last knew that the store was away, if lately.
+    store_away_seconds_ago: float | None = None
 
     @property
     def highest_revisions(self) -> HighestRevisions:
--- a/briartack/test/test_lapsed_records.py
+++ b/briartack/test/test_lapsed_records.py
@@ -1,8 +1,8 @@
 """Tests of the list of instances across deletions without notice.
 
 A record may be deleted although its instance never announced its departure.
-Where many records go at once, the store was away and the instances still
-live; where few go, the instances have stopped.
+Where many records go at once after an outage of the store, the instances still
+live; elsewhere, the instances have stopped.
 """
 
 import unittest
@@ -67,27 +67,32 @@
         for number in range(2, 7):
             now = 10 + 0.25 * (number - 1)
             members.expire(now)
-            members.apply([entry(number, 100 + number, None)], now)
+            members.apply(
+                [entry(number, 100 + number, None)], now, is_after_outage=True
+            )
         members.expire(10 + DRAIN_SECONDS)
         live = {member.instance for member in members.live_members()}
         self.assertNotIn('10.0.0.1', live)
 
     @params(
-        (1, 0.5, 12),
-        (1, DRAIN_SECONDS, 11),
-        (6, REGISTER_SECONDS, 12),
-        (6, 3, 6),
+        (1, True, 0.5, 12),
+        (1, True, DRAIN_SECONDS, 11),
+        (6, True, REGISTER_SECONDS, 12),
+        (6, True, 3, 6),
+        (6, False, 0.5, 12),
+        (6, False, DRAIN_SECONDS, 6),
     )
     def test_few_deletions_count_soon_and_mass_deletions_later(
         self,
         count: int,
+        is_after_outage: bool,
         seconds: float,
         expected_count: int,
     ) -> None:
         """Guard against an emptied list, and requests to stopped instances.
 
-        Each row deletes a number of records, waits some seconds and states how
-        many instances must be expected_count in the list.
+        Each row deletes a number of records, after an outage of the store or
+        not, waits some seconds and states how many instances must be listed.
         """
         members = live_members()
         members.apply(
@@ -96,6 +101,7 @@
                 for number in range(1, count + 1)
             ],
             10,
+            is_after_outage=is_after_outage,
         )
         members.expire(10 + seconds)
         self.assertEqual(members.instance_count, expected_count)
@@ -119,7 +125,9 @@
         members = live_members()
         numbers = range(1, INSTANCE_COUNT + 1)
         members.apply(
-            [entry(number, 100 + number, None) for number in numbers], 10
+            [entry(number, 100 + number, None) for number in numbers],
+            10,
+            is_after_outage=True,
         )
         self.assertEqual(members.instance_count, INSTANCE_COUNT)
         members.apply(
