--- a/briartack/test/test_deploy.py
+++ b/briartack/test/test_deploy.py
@@ -2,6 +2,8 @@
 
 import os
 import subprocess  # noqa: S404
+import sys
+import sysconfig
 import tempfile
 import tomllib
 import unittest
@@ -11,24 +13,34 @@
 from nose2.tools import params
 
 DEPLOY_FILE: Final = Path(__file__).parents[2] / 'deploy/system.toml'
-FAKE_PYTHON: Final = '#!/bin/sh\nmkdir -p target/deps\necho "$@" >> calls\n'
+FAKE_PYTHON: Final = """#!/bin/sh
+[ "$1" != -c ] || exec {python} "$@"
+mkdir -p target/deps
+echo "$@" >> calls
+"""
+OLD_PYTHON: Final = '#!/bin/sh\n[ "$1" != -c ] || exit 1\necho "$@" >> calls\n'
 OLD: Final = 1_700_000_000
 NEW: Final = 1_800_000_000
 
 
 class BuildTest(unittest.TestCase):
     # Guards against daemons that do not start, since the libraries that were
-    # carried over come from another kind of machine.
+    # carried over come from another kind of machine or another interpreter.
     @params(
         ('', 0, 1),
         ('this', NEW, 0),
         ('this', OLD - 1, 1),
         ('other', NEW, 1),
+        ('machine', NEW, 1),
     )
     def test_libraries_are_installed_for_this_machine(
         self, kind: str, built_at: int, calls: int
     ) -> None:
-        """Each row states whose libraries there are, and since when."""
+        """Each row states whose libraries there are, and since when.
+
+        Those of `machine` are for this kind of machine, without a statement
+        for which interpreter.
+        """
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
             self.prepare(folder, kind, built_at)
@@ -38,19 +50,32 @@
             self.build(folder)
             self.assertEqual(self.count_calls(folder), calls)
 
+    # Guards against a build that succeeds although no daemon can start.
+    def test_interpreter_that_is_too_old_fails_the_build(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            self.prepare(folder, 'this', NEW)
+            (folder / 'bin/python3').write_text(OLD_PYTHON, 'utf-8')
+            with self.assertRaises(subprocess.CalledProcessError):
+                self.build(folder)
+            self.assertEqual(self.count_calls(folder), 0)
+
     def prepare(self, folder: Path, kind: str, built_at: int) -> None:
         """Write requirements, a stand-in for Python and carried libraries."""
         python = folder / 'bin/python3'
         python.parent.mkdir()
-        python.write_text(FAKE_PYTHON, 'utf-8')
+        python.write_text(FAKE_PYTHON.format(python=sys.executable), 'utf-8')
         python.chmod(0o755)
         requirements = folder / 'requirements.txt'
         requirements.touch()
         os.utime(requirements, (OLD, OLD))
         if not kind:
             return
-        machine = os.uname().machine if kind == 'this' else 'other'
-        marker = folder / f'target/deps/.{machine}'
+        names = {
+            'this': sysconfig.get_config_var('SOABI'),
+            'machine': os.uname().machine,
+        }
+        marker = folder / f'target/deps/.{names.get(kind, "other")}'
         (folder / 'target/deps/old').mkdir(parents=True)
         marker.touch()
         os.utime(marker, (built_at, built_at))
