Close a connection whose caller takes no byte for 60 s

Callers that read nothing, half-closed or not, kept their connections for good, with the unsent answers in memory: about 4.5 MB of an answer of 8.4 MB each. The idle timeout passes over connections with outstanding answers, and TCP has no time limit for a living peer with a full window.

Cause: `Pipeline._write_rest` waited for room in the send buffer without a limit, and `wait_until_sent` for that greenlet. It now shuts the connection down once the caller's side has acknowledged nothing for MAX_STALL_SECONDS. The linger after the last response uses the same rule. Its 60 s limited the whole wait, so that a caller that read for longer met a reset.

Evidence: on the code of before, with the limit at 0.3 s, `test_caller_that_reads_nothing_is_cut` found the connection held after 5 s in both rows, and with 1 s `test_limit_does_not_cut_the_end_of_a_connection_that_is_read` ended with a reset. A limit on the whole time in place of the time without progress fails `test_caller_that_reads_on_slowly_gets_the_whole_answer` as well.

What remains: nothing limits how many answers such a connection collects within the 60 s.

--- a/briartack/caller_pipeline.py
+++ b/briartack/caller_pipeline.py
@@ -1,6 +1,7 @@
 """Write the responses on one caller's connection in request order."""
 
 import os
+import time
 from collections import deque
 from typing import Any, Final, Protocol, final
 
@@ -8,6 +9,7 @@
 from gevent import socket
 from gevent.event import Event
 
+from briartack.send_progress import SendProgress
 from briartack.socket_options import count_unacknowledged_bytes
 
 # Maximum number of unanswered requests on one connection. At this number, the
@@ -18,9 +20,10 @@
 # therefore stays half open for this long after the last response, and until the
 # caller has got the response.
 LINGER_SECONDS: Final = 1.0
-# A caller that reads nothing for so long is taken for gone.
-MAX_LINGER_SECONDS: Final = 60.0
-_LINGER_POLL_SECONDS: Final = 0.1
+# A caller that takes no byte of a response for so long is gone. Its responses
+# would be held in memory for good otherwise.
+MAX_STALL_SECONDS: Final = 60.0
+_STALL_POLL_SECONDS: Final = 0.1
 
 
 class PendingResponse(Protocol):
@@ -70,6 +73,7 @@
         '_descriptor',
         '_pending',
         '_unsent',
+        '_queued_bytes',
         '_writer',
         '_is_ending',
         '_has_capacity',
@@ -80,7 +84,8 @@
         self._sock = sock
         self._descriptor: int = sock.fileno()
         self._pending: deque[PendingResponse] = deque()
-        self._unsent: deque[bytes] = deque()
+        self._unsent: deque[memoryview] = deque()
+        self._queued_bytes = 0
         self._writer: gevent.Greenlet | None = None
         self._is_ending = False
         self._has_capacity = Event()
@@ -102,6 +107,13 @@
         """Return whether the caller has yet to get part of a response."""
         return bool(self._unsent) or count_unacknowledged_bytes(self._sock) > 0
 
+    @property
+    def taken_bytes(self) -> int:
+        """Return how many bytes of responses the caller's side has taken."""
+        unsent_bytes = sum(len(part) for part in self._unsent)
+        unacknowledged_bytes = count_unacknowledged_bytes(self._sock)
+        return self._queued_bytes - unsent_bytes - unacknowledged_bytes
+
     @property
     def unanswered_count(self) -> int:
         """Return the number of requests whose response is not written yet."""
@@ -119,7 +131,10 @@
         self._has_capacity.wait()
 
     def wait_until_sent(self) -> None:
-        """Wait until the socket has taken all responses or has failed."""
+        """Wait until the socket has taken all responses or has failed.
+
+        The socket fails if the caller takes nothing for MAX_STALL_SECONDS.
+        """
         if self._writer is not None:
             self._writer.join()
 
@@ -157,8 +172,9 @@
     def _write(self, response: bytes) -> None:
         if not response:
             return
+        self._queued_bytes += len(response)
         if self._unsent:
-            self._unsent.append(response)
+            self._unsent.append(memoryview(response))
             return
         # gevent sets the descriptors of its sockets to non-blocking mode.
         written = 0
@@ -170,29 +186,53 @@
             # The greenlet that reads from the socket gets the same error.
             return
         if written < len(response):
-            self._unsent.append(response[written:])
+            self._unsent.append(memoryview(response)[written:])
             self._writer = gevent.spawn(self._write_rest)
 
     def _write_rest(self) -> None:
+        progress = SendProgress(now=time.monotonic())
         while self._unsent:
             try:
-                self._sock.sendall(self._unsent[0])
+                self._send_next()
             except OSError:
                 self._unsent.clear()
                 return
-            self._unsent.popleft()
+            if self._is_stalled(progress):
+                self._unsent.clear()
+                self.shut_down()
+                return
         if self._is_ending:
             self._half_close()
 
+    def _send_next(self) -> None:
+        """Send what the socket takes, or return after the poll interval.
+
+        Raises OSError.
+        """
+        # The time limit interrupts only the wait for room in the send buffer.
+        with gevent.Timeout(_STALL_POLL_SECONDS, exception=False):
+            sent_bytes = self._sock.send(self._unsent[0])
+            self._unsent[0] = self._unsent[0][sent_bytes:]
+        if not self._unsent[0]:
+            self._unsent.popleft()
+
+    def _is_stalled(self, progress: SendProgress) -> bool:
+        stall_seconds = progress.measure_stall(
+            self.taken_bytes, time.monotonic()
+        )
+        return stall_seconds >= MAX_STALL_SECONDS
+
     def _half_close(self) -> None:
         self._shutdown(socket.SHUT_WR)
         gevent.spawn(self._linger)
 
     def _linger(self) -> None:
         gevent.sleep(LINGER_SECONDS)
-        with gevent.Timeout(MAX_LINGER_SECONDS, exception=False):
-            while count_unacknowledged_bytes(self._sock):
-                gevent.sleep(_LINGER_POLL_SECONDS)
+        progress = SendProgress(now=time.monotonic())
+        while count_unacknowledged_bytes(self._sock):
+            if self._is_stalled(progress):
+                break
+            gevent.sleep(_STALL_POLL_SECONDS)
         self.shut_down()
 
     def _shutdown(self, how: int) -> None:
--- a/briartack/test/test_slow_callers.py
+++ b/briartack/test/test_slow_callers.py
@@ -2,10 +2,13 @@
 
 import unittest
 from typing import Any, Final
+from unittest.mock import patch
 
 import gevent
 from gevent import socket
+from nose2.tools import params
 
+from briartack import caller_pipeline
 from briartack.caller_pipeline import LINGER_SECONDS
 from briartack.core import events
 from briartack.test.fake_reducer import LOCAL_HOST, EchoServer
@@ -88,3 +91,64 @@
         gevent.sleep(0.2)
         status, _, received = read_answer(self.caller)
         self.assertEqual((status, received == body), (200, True))
+
+    # Guards against callers that read nothing and hold their connections and
+    # the unsent answers in memory for good.
+    @params(False, True)
+    def test_caller_that_reads_nothing_is_cut(
+        self, is_half_closed: bool
+    ) -> None:
+        self.limit_stall(0.3)
+        self.caller.sendall(HEAD % (len(BODY), b'') + BODY)
+        self.await_answer()
+        if is_half_closed:
+            self.caller.shutdown(socket.SHUT_WR)
+        self.assertIs(self.shell.callers.has_unsent, True)
+        with gevent.Timeout(5, TimeoutError('the connection is held')):
+            while self.shell.callers.has_unsent:
+                gevent.sleep(0.01)
+
+    # Guards against a limit on the time of the whole answer, which cuts a
+    # caller that reads on.
+    def test_caller_that_reads_on_slowly_gets_the_whole_answer(self) -> None:
+        self.limit_stall(1)
+        body = BODY[:4_500_000]
+        self.caller.sendall(HEAD % (len(body), b'') + body)
+        self.await_answer()
+        received = self.read_slowly()
+        while not received.endswith(body):
+            part = self.caller.recv(len(BODY))
+            self.assertNotEqual(part, b'', f'{len(received)} bytes')
+            received += part
+
+    # Guards against a reset that discards the end of an answer that closes its
+    # connection, because its caller reads for longer than the limit.
+    def test_limit_does_not_cut_the_end_of_a_connection_that_is_read(
+        self,
+    ) -> None:
+        self.limit_stall(1)
+        # The send buffer of the daemon takes all of this answer.
+        body = BODY[:1_000_000]
+        close = b'Connection: close\r\n'
+        self.caller.sendall(HEAD % (len(body), close) + body)
+        self.await_answer()
+        received = self.read_slowly()
+        self.caller.sendall(HEAD % (0, b''))
+        gevent.sleep(0.2)
+        while part := self.caller.recv(len(BODY)):
+            received += part
+        self.assertTrue(received.endswith(body), f'{len(received)} bytes')
+
+    def read_slowly(self) -> bytes:
+        """Read small parts of an answer for three seconds."""
+        received = b''
+        for _ in range(30):
+            received += self.caller.recv(SMALL_BUFFER_BYTES)
+            gevent.sleep(0.1)
+        return received
+
+    def limit_stall(self, seconds: float) -> None:
+        """Let the daemon cut callers that take nothing for some seconds."""
+        limit = patch.object(caller_pipeline, 'MAX_STALL_SECONDS', seconds)
+        limit.start()
+        self.addCleanup(limit.stop)
