Bind the rate of an upstream when the list says that it is cold

Cause: nothing read the cold time of the entry, and health answers are asked for every 5 s, longer than a cold time.

Ruled out: the limiter, which keeps the rate once it knows of the cold time. The owner now assumes a cold upstream when its record states a new cold time, unless one is known, and asks the health once.

--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -122,6 +122,10 @@
     def slots(self) -> int | None:
         """Return the upstream's slots, or `None` if the list states none."""
 
+    @property
+    def cold_ms(self) -> int:
+        """Return for how long the list says that the upstream is cold."""
+
 
 class MembershipView(Protocol):
     """Look up instances and upstream records in the live instance list."""
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -113,11 +113,14 @@
         self._cold_start_limiter.configure(limits.cold_per_second, self._rules)
         self._stated_limiter.configure(self._rules)
 
-    def assume_cold(self, now: float) -> None:
+    def assume_cold(self, now: float, *, is_listed: bool = False) -> None:
         """Assume a cold upstream for `ramp_seconds`, and request a probe.
 
-        The probe reports how long the upstream remains cold.
+        The probe reports how long the upstream remains cold. A list that says
+        so (`is_listed`) may lag and adds nothing to a cold time that is known.
         """
+        if is_listed and self._cold_start_limiter.is_cold(now):
+            return
         self._cold_start_limiter.extend_cold_phase(
             now + self._limits.ramp_seconds
         )
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -62,6 +62,7 @@
         '_runner',
         '_probe_path',
         '_was_out_of_service',
+        '_listed_cold_ms',
         '_crash_watch',
     )
 
@@ -70,6 +71,7 @@
         self._upstream = LocalUpstream(rules=rules)
         self._probe_path = ''
         self._was_out_of_service = False
+        self._listed_cold_ms = 0
         self._crash_watch = CrashWatch()
         self._dedup = DedupState()
         self._attempts: dict[AttemptId, OwnedAttempt] = {}
@@ -315,6 +317,10 @@
             return []
         member = context.members.get(context.identity.instance)
         self._upstream.configure(limits, member.slots if member else None)
+        cold_ms = member.cold_ms if member else 0
+        if cold_ms and cold_ms != self._listed_cold_ms:
+            self._upstream.assume_cold(now, is_listed=True)
+        self._listed_cold_ms = cold_ms
         is_out = is_own_instance_out_of_service(context, snapshot.platform)
         if self._was_out_of_service and not is_out:
             self._upstream.assume_cold(now)
--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -151,3 +151,5 @@
     # Unix time of the upstream's start, on platforms that may list several
     # starts under one id.
     started_ms: int | None = None
+    # For how long the upstream was cold when it wrote this; 0 if warm.
+    cold_ms: int = 0
--- a/briartack/core/dissemination/instance_records.py
+++ b/briartack/core/dissemination/instance_records.py
@@ -182,6 +182,7 @@
         region=record.region,
         peer_address=record.peer_address,
         slots=record.slots,
+        cold_ms=record.cold_ms,
     )
     return HeldRecord(
         entry=entry,
--- a/briartack/core/dissemination/overlay.py
+++ b/briartack/core/dissemination/overlay.py
@@ -6,7 +6,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import lru_cache
 from typing import Final, final
 
@@ -32,6 +32,8 @@
     region: str
     peer_address: str  # IP:PORT
     slots: int | None = None  # of the upstream, if the platform lists them
+    # A change of it is no change of the tree.
+    cold_ms: int = field(default=0, compare=False)
 
 
 @final
--- a/briartack/platform/registry.py
+++ b/briartack/platform/registry.py
@@ -9,6 +9,7 @@
 from briartack.addresses import format_address, parse_address
 from briartack.core.configuration.settings import (
     MAX_COUNT,
+    MAX_MILLISECONDS,
     InstanceRecord,
     InstanceState,
 )
@@ -37,6 +38,7 @@
 
     state: str
     sequence: object = None  # counts the server's writes since its start
+    cold_left_ms: object = None  # how much longer the server is slow
 
 
 class _Server(msgspec.Struct, frozen=True, kw_only=True):
@@ -86,10 +88,18 @@
             instance=host,
             slots=min(server.info.slots, MAX_COUNT),
             started_ms=server.born,
+            cold_ms=_find_cold_ms(server.status.cold_left_ms),
         )
         return msgspec.json.encode(record).decode(), _find_order(server)
 
 
+def _find_cold_ms(left_ms: object) -> int:
+    """Return the milliseconds for which a server is cold; 0 if unusable."""
+    if isinstance(left_ms, bool) or not isinstance(left_ms, int | float):
+        return 0
+    return round(left_ms) if 0 < left_ms <= MAX_MILLISECONDS else 0
+
+
 def _find_order(server: _Server) -> StatedOrder:
     sequence = server.status.sequence
     # A bool is an `int` for `isinstance`, but not for the decoder of a peer.
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import cache
 from random import Random
 from types import MappingProxyType
@@ -47,6 +47,7 @@
     service: str = 's'
     peer_address: str = '127.0.0.1:1'
     slots: int | None = None
+    cold_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -131,13 +132,14 @@
 
 
 @cache
-def make_members(names: str) -> tuple[Member, ...]:
+def make_members(names: str, cold_ms: int = 0) -> tuple[Member, ...]:
     """Make the members of a list, one for each letter of `names`.
 
-    Equal names give the identical tuple, because the instance list returns the
-    identical tuple until it changes.
+    All of them are listed as cold for `cold_ms`. Equal arguments give the
+    identical tuple, because the instance list returns the identical tuple until
+    it changes.
     """
-    return tuple(map(make_member, names))
+    return tuple(replace(make_member(name), cold_ms=cold_ms) for name in names)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -218,7 +220,9 @@
             ),
             snapshot=snapshot if setup.get('has_snapshot', True) else None,
             members=FakeMembers(
-                members=make_members(setup.get('members', 'a')),
+                members=make_members(
+                    setup.get('members', 'a'), setup.get('cold_ms', 0)
+                ),
                 leaving=frozenset(setup.get('leaving', '')),
             ),
             random=self.random,
