Wait at a planned stop only for callers that take bytes

One caller that read nothing of an answer of 12 MB stretched each planned stop to its limit, while peers and readiness were gone already. With a grace time of 3 s the stop ended after it, where the platform kills the process.

Cause: the wait for the last bytes had a rule of progress for peers, but none for callers, and its limit was 0.85 of the grace time plus a fixed 0.5 s, counted from a late end of the calls if that came after the drain time. `ExitFlush` now waits for callers while one of them has taken a byte within 1 s. Each connection is measured by itself, so short answers to other callers are no progress of a stalled one. The limit is 0.4 s before the end of the grace time, or the drain time where that is later.

What remains: a caller that pauses for 1 s or longer during the wait may be cut.

--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -79,9 +79,13 @@
         return len(self._calls)
 
     @property
-    def has_unsent(self) -> bool:
-        """Return whether callers have yet to get parts of responses."""
-        return any(connection.has_unsent for connection in self._connections)
+    def unsent_connections(self) -> tuple[Pipeline, ...]:
+        """Return the connections whose callers have yet to get bytes."""
+        return tuple(
+            connection
+            for connection in self._connections
+            if connection.has_unsent
+        )
 
     @property
     def dialect(self) -> CallerDialect:
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -12,14 +12,9 @@
 
 from briartack.bodies import BodyStore
 from briartack.callers import CallerServer
-from briartack.core import effects
+from briartack.core import effects, events
 from briartack.core.calls.call_logs import REQUEST_LOG_CODES
 from briartack.core.calls.call_rules import CallRules
-from briartack.core.events import (
-    Started,
-    StopRequested,
-    SuspectClearRequested,
-)
 from briartack.core.identity import Identity
 from briartack.error_texts import (
     LISTENING,
@@ -28,6 +23,7 @@
     STOPPED,
 )
 from briartack.event_loop import EventLoop, Handlers, Reduce
+from briartack.exit_flush import ExitFlush
 from briartack.greenlets import install_error_handler, run_forever
 from briartack.integration import PlatformIntegration, SettingsFileWatcher
 from briartack.line_writer import OutputWriters
@@ -45,10 +41,6 @@
 StateT = TypeVar('StateT')
 
 _MAINTENANCE_INTERVAL_SECONDS: Final = 2.0
-# Time to write the last bytes when the daemon exits. A peer that has taken
-# nothing for so long is not waited for.
-_EXIT_FLUSH_SECONDS: Final = 0.5
-_EXIT_POLL_SECONDS: Final = 0.01
 
 
 def boot_clock() -> float:
@@ -123,6 +115,7 @@
         '_operator_port',
         '_is_stopping',
         '_drain_seconds',
+        '_exit_flush_seconds',
         '_drained_by',
         '_servers',
         '_background',
@@ -208,7 +201,8 @@
         )
         self._is_stopping = False
         self._drain_seconds = integration.drain_seconds
-        self._drained_by = float('-inf')
+        self._exit_flush_seconds = integration.exit_flush_seconds
+        self._drained_by: float | None = None
         self._servers: list[BaseServer] = []
         self._background: list[gevent.Greenlet] = []
         self._exit_code: AsyncResult[int] = AsyncResult()
@@ -240,7 +234,7 @@
             return
         write_log(effects.LogLevel.INFO, LISTENING, options.format_fields())
         self._loop.deliver(
-            Started(
+            events.Started(
                 now=boot_clock(),
                 incarnation=self._identity.incarnation,
             ),
@@ -263,12 +257,14 @@
         self._is_stopping = True
         self._drained_by = boot_clock() + self._drain_seconds
         self._callers.stop_keep_alive()
-        self._loop.deliver(StopRequested(now=boot_clock()))
+        self._loop.deliver(events.StopRequested(now=boot_clock()))
 
     def clear_suspect(self, fingerprint: bytes) -> None:
         """Discount the evidence that a request crashes its upstreams."""
         self._loop.deliver(
-            SuspectClearRequested(now=boot_clock(), fingerprint=fingerprint)
+            events.SuspectClearRequested(
+                now=boot_clock(), fingerprint=fingerprint
+            )
         )
 
     def reload(self) -> None:
@@ -296,31 +292,23 @@
     def stop(self) -> None:
         """Close all servers and streams once the last bytes have arrived."""
         self._peers.end_all_streams()
-        self._await_last_bytes()
+        self._flush_last_bytes()
         for server in self._servers:
             server.stop(timeout=0)
         gevent.killall(self._background)
         self._loop.close()
         write_log(effects.LogLevel.INFO, STOPPED, {})
 
-    def _await_last_bytes(self) -> None:
-        """Wait until callers and peers have got what was sent to them.
-
-        Waits at most _EXIT_FLUSH_SECONDS longer than the stop may take.
-        """
-        now = boot_clock()
-        until = max(now, self._drained_by) + _EXIT_FLUSH_SECONDS
-        peer_bytes = self._peers.unsent_bytes
-        peers_wait_until = now + _EXIT_FLUSH_SECONDS
-        while now < until:
-            waits_for_peers = peer_bytes > 0 and now < peers_wait_until
-            if not waits_for_peers and not self._callers.has_unsent:
-                return
-            gevent.sleep(_EXIT_POLL_SECONDS)
-            now = boot_clock()
-            if self._peers.unsent_bytes != peer_bytes:
-                peer_bytes = self._peers.unsent_bytes
-                peers_wait_until = now + _EXIT_FLUSH_SECONDS
+    def _flush_last_bytes(self) -> None:
+        # The limit counts from the end of the drain time, however late the
+        # last call has ended, since the grace time ends soon after it.
+        drained_by = self._drained_by
+        if drained_by is None:
+            drained_by = boot_clock()
+        flush = ExitFlush(
+            callers=self._callers, peers=self._peers, clock=boot_clock
+        )
+        flush.wait(drained_by + self._exit_flush_seconds)
 
     def _run_maintenance(self) -> None:
         while True:
--- /dev/null
+++ b/briartack/exit_flush.py
@@ -0,0 +1,77 @@
+"""Wait at the exit of a daemon until its last bytes have arrived."""
+
+from typing import Final, final
+
+import gevent
+
+from briartack.caller_pipeline import Pipeline
+from briartack.callers import CallerServer
+from briartack.peers import Peers
+from briartack.send_progress import SendProgress
+from briartack.shell_interfaces import Clock
+
+# A peer that has taken nothing for so long is not waited for.
+PEER_STALL_SECONDS: Final = 0.5
+# A caller that has taken nothing for so long is not waited for. A caller that
+# reads may pause, and two retransmissions in a row take 0.6 s.
+CALLER_STALL_SECONDS: Final = 1.0
+_POLL_SECONDS: Final = 0.01
+
+
+@final
+class ExitFlush:
+    """Wait for the last bytes as long as their receivers take some."""
+
+    __slots__ = (
+        '_callers',
+        '_peers',
+        '_clock',
+        '_caller_progress',
+        '_peer_bytes',
+        '_peers_progressed_at',
+    )
+
+    def __init__(
+        self, *, callers: CallerServer, peers: Peers, clock: Clock
+    ) -> None:
+        self._callers = callers
+        self._peers = peers
+        self._clock = clock
+        self._caller_progress: dict[Pipeline, SendProgress] = {}
+        self._peer_bytes = 0
+        self._peers_progressed_at = float('-inf')
+
+    def wait(self, until: float) -> None:
+        """Wait until no receiver takes further bytes, or until a time."""
+        now = self._clock()
+        while now < until:
+            # Both are evaluated, so that each sees all progress.
+            has_callers = self._has_receiving_callers(now)
+            has_peers = self._has_receiving_peers(now)
+            if not has_callers and not has_peers:
+                return
+            gevent.sleep(_POLL_SECONDS)
+            now = self._clock()
+
+    def _has_receiving_callers(self, now: float) -> bool:
+        # A connection is measured anew for each response that it has yet to
+        # send: the time without outstanding bytes is no stall.
+        self._caller_progress = {
+            connection: self._caller_progress.get(
+                connection, SendProgress(now=now)
+            )
+            for connection in self._callers.unsent_connections
+        }
+        stalls = [
+            progress.measure_stall(connection.taken_bytes, now)
+            for connection, progress in self._caller_progress.items()
+        ]
+        return min(stalls, default=CALLER_STALL_SECONDS) < CALLER_STALL_SECONDS
+
+    def _has_receiving_peers(self, now: float) -> bool:
+        unsent_bytes = self._peers.unsent_bytes
+        if unsent_bytes != self._peer_bytes:
+            self._peer_bytes = unsent_bytes
+            self._peers_progressed_at = now
+        stall_seconds = now - self._peers_progressed_at
+        return unsent_bytes > 0 and stall_seconds < PEER_STALL_SECONDS
--- a/briartack/integration.py
+++ b/briartack/integration.py
@@ -4,7 +4,7 @@
 """
 
 from pathlib import Path
-from typing import final
+from typing import Final, final
 
 import msgspec
 
@@ -24,15 +24,23 @@
 )
 from briartack.platform.settings import SettingsError, decode_settings
 
+# The last bytes of responses are written for at most so long after the drain.
+_EXIT_FLUSH_SECONDS: Final = 0.5
+
 
 @final
 class PlatformIntegration(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold the dialects, rules and drain time of one daemon."""
+    """Hold the dialects, rules and drain time of one daemon.
+
+    The last bytes of responses are written for at most `exit_flush_seconds`
+    after the drain time.
+    """
 
     dialects: Dialects
     rules: CallRules
     store_rules: StoreRules
     drain_seconds: float
+    exit_flush_seconds: float
     service: str  # as the list of instances names it
     region: str
     settings_content: bytes = b''  # of the settings file, as it was read
@@ -50,6 +58,7 @@
             rules=rules,
             store_rules=DEFAULT_STORE_RULES,
             drain_seconds=options.drain_seconds,
+            exit_flush_seconds=_EXIT_FLUSH_SECONDS,
             service=options.service,
             region=options.region,
         )
@@ -66,6 +75,7 @@
         rules=settings.rules,
         store_rules=settings.store_rules,
         drain_seconds=min(options.drain_seconds, settings.drain_seconds),
+        exit_flush_seconds=settings.exit_flush_seconds,
         service=qualify_service(strip_team(options.service)),
         region=encode_name(options.region),
         settings_content=content,
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -27,6 +27,9 @@
 # Requests that run in the last sixth of the grace time may be aborted. The
 # process needs part of the grace time to write its last responses.
 _DRAIN_FRACTION: Final = 0.85
+# The last bytes of responses are written until so long before the end of the
+# grace time. The process takes 0.1 s to end, and longer on a busy machine.
+_EXIT_SECONDS: Final = 0.4
 # The platform probes readiness every second and takes an instance out of
 # service after two failed probes.
 _READY_PERIOD_SECONDS: Final = 1.1
@@ -75,6 +78,7 @@
 
     regions: Mapping[str, str]  # keyed by data centre
     drain_seconds: float
+    exit_flush_seconds: float
     rules: CallRules
     store_rules: StoreRules
 
@@ -96,9 +100,12 @@
         )
     bounds = _parse_bounds(fields.get(_BOUNDS_FIELD, ''))
     apply_seconds = bounds.config_apply_ms / MILLISECONDS_PER_SECOND
+    drain_seconds = bounds.grace_s * _DRAIN_FRACTION
+    exit_flush_seconds = bounds.grace_s - drain_seconds - _EXIT_SECONDS
     return ProcessSettings(
         regions=regions,
-        drain_seconds=bounds.grace_s * _DRAIN_FRACTION,
+        drain_seconds=drain_seconds,
+        exit_flush_seconds=max(0, exit_flush_seconds),
         rules=CallRules(
             probe_seconds=probe_seconds,
             requires_identity=True,
--- /dev/null
+++ b/briartack/test/test_exit_flush.py
@@ -0,0 +1,107 @@
+"""Test the wait for the last bytes at the exit of a daemon, with sockets."""
+
+import time
+import unittest
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+
+from briartack.core import events
+from briartack.exit_flush import ExitFlush
+from briartack.test.fake_reducer import LOCAL_HOST, EchoServer
+from briartack.test.shell_fixture import ShellFixture, read_answer
+
+# More than the send buffer of the daemon takes at once.
+BODY: Final = bytes(range(256)) * 32_768
+SMALL_BUFFER_BYTES: Final = 16384
+HEAD: Final = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n'
+SMALL_REQUEST: Final = b'POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc'
+LONG_SECONDS: Final = 30.0
+PART_BYTES: Final = 2_000_000
+PAUSE_SECONDS: Final = 0.5
+
+
+class ExitFlushTest(unittest.TestCase):
+    def setUp(self) -> None:
+        upstream = EchoServer()
+        self.addCleanup(upstream.stop, timeout=0)
+        self.shell = ShellFixture(upstream=(LOCAL_HOST, upstream.server_port))
+        self.addCleanup(self.shell.stop)
+        self.stalled = self.take_answer()
+
+    def take_answer(self) -> Any:
+        """Return a caller whose answer waits for room in the send buffer."""
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+        )
+        caller.connect((LOCAL_HOST, self.shell.caller_server.server_port))
+        answered = self.shell.state.events_of(events.UpstreamAnswered)
+        caller.sendall(HEAD % len(BODY) + BODY)
+        with gevent.Timeout(10):
+            while (
+                self.shell.state.events_of(events.UpstreamAnswered) == answered
+            ):
+                gevent.sleep(0.01)
+        return caller
+
+    def wait(self, seconds: float) -> float:
+        """Wait for the last bytes; return the seconds that this took."""
+        began_at = time.monotonic()
+        flush = ExitFlush(
+            callers=self.shell.callers,
+            peers=self.shell.peers,
+            clock=time.monotonic,
+        )
+        with gevent.Timeout(LONG_SECONDS, TimeoutError('the wait goes on')):
+            flush.wait(began_at + seconds)
+        return time.monotonic() - began_at
+
+    # Guards against a stop that waits to its limit for a caller that reads
+    # nothing, while other callers get short answers.
+    def test_stalled_caller_is_not_waited_for(self) -> None:
+        others = gevent.spawn(self.send_often)
+        self.addCleanup(others.kill)
+        seconds = self.wait(LONG_SECONDS)
+        self.assertLess(seconds, LONG_SECONDS / 2)
+
+    # Guards against an answer that ends early because its caller pauses, beside
+    # one that reads nothing.
+    def test_caller_that_pauses_gets_the_whole_answer(self) -> None:
+        caller = self.take_answer()
+        reader = gevent.spawn(read_with_pauses, caller)
+        self.wait(LONG_SECONDS)
+        # Only the caller that reads nothing has yet to get bytes.
+        self.assertEqual(len(self.shell.callers.unsent_connections), 1)
+        self.assertTrue(reader.get(timeout=5).endswith(BODY))
+
+    # Guards against a wait that goes on after the grace time, for a caller that
+    # reads slowly.
+    def test_wait_ends_at_its_limit(self) -> None:
+        caller = self.take_answer()
+        reader = gevent.spawn(read_with_pauses, caller)
+        self.addCleanup(reader.kill)
+        seconds = self.wait(0.5)
+        self.assertGreaterEqual(seconds, 0.5)
+        self.assertEqual(len(self.shell.callers.unsent_connections), 2)
+
+    def send_often(self) -> None:
+        """Send short requests on one connection, one after the other."""
+        with self.shell.connect_caller() as caller:
+            while True:
+                caller.sendall(SMALL_REQUEST)
+                read_answer(caller)
+                gevent.sleep(0.02)
+
+
+def read_with_pauses(caller: Any) -> bytes:
+    """Read an answer to the end, with pauses shorter than the limit."""
+    received = b''
+    while not received.endswith(BODY):
+        until = len(received) + PART_BYTES
+        while len(received) < until and not received.endswith(BODY):
+            received += caller.recv(PART_BYTES)
+        gevent.sleep(PAUSE_SECONDS)
+    return received
--- a/briartack/test/test_large_answer_at_stop.py
+++ b/briartack/test/test_large_answer_at_stop.py
@@ -11,6 +11,7 @@
 from gevent import socket
 from nose2.tools import params
 
+from briartack.exit_flush import CALLER_STALL_SECONDS
 from briartack.test.test_platform_site import becomes_true
 from standins.platform_site import (
     HOST,
@@ -25,6 +26,9 @@
 # The answer takes 4 s, while the daemon needs 2.3 s for a stop without it.
 BYTES_PER_SECOND: Final = 3_000_000
 GRACE_SECONDS: Final = 6.0
+# The time of a stop without the answer, the time after which a caller counts as
+# stalled, and a margin for a busy machine.
+STALLED_STOP_SECONDS: Final = 2.3 + CALLER_STALL_SECONDS + 1.5
 OK: Final = b'HTTP/1.1 200 '
 ROUTE: Final = build_route(
     'large', '/large/', 'buys', kind='non_idempotent', timeout_ms=8000
@@ -36,6 +40,28 @@
     # planned stop, because its caller reads slowly (LOST).
     @params('reads', 'buys')
     def test_slow_caller_gets_the_whole_answer(self, service: str) -> None:
+        machine, caller, received = self.take_answer(service)
+        machine.daemon.send_signal(signal.SIGTERM)
+        began_at = time.monotonic()
+        received += read_slowly(caller)
+        self.assertTrue(received.endswith(BODY), f'{len(received)} bytes')
+        left = began_at + GRACE_SECONDS - time.monotonic()
+        self.assertEqual(machine.daemon.wait(left), 0)
+
+    # Guards against a caller that reads nothing and stretches each planned stop
+    # to its time limit.
+    @params(False, True)
+    def test_caller_that_reads_nothing_does_not_hold_the_process(
+        self, is_half_closed: bool
+    ) -> None:
+        machine, caller, _ = self.take_answer('reads')
+        if is_half_closed:
+            caller.shutdown(socket.SHUT_WR)
+        machine.daemon.send_signal(signal.SIGTERM)
+        self.assertEqual(machine.daemon.wait(STALLED_STOP_SECONDS), 0)
+
+    def take_answer(self, service: str) -> tuple[Machine, Any, bytes]:
+        """Return a machine, and a caller with the start of a large answer."""
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         site = PlatformSite(directory=Path(directory.name))
@@ -50,12 +76,7 @@
         caller = self.send(machine, BODY)
         received = caller.recv(1000)
         self.assertTrue(received.startswith(OK), received[:200])
-        machine.daemon.send_signal(signal.SIGTERM)
-        began_at = time.monotonic()
-        received += read_slowly(caller)
-        self.assertTrue(received.endswith(BODY), f'{len(received)} bytes')
-        left = began_at + GRACE_SECONDS - time.monotonic()
-        self.assertEqual(machine.daemon.wait(left), 0)
+        return machine, caller, received
 
     def send(self, machine: Machine, body: bytes) -> Any:
         """Send a request and return its connection, which reads little."""
--- a/briartack/test/test_platform_settings.py
+++ b/briartack/test/test_platform_settings.py
@@ -44,6 +44,18 @@
         self.assertGreaterEqual(drain_seconds, 6 * 5 / 6)
         self.assertLess(drain_seconds, 6 - 0.5)
 
+    @params(2, 3, 6, 10)
+    def test_last_bytes_are_written_within_the_grace_time(
+        self, grace_seconds: int
+    ) -> None:
+        """Guard against a kill because a short grace time is exceeded."""
+        text = SETTINGS_FILE.replace('grace_s=6', f'grace_s={grace_seconds}')
+        settings = decode_settings(text, 5)
+        end_seconds = settings.drain_seconds + settings.exit_flush_seconds
+        self.assertGreaterEqual(settings.exit_flush_seconds, 0)
+        # The process needs the rest to end.
+        self.assertLessEqual(end_seconds, grace_seconds - 0.3)
+
     @params(2000, 3000)
     def test_silent_store_is_noticed_within_the_bound_for_changes(
         self, bound_ms: int
--- a/briartack/test/test_slow_callers.py
+++ b/briartack/test/test_slow_callers.py
@@ -103,9 +103,9 @@
         self.await_answer()
         if is_half_closed:
             self.caller.shutdown(socket.SHUT_WR)
-        self.assertIs(self.shell.callers.has_unsent, True)
+        self.assertEqual(len(self.shell.callers.unsent_connections), 1)
         with gevent.Timeout(5, TimeoutError('the connection is held')):
-            while self.shell.callers.has_unsent:
+            while self.shell.callers.unsent_connections:
                 gevent.sleep(0.01)
 
     # Guards against a limit on the time of the whole answer, which cuts a
