Pass no request on from a caller's connection that is shut down

What callers saw: a request on a kept connection that had been idle for 75 s reached its upstream, ran, and the connection closed without an answer (LOST).

Cause: on Linux, shutdown() in both directions leaves input that has arrived readable. gevent cancels the pending read only with the next turn, so a read that is due in the same turn got the request, and started a call whose answer could no longer be written.

A connection that has been shut down now counts as ending, so its further requests are discarded unread, and the idle timeout passes over connections with unread input, whose request is answered.

Ruled out: the other users of the shutdown (the end of the linger time, a caller that takes no bytes) already discard input or belong to a caller that is gone.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -143,7 +143,7 @@
         The response may be written after this method has returned.
         """
         if self._pipeline.is_ending:
-            # Requests after the final response are discarded unread.
+            # A request that can't be answered must not be passed on.
             self.close_connection = True
             self._discard_input()
             return
--- a/briartack/caller_pipeline.py
+++ b/briartack/caller_pipeline.py
@@ -1,6 +1,7 @@
 """Write the responses on one caller's connection in request order."""
 
 import os
+import select
 import time
 from collections import deque
 from typing import Any, Final, Protocol, final
@@ -76,6 +77,7 @@
         '_queued_bytes',
         '_writer',
         '_is_ending',
+        '_is_shut_down',
         '_has_capacity',
         'last_active_at',
     )
@@ -88,20 +90,32 @@
         self._queued_bytes = 0
         self._writer: gevent.Greenlet | None = None
         self._is_ending = False
+        self._is_shut_down = False
         self._has_capacity = Event()
         self._has_capacity.set()
         self.last_active_at: float = 0
 
     @property
     def is_ending(self) -> bool:
-        """Return whether the final response has been written or buffered."""
-        return self._is_ending
+        """Return whether no further response can be written.
+
+        The final response has been written or buffered, or the connection has
+        been shut down.
+        """
+        return self._is_ending or self._is_shut_down
 
     @property
     def has_pending(self) -> bool:
         """Return whether responses are outstanding or bytes are unsent."""
         return bool(self._pending) or bool(self._unsent)
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Return whether bytes of the caller have arrived and are unread."""
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
     @property
     def has_unsent(self) -> bool:
         """Return whether the caller has yet to get part of a response."""
@@ -166,7 +180,11 @@
             self._half_close()
 
     def shut_down(self) -> None:
-        """Shut the connection down in both directions."""
+        """Shut the connection down in both directions.
+
+        Input that has arrived before can still be read.
+        """
+        self._is_shut_down = True
         self._shutdown(socket.SHUT_RDWR)
 
     def _write(self, response: bytes) -> None:
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -125,8 +125,10 @@
         """Close connections that are idle for more than `idle_seconds`."""
         oldest = self._clock() - idle_seconds
         for connection in tuple(self._connections):
-            is_idle = connection.last_active_at < oldest
-            if is_idle and not connection.has_pending:
+            if connection.last_active_at >= oldest or connection.has_pending:
+                continue
+            # A request may arrive as the idle time ends.
+            if not connection.has_unread_input:
                 connection.shut_down()
 
     def stop_keep_alive(self) -> None:
--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -1,12 +1,14 @@
 """Test the caller server and the upstream client over real sockets."""
 
 import json
+import time
 import unittest
 from unittest import mock
 
 import gevent
 from nose2.tools import params
 
+from briartack.caller_pipeline import Pipeline
 from briartack.core import effects, events
 from briartack.core.messages import MAX_BODY_BYTES
 from briartack.core.verdict import Verdict
@@ -251,3 +253,29 @@
         self.assertEqual(read_answer(self.caller)[0], 200)
         self.shell.callers.close_idle_connections(idle_seconds=-1)
         self.assertEqual(self.caller.recv(1), b'')
+
+    # Guards against a request that is passed on although its connection has
+    # just been shut down, so that nobody gets its answer (LOST).
+    def test_request_at_the_end_of_the_idle_time_is_answered(self) -> None:
+        self._send_as_the_idle_time_ends()
+        self.assertEqual(read_answer(self.caller)[0], 200)
+
+    # As above, for input that arrives after the check for it.
+    def test_request_after_the_shutdown_is_not_passed_on(self) -> None:
+        with mock.patch.object(Pipeline, 'has_unread_input', new=False):
+            self._send_as_the_idle_time_ends()
+            self.assertEqual(self.caller.recv(1), b'')
+        gevent.sleep(0.05)
+        self.assertEqual(len(self.requests), 1)
+
+    def _send_as_the_idle_time_ends(self) -> None:
+        """Let the request and the end of the idle time meet in one turn."""
+        request = b'POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\na'
+        self.caller.sendall(request)
+        read_answer(self.caller)
+        close_idle = self.shell.callers.close_idle_connections
+        gevent.spawn_later(0.01, close_idle, idle_seconds=-1)
+        gevent.sleep(0)
+        self.caller.sendall(request)
+        # The event loop sees the input and the expired timer together.
+        time.sleep(0.02)
