Apply a changed grace time to the next planned stop

A reload replaced the call rules, but not the drain time, the linger time and the time of the last writes.

The reducer now gets rules and drain time as one event. A stop signal makes the daemon check the file first, since it may have changed without a signal. A stop that has begun keeps its times.

--- a/briartack/core/calls/calls_state.py
+++ b/briartack/core/calls/calls_state.py
@@ -58,6 +58,14 @@
             linger_seconds=rules.linger_seconds,
         )
 
+    def replace_rules(self, rules: CallRules, drain_seconds: float) -> None:
+        """Replace the rules of the local upstream and of the next stop."""
+        self.owner.upstream.replace_rules(rules)
+        self.drain.configure(
+            drain_seconds=drain_seconds,
+            linger_seconds=rules.linger_seconds,
+        )
+
 
 def end_calls(
     state: CallsState,
--- a/briartack/core/calls/drain.py
+++ b/briartack/core/calls/drain.py
@@ -65,6 +65,11 @@
         """Return when the stop ends all calls, or `None` before it begins."""
         return self._deadline
 
+    def configure(self, *, drain_seconds: float, linger_seconds: float) -> None:
+        """Set the times of the next stop; a stop that has begun keeps its."""
+        self._drain_seconds = drain_seconds
+        self._linger_seconds = linger_seconds
+
     def begin(self, now: float) -> bool:
         """Begin the stop; return false if it had begun before."""
         if self._deadline is not None:
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from briartack.core.calls.call_rules import CallRules
 from briartack.core.entries import Entry
 from briartack.core.messages import Headers, Hello, PeerMessage
 from briartack.core.units import (
@@ -236,6 +237,15 @@
     fingerprint: bytes
 
 
+@final
+class SettingsReloaded(msgspec.Struct, frozen=True, kw_only=True):
+    """Report the call rules and the drain time of changed settings."""
+
+    now: float
+    rules: CallRules
+    drain_seconds: float
+
+
 Event: TypeAlias = (
     Started
     | Tick
@@ -255,4 +265,5 @@
     | UpstreamProbed
     | StopRequested
     | SuspectClearRequested
+    | SettingsReloaded
 )
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -26,6 +26,7 @@
     PeerConnected,
     PeerDisconnected,
     PeerMessageReceived,
+    SettingsReloaded,
     Started,
     StopRequested,
     StoreFailed,
@@ -393,6 +394,11 @@
     )
 
 
+def _on_settings_reloaded(state: State, event: SettingsReloaded) -> Effects:
+    state.replace_rules(event.rules, event.drain_seconds)
+    return []
+
+
 _MESSAGE_HANDLERS: Final[dict[type[PeerMessage], _Handler]] = {
     Summary: _on_summary,
     Pull: _on_synchronisation_message,
@@ -424,4 +430,5 @@
     UpstreamProbed: _on_upstream_probed,
     StopRequested: _on_stop_requested,
     SuspectClearRequested: _on_suspect_clear_requested,
+    SettingsReloaded: _on_settings_reloaded,
 }
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -72,7 +72,7 @@
         self.last_event_at = 0.0
         self.is_stopping = False
 
-    def replace_rules(self, rules: CallRules) -> None:
-        """Replace the call rules, in the local upstream's state too."""
+    def replace_rules(self, rules: CallRules, drain_seconds: float) -> None:
+        """Replace the call rules and the times of the next planned stop."""
         self.rules = rules
-        self.calls.owner.upstream.replace_rules(rules)
+        self.calls.replace_rules(rules, drain_seconds)
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -14,7 +14,6 @@
 from briartack.callers import CallerServer
 from briartack.core import effects, events
 from briartack.core.calls.call_logs import REQUEST_LOG_CODES
-from briartack.core.calls.call_rules import CallRules
 from briartack.core.identity import Identity
 from briartack.error_texts import (
     LISTENING,
@@ -98,7 +97,6 @@
 
     __slots__ = (
         '_options',
-        '_apply_rules',
         '_settings_watcher',
         '_identity',
         '_metrics',
@@ -132,17 +130,12 @@
         reports: StateReports[StateT],
         writers: OutputWriters,
         integration: PlatformIntegration,
-        apply_rules: Callable[[CallRules], None],
         recorder: Recorder | None = None,
     ) -> None:
-        """Create all parts without listening or connecting.
-
-        `apply_rules` applies call rules from a changed settings file.
-        """
+        """Create all parts without listening or connecting."""
         clock = boot_clock
         dialects = integration.dialects
         rules = integration.rules
-        self._apply_rules = apply_rules
         self._settings_watcher = SettingsFileWatcher(
             options=options, content=integration.settings_content
         )
@@ -254,6 +247,9 @@
 
     def request_stop(self) -> None:
         """Ask the reducer for a graceful stop."""
+        # The file may have changed without a signal since the last check, and
+        # its grace time bounds this stop.
+        self.reload()
         self._is_stopping = True
         self._drained_by = boot_clock() + self._drain_seconds
         self._callers.stop_keep_alive()
@@ -268,9 +264,10 @@
         )
 
     def reload(self) -> None:
-        """Apply the call rules of a changed settings file.
+        """Apply the call rules and stop times of a changed settings file.
 
-        Logs an invalid file and keeps the previous rules.
+        Logs an invalid file and keeps the previous settings. A stop that has
+        begun keeps its times.
         """
         try:
             integration = self._settings_watcher.reload_if_changed()
@@ -279,9 +276,19 @@
             fields = {'problems': problems}
             write_log(effects.LogLevel.ERROR, RELOAD_FAILED, fields)
             return
-        if integration is not None:
-            self._apply_rules(integration.rules)
-            write_log(effects.LogLevel.INFO, RELOADED, {})
+        if integration is None:
+            return
+        if not self._is_stopping:
+            self._drain_seconds = integration.drain_seconds
+            self._exit_flush_seconds = integration.exit_flush_seconds
+        self._loop.deliver(
+            events.SettingsReloaded(
+                now=boot_clock(),
+                rules=integration.rules,
+                drain_seconds=integration.drain_seconds,
+            )
+        )
+        write_log(effects.LogLevel.INFO, RELOADED, {})
 
     def wait(self) -> int:
         """Wait until the reducer emits `Exit`; return the exit code."""
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -138,7 +138,6 @@
         ),
         writers=writers,
         integration=integration,
-        apply_rules=state.replace_rules,
         recorder=_open_recorder(
             options, identity, seed, integration.drain_seconds
         ),
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -34,6 +34,7 @@
     service: str
     worker: PlatformWorker
     daemon: ChildProcess
+    settings: Path
     caller_address: str
     operator_address: str
 
@@ -128,7 +129,7 @@
         worker = PlatformWorker(address=app, identity=f'i-{number}')
         worker.server.start()
         settings = self._directory / f'{ip}.conf'
-        write_text(settings, _format_settings())
+        write_text(settings, format_settings())
         arguments = ['briartack.launcher', '--dialect', 'platform']
         flags = {
             'boot': str(settings),
@@ -157,6 +158,7 @@
             service=service,
             worker=worker,
             daemon=daemon,
+            settings=settings,
             caller_address=outbound,
             operator_address=ready,
         )
@@ -261,12 +263,13 @@
         client.close()
 
 
-def _format_settings() -> str:
+def format_settings(grace_seconds: float = 6) -> str:
+    """Return the settings file of a daemon."""
     zones = '\n'.join(
         f'zones.{zone}={region}' for zone, region in REGIONS_BY_ZONE.items()
     )
-    bounds = 'bounds=grace_s=6,retry_budget_ratio=0.2,budget_extra=60'
-    return f'{zones}\n{bounds},cold_overage=1.5\n'
+    bounds = f'bounds=grace_s={grace_seconds:g},retry_budget_ratio=0.2'
+    return f'{zones}\n{bounds},budget_extra=60,cold_overage=1.5\n'
 
 
 def _extract_port(address: str) -> str:
