End a stop within a short grace time, and read a changed file once

The linger time was 2.2 s whatever the drain time, and a stop ends only after it: with grace_s=2 the process was still there at SIGKILL. Callers are now refused after half of the drain time at the latest; 6 s are not affected.

A reload compared one read of the settings file and decoded another one. If the file was rewritten twice with the same content, a part of it could stay in force.

--- a/briartack/integration.py
+++ b/briartack/integration.py
@@ -26,6 +26,9 @@
 
 # The last bytes of responses are written for at most so long after the drain.
 _EXIT_FLUSH_SECONDS: Final = 0.5
+# A stop ends only after callers are refused, and the requests that are taken
+# until then need the rest of the drain time.
+_MAX_LINGER_FRACTION: Final = 0.5
 
 
 @final
@@ -46,10 +49,13 @@
     settings_content: bytes = b''  # of the settings file, as it was read
 
 
-def load_integration(options: Options) -> PlatformIntegration:
+def load_integration(
+    options: Options, content: bytes | None = None
+) -> PlatformIntegration:
     """Return the dialects, rules and drain time that the options select.
 
-    Raises ExceptionGroup of OptionError.
+    Reads the settings file unless its content is given. Raises ExceptionGroup
+    of OptionError.
     """
     if options.dialect == 'own':
         rules = CallRules(probe_seconds=options.probe_seconds)
@@ -65,16 +71,18 @@
     try:
         if options.boot is None:
             raise SettingsError('missing')
-        content = options.boot.read_bytes()
+        if content is None:
+            content = options.boot.read_bytes()
         settings = decode_settings(content.decode(), options.probe_seconds)
     except (OSError, ValueError) as error:
         wrong = OptionError(f'--boot (BRIARTACK_BOOT): {error}')
         raise ExceptionGroup('invalid settings file', [wrong]) from None
+    drain_seconds = min(options.drain_seconds, settings.drain_seconds)
     return PlatformIntegration(
         dialects=create_platform_dialects(options, settings),
-        rules=settings.rules,
+        rules=_limit_linger(settings.rules, drain_seconds),
         store_rules=settings.store_rules,
-        drain_seconds=min(options.drain_seconds, settings.drain_seconds),
+        drain_seconds=drain_seconds,
         exit_flush_seconds=settings.exit_flush_seconds,
         service=qualify_service(strip_team(options.service)),
         region=encode_name(options.region),
@@ -103,7 +111,15 @@
         if content == self._content:
             return None
         self._content = content
-        return load_integration(self._options)
+        # Reading again could see a file that is being rewritten.
+        return load_integration(self._options, content)
+
+
+def _limit_linger(rules: CallRules, drain_seconds: float) -> CallRules:
+    longest_seconds = drain_seconds * _MAX_LINGER_FRACTION
+    return msgspec.structs.replace(
+        rules, linger_seconds=min(rules.linger_seconds, longest_seconds)
+    )
 
 
 def _read_content(path: Path | None, *, fallback: bytes) -> bytes:
--- a/briartack/test/test_platform_settings.py
+++ b/briartack/test/test_platform_settings.py
@@ -2,8 +2,10 @@
 
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from typing import Final
+from unittest.mock import Mock, patch
 
 from nose2.tools import params
 
@@ -115,6 +117,29 @@
         self.assertIsNotNone(watcher.reload_if_changed())
         self.assertIsNone(watcher.reload_if_changed())
 
+    # Guards against a stop that outlasts a short grace time, since it still
+    # takes requests when its drain time is over.
+    @params((6, 30, 2.2), (3, 30, 1.275), (2, 30, 0.85), (6, 1, 0.5))
+    def test_callers_are_refused_before_the_drain_time_ends(
+        self, grace_seconds: int, drain_seconds: float, linger_seconds: float
+    ) -> None:
+        text = SETTINGS_FILE.replace('grace_s=6', f'grace_s={grace_seconds}')
+        self.path.write_text(text, 'utf-8')
+        options = replace(self.options, drain_seconds=drain_seconds)
+        rules = load_integration(options).rules
+        self.assertAlmostEqual(rules.linger_seconds, linger_seconds)
+
+    # Guards against settings of a file that was being rewritten: what is
+    # compared with the next content has to be what was decoded.
+    def test_changed_file_is_read_once(self) -> None:
+        self.path.write_text(SETTINGS_FILE, 'utf-8')
+        watcher = SettingsFileWatcher(options=self.options, content=b'')
+        reads = Mock(side_effect=[SETTINGS_FILE.encode(), b'zones.a=b'])
+        with patch.object(Path, 'read_bytes', reads):
+            loaded = watcher.reload_if_changed()
+        assert loaded is not None
+        self.assertEqual(loaded.settings_content, SETTINGS_FILE.encode())
+
     # Guards against a daemon that a damaged settings file ends.
     @params(b'zones.a=\xff', b'', b'zones.a', b'zones.a=b\nbounds=grace_s=x')
     def test_damaged_settings_file_is_reported(self, content: bytes) -> None:
