Keep calls in flight after a pause of the process (LOST)

Callers: a daemon without an event for more than 2 s answered 502 (paused) to every call in flight, although upstreams were at work or had answered.

Cause: on_pause ended all calls. Only the configuration, loads and clock readings are out of date after a pause. Attempts in flight now stay until their deadline; a call whose attempt fails is refused until the configuration is confirmed, and what waited is refused as not run.

Evidence: with a SIGSTOP of 2.5 s, test_calls_outlast_a_pause_of_the_daemon got 502 for four of four requests, and gets 200 for all now.

--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -342,18 +342,16 @@
 
 
 def on_pause(state: CallsState, context: CallContext, now: float) -> Effects:
-    """Discard peer state and end all calls after this process was paused.
+    """Discard peer state and end outdated calls after a pause of this process.
 
-    Loads and clock readings from before the pause are out of date.
+    Loads and clock readings from before the pause are out of date. Attempts
+    that wait for a slot are refused before any call ends; otherwise they would
+    start in the slots that the ended calls free.
     """
     state.endpoints.reset_readings(now)
-    effects = end_calls(
-        state,
-        context,
-        now,
-        sent_reason=reasons.PAUSED,
-        unsent_reason=reasons.UNCONFIRMED,
-    )
+    waiting = state.owner.expire_all(now, reasons.UNCONFIRMED)
+    effects = finish_event(state, context, now, waiting)
+    effects.extend(state.sender.end_after_pause(context, now))
     return finish_event(state, context, now, effects)
 
 
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -279,6 +279,23 @@
             effects.extend(self._abandon_call(context, now, call, reason))
         return effects
 
+    def end_after_pause(self, context: CallContext, now: float) -> Effects:
+        """End the calls that a pause of this process has made outdated.
+
+        A call keeps its attempt in flight until its deadline, because the
+        answer may have arrived during the pause. All other calls were routed
+        with a configuration that may no longer be in force.
+        """
+        effects: Effects = []
+        for call in self._table:
+            reason = reasons.UNCONFIRMED
+            if call.phase is CallPhase.SENT:
+                if now < call.deadline:
+                    continue
+                reason = reasons.PAUSED
+            effects.extend(self._abandon_call(context, now, call, reason))
+        return effects
+
     def _inherit_run_rank(self, call: Call) -> None:
         """Give a call made by a local request the rank of that request."""
         rank = self._owner.find_running_rank(call.event.parent_id)
@@ -315,6 +332,12 @@
         """
         if now >= call.deadline:
             return self._abandon_call(context, now, call, reasons.DEADLINE)
+        if not context.is_confirmed:
+            # The call outlasted a pause of this process. Its route may have
+            # changed meanwhile.
+            return self._responder.refuse(
+                context, now, call, reasons.UNCONFIRMED, Verdict.NOT_RUN
+            )
         suspicion = find_suspicion(self._owner.suspects, call, now)
         if suspicion.refused_seconds:
             return self._responder.refuse_suspect(
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -182,7 +182,7 @@
             'Check the outcome before retrying the request.',
         ),
         'paused': ErrorText(
-            'The daemon was paused while the request was in flight.',
+            'The daemon was paused until the deadline of the request.',
             'Check the outcome before retrying the request.',
         ),
         'out-of-service': ErrorText(
--- a/briartack/test/test_platform_site.py
+++ b/briartack/test/test_platform_site.py
@@ -4,6 +4,7 @@
 import tempfile
 import time
 import unittest
+import uuid
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -22,9 +23,11 @@
     build_configuration,
     build_route,
     send_consumer_request,
+    send_request,
 )
 
 WAIT_SECONDS = 20.0
+PAUSE_SECONDS = 2.5  # longer than the time after which calls are confirmed anew
 NESTED = b'[' * 2000 + b']' * 2000
 ODD_SERVER = (
     b'{"address": "%b", "born": 1, "info": {"service": "another", "zone": '
@@ -333,6 +336,35 @@
         self.assertEqual(answered_ids, ['a1', 'a2', 'a3'])
         self.assertLess(took_seconds, 1.1)
 
+    @params(1.0, 3.5)
+    def test_calls_outlast_a_pause_of_the_daemon(
+        self, work_seconds: float
+    ) -> None:
+        """Guard against calls that end with a pause of their daemon.
+
+        Their workers answer during the pause, or after it.
+        """
+        machine = self.site.find_machine('east-1', 'reads')
+        paths = ('/slow-reads/', '/slow-buys/')
+        self.addCleanup(self.publish_routes, *DEFAULT_ROUTES)
+        self.publish_routes(
+            *DEFAULT_ROUTES,
+            build_route('slow-reads', paths[0], 'reads', timeout_ms=8000),
+            build_route('slow-buys', paths[1], 'buys', timeout_ms=8000),
+        )
+        self.assertTrue(all(map(self.is_served_everywhere, paths)))
+        for one in self.site.machines:
+            self.addCleanup(setattr, one.worker, 'work_seconds', 0.001)
+            one.worker.work_seconds = work_seconds
+        sent = [gevent.spawn(send_patiently, machine, path) for path in paths]
+        gevent.sleep(0.5)
+        machine.daemon.send_signal(signal.SIGSTOP)
+        gevent.sleep(PAUSE_SECONDS)
+        machine.daemon.send_signal(signal.SIGCONT)
+        for greenlet in sent:
+            reply = greenlet.get()
+            self.assertEqual((reply.status, reply.body[:2]), (200, b'i-'))
+
     def test_stopping_daemon_still_serves_requests(self) -> None:
         """Guard against a planned stop that aborts or refuses at once.
 
@@ -353,6 +385,19 @@
         self.site.store.delete(f'servers/{machine.worker.identity}')
 
 
+def send_patiently(machine: Machine, path: str) -> ConsumerResponse:
+    """Send a request whose caller waits longer than any route allows."""
+    return send_request(
+        f'http://{machine.caller_address}{path}',
+        {
+            'Host': HOST,
+            'X-Attempt-Id': uuid.uuid4().hex,
+            'X-Deadline-Ms': '10000',
+        },
+        timeout_seconds=12,
+    )
+
+
 def send_pipelined(machine: Machine, attempt_ids: tuple[str, ...]) -> list[str]:
     """Send all requests at once; return the ids of the answers in order."""
     host, _, port = machine.caller_address.rpartition(':')
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -235,14 +235,16 @@
     url: str,
     headers: dict[str, str] | None = None,
     body: bytes | None = None,
+    *,
+    timeout_seconds: float = TIMEOUT_SECONDS,
 ) -> ConsumerResponse:
     """Send a request; return status 0 if the connection fails."""
     parsed = URL(url)
     client = HTTPClient(
         parsed.host,
         parsed.port,
-        connection_timeout=TIMEOUT_SECONDS,
-        network_timeout=TIMEOUT_SECONDS,
+        connection_timeout=timeout_seconds,
+        network_timeout=timeout_seconds,
     )
     method = 'GET' if body is None else 'POST'
     try:
