Follow the operators' idle and header timeouts of callers' connections

The daemon closed callers' connections after a fixed 75 s and ignored the limits of the configuration. Consumers reuse connections that were idle for up to four fifths of idle_timeout_ms: with 120 s, each one that paused for 75 to 96 s met a closed connection. With a short time, connections stayed open long after.

The limits become part of the team's subtree (callers) and reach the shell as an effect when they change. A connection on which bytes of a request have arrived isn't idle; its head has header_timeout_ms, after which the request is refused with 408 and never passed on.

max_header_bytes and max_body_bytes are not followed: bodies are held in memory, 16 MiB at most.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -45,6 +45,9 @@
     def add_connection(self, connection: Pipeline) -> None:
         """Register a new connection for the idle timeout."""
 
+    def start_head(self, connection: Pipeline) -> None:
+        """Record that the first byte of a request has arrived."""
+
     def remove_connection(self, connection: Pipeline) -> None:
         """Remove a closed connection."""
 
@@ -108,6 +111,9 @@
 
         pywsgi itself would respond to a longer line, without a verdict header.
         """
+        # Waits for the first byte, and leaves it to be read.
+        if self.rfile.peek(1):
+            self._calls.start_head(self._pipeline)
         line: bytes = self.rfile.readline(MAX_REQUEST_LINE_BYTES)
         return line.decode('latin-1')
 
--- a/briartack/caller_pipeline.py
+++ b/briartack/caller_pipeline.py
@@ -66,7 +66,8 @@
     """Queue the responses on one connection and write them in order.
 
     `last_active_at` is the clock time, in seconds, of the last response or of
-    the opening of the connection.
+    the opening of the connection. `head_began_at` is that of the first byte of
+    a request whose head has yet to arrive, or None.
     """
 
     __slots__ = (
@@ -80,6 +81,7 @@
         '_is_shut_down',
         '_has_capacity',
         'last_active_at',
+        'head_began_at',
     )
 
     def __init__(self, sock: Any) -> None:
@@ -94,6 +96,7 @@
         self._has_capacity = Event()
         self._has_capacity.set()
         self.last_active_at: float = 0
+        self.head_began_at: float | None = None
 
     @property
     def is_ending(self) -> bool:
@@ -109,6 +112,15 @@
         """Return whether responses are outstanding or bytes are unsent."""
         return bool(self._pending) or bool(self._unsent)
 
+    @property
+    def awaits_input(self) -> bool:
+        """Return whether the next thing to happen is input of the caller.
+
+        Input that has arrived is still to be read.
+        """
+        is_busy = self.has_pending or self.is_ending
+        return not is_busy and not self.has_unread_input
+
     @property
     def has_unread_input(self) -> bool:
         """Return whether bytes of the caller have arrived and are unread."""
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -11,9 +11,9 @@
 from briartack.addresses import Address
 from briartack.bodies import BodyStore
 from briartack.caller_connection import CallerHandler
-from briartack.caller_pipeline import Pipeline
+from briartack.caller_pipeline import Pipeline, ReadyResponse
 from briartack.core.body_ids import call_body_id
-from briartack.core.effects import AnswerCall, ReadBody
+from briartack.core.effects import AnswerCall, LimitCallers, ReadBody
 from briartack.core.events import (
     CallArrived,
     CallBodyRead,
@@ -22,6 +22,7 @@
 )
 from briartack.core.units import CallId
 from briartack.dialects import CallerDialect
+from briartack.error_texts import HEAD_TIMEOUT
 from briartack.framing import compute_body_digest
 from briartack.inbound_call import InboundCall
 from briartack.shell_interfaces import (
@@ -31,8 +32,9 @@
     Observer,
 )
 
-# A connection without a call for this long is closed.
+# How long callers may take until a configuration says so.
 IDLE_TIMEOUT_SECONDS: Final = 75.0
+_STATUS_REQUEST_TIMEOUT: Final = 408
 
 
 @final
@@ -52,6 +54,7 @@
         '_call_numbers',
         '_connections',
         '_is_stopping',
+        '_limits',
     )
 
     def __init__(
@@ -72,6 +75,10 @@
         self._is_stopping = False
         self._call_numbers = itertools.count(1)
         self._connections: set[Pipeline] = set()
+        self._limits = LimitCallers(
+            idle_seconds=IDLE_TIMEOUT_SECONDS,
+            header_seconds=IDLE_TIMEOUT_SECONDS,
+        )
 
     @property
     def in_flight(self) -> int:
@@ -119,17 +126,31 @@
         """Remove a closed connection."""
         self._connections.discard(connection)
 
-    def close_idle_connections(
-        self, idle_seconds: float = IDLE_TIMEOUT_SECONDS
-    ) -> None:
-        """Close connections that are idle for more than `idle_seconds`."""
-        oldest = self._clock() - idle_seconds
-        for connection in tuple(self._connections):
-            if connection.last_active_at >= oldest or connection.has_pending:
-                continue
-            # A request may arrive as the idle time ends.
-            if not connection.has_unread_input:
-                connection.shut_down()
+    def limit(self, effect: LimitCallers) -> None:
+        """Set how long callers may take, for all connections."""
+        self._limits = effect
+
+    def start_head(self, connection: Pipeline) -> None:
+        """Record that the first byte of a request has arrived."""
+        connection.head_began_at = self._clock()
+
+    def close_idle_connections(self, idle_seconds: float | None = None) -> None:
+        """Close idle connections, and refuse requests whose head is late.
+
+        Connections are idle after `idle_seconds`, by default the time of the
+        configuration in force.
+        """
+        if idle_seconds is None:
+            idle_seconds = self._limits.idle_seconds
+        now = self._clock()
+        waiting = [one for one in self._connections if one.awaits_input]
+        for connection in waiting:
+            began_at = connection.head_began_at
+            if began_at is None:
+                if now - connection.last_active_at > idle_seconds:
+                    connection.shut_down()
+            elif now - began_at > self._limits.header_seconds:
+                self._refuse_late_head(connection)
 
     def stop_keep_alive(self) -> None:
         """Close each connection once its last unanswered call is answered."""
@@ -140,6 +161,7 @@
         call_id = CallId(f'c{next(self._call_numbers)}')
         call.call_id = call_id
         call.arrived_at = self._clock()
+        pipeline.head_began_at = None
         self._calls[call_id] = (call, pipeline)
         pipeline.add(call)
         head = call.head
@@ -228,6 +250,17 @@
         pipeline.last_active_at = now
         self._observer.observe('call.seconds', now - call.arrived_at)
 
+    def _refuse_late_head(self, connection: Pipeline) -> None:
+        response = self._dialect.encode_refusal(
+            status=_STATUS_REQUEST_TIMEOUT,
+            code=HEAD_TIMEOUT,
+            detail='',
+            method='',
+        )
+        # The connection is ending from now on, so the rest of the request is
+        # discarded.
+        connection.add(ReadyResponse(response=response))
+
 
 @final
 class _CallerApplication:
--- a/briartack/core/configuration/resolved_snapshot.py
+++ b/briartack/core/configuration/resolved_snapshot.py
@@ -11,6 +11,7 @@
 from typing import Final, TypeAlias, final
 
 from briartack.core.configuration.settings import (
+    CallerLimits,
     PlatformSettings,
     Policy,
     Route,
@@ -27,6 +28,7 @@
 from briartack.core.units import Digest, Revision
 
 _EMPTY_PLATFORM: Final = PlatformSettings()
+_DEFAULT_CALLER_LIMITS: Final = CallerLimits()
 
 
 @final
@@ -82,6 +84,7 @@
     services: Mapping[str, ServiceLimits]
     tenant_regions: Mapping[str, frozenset[str]]
     platform: PlatformSettings
+    caller_limits: CallerLimits
     retained: tuple[str, ...]  # KIND/TEAM/NAME that the owner has removed
 
 
@@ -141,6 +144,7 @@
                 _collect_tenant_regions(configuration)
             ),
             platform=_merge_platform_settings(configuration),
+            caller_limits=_merge_caller_limits(configuration),
             retained=configuration.retained,
         )
 
@@ -257,6 +261,20 @@
     )
 
 
+def _merge_caller_limits(configuration: EffectiveConfiguration) -> CallerLimits:
+    stated = [
+        version.settings.callers
+        for version in configuration.active.values()
+        if version.settings.callers is not None
+    ]
+    if not stated:
+        return _DEFAULT_CALLER_LIMITS
+    return CallerLimits(
+        idle_timeout_ms=max(limits.idle_timeout_ms for limits in stated),
+        header_timeout_ms=max(limits.header_timeout_ms for limits in stated),
+    )
+
+
 def _concatenate_unique(lists: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
     return tuple(dict.fromkeys(name for names in lists for name in names))
 
--- a/briartack/core/configuration/schema_problems.py
+++ b/briartack/core/configuration/schema_problems.py
@@ -12,6 +12,7 @@
 
 from briartack.core.configuration.problems import Code, Problem, make_problem
 from briartack.core.configuration.settings import (
+    CallerLimits,
     Name,
     Policy,
     Route,
@@ -26,6 +27,7 @@
     ('policies', Policy),
     ('workspaces', Workspace),
 )
+_CALLERS: Final = 'callers'
 _PATH_SEPARATOR: Final = ' - at `'
 _CODES_BY_PREFIX: Final = (
     ('Object contains unknown field', Code.UNKNOWN_FIELD),
@@ -58,6 +60,12 @@
     return (
         *_find_section_problems(key, tree),
         *_find_route_problems(key, tree),
+        *_check_part(
+            key,
+            f'{ROOT}.{_CALLERS}',
+            tree.get(_CALLERS),
+            CallerLimits | None,
+        ),
     )
 
 
@@ -65,7 +73,7 @@
     key: str,
     path: str,
     part: object,
-    kind: type,
+    kind: object,
 ) -> Iterator[Problem]:
     try:
         msgspec.convert(part, kind)
@@ -76,7 +84,7 @@
 def _find_section_problems(
     key: str, tree: dict[str, object]
 ) -> Iterator[Problem]:
-    known = {section for section, _ in _SECTIONS} | {'routes'}
+    known = {section for section, _ in _SECTIONS} | {'routes', _CALLERS}
     for field in tree:
         if field not in known:
             text = f'Object contains unknown field `{field}`'
--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -106,6 +106,16 @@
     workspace: Reference | None = None
 
 
+@final
+class CallerLimits(Setting, frozen=True, kw_only=True):
+    """Limit how long callers may take on their connections."""
+
+    # A connection without a request for this long is closed.
+    idle_timeout_ms: Annotated[int, Meta(ge=1, le=MAX_MILLISECONDS)] = 75_000
+    # From the first byte of a request to the end of its head.
+    header_timeout_ms: Annotated[int, Meta(ge=1, le=MAX_MILLISECONDS)] = 75_000
+
+
 @final
 class TeamSettings(Setting, frozen=True, kw_only=True):
     """Hold all resources and routes of one team."""
@@ -114,6 +124,8 @@
     policies: dict[Name, Policy] = {}
     workspaces: dict[Name, Workspace] = {}
     routes: tuple[Route, ...] = ()
+    # Callers share the connections of all teams; the longest times apply.
+    callers: CallerLimits | None = None
 
 
 @final
--- a/briartack/core/effects.py
+++ b/briartack/core/effects.py
@@ -125,6 +125,14 @@
     expected_identity: str = ''  # of the upstream; empty accepts any
 
 
+@final
+class LimitCallers(msgspec.Struct, frozen=True, kw_only=True):
+    """Set how long callers may take on their connections."""
+
+    idle_seconds: float  # without a request
+    header_seconds: float  # from the first byte of a request to its head's end
+
+
 @final
 class ProbeUpstream(msgspec.Struct, frozen=True, kw_only=True):
     """Probe the local upstream now, and use this path for later probes."""
@@ -198,6 +206,7 @@
     | AnswerCall
     | Dispatch
     | ProbeUpstream
+    | LimitCallers
     | AbortDispatch
     | DropBody
     | WakeAt
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -14,6 +14,7 @@
 from briartack.core.effects import (
     Count,
     Effects,
+    LimitCallers,
     LogLevel,
     WakeAt,
     WriteAudit,
@@ -21,7 +22,7 @@
 )
 from briartack.core.entries import INSTANCE_PREFIX, Entry, is_instance_key
 from briartack.core.state import State
-from briartack.core.units import format_revision
+from briartack.core.units import MILLISECONDS_PER_SECOND, format_revision
 
 MAX_LOGGED_RECORDS: Final = 10
 
@@ -257,6 +258,16 @@
         WriteAudit(record=state.audit_trail.record('configuration', fields)),
         Count(name='configuration.activated'),
     ]
+    if before is None or before.caller_limits != after.caller_limits:
+        limits = after.caller_limits
+        effects.append(
+            LimitCallers(
+                idle_seconds=limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
+                header_seconds=(
+                    limits.header_timeout_ms / MILLISECONDS_PER_SECOND
+                ),
+            )
+        )
     if before is None or before.platform != after.platform:
         platform: AuditFields = {
             'data_centres_out': list(after.platform.data_centres_out),
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -338,6 +338,7 @@
             effects.SendAnswer: self._peers.send_answer,
             effects.ReadBody: self._callers.read_body,
             effects.AnswerCall: self._callers.answer,
+            effects.LimitCallers: self._callers.limit,
             effects.Dispatch: self._upstream.dispatch,
             effects.AbortDispatch: self._upstream.abort,
             effects.ProbeUpstream: self._upstream.probe,
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -20,6 +20,7 @@
 
 TOO_LARGE: Final = 'body-too-large'
 MALFORMED_REQUEST: Final = 'malformed-request'
+HEAD_TIMEOUT: Final = 'head-timeout'
 MALFORMED_FRAME: Final = 'malformed-frame'
 ENTRY_REFUSED: Final = 'entry-refused'
 PEER_QUEUE_FULL: Final = 'peer-queue-full'
@@ -54,6 +55,10 @@
             'The request is not valid HTTP/1.1.',
             'Correct the part of the request that the text describes.',
         ),
+        HEAD_TIMEOUT: ErrorText(
+            'The head of the request did not arrive in time.',
+            'Send the whole head at once.',
+        ),
         MALFORMED_FRAME: ErrorText(
             'A peer sent a malformed message; its stream was closed.',
             'Check that all daemons run compatible versions.',
--- a/briartack/platform/configuration.py
+++ b/briartack/platform/configuration.py
@@ -19,6 +19,7 @@
     MAX_RAMP_SECONDS,
     MAX_RANK,
     MAX_WEIGHT,
+    CallerLimits,
     Policy,
     Route,
     ServiceLimits,
@@ -93,9 +94,17 @@
     cold_per_s: Annotated[float, Meta(ge=0)] | None = None
 
 
+class _Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Represent the `spec` of the limits on consumers that are followed."""
+
+    idle_timeout_ms: float | None = None
+    header_timeout_ms: float | None = None
+
+
 _CONFIG_DECODER: Final = msgspec.json.Decoder(_Config)
 _ROUTE_DECODER: Final = msgspec.json.Decoder(_Route)
 _SERVICE_DECODER: Final = msgspec.json.Decoder(_Service)
+_LIMITS_DECODER: Final = msgspec.json.Decoder(_Limits)
 
 
 def translate_subtree(payload: bytes) -> tuple[str, StatedOrder]:
@@ -127,6 +136,7 @@
     def translate(self) -> TeamSettings:
         services: dict[str, ServiceLimits] = {}
         routes: list[Route] = []
+        callers: CallerLimits | None = None
         for resource in self._config.resources:
             name = resource.metadata.name
             if resource.resource_kind == 'services':
@@ -139,6 +149,10 @@
                         name, _decode_spec(resource, _ROUTE_DECODER)
                     )
                 )
+            elif resource.resource_kind == 'limits':
+                callers = _translate_limits(
+                    _decode_spec(resource, _LIMITS_DECODER)
+                )
         return TeamSettings(
             services=services,
             policies={name: policy for policy, name in self._policies.items()},
@@ -146,6 +160,7 @@
                 name: workspace for workspace, name in self._workspaces.items()
             },
             routes=tuple(routes),
+            callers=callers,
         )
 
     def _translate_route(self, name: str, spec: _Route) -> Route:
@@ -226,6 +241,16 @@
     )
 
 
+def _translate_limits(spec: _Limits) -> CallerLimits:
+    stated = {
+        name: _round_milliseconds(milliseconds)
+        for name, milliseconds in msgspec.structs.asdict(spec).items()
+        # The pages don't say whether 0 means no limit.
+        if milliseconds is not None and milliseconds > 0
+    }
+    return CallerLimits(**stated)
+
+
 def _translate_rate(per_second: float | None) -> float | None:
     if per_second is None:
         return None
--- a/briartack/test/test_callers.py
+++ b/briartack/test/test_callers.py
@@ -268,6 +268,52 @@
         gevent.sleep(0.05)
         self.assertEqual(len(self.requests), 1)
 
+    # Guards against connections that are closed while callers still rely on
+    # them, or that stay open long after (LOST): the times of the configuration
+    # in force bind.
+    @params((0.2, 5, b''), (60, 5, None), (0.2, 60, None))
+    def test_connection_is_closed_by_the_limits_in_force(
+        self, idle_seconds: float, waited_seconds: float, end: bytes | None
+    ) -> None:
+        self.caller.sendall(b'GET /a HTTP/1.1\r\n\r\n')
+        read_answer(self.caller)
+        is_partial = end is None and idle_seconds < 1
+        if is_partial:
+            # A request of which bytes have arrived isn't idle.
+            self.caller.sendall(b'GET /a HT')
+        gevent.sleep(0.3)
+        self.shell.callers.limit(
+            effects.LimitCallers(
+                idle_seconds=idle_seconds, header_seconds=waited_seconds
+            )
+        )
+        self.shell.callers.close_idle_connections()
+        if end is not None:
+            self.caller.settimeout(5)
+            self.assertEqual(self.caller.recv(1), end)
+            return
+        rest = b'TP/1.1\r\n\r\n' if is_partial else b'GET /a HTTP/1.1\r\n\r\n'
+        self.caller.sendall(rest)
+        self.assertEqual(read_answer(self.caller)[0], 200)
+
+    # Guards against a head that holds its connection without end, and against a
+    # late request that is passed on although it was refused (REFUSED).
+    def test_request_with_a_late_head_is_refused_and_not_passed_on(
+        self,
+    ) -> None:
+        self.caller.sendall(b'GET /a HT')
+        gevent.sleep(0.3)
+        self.shell.callers.limit(
+            effects.LimitCallers(idle_seconds=60, header_seconds=0.2)
+        )
+        self.shell.callers.close_idle_connections()
+        self.caller.sendall(b'TP/1.1\r\n\r\n')
+        status, head, _ = read_answer(self.caller)
+        self.assertEqual(status, 408)
+        self.assertIn(b'Connection: close', head)
+        self.assertEqual(self.caller.recv(1), b'')
+        self.assertEqual(self.shell.state.events_of(events.CallArrived), [])
+
     def _send_as_the_idle_time_ends(self) -> None:
         """Let the request and the end of the idle time meet in one turn."""
         request = b'POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\na'
--- a/briartack/test/test_docs.py
+++ b/briartack/test/test_docs.py
@@ -25,6 +25,7 @@
 ANSWERED_ONLY: Final = frozenset(
     (
         error_texts.TOO_LARGE,
+        error_texts.HEAD_TIMEOUT,
         error_texts.MALFORMED_REQUEST,
         error_texts.UNKNOWN_PATH,
         error_texts.BAD_OPTION,
--- a/briartack/test/test_platform_limits.py
+++ b/briartack/test/test_platform_limits.py
@@ -6,14 +6,22 @@
 
 import json
 import unittest
+from random import Random
 from typing import Any, Final
 
 from nose2.tools import params
 
 from briartack.core.configuration.resolved_snapshot import ResolvedRoute
 from briartack.core.configuration.snapshot import ConfigurationState
+from briartack.core.dissemination.dissemination import (
+    ReceivedEntries,
+)
+from briartack.core.effects import LimitCallers
+from briartack.core.merging import merge
+from briartack.core.state import State
 from briartack.options import Options, read_options
 from briartack.platform.names import encode_name, qualify_service
+from briartack.test.fake_reducer import make_identity
 from briartack.test.test_options import VALID_ENVIRONMENT
 from briartack.test.test_platform_store import (
     DIALECT,
@@ -124,6 +132,40 @@
         return read_options(flags, VALID_ENVIRONMENT)
 
 
+class CallerLimitsTest(unittest.TestCase):
+    # Guards against connections that are closed before callers stop reusing
+    # them, since the operators' limits are ignored, and against a version that
+    # is refused for its limits.
+    @params(
+        ({}, 75_000, 75_000),
+        ({'idle_timeout_ms': 120_000.0}, 120_000, 75_000),
+        ({'idle_timeout_ms': 0.1, 'header_timeout_ms': 1e12}, 1, 3_600_000),
+        ({'idle_timeout_ms': None, 'max_body_bytes': 1}, 75_000, 75_000),
+        ({'idle_timeout_ms': 0, 'header_timeout_ms': -1}, 75_000, 75_000),
+    )
+    def test_limits_are_in_force(
+        self, spec: dict[str, Any], idle_ms: int, header_ms: int
+    ) -> None:
+        state = State(
+            identity=make_identity('a-1'), random=Random(1), drain_seconds=1
+        )
+        value = {'version': 7, 'resources': [resource('limits', 'all', spec)]}
+        entries = (decode_single_entry(item('op/config', value)),)
+        received = ReceivedEntries(
+            entries=entries,
+            revision=entries[0].revision,
+            source=None,
+            effects=[],
+        )
+        expected = LimitCallers(
+            idle_seconds=idle_ms / 1000, header_seconds=header_ms / 1000
+        )
+        for limits in ([expected], []):
+            merged = merge(state, 1, received)
+            found = [one for one in merged if isinstance(one, LimitCallers)]
+            self.assertEqual(found, limits)
+
+
 class NumberTest(unittest.TestCase):
     # Guards against a version that is refused for a number of a route.
     @params(
