Count the starts between the beginning of a cold time and the news of it

The remaining time that the list or a health answer states tells when the upstream became cold; the starts since then count for the second in which they lie. Until a health answer states the time exactly, the list's news counts as 0.2 s old.

--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -8,7 +8,10 @@
     SlotRequest,
 )
 from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
-from briartack.core.calls.cold_start_limiter import ColdStartLimiter
+from briartack.core.calls.cold_start_limiter import (
+    LIST_LAG_SECONDS,
+    ColdStartLimiter,
+)
 from briartack.core.calls.run_times import MeanRunTime
 from briartack.core.calls.slow_start import SlowStartState
 from briartack.core.calls.start_limits import StrictestLimiter
@@ -113,16 +116,21 @@
         self._cold_start_limiter.configure(limits.cold_per_second, self._rules)
         self._stated_limiter.configure(self._rules)
 
-    def assume_cold(self, now: float, *, is_listed: bool = False) -> None:
+    def assume_cold(self, now: float, listed_seconds: float = 0) -> None:
         """Assume a cold upstream for `ramp_seconds`, and request a probe.
 
         The probe reports how long the upstream remains cold. A list that says
-        so (`is_listed`) may lag and adds nothing to a cold time that is known.
+        so (`listed_seconds`) may lag and adds nothing to a cold time that is
+        known.
         """
-        if is_listed and self._cold_start_limiter.is_cold(now):
-            return
+        cold_from = now
+        if listed_seconds:
+            if self._cold_start_limiter.is_cold(now):
+                return
+            cold_from = _find_cold_from(now, listed_seconds, self._limits)
+            cold_from -= LIST_LAG_SECONDS
         self._cold_start_limiter.extend_cold_phase(
-            now + self._limits.ramp_seconds
+            now, cold_from, now + self._limits.ramp_seconds
         )
         self._health.request_probe()
 
@@ -264,8 +272,9 @@
         if event.identity not in {'', self._health.identity}:
             self._stated_limiter.update(None)
         if event.cold_seconds is not None:
-            self._cold_start_limiter.record_cold_until(
-                event.now + event.cold_seconds
+            self._cold_start_limiter.record_cold_phase(
+                _find_cold_from(event.now, event.cold_seconds, self._limits),
+                event.now + event.cold_seconds,
             )
         self._health.handle_probe(event)
         if event.reported_load is not None:
@@ -284,3 +293,10 @@
         for _ in admission.started:
             self._start_limits.record_start(now)
         return admission
+
+
+def _find_cold_from(
+    now: float, left_seconds: float, limits: ServiceLimits
+) -> float:
+    """Return when an upstream became cold that stays so for some seconds."""
+    return now - max(0.0, limits.ramp_seconds - left_seconds)
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -319,7 +319,7 @@
         self._upstream.configure(limits, member.slots if member else None)
         cold_ms = member.cold_ms if member else 0
         if cold_ms and cold_ms != self._listed_cold_ms:
-            self._upstream.assume_cold(now, is_listed=True)
+            self._upstream.assume_cold(now, cold_ms / MILLISECONDS_PER_SECOND)
         self._listed_cold_ms = cold_ms
         is_out = is_own_instance_out_of_service(context, snapshot.platform)
         if self._was_out_of_service and not is_out:
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -392,6 +392,7 @@
             is_draining=step.get('is_draining', False),
             identity=step.get('identity', ''),
             reported_load=step.get('load'),
+            cold_seconds=step.get('cold_seconds'),
         )
         return call_handlers.on_upstream_probed(self.state, self.context, event)
 
--- a/briartack/test/test_cold_gate.py
+++ b/briartack/test/test_cold_gate.py
@@ -16,7 +16,7 @@
     """Make the limiter of an upstream that is cold for 100 s."""
     limiter = ColdStartLimiter()
     limiter.configure(per_second, CallRules(cold_overage=1, cold_slack=burst))
-    limiter.extend_cold_phase(100)
+    limiter.extend_cold_phase(0, 0, 100)
     return limiter
 
 
@@ -89,12 +89,12 @@
         """Check that the reported end of the cold phase replaces any other."""
         limiter = make_cold_start_limiter(27, 5)
         self.assertTrue(limiter.is_cold(2))
-        limiter.record_cold_until(1)
+        limiter.record_cold_phase(0, 1)
         self.assertFalse(limiter.is_cold(2))
         self.assertIsNone(limiter.count_available_starts(2))
 
     def test_without_rate_starts_are_unlimited(self) -> None:
         limiter = ColdStartLimiter()
         limiter.configure(None, CallRules())
-        limiter.extend_cold_phase(100)
+        limiter.extend_cold_phase(0, 0, 100)
         self.assertIsNone(limiter.count_available_starts(2))
--- a/briartack/test/test_listed_cold.py
+++ b/briartack/test/test_listed_cold.py
@@ -6,15 +6,19 @@
 
 import json
 import unittest
+from operator import itemgetter
 from typing import Final
 
 from nose2.tools import params
 
 from briartack.core import events
+from briartack.core.calls.call_rules import CallRules
+from briartack.core.calls.calls_state import CallsState
 from briartack.core.effects import WakeAt
 from briartack.core.reducer import reduce
 from briartack.core.units import Revision
-from briartack.test.call_path_bench import CallPathBench
+from briartack.test.call_path_bench import CallPathBench, Step
+from briartack.test.test_cold_gate import count_busiest_second
 from briartack.test.test_leaving_upstream import (
     OWN,
     PEER,
@@ -39,6 +43,52 @@
 MAX_STARTS: Final = COLD_PER_SECOND + 1
 ARRIVALS: Final = 60
 START_AT: Final = 10.0
+# For starts before the news: those of an upstream that other cold ones leave
+# the whole load.
+BUSY_PER_SECOND: Final = 120
+COLD_AT: Final = 12.0
+COLD_SECONDS: Final = 3.0
+PLAY_SECONDS: Final = 6.0
+MAX_PER_SECOND: Final = 32  # 18 times the overage, and the slack
+COLD_RATE: Final = 25  # a little less, since arrivals are counted elsewhere
+NEVER: Final = 90.0
+
+
+def list_starts(
+    bench: CallPathBench, news_at: float, probe_at: float
+) -> list[float]:
+    """Return when requests start at an upstream that becomes cold.
+
+    The list's news and the health answer arrive at the given times.
+    """
+    started: list[float] = []
+    news: list[tuple[float, Step]] = sorted(
+        (
+            (news_at, {'do': 'change', 'setup': {'cold_ms': 3000}}),
+            (
+                probe_at,
+                {
+                    'do': 'probe',
+                    'at': probe_at,
+                    'cold_seconds': COLD_AT + COLD_SECONDS - probe_at,
+                },
+            ),
+        ),
+        key=itemgetter(0),
+    )
+    for number in range(round(PLAY_SECONDS * BUSY_PER_SECOND)):
+        now = START_AT + number / BUSY_PER_SECOND
+        steps: list[Step] = []
+        while news and news[0][0] <= now:
+            steps.append(news.pop(0)[1])
+        arrival = {'do': 'arrive', 'call': f'p{number}', 'target': '/s/1'}
+        steps.extend(({'do': 'tick', 'at': now}, {**arrival, 'at': now}))
+        for step in steps:
+            effects = bench.apply_step(step)
+            started.extend(
+                now for effect in effects if effect.startswith('dispatch ')
+            )
+    return started
 
 
 def count_starts(bench: CallPathBench) -> int:
@@ -75,6 +125,41 @@
         self.assertGreaterEqual(started, fewest)
         self.assertLessEqual(started, most)
 
+    # Guards against a burst of starts that are allowed after the news although
+    # those between the beginning of the cold time and the news count too.
+    @params(
+        # Seconds from the beginning to the news, and to the health answer.
+        (0, 0.01),
+        (0.05, 0.06),
+        (0.11, 0.12),
+        (0.11, NEVER),
+        (0.15, NEVER),
+        (0.2, 0.21),
+        (0.2, NEVER),
+        (NEVER, 0.2),
+    )
+    def test_starts_before_the_news_count(
+        self, news_after: float, probe_after: float
+    ) -> None:
+        bench = CallPathBench(
+            setup={
+                'limits': {**LIMITS, 'slots': 900, 'connections': 900},
+            },
+            state=CallsState(
+                drain_seconds=5,
+                rules=CallRules(cold_overage=1.5, cold_slack=5),
+            ),
+        )
+        for now in (1, 2):
+            bench.apply_step({'do': 'tick', 'at': now})
+        started = list_starts(
+            bench, COLD_AT + news_after, COLD_AT + probe_after
+        )
+        cold = [at for at in started if COLD_AT <= at < COLD_AT + COLD_SECONDS]
+        self.assertLessEqual(count_busiest_second(cold), MAX_PER_SECOND)
+        # The bound is used: requests are not refused without need.
+        self.assertGreaterEqual(len(cold), COLD_SECONDS * COLD_RATE)
+
     # Guards against a rate that waits for the next regular tick: an upstream
     # with 120 requests in a second got 12 of them meanwhile.
     @params((OWN, True), (PEER, False))
