--- a/briartack/core/calls/cold_start_limiter.py
+++ b/briartack/core/calls/cold_start_limiter.py
@@ -89,21 +89,29 @@
         return min(room, self._bucket.count_available_starts(now))
 
     def load(self, now: float, queued: int) -> float:
-        """Return the load, 0 to 1, that the queue adds at a cold upstream."""
-        wait_seconds = queued * self.start_interval_seconds(now)
+        """Return the load, 0 to 1, that the waits at a cold upstream add.
+
+        A wait until earlier starts no longer count shows before requests queue,
+        so that senders turn to other upstreams.
+        """
+        if not self.is_cold(now):
+            return 0
+        wait_seconds = self._find_window_end(now) - now
+        wait_seconds += queued * self.start_interval_seconds(now)
         return min(1.0, wait_seconds / FULL_WAIT_SECONDS)
 
     def next_start_at(self, now: float) -> float | None:
         """Return when the next request may start, or `None` for no limit."""
         if not self.is_cold(now):
             return None
-        return max(
-            self._bucket.next_start_at(now),
-            self._recent_starts.find_time_below(
-                self._most_per_window, self._cold_from, now
-            ),
-        )
+        return max(self._bucket.next_start_at(now), self._find_window_end(now))
 
     def start_interval_seconds(self, now: float) -> float:
         """Return the seconds between two starts, or 0 for no limit."""
         return 1 / self._bucket.rate if self.is_cold(now) else 0
+
+    def _find_window_end(self, now: float) -> float:
+        """Return when the starts of the last second allow another."""
+        return self._recent_starts.find_time_below(
+            self._most_per_window, self._cold_from, now
+        )
--- a/briartack/test/test_cold_gate.py
+++ b/briartack/test/test_cold_gate.py
@@ -85,6 +85,17 @@
             limiter.record_start(number / 100)
         self.assertEqual(limiter.count_available_starts(1.0), 0)
 
+    # Guards against requests that queue behind an upstream which can't start
+    # them for a while, because its senders see little load.
+    @params((31, 0), (32, 1))
+    def test_full_second_shows_as_load(
+        self, starts: int, expected: float
+    ) -> None:
+        limiter = make_cold_start_limiter(29, 5)
+        for number in range(starts):
+            limiter.record_start(number / 100)
+        self.assertEqual(limiter.load(0.4, 0), expected)
+
     def test_cold_phase_ends_when_upstream_reports(self) -> None:
         """Check that the reported end of the cold phase replaces any other."""
         limiter = make_cold_start_limiter(27, 5)
