Let a shorter idle time spare the connections that wait already

A configuration that lowers idle_timeout_ms or header_timeout_ms closed connections whose callers still relied on the time in force when they became idle; a request that crossed the close was lost and sent again. The longer of the two times now applies until the next request.

--- a/briartack/caller_pipeline.py
+++ b/briartack/caller_pipeline.py
@@ -10,6 +10,7 @@
 from gevent import socket
 from gevent.event import Event
 
+from briartack.core.effects import LimitCallers
 from briartack.send_progress import SendProgress
 from briartack.socket_options import count_unacknowledged_bytes
 
@@ -66,8 +67,9 @@
     """Queue the responses on one connection and write them in order.
 
     `last_active_at` is the clock time, in seconds, of the last response or of
-    the opening of the connection. `head_began_at` is that of the first byte of
-    a request whose head has yet to arrive, or None.
+    the opening of the connection, and `limits` are those in force at that time.
+    `head_began_at` is the time of the first byte of a request whose head has
+    yet to arrive, or None.
     """
 
     __slots__ = (
@@ -81,6 +83,7 @@
         '_is_shut_down',
         '_has_capacity',
         'last_active_at',
+        'limits',
         'head_began_at',
     )
 
@@ -96,6 +99,7 @@
         self._has_capacity = Event()
         self._has_capacity.set()
         self.last_active_at: float = 0
+        self.limits: LimitCallers | None = None
         self.head_began_at: float | None = None
 
     @property
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -119,7 +119,7 @@
 
     def add_connection(self, connection: Pipeline) -> None:
         """Register a new connection for the idle timeout."""
-        connection.last_active_at = self._clock()
+        self._record_activity(connection)
         self._connections.add(connection)
 
     def remove_connection(self, connection: Pipeline) -> None:
@@ -127,7 +127,11 @@
         self._connections.discard(connection)
 
     def limit(self, effect: LimitCallers) -> None:
-        """Set how long callers may take, for all connections."""
+        """Set how long callers may take from their next request on.
+
+        Connections that are waiting get the longer of the times before and now,
+        because their callers may still rely on the one before.
+        """
         self._limits = effect
 
     def start_head(self, connection: Pipeline) -> None:
@@ -137,19 +141,21 @@
     def close_idle_connections(self, idle_seconds: float | None = None) -> None:
         """Close idle connections, and refuse requests whose head is late.
 
-        Connections are idle after `idle_seconds`, by default the time of the
-        configuration in force.
+        Connections are idle after `idle_seconds`, by default the time that
+        applies to each.
         """
-        if idle_seconds is None:
-            idle_seconds = self._limits.idle_seconds
         now = self._clock()
         waiting = [one for one in self._connections if one.awaits_input]
         for connection in waiting:
             began_at = connection.head_began_at
+            limits = self._limits_of(connection)
             if began_at is None:
-                if now - connection.last_active_at > idle_seconds:
+                allowed = limits.idle_seconds
+                if idle_seconds is not None:
+                    allowed = idle_seconds
+                if now - connection.last_active_at > allowed:
                     connection.shut_down()
-            elif now - began_at > self._limits.header_seconds:
+            elif now - began_at > limits.header_seconds:
                 self._refuse_late_head(connection)
 
     def stop_keep_alive(self) -> None:
@@ -246,9 +252,23 @@
             pipeline.shut_down()
             raise
         pipeline.flush()
-        now = self._clock()
-        pipeline.last_active_at = now
-        self._observer.observe('call.seconds', now - call.arrived_at)
+        self._record_activity(pipeline)
+        self._observer.observe(
+            'call.seconds', pipeline.last_active_at - call.arrived_at
+        )
+
+    def _record_activity(self, connection: Pipeline) -> None:
+        connection.last_active_at = self._clock()
+        connection.limits = self._limits
+
+    def _limits_of(self, connection: Pipeline) -> LimitCallers:
+        before = connection.limits or self._limits
+        return LimitCallers(
+            idle_seconds=max(before.idle_seconds, self._limits.idle_seconds),
+            header_seconds=max(
+                before.header_seconds, self._limits.header_seconds
+            ),
+        )
 
     def _refuse_late_head(self, connection: Pipeline) -> None:
         response = self._dialect.encode_refusal(
