Use no connection to an upstream near the end of its stated idle time

What callers saw: 502 ("may have run") for a request that no upstream began, so that one that may run once could not be sent again. A probe that met the same end took the upstream out of service until the next one.

Cause: an upstream closed an idle connection as the next request arrived, and the request stayed unread. Only an end of the stream that had arrived before the send was noticed.

The pool now honours `Keep-Alive: timeout` and uses a connection for four fifths of that time, for requests, probes and the store alike. Without a statement nothing changes; PROTOCOL allows no answer "not run" then.

--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -6,8 +6,10 @@
 """
 
 import errno
+import math
 import os
 import select
+import time
 from typing import Any, Final, TypeAlias, final
 
 import gevent
@@ -39,6 +41,9 @@
 # A server may take its time to read a longer request, such as one that reads
 # the body late. The exchange itself has a time limit.
 _MAX_SHORT_REQUEST_BYTES: Final = 16384
+# Share of the stated idle time in which a connection is used again. A server
+# that closes it as the next request arrives leaves the outcome unknown.
+_IDLE_SHARE: Final = 0.8
 _RESET_ERRORS: Final = frozenset(
     (errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE),
 )
@@ -68,17 +73,19 @@
 
 @final
 class PooledSocket(socket.socket):  # type: ignore[misc]
-    """Add to a connection the ids of the requests that failed on it.
+    """Add to a connection what decides whether a request may use it.
 
-    The server may write an earlier answer once more, which cannot be told from
-    the answer to another request with the same id.
+    `failed_ids` holds the ids of the requests that failed on it. The server may
+    write an earlier answer once more, which cannot be told from the answer to
+    another request with the same id. `usable_until` is a monotonic time.
     """
 
-    __slots__ = ('failed_ids',)
+    __slots__ = ('failed_ids', 'usable_until')
 
     def __init__(self, family: int, kind: int, protocol: int) -> None:
         super().__init__(family, kind, protocol)
         self.failed_ids: set[str] = set()
+        self.usable_until = math.inf
 
 
 @final
@@ -145,11 +152,13 @@
         sock.settimeout(None)
         return sock
 
-    def _is_socket_alive(self, sock: socket.socket | None) -> bool:
+    def _is_socket_alive(self, sock: PooledSocket | None) -> bool:
         # An idle connection that is readable has been closed by the server.
         # The base class uses `select`, which rejects descriptors above 1023.
         if sock is None or sock.fileno() < 0:
             return False
+        if time.monotonic() >= sock.usable_until:
+            return False
         poll = select.poll()
         poll.register(sock.fileno(), select.POLLIN)
         return not poll.poll(0)
@@ -273,6 +282,8 @@
     def _conclude(self, sock: PooledSocket) -> bool:
         """Prepare the connection for reuse; return whether it is reusable."""
         self._record_failed_id(sock)
+        idle_seconds = _IDLE_SHARE * self._response.keep_alive_seconds
+        sock.usable_until = time.monotonic() + idle_seconds
         if self._is_long:
             limit_silence(sock, DEFAULT_SILENCE_SECONDS)
         return self._is_reusable(sock)
--- a/briartack/http_response.py
+++ b/briartack/http_response.py
@@ -1,5 +1,6 @@
 """Parse one HTTP response as it arrives on a connection."""
 
+import math
 from collections.abc import Callable
 from typing import Final, TypeAlias, final
 
@@ -90,6 +91,18 @@
         """Return whether the head states no length of the body."""
         return self.get('content-length') is None
 
+    @property
+    def keep_alive_seconds(self) -> float:
+        """Return the stated time that an idle connection stays open.
+
+        Returns infinity if the response states none.
+        """
+        for field in self.get_single_value('keep-alive').split(','):
+            name, _, text = field.partition('=')
+            if name.strip().lower() == 'timeout' and text.strip().isdecimal():
+                return float(text)
+        return math.inf
+
     @property
     def body(self) -> bytes:
         """Return the part of the body received so far."""
--- a/briartack/test/fake_reducer.py
+++ b/briartack/test/fake_reducer.py
@@ -333,15 +333,21 @@
 
 
 class EchoServer(StreamServer):  # type: ignore[misc]
-    """Answer each request with its own body; count the closed connections."""
+    """Answer each request with its own body; count the connections.
 
-    def __init__(self) -> None:
+    `lines` are further lines of the head of each answer.
+    """
+
+    def __init__(self, lines: bytes = b'') -> None:
         super().__init__((LOCAL_HOST, 0))
         self.requests: list[bytes] = []
+        self.connection_count = 0
+        self._lines = lines
         self.closed_connection_count = 0
         self.start()
 
     def handle(self, sock: Any, address: Any) -> None:
+        self.connection_count += 1
         while True:
             request = read_message(sock)
             if not request:
@@ -350,8 +356,9 @@
             self.requests.append(request)
             body = request.partition(b'\r\n\r\n')[2]
             sock.sendall(
-                b'HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n'
-                b'Content-Length: %d\r\n\r\n%b' % (len(body), body),
+                b'HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n%b'
+                b'Content-Length: %d\r\n\r\n%b'
+                % (self._lines, len(body), body),
             )
 
 
--- a/briartack/test/test_upstream.py
+++ b/briartack/test/test_upstream.py
@@ -3,6 +3,7 @@
 The servers send truncated, malformed or late answers over real sockets.
 """
 
+import time
 import unittest
 from functools import partial
 from unittest import mock
@@ -136,6 +137,33 @@
             wait_until(partial(_has_closed, server, number))
         self.assertEqual(shell.state.events_of(events.UpstreamFailed), [])
 
+    # Guards against "unknown" for a request that meets the end of the idle time
+    # of its connection, and never ran.
+    @params(
+        (b'timeout=10', 7.9, 1),
+        (b'timeout=10', 8.1, 2),
+        (b'max=9, Timeout = 10', 8.1, 2),
+        (b'timeout=1', 0.9, 2),
+        (b'timeout=0', 0.1, 2),
+        # Without a usable statement, only an end of the stream shows the end.
+        (b'timeout=soon', 100, 1),
+        (b'max=9', 100, 1),
+        (b'', 100, 1),
+    )
+    def test_connection_is_not_used_until_its_idle_time_ends(
+        self, stated: bytes, idle_seconds: float, connections: int
+    ) -> None:
+        server = EchoServer(b'Keep-Alive: %b\r\n' % stated if stated else b'')
+        self.addCleanup(server.stop)
+        pool = KeepAlivePool((LOCAL_HOST, server.server_port), size=2)
+        post_exchange(pool, b'1').finish(1)
+        later = time.monotonic() + idle_seconds
+        with mock.patch.object(time, 'monotonic', return_value=later):
+            second = post_exchange(pool, b'2')
+            second.send_without_waiting()
+            self.assertEqual(second.finish(1).body, b'2')
+        self.assertEqual(server.connection_count, connections)
+
     def test_slow_answer_times_out(self) -> None:
         """Guard against an attempt that outlives its deadline."""
         _, shell = self.serve(is_waiting=True)
