--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -25,6 +25,7 @@
         'lazy_correction': 'benchmarks.lazy_correction',
         'fault_run': 'benchmarks.fault_run',
         'stop_run': 'benchmarks.stop_run',
+        'upstream_run': 'benchmarks.upstream_run',
     },
 )
 
--- a/benchmarks/connection_load.py
+++ b/benchmarks/connection_load.py
@@ -8,20 +8,27 @@
 import math
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
 from random import Random
 from types import MappingProxyType
-from typing import Any, Final, final
+from typing import Any, Final, TypeAlias, final
 
 import gevent
 from gevent import socket
 
-from standins.http_server import BrokenResponse, Request, Response
+from standins.http_server import (
+    Application,
+    BrokenResponse,
+    Request,
+    Response,
+)
 from standins.platform_site import HOST, Machine
 from standins.platform_worker import HEALTH_PATH, PlatformWorker
 
+WrapApplication: TypeAlias = Callable[[Application], Application]
 RECEIVE_BYTES: Final = 65536
 MS_PER_SECOND: Final = 1000
 UPLOAD_PIECES: Final = 10
@@ -128,6 +135,7 @@
     ended_at: float = 0  # 0 while the run goes on
     status: int = 0
     body: bytes = b''
+    is_broken: bool = False  # the answer was not sent as it should be
 
 
 @final
@@ -139,11 +147,17 @@
         default_factory=lambda: defaultdict(list)
     )
 
-    def attach(self, machine: Machine) -> None:
-        """Replace the application of a machine's upstream."""
+    def attach(
+        self, machine: Machine, wrap: WrapApplication | None = None
+    ) -> None:
+        """Replace the application of a machine's upstream.
+
+        `wrap` may return another application around the one that records.
+        """
         worker = machine.worker
+        application: Application = partial(self._answer, machine.ip, worker)
         worker.server.replace_application(
-            partial(self._answer, machine.ip, worker)
+            wrap(application) if wrap else application
         )
 
     def _answer(
--- a/benchmarks/stop_run.py
+++ b/benchmarks/stop_run.py
@@ -10,6 +10,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from http import HTTPStatus
 from pathlib import Path
 from random import Random
@@ -24,6 +25,7 @@
     Run,
     RunRecord,
     SentRequest,
+    WrapApplication,
 )
 from benchmarks.figures import Figures, run_as_program
 from standins.platform_site import (
@@ -68,12 +70,12 @@
     site = PlatformSite(directory=directory)
     record = RunRecord()
     try:
-        _start(site, record)
+        start_site(site, record)
         load = ConnectionLoad(
             machines=site.machines, random=Random(f'load {seed}')
         )
-        actions = _Actions(site, Random(f'stops {seed}'))
-        _play(load, actions, connections, seconds)
+        actions = StopActions(site, Random(f'stops {seed}'))
+        play_under_load(load, actions, connections, seconds)
     finally:
         site.stop()
     violations = [*actions.violations, *check(load.requests, record, actions)]
@@ -92,24 +94,31 @@
     }
 
 
-def _start(site: PlatformSite, record: RunRecord) -> None:
+def start_site(
+    site: PlatformSite, record: RunRecord, wrap: WrapApplication | None = None
+) -> None:
+    """Start a site whose upstreams record their runs, and wait for it."""
     site.start()
     site.store.put('op/config', _build_configuration(1, 'buys'))
     for machine in site.machines:
-        record.attach(machine)
+        record.attach(machine, wrap)
         wait_until_ready(machine)
     gevent.sleep(SETTLE_SECONDS)
 
 
-def _play(
-    load: ConnectionLoad, actions: '_Actions', connections: int, seconds: float
+def play_under_load(
+    load: ConnectionLoad,
+    actions: 'StopActions',
+    connections: int,
+    seconds: float,
 ) -> None:
+    """Play the actions while callers send requests."""
     load.start(connections)
     actions.play(seconds)
     load.stop()
 
 
-class _Actions:
+class StopActions:
     """Play stops, reloads and changes, one after another and overlapping."""
 
     def __init__(self, site: PlatformSite, random: Random) -> None:
@@ -120,15 +129,18 @@
         self._version = 1
         self._stopping: set[str] = set()
 
+    @property
+    def choices(self) -> tuple[Callable[[Random], None], ...]:
+        """Return the actions to choose from; a repeated one comes oftener."""
+        return (self._stop_some, self._stop_some, self._reload, self._change)
+
     def play(self, seconds: float) -> None:
         """Play actions for a time and wait until all daemons run again."""
         until = time.monotonic() + seconds
         running: list[gevent.Greenlet] = []
         while time.monotonic() < until:
             gevent.sleep(self._random.uniform(0.1, 1.2))
-            action = self._random.choice(
-                (self._stop_some, self._stop_some, self._reload, self._change)
-            )
+            action = self._random.choice(self.choices)
             running.append(gevent.spawn(action, Random(self._random.random())))
         gevent.joinall(running, raise_error=True)
 
@@ -148,6 +160,11 @@
         )
 
     def _stop(self, machine: Machine, random: Random) -> None:
+        self._end(machine, random)
+        gevent.sleep(random.choice((0, 0, 0.5, 2)))
+        self._start_again(machine)
+
+    def _end(self, machine: Machine, random: Random) -> None:
         began_at = time.monotonic()
         machine.daemon.send_signal(signal.SIGTERM)
         for _ in range(random.choice((0, 0, 1, 3))):
@@ -168,7 +185,8 @@
                 }
             )
             machine.daemon.kill()
-        gevent.sleep(random.choice((0, 0, 0.5, 2)))
+
+    def _start_again(self, machine: Machine) -> None:
         machine.daemon.start()
         wait_until_ready(machine)
         self._stopping.discard(machine.ip)
@@ -219,7 +237,7 @@
 
 
 def check(
-    requests: list[SentRequest], record: RunRecord, actions: _Actions
+    requests: list[SentRequest], record: RunRecord, actions: StopActions
 ) -> list[Violation]:
     """Compare what the callers saw with the runs at the upstreams."""
     violations = []
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -95,6 +95,26 @@
     is_reset: bool = False
 
 
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConnectionLimits:
+    """Limit the idle time and the number of connections to a server.
+
+    Connections above the number are reset.
+    """
+
+    idle_seconds: float | None = None
+    max_connections: int = MAX_CONNECTIONS
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the header that states the idle time in whole seconds."""
+        whole_seconds = int(self.idle_seconds or 0)
+        if not whole_seconds:
+            return ()
+        return (('Keep-Alive', f'timeout={whole_seconds}'),)
+
+
 Application: TypeAlias = Callable[[Request], Response | BrokenResponse]
 
 
@@ -130,12 +150,22 @@
         environ['standins.position'] = self.open_connections
         return environ
 
+    def read_requestline(self) -> str:
+        """Read a request line; return nothing at the end of the idle time."""
+        idle_seconds = self.server.limits.idle_seconds
+        with gevent.Timeout(idle_seconds, exception=False):
+            line: str = super().read_requestline()
+            return line
+        return ''
+
 
 @final
 class _Server(WSGIServer):  # type: ignore[misc]
     """Send responses without delay and count the open connections."""
 
-    def __init__(self, listener: Address, application: Any) -> None:
+    def __init__(
+        self, listener: Address, application: Any, limits: ConnectionLimits
+    ) -> None:
         super().__init__(
             listener,
             application,
@@ -145,12 +175,17 @@
             error_log=None,
             handler_class=_Handler,
         )
+        self.limits = limits
         self._open_connections = 0
 
     def handle(self, sock: Any, address: Address) -> None:
         """Serve one connection."""
         # Without TCP_NODELAY a response in two writes is delayed by 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._open_connections >= self.limits.max_connections:
+            _set_reset_on_close(sock)
+            sock.close()
+            return
         handler = _Handler(sock, address, self)
         self._open_connections += 1
         handler.open_connections = self._open_connections
@@ -164,11 +199,18 @@
 class HttpServer:
     """Serve an application at one address; may stop and start again."""
 
-    __slots__ = ('_address', '_application', '_server')
+    __slots__ = ('_address', '_application', '_limits', '_server')
 
-    def __init__(self, *, address: str, application: Application) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        application: Application,
+        limits: ConnectionLimits | None = None,
+    ) -> None:
         self._address = parse_address(address)
         self._application = application
+        self._limits = limits or ConnectionLimits()
         self._server: _Server | None = None
 
     @property
@@ -186,10 +228,16 @@
         """Replace the application, for example by a wrapper around it."""
         self._application = application
 
+    def limit_connections(self, limits: ConnectionLimits) -> None:
+        """Replace the limits of connections, now or for the next start."""
+        self._limits = limits
+        if self._server is not None:
+            self._server.limits = limits
+
     def start(self) -> None:
         """Start accepting connections; raise OSError if the port is in use."""
         if self._server is None:
-            self._server = _Server(self._address, self._answer)
+            self._server = _Server(self._address, self._answer, self._limits)
             self._server.start()
             self._address = (self._server.server_host, self._server.server_port)
 
@@ -224,7 +272,11 @@
         length = str(len(response.body))
         start(
             f'{response.status} {HTTPStatus(response.status).phrase}',
-            [*response.headers, ('Content-Length', length)],
+            [
+                *response.headers,
+                *self._limits.headers,
+                ('Content-Length', length),
+            ],
         )
         return [response.body]
 
@@ -232,10 +284,10 @@
 def _break_connection(connection: Any, broken: BrokenResponse) -> None:
     connection.sendall(broken.sent)
     if broken.is_reset:
-        connection.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_LINGER,
-            LINGER_AND_RESET,
-        )
+        _set_reset_on_close(connection)
     else:
         connection.shutdown(socket.SHUT_RDWR)
+
+
+def _set_reset_on_close(connection: Any) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_AND_RESET)
