stop_run: long runs, and stops of several daemons within a time

The new parameters set the time limit of all routes, the longest run and the time within which daemons that stop together get their signals, so that stops of both ends of an attempt overlap while it runs.

--- a/benchmarks/connection_load.py
+++ b/benchmarks/connection_load.py
@@ -42,8 +42,9 @@
 DEADLINE_SECONDS: Final = 4.0
 # The deadline of an upload whose body takes longer.
 LATE_SECONDS: Final = 1.0
-# A connection that stays silent for so long has lost its request.
-PATIENCE_SECONDS: Final = DEADLINE_SECONDS + 3
+# A connection that stays silent for so long after the deadline of its request
+# has lost it.
+PATIENCE_SECONDS: Final = 3.0
 STOP_SECONDS: Final = 60.0
 _END_OF_HEAD: Final = b'\r\n\r\n'
 _FORMS: Final = (
@@ -93,9 +94,33 @@
 _SHORT_PAUSES: Final = (0, 0.01, 0.1, 0.3)
 _LONG_PAUSES: Final = (0.05, 0.3, 1.0)
 _RUN_MS: Final = (1, 1, 1, 5, 20, 100, 400, 1200)
+_LONG_RUN_PARTS: Final = 16
 _PATHS: Final = ('reads', 'buys', 'moved')
 
 
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkShape:
+    """Hold how long the requests run and how long their callers wait."""
+
+    deadline_seconds: float = DEADLINE_SECONDS
+    run_ms: tuple[int, ...] = _RUN_MS
+
+
+DEFAULT_SHAPE: Final = WorkShape()
+
+
+def create_long_shape(deadline_seconds: float, max_run_ms: int) -> WorkShape:
+    """Create a shape whose run times are spread evenly up to a limit."""
+    return WorkShape(
+        deadline_seconds=deadline_seconds,
+        run_ms=tuple(
+            max_run_ms * part // _LONG_RUN_PARTS
+            for part in range(1, _LONG_RUN_PARTS + 1)
+        ),
+    )
+
+
 @final
 @dataclass(slots=True, kw_only=True)
 class SentRequest:
@@ -210,12 +235,26 @@
 class ConnectionLoad:
     """Keep connections to the daemons of a site and send requests on them."""
 
-    __slots__ = ('requests', '_machines', '_random', '_greenlets', '_stopping')
+    __slots__ = (
+        'requests',
+        '_machines',
+        '_random',
+        '_shape',
+        '_greenlets',
+        '_stopping',
+    )
 
-    def __init__(self, *, machines: list[Machine], random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        machines: list[Machine],
+        random: Random,
+        shape: WorkShape = DEFAULT_SHAPE,
+    ) -> None:
         self.requests: list[SentRequest] = []
         self._machines = machines
         self._random = random
+        self._shape = shape
         self._greenlets: list[gevent.Greenlet] = []
         self._stopping = False
 
@@ -250,7 +289,11 @@
             host, _, port = machine.caller_address.partition(':')
             sock.connect((host, int(port)))
             connection = Connection(
-                sock=sock, machine=machine, random=random, is_slow=is_slow
+                sock=sock,
+                machine=machine,
+                random=random,
+                shape=self._shape,
+                is_slow=is_slow,
             )
             while not self._stopping and connection.is_open:
                 batch = connection.build_batch()
@@ -269,9 +312,11 @@
         sock: Any,
         machine: Machine,
         random: Random,
+        shape: WorkShape = DEFAULT_SHAPE,
         is_slow: bool,
     ) -> None:
         self.is_open = True
+        self._shape = shape
         self._sock = sock
         self._machine = machine
         self._random = random
@@ -296,7 +341,7 @@
         for request in batch:
             request.started_at = time.monotonic()
         sender = gevent.spawn(self._send, batch)
-        self._sock.settimeout(PATIENCE_SECONDS)
+        self._sock.settimeout(self._shape.deadline_seconds + PATIENCE_SECONDS)
         for expected in batch:
             if self.is_open:
                 self._try_to_receive(expected)
@@ -316,7 +361,7 @@
         path = path or random.choice(_PATHS)
         size = LARGE_BODY_BYTES if form == 'large' else SMALL_BODY_BYTES
         answer = _choose(random, _ANSWERS)
-        run_ms = random.choice(_RUN_MS)
+        run_ms = random.choice(self._shape.run_ms)
         method = _METHODS.get(form, 'GET')
         body = b''
         if method == 'POST':
@@ -333,7 +378,7 @@
             method=method,
             body=body,
             deadline_seconds=(
-                LATE_SECONDS if form == 'late' else DEADLINE_SECONDS
+                LATE_SECONDS if form == 'late' else self._shape.deadline_seconds
             ),
         )
 
--- a/benchmarks/stop_run.py
+++ b/benchmarks/stop_run.py
@@ -21,11 +21,13 @@
 
 from benchmarks.connection_load import (
     DEADLINE_SECONDS,
+    DEFAULT_SHAPE,
     ConnectionLoad,
     Run,
     RunRecord,
     SentRequest,
     WrapApplication,
+    create_long_shape,
 )
 from benchmarks.figures import Figures, run_as_program
 from standins.platform_site import (
@@ -47,7 +49,8 @@
 END_OF_GRACE_SECONDS: Final = 5.0
 _CUT_STATUSES: Final = frozenset((0, 502))
 SETTLE_SECONDS: Final = 3.5
-ROUTE_TIMEOUT_MS: Final = int(DEADLINE_SECONDS * 1000)
+MS_PER_SECOND: Final = 1000
+ROUTE_TIMEOUT_MS: Final = int(DEADLINE_SECONDS * MS_PER_SECOND)
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 
@@ -58,23 +61,42 @@
 
 
 def measure(
-    *, seed: int = 1, seconds: float = 15, connections: int = 24
+    *,
+    seed: int = 1,
+    seconds: float = 15,
+    connections: int = 24,
+    timeout_ms: int = ROUTE_TIMEOUT_MS,
+    max_run_ms: int = 0,
+    spread_seconds: float = 0,
 ) -> Figures:
     """Stop daemons under load and list every violation.
 
     :param seed: seed of the stops, the changes and the load
     :param seconds: duration of the phase with stops
     :param connections: callers, with one connection each at a time
+    :param timeout_ms: time limit of all routes
+    :param max_run_ms: longest run of a request, with run times spread evenly
+        below it; 0 for mostly short runs
+    :param spread_seconds: time within which daemons that stop together get
+        their signals
     """
     directory = Path(tempfile.mkdtemp(prefix='briartack-stops-'))
     site = PlatformSite(directory=directory)
     record = RunRecord()
+    shape = DEFAULT_SHAPE
+    if max_run_ms:
+        shape = create_long_shape(timeout_ms / MS_PER_SECOND, max_run_ms)
+    actions = StopActions(
+        site=site,
+        random=Random(f'stops {seed}'),
+        timeout_ms=timeout_ms,
+        spread_seconds=spread_seconds,
+    )
     try:
-        start_site(site, record)
+        start_site(site, record, timeout_ms=timeout_ms)
         load = ConnectionLoad(
-            machines=site.machines, random=Random(f'load {seed}')
+            machines=site.machines, random=Random(f'load {seed}'), shape=shape
         )
-        actions = StopActions(site, Random(f'stops {seed}'))
         play_under_load(load, actions, connections, seconds)
     finally:
         site.stop()
@@ -95,11 +117,15 @@
 
 
 def start_site(
-    site: PlatformSite, record: RunRecord, wrap: WrapApplication | None = None
+    site: PlatformSite,
+    record: RunRecord,
+    wrap: WrapApplication | None = None,
+    *,
+    timeout_ms: int = ROUTE_TIMEOUT_MS,
 ) -> None:
     """Start a site whose upstreams record their runs, and wait for it."""
     site.start()
-    site.store.put('op/config', _build_configuration(1, 'buys'))
+    site.store.put('op/config', _build_configuration(1, 'buys', timeout_ms))
     for machine in site.machines:
         record.attach(machine, wrap)
         wait_until_ready(machine)
@@ -121,11 +147,20 @@
 class StopActions:
     """Play stops, reloads and changes, one after another and overlapping."""
 
-    def __init__(self, site: PlatformSite, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        site: PlatformSite,
+        random: Random,
+        timeout_ms: int = ROUTE_TIMEOUT_MS,
+        spread_seconds: float = 0,
+    ) -> None:
         self.stops: list[tuple[str, float, float]] = []
         self.violations: list[Violation] = []
         self._site = site
         self._random = random
+        self._timeout_ms = timeout_ms
+        self._spread_seconds = spread_seconds
         self._version = 1
         self._stopping: set[str] = set()
 
@@ -160,6 +195,8 @@
         )
 
     def _stop(self, machine: Machine, random: Random) -> None:
+        if self._spread_seconds:
+            gevent.sleep(random.uniform(0, self._spread_seconds))
         self._end(machine, random)
         gevent.sleep(random.choice((0, 0, 0.5, 2)))
         self._start_again(machine)
@@ -207,12 +244,15 @@
         self._version += random.randint(1, 3)
         service = random.choice(('reads', 'buys', ''))
         self._site.store.put(
-            'op/config', _build_configuration(self._version, service)
+            'op/config',
+            _build_configuration(self._version, service, self._timeout_ms),
         )
 
 
-def _build_configuration(version: int, moved: str) -> dict[str, object]:
-    timing = {'timeout_ms': ROUTE_TIMEOUT_MS, 'target_latency_ms': 2000}
+def _build_configuration(
+    version: int, moved: str, timeout_ms: int
+) -> dict[str, object]:
+    timing = {'timeout_ms': timeout_ms, 'target_latency_ms': 2000}
     routes = [
         build_route('reads', '/reads/', 'reads', **timing),
         build_route('buys', '/buys/', 'buys', kind='non_idempotent', **timing),
--- a/benchmarks/upstream_run.py
+++ b/benchmarks/upstream_run.py
@@ -149,7 +149,7 @@
     )
     load = ConnectionLoad(machines=site.machines, random=Random(f'load {seed}'))
     actions = _UpstreamActions(
-        site, Random(f'actions {seed}'), moves=options.moves
+        site=site, random=Random(f'actions {seed}'), moves=options.moves
     )
     play_under_load(load, actions, options.connections, options.seconds)
     return load, actions
@@ -211,9 +211,9 @@
     """Add planned ends and replacements of upstreams to the stops."""
 
     def __init__(
-        self, site: PlatformSite, random: Random, *, moves: bool
+        self, *, site: PlatformSite, random: Random, moves: bool
     ) -> None:
-        super().__init__(site, random)
+        super().__init__(site=site, random=random)
         self.departures: list[_Departure] = []
         self.replacements = 0
         self._moves = moves
