A stopping owner begins no run that its stop may abort

An owner took new attempts of peers for 1.8 s of its stop and started the queued ones, though their time let them run past the end of its stop, where it aborted them. If the daemon of the caller stopped too, its callers got 502 in place of the answer of a running request, and what may run once was lost.

An owner now gives back attempts of peers, new, queued or with part of their body, whose deadline lies after the end of its stop, as not run (stop-too-near). That costs the sender neither an attempt nor a retry token; it spares the owner for calls with this deadline or a later one, and still sends it shorter ones. If nobody else can take the call, the owner is the last resort and begins the run if one of average length ends in time.

--- a/briartack/core/calls/admission.py
+++ b/briartack/core/calls/admission.py
@@ -64,12 +64,14 @@
         limits: ServiceLimits,
         start_interval_seconds: float,
         available_starts: int | None = None,
+        latest_start: float = float('inf'),
     ) -> AdmissionResult:
         """Start, queue or refuse an attempt; a full queue may evict another.
 
         One slot is expected to become free every `start_interval_seconds`.
         `limit` bounds the slots in use, and `available_starts` the number of
-        starts now; `None` allows any number.
+        starts now; `None` allows any number. An attempt that would leave the
+        queue after `latest_start` is refused.
         """
         may_start = available_starts is None or available_starts > 0
         if self._running < limit and may_start and not self.queued:
@@ -78,7 +80,9 @@
         starts_at = (
             now + (self._count_ahead(request) + 1) * start_interval_seconds
         )
-        if starts_at > min(request.deadline, request.useful_until):
+        if starts_at > min(
+            request.deadline, request.useful_until, latest_start
+        ):
             return AdmissionResult(refused=(request.attempt_id,))
         if self.queued < limits.queue_length:
             self._enqueue(request)
@@ -105,11 +109,13 @@
         limit: int,
         available_starts: int | None = None,
         start_interval_seconds: float = 0,
+        latest_start: float = float('inf'),
     ) -> AdmissionResult:
         """Start as many attempts as the limits allow.
 
-        Refuse overdue attempts, and those that have been overtaken so often
-        that they can't be answered in time.
+        Refuse overdue attempts, those that have been overtaken so often that
+        they can't be answered in time, and those that would start after
+        `latest_start`.
         """
         bound = (
             limit
@@ -117,7 +123,7 @@
             else min(limit, self._running + available_starts)
         )
         started: list[AttemptId] = []
-        refused = self._drop_overtaken(now, start_interval_seconds)
+        refused = self._drop_late(now, start_interval_seconds, latest_start)
         for queue in (self._interactive, self._background):
             while queue and (self._running < bound or queue[0].deadline <= now):
                 waiting = queue.popleft()
@@ -128,8 +134,8 @@
                 started.append(waiting.attempt_id)
         return AdmissionResult(started=tuple(started), refused=tuple(refused))
 
-    def _drop_overtaken(
-        self, now: float, start_interval_seconds: float
+    def _drop_late(
+        self, now: float, start_interval_seconds: float, latest_start: float
     ) -> list[AttemptId]:
         """Remove and return the attempts that would start too late.
 
@@ -139,7 +145,7 @@
         starts_at = now
         for queue in (self._interactive, self._background):
             for waiting in tuple(queue):
-                if starts_at > waiting.latest_start:
+                if starts_at > min(waiting.latest_start, latest_start):
                     queue.remove(waiting)
                     dropped.append(waiting.attempt_id)
                 else:
--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -61,6 +61,7 @@
         """Send the next attempt of a call to the chosen endpoint."""
         own = context.identity
         peer = chosen.member.instance
+        call.is_last_resort = chosen.is_last_resort
         endpoint = self._endpoints.get(peer)
         attempt = Attempt(
             attempt_id=self._table.start_attempt(
@@ -86,6 +87,7 @@
             target_ms=_compute_remaining_target_ms(context, now, call, chosen),
             home_regions=format_regions(chosen.regions),
             idempotency_key=call.event.idempotency_key,
+            is_last_resort=chosen.is_last_resort,
         )
         body_id = call.body_id
         log_line = log_attempt_sent(context, now, call, peer, endpoint)
@@ -134,15 +136,17 @@
             self._endpoints.suspect(call.peer, call.sent_at, now)
 
     def apply_refusal(
-        self, peer: InstanceId, reason: Reason, now: float
+        self, call: Call, peer: InstanceId, reason: Reason, now: float
     ) -> None:
         """Stop or pause new attempts to a peer after a refusal.
 
-        A stopping peer is not used again; a peer with another lasting cause is
-        avoided for a short time.
+        A stopping peer is not used again, or not for calls as long as this one;
+        a peer with another lasting cause is avoided for a short time.
         """
         if reason is reasons.STOPPING:
             self._endpoints.mark_draining(peer)
+        elif reason is reasons.STOP_TOO_NEAR:
+            self._endpoints.limit_deadline(peer, call.deadline)
         elif reason.code in AVOIDANCE_REASON_CODES:
             self._endpoints.avoid(peer, now)
 
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -326,6 +326,7 @@
     if not state.drain.begin(event.now):
         return []
     effects = _advance_stop(state, context, event.now)
+    effects.extend(state.owner.begin_stop(event.now))
     return finish_event(state, context, event.now, effects)
 
 
--- a/briartack/core/calls/call_responses.py
+++ b/briartack/core/calls/call_responses.py
@@ -3,16 +3,19 @@
 The sender uses this module to remove a call and log its end.
 """
 
+from functools import partial
 from typing import final
 
-from briartack.core.calls import reasons
+from briartack.core.calls import placement, reasons
 from briartack.core.calls.call_checks import (
+    build_home_region_headers,
     build_refusal,
     draw_retry_after_seconds,
 )
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.call_logs import log_call_ended
 from briartack.core.calls.call_table import Call, CallTable
+from briartack.core.calls.endpoint_choice import SelectionFailure
 from briartack.core.calls.reasons import Reason
 from briartack.core.effects import AnswerCall, Count, DropBody, Effects
 from briartack.core.messages import Answer, Headers
@@ -123,3 +126,28 @@
                 retry_after_seconds=refused_seconds,
             ),
         ]
+
+    def refuse_unroutable(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        failure: SelectionFailure,
+    ) -> Effects:
+        """Refuse a call for which no endpoint can be chosen."""
+        refuse = partial(self.refuse, context, now, call)
+        if failure is SelectionFailure.KEY_OWNER_GONE:
+            return refuse(reasons.KEY_OWNER_GONE, Verdict.UNKNOWN)
+        if failure is SelectionFailure.STOP_TOO_NEAR:
+            return refuse(reasons.STOP_TOO_NEAR, Verdict.NOT_RUN)
+        if failure is SelectionFailure.NO_ENDPOINT or context.snapshot is None:
+            reason = call.last_refusal or reasons.NO_ENDPOINT
+            return refuse(reason, Verdict.NOT_RUN)
+        regions = placement.home_regions(
+            context.snapshot, call.route, call.event.tenant
+        )
+        return refuse(
+            reasons.PLACEMENT,
+            Verdict.NOT_RUN,
+            build_home_region_headers(regions),
+        )
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -57,6 +57,7 @@
     sent_at: float = 0
     stale_clock_refusals: int = 0
     free_refusals: int = 0
+    is_last_resort: bool = False  # the attempt was, see `ChosenEndpoint`
     # Made by a request that runs at this daemon's upstream and waits for it.
     is_from_local_run: bool = False
     last_refusal: Reason | None = None  # reason of the last free refusal
--- a/briartack/core/calls/calls_state.py
+++ b/briartack/core/calls/calls_state.py
@@ -45,18 +45,19 @@
         self.endpoints = EndpointsState()
         self.routing = RoutingState()
         self.streams = StreamsState()
-        self.owner = OwnerState(rules=rules)
+        self.drain = DrainState(
+            drain_seconds=drain_seconds,
+            linger_seconds=rules.linger_seconds,
+        )
+        self.owner = OwnerState(drain=self.drain, rules=rules)
         self.sender = SenderState(
             routing=self.routing,
             endpoints=self.endpoints,
             streams=self.streams,
             owner=self.owner,
+            drain=self.drain,
         )
         self.keys = KeyIssuerState(chooser=self.sender.chooser)
-        self.drain = DrainState(
-            drain_seconds=drain_seconds,
-            linger_seconds=rules.linger_seconds,
-        )
 
     def replace_rules(self, rules: CallRules, drain_seconds: float) -> None:
         """Replace the rules of the local upstream and of the next stop."""
--- a/briartack/core/calls/drain.py
+++ b/briartack/core/calls/drain.py
@@ -39,13 +39,13 @@
         self._is_leaving = False
         self._refuses_at = float('inf')
         self._is_refusing = False
-        self._deadline: float | None = None
+        self._deadline = float('inf')
         self._is_finished = False
 
     @property
     def is_draining(self) -> bool:
         """Return whether the stop has begun."""
-        return self._deadline is not None
+        return self._deadline < float('inf')
 
     @property
     def is_leaving(self) -> bool:
@@ -61,8 +61,8 @@
         return self._is_refusing
 
     @property
-    def deadline(self) -> float | None:
-        """Return when the stop ends all calls, or `None` before it begins."""
+    def deadline(self) -> float:
+        """Return when the stop ends all calls, infinite before it begins."""
         return self._deadline
 
     def configure(self, *, drain_seconds: float, linger_seconds: float) -> None:
@@ -72,7 +72,7 @@
 
     def begin(self, now: float) -> bool:
         """Begin the stop; return false if it had begun before."""
-        if self._deadline is not None:
+        if self.is_draining:
             return False
         self._deadline = now + self._drain_seconds
         self._refuses_at = now + self._linger_seconds
@@ -89,11 +89,11 @@
 
     def has_deadline_passed(self, now: float) -> bool:
         """Return whether the deadline of the stop has passed."""
-        return self._deadline is not None and now >= self._deadline
+        return now >= self._deadline
 
     def finish(self) -> bool:
         """Finish a stop that has begun; return true only the first time."""
-        if self._deadline is None or self._is_finished:
+        if not self.is_draining or self._is_finished:
             return False
         self._is_finished = True
         return True
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from functools import partial
 from itertools import chain
 from typing import Final, TypeAlias, final
 
@@ -13,6 +14,7 @@
 from briartack.core.calls.call_context import CallContext, Member, Regions
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.call_table import Call
+from briartack.core.calls.drain import DrainState
 from briartack.core.calls.endpoints import EndpointsState
 from briartack.core.calls.fingerprint import Fingerprint
 from briartack.core.calls.local_upstream import LocalUpstream
@@ -40,14 +42,21 @@
     PLACEMENT = enum.auto()
     KEY_OWNER_GONE = enum.auto()
     NO_ENDPOINT = enum.auto()
+    # The planned stop of this daemon would abort a run of average length.
+    STOP_TOO_NEAR = enum.auto()
 
 
 @final
 class ChosenEndpoint(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold a chosen endpoint and the home regions that allow its use."""
+    """Hold a chosen endpoint and the home regions that allow its use.
+
+    One that is the last resort may have a planned stop before the deadline of
+    the call; all others are unavailable or have refused.
+    """
 
     member: Member
     regions: Regions
+    is_last_resort: bool = False
 
 
 # A list of effects dials peers, and the call waits for their streams.
@@ -61,6 +70,7 @@
     routing: RoutingState
     endpoints: EndpointsState
     upstream: LocalUpstream
+    drain: DrainState
     typical_times: TypicalTimes = msgspec.field(default_factory=TypicalTimes)
 
     def choose_for_call(
@@ -79,39 +89,16 @@
 
         Home regions and instances out of service are read from the active
         snapshot, because the snapshot that routed the call may be minutes old.
+
+        A run that would probably be aborted by this daemon's own stop is not
+        begun.
         """
-        snapshot = context.snapshot
-        if snapshot is None:
-            return SelectionFailure.NO_ENDPOINT
-        regions = placement.home_regions(
-            snapshot,
-            call.route,
-            call.event.tenant,
-        )
-        if not placement.may_accept(regions, context):
-            return SelectionFailure.PLACEMENT
-        if call.event.idempotency_key:
-            return self._choose_key_owner(context, now, call, regions)
-        scopes = self.routing.list_candidates(
-            context,
-            snapshot,
-            call.share.service,
-            regions,
-        )
-        if suspect is not None:
-            member = self._choose_isolated(context, now, call, scopes, suspect)
-            if member is not None:
-                return ChosenEndpoint(member=member, regions=regions)
-        return self.choose_among(
-            context,
-            now,
-            scopes,
-            regions,
-            slots=call.share.limits.slots,
-            tried_instances=call.tried_instances,
-            allows_tried=call.last_refusal is None,
-            full_load=_select_full_load(context.rules, call.body_bytes),
-        )
+        choice = self._choose(context, now, call, suspect)
+        if isinstance(choice, ChosenEndpoint):
+            run_seconds = self._get_run_seconds(context, now, choice.member)
+            if now + (run_seconds or 0) > self.drain.deadline:
+                return SelectionFailure.STOP_TOO_NEAR
+        return choice
 
     def choose_among(
         self,
@@ -124,16 +111,18 @@
         tried_instances: tuple[InstanceId, ...] = (),
         allows_tried: bool = True,
         full_load: float = FULL_LOAD,
+        deadline: float = float('-inf'),
     ) -> EndpointChoice:
         """Choose among candidates, with untried ones first.
 
         `allows_tried` permits tried instances if no other is available. An
         owner that has just refused a call would refuse it again, so the flag
-        is false after a free refusal.
+        is false after a free refusal. Owners whose stop may end before the
+        deadline are not chosen.
         """
 
         def load_of(member: Member) -> float | None:  # noqa: WPS430
-            return self._compute_load(context, now, member, slots)
+            return self._compute_load(context, now, member, slots, deadline)
 
         def untried_load_of(member: Member) -> float | None:  # noqa: WPS430
             return (
@@ -150,6 +139,55 @@
         dials = dial_nearest(context, now, scopes, self.endpoints)
         return SelectionFailure.NO_ENDPOINT if dials is None else dials
 
+    def _choose(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        suspect: Fingerprint | None,
+    ) -> EndpointChoice:
+        """Choose by placement, key, suspicion and load, in this order."""
+        snapshot = context.snapshot
+        if snapshot is None:
+            return SelectionFailure.NO_ENDPOINT
+        regions = placement.home_regions(
+            snapshot,
+            call.route,
+            call.event.tenant,
+        )
+        if not placement.may_accept(regions, context):
+            return SelectionFailure.PLACEMENT
+        if call.event.idempotency_key:
+            return self._choose_key_owner(context, now, call, regions)
+        scopes = self.routing.list_candidates(
+            context,
+            snapshot,
+            call.share.service,
+            regions,
+        )
+        if suspect is not None:
+            member = self._choose_isolated(context, now, call, scopes, suspect)
+            if member is not None:
+                return ChosenEndpoint(member=member, regions=regions)
+        choose = partial(
+            self.choose_among,
+            context,
+            now,
+            scopes,
+            regions,
+            slots=call.share.limits.slots,
+            tried_instances=call.tried_instances,
+            allows_tried=call.last_refusal is None,
+            full_load=_select_full_load(context.rules, call.body_bytes),
+        )
+        choice = choose(deadline=call.deadline)
+        if choice is not SelectionFailure.NO_ENDPOINT:
+            return choice
+        choice = choose()
+        if isinstance(choice, ChosenEndpoint):
+            return msgspec.structs.replace(choice, is_last_resort=True)
+        return choice
+
     def _choose_isolated(
         self,
         context: CallContext,
@@ -163,7 +201,7 @@
 
         def has_room(member: Member) -> bool:  # noqa: WPS430
             load = self._compute_load(
-                context, now, member, call.share.limits.slots
+                context, now, member, call.share.limits.slots, call.deadline
             )
             return load is not None and load < full_load
 
@@ -184,6 +222,7 @@
         now: float,
         member: Member,
         slots: int,
+        deadline: float,
     ) -> float | None:
         """Return the load of an instance, or `None` if it is unavailable.
 
@@ -197,7 +236,7 @@
             load = self.upstream.load(now)
         else:
             endpoint = self.endpoints.get(member.instance)
-            if endpoint is None or not endpoint.is_usable(now):
+            if endpoint is None or not endpoint.is_usable(now, deadline):
                 return None
             load = endpoint.estimate_load(now, member.slots or slots)
         if self._is_slow(context, now, member):
--- a/briartack/core/calls/endpoints.py
+++ b/briartack/core/calls/endpoints.py
@@ -40,6 +40,7 @@
         'is_draining',
         'avoided_until',
         'silent_attempts',
+        'latest_deadline',
     )
 
     def __init__(
@@ -60,10 +61,14 @@
         self.is_draining = False
         self.avoided_until = now
         self.silent_attempts = 0
+        # The peer refuses attempts with this deadline or a later one, because
+        # its planned stop may end first.
+        self.latest_deadline = float('inf')
 
-    def is_usable(self, now: float) -> bool:
-        """Return whether new attempts may be sent to the peer."""
-        return not self.is_draining and now >= self.avoided_until
+    def is_usable(self, now: float, deadline: float) -> bool:
+        """Return whether a new attempt with a deadline may be sent."""
+        is_in_service = not self.is_draining and now >= self.avoided_until
+        return is_in_service and deadline < self.latest_deadline
 
     def estimate_load(self, now: float, slots: int) -> float:
         """Return the last reported load plus the share of slots in flight.
@@ -172,6 +177,12 @@
         if endpoint is not None:
             endpoint.is_draining = True
 
+    def limit_deadline(self, peer: InstanceId, deadline: float) -> None:
+        """Exclude a peer from attempts with this deadline or a later one."""
+        endpoint = self._endpoints.get(peer)
+        if endpoint is not None:
+            endpoint.latest_deadline = min(endpoint.latest_deadline, deadline)
+
     def avoid(self, peer: InstanceId, now: float) -> None:
         """Exclude a peer from new attempts for 1 s."""
         endpoint = self._endpoints.get(peer)
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -12,6 +12,7 @@
     LIST_LAG_SECONDS,
     ColdStartLimiter,
 )
+from briartack.core.calls.drain import DrainState
 from briartack.core.calls.run_times import MeanRunTime
 from briartack.core.calls.slow_start import SlowStartState
 from briartack.core.calls.start_limits import StrictestLimiter
@@ -44,9 +45,15 @@
         '_run_time',
         '_reported_load',
         '_reported_at',
+        '_drain',
     )
 
-    def __init__(self, *, rules: CallRules = DEFAULT_RULES) -> None:
+    def __init__(
+        self,
+        *,
+        drain: DrainState,
+        rules: CallRules = DEFAULT_RULES,
+    ) -> None:
         """Start cold and healthy, until a probe or request says otherwise."""
         self._admission = AdmissionState()
         self._ramp = SlowStartState()
@@ -62,6 +69,7 @@
         self._run_time = MeanRunTime()
         self._reported_load = float(0)
         self._reported_at = float('-inf')
+        self._drain = drain
 
     @property
     def is_open(self) -> bool:
@@ -169,6 +177,7 @@
                 self._start_limits.start_interval_seconds(now),
             ),
             available_starts=self._start_limits.count_available_starts(now),
+            latest_start=self._drain.deadline - self._ramp.mean_seconds,
         )
         return self._record_starts(now, admission)
 
@@ -184,6 +193,7 @@
                 self._ramp.mean_seconds / self.limit,
                 self._start_limits.start_interval_seconds(now),
             ),
+            latest_start=self._drain.deadline - self._ramp.mean_seconds,
         )
         return self._record_starts(now, admission)
 
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -14,6 +14,7 @@
 from briartack.core.calls.crash_suspects import CrashSuspects
 from briartack.core.calls.crash_watch import CrashWatch
 from briartack.core.calls.dedup import DedupState
+from briartack.core.calls.drain import DrainState
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import (
     LocalOutcome,
@@ -24,17 +25,21 @@
 from briartack.core.calls.owner_checks import (
     find_refusal_reason,
     is_own_instance_out_of_service,
+    is_stop_too_near,
     is_upstream_leaving,
 )
 from briartack.core.calls.owner_runner import OwnerRunner, drop_late_answer
 from briartack.core.calls.reasons import Reason
+from briartack.core.calls.upstream_reports import (
+    report_health,
+    report_ramp_restart,
+    report_stated_limit,
+)
 from briartack.core.effects import (
     Count,
     DropBody,
     Effects,
-    LogLevel,
     ProbeUpstream,
-    WriteLog,
 )
 from briartack.core.events import (
     UpstreamAnswered,
@@ -64,11 +69,13 @@
         '_was_out_of_service',
         '_listed_cold_ms',
         '_crash_watch',
+        '_drain',
     )
 
-    def __init__(self, *, rules: CallRules) -> None:
+    def __init__(self, *, drain: DrainState, rules: CallRules) -> None:
         """Start with a cold upstream that has not been probed."""
-        self._upstream = LocalUpstream(rules=rules)
+        self._drain = drain
+        self._upstream = LocalUpstream(drain=drain, rules=rules)
         self._probe_path = ''
         self._was_out_of_service = False
         self._listed_cold_ms = 0
@@ -164,6 +171,7 @@
             now,
             record,
             self._upstream,
+            drain=self._drain,
             is_stopping=is_stopping,
         )
         if reason is not None:
@@ -214,14 +222,14 @@
         record = self._runner.remove(event.attempt_id)
         if record is None:
             return drop_late_answer(event.attempt_id)
-        limit_effects = self._update_stated_limit(event.stated_limit)
+        limit_effects = _update_stated_limit(self._upstream, event.stated_limit)
         limit_effects.extend(
             self._crash_watch.handle_answer(event.now, record.attempt)
         )
         effects, has_restarted = self._runner.handle_answer(event, record)
         effects.extend(limit_effects)
         if has_restarted:
-            effects.extend(_report_ramp_restart('answers'))
+            effects.extend(report_ramp_restart('answers'))
         return effects
 
     def handle_upstream_failure(self, event: UpstreamFailed) -> Effects:
@@ -231,12 +239,14 @@
             return drop_late_answer(event.attempt_id)
         limit_effects: Effects = []
         if event.stated_limit is not None:
-            limit_effects = self._update_stated_limit(event.stated_limit)
+            limit_effects = _update_stated_limit(
+                self._upstream, event.stated_limit
+            )
         self._crash_watch.handle_failure(event, record.attempt)
         effects, has_restarted = self._runner.handle_failure(event, record)
         effects.extend(limit_effects)
         if has_restarted:
-            effects.extend(_report_ramp_restart('reset'))
+            effects.extend(report_ramp_restart('reset'))
         if event.is_reset and event.may_have_run:
             # Evidence on a crash waits for the probe.
             effects.extend(
@@ -252,13 +262,30 @@
             event, upstream.health.identity, upstream.running
         )
         if upstream.handle_probe(event):
-            effects.extend(_report_ramp_restart('probe'))
+            effects.extend(report_ramp_restart('probe'))
         if before != (upstream.health.identity, upstream.is_open):
-            effects.append(_create_health_line(upstream, event))
+            effects.append(report_health(upstream, event))
         if event.stated_limit is not None:
-            effects.extend(self._update_stated_limit(event.stated_limit))
+            effects.extend(
+                _update_stated_limit(self._upstream, event.stated_limit)
+            )
         return effects
 
+    def begin_stop(self, now: float) -> Effects:
+        """Give back the attempts that wait and that the stop may abort.
+
+        Their senders can choose other owners.
+        """
+        return [
+            effect
+            for record in self._runner
+            if record.phase is not OwnedPhase.JOINED
+            and is_stop_too_near(self._drain, now, record, self._upstream)
+            for effect in self._runner.expire(
+                now, record, reasons.STOP_TOO_NEAR
+            )
+        ]
+
     def tick(self, context: CallContext, now: float) -> Effects:
         """Expire overdue attempts, apply new limits and request due probes."""
         effects = self._runner.tick(now)
@@ -292,17 +319,6 @@
             effects.extend(self._runner.abort(now, record))
         return effects
 
-    def _update_stated_limit(self, per_second: float | None) -> Effects:
-        if not self._upstream.update_stated_limit(per_second):
-            return []
-        fields = (
-            ('upstream', self._upstream.health.identity),
-            ('per_second', '' if per_second is None else f'{per_second:g}'),
-        )
-        return [
-            WriteLog(level=LogLevel.INFO, code='upstream-limit', fields=fields),
-        ]
-
     def _apply_configuration(self, context: CallContext, now: float) -> Effects:
         """Apply the service's configuration and request a probe if needed.
 
@@ -368,6 +384,7 @@
             now,
             record,
             self._upstream,
+            drain=self._drain,
             is_stopping=is_stopping,
         )
         if reason is None and self._crash_watch.is_refused(record.attempt, now):
@@ -397,28 +414,9 @@
     return [ProbeUpstream(path=path)]
 
 
-def _report_ramp_restart(cause: str) -> Effects:
-    return [
-        Count(name='ramps_restarted', attributes=(('cause', cause),)),
-        WriteLog(
-            level=LogLevel.WARNING,
-            code='ramp-restarted',
-            fields=(('cause', cause),),
-        ),
-    ]
-
-
-def _create_health_line(
-    upstream: LocalUpstream, event: UpstreamProbed
-) -> WriteLog:
-    cold_seconds = event.cold_seconds or 0
-    return WriteLog(
-        level=LogLevel.INFO,
-        code='upstream-health',
-        fields=(
-            ('upstream', upstream.health.identity),
-            ('open', str(upstream.is_open)),
-            ('cold_ms', f'{cold_seconds * MILLISECONDS_PER_SECOND:.0f}'),
-            ('running', str(upstream.running)),
-        ),
-    )
+def _update_stated_limit(
+    upstream: LocalUpstream, per_second: float | None
+) -> Effects:
+    if not upstream.update_stated_limit(per_second):
+        return []
+    return [report_stated_limit(upstream, per_second)]
--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -2,6 +2,7 @@
 
 from briartack.core.calls import placement, reasons
 from briartack.core.calls.call_context import CallContext, SnapshotView
+from briartack.core.calls.drain import DrainState
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import OwnedAttempt
 from briartack.core.calls.reasons import Reason
@@ -15,6 +16,7 @@
     record: OwnedAttempt,
     upstream: LocalUpstream,
     *,
+    drain: DrainState,
     is_stopping: bool,
 ) -> Reason | None:
     """Return why the attempt must be refused, or `None` if it may start."""
@@ -22,6 +24,8 @@
         return reasons.DEADLINE
     if is_stopping:
         return reasons.STOPPING
+    if is_stop_too_near(drain, now, record, upstream):
+        return reasons.STOP_TOO_NEAR
     snapshot = context.snapshot
     if snapshot is None:
         return reasons.NO_SNAPSHOT
@@ -30,6 +34,27 @@
     return _find_ineligibility(context, snapshot, record.attempt, upstream)
 
 
+def is_stop_too_near(
+    drain: DrainState,
+    now: float,
+    record: OwnedAttempt,
+    upstream: LocalUpstream,
+) -> bool:
+    """Return whether a planned stop may abort the run of a peer's attempt.
+
+    The run may last until the deadline of the attempt. Only if no other owner
+    can take the attempt is a run of average length expected. The call of a
+    local attempt ends with the same stop, so its sender decides.
+    """
+    if record.peer is None or record.deadline <= drain.deadline:
+        return False
+    attempt = record.attempt
+    # Only its owner may run a request with an idempotency key.
+    if attempt.is_last_resort or attempt.idempotency_key:
+        return now + upstream.mean_seconds > drain.deadline
+    return True
+
+
 def _find_ineligibility(
     context: CallContext,
     snapshot: SnapshotView,
--- a/briartack/core/calls/reasons.py
+++ b/briartack/core/calls/reasons.py
@@ -41,6 +41,10 @@
     code='stopping',
     status=UNAVAILABLE,
 )
+STOP_TOO_NEAR: Final = Reason(
+    code='stop-too-near',
+    status=UNAVAILABLE,
+)
 NO_ROUTE: Final = Reason(
     code='no-route',
     status=NOT_FOUND,
--- a/briartack/core/calls/retry.py
+++ b/briartack/core/calls/retry.py
@@ -104,12 +104,17 @@
     """Return whether a refusal costs neither an attempt nor a retry token.
 
     Refusals by owners are free if the platform's rules say so, because the
-    refused requests have not reached an upstream. Their number is bounded.
+    refused requests have not reached an upstream. One because of a planned stop
+    is always free: other owners have time. Their number is bounded.
     """
-    if rules.counts_refusals or verdict is not Verdict.NOT_RUN:
+    if verdict is not Verdict.NOT_RUN:
         return False
-    is_from_upstream = reason is reasons.UPSTREAM_REFUSED
     has_tries = call.free_refusals < MAX_FREE_REFUSALS
+    if reason is reasons.STOP_TOO_NEAR:
+        return has_tries
+    if rules.counts_refusals:
+        return False
+    is_from_upstream = reason is reasons.UPSTREAM_REFUSED
     return reason.is_retryable and has_tries and not is_from_upstream
 
 
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -9,10 +9,7 @@
 from briartack.core.body_ids import call_body_id
 from briartack.core.calls import reasons
 from briartack.core.calls.attempt_sender import AttemptSender
-from briartack.core.calls.call_checks import (
-    build_home_region_headers,
-    route_call,
-)
+from briartack.core.calls.call_checks import route_call
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.call_logs import (
     log_attempt_failed,
@@ -20,6 +17,7 @@
 )
 from briartack.core.calls.call_responses import CallResponder
 from briartack.core.calls.call_table import Call, CallPhase, CallTable
+from briartack.core.calls.drain import DrainState
 from briartack.core.calls.endpoint_choice import (
     ChosenEndpoint,
     EndpointChooser,
@@ -27,7 +25,6 @@
 )
 from briartack.core.calls.endpoints import EndpointsState
 from briartack.core.calls.owner import OwnerState
-from briartack.core.calls.placement import home_regions
 from briartack.core.calls.reasons import Reason
 from briartack.core.calls.retry import (
     RetryState,
@@ -85,6 +82,7 @@
         endpoints: EndpointsState,
         streams: StreamsState,
         owner: OwnerState,
+        drain: DrainState,
     ) -> None:
         self._table = CallTable()
         self._responder = CallResponder(table=self._table)
@@ -96,6 +94,7 @@
             routing=routing,
             endpoints=endpoints,
             upstream=owner.upstream,
+            drain=drain,
         )
         self._attempt_sender = AttemptSender(
             table=self._table,
@@ -192,7 +191,7 @@
         reason = reasons.REASONS_BY_CODE.get(
             answer.reason, reasons.UPSTREAM_FAILED
         )
-        self._attempt_sender.apply_refusal(peer, reason, now)
+        self._attempt_sender.apply_refusal(call, peer, reason, now)
         log_line = log_attempt_failed(
             call,
             peer,
@@ -200,7 +199,8 @@
             reason=answer.reason,
         )
         effects: Effects = [*drop_body_effects, log_line]
-        call.tried_instances = (*call.tried_instances, peer)
+        if reason is not reasons.STOP_TOO_NEAR or call.is_last_resort:
+            call.tried_instances = (*call.tried_instances, peer)
         effects.extend(
             self._handle_failure(context, now, call, answer.verdict, reason),
         )
@@ -349,44 +349,13 @@
         if isinstance(choice, ChosenEndpoint):
             return self._attempt_sender.send(context, now, call, choice)
         if isinstance(choice, SelectionFailure):
-            return self._refuse_unroutable(context, now, call, choice)
+            return self._responder.refuse_unroutable(context, now, call, choice)
         if call.phase is CallPhase.CONNECTING:
             return choice
         until = now + STREAM_WAIT_SECONDS
         self._table.begin_wait(call, CallPhase.CONNECTING, until)
         return choice
 
-    def _refuse_unroutable(
-        self,
-        context: CallContext,
-        now: float,
-        call: Call,
-        choice: SelectionFailure,
-    ) -> Effects:
-        """Refuse a call for which no endpoint can be chosen."""
-        if choice is SelectionFailure.KEY_OWNER_GONE:
-            return self._responder.refuse(
-                context, now, call, reasons.KEY_OWNER_GONE, Verdict.UNKNOWN
-            )
-        if choice is SelectionFailure.NO_ENDPOINT or context.snapshot is None:
-            reason = call.last_refusal or reasons.NO_ENDPOINT
-            return self._responder.refuse(
-                context, now, call, reason, Verdict.NOT_RUN
-            )
-        regions = home_regions(
-            context.snapshot,
-            call.route,
-            call.event.tenant,
-        )
-        return self._responder.refuse(
-            context,
-            now,
-            call,
-            reasons.PLACEMENT,
-            Verdict.NOT_RUN,
-            build_home_region_headers(regions),
-        )
-
     def _handle_failure(
         self,
         context: CallContext,
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -175,6 +175,9 @@
     rank: int = 0  # within the priority; 0 is served first
     target_ms: float | None = None  # time left to the latency target
     is_awaited_by_run: bool = False  # an upstream's run waits for this call
+    # No other owner can take the attempt. A stopping owner then starts it even
+    # if its time ends after that of the stop.
+    is_last_resort: bool = False
 
 
 @final
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -156,6 +156,10 @@
             'The daemon is stopping and accepts no new work.',
             'Retry the request at another daemon.',
         ),
+        'stop-too-near': ErrorText(
+            'The planned stop of the daemon may end before the request.',
+            'Retry the request at another daemon.',
+        ),
         'no-route': ErrorText(
             'No route matches the method and path.',
             'Check the path, or publish a route for it.',
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -284,6 +284,7 @@
             idempotency_key=step.get('key', ''),
             request_id=step.get('request', ''),
             rank=step.get('rank', 0),
+            is_last_resort=step.get('last_resort', False),
         )
         return self._handle_message(
             call_handlers.on_attempt, now, step, message
--- a/briartack/test/effect_lines.py
+++ b/briartack/test/effect_lines.py
@@ -1,6 +1,7 @@
 """Format effects of the call path as short lines for tables of test cases."""
 
 from briartack.core import effects
+from briartack.core.messages import Attempt
 
 
 def format_effect(effect: effects.Effect) -> str:  # noqa: WPS212, C901
@@ -26,7 +27,7 @@
                 f'{answer.verdict.value} {answer.reason or answer.status}'
             )
         case effects.SendAttempt():
-            return f'send {effect.peer} {effect.attempt.attempt_id}'
+            return f'send {effect.peer} {_format_attempt(effect.attempt)}'
         case effects.SendMessage():
             return f'{type(effect.message).__name__.lower()} {effect.peer}'
         case effects.Dispatch():
@@ -44,3 +45,8 @@
         case effects.Count():
             return f'count {effect.name}'
     return ''
+
+
+def _format_attempt(attempt: Attempt) -> str:
+    mark = ' last-resort' if attempt.is_last_resort else ''
+    return f'{attempt.attempt_id}{mark}'
--- /dev/null
+++ b/briartack/test/test_both_ends_of_a_stop.py
@@ -0,0 +1,216 @@
+"""Test planned stops that overlap at both ends of an attempt.
+
+The daemon of the caller and the owner of the upstream stop at about the same
+time. An owner that begins a run in its stop aborts it at the end of the stop,
+although the run's time allows more, and what may run once is not sent again.
+"""
+
+import unittest
+from functools import partial
+from random import Random
+from typing import Any, Final
+
+from nose2.tools import params
+
+from briartack.core.calls.call_rules import CallRules
+from briartack.core.calls.calls_state import CallsState
+from briartack.test.call_fleet import DRAIN_SECONDS, CallFleet
+from briartack.test.call_path_bench import CallPathBench
+
+RULES: Final[dict[str, Any]] = {'linger_seconds': 2.2, 'counts_refusals': False}
+STOP_AT: Final = 2.0
+STOP: Final = {'at': STOP_AT, 'do': 'stop'}
+ATTEMPT: Final = {'do': 'attempt', 'attempt': 'x', 'peer': 'b'}
+GIVEN_BACK: Final = ['reply b x not-run stop-too-near', 'drop attempt:x']
+START_SECONDS: Final = 100.0
+MAX_RUN_MS: Final = 4700
+TOLERANCE_SECONDS: Final = 0.15
+
+
+def make_bench(members: str = 'abc', **setup: Any) -> CallPathBench:
+    """Make a bench with linger time whose peers are connected."""
+    bench = CallPathBench(
+        setup={'members': members, 'rules': RULES, **setup},
+        state=CallsState(drain_seconds=5, rules=CallRules(**RULES)),
+    )
+    for peer in members.replace('a', ''):
+        bench.apply_step({'at': 1, 'do': 'connect', 'peer': peer})
+    return bench
+
+
+class StoppingOwnerTest(unittest.TestCase):
+    # Guards against an owner that begins a run in its stop, at 2 to 7 s, whose
+    # time ends after the stop, though other owners could run the request.
+    @params(
+        (2.5, {'remaining_ms': 4400}, ['dispatch x']),
+        (2.5, {'remaining_ms': 4600}, GIVEN_BACK),
+        (2.5, {'remaining_ms': 4600, 'bytes': 99_999}, GIVEN_BACK),
+        (2.5, {'remaining_ms': 4600, 'last_resort': True}, ['dispatch x']),
+        (2.5, {'remaining_ms': 4600, 'key': 'k'}, ['dispatch x']),
+        (1.9, {'remaining_ms': 9000}, ['dispatch x']),
+    )
+    def test_new_attempt_of_a_peer(
+        self, at: float, attempt: dict[str, Any], expected: list[str]
+    ) -> None:
+        bench = make_bench()
+        if at > STOP_AT:
+            bench.apply_step(STOP)
+        produced = bench.apply_step({**ATTEMPT, 'at': at, **attempt})
+        self.assertEqual(produced, expected)
+
+    # Guards against a last resort that is begun although a run of average
+    # length would be aborted.
+    @params((4.4, ['dispatch x']), (4.7, GIVEN_BACK))
+    def test_last_resort_must_end_in_time(
+        self, at: float, expected: list[str]
+    ) -> None:
+        bench = make_bench()
+        run = {'do': 'attempt', 'attempt': 'y', 'peer': 'b'}
+        bench.apply_step({**run, 'at': 1})
+        bench.apply_step(
+            {'at': 1.9, 'do': 'upstream', 'attempt': 'y', 'elapsed': 2.5}
+        )
+        bench.apply_step(STOP)
+        attempt = {**ATTEMPT, 'remaining_ms': 4600, 'last_resort': True}
+        bench.state.drain.advance(2)
+        self.assertEqual(bench.apply_step({**attempt, 'at': at}), expected)
+
+    # Guards against attempts that wait at the signal, for a slot or for their
+    # body, and are begun in the stop though others could run them.
+    @params(
+        ({'remaining_ms': 5900}, []),
+        ({'remaining_ms': 6100}, GIVEN_BACK),
+        ({'remaining_ms': 6100, 'key': 'k'}, []),
+        ({'remaining_ms': 6100, 'bytes': 99_999}, GIVEN_BACK),
+        ({'remaining_ms': 5900, 'bytes': 99_999}, []),
+    )
+    def test_attempt_that_waits_at_the_signal(
+        self, attempt: dict[str, Any], expected: list[str]
+    ) -> None:
+        bench = make_bench(limits={'slots': 1})
+        bench.apply_step(
+            {'at': 1, 'do': 'attempt', 'attempt': 'first', 'peer': 'c'}
+        )
+        waiting = bench.apply_step({**ATTEMPT, 'at': 1, **attempt})
+        self.assertEqual(waiting, [])
+        self.assertEqual(bench.apply_step(STOP), expected)
+
+
+class SenderOfRefusedAttemptTest(unittest.TestCase):
+    # Guards against a refusal by a stopping owner that costs an attempt or a
+    # retry token, waits, or is repeated at the same owner.
+    @params(RULES, {**RULES, 'counts_refusals': True})
+    def test_call_goes_to_another_owner_at_once(
+        self, rules: dict[str, Any]
+    ) -> None:
+        bench = make_bench('bc', rules=rules, policy={'max_attempts': 1})
+        first = self.arrive(bench, 'p')
+        peer = first.split()[1]
+        other = 'c' if peer == 'b' else 'b'
+        self.assertEqual(
+            self.refuse(bench, peer, 'a.i1.1'), [f'send {other} a.i1.2']
+        )
+        # As long a call spares the owner; a short one doesn't.
+        for number in range(3, 9):
+            self.assertEqual(
+                self.arrive(bench, f'p{number}'), f'send {other} a.i1.{number}'
+            )
+        chosen = {
+            self.arrive(bench, f's{short}', deadline_ms=500).split()[1]
+            for short in range(20)
+        }
+        self.assertIn(peer, chosen)
+
+    # Guards against calls that are refused though the stopping owner is the
+    # only one and could run them, and against a refusal that is repeated.
+    def test_only_owner_is_the_last_resort(self) -> None:
+        bench = make_bench('b')
+        self.assertEqual(self.arrive(bench, 'p'), 'send b a.i1.1')
+        self.assertEqual(
+            self.refuse(bench, 'b', 'a.i1.1'), ['send b a.i1.2 last-resort']
+        )
+        self.assertEqual(
+            self.refuse(bench, 'b', 'a.i1.2'),
+            ['answer p not-run 503 stop-too-near', 'drop call:p'],
+        )
+        self.assertEqual(self.arrive(bench, 'q'), 'send b a.i1.3 last-resort')
+
+    # Guards against a call that is begun late in the stop of its own daemon
+    # and whose run would be cut, and one that is refused though it has time.
+    @params((6.4, 0.5, True), (6.6, 0.5, False), (6.6, None, True))
+    def test_upload_that_is_complete_late_in_the_stop(
+        self, at: float, run_seconds: float | None, is_begun: bool
+    ) -> None:
+        bench = make_bench('a', policy={'timeout_ms': 9000})
+        if run_seconds is not None:
+            bench.apply_step({**ATTEMPT, 'at': 5})
+            ended = {'do': 'upstream', 'attempt': 'x', 'elapsed': run_seconds}
+            bench.apply_step({**ended, 'at': 5.5})
+        bench.apply_step({'at': 1.5, 'do': 'arrive', 'call': 'p', 'bytes': 9})
+        bench.apply_step(STOP)
+        produced = bench.apply_step({'at': at, 'do': 'body', 'call': 'p'})
+        begun = ['dispatch a.i1.1']
+        refused = ['answer p not-run 503 stop-too-near', 'drop call:p']
+        self.assertEqual(produced, begun if is_begun else refused)
+
+    def arrive(self, bench: CallPathBench, call: str, **step: Any) -> str:
+        """Deliver a call and return its only effect."""
+        lines = bench.apply_step(
+            {'at': 1, 'do': 'arrive', 'call': call, **step}
+        )
+        self.assertEqual(len(lines), 1)
+        return lines[0]
+
+    def refuse(
+        self, bench: CallPathBench, peer: str, attempt: str
+    ) -> list[str]:
+        """Refuse an attempt because of the stop of its owner."""
+        refusal = {'do': 'answer', 'peer': peer, 'attempt': attempt}
+        verdict = {'verdict': 'not-run', 'reason': 'stop-too-near'}
+        return bench.apply_step({'at': 1, **refusal, **verdict})
+
+
+class OverlappingStopsTest(unittest.TestCase):
+    # Guards against a run that an owner begins in its stop and aborts at the
+    # end of the stop, though three of five owners do not stop.
+    @params(*range(8))
+    def test_no_run_is_begun_and_cut_by_its_owner(self, seed: int) -> None:
+        fleet = CallFleet(names='abcde', timeout_ms=9000, seed=seed)
+        random = Random(seed)
+        stopping = random.sample(fleet.names, 2)
+        for name in stopping:
+            stops_at = START_SECONDS + random.uniform(3, 5.5)
+            fleet.schedule(stops_at, partial(fleet.stop, name))
+        for number in range(40):
+            fleet.schedule(
+                START_SECONDS + random.uniform(0, 7.5),
+                partial(
+                    fleet.call,
+                    random.choice(fleet.names),
+                    f'c{number}',
+                    random.randint(100, MAX_RUN_MS),
+                ),
+            )
+        fleet.run_until(START_SECONDS + 30)
+        self.assertEqual(list_cut_runs(fleet), [])
+        self.assertEqual(
+            [len(runs) for runs in fleet.calls.values() if len(runs) > 1], []
+        )
+        self.assertEqual(len(fleet.answers), 40)
+        self.assertGreaterEqual(len(fleet.calls), 25)
+
+
+def list_cut_runs(fleet: CallFleet) -> list[str]:
+    """List the runs for peers that owners began in their stop and aborted."""
+    return [
+        f'{call_id} at {run.owner}'
+        for call_id, runs in fleet.calls.items()
+        for run in runs
+        if run.is_aborted
+        and run.owner != fleet.callers[call_id]
+        and run.started_at >= fleet.daemons[run.owner].stopped_at
+        and run.ended_at
+        >= fleet.daemons[run.owner].stopped_at
+        + DRAIN_SECONDS
+        - TOLERANCE_SECONDS
+    ]
--- a/briartack/test/test_stated_limit.py
+++ b/briartack/test/test_stated_limit.py
@@ -14,6 +14,7 @@
 
 from briartack.core.calls.admission import SlotRequest
 from briartack.core.calls.call_rules import CallRules
+from briartack.core.calls.drain import DrainState
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owner import OwnerState
 from briartack.core.calls.stated_limiter import StatedLimiter
@@ -52,7 +53,7 @@
 def make_upstream(overage: float = 1) -> LocalUpstream:
     """Make a probed upstream with 12 slots that has a rate for cold starts."""
     rules = CallRules(requires_identity=True, stated_limit_overage=overage)
-    upstream = LocalUpstream(rules=rules)
+    upstream = LocalUpstream(drain=DrainState(drain_seconds=5), rules=rules)
     upstream.configure(
         ServiceLimits(
             slots=12, connections=120, queue_length=48, cold_per_second=18
@@ -177,7 +178,7 @@
             '200 OK', 'X-Instance-Id: i-1\r\nServer-Limit: 2\r\n'
         )
         probed = PlatformUpstreamDialect().decode_probe(0, answer)
-        owner = OwnerState(rules=CallRules())
+        owner = OwnerState(drain=DrainState(drain_seconds=5), rules=CallRules())
         owner.handle_upstream_probe(probed)
         self.assertGreaterEqual(owner.upstream.load(0), 1)
         # A probe without a limit does not end it; only answers do.
