--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -253,9 +253,8 @@
             raise
         pipeline.flush()
         self._record_activity(pipeline)
-        self._observer.observe(
-            'call.seconds', pipeline.last_active_at - call.arrived_at
-        )
+        seconds = pipeline.last_active_at - call.arrived_at
+        self._observer.observe('call.seconds', seconds)
 
     def _record_activity(self, connection: Pipeline) -> None:
         connection.last_active_at = self._clock()
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -16,6 +16,7 @@
 from briartack.core.calls.call_logs import REQUEST_LOG_CODES
 from briartack.core.identity import Identity
 from briartack.error_texts import (
+    DELIVERING,
     LISTENING,
     RELOAD_FAILED,
     RELOADED,
@@ -299,14 +300,19 @@
     def stop(self) -> None:
         """Close all servers and streams once the last bytes have arrived."""
         self._peers.end_all_streams()
-        self._flush_last_bytes()
+        unfinished = self._flush_last_bytes()
         for server in self._servers:
             server.stop(timeout=0)
         gevent.killall(self._background)
         self._loop.close()
-        write_log(effects.LogLevel.INFO, STOPPED, {})
+        write_log(
+            effects.LogLevel.INFO,
+            STOPPED,
+            {'unfinished_callers': str(unfinished)},
+        )
 
-    def _flush_last_bytes(self) -> None:
+    def _flush_last_bytes(self) -> int:
+        """Return how many callers have yet to get bytes after the wait."""
         # The limit counts from the end of the drain time, however late the
         # last call has ended, since the grace time ends soon after it.
         drained_by = self._drained_by
@@ -315,7 +321,15 @@
         flush = ExitFlush(
             callers=self._callers, peers=self._peers, clock=boot_clock
         )
-        flush.wait(drained_by + self._exit_flush_seconds)
+        until = drained_by + self._exit_flush_seconds
+        fields = {
+            'callers': str(len(self._callers.unsent_connections)),
+            'peer_bytes': str(self._peers.unsent_bytes),
+            'most_seconds': f'{until - boot_clock():.1f}',
+        }
+        write_log(effects.LogLevel.INFO, DELIVERING, fields)
+        flush.wait(until)
+        return len(self._callers.unsent_connections)
 
     def _run_maintenance(self) -> None:
         while True:
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -36,6 +36,7 @@
 UNKNOWN_PATH: Final = 'unknown-path'
 LISTENING: Final = 'listening'
 STOPPED: Final = 'stopped'
+DELIVERING: Final = 'delivering'
 STOP_REPEATED: Final = 'stop-repeated'
 LINES_LOST: Final = 'lines-lost'
 ITEM_REFUSED: Final = 'item-refused'
@@ -113,6 +114,9 @@
         ),
         LISTENING: ErrorText('The daemon accepts connections.', ''),
         STOPPED: ErrorText('The daemon has stopped.', ''),
+        DELIVERING: ErrorText(
+            'All requests have ended; the last bytes are being delivered.', ''
+        ),
         STOP_REPEATED: ErrorText(
             'A planned stop was asked for again; the one under way goes on.',
             'To end the daemon at once, send SIGINT or SIGKILL.',
--- a/briartack/test/test_large_answer_at_stop.py
+++ b/briartack/test/test_large_answer_at_stop.py
@@ -1,5 +1,6 @@
 """Test the delivery of large answers during a planned stop, with processes."""
 
+import json
 import signal
 import tempfile
 import time
@@ -47,6 +48,7 @@
         self.assertTrue(received.endswith(BODY), f'{len(received)} bytes')
         left = began_at + GRACE_SECONDS - time.monotonic()
         self.assertEqual(machine.daemon.wait(left), 0)
+        self.assert_lines(machine, {'delivering': '1', 'stopped': '0'})
 
     # Guards against a caller that reads nothing and stretches each planned stop
     # to its time limit.
@@ -59,6 +61,20 @@
             caller.shutdown(socket.SHUT_WR)
         machine.daemon.send_signal(signal.SIGTERM)
         self.assertEqual(machine.daemon.wait(STALLED_STOP_SECONDS), 0)
+        self.assert_lines(machine, {'delivering': '1', 'stopped': '1'})
+
+    def assert_lines(self, machine: Machine, callers: dict[str, str]) -> None:
+        """Check what the log says of callers that have yet to get bytes.
+
+        Without it, a stop that cuts an answer looks like any other.
+        """
+        lines = map(json.loads, machine.daemon.stdout.read_text().splitlines())
+        found = {line.get('code'): line.get('fields') for line in lines}
+        logged = {
+            'delivering': found['delivering']['callers'],
+            'stopped': found['stopped']['unfinished_callers'],
+        }
+        self.assertEqual(logged, callers)
 
     def take_answer(self, service: str) -> tuple[Machine, Any, bytes]:
         """Return a machine, and a caller with the start of a large answer."""
