--- a/briartack/logs.py
+++ b/briartack/logs.py
@@ -22,6 +22,8 @@
 # One cause may raise an exception for each request.
 EXCEPTION_LINES_PER_SECOND: Final = 1.0
 EXCEPTION_LINES_BURST: Final = 20
+# Failures above the limit that are named without a traceback.
+MAX_NAMED_FAILURES: Final = 50
 _LEFT_OUT_COUNTER: Final = 'lines_left_out'
 # Attributes that log calls add to a record, in the order of the JSON line.
 _EXTRA_ATTRIBUTES: Final = ('code', 'fields')
@@ -106,23 +108,43 @@
             burst=EXCEPTION_LINES_BURST,
         )
         self._left_out_lines = 0
+        self._named: set[str] = set()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Pass the line of a record to the sink.
 
-        The next traceback names the number of those that were left out.
+        Above the limit of tracebacks, a line without one names each failure
+        that differs from those named since the last traceback. The next
+        traceback names the number of lines that were left out.
         """
-        if record.exc_info:
-            if not self._bucket.take():
-                self._left_out_lines += 1
-                return
-            if self._left_out_lines:
-                fields = getattr(record, 'fields', {})
-                left_out = str(self._left_out_lines)
-                record.fields = {**fields, 'left_out': left_out}
-                self._left_out_lines = 0
+        if record.exc_info and not self._may_write(record):
+            self._left_out_lines += 1
+            return
         self._sink.write(f'{self.format(record)}\n')
 
+    def _may_write(self, record: logging.LogRecord) -> bool:
+        """Return whether to write a failure; drop tracebacks over the limit."""
+        code = getattr(record, 'code', '')
+        fields = getattr(record, 'fields', {})
+        failure = f'{code} {fields}'
+        if self._bucket.take():
+            self._named = {failure}
+            self._add_left_out(record, fields)
+            return True
+        if failure in self._named or len(self._named) >= MAX_NAMED_FAILURES:
+            return False
+        self._named.add(failure)
+        record.exc_info = None
+        return True
+
+    def _add_left_out(
+        self, record: logging.LogRecord, fields: dict[str, str]
+    ) -> None:
+        if self._left_out_lines:
+            left_out = str(self._left_out_lines)
+            record.fields = {**fields, 'left_out': left_out}
+            self._left_out_lines = 0
+
 
 def configure_logging(
     *, level: str, identity: Identity, stream: LineSink
--- a/briartack/test/test_logs.py
+++ b/briartack/test/test_logs.py
@@ -15,6 +15,7 @@
 from briartack.greenlets import install_error_handler
 from briartack.logs import (
     EXCEPTION_LINES_BURST,
+    MAX_NAMED_FAILURES,
     AuditTrail,
     configure_logging,
     write_exception,
@@ -91,6 +92,36 @@
             {'effect': 'Exit', 'left_out': left_out},
         )
 
+    # Guards against a failed effect that no line names, because others failed
+    # often enough to use up the limit of tracebacks.
+    def test_failures_above_the_limit_are_named_without_traceback(
+        self,
+    ) -> None:
+        clock = mock.Mock(return_value=0.0)
+        failures = ['Dispatch' for _ in range(30)]
+        failures.extend(('Exit', 'Dispatch', 'Exit'))
+        failures.extend(f'effect-{number}' for number in range(200))
+        with mock.patch('time.monotonic', clock):
+            configure_logging(
+                level='info',
+                identity=make_identity('saldo-1'),
+                stream=self.stream,
+            )
+            for effect in failures:
+                write_exception(
+                    'effect-failed', {'effect': effect}, ValueError()
+                )
+        lines = self.lines()
+        traces = ['exc_info' in line for line in lines]
+        self.assertEqual(sum(traces), EXCEPTION_LINES_BURST)
+        self.assertTrue(all(traces[:EXCEPTION_LINES_BURST]))
+        self.assertEqual(
+            len(lines), EXCEPTION_LINES_BURST + MAX_NAMED_FAILURES - 1
+        )
+        self.assertEqual(
+            lines[EXCEPTION_LINES_BURST]['fields'], {'effect': 'Exit'}
+        )
+
     def test_log_record_is_one_line_of_json(self) -> None:
         """Guard against a record of several lines or one that isn't JSON.
 
