--- a/benchmarks/baseline_daemon.py
+++ b/benchmarks/baseline_daemon.py
@@ -8,9 +8,10 @@
 
 from typing import Final
 
-from briartack.core.dissemination.rate_limits import Backoff, TokenBucket
+from briartack.core.dissemination.backoff import Backoff
 from briartack.core.dissemination.store_reads import StoreReadsState
 from briartack.core.dissemination.tree_position import TreePosition
+from briartack.core.token_bucket import TokenBucket
 from briartack.main import main
 
 RETRY_DELAY_SECONDS: Final = 0.5
--- a/briartack/core/dissemination/store_reads.py
+++ b/briartack/core/dissemination/store_reads.py
@@ -8,12 +8,8 @@
 from random import Random
 from typing import Final, final
 
+from briartack.core.dissemination.backoff import MAX_BACKOFF_SECONDS, Backoff
 from briartack.core.dissemination.holdings import Holdings
-from briartack.core.dissemination.rate_limits import (
-    MAX_BACKOFF_SECONDS,
-    Backoff,
-    TokenBucket,
-)
 from briartack.core.dissemination.store_eras import StoreAnswer, StoreEras
 from briartack.core.dissemination.store_outages import StoreOutages
 from briartack.core.dissemination.store_reachability import StoreReachability
@@ -42,6 +38,7 @@
     StoreRead,
     StoreWatched,
 )
+from briartack.core.token_bucket import TokenBucket
 from briartack.core.units import (
     NO_REVISION,
     Revision,
--- a/briartack/logs.py
+++ b/briartack/logs.py
@@ -10,6 +10,7 @@
 from briartack.core.audit_trail import AuditRecord
 from briartack.core.effects import LogLevel
 from briartack.core.identity import Identity
+from briartack.core.token_bucket import TokenBucket
 from briartack.error_texts import LINES_LEFT_OUT, get_error_text
 from briartack.line_writer import LineSink
 from briartack.shell_interfaces import Clock, Observer
@@ -69,32 +70,6 @@
         return self._encoder.encode(line).decode()
 
 
-@final
-class _TokenBucket:
-    """Limit the rate of lines."""
-
-    __slots__ = ('_clock', '_per_second', '_burst', '_tokens', '_refilled_at')
-
-    def __init__(self, clock: Clock, *, per_second: float, burst: int) -> None:
-        """Start with a full bucket."""
-        self._clock = clock
-        self._per_second = per_second
-        self._burst = burst
-        self._tokens = float(burst)
-        self._refilled_at = clock()
-
-    def take(self) -> bool:
-        """Take a token; return False if there is none."""
-        now = self._clock()
-        gained = (now - self._refilled_at) * self._per_second
-        self._tokens = min(self._burst, self._tokens + gained)
-        self._refilled_at = now
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
-
 @final
 class _Handler(logging.Handler):
     """Pass each log line to a line sink; limit the rate of tracebacks."""
@@ -102,9 +77,9 @@
     def __init__(self, sink: LineSink) -> None:
         super().__init__()
         self._sink = sink
-        self._bucket = _TokenBucket(
-            time.monotonic,
-            per_second=EXCEPTION_LINES_PER_SECOND,
+        self._clock = time.monotonic
+        self._bucket = TokenBucket(
+            rate_per_second=EXCEPTION_LINES_PER_SECOND,
             burst=EXCEPTION_LINES_BURST,
         )
         self._left_out_lines = 0
@@ -127,7 +102,7 @@
         code = getattr(record, 'code', '')
         fields = getattr(record, 'fields', {})
         failure = f'{code} {fields}'
-        if self._bucket.take():
+        if self._bucket.take(self._clock()):
             self._named = {failure}
             self._add_left_out(record, fields)
             return True
@@ -193,20 +168,20 @@
     Lines over the limit are left out and counted.
     """
 
-    __slots__ = ('_bucket', '_left_out_lines')
+    __slots__ = ('_clock', '_bucket', '_left_out_lines')
 
     def __init__(self, clock: Clock) -> None:
         """Start with a full bucket."""
-        self._bucket = _TokenBucket(
-            clock,
-            per_second=REQUEST_LINES_PER_SECOND,
+        self._clock = clock
+        self._bucket = TokenBucket(
+            rate_per_second=REQUEST_LINES_PER_SECOND,
             burst=REQUEST_LINES_BURST,
         )
         self._left_out_lines = 0
 
     def write(self, level: LogLevel, code: str, fields: dict[str, str]) -> None:
         """Write a line, or count the line as left out if over the limit."""
-        if self._bucket.take():
+        if self._bucket.take(self._clock()):
             write_log(level, code, fields)
         else:
             self._left_out_lines += 1
--- a/briartack/test/mutants.py
+++ b/briartack/test/mutants.py
@@ -381,7 +381,7 @@
         invariant='I12',
         trace='mass_restart',
         caught_by='ReadStore',
-        patches={'rate_limits.TokenBucket.take': make_stub(True)},
+        patches={'store_reads.TokenBucket.take': make_stub(True)},
     ),
     Mutant(
         guard='a daemon without a snapshot pulls it from a peer',
