--- a/briartack/options.py
+++ b/briartack/options.py
@@ -241,6 +241,13 @@
     return seconds
 
 
+def _parse_interval(text: str) -> float:
+    seconds = _parse_seconds(text)
+    if not seconds:
+        raise ValueError(f'{text!r} is not above 0')
+    return seconds
+
+
 def _parse_log_level(text: str) -> str:
     if text not in _LOG_LEVELS:
         raise ValueError(f'{text!r} is not a log level')
@@ -344,8 +351,8 @@
     ),
     _Setting(
         name='probe_seconds',
-        parse=_parse_seconds,
-        fix=f'Give seconds from 0 to {_MAX_SECONDS}.',
+        parse=_parse_interval,
+        fix=f'Give seconds above 0 and up to {_MAX_SECONDS}.',
         default='1',
     ),
     _Setting(
--- a/briartack/test/test_options.py
+++ b/briartack/test/test_options.py
@@ -82,6 +82,8 @@
         ('--store-address', '127.0.0.1:8_0'),
         ('--drain-seconds', '-1'),
         ('--drain-seconds', 'inf'),
+        ('--probe-seconds', '0'),
+        ('--probe-seconds', '-1'),
         ('--record', '/no/such/directory/trace'),
         ('--record', '/'),
         ('--caller-address', '127.0.0.1:7001'),
