--- a/briartack/replay.py
+++ b/briartack/replay.py
@@ -7,7 +7,7 @@
 failure that the trace guards against.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 from random import Random
 from typing import Final, final
@@ -245,7 +245,7 @@
     """Return the value at a dotted path of an effect, or None if absent."""
     for name in path.split('.'):
         if isinstance(value, list | tuple):
-            value = value[int(name)]
+            value = _get_item(value, name)
         elif isinstance(value, dict):
             value = value.get(name)
         else:
@@ -253,6 +253,12 @@
     return value
 
 
+def _get_item(items: Sequence[object], index: str) -> object:
+    """Return the item at an index of a path, or None if there is none."""
+    is_present = index.isdecimal() and int(index) < len(items)
+    return items[int(index)] if is_present else None
+
+
 def _substitute_bindings(
     line: TraceLine, bindings: dict[str, str]
 ) -> TraceLine:
