--- a/briartack/held.py
+++ b/briartack/held.py
@@ -8,6 +8,7 @@
 import bisect
 from collections.abc import Iterable, Iterator
 from datetime import datetime
+from itertools import takewhile
 from typing import Final, final
 
 import msgspec
@@ -146,7 +147,10 @@
         )
     last = statements[-1]
     content = stated_lines.get(last.digest)
-    first = next(line for line in statements if line.digest == last.digest)
+    # The digest may have been in force before another one, too.
+    latest = list(
+        takewhile(lambda line: line.digest == last.digest, reversed(statements))
+    )
     return Held(
         instance=instance,
         incarnation=incarnation,
@@ -155,7 +159,7 @@
         highest=last.highest,
         versions=None if content is None else content.versions,
         stated=None if content is None else content.stated,
-        since=first.time,
+        since=latest[-1].time,
     )
 
 
