--- a/briartack/operator_client.py
+++ b/briartack/operator_client.py
@@ -1,5 +1,6 @@
 """Read JSON from the operator port of a daemon, for the command line."""
 
+from http import HTTPStatus
 from typing import Any, Final, final
 from urllib.parse import urlsplit
 
@@ -20,30 +21,38 @@
 def fetch(address: str, path: str) -> dict[str, Any]:
     """Return the JSON object that a daemon serves under a path.
 
-    Raises OperatorError.
+    Raises OperatorError, also for an answer that is no success.
     """
     try:
-        return _decode_object(_get_body(address, path))
+        status, body = _request(address, path)
+        answer = _decode_object(body)
     except (OSError, ValueError) as error:
         raise OperatorError(
             f'{address}: {error}; give the operator address as IP:PORT',
         ) from error
+    if status != HTTPStatus.OK:
+        raise OperatorError(f'{address}: status {status} for {path}: {answer}')
+    return answer
 
 
 def post(address: str, path: str) -> dict[str, Any]:
-    """Send a command to a daemon, and return its answer.
+    """Send a command to a daemon; return its answer, which may be a refusal.
 
     Raises OperatorError.
     """
     try:
-        return _decode_object(_get_body(address, path, method='POST'))
+        _, body = _request(address, path, method='POST')
+        return _decode_object(body)
     except (OSError, ValueError) as error:
         raise OperatorError(
             f'{address}: {error}; give the operator address as IP:PORT',
         ) from error
 
 
-def _get_body(address: str, path: str, *, method: str = 'GET') -> bytes:
+def _request(
+    address: str, path: str, *, method: str = 'GET'
+) -> tuple[int, bytes]:
+    """Return the status and the body of an answer."""
     parts = urlsplit(f'//{address}')
     client = HTTPClient(
         parts.hostname or address,
@@ -52,7 +61,8 @@
         network_timeout=_TIMEOUT_SECONDS,
     )
     try:
-        return bytes(client.request(method, path).read())
+        response = client.request(method, path)
+        return int(response.status_code), bytes(response.read())
     finally:
         client.close()
 
--- a/briartack/test/test_outside_input.py
+++ b/briartack/test/test_outside_input.py
@@ -286,6 +286,18 @@
         with self.assertRaises(OperatorError):
             fetch(f'{host}:{port}', '/status')
 
+    # Guards against a refusal that is printed as the status of a daemon.
+    def test_refusal_of_the_operator_port_is_reported(self) -> None:
+        body = b'{"error": "unknown-path"}'
+        server = ScriptedServer(
+            STORE_HEAD % (b'404 Not Found', b'', len(body), body),
+            waits_for_client=True,
+        )
+        self.addCleanup(server.stop)
+        host, port = server.address
+        with self.assertRaisesRegex(OperatorError, 'status 404'):
+            fetch(f'{host}:{port}', '/status')
+
     # Guards against a frame of a peer whose error text cannot be formed.
     @params(b'\x91' * 1000, b'\x91' * 1020, b'\x91' * 5000)
     def test_nested_frame_is_malformed(self, opening: bytes) -> None:
