--- a/briartack/core/calls/crash_detection.py
+++ b/briartack/core/calls/crash_detection.py
@@ -50,13 +50,17 @@
         """Return the id of the latest end of the upstream."""
         return self._end_id
 
-    def record_completion(self, now: float, attempt: Attempt) -> None:
-        """Record that the upstream answered a request."""
+    def record_completion(self, now: float, attempt: Attempt) -> Fingerprint:
+        """Record that the upstream answered a request.
+
+        Return the fingerprint of the request.
+        """
         fingerprint = compute_attempt_fingerprint(attempt)
         self._completions.pop(fingerprint, None)
         self._completions[fingerprint] = now
         if len(self._completions) > MAX_COMPLETIONS:
             self._completions.pop(next(iter(self._completions)))
+        return fingerprint
 
     def has_completed(self, fingerprint: Fingerprint, ended_at: float) -> bool:
         """Return whether a request completed shortly before an end or since."""
--- a/briartack/core/calls/crash_watch.py
+++ b/briartack/core/calls/crash_watch.py
@@ -39,12 +39,10 @@
 
     def handle_answer(self, now: float, attempt: Attempt) -> Effects:
         """Record that a request completed, which clears it."""
-        self._detector.record_completion(now, attempt)
+        fingerprint = self._detector.record_completion(now, attempt)
         if not self._suspects:
             return []
-        return self._suspects.clear(
-            compute_attempt_fingerprint(attempt), 'completed'
-        )
+        return self._suspects.clear(fingerprint, 'completed')
 
     def handle_failure(self, event: UpstreamFailed, attempt: Attempt) -> None:
         """Record that a running request ended by a reset."""
