--- a/briartack/test/test_leaving_upstream.py
+++ b/briartack/test/test_leaving_upstream.py
@@ -6,7 +6,6 @@
 
 import json
 import unittest
-from random import Random
 from typing import Final
 
 import msgspec
@@ -14,22 +13,20 @@
 
 from briartack.core import events, messages
 from briartack.core.calls import reasons
-from briartack.core.calls.call_rules import CallRules
 from briartack.core.dissemination.leaving_upstreams import UpstreamStart
 from briartack.core.dissemination.membership import MembershipState
 from briartack.core.effects import Effects, SendAnswer, SendMessage
 from briartack.core.entries import Entry
-from briartack.core.identity import Identity
 from briartack.core.reducer import reduce
 from briartack.core.state import State
 from briartack.core.units import (
     AttemptId,
     Digest,
     Incarnation,
-    InstanceId,
     Revision,
 )
 from briartack.platform.upstream import PlatformUpstreamDialect
+from briartack.test.daemon_pair import OWN, PEER, connect_peer, make_state
 from briartack.test.test_platform_calls import (
     DISPATCH,
     SEALED_HEADERS,
@@ -37,8 +34,6 @@
 )
 
 SUBTREE: Final = json.dumps({'services': {'s': {'slots': 4, 'connections': 9}}})
-OWN: Final = InstanceId('a')
-PEER: Final = InstanceId('b')
 FIRST_START_MS: Final = 1000
 LATER_START_MS: Final = 9000
 
@@ -68,18 +63,7 @@
 
 def make_daemon() -> State:
     """Make the state of daemon `a`, which has a stream to daemon `b`."""
-    state = State(
-        identity=Identity(
-            instance=OWN,
-            incarnation=Incarnation('a1'),
-            service='a/s',
-            data_centre='d',
-            region='r',
-        ),
-        random=Random(1),
-        drain_seconds=1,
-        rules=CallRules(requires_identity=True),
-    )
+    state = make_state(drain_seconds=1)
     entries = (
         Entry(key='teams/a', revision=Revision(1), value=SUBTREE),
         make_record(OWN, 2),
@@ -101,24 +85,10 @@
             reported_load=None,
         ),
     )
-    connect(state)
+    connect_peer(state, 1)
     return state
 
 
-def connect(state: State) -> None:
-    """Let daemon `b` open a stream."""
-    hello = messages.Hello(
-        protocol_version=messages.PROTOCOL_VERSION,
-        instance=PEER,
-        incarnation=Incarnation('b1'),
-        service='a/s',
-        data_centre='d',
-        region='r',
-        clock=1,
-    )
-    reduce(state, events.PeerConnected(now=1, peer=PEER, hello=hello))
-
-
 def answer(state: State, leaving_identity: str) -> Effects:
     """Let the upstream answer a request."""
     return reduce(
@@ -204,7 +174,7 @@
         )
         lost = events.PeerDisconnected(now=1.2, peer=PEER, reason='lost')
         reduce(state, lost)
-        connect(state)
+        connect_peer(state, 1)
         self.assertTrue(state.membership.is_leaving(PEER))
         live = state.membership.live_members_of('a/s')
         self.assertEqual([member.instance for member in live], [OWN])
--- a/briartack/test/test_listed_cold.py
+++ b/briartack/test/test_listed_cold.py
@@ -18,13 +18,9 @@
 from briartack.core.reducer import reduce
 from briartack.core.units import Revision
 from briartack.test.call_path_bench import CallPathBench, Step
+from briartack.test.daemon_pair import OWN, PEER
 from briartack.test.test_cold_gate import count_busiest_second
-from briartack.test.test_leaving_upstream import (
-    OWN,
-    PEER,
-    make_daemon,
-    make_record,
-)
+from briartack.test.test_leaving_upstream import make_daemon, make_record
 from briartack.test.test_platform_store import (
     SERVER,
     decode_single_entry,
--- a/briartack/test/test_store_outages.py
+++ b/briartack/test/test_store_outages.py
@@ -5,58 +5,35 @@
 """
 
 import unittest
-from random import Random
 from typing import Final
 
 from nose2.tools import params
 
 from briartack.core import events, messages
-from briartack.core.calls.call_rules import CallRules
 from briartack.core.dissemination.store_outages import (
     OUTAGE_EFFECT_SECONDS,
     StoreOutages,
 )
 from briartack.core.entries import Entry
-from briartack.core.identity import Identity
 from briartack.core.reducer import reduce
 from briartack.core.state import State
-from briartack.core.units import Digest, Incarnation, InstanceId, Revision
+from briartack.core.units import Digest, Incarnation, Revision
+from briartack.test.daemon_pair import PEER, connect_peer, make_state
 from briartack.test.test_lapsed_records import (
     DRAIN_SECONDS,
     INSTANCE_COUNT,
     entry,
 )
 
-PEER: Final = InstanceId('b')
 DELETED_COUNT: Final = 6
 LAPSED_AT: Final = 10.0
 
 
 def make_daemon() -> State:
     """Make the state of a daemon that a peer has told of all instances."""
-    state = State(
-        identity=Identity(
-            instance=InstanceId('a'),
-            incarnation=Incarnation('a1'),
-            service='a/s',
-            data_centre='d',
-            region='r',
-        ),
-        random=Random(1),
-        drain_seconds=5,
-        rules=CallRules(requires_identity=True),
-    )
-    hello = messages.Hello(
-        protocol_version=messages.PROTOCOL_VERSION,
-        instance=PEER,
-        incarnation=Incarnation('b1'),
-        service='a/s',
-        data_centre='d',
-        region='r',
-        clock=0,
-    )
+    state = make_state(drain_seconds=5)
     reduce(state, events.Started(now=0, incarnation=Incarnation('a1')))
-    reduce(state, events.PeerConnected(now=0.1, peer=PEER, hello=hello))
+    connect_peer(state, 0.1)
     listed = [
         entry(number, number, 'live') for number in range(1, INSTANCE_COUNT + 1)
     ]
