Revert "Take a settings file without bounds for one that is still being written"

A platform that states no bounds would have kept every daemon from starting (FAULT), which is worse than store rules that follow at the next start. The measurement of signals at the start stays.

--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -98,11 +98,7 @@
         raise SettingsError(
             f'no field {_ZONE_PREFIX}NAME gives the region of a zone'
         )
-    if _BOUNDS_FIELD not in fields:
-        # The defaults would stand for what the rest of a file says that is
-        # still being written.
-        raise SettingsError(f'no field {_BOUNDS_FIELD}; is the file whole?')
-    bounds = _parse_bounds(fields[_BOUNDS_FIELD])
+    bounds = _parse_bounds(fields.get(_BOUNDS_FIELD, ''))
     apply_seconds = bounds.config_apply_ms / MILLISECONDS_PER_SECOND
     drain_seconds = bounds.grace_s * _DRAIN_FRACTION
     exit_flush_seconds = bounds.grace_s - drain_seconds - _EXIT_SECONDS
