Read the requests that have arrived before a daemon exits

What callers saw: a reset in place of an answer to a request whose last byte had been sent 0.206 s before its daemon ended, 2.9 s after SIGTERM (LOST: "no answer to a request that was sent in time").

Cause, shown by a test over real sockets: once the last call has ended, the daemon closes its connections in the same turn of the event loop if no bytes are outstanding. Requests that arrived while the process had no processor, or was busy, are still unread then.

The daemon now lets the event loop read for two polls of 10 ms, and for as long as callers have unread input, at most 0.1 s. All such requests are refused as not run, and the refusals are waited for like other bytes.

--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -94,6 +94,13 @@
             if connection.has_unsent
         )
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Return whether bytes of a caller have arrived and are unread."""
+        return any(
+            connection.has_unread_input for connection in self._connections
+        )
+
     @property
     def dialect(self) -> CallerDialect:
         """Return the codec for request heads and responses."""
--- a/briartack/exit_flush.py
+++ b/briartack/exit_flush.py
@@ -16,6 +16,10 @@
 # reads may pause, and two retransmissions in a row take 0.6 s.
 CALLER_STALL_SECONDS: Final = 1.0
 _POLL_SECONDS: Final = 0.01
+# Requests that have arrived are read for at most so long.
+_MAX_INPUT_SECONDS: Final = 0.1
+# An accepted connection is read from a turn of the event loop after its accept.
+_QUIET_POLLS: Final = 2
 
 
 @final
@@ -43,6 +47,7 @@
 
     def wait(self, until: float) -> None:
         """Wait until no receiver takes further bytes, or until a time."""
+        self._read_waiting_requests(until)
         now = self._clock()
         while now < until:
             # Both are evaluated, so that each sees all progress.
@@ -53,6 +58,19 @@
             gevent.sleep(_POLL_SECONDS)
             now = self._clock()
 
+    def _read_waiting_requests(self, until: float) -> None:
+        """Let the requests that have arrived be refused, not reset.
+
+        A busy daemon may end in a turn that began before they arrived.
+        """
+        until = min(until, self._clock() + _MAX_INPUT_SECONDS)
+        quiet_polls = 0
+        while quiet_polls < _QUIET_POLLS and self._clock() < until:
+            gevent.sleep(_POLL_SECONDS)
+            quiet_polls += 1
+            if self._callers.has_unread_input:
+                quiet_polls = 0
+
     def _has_receiving_callers(self, now: float) -> bool:
         # A connection is measured anew for each response that it has yet to
         # send: the time without outstanding bytes is no stall.
--- a/briartack/test/test_exit_flush.py
+++ b/briartack/test/test_exit_flush.py
@@ -1,11 +1,13 @@
 """Test the wait for the last bytes at the exit of a daemon, with sockets."""
 
+import socket as blocking_socket
 import time
 import unittest
 from typing import Any, Final
 
 import gevent
 from gevent import socket
+from nose2.tools import params
 
 from briartack.core import events
 from briartack.exit_flush import ExitFlush
@@ -96,6 +98,28 @@
                 gevent.sleep(0.02)
 
 
+class WaitingRequestTest(unittest.TestCase):
+    # Guards against a reset in place of a refusal (LOST), for a request that
+    # arrived while the daemon was busy and ended in the same turn.
+    @params(False, True)
+    def test_request_that_has_arrived_is_read(self, is_new: bool) -> None:
+        upstream = EchoServer()
+        self.addCleanup(upstream.stop, timeout=0)
+        shell = ShellFixture(upstream=(LOCAL_HOST, upstream.server_port))
+        self.addCleanup(shell.stop)
+        # The calls of this socket don't let the event loop run.
+        with blocking_socket.socket() as caller:
+            caller.connect((LOCAL_HOST, shell.caller_server.server_port))
+            if not is_new:
+                gevent.sleep(PAUSE_SECONDS)
+            caller.sendall(SMALL_REQUEST)
+            flush = ExitFlush(
+                callers=shell.callers, peers=shell.peers, clock=time.monotonic
+            )
+            flush.wait(time.monotonic() + LONG_SECONDS)
+            self.assertEqual(len(shell.state.events_of(events.CallBodyRead)), 1)
+
+
 def read_with_pauses(caller: Any) -> bytes:
     """Read an answer to the end, with pauses shorter than the limit."""
     received = b''
