Begin a planned stop although the check of the settings file fails

A stop signal makes the daemon check the settings file first. An error of that check that nobody expects would have left the daemon without a stop, and further stop signals count as repeated ones, so SIGKILL would have cut its requests. Found by reading; the test failed before.

--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -250,11 +250,10 @@
         """Ask the reducer for a graceful stop."""
         # The file may have changed without a signal since the last check, and
         # its grace time bounds this stop.
-        self.reload()
-        self._is_stopping = True
-        self._drained_by = boot_clock() + self._drain_seconds
-        self._callers.stop_keep_alive()
-        self._loop.deliver(events.StopRequested(now=boot_clock()))
+        try:
+            self.reload()
+        finally:
+            self._begin_stop()
 
     def clear_suspect(self, fingerprint: bytes) -> None:
         """Discount the evidence that a request crashes its upstreams."""
@@ -311,6 +310,12 @@
             {'unfinished_callers': str(unfinished)},
         )
 
+    def _begin_stop(self) -> None:
+        self._is_stopping = True
+        self._drained_by = boot_clock() + self._drain_seconds
+        self._callers.stop_keep_alive()
+        self._loop.deliver(events.StopRequested(now=boot_clock()))
+
     def _flush_last_bytes(self) -> int:
         """Return how many callers have yet to get bytes after the wait."""
         # The limit counts from the end of the drain time, however late the
--- a/briartack/test/test_changed_grace_time.py
+++ b/briartack/test/test_changed_grace_time.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from random import Random
 from typing import Any, Final
+from unittest.mock import Mock
 
 import gevent
 from gevent import socket
@@ -16,6 +17,7 @@
 from briartack.core.events import SettingsReloaded, StopRequested
 from briartack.core.reducer import reduce
 from briartack.core.state import State
+from briartack.daemon import Daemon
 from briartack.test.fake_reducer import make_identity, read_message
 from briartack.test.test_platform_site import becomes_true
 from standins.platform_site import (
@@ -88,6 +90,17 @@
         return machine
 
 
+class FailedReloadTest(unittest.TestCase):
+    # Guards against a stop that never begins, so that SIGKILL ends it, because
+    # the settings file can't be read.
+    def test_stop_begins_although_the_reload_fails(self) -> None:
+        daemon = Mock()
+        daemon.reload.side_effect = ValueError
+        with self.assertRaises(ValueError):
+            Daemon.request_stop(daemon)
+        daemon._begin_stop.assert_called_once_with()  # noqa: SLF001
+
+
 class StopTimesTest(unittest.TestCase):
     # Guards against a stop that begins with the times of old settings, and
     # against one that changes its times after it has begun.
