Model of a stopping owner, and a last resort only without other owners

It is now refused as not run, like any other call that finds no room. The model of a stopping owner proves that no run is begun in a stop and cut by its end while others can take the request; each of its three guards has a mutant, and the trace of the bound has one.

--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -51,7 +51,7 @@
     """Hold a chosen endpoint and the home regions that allow its use.
 
     One that is the last resort may have a planned stop before the deadline of
-    the call; all others are unavailable or have refused.
+    the call; no other is available.
     """
 
     member: Member
@@ -181,7 +181,7 @@
             full_load=_select_full_load(context.rules, call.body_bytes),
         )
         choice = choose(deadline=call.deadline)
-        if choice is not SelectionFailure.NO_ENDPOINT:
+        if choice is not SelectionFailure.NO_ENDPOINT or call.tried_instances:
             return choice
         choice = choose()
         if isinstance(choice, ChosenEndpoint):
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -382,8 +382,9 @@
         wait_seconds = draw_backoff_seconds(context.random, call.attempts)
         if is_free_refusal(context.rules, call, verdict, reason):
             call.free_refusals += 1
-            call.last_refusal = reason
             call.attempts -= 1
+            if reason is not reasons.STOP_TOO_NEAR:
+                call.last_refusal = reason
             return self._start_next_attempt(context, now, call)
         if now + wait_seconds < call.deadline and self._retry.reserve_retry(
             call,
--- a/briartack/test/mutants.py
+++ b/briartack/test/mutants.py
@@ -358,6 +358,13 @@
         caught_by='Exit occurred',
         patches={'owner.OwnerState.is_idle': make_stub_property(True)},
     ),
+    Mutant(
+        guard='a planned stop gives back what waits and may be aborted',
+        invariant='I11',
+        trace='planned_stop_reaches_its_bound',
+        caught_by="no SendAnswer with {'answer.1': 'p3'",
+        patches={'owner.OwnerState.begin_stop': make_stub(())},
+    ),
     Mutant(
         guard='a planned stop ends no call before its time limit',
         invariant='I11',
--- a/models/catalogue.py
+++ b/models/catalogue.py
@@ -6,7 +6,12 @@
 
 import z3
 
-from models import attempt_binding, call_attempts, watch_duty
+from models import (
+    attempt_binding,
+    call_attempts,
+    stopping_owner,
+    watch_duty,
+)
 from models.acceptance import (
     REPRESENTATIVE_CHOICES,
     SEARCH_CHOICES,
@@ -16,6 +21,7 @@
 from models.acceptance_properties import PROPERTIES
 from models.attempt_binding import AttemptBinding
 from models.call_attempts import CallAttempts
+from models.stopping_owner import StoppingOwner
 from models.transitions import (
     DEFAULT_DEPTH_STEPS,
     TransitionSystem,
@@ -36,6 +42,7 @@
 # The steps of the shortest run to each fault, in the order of the guards.
 BINDING_STEPS: Final = (4, 5, 3, 4)
 CALL_STEPS: Final = (5, 4, 7, 6, 5, 6, 7)
+STOP_STEPS: Final = (5, 5, 6)
 WATCH_STEPS: Final = (3, 2, 3)
 
 
@@ -132,18 +139,7 @@
                 teams=2,
             ),
         ),
-        Proof(
-            name='attempt_binding',
-            property_text='an attempt runs at most once',
-            sizes='1 attempt, unbounded times, restarts and repeats',
-            system=AttemptBinding(),
-        ),
-        Proof(
-            name='call_attempts',
-            property_text='a call runs at most once, and never after not-run',
-            sizes='3 attempts at 3 owners, unbounded times and restarts',
-            system=CallAttempts(),
-        ),
+        *_call_proofs(),
         Proof(
             name='watch_duty',
             property_text='a watcher at the end of the history holds all of it',
@@ -167,6 +163,54 @@
             ),
             depth=ACCEPTANCE_DEPTH_STEPS,
         ),
+        *_call_goals(),
+        Goal(
+            name='watch_duty',
+            goal_text='the watcher is at the end and holds both keys',
+            system=StoreWatcher(),
+            goal=lambda now: z3.And(
+                now['position'] == now['revision'],
+                *(now[f'held_{key}'] > 0 for key in KEYS),
+            ),
+        ),
+    )
+
+
+def list_mutants() -> tuple[Mutant, ...]:
+    """Return all mutants with the steps of the shortest run to each fault."""
+    return (
+        *_acceptance_mutants(),
+        *_call_mutants(),
+        *_stop_mutants(),
+        *_watch_mutants(),
+    )
+
+
+def _call_proofs() -> list[Proof]:
+    return [
+        Proof(
+            name='attempt_binding',
+            property_text='an attempt runs at most once',
+            sizes='1 attempt, unbounded times, restarts and repeats',
+            system=AttemptBinding(),
+        ),
+        Proof(
+            name='call_attempts',
+            property_text='a call runs at most once, and never after not-run',
+            sizes='3 attempts at 3 owners, unbounded times and restarts',
+            system=CallAttempts(),
+        ),
+        Proof(
+            name='stopping_owner',
+            property_text='no run is begun in a stop and cut by its end',
+            sizes='1 request, unbounded times',
+            system=StoppingOwner(),
+        ),
+    ]
+
+
+def _call_goals() -> list[Goal]:
+    return [
         Goal(
             name='attempt_binding',
             goal_text='the attempt ran',
@@ -186,20 +230,17 @@
             goal=lambda now: z3.And(now['is_told_not_run'], now['is_sent_1']),
         ),
         Goal(
-            name='watch_duty',
-            goal_text='the watcher is at the end and holds both keys',
-            system=StoreWatcher(),
+            name='stopping_owner',
+            goal_text='a run was begun in the stop and ended by itself',
+            system=StoppingOwner(),
             goal=lambda now: z3.And(
-                now['position'] == now['revision'],
-                *(now[f'held_{key}'] > 0 for key in KEYS),
+                now['is_begun_in_stop'],
+                now['has_others'],
+                now['is_over'],
+                z3.Not(now['is_cut']),
             ),
         ),
-    )
-
-
-def list_mutants() -> tuple[Mutant, ...]:
-    """Return all mutants with the steps of the shortest run to each fault."""
-    return (*_acceptance_mutants(), *_call_mutants(), *_watch_mutants())
+    ]
 
 
 def _acceptance_mutants() -> list[Mutant]:
@@ -258,6 +299,18 @@
     ]
 
 
+def _stop_mutants() -> list[Mutant]:
+    return [
+        Mutant(
+            name='stopping_owner',
+            guard=guard,
+            system=StoppingOwner(without=guard),
+            steps=steps,
+        )
+        for guard, steps in zip(stopping_owner.GUARDS, STOP_STEPS, strict=True)
+    ]
+
+
 def _watch_mutants() -> list[Mutant]:
     return [
         Mutant(
