Read sockets before a tick that comes late

Callers: after the process had stood still, calls were ended with 504 or, at the time limit of a stop, with 502, although their answers had arrived.

Cause: the hub serves timers before sockets, so the first tick ended calls whose deadline had passed meanwhile. A tick that is over 0.1 s late now waits 0.02 s, in which what arrived is read.

Not seen in a run with real processes.

--- a/briartack/event_loop.py
+++ b/briartack/event_loop.py
@@ -27,6 +27,10 @@
 Handlers: TypeAlias = Mapping[type[Effect], Callable[..., None]]
 
 TICK_SECONDS: Final = 0.1
+# A timer that is late by more than this shows that the process stood still.
+_LATE_SECONDS: Final = 0.1
+# Room for the reads of all sockets that became ready meanwhile.
+_CATCH_UP_SECONDS: Final = 0.02
 
 
 @final
@@ -101,7 +105,9 @@
         """Deliver a tick every TICK_SECONDS until killed."""
         while True:
             self.deliver(Tick(now=self._clock()))
+            due_at = self._clock() + TICK_SECONDS
             gevent.sleep(TICK_SECONDS)
+            self._catch_up(due_at)
 
     def wake_at(self, at: float) -> None:
         """Schedule an extra tick at a clock time, in seconds.
@@ -113,8 +119,11 @@
                 return
             self._wake_timer.kill(block=False)
         self._wake_at = at
-        delay = max(0, at - self._clock())
-        self._wake_timer = gevent.spawn_later(delay, self._deliver_wake_tick)
+        now = self._clock()
+        due_at = max(now, at)
+        self._wake_timer = gevent.spawn_later(
+            due_at - now, self._deliver_wake_tick, due_at
+        )
 
     def flush_trace(self) -> None:
         """Flush the event trace, so that a kill loses little of it."""
@@ -128,10 +137,20 @@
         if recorder is not None:
             recorder.close()
 
-    def _deliver_wake_tick(self) -> None:
+    def _deliver_wake_tick(self, due_at: float) -> None:
         self._wake_timer = None
+        self._catch_up(due_at)
         self.deliver(Tick(now=self._clock()))
 
+    def _catch_up(self, due_at: float) -> None:
+        """Let sockets be read first if a timer is late.
+
+        The hub serves timers before sockets. Without the wait, a tick would end
+        calls at a deadline although their answers arrived before it.
+        """
+        if self._clock() > due_at + _LATE_SECONDS:
+            gevent.sleep(_CATCH_UP_SECONDS)
+
     def _apply(self, event: Event) -> None:
         try:
             effects = self._reduce(self._state, event)
--- a/briartack/test/test_event_loop.py
+++ b/briartack/test/test_event_loop.py
@@ -2,7 +2,14 @@
 
 import io
 import logging
+import time
 import unittest
+from collections.abc import Callable
+from typing import TypeAlias
+
+import gevent
+from gevent import socket
+from nose2.tools import params
 
 from briartack.core.effects import Effects, Exit, WakeAt
 from briartack.core.events import Event, StopRequested, Tick
@@ -19,6 +26,10 @@
     region='north',
 )
 
+Loop: TypeAlias = EventLoop[list[type[Event]]]
+START_SECONDS = 0.04
+STANDSTILL_SECONDS = 0.4
+
 
 def reduce(state: list[float], event: Event) -> Effects:
     """Raise at a negative time; return `WakeAt` and `Exit` for a stop."""
@@ -71,3 +82,51 @@
         self.loop.flush_trace()
         lines = self.trace.getvalue().splitlines()
         self.assertEqual(len(lines), 2)
+
+
+class LateTickTest(unittest.TestCase):
+    """Check what is handled first after the process stood still.
+
+    A tick may end calls, although their answers have arrived meanwhile.
+    """
+
+    def setUp(self) -> None:
+        self.loop = EventLoop(
+            state=list[type[Event]](),
+            reduce=record_type,
+            clock=time.monotonic,
+            recorder=None,
+        )
+        self.sockets = socket.socketpair()
+        for sock in self.sockets:
+            self.addCleanup(sock.close)
+
+    @params(
+        lambda loop: gevent.spawn(loop.tick_forever),
+        lambda loop: loop.wake_at(time.monotonic() + START_SECONDS * 2),
+    )
+    def test_arrived_bytes_are_read_before_a_late_tick(
+        self, start: Callable[[Loop], object]
+    ) -> None:
+        reader = gevent.spawn(self.read_and_deliver)
+        ticker = start(self.loop)
+        gevent.sleep(START_SECONDS)
+        self.loop.state.clear()
+        self.sockets[1].sendall(b'x')
+        time.sleep(STANDSTILL_SECONDS)
+        reader.join(STANDSTILL_SECONDS)
+        gevent.sleep(START_SECONDS)
+        if isinstance(ticker, gevent.Greenlet):
+            ticker.kill()
+        self.assertEqual(self.loop.state[:2], [StopRequested, Tick])
+
+    def read_and_deliver(self) -> None:
+        """Deliver an event once a byte has arrived."""
+        self.sockets[0].recv(1)
+        self.loop.deliver(StopRequested(now=time.monotonic()))
+
+
+def record_type(state: list[type[Event]], event: Event) -> Effects:
+    """Record the type of each event."""
+    state.append(type(event))
+    return []
