--- a/benchmarks/connection_load.py
+++ b/benchmarks/connection_load.py
@@ -126,6 +126,7 @@
 class SentRequest:
     """Hold one request and what its caller saw; times are monotonic seconds.
 
+    The request is owed an answer of its upstream until `limit_seconds`.
     `status` 0 means that no complete answer came, `head` is then that of a part
     of one. `sent_at` is the time of the
     last byte, infinite while part of the request is unsent.
@@ -138,7 +139,9 @@
     kind: str
     method: str = 'GET'
     body: bytes = b''
+    is_repeatable: bool = False
     deadline_seconds: float = DEADLINE_SECONDS
+    route_seconds: float = math.inf  # the shortest timeout of its route
     started_at: float = 0
     sent_at: float = math.inf
     ended_at: float = 0
@@ -148,6 +151,11 @@
     answer: bytes = b''
     problem: str = ''
 
+    @property
+    def limit_seconds(self) -> float:
+        """Return the time after which a daemon may end the request."""
+        return min(self.deadline_seconds, self.route_seconds)
+
 
 @final
 @dataclass(slots=True, kw_only=True)
@@ -166,8 +174,15 @@
 @final
 @dataclass(slots=True, kw_only=True)
 class RunRecord:
-    """Record the runs of all upstreams of a site."""
+    """Record the runs of all upstreams of a site.
+
+    `make_calls` makes the calls of a run: it gets the machine, the attempt and
+    the names that the request states.
+    """
 
+    make_calls: Callable[[str, str, str], None] = field(
+        default=lambda _machine, _attempt, _names: None
+    )
     runs: dict[str, list[Run]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -199,6 +214,9 @@
         self.runs[attempt].append(run)
         if kind != 'early':
             run.digest = hashlib.sha256(request.body()).hexdigest()
+        names = fields.get('calls', '')
+        if names:
+            self.make_calls(machine, attempt, names)
         gevent.sleep(int(fields['ms']) / MS_PER_SECOND)
         run.body = build_body(attempt, int(fields['bytes']))
         run.status = _STATUSES.get(kind, HTTPStatus.OK)
@@ -375,6 +393,7 @@
             form=form,
             path=f'/{path}/x?{query}',
             kind=path,
+            is_repeatable=path == 'reads',
             method=method,
             body=body,
             deadline_seconds=(
