Close the connections of callers before the process ends

What callers saw: a reset 0.29 s after the last byte of a request on a connection to a stopping daemon, without an answer (LOST: "no answer to a request that was sent in time").

Cause, shown by a test with a real process: the servers of callers are stopped, but gevent lets their connections go on. They stay open, and nobody reads them, while the process writes its last log lines and the interpreter ends. What is sent then waits for a reset.

The daemon now shuts its callers' connections down as soon as the last bytes are out. A request that crosses the close is not read.

--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -165,6 +165,11 @@
             elif now - began_at > limits.header_seconds:
                 self._refuse_late_head(connection)
 
+    def close_connections(self) -> None:
+        """Close all connections, so that no further request is sent on them."""
+        for connection in tuple(self._connections):
+            connection.shut_down()
+
     def stop_keep_alive(self) -> None:
         """Close each connection once its last unanswered call is answered."""
         self._is_stopping = True
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -302,6 +302,8 @@
         unfinished = self._flush_last_bytes()
         for server in self._servers:
             server.stop(timeout=0)
+        # The process may take a while to end, and reads nothing meanwhile.
+        self._callers.close_connections()
         gevent.killall(self._background)
         self._loop.close()
         write_log(
--- a/briartack/test/test_main.py
+++ b/briartack/test/test_main.py
@@ -385,6 +385,29 @@
             self.assertEqual(child.wait(LIMIT_SECONDS), 0)
 
 
+class ExitTest(unittest.TestCase):
+    # Guards against requests on kept connections that nobody reads while the
+    # process ends, and that are reset with it (LOST).
+    def test_connections_end_before_the_process(self) -> None:
+        flags = isolated_flags(PortAllocator())
+        slow_end = 'import atexit, time; atexit.register(time.sleep, 5)'
+        program = f'{slow_end}; from briartack.main import main; main()'
+        child = subprocess.Popen(
+            [sys.executable, '-c', program, *flags], cwd=ROOT
+        )
+        self.addCleanup(child.wait)
+        self.addCleanup(child.kill)
+        wait_until(lambda: is_healthy(flags), 'the daemon answers')
+        host, _, port = value_of_flag(flags, 'caller-address').rpartition(':')
+        with socket.create_connection((host, int(port))) as caller:
+            caller.settimeout(LIMIT_SECONDS)
+            gevent.sleep(0.5)
+            child.send_signal(signal.SIGTERM)
+            self.assertEqual(caller.recv(1), b'')
+        gevent.sleep(0.5)
+        self.assertIsNone(child.poll())
+
+
 class SettingsFileTest(unittest.TestCase):
     # Guards against a start that a settings file ends which the platform is
     # still writing.
