Let runs of stop_run make calls through daemons that stop

About one run in six makes a call through its own daemon, which may be stopping, gone or starting again. The calls are judged as all requests are; a run whose call fails answers with 500.

--- a/benchmarks/stop_run.py
+++ b/benchmarks/stop_run.py
@@ -30,6 +30,7 @@
     create_long_shape,
 )
 from benchmarks.figures import Figures, run_as_program
+from benchmarks.upstream_calls import UpstreamCalls
 from standins.platform_site import (
     Machine,
     PlatformSite,
@@ -85,6 +86,7 @@
     directory = Path(tempfile.mkdtemp(prefix='briartack-stops-'))
     site = PlatformSite(directory=directory)
     record = RunRecord()
+    calls = UpstreamCalls()
     shape = DEFAULT_SHAPE
     if max_run_ms:
         shape = create_long_shape(timeout_ms / MS_PER_SECOND, max_run_ms)
@@ -96,16 +98,16 @@
     )
     try:
         start_site(site, record, timeout_ms=timeout_ms)
+        for machine in site.machines:
+            record.attach(machine, calls.wrap_for(machine))
         load = ConnectionLoad(
             machines=site.machines, random=Random(f'load {seed}'), shape=shape
         )
         play_under_load(load, actions, connections, seconds)
     finally:
         site.stop()
-    violations = [
-        *actions.violations,
-        *check(load.requests, record, actions.stops),
-    ]
+    requests = [*load.requests, *calls.requests]
+    violations = [*actions.violations, *check(requests, record, actions.stops)]
     if not violations:
         shutil.rmtree(directory)
     return {
@@ -114,9 +116,10 @@
         'met': not violations,
         'violations': violations,
         'stops': len(actions.stops),
-        'requests': len(load.requests),
-        'statuses': Counter(str(sent.status) for sent in load.requests),
-        'unexplained': list_failed(load.requests),
+        'requests': len(requests),
+        'calls_of_runs': len(calls.requests),
+        'statuses': Counter(str(sent.status) for sent in requests),
+        'unexplained': list_failed(requests),
         'output': str(directory),
     }
 
