Ask two peers at once for a change after one did not answer in time

Silent peers were asked one after the other, 0.5 s each: 4 of them cost 2.0 s and 6 cost 3.0 s before one that answers was asked. Now it is 1.0 s and 1.5 s. Without a timeout one pull is in flight, as before.

--- a/briartack/core/dissemination/dissemination.py
+++ b/briartack/core/dissemination/dissemination.py
@@ -93,7 +93,7 @@
     """Record the time of an event; after a pause, request confirmation."""
     if not state.confirmation.detect_pause(now):
         return []
-    state.confirmation.expect_stale_answer(state.sync.pulled_peer)
+    state.confirmation.expect_stale_answers(state.sync.pulled_peers)
     state.sync.resume()
     state.links.resume(now)
     state.tree.resume(now)
--- a/briartack/core/dissemination/pause_confirmation.py
+++ b/briartack/core/dissemination/pause_confirmation.py
@@ -4,6 +4,7 @@
 parent or the store has answered, or until a timeout.
 """
 
+from collections.abc import Iterable
 from typing import Final, final
 
 from briartack.core.units import InstanceId
@@ -17,15 +18,15 @@
     """Detect pauses of the process and track the wait for confirmation.
 
     Holds the time of the last event, the deadline of the wait if one is
-    running, and the peer whose next answer may date from before the pause.
+    running, and the peers whose next answer may date from before the pause.
     """
 
-    __slots__ = ('_last_event_at', '_deadline', '_stale_answer_peer')
+    __slots__ = ('_last_event_at', '_deadline', '_stale_answer_peers')
 
     def __init__(self) -> None:
         self._last_event_at: float | None = None
         self._deadline: float | None = None
-        self._stale_answer_peer: InstanceId | None = None
+        self._stale_answer_peers: set[InstanceId] = set()
 
     @property
     def is_confirmed(self) -> bool:
@@ -53,14 +54,14 @@
             self._deadline = None
         return False
 
-    def expect_stale_answer(self, peer: InstanceId | None) -> None:
-        """Set the peer whose next answer may date from before the pause."""
-        self._stale_answer_peer = peer
+    def expect_stale_answers(self, peers: Iterable[InstanceId]) -> None:
+        """Set the peers whose next answer may date from before the pause."""
+        self._stale_answer_peers = set(peers)
 
     def confirm_by_parent(self, peer: InstanceId) -> None:
         """End the wait, unless the answer may date from before the pause."""
-        if peer == self._stale_answer_peer:
-            self._stale_answer_peer = None
+        if peer in self._stale_answer_peers:
+            self._stale_answer_peers.remove(peer)
         else:
             self._deadline = None
 
--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -5,9 +5,7 @@
 cannot find.
 """
 
-import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Final, final
 
 from briartack.core.dissemination.holdings import Holdings
@@ -23,6 +21,7 @@
     is_ahead,
     revisions_to_pull_after,
 )
+from briartack.core.dissemination.pending_pulls import PendingPulls
 from briartack.core.effects import (
     Count,
     Effects,
@@ -47,7 +46,6 @@
     format_revision,
 )
 
-PULL_TIMEOUT_SECONDS: Final = 0.5
 PULLS_BEFORE_INVENTORY: Final = 2
 # The roots of this region usually deliver a change earlier than this, so
 # that only one copy of the change crosses each link between regions.
@@ -62,44 +60,31 @@
 CONFIGURATION_LAGS: Final = 'configuration-lags'
 
 
-@final
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _PendingPull:
-    """Hold a sent pull and the revision that its answer has to reach."""
-
-    peer: InstanceId
-    sent_at: float
-    target_revision: Revision
-
-
 @final
 class PeerSyncState:
     """Decide when to pull from which peer and when to send an inventory.
 
-    Holds the last summary of each peer, the pull in flight, when each peer was
-    sent a pull that it has not answered in time, and the wait for announced
+    Holds the last summary of each peer, the pulls, and the wait for announced
     versions.
     """
 
     __slots__ = (
         'overdue',
         '_views',
-        '_pull',
-        '_unanswered_at',
+        '_pulls',
         '_remote_delay_seconds',
     )
 
     def __init__(self) -> None:
         self.overdue: Final = OverdueVersions()
         self._views: dict[InstanceId, PeerView] = {}
-        self._pull: _PendingPull | None = None
-        self._unanswered_at: dict[InstanceId, float] = {}
+        self._pulls = PendingPulls()
         self._remote_delay_seconds = REMOTE_PULL_DELAY_SECONDS
 
     @property
-    def pulled_peer(self) -> InstanceId | None:
-        """Return the peer to which the pull in flight was sent, if any."""
-        return None if self._pull is None else self._pull.peer
+    def pulled_peers(self) -> tuple[InstanceId, ...]:
+        """Return the peers to which the pulls in flight were sent."""
+        return self._pulls.peers
 
     def summary_of(self, peer: InstanceId) -> Summary | None:
         """Return the last summary of a peer, if any."""
@@ -136,13 +121,11 @@
     def remove_peer(self, peer: InstanceId) -> None:
         """Remove a peer whose stream is down."""
         self._views.pop(peer, None)
-        self._unanswered_at.pop(peer, None)
-        if self.pulled_peer == peer:
-            self._pull = None
+        self._pulls.remove_peer(peer)
 
     def resume(self) -> None:
-        """Drop the pull in flight after a pause of this process."""
-        self._pull = None
+        """Drop the pulls in flight after a pause of this process."""
+        self._pulls.drop()
         self.overdue.resume()
 
     def on_summary(
@@ -168,19 +151,8 @@
     def on_entries(
         self, now: float, peer: InstanceId, entries: Entries
     ) -> None:
-        """Record an answer to the pull in flight.
-
-        A part of an answer does not end the pull, but restarts its timeout.
-        """
-        self._unanswered_at.pop(peer, None)
-        pull = self._pull
-        if pull is None or pull.peer != peer:
-            return
-        self._pull = None
-        if entries.highest < pull.target_revision:
-            self._pull = _PendingPull(
-                peer=peer, sent_at=now, target_revision=pull.target_revision
-            )
+        """Record an answer to a pull, which may be a part of one."""
+        self._pulls.record_answer(now, peer, entries.highest)
 
     def send_due_requests(
         self,
@@ -192,7 +164,9 @@
     ) -> Effects:
         """Pull from a peer that is ahead, and send inventories to find gaps."""
         self._remote_delay_seconds = remote_delay_seconds
-        effects = self._expire_pull(now)
+        effects: Effects = [
+            Count(name='pull_timeouts') for _ in range(self._pulls.expire(now))
+        ]
         for name, view in self._views.items():
             view.record_differences(now, holdings)
             if view.detect_lag(now):
@@ -202,7 +176,7 @@
             holdings.highest_revisions.configuration,
             self._announced_configuration(),
         )
-        if self._pull is None:
+        for _ in range(self._pulls.free_count):
             effects.extend(self._pull_next(now, holdings))
         for peer in self._views:
             if starts_inventories_with(peer):
@@ -231,21 +205,13 @@
             ('offered', format_revision(offered)),
             ('configuration', format_revision(held)),
             ('tries', str(view.try_count)),
-            ('pulls_from', self.pulled_peer or ''),
+            ('pulls_from', ' '.join(self.pulled_peers)),
             ('delayed', str(view.is_retry_delayed(now, holdings))),
         )
         return WriteLog(
             level=LogLevel.WARNING, code=CONFIGURATION_LAGS, fields=fields
         )
 
-    def _expire_pull(self, now: float) -> Effects:
-        pull = self._pull
-        if pull is None or now - pull.sent_at < PULL_TIMEOUT_SECONDS:
-            return []
-        self._unanswered_at[pull.peer] = pull.sent_at
-        self._pull = None
-        return [Count(name='pull_timeouts')]
-
     def _pull_next(self, now: float, holdings: Holdings) -> Effects:
         ready = [
             peer
@@ -253,15 +219,17 @@
             if self._may_pull(now, view, holdings)
         ]
         if not ready:
-            self._unanswered_at.clear()
+            self._pulls.forget_unanswered()
+        waiting = set(ready).difference(self.pulled_peers)
+        if not waiting:
             return []
         # Peers that did not answer in time are asked again only if no other
         # peer is ready, and then in turn. Otherwise two of them would be asked
         # alternately, and never a third one that answers.
         peer = min(
-            ready,
+            (name for name in ready if name in waiting),
             key=lambda name: (
-                self._unanswered_at.get(name, -math.inf),
+                self._pulls.find_unanswered_at(name),
                 self._views[name].is_remote,
                 self._views[name].ahead_since,
             ),
@@ -291,11 +259,7 @@
         if view.record_try(holdings) > PULLS_BEFORE_INVENTORY:
             view.delay_retry(now)
             return [_inventory_message(peer, holdings)]
-        self._pull = _PendingPull(
-            peer=peer,
-            sent_at=now,
-            target_revision=view.summary.highest,
-        )
+        self._pulls.add(now, peer, view.summary.highest)
         after = revisions_to_pull_after(view.summary, holdings)
         return [
             Count(name='pulls'),
@@ -309,7 +273,7 @@
         holdings: Holdings,
     ) -> Effects:
         view = self._views[peer]
-        if not has_gap(view.summary, holdings) or self._pull is not None:
+        if not has_gap(view.summary, holdings) or self.pulled_peers:
             return []
         since = view.differs_since
         if since is None or view.last_seen_at - since < MIN_GAP_AGE_SECONDS:
--- a/briartack/test/fleet_faults.py
+++ b/briartack/test/fleet_faults.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from briartack.core import messages as wire
-from briartack.core.dissemination.peer_sync import PULL_TIMEOUT_SECONDS
+from briartack.core.dissemination.pending_pulls import PULL_TIMEOUT_SECONDS
 from briartack.test.fault_play import FaultPlay
 from briartack.test.faulty_fleet import STORE
 from briartack.test.fleet import TICK_SECONDS, Node
--- a/briartack/test/test_silent_peers.py
+++ b/briartack/test/test_silent_peers.py
@@ -56,6 +56,34 @@
     return revision
 
 
+def ask_silent_peers(
+    silent: int,
+) -> tuple[list[InstanceId], list[tuple[float, str]]]:
+    """Return all peers, and when pulls are sent to which of them.
+
+    One more than the silent ones is in another region; none answers.
+    """
+    sync = PeerSyncState()
+    peers = [InstanceId(f'peer-{number}') for number in range(silent + 1)]
+    asked: list[tuple[float, str]] = []
+    for step in range(round((silent + 1) / STEP_SECONDS)):
+        now = step * STEP_SECONDS
+        for peer in peers:
+            sync.on_summary(now, peer, SUMMARY, is_remote=peer == peers[-1])
+        effects = sync.send_due_requests(
+            now,
+            FakeHoldings(),
+            starts_inventories_with=lambda peer: False,
+            remote_delay_seconds=0,
+        )
+        asked.extend(
+            (now, effect.peer)
+            for effect in effects
+            if isinstance(effect, SendMessage)
+        )
+    return peers, asked
+
+
 class TestSilentPeers(unittest.TestCase):
     # Guards against pulls that go to silent peers alternately, while another
     # peer that holds the change is not asked.
@@ -84,22 +112,15 @@
         self, silent: int
     ) -> None:
         """Guard against a pull that never reaches a peer that answers."""
-        sync = PeerSyncState()
-        peers = [InstanceId(f'peer-{number}') for number in range(silent + 1)]
-        asked: list[str] = []
-        for step in range(round((silent + 1) / STEP_SECONDS)):
-            now = step * STEP_SECONDS
-            for peer in peers:
-                sync.on_summary(now, peer, SUMMARY, is_remote=peer == peers[-1])
-            effects = sync.send_due_requests(
-                now,
-                FakeHoldings(),
-                starts_inventories_with=lambda peer: False,
-                remote_delay_seconds=0,
-            )
-            asked.extend(
-                effect.peer
-                for effect in effects
-                if isinstance(effect, SendMessage)
-            )
-        self.assertEqual(asked[: len(peers)], peers)
+        peers, asked = ask_silent_peers(silent)
+        self.assertEqual([peer for _, peer in asked][: len(peers)], peers)
+
+    # Guards against a change that waits for a timeout of each silent peer.
+    @params((0, 0), (1, 0.5), (2, 0.5), (3, 1), (4, 1), (6, 1.5))
+    def test_two_peers_are_asked_at_once_after_a_timeout(
+        self, silent: int, expected: float
+    ) -> None:
+        """Check when the last peer is asked, which would answer."""
+        peers, asked = ask_silent_peers(silent)
+        times = [now for now, peer in asked if peer == peers[-1]]
+        self.assertEqual(times[0], expected)
