Bind the rate of an upstream that becomes cold again while it is cold

The list's news of a second cold time was ignored while the first lasted, so that the rate ended with the first: 72 starts in a second in the new test. A health answer on the second moved the beginning, and starts before it no longer counted: 34 starts.

--- a/briartack/core/calls/cold_start_limiter.py
+++ b/briartack/core/calls/cold_start_limiter.py
@@ -39,6 +39,11 @@
         self._most_per_window = 1
         self._recent_starts = RecentStarts()
 
+    @property
+    def cold_until(self) -> float:
+        """Return the end of the last known cold phase."""
+        return self._cold_until
+
     def configure(
         self,
         per_second: float | None,
@@ -56,9 +61,17 @@
         """Return whether the upstream is cold and a rate limit is set."""
         return self._has_rate_limit and now < self._cold_until
 
-    def record_cold_phase(self, cold_from: float, cold_until: float) -> None:
-        """Set the beginning and end of the cold phase that is reported."""
-        self._cold_from = cold_from
+    def record_cold_phase(
+        self, now: float, cold_from: float, cold_until: float
+    ) -> None:
+        """Set the beginning and end of the cold phase that is reported.
+
+        An upstream may become cold again before it is warm. The starts since
+        the first beginning go on to count.
+        """
+        latest = self._cold_from + LIST_LAG_SECONDS
+        if not self.is_cold(now) or cold_from <= latest:
+            self._cold_from = cold_from
         self._cold_until = cold_until
 
     def extend_cold_phase(
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -128,12 +128,13 @@
         """Assume a cold upstream for `ramp_seconds`, and request a probe.
 
         The probe reports how long the upstream remains cold. A list that says
-        so (`listed_seconds`) may lag and adds nothing to a cold time that is
-        known.
+        so (`listed_seconds`) may lag, and counts only if the time that it
+        states ends later than the one that is known.
         """
         cold_from = now
         if listed_seconds:
-            if self._cold_start_limiter.is_cold(now):
+            latest_end = now + listed_seconds - LIST_LAG_SECONDS
+            if latest_end <= self._cold_start_limiter.cold_until:
                 return
             cold_from = _find_cold_from(now, listed_seconds, self._limits)
             cold_from -= LIST_LAG_SECONDS
@@ -283,6 +284,7 @@
             self._stated_limiter.update(None)
         if event.cold_seconds is not None:
             self._cold_start_limiter.record_cold_phase(
+                event.now,
                 _find_cold_from(event.now, event.cold_seconds, self._limits),
                 event.now + event.cold_seconds,
             )
--- a/briartack/test/test_cold_gate.py
+++ b/briartack/test/test_cold_gate.py
@@ -100,7 +100,7 @@
         """Check that the reported end of the cold phase replaces any other."""
         limiter = make_cold_start_limiter(27, 5)
         self.assertTrue(limiter.is_cold(2))
-        limiter.record_cold_phase(0, 1)
+        limiter.record_cold_phase(0, 0, 1)
         self.assertFalse(limiter.is_cold(2))
         self.assertIsNone(limiter.count_available_starts(2))
 
--- a/briartack/test/test_listed_cold.py
+++ b/briartack/test/test_listed_cold.py
@@ -50,28 +50,32 @@
 NEVER: Final = 90.0
 
 
+def make_news(
+    cold_at: float, news_after: float, probe_after: float
+) -> list[tuple[float, Step]]:
+    """Make the list's news and the health answer on a cold time."""
+    probe_at = cold_at + probe_after
+    # The entry is written at the beginning, or a little later.
+    cold_ms = round(COLD_SECONDS * 1000 - cold_at % 1 * 10)
+    cold_seconds = cold_at + COLD_SECONDS - probe_at
+    return [
+        (
+            cold_at + news_after,
+            {'do': 'change', 'setup': {'cold_ms': cold_ms}},
+        ),
+        (
+            probe_at,
+            {'do': 'probe', 'at': probe_at, 'cold_seconds': cold_seconds},
+        ),
+    ]
+
+
 def list_starts(
-    bench: CallPathBench, news_at: float, probe_at: float
+    bench: CallPathBench, news: list[tuple[float, Step]]
 ) -> list[float]:
-    """Return when requests start at an upstream that becomes cold.
-
-    The list's news and the health answer arrive at the given times.
-    """
+    """Return when requests start at an upstream of which news arrives."""
     started: list[float] = []
-    news: list[tuple[float, Step]] = sorted(
-        (
-            (news_at, {'do': 'change', 'setup': {'cold_ms': 3000}}),
-            (
-                probe_at,
-                {
-                    'do': 'probe',
-                    'at': probe_at,
-                    'cold_seconds': COLD_AT + COLD_SECONDS - probe_at,
-                },
-            ),
-        ),
-        key=itemgetter(0),
-    )
+    news.sort(key=itemgetter(0))
     for number in range(round(PLAY_SECONDS * BUSY_PER_SECOND)):
         now = START_AT + number / BUSY_PER_SECOND
         steps: list[Step] = []
@@ -87,6 +91,20 @@
     return started
 
 
+def make_busy_bench() -> CallPathBench:
+    """Make a daemon whose upstream has room for all requests while warm."""
+    bench = CallPathBench(
+        setup={'limits': {**LIMITS, 'slots': 900, 'connections': 900}},
+        state=CallsState(
+            drain_seconds=5,
+            rules=CallRules(cold_overage=1.5, cold_slack=5),
+        ),
+    )
+    for now in (1, 2):
+        bench.apply_step({'do': 'tick', 'at': now})
+    return bench
+
+
 def count_starts(bench: CallPathBench) -> int:
     """Return how many of the requests of one second start at the upstream."""
     started = 0
@@ -137,25 +155,31 @@
     def test_starts_before_the_news_count(
         self, news_after: float, probe_after: float
     ) -> None:
-        bench = CallPathBench(
-            setup={
-                'limits': {**LIMITS, 'slots': 900, 'connections': 900},
-            },
-            state=CallsState(
-                drain_seconds=5,
-                rules=CallRules(cold_overage=1.5, cold_slack=5),
-            ),
-        )
-        for now in (1, 2):
-            bench.apply_step({'do': 'tick', 'at': now})
         started = list_starts(
-            bench, COLD_AT + news_after, COLD_AT + probe_after
+            make_busy_bench(), make_news(COLD_AT, news_after, probe_after)
         )
         cold = [at for at in started if COLD_AT <= at < COLD_AT + COLD_SECONDS]
         self.assertLessEqual(count_busiest_second(cold), MAX_PER_SECOND)
         # The bound is used: requests are not refused without need.
         self.assertGreaterEqual(len(cold), COLD_SECONDS * COLD_RATE)
 
+    # Guards against a cold time that ends early for its owner, because a second
+    # one began before its end, and against starts that no longer count then.
+    @params((0.5, 0.1, 0.11), (0.5, 0.1, NEVER), (1.5, 0.05, 0.06), (2.9, 0, 0))
+    def test_upstream_becomes_cold_again(
+        self, again_after: float, news_after: float, probe_after: float
+    ) -> None:
+        again_at = COLD_AT + again_after
+        started = list_starts(
+            make_busy_bench(),
+            [
+                *make_news(COLD_AT, news_after, probe_after),
+                *make_news(again_at, news_after, probe_after),
+            ],
+        )
+        cold = [at for at in started if COLD_AT <= at < again_at + COLD_SECONDS]
+        self.assertLessEqual(count_busiest_second(cold), MAX_PER_SECOND)
+
     # Guards against a rate that waits for the next regular tick: an upstream
     # with 120 requests in a second got 12 of them meanwhile.
     @params((OWN, True), (PEER, False))
