--- a/briartack/core/dissemination/peer_sync.py
+++ b/briartack/core/dissemination/peer_sync.py
@@ -73,12 +73,14 @@
         '_views',
         '_pulls',
         '_remote_delay_seconds',
+        '_reported_lags',
     )
 
     def __init__(self) -> None:
         self.overdue: Final = OverdueVersions()
         self._views: dict[InstanceId, PeerView] = {}
         self._pulls = PendingPulls()
+        self._reported_lags: set[Revision] = set()
         self._remote_delay_seconds = REMOTE_PULL_DELAY_SECONDS
 
     @property
@@ -170,11 +172,12 @@
         for name, view in self._views.items():
             view.record_differences(now, holdings)
             if view.detect_lag(now):
-                effects.append(self._report_lag(now, name, holdings))
+                effects.extend(self._report_lag(now, name, holdings))
+        announced = self._announced_configuration()
+        if announced == NO_REVISION:
+            self._reported_lags.clear()
         self.overdue.record(
-            now,
-            holdings.highest_revisions.configuration,
-            self._announced_configuration(),
+            now, holdings.highest_revisions.configuration, announced
         )
         for _ in range(self._pulls.free_count):
             effects.extend(self._pull_next(now, holdings))
@@ -196,10 +199,14 @@
 
     def _report_lag(
         self, now: float, peer: InstanceId, holdings: Holdings
-    ) -> WriteLog:
+    ) -> Effects:
+        """Report the first of the peers that offer the same version."""
         view = self._views[peer]
         held = holdings.highest_revisions.configuration
         offered = view.summary.highest_revisions.configuration
+        if offered in self._reported_lags:
+            return []
+        self._reported_lags.add(offered)
         fields = (
             ('peer', peer),
             ('offered', format_revision(offered)),
@@ -208,9 +215,11 @@
             ('pulls_from', ' '.join(self.pulled_peers)),
             ('delayed', str(view.is_retry_delayed(now, holdings))),
         )
-        return WriteLog(
-            level=LogLevel.WARNING, code=CONFIGURATION_LAGS, fields=fields
-        )
+        return [
+            WriteLog(
+                level=LogLevel.WARNING, code=CONFIGURATION_LAGS, fields=fields
+            ),
+        ]
 
     def _pull_next(self, now: float, holdings: Holdings) -> Effects:
         ready = [
--- a/briartack/test/test_configuration_lines.py
+++ b/briartack/test/test_configuration_lines.py
@@ -11,6 +11,7 @@
 from nose2.tools import params
 
 from briartack.core import events
+from briartack.core.dissemination.peer_sync import PeerSyncState
 from briartack.core.effects import Effects, LogLevel, WriteLog
 from briartack.core.messages import PROTOCOL_VERSION, Hello, Summary
 from briartack.core.reducer import reduce
@@ -21,6 +22,7 @@
     InstanceId,
     Revision,
 )
+from briartack.test.fake_holdings import FakeHoldings
 from briartack.test.store_reader import Daemon, Read, Watched, version
 
 PEER: Final = InstanceId('y')
@@ -56,7 +58,14 @@
 
 def announce(daemon: Daemon, now: float, revision: int) -> Effects:
     """Let the peer announce that it holds a configuration."""
-    summary = Summary(
+    summary = make_summary(now, revision)
+    event = events.PeerMessageReceived(now=now, peer=PEER, message=summary)
+    return reduce(daemon.state, event)
+
+
+def make_summary(now: float, revision: int) -> Summary:
+    """Make the summary of a peer that holds a configuration."""
+    return Summary(
         incarnation=Incarnation('y.1'),
         highest=Revision(revision),
         configuration_digest=Digest(b'other'),
@@ -66,8 +75,6 @@
         configuration_highest=Revision(revision),
         instances_highest=Revision(0),
     )
-    event = events.PeerMessageReceived(now=now, peer=PEER, message=summary)
-    return reduce(daemon.state, event)
 
 
 class ConfigurationLinesTest(unittest.TestCase):
@@ -132,6 +139,33 @@
             self.assertGreater(lag_seconds, MIN_LAG_SECONDS)
             self.assertLess(lag_seconds, MAX_LAG_SECONDS)
 
+    # Guards against a line for each peer that is ahead: one daemon wrote 229
+    # lines on one version.
+    @params(
+        ((41, 41, 41), ['41']),
+        ((41, 42, 41, 42), ['41', '42']),
+    )
+    def test_lag_behind_several_peers_is_reported_once_for_a_version(
+        self, offered: tuple[int, ...], expected: list[str]
+    ) -> None:
+        sync = PeerSyncState()
+        effects: Effects = []
+        for step in range(50):
+            for number, revision in enumerate(offered):
+                sync.on_summary(
+                    step * STEP_SECONDS,
+                    InstanceId(f'peer-{number}'),
+                    make_summary(0, revision),
+                    is_remote=False,
+                )
+            effects += sync.send_due_requests(
+                step * STEP_SECONDS,
+                FakeHoldings(),
+                starts_inventories_with=lambda peer: False,
+            )
+        lines = find_lines(effects, 'configuration-lags')
+        self.assertEqual([line['offered'] for line in lines], expected)
+
     # Guards against a failed dial that reads like the end of a stream.
     @params((True, 'peer-lost'), (False, 'peer-unreachable'))
     def test_failed_dial_differs_from_a_lost_stream(
