Leave a margin for late arrivals in each second of a cold upstream

The window had 2 of 32 to spare for that, now 4. That costs 2 requests in the first second of a cold time, or after a pause of the load; the rate stays.

--- a/briartack/core/calls/cold_start_limiter.py
+++ b/briartack/core/calls/cold_start_limiter.py
@@ -6,8 +6,8 @@
 from briartack.core.calls.recent_starts import WINDOW_SECONDS, RecentStarts
 from briartack.core.calls.start_bucket import FULL_WAIT_SECONDS, StartBucket
 
-# Subtracted from the rate: starts that the upstream may count in another second
-# than this daemon does.
+# Subtracted from the rate, and from the burst that any second may have: starts
+# that the upstream may count in another second than this daemon does.
 MARGIN_STARTS: Final = 2.0
 # Time that a statement of the list takes to arrive, mostly.
 LIST_LAG_SECONDS: Final = 0.2
@@ -17,7 +17,7 @@
 class ColdStartLimiter:
     """Hold the cold phase, a token bucket of request starts and the latest.
 
-    Within any second at most the sum of rate and burst may start. The starts
+    Within any second fewer than the sum of rate and burst may start. The starts
     between the beginning of the cold phase and the news of it count too.
     """
 
@@ -55,7 +55,8 @@
         rate = max(1.0, allowed - MARGIN_STARTS)
         burst = max(1.0, rules.cold_slack)
         self._bucket.configure(rate=rate, burst=burst)
-        self._most_per_window = int(rate * WINDOW_SECONDS + burst)
+        window_burst = max(0.0, burst - MARGIN_STARTS)
+        self._most_per_window = int(rate * WINDOW_SECONDS + window_burst)
 
     def is_cold(self, now: float) -> bool:
         """Return whether the upstream is cold and a rate limit is set."""
