--- a/briartack/test/test_cold_orders.py
+++ b/briartack/test/test_cold_orders.py
@@ -15,6 +15,7 @@
 
 from briartack.core.calls.admission import SlotRequest
 from briartack.core.calls.call_rules import CallRules
+from briartack.core.calls.drain import DrainState
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.events import UpstreamProbed
@@ -55,7 +56,8 @@
         self._rate = self._random.choice((40, 60, 90, 120, 150))
         self.beginnings = self._choose_beginnings()
         self._upstream = LocalUpstream(
-            rules=CallRules(cold_overage=1.5, cold_slack=5)
+            drain=DrainState(drain_seconds=5),
+            rules=CallRules(cold_overage=1.5, cold_slack=5),
         )
         self._upstream.configure(LIMITS, LIMITS.slots)
         self._probe(0)
