--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -56,15 +56,16 @@
     """Return until when a planned stop allows the start of an attempt.
 
     The run may last until the deadline of the attempt. Only if no other owner
-    can take the attempt, the mean run time bounds the start. The call of a
-    local attempt ends with the same stop, so its sender decides.
+    can take the attempt, the mean run time bounds the start, if it is known.
+    The call of a local attempt ends with the same stop, so its sender decides.
     """
     if record.peer is None or record.deadline <= drain.deadline:
         return float('inf')
-    attempt = record.attempt
-    # Only its owner may run a request with an idempotency key.
-    if attempt.is_last_resort or attempt.idempotency_key:
-        return drain.deadline - LAST_RESORT_MEANS * upstream.mean_seconds
+    mean_seconds = upstream.mean_seconds
+    # Only its owner may ever run a request with an idempotency key.
+    has_key = bool(record.attempt.idempotency_key)
+    if has_key or (record.attempt.is_last_resort and mean_seconds):
+        return drain.deadline - LAST_RESORT_MEANS * mean_seconds
     return float('-inf')
 
 
--- a/briartack/test/test_soak.py
+++ b/briartack/test/test_soak.py
@@ -14,6 +14,7 @@
 
 SOAK_SECONDS = 45.0
 STOP_SECONDS = 10.0
+LONG_RUN_STOP_SECONDS = 12.0
 
 
 class SoakTest(unittest.TestCase):
@@ -32,3 +33,17 @@
     def test_requests_end_with_one_answer(self, seed: int) -> None:
         figures = stop_run.measure(seed=seed, seconds=STOP_SECONDS)
         self.assertEqual(figures['violations'], [])
+
+    # Guards against a run that an owner begins in its stop and cuts, while the
+    # daemon of its caller stops too (LOST).
+    @params(1)
+    def test_stops_of_both_ends_cut_no_long_run(self, seed: int) -> None:
+        figures = stop_run.measure(
+            seed=seed,
+            seconds=LONG_RUN_STOP_SECONDS,
+            connections=40,
+            timeout_ms=9000,
+            max_run_ms=4700,
+            spread_seconds=2.5,
+        )
+        self.assertEqual(figures['violations'], [])
