--- a/briartack/test/test_soak.py
+++ b/briartack/test/test_soak.py
@@ -3,18 +3,20 @@
 Daemons are killed, frozen and stopped in a planned way, upstreams fail, the
 store is away, late and restored from a copy, and changes come meanwhile, while
 callers keep their connections. `python -m benchmarks fault_run` plays other
-seeds and longer runs, and `python -m benchmarks stop_run` those of stops.
+seeds and longer runs, and `python -m benchmarks stop_run` those of stops,
+`upstream_run` those of upstreams beside stops.
 """
 
 import unittest
 
 from nose2.tools import params
 
-from benchmarks import fault_run, stop_run
+from benchmarks import fault_run, stop_run, upstream_run
 
 SOAK_SECONDS = 45.0
 STOP_SECONDS = 10.0
 LONG_RUN_STOP_SECONDS = 12.0
+UPSTREAM_SECONDS = 8.0
 
 
 class SoakTest(unittest.TestCase):
@@ -47,3 +49,10 @@
             spread_seconds=2.5,
         )
         self.assertEqual(figures['violations'], [])
+
+    # As above, while upstreams close idle connections, break off answers, leave
+    # and are replaced. Both seeds once lost a request as its daemon ended.
+    @params(38, 39)
+    def test_requests_end_beside_trouble_of_upstreams(self, seed: int) -> None:
+        figures = upstream_run.measure(seed=seed, seconds=UPSTREAM_SECONDS)
+        self.assertEqual(figures['violations'], [])
