Keep the lead of a late goodbye before a stop ends

Callers: balance reads got 502 (connection-lost) although their attempts were refused by an owner and never ran.

Cause: a stopping owner that stood still across its goodbye and its exit sent the goodbye and exited in one tick. What peers had sent meanwhile was read after its streams had ended, and the refusals were lost. The process now refuses callers and exits no sooner than the lead after the goodbye was sent, within the time limit of the stop.

The new tests failed before. test_refuses_only_after_linger_time jumped over the goodbye, which is this fault; it now passes through it, with the same rows.

--- a/briartack/core/calls/drain.py
+++ b/briartack/core/calls/drain.py
@@ -84,6 +84,8 @@
         """Advance to a time; return whether peers must be notified now."""
         was_leaving = self._is_leaving
         self._is_leaving = now >= self._leaves_at
+        if self._is_leaving and not was_leaving:
+            self._keep_lead(now)
         self._is_refusing = now >= self._refuses_at
         return self._is_leaving and not was_leaving
 
@@ -97,3 +99,15 @@
             return False
         self._is_finished = True
         return True
+
+    def _keep_lead(self, now: float) -> None:
+        """Refuse callers later if the notice to peers is late.
+
+        A process that stood still may reach both times at once. It would exit
+        before it has read what peers sent meanwhile.
+        """
+        lead_seconds = self._refuses_at - self._leaves_at
+        latest = max(self._refuses_at, self._deadline)
+        self._refuses_at = min(
+            latest, max(self._refuses_at, now + lead_seconds)
+        )
--- a/briartack/test/test_call_rules.py
+++ b/briartack/test/test_call_rules.py
@@ -16,7 +16,7 @@
 from briartack.core.calls.call_handlers import on_call_arrived
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.calls_state import CallsState
-from briartack.core.calls.drain import DrainState
+from briartack.core.calls.drain import GOODBYE_LEAD_SECONDS, DrainState
 from briartack.core.calls.reasons import Reason
 from briartack.core.calls.retry import (
     RetryState,
@@ -212,11 +212,28 @@
         drain = DrainState(drain_seconds=5, linger_seconds=linger_seconds)
         self.assertFalse(drain.is_refusing)
         drain.begin(10)
+        drain.advance(10 + linger_seconds - GOODBYE_LEAD_SECONDS)
         drain.advance(10 + seconds)
         self.assertIs(drain.is_refusing, is_refusing)
         self.assertFalse(drain.advance(10 + seconds))
         self.assertTrue(drain.is_draining)
 
+    @params((2.3, 2.65, False), (2.3, 2.75, True), (4.9, 5.1, True))
+    def test_late_goodbye_keeps_its_lead(
+        self, woken: float, seconds: float, is_refusing: bool
+    ) -> None:
+        """Guard against an exit before what peers sent has been read.
+
+        A process that stood still reaches the times of the goodbye and of the
+        exit at once. The time limit of the stop holds all the same.
+        """
+        drain = DrainState(drain_seconds=5, linger_seconds=2.2)
+        drain.begin(10)
+        self.assertTrue(drain.advance(10 + woken))
+        self.assertFalse(drain.is_refusing)
+        drain.advance(10 + seconds)
+        self.assertIs(drain.is_refusing, is_refusing)
+
 
 class GoodbyeTest(unittest.TestCase):
     """Check the order of a planned stop: callers first, then peers, then exit.
@@ -271,6 +288,25 @@
             bench.apply_step({'at': 3.3, 'do': 'tick'}), ['exit 0']
         )
 
+    def test_owner_that_stood_still_refuses_what_peers_sent(self) -> None:
+        """Guard against attempts that end with 502 though none of them ran.
+
+        Peers sent them to an owner that stood still past its goodbye.
+        """
+        bench = self.make_bench(2.2)
+        bench.apply_step({'at': 1, 'do': 'stop'})
+        self.assertEqual(
+            bench.apply_step({'at': 3.5, 'do': 'tick'}), ['goodbye b']
+        )
+        attempt = {'at': 3.5, 'do': 'attempt', 'peer': 'b', 'attempt': 'x'}
+        self.assertEqual(
+            bench.apply_step(attempt),
+            ['reply b x not-run stopping', 'drop attempt:x'],
+        )
+        self.assertEqual(
+            bench.apply_step({'at': 3.95, 'do': 'tick'}), ['exit 0']
+        )
+
 
 class AdmissionTest(unittest.TestCase):
     def offer_attempt(
