Play links between daemons, home regions and splits in the fault soak

Daemons of fault_run find each other at loopback proxies, whose streams are cut, held up in one or both directions, or silent for good. Further calls go to a route with home regions, and to a split route, one of whose parts has weight 0 and one no instance.

New checks: a request that ran ends with an answer unless its daemon was killed; no run outside the home region; the parts of the split keep their weights, and what the part without room gets is refused, not moved.

Not played: a part whose upstreams are full rather than missing.

--- a/benchmarks/fault_actions.py
+++ b/benchmarks/fault_actions.py
@@ -2,7 +2,7 @@
 
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import Final, final
@@ -12,6 +12,7 @@
 
 from benchmarks.fault_schedule import Fault
 from standins.deployment import Deployment
+from standins.link_proxy import LinkProxy
 
 STOP_TIMEOUT_SECONDS: Final = 20.0
 MAX_SECONDS_UNTIL_NO_NEW_WORK: Final = 4.0
@@ -44,16 +45,24 @@
         'violations',
         'exit_codes',
         '_deployment',
+        '_proxies',
         '_random',
         '_store_fault_ended_at',
         '_edit_count',
     )
 
-    def __init__(self, *, deployment: Deployment, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        proxies: Mapping[str, LinkProxy],
+        random: Random,
+    ) -> None:
         self.windows: list[FaultWindow] = []
         self.violations: list[dict[str, object]] = []
         self.exit_codes: list[tuple[str, int | None]] = []
         self._deployment = deployment
+        self._proxies = proxies
         self._random = random
         # Edits reach the daemons only after a store fault ends.
         self._store_fault_ended_at: float = 0
@@ -89,6 +98,7 @@
             'store': self._disrupt_store,
             'edit': self._edit_configuration,
             'data_centre': self._disrupt_data_centre,
+            'link': self._disrupt_link,
         }
         handlers[fault.group](fault)
         self.windows.append(
@@ -109,6 +119,17 @@
         gevent.sleep(fault.seconds)
         child.start()
 
+    def _disrupt_link(self, fault: Fault) -> None:
+        proxy = self._proxies[fault.target]
+        if fault.kind == 'silence':
+            proxy.silence_links()
+            return
+        proxy.fault = fault.kind
+        if fault.kind == 'cut':
+            proxy.reset_links()
+        gevent.sleep(fault.seconds)
+        proxy.fault = ''
+
     def _disrupt_upstream(self, fault: Fault) -> None:
         control = self._deployment.control_upstream
         if fault.kind == 'cold':
--- a/benchmarks/fault_checks.py
+++ b/benchmarks/fault_checks.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from benchmarks.fault_actions import FaultWindow
 from benchmarks.fault_load import CallResult
 from briartack.held import (
     AuditLine,
@@ -25,6 +26,8 @@
 POLL_INTERVAL_SECONDS: Final = 0.5
 MAX_STORE_CALLS_PER_SECOND: Final = 2000
 HELD_QUERY_COUNT: Final = 40
+# The longest time limit of a call, and a margin for a busy machine.
+MAX_CALL_SECONDS: Final = 4.0
 # Stands for the highest revision; no key of the store begins with an asterisk.
 HIGHEST_KEY: Final = '*highest'
 CONFIGURATION_KINDS: Final = frozenset(('configuration', 'held'))
@@ -113,6 +116,35 @@
     return violations
 
 
+def check_answered(
+    results: Iterable[CallResult],
+    runs: dict[str, list[str]],
+    windows: Iterable[FaultWindow],
+) -> list[Violation]:
+    """Find requests that ran and whose connection ended without an answer.
+
+    Only a daemon that is killed may end a connection so.
+    """
+    killed_at: dict[str, list[float]] = defaultdict(list)
+    for window in windows:
+        if window.fault.kind == 'kill':
+            killed_at[window.fault.target].append(window.began_at)
+    return [
+        _describe_result(
+            'a request that ran ended without an answer',
+            result,
+            runs[result.request.request_id],
+        )
+        for result in results
+        if result.is_closed
+        and runs.get(result.request.request_id)
+        and not any(
+            0 <= at - result.at <= MAX_CALL_SECONDS
+            for at in killed_at[result.instance]
+        )
+    ]
+
+
 def _find_broken_rules(result: CallResult, ran_at: list[str]) -> Iterable[str]:
     if result.request.kind != 'read' and len(ran_at) > 1:
         yield 'a non-repeatable request ran more than once'
--- a/benchmarks/fault_load.py
+++ b/benchmarks/fault_load.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from typing import Final, final
@@ -25,6 +26,8 @@
 MEAN_CALLS_PER_STEP: Final = 1.13
 SERVICE_TIMES_MS: Final = (2, 5, 20, 60, 200)
 MAX_TEXT_BYTES: Final = 200
+# Other errors are those of connections that are refused or time out.
+CLOSED_ERRORS: Final = ('ConnectionError', 'ConnectionResetError')
 
 
 class Echo(msgspec.Struct, frozen=True, kw_only=True):
@@ -67,6 +70,11 @@
         """Return whether the caller received a 2xx status."""
         return 200 <= self.status < 300
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the connection ended without a whole answer."""
+        return not self.status and self.text.startswith(CLOSED_ERRORS)
+
     @property
     def is_matching_answer(self) -> bool:
         """Return whether the answer echoes this request, ignoring its id."""
@@ -87,6 +95,7 @@
         'results',
         '_deployment',
         '_random',
+        '_choose_further',
         '_period_seconds',
         '_clients',
         '_pool',
@@ -101,10 +110,13 @@
         deployment: Deployment,
         random: Random,
         calls_per_second: float,
+        choose_further: Callable[[], list[tuple[CallRequest, str]]] = list,
     ) -> None:
+        """Create the load; a step may have further requests to instances."""
         self.results: list[CallResult] = []
         self._deployment = deployment
         self._random = random
+        self._choose_further = choose_further
         self._period_seconds = MEAN_CALLS_PER_STEP / calls_per_second
         self._clients = {
             name: Client(
@@ -149,6 +161,8 @@
                 self._pool.spawn(
                     self._call, request, *self._choose_instances(1)
                 )
+            for further, instance in self._choose_further():
+                self._pool.spawn(self._call, further, instance)
 
     def _choose_instances(self, count: int) -> list[str]:
         return self._random.sample(sorted(self._clients), count)
--- a/benchmarks/fault_run.py
+++ b/benchmarks/fault_run.py
@@ -7,6 +7,8 @@
 import shutil
 import sys
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 from random import Random
 from typing import Final
 
@@ -21,6 +23,7 @@
 )
 from benchmarks.fault_checks import (
     Trails,
+    check_answered,
     check_calls,
     check_held,
     check_store_load,
@@ -31,11 +34,23 @@
     wait_for_equal_digests,
 )
 from benchmarks.fault_load import CallResult, FaultLoadGenerator
-from benchmarks.fault_schedule import Fault, plan_faults
+from benchmarks.fault_places import (
+    PLACED_KEY,
+    PlacedCalls,
+    check_homes,
+    check_shares,
+    encode_placed_subtree,
+)
+from benchmarks.fault_schedule import (
+    Fault,
+    plan_faults,
+    plan_link_faults,
+)
 from benchmarks.figures import Figures, run_as_program
 from standins.deployment import Deployment
 from standins.deployment_plans import Plan, plan_generated
 from standins.deployment_site import DeploymentOptions
+from standins.link_proxy import LinkProxy
 
 CALLS_PER_SECOND: Final = 60.0
 LOAD_TAIL_SECONDS: Final = 3.0
@@ -67,18 +82,31 @@
     options = DeploymentOptions(
         keeps_directory=True,
         records_traces=record,
+        proxies_peers=True,
         upstream_flags=('--cold-requests', '20', '--cold-limit', '4'),
     )
     deployment = Deployment(_create_plan(), options)
     directory = deployment.site.directory
-    with deployment:
+    proxies = _create_proxies(deployment)
+    with _running(proxies), deployment:
         faults = plan_faults(
             Random(f'faults {seed}'),
             seconds=seconds,
             data_centres=_group_by_data_centre(deployment),
             intensity=intensity,
         )
-        figures = _inject_under_load(deployment, seed, faults, calls_per_second)
+        faults += plan_link_faults(
+            Random(f'links {seed}'),
+            seconds=seconds,
+            instances=list(proxies),
+            intensity=intensity,
+        )
+        injector = FaultInjector(
+            deployment=deployment, proxies=proxies, random=Random(seed)
+        )
+        figures = _inject_under_load(
+            deployment, injector, seed, faults, calls_per_second
+        )
     figures = {**figures, 'seconds': seconds, 'intensity': intensity}
     if figures['met']:
         shutil.rmtree(directory)
@@ -86,6 +114,24 @@
     return {**figures, 'output': str(directory)}
 
 
+def _create_proxies(deployment: Deployment) -> dict[str, LinkProxy]:
+    return {
+        name: LinkProxy(address=site.proxy_address, target=site.peer_address)
+        for name, site in deployment.site.instance_sites.items()
+    }
+
+
+@contextmanager
+def _running(proxies: dict[str, LinkProxy]) -> Iterator[None]:
+    for proxy in proxies.values():
+        proxy.start()
+    try:
+        yield
+    finally:
+        for proxy in proxies.values():
+            proxy.stop()
+
+
 def _create_plan() -> Plan:
     base = plan_generated(
         regions=2,
@@ -97,23 +143,29 @@
         **base.tree,
         'teams/owner': encode_owner_subtree(has_policy=True),
         'teams/guest': encode_guest_subtree(),
+        PLACED_KEY: encode_placed_subtree(),
     }
     return Plan(name='faults', instances=base.instances, tree=tree)
 
 
 def _inject_under_load(
     deployment: Deployment,
+    injector: FaultInjector,
     seed: int,
     faults: list[Fault],
     calls_per_second: float,
 ) -> Figures:
     for fault in faults:
         sys.stderr.write(f'{fault}\n')
-    injector = FaultInjector(deployment=deployment, random=Random(seed))
+    instance_sites = deployment.site.instance_sites
+    placed = PlacedCalls(
+        random=Random(f'placed {seed}'), instances=list(instance_sites)
+    )
     load = FaultLoadGenerator(
         deployment=deployment,
         random=Random(f'load {seed}'),
         calls_per_second=calls_per_second,
+        choose_further=placed.create_requests,
     )
     load.start()
     injector.inject_all(faults)
@@ -134,6 +186,13 @@
     violations += check_calls(
         load.results, runs, collect_first_run_times(deployment)
     )
+    violations += check_answered(load.results, runs, injector.windows)
+    violations += check_homes(
+        load.results,
+        runs,
+        {name: one.plan.region for name, one in instance_sites.items()},
+    )
+    violations += check_shares(load.results, runs)
     violations += check_trails(trails)
     violations += check_held(trails, Random(f'held {seed}'))
     violations += check_store_load(stats)
--- a/benchmarks/fault_schedule.py
+++ b/benchmarks/fault_schedule.py
@@ -10,6 +10,9 @@
 UPSTREAM_FAULTS: Final = ('cold', 'cut', 'reset', 'truncate', 'down')
 STORE_FAULTS: Final = ('refuse', '503', 'stale', 'cross', 'late', 'restore')
 EDIT_FAULTS: Final = ('good', 'malformed', 'remove', 'put_back')
+# Of the streams to one daemon: reset and refused, held up in both directions
+# or in one, or silent for good while new streams work.
+LINK_FAULTS: Final = ('cut', 'hang', 'one-way', 'silence')
 DATA_CENTRE_FAULTS: Final = ('out', 'restart_all')
 FAULT_GROUPS: Final = (
     'daemon',
@@ -69,6 +72,34 @@
     return faults
 
 
+def plan_link_faults(
+    random: Random,
+    *,
+    seconds: float,
+    instances: list[str],
+    intensity: float = 1,
+) -> list[Fault]:
+    """Plan the faults of links, whose randomness is apart from the others.
+
+    The other faults of a seed stay what they were before there were these.
+    """
+    faults: list[Fault] = []
+    at = FIRST_FAULT_SECONDS
+    while at < seconds - MIN_FAULT_SECONDS:
+        longest = min(MAX_FAULT_SECONDS, seconds - at)
+        fault = Fault(
+            at=round(at, 2),
+            seconds=round(random.uniform(MIN_FAULT_SECONDS, longest), 2),
+            group='link',
+            kind=random.choice(LINK_FAULTS),
+            target=random.choice(instances),
+        )
+        if not _has_conflict(fault, faults, {}):
+            faults.append(fault)
+        at += random.uniform(*FAULT_INTERVAL_SECONDS) / intensity
+    return faults
+
+
 def _choose_fault(
     random: Random,
     at: float,
--- a/briartack/test/test_fault_checks.py
+++ b/briartack/test/test_fault_checks.py
@@ -1,6 +1,7 @@
 """Test the rules that the results of a fault run must satisfy."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 from hashlib import sha256
 from random import Random
@@ -8,14 +9,17 @@
 
 from nose2.tools import params
 
+from benchmarks.fault_actions import FaultWindow
 from benchmarks.fault_checks import (
+    check_answered,
     check_calls,
     check_held,
     check_store_load,
     check_trails,
 )
 from benchmarks.fault_load import CallRequest, CallResult, Echo
-from benchmarks.fault_schedule import plan_faults
+from benchmarks.fault_places import check_homes, check_shares
+from benchmarks.fault_schedule import Fault, plan_faults
 from briartack.held import AuditLine
 
 BODY = b'abc'
@@ -129,6 +133,73 @@
         self.assertEqual(bool(rules), rule is not None)
         self.assertIn(rule or '', str(rules))
 
+    @params(
+        ('ConnectionError: end', ['a'], 9, True),
+        ('ConnectionError: end', [], 9, False),
+        ('ConnectionError: end', ['a'], 2, False),
+        ('TimeoutError: timed out', ['a'], 9, False),
+    )
+    def test_lost_answer_violates_rule(
+        self, text: str, ran_at: list[str], killed_at: float, is_wrong: bool
+    ) -> None:
+        result = replace(_build_call(''), status=0, text=text)
+        fault = Fault(at=0, seconds=1, group='daemon', kind='kill', target='a')
+        window = FaultWindow(fault=fault, began_at=killed_at, ended_at=10)
+        found = check_answered([result], {'r1': ran_at}, [window])
+        self.assertEqual(bool(found), is_wrong)
+
+    @params(
+        ('home', 'svc-1-1', False),
+        ('home', 'svc-1-2', True),
+        ('split', 'svc-1-2', False),
+    )
+    def test_run_outside_the_home_region_violates_rule(
+        self, kind: str, ran_at: str, is_wrong: bool
+    ) -> None:
+        found = check_homes(
+            [_build_call('ran', kind=kind)],
+            {'r1': [ran_at]},
+            {'svc-1-1': 'region-1', 'svc-1-2': 'region-2'},
+        )
+        self.assertEqual(bool(found), is_wrong)
+
+    # The last number of a row counts the refusals of the part without room.
+    @params(
+        ((500, 250, 0, 250), []),
+        ((530, 230, 0, 240), []),
+        ((600, 200, 0, 200), ['svc-1']),
+        ((667, 333, 0, 0), ['placed/empty', 'svc-1', 'svc-2']),
+        ((500, 250, 1, 249), ['svc-3']),
+        ((300, 200, 0, 500), []),
+    )
+    def test_part_that_misses_its_weight_violates_rule(
+        self, counts: tuple[int, int, int, int], parts: list[str]
+    ) -> None:
+        names = [
+            name
+            for name, count in zip(
+                ('svc-1-1', 'svc-2-1', 'svc-3-1', ''), counts, strict=True
+            )
+            for _ in range(count)
+        ]
+        results = [
+            replace(
+                _build_call('ran', kind='split'),
+                request=CallRequest(
+                    kind='split',
+                    method='POST',
+                    path='/a',
+                    request_id=str(number),
+                    body=BODY,
+                ),
+                text='' if name else 'no-endpoint',
+            )
+            for number, name in enumerate(names)
+        ]
+        runs = {str(number): [one] for number, one in enumerate(names) if one}
+        found = check_shares(results, runs)
+        self.assertEqual([one['part'] for one in found], parts)
+
     @params(
         (((1, 5), (2, 5), (3, 6)), []),
         (((1, 5), (2, 4)), ['trail: revision fell']),
--- a/briartack/test/test_soak.py
+++ b/briartack/test/test_soak.py
@@ -1,10 +1,11 @@
 """Short fault soaks of real processes under load, with fixed seeds.
 
-Daemons are killed, frozen and stopped in a planned way, upstreams fail, the
-store is away, late and restored from a copy, and changes come meanwhile, while
-callers keep their connections. `python -m benchmarks fault_run` plays other
-seeds and longer runs, and `python -m benchmarks stop_run` those of stops,
-`upstream_run` those of upstreams beside stops.
+Daemons are killed, frozen and stopped in a planned way, the streams between
+them are cut and go silent, upstreams fail, the store is away, late and restored
+from a copy, and changes come meanwhile, while callers keep their connections
+and upstreams make calls of their own. `python -m benchmarks fault_run` plays
+other seeds and longer runs, `stop_run` those of stops, `upstream_run` those of
+upstreams beside stops, and `mixed_stop_run` stops at the rates of a whole site.
 """
 
 import unittest
@@ -27,6 +28,10 @@
             seed=seed, seconds=SOAK_SECONDS, intensity=2
         )
         self.assertEqual(figures['violations'], [])
+        # A soak that leaves these out would hold whatever the daemons do.
+        played = f'{figures["calls_by_kind"]} {figures["faults"]}'
+        for kind in ('home', 'split', 'link'):
+            self.assertIn(kind, played)
 
     # Guards against a request that ends without its answer, or whose refusal
     # isn't true, at stops, reloads and changes that overlap (LOST, REFUSED,
@@ -35,6 +40,7 @@
     def test_requests_end_with_one_answer(self, seed: int) -> None:
         figures = stop_run.measure(seed=seed, seconds=STOP_SECONDS)
         self.assertEqual(figures['violations'], [])
+        self.assertNotEqual(figures['calls_of_runs'], 0)
 
     # Guards against a run that an owner begins in its stop and cuts, while the
     # daemon of its caller stops too (LOST).
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -41,6 +41,7 @@
         self._site = create_site(
             plan,
             Path(tempfile.mkdtemp(prefix='briartack-')),
+            proxies_peers=options.proxies_peers,
         )
         self._fleet = Fleet(site=self._site, options=options)
 
--- a/standins/deployment_site.py
+++ b/standins/deployment_site.py
@@ -20,6 +20,8 @@
     peer_address: str
     operator_address: str
     upstream_address: str
+    # Of a proxy to which other daemons connect; empty without one.
+    proxy_address: str = ''
 
     def build_record(self) -> dict[str, str]:
         """Return the instance's record in the platform's list of instances."""
@@ -27,7 +29,7 @@
             'service': self.plan.service,
             'data_centre': self.plan.data_centre,
             'region': self.plan.region,
-            'peer_address': self.peer_address,
+            'peer_address': self.proxy_address or self.peer_address,
             'state': 'live',
         }
 
@@ -43,6 +45,8 @@
     records_traces: bool = False
     upstream_flags: tuple[str, ...] = ()
     keeps_directory: bool = False
+    # Daemons find each other at proxies, which the user of the site starts.
+    proxies_peers: bool = False
     # Benchmarks run modified daemons as baselines from separate modules.
     daemon_module: str = 'briartack.launcher'
 
@@ -65,13 +69,17 @@
         return self.directory / 'tree'
 
 
-def create_site(plan: Plan, directory: Path) -> DeploymentSite:
+def create_site(
+    plan: Plan, directory: Path, *, proxies_peers: bool = False
+) -> DeploymentSite:
     """Assign the addresses and write the files of a deployment."""
     ports = PortAllocator()
     site = DeploymentSite(
         plan=plan,
         directory=directory,
-        instance_sites=assign_addresses(plan, ports),
+        instance_sites=assign_addresses(
+            plan, ports, proxies_peers=proxies_peers
+        ),
         store_address=ports.reserve_address(),
         control_address=ports.reserve_address(),
         ports=ports,
@@ -81,7 +89,7 @@
 
 
 def assign_addresses(
-    plan: Plan, ports: PortAllocator
+    plan: Plan, ports: PortAllocator, *, proxies_peers: bool = False
 ) -> dict[str, InstanceSite]:
     """Assign addresses to each instance of a plan."""
     return {
@@ -91,6 +99,7 @@
             peer_address=ports.reserve_address(),
             operator_address=ports.reserve_address(),
             upstream_address=ports.reserve_address(),
+            proxy_address=ports.reserve_address() if proxies_peers else '',
         )
         for one in plan.instances
     }
