Pass limits of callers' connections on only if they are longer than our own

An unset field is left out now, and the platform's usual limits (15 s, 3 s) are not passed on: closing later than asked harms no caller.

--- a/briartack/core/configuration/resolved_snapshot.py
+++ b/briartack/core/configuration/resolved_snapshot.py
@@ -263,9 +263,9 @@
 
 def _merge_caller_limits(configuration: EffectiveConfiguration) -> CallerLimits:
     stated = [
-        version.settings.callers
+        limits
         for version in configuration.active.values()
-        if version.settings.callers is not None
+        if isinstance(limits := version.settings.callers, CallerLimits)
     ]
     if not stated:
         return _DEFAULT_CALLER_LIMITS
--- a/briartack/core/configuration/schema_problems.py
+++ b/briartack/core/configuration/schema_problems.py
@@ -28,6 +28,7 @@
     ('workspaces', Workspace),
 )
 _CALLERS: Final = 'callers'
+_UNSTATED: Final = object()
 _PATH_SEPARATOR: Final = ' - at `'
 _CODES_BY_PREFIX: Final = (
     ('Object contains unknown field', Code.UNKNOWN_FIELD),
@@ -60,12 +61,7 @@
     return (
         *_find_section_problems(key, tree),
         *_find_route_problems(key, tree),
-        *_check_part(
-            key,
-            f'{ROOT}.{_CALLERS}',
-            tree.get(_CALLERS),
-            CallerLimits | None,
-        ),
+        *_find_caller_problems(key, tree),
     )
 
 
@@ -73,7 +69,7 @@
     key: str,
     path: str,
     part: object,
-    kind: object,
+    kind: type,
 ) -> Iterator[Problem]:
     try:
         msgspec.convert(part, kind)
@@ -81,6 +77,14 @@
         yield parse_schema_error(key, path, str(error))
 
 
+def _find_caller_problems(
+    key: str, tree: dict[str, object]
+) -> Iterator[Problem]:
+    stated = tree.get(_CALLERS, _UNSTATED)
+    if stated is not _UNSTATED:
+        yield from _check_part(key, f'{ROOT}.{_CALLERS}', stated, CallerLimits)
+
+
 def _find_section_problems(
     key: str, tree: dict[str, object]
 ) -> Iterator[Problem]:
--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -125,7 +125,8 @@
     workspaces: dict[Name, Workspace] = {}
     routes: tuple[Route, ...] = ()
     # Callers share the connections of all teams; the longest times apply.
-    callers: CallerLimits | None = None
+    # Left out of the encoded form if unset: earlier releases refuse the field.
+    callers: CallerLimits | msgspec.UnsetType = msgspec.UNSET
 
 
 @final
--- a/briartack/platform/configuration.py
+++ b/briartack/platform/configuration.py
@@ -136,7 +136,7 @@
     def translate(self) -> TeamSettings:
         services: dict[str, ServiceLimits] = {}
         routes: list[Route] = []
-        callers: CallerLimits | None = None
+        callers: CallerLimits | msgspec.UnsetType = msgspec.UNSET
         for resource in self._config.resources:
             name = resource.metadata.name
             if resource.resource_kind == 'services':
@@ -241,14 +241,19 @@
     )
 
 
-def _translate_limits(spec: _Limits) -> CallerLimits:
-    stated = {
+def _translate_limits(spec: _Limits) -> CallerLimits | msgspec.UnsetType:
+    """Translate the limits that are longer than the product's own.
+
+    To close a connection later than the operators ask harms no caller, and
+    daemons of earlier releases refuse a version that states limits.
+    """
+    own = msgspec.structs.asdict(CallerLimits())
+    longer = {
         name: _round_milliseconds(milliseconds)
         for name, milliseconds in msgspec.structs.asdict(spec).items()
-        # The pages don't say whether 0 means no limit.
-        if milliseconds is not None and milliseconds > 0
+        if milliseconds is not None and milliseconds > own[name]
     }
-    return CallerLimits(**stated)
+    return CallerLimits(**longer) if longer else msgspec.UNSET
 
 
 def _translate_rate(per_second: float | None) -> float | None:
