Use a stopping owner if the others are gone, and spare the owner of a key

The review showed two cases in which the last resort was not taken: another owner was listed without a stream (the call waited for 0.5 s and got 503), or had refused because it stopped too. Only owners without room rule it out now; a call waits for missing streams once. A request with a key was sent again to its only owner four times at once; it waits for its backoff now. Both new tests failed before.

--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -58,6 +58,8 @@
     stale_clock_refusals: int = 0
     free_refusals: int = 0
     is_last_resort: bool = False  # the attempt was, see `ChosenEndpoint`
+    has_met_overload: bool = False  # an owner had no room
+    has_waited: bool = False  # in vain, for a stream to an owner
     # Made by a request that runs at this daemon's upstream and waits for it.
     is_from_local_run: bool = False
     last_refusal: Reason | None = None  # reason of the last free refusal
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -181,11 +181,14 @@
             full_load=_select_full_load(context.rules, call.body_bytes),
         )
         choice = choose(deadline=call.deadline)
-        if choice is not SelectionFailure.NO_ENDPOINT or call.tried_instances:
+        has_last_resort = not call.has_met_overload and not call.is_last_resort
+        if isinstance(choice, ChosenEndpoint) or not has_last_resort:
             return choice
-        choice = choose()
-        if isinstance(choice, ChosenEndpoint):
-            return msgspec.structs.replace(choice, is_last_resort=True)
+        # Owners without a stream may still come; a call waits for them once.
+        is_waiting = isinstance(choice, list) and not call.has_waited
+        last_resort = choose()
+        if isinstance(last_resort, ChosenEndpoint) and not is_waiting:
+            return msgspec.structs.replace(last_resort, is_last_resort=True)
         return choice
 
     def _choose_isolated(
--- a/briartack/core/calls/retry.py
+++ b/briartack/core/calls/retry.py
@@ -111,7 +111,8 @@
         return False
     has_tries = call.free_refusals < MAX_FREE_REFUSALS
     if reason is reasons.STOP_TOO_NEAR:
-        return has_tries
+        # Only the same owner may run a request with a key.
+        return has_tries and not call.event.idempotency_key
     if rules.counts_refusals:
         return False
     is_from_upstream = reason is reasons.UPSTREAM_REFUSED
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -199,6 +199,8 @@
             reason=answer.reason,
         )
         effects: Effects = [*drop_body_effects, log_line]
+        if reason is reasons.OVERLOAD:
+            call.has_met_overload = True
         if reason is not reasons.STOP_TOO_NEAR or call.is_last_resort:
             call.tried_instances = (*call.tried_instances, peer)
         effects.extend(
@@ -313,6 +315,10 @@
         if now < call.wait_until:
             return []
         if call.phase is CallPhase.CONNECTING:
+            call.has_waited = True
+            effects = self._start_next_attempt(context, now, call)
+            if call.phase is not CallPhase.CONNECTING:
+                return effects
             return self._responder.refuse(
                 context, now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN
             )
--- a/briartack/test/test_both_ends_of_a_stop.py
+++ b/briartack/test/test_both_ends_of_a_stop.py
@@ -149,6 +149,34 @@
             ['answer p not-run 503 overload', 'drop call:p'],
         )
 
+    # Guards against calls that are refused though the stopping owner could run
+    # them, since another one is listed without a stream, or has refused as it
+    # stops too.
+    def test_last_resort_beside_owners_that_are_gone(self) -> None:
+        bench = make_bench('b')
+        bench.apply_step({'at': 1, 'do': 'change', 'setup': {'members': 'bc'}})
+        self.arrive(bench, 'p')
+        waiting = self.refuse(bench, 'b', 'a.i1.1')
+        self.assertEqual(waiting, ['connect c'])
+        sent = bench.apply_step({'at': 1.6, 'do': 'tick'})
+        self.assertIn('send b a.i1.2 last-resort', sent)
+        bench = make_bench('bc')
+        peer = self.arrive(bench, 'p').split()[1]
+        other = 'c' if peer == 'b' else 'b'
+        self.refuse(bench, peer, 'a.i1.1', 'stopping')
+        self.assertEqual(
+            self.refuse(bench, other, 'a.i1.2'),
+            [f'send {other} a.i1.3 last-resort'],
+        )
+
+    # Guards against a request with a key that is sent to the only owner of the
+    # key again and again at once.
+    def test_owner_of_a_key_is_not_asked_again_at_once(self) -> None:
+        bench = make_bench('b')
+        self.arrive(bench, 'p', key='k')
+        sent = self.refuse(bench, 'b', 'a.i1.1')
+        self.assertFalse([line for line in sent if line.startswith('send')])
+
     # Guards against calls that are refused though the stopping owner is the
     # only one and could run them, and against a refusal that is repeated.
     def test_only_owner_is_the_last_resort(self) -> None:
