Refuse a call once as its wait for a stream ends

A call that found no owner at the end of its wait was refused twice, and the effects of the first refusal were dropped. Callers saw one answer.

--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -315,17 +315,24 @@
         if now < call.wait_until:
             return []
         if call.phase is CallPhase.CONNECTING:
-            call.has_waited = True
-            effects = self._start_next_attempt(context, now, call)
-            if call.phase is not CallPhase.CONNECTING:
-                return effects
-            return self._responder.refuse(
-                context, now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN
-            )
+            return self._end_wait(context, now, call)
         if call.phase is CallPhase.BACKING_OFF:
             return self._start_next_attempt(context, now, call)
         return []
 
+    def _end_wait(
+        self, context: CallContext, now: float, call: Call
+    ) -> Effects:
+        """Refuse a call that got no stream, unless there is a last resort."""
+        call.has_waited = True
+        effects = self._start_next_attempt(context, now, call)
+        is_open = self._table.get(call.event.call_id) is call
+        if is_open and call.phase is CallPhase.CONNECTING:
+            return self._responder.refuse(
+                context, now, call, reasons.NO_ENDPOINT, Verdict.NOT_RUN
+            )
+        return effects
+
     def _start_next_attempt(
         self,
         context: CallContext,
--- a/briartack/test/test_both_ends_of_a_stop.py
+++ b/briartack/test/test_both_ends_of_a_stop.py
@@ -169,6 +169,21 @@
             [f'send {other} a.i1.3 last-resort'],
         )
 
+    # Guards against a call that is answered twice as its wait ends.
+    @params('bc', '')
+    def test_call_is_refused_once_after_its_wait(self, members: str) -> None:
+        bench = make_bench('')
+        bench.apply_step({'at': 1, 'do': 'change', 'setup': {'members': 'bc'}})
+        waiting = bench.apply_step({'at': 1, 'do': 'arrive', 'call': 'p'})
+        self.assertTrue(waiting[0].startswith('connect'), waiting)
+        bench.apply_step(
+            {'at': 1.1, 'do': 'change', 'setup': {'members': members}}
+        )
+        self.assertEqual(
+            bench.apply_step({'at': 1.6, 'do': 'tick'}),
+            ['answer p not-run 503 no-endpoint', 'drop call:p'],
+        )
+
     # Guards against a request with a key that is sent to the only owner of the
     # key again and again at once.
     def test_owner_of_a_key_is_not_asked_again_at_once(self) -> None:
