--- a/benchmarks/mixed_stop_run.py
+++ b/benchmarks/mixed_stop_run.py
@@ -42,12 +42,12 @@
 
 SHAPE: Final = SiteShape(
     regions_by_zone={
-        'costa-gye': 'costa',
-        'sierra-uio': 'sierra',
-        'insular-scy': 'insular',
-        'costa-mta': 'costa',
-        'sierra-cue': 'sierra',
-        'insular-sxc': 'insular',
+        'costa-1': 'costa',
+        'sierra-1': 'sierra',
+        'insular-1': 'insular',
+        'costa-2': 'costa',
+        'sierra-2': 'sierra',
+        'insular-2': 'insular',
     },
     services=('saldo', 'compras', 'bitacora'),
     slots=18,
@@ -55,17 +55,17 @@
 )
 KINDS: Final = (
     RequestKind(
-        name='balance-check',
+        name='read-balance',
         service='saldo',
         per_second=225,
         work_ms=160,
         max_work_ms=1200,
         deadline_seconds=1.2,
         timeout_ms=1200,
-        calls=('tariff-fetch', 'beam-status'),
+        calls=('read-tariff', 'read-coverage'),
     ),
     RequestKind(
-        name='bundle-buy',
+        name='buy-bundle',
         service='compras',
         per_second=92,
         work_ms=210,
@@ -77,7 +77,7 @@
         max_body_bytes=24_000,
     ),
     RequestKind(
-        name='manifest-upload',
+        name='upload-log',
         service='bitacora',
         per_second=35.3,
         work_ms=190,
@@ -89,7 +89,7 @@
         max_body_bytes=360_000,
     ),
     RequestKind(
-        name='usage-history',
+        name='list-usage',
         service='bitacora',
         per_second=51.1,
         work_ms=640,
@@ -109,8 +109,8 @@
             timeout_ms=500,
         )
         for name, service in (
-            ('tariff-fetch', 'compras'),
-            ('beam-status', 'bitacora'),
+            ('read-tariff', 'compras'),
+            ('read-coverage', 'bitacora'),
         )
     ),
 )
