--- a/benchmarks/connection_load.py
+++ b/benchmarks/connection_load.py
@@ -1,36 +1,29 @@
 """Sends requests of many forms over raw connections to a platform site.
 
-Each request has its own id. The stand-in upstreams record the runs, and the
-connections record what came back, so that both ends can be compared.
+The connections record what came back; `run_record` has the other end.
 """
 
-import hashlib
 import math
 import time
-from collections import defaultdict
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from functools import partial
+from dataclasses import dataclass
 from http import HTTPStatus
 from random import Random
 from types import MappingProxyType
-from typing import Any, Final, TypeAlias, final
+from typing import Any, Final, final
 
 import gevent
 from gevent import socket
 
-from standins.http_server import (
-    Application,
-    BrokenResponse,
-    Request,
-    Response,
+from benchmarks.run_record import (
+    DEADLINE_SECONDS,
+    END_OF_HEAD,
+    MS_PER_SECOND,
+    STATUSES_WITHOUT_BODY,
+    SentRequest,
 )
 from standins.platform_site import HOST, Machine
-from standins.platform_worker import HEALTH_PATH, PlatformWorker
 
-WrapApplication: TypeAlias = Callable[[Application], Application]
 RECEIVE_BYTES: Final = 65536
-MS_PER_SECOND: Final = 1000
 UPLOAD_PIECES: Final = 10
 SMALL_BODY_BYTES: Final = 100
 SLOW_SHARE: Final = 0.25
@@ -39,14 +32,12 @@
 LARGE_BODY_BYTES: Final = 12_000_000
 UPLOAD_BYTES: Final = 6_000_000
 MAX_PIPELINED: Final = 5
-DEADLINE_SECONDS: Final = 4.0
 # The deadline of an upload whose body takes longer.
 LATE_SECONDS: Final = 1.0
 # A connection that stays silent for so long after the deadline of its request
 # has lost it.
 PATIENCE_SECONDS: Final = 3.0
 STOP_SECONDS: Final = 60.0
-_END_OF_HEAD: Final = b'\r\n\r\n'
 _FORMS: Final = (
     ('plain', 30),
     ('length', 15),
@@ -79,16 +70,6 @@
         'late': 'POST',
     }
 )
-_STATUSES: Final = MappingProxyType(
-    {
-        'no-content': HTTPStatus.NO_CONTENT,
-        'not-modified': HTTPStatus.NOT_MODIFIED,
-        'failed': HTTPStatus.INTERNAL_SERVER_ERROR,
-    }
-)
-_STATUSES_WITHOUT_BODY: Final = frozenset(
-    (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-)
 _UPLOADS: Final = frozenset(('upload', 'late'))
 _BODY_SIZES: Final = (10, 3000, 200_000)
 _SHORT_PAUSES: Final = (0, 0.01, 0.1, 0.3)
@@ -121,134 +102,6 @@
     )
 
 
-@final
-@dataclass(slots=True, kw_only=True)
-class SentRequest:
-    """Hold one request and what its caller saw; times are monotonic seconds.
-
-    The request is owed an answer of its upstream until `limit_seconds`.
-    `status` 0 means that no complete answer came, `head` is then that of a part
-    of one. `sent_at` is the time of the
-    last byte, infinite while part of the request is unsent.
-    """
-
-    attempt: str
-    machine: str
-    form: str
-    path: str
-    kind: str
-    method: str = 'GET'
-    body: bytes = b''
-    is_repeatable: bool = False
-    deadline_seconds: float = DEADLINE_SECONDS
-    route_seconds: float = math.inf  # the shortest timeout of its route
-    started_at: float = 0
-    sent_at: float = math.inf
-    ended_at: float = 0
-    is_behind: bool = False  # sent behind another request
-    status: int = 0
-    head: bytes = b''
-    answer: bytes = b''
-    problem: str = ''
-
-    @property
-    def limit_seconds(self) -> float:
-        """Return the time after which a daemon may end the request."""
-        return min(self.deadline_seconds, self.route_seconds)
-
-
-@final
-@dataclass(slots=True, kw_only=True)
-class Run:
-    """Hold one run of a request at an upstream."""
-
-    machine: str
-    digest: str
-    started_at: float
-    ended_at: float = 0  # 0 while the run goes on
-    status: int = 0
-    body: bytes = b''
-    is_broken: bool = False  # the answer was not sent as it should be
-
-
-@final
-@dataclass(slots=True, kw_only=True)
-class RunRecord:
-    """Record the runs of all upstreams of a site.
-
-    `make_calls` makes the calls of a run: it gets the machine, the attempt and
-    the names that the request states.
-    """
-
-    make_calls: Callable[[str, str, str], None] = field(
-        default=lambda _machine, _attempt, _names: None
-    )
-    runs: dict[str, list[Run]] = field(
-        default_factory=lambda: defaultdict(list)
-    )
-
-    def attach(
-        self, machine: Machine, wrap: WrapApplication | None = None
-    ) -> None:
-        """Replace the application of a machine's upstream.
-
-        `wrap` may return another application around the one that records.
-        """
-        worker = machine.worker
-        application: Application = partial(self._answer, machine.ip, worker)
-        worker.server.replace_application(
-            wrap(application) if wrap else application
-        )
-
-    def _answer(
-        self, machine: str, worker: PlatformWorker, request: Request
-    ) -> Response | BrokenResponse:
-        if request.path == HEALTH_PATH:
-            return worker.answer(request)
-        if request.header('X-Expect-Instance') != worker.identity:
-            return Response(status=HTTPStatus.MISDIRECTED_REQUEST)
-        attempt = request.header('X-Attempt-Id')
-        fields = dict(request.query)
-        kind = fields.get('answer', '')
-        run = Run(machine=machine, digest='', started_at=time.monotonic())
-        self.runs[attempt].append(run)
-        if kind != 'early':
-            run.digest = hashlib.sha256(request.body()).hexdigest()
-        names = fields.get('calls', '')
-        if names:
-            self.make_calls(machine, attempt, names)
-        gevent.sleep(int(fields['ms']) / MS_PER_SECOND)
-        run.body = build_body(attempt, int(fields['bytes']))
-        run.status = _STATUSES.get(kind, HTTPStatus.OK)
-        if run.status in _STATUSES_WITHOUT_BODY or request.method == 'HEAD':
-            run.body = b''
-        run.ended_at = time.monotonic()
-        return _build_response(run, attempt, kind)
-
-
-def _build_response(
-    run: Run, attempt: str, kind: str
-) -> Response | BrokenResponse:
-    headers = (('X-Attempt-Id', attempt), ('X-Server-Seal', f's-{attempt}'))
-    if kind not in {'interim', 'open-ended'}:
-        return Response(status=run.status, body=run.body, headers=headers)
-    # The stand-in ends the connection after such an answer.
-    lines = [f'HTTP/1.1 {run.status} OK', 'Connection: close']
-    lines += [f'{name}: {text}' for name, text in headers]
-    interim = b''
-    if kind == 'interim':
-        interim = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
-        lines.append(f'Content-Length: {len(run.body)}')
-    head = '\r\n'.join(lines).encode() + _END_OF_HEAD
-    return BrokenResponse(sent=interim + head + run.body)
-
-
-def build_body(attempt: str, size: int) -> bytes:
-    """Build the body of the answer to a request."""
-    seed = f'{attempt} '.encode()
-    return (seed * (size // len(seed) + 1))[:size]
-
-
 @final
 class ConnectionLoad:
     """Keep connections to the daemons of a site and send requests on them."""
@@ -414,16 +267,16 @@
     def _receive(self, request: SentRequest) -> None:
         status = 0
         while status < HTTPStatus.OK:
-            while _END_OF_HEAD not in self._received:
+            while END_OF_HEAD not in self._received:
                 self._read()
-            head, _, rest = self._received.partition(_END_OF_HEAD)
+            head, _, rest = self._received.partition(END_OF_HEAD)
             self._received = rest
             if not head.startswith(b'HTTP/1.1 '):
                 raise ValueError(f'no answer: {head[:100]!r}')
             status = int(head.split(b' ', 2)[1])
         request.head = head
         length = 0
-        if request.method != 'HEAD' and status not in _STATUSES_WITHOUT_BODY:
+        if request.method != 'HEAD' and status not in STATUSES_WITHOUT_BODY:
             length = int(_find_header(head, b'content-length'))
         request.answer = self._read_body(length)
         request.status = status
@@ -493,7 +346,7 @@
         lines.append(f'Content-Length: {len(request.body)}')
     if request.form == 'expect':
         lines.append('Expect: 100-continue')
-    return '\r\n'.join(lines).encode() + _END_OF_HEAD
+    return '\r\n'.join(lines).encode() + END_OF_HEAD
 
 
 def _cut(body: bytes, count: int) -> list[bytes]:
--- a/benchmarks/mixed_load.py
+++ b/benchmarks/mixed_load.py
@@ -15,7 +15,8 @@
 import gevent
 from gevent import socket
 
-from benchmarks.connection_load import Connection, SentRequest
+from benchmarks.connection_load import Connection
+from benchmarks.run_record import SentRequest
 from standins.platform_site import Machine
 
 MS_PER_SECOND: Final = 1000
--- a/benchmarks/mixed_stop_run.py
+++ b/benchmarks/mixed_stop_run.py
@@ -21,9 +21,9 @@
 import defopt
 import gevent
 
-from benchmarks.connection_load import RunRecord, SentRequest
 from benchmarks.figures import Figures, run_as_program
 from benchmarks.mixed_load import MixedLoad, RequestKind
+from benchmarks.run_record import RunRecord, SentRequest
 from benchmarks.stop_run import (
     GRACE_SECONDS,
     Stop,
--- a/benchmarks/stop_run.py
+++ b/benchmarks/stop_run.py
@@ -20,16 +20,18 @@
 import gevent
 
 from benchmarks.connection_load import (
-    DEADLINE_SECONDS,
     DEFAULT_SHAPE,
     ConnectionLoad,
+    create_long_shape,
+)
+from benchmarks.figures import Figures, run_as_program
+from benchmarks.run_record import (
+    DEADLINE_SECONDS,
     Run,
     RunRecord,
     SentRequest,
     WrapApplication,
-    create_long_shape,
 )
-from benchmarks.figures import Figures, run_as_program
 from benchmarks.upstream_calls import UpstreamCalls
 from standins.platform_site import (
     Machine,
--- a/benchmarks/upstream_calls.py
+++ b/benchmarks/upstream_calls.py
@@ -9,13 +9,8 @@
 
 from gevent import socket
 
-from benchmarks.connection_load import (
-    MS_PER_SECOND,
-    SMALL_BODY_BYTES,
-    Connection,
-    SentRequest,
-    WrapApplication,
-)
+from benchmarks.connection_load import SMALL_BODY_BYTES, Connection
+from benchmarks.run_record import MS_PER_SECOND, SentRequest, WrapApplication
 from standins.http_server import (
     Application,
     BrokenResponse,
--- a/benchmarks/upstream_run.py
+++ b/benchmarks/upstream_run.py
@@ -18,13 +18,9 @@
 import defopt
 import gevent
 
-from benchmarks.connection_load import (
-    ConnectionLoad,
-    Run,
-    RunRecord,
-    SentRequest,
-)
+from benchmarks.connection_load import ConnectionLoad
 from benchmarks.figures import Figures, run_as_program
+from benchmarks.run_record import Run, RunRecord, SentRequest
 from benchmarks.stop_run import (
     StopActions,
     check,
