--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -184,10 +184,11 @@
         has_last_resort = not call.has_met_overload and not call.is_last_resort
         if isinstance(choice, ChosenEndpoint) or not has_last_resort:
             return choice
-        # Owners without a stream may still come; a call waits for them once.
-        is_waiting = isinstance(choice, list) and not call.has_waited
+        if isinstance(choice, list) and not call.has_waited:
+            # Owners without a stream may come; a call waits for them once.
+            return choice
         last_resort = choose()
-        if isinstance(last_resort, ChosenEndpoint) and not is_waiting:
+        if isinstance(last_resort, ChosenEndpoint):
             return msgspec.structs.replace(last_resort, is_last_resort=True)
         return choice
 
