--- a/briartack/test/test_changed_grace_time.py
+++ b/briartack/test/test_changed_grace_time.py
@@ -1,10 +1,8 @@
 """Test planned stops after a change of the grace time in the settings file."""
 
 import signal
-import tempfile
 import unittest
 import uuid
-from pathlib import Path
 from random import Random
 from typing import Any, Final
 from unittest.mock import Mock
@@ -19,15 +17,12 @@
 from briartack.core.state import State
 from briartack.daemon import Daemon
 from briartack.test.fake_reducer import make_identity, read_message
-from briartack.test.test_platform_site import becomes_true
+from briartack.test.started_site import start_site
 from standins.platform_site import (
     HOST,
     Machine,
-    PlatformSite,
-    build_configuration,
     build_route,
     format_settings,
-    send_consumer_request,
 )
 
 GRACE_SECONDS: Final = 3.0
@@ -74,22 +69,10 @@
 
     def start_site(self) -> Machine:
         """Start a site with long runs, and return one of its machines."""
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        site = PlatformSite(directory=Path(directory.name))
-        self.addCleanup(site.stop)
-        site.start()
-        site.store.put('op/config', build_configuration(*ROUTES, version=2))
-        machine = site.find_machine('east-1', 'reads')
-        self.assertTrue(becomes_true(site.is_ready))
-        self.assertTrue(
-            becomes_true(
-                lambda: send_consumer_request(machine, '/new/').status == 200
-            )
-        )
+        site = start_site(self, ROUTES)
         for each in site.machines:
             each.worker.work_seconds = RUN_SECONDS
-        return machine
+        return site.find_machine('east-1', 'reads')
 
 
 class FailedReloadTest(unittest.TestCase):
--- a/briartack/test/test_late_in_grace.py
+++ b/briartack/test/test_late_in_grace.py
@@ -5,12 +5,10 @@
 """
 
 import signal
-import tempfile
 import time
 import unittest
 import uuid
 from collections import Counter
-from pathlib import Path
 from typing import Any, Final
 
 import gevent
@@ -18,14 +16,12 @@
 from nose2.tools import params
 
 from briartack.test.fake_reducer import read_message
-from briartack.test.test_platform_site import becomes_true
+from briartack.test.started_site import start_site
 from standins.platform_site import (
     HOST,
     Machine,
     PlatformSite,
-    build_configuration,
     build_route,
-    send_consumer_request,
 )
 
 CONNECTIONS: Final = 4
@@ -96,19 +92,8 @@
     # and then cut without an answer, some of which may not be repeated (LOST).
     @params('/buys/', '/reads/')
     def test_no_request_that_was_passed_on_is_cut(self, path: str) -> None:
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        site = PlatformSite(directory=Path(directory.name))
-        self.addCleanup(site.stop)
-        site.start()
-        site.store.put('op/config', build_configuration(*ROUTES, version=2))
+        site = start_site(self, ROUTES)
         machine = site.find_machine('east-1', 'reads')
-        self.assertTrue(becomes_true(site.is_ready))
-        self.assertTrue(
-            becomes_true(
-                lambda: send_consumer_request(machine, '/new/').status == 200
-            )
-        )
         senders = [Sender(machine, path) for _ in range(CONNECTIONS)]
         set_work_seconds(site, LONG_RUN_SECONDS)
         # These run until late in the grace time and keep the process.
