Add a budget of memory that the stored bodies count towards

The settings file of a platform states limits.memory_mb, above which the process is ended, and nothing read it. So far only the stored bodies are counted, and nothing is refused: that comes with each holder, in commits of their own.

Not measured: no behaviour changes.

--- a/briartack/bodies.py
+++ b/briartack/bodies.py
@@ -10,27 +10,48 @@
 from briartack.core.messages import MAX_BODY_BYTES, Answer, Attempt, Chunk
 from briartack.core.units import BodyId
 from briartack.framing import MalformedFrameError, compute_body_digest
+from briartack.memory_budget import Lease, MemoryBudget
 
 EMPTY_BODY: Final = b''
 
 
 @final
 class BodyStore:
-    """Map body identifiers to the bodies of calls and attempts in flight."""
+    """Map body identifiers to the bodies of calls and attempts in flight.
 
-    __slots__ = ('_bodies',)
+    Each body has a lease on the memory budget until it is dropped.
+    """
+
+    __slots__ = ('_bodies', '_leases', '_memory')
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory: MemoryBudget) -> None:
         self._bodies: dict[BodyId, bytes] = {}
+        self._leases: dict[BodyId, Lease] = {}
+        self._memory = memory
 
     def __len__(self) -> int:
         """Return the number of bodies, reported as a metric to reveal leaks."""
         return len(self._bodies)
 
-    def put(self, body_id: BodyId, body: bytes) -> None:
-        """Store a body under its identifier; an empty body is not stored."""
+    @property
+    def memory(self) -> MemoryBudget:
+        """Return the budget of everything that the daemon holds."""
+        return self._memory
+
+    def put(
+        self, body_id: BodyId, body: bytes, lease: Lease | None = None
+    ) -> None:
+        """Store a body under its identifier; an empty body is not stored.
+
+        `lease` is the one that was reserved for the body, if any.
+        """
+        self.drop(body_id)
+        if lease is None:
+            lease = self._memory.lease()
+        lease.resize(len(body))
         if body:
             self._bodies[body_id] = body
+            self._leases[body_id] = lease
 
     def get(self, body_id: BodyId | None) -> bytes:
         """Return the stored body, or an empty body if none is stored."""
@@ -41,6 +62,9 @@
     def drop(self, body_id: BodyId) -> None:
         """Delete a body if it is stored."""
         self._bodies.pop(body_id, None)
+        lease = self._leases.pop(body_id, None)
+        if lease is not None:
+            lease.release()
 
 
 @final
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -29,6 +29,11 @@
 from briartack.line_writer import OutputWriters
 from briartack.listening import start_metrics_server, start_servers
 from briartack.logs import AuditTrail, RequestLogLimiter, write_log
+from briartack.memory_budget import (
+    MEGABYTE,
+    MemoryBudget,
+    compute_budget_bytes,
+)
 from briartack.metrics import MetricRegistry
 from briartack.operator_port import DescribeState, OperatorPort
 from briartack.options import Options
@@ -154,7 +159,10 @@
             clock=clock,
             recorder=recorder,
         )
-        self._bodies = BodyStore()
+        max_body_bytes = compute_budget_bytes(
+            int(integration.memory_mb * MEGABYTE)
+        )
+        self._bodies = BodyStore(memory=MemoryBudget(max_bytes=max_body_bytes))
         self._callers = CallerServer(
             bodies=self._bodies,
             dialect=dialects.callers,
--- a/briartack/integration.py
+++ b/briartack/integration.py
@@ -44,6 +44,8 @@
     store_rules: StoreRules
     drain_seconds: float
     exit_flush_seconds: float
+    memory_mb: float  # that the process may use
+    max_descriptors: int | None  # None if only the system limits them
     service: str  # as the list of instances names it
     region: str
     settings_content: bytes = b''  # of the settings file, as it was read
@@ -65,6 +67,8 @@
             store_rules=DEFAULT_STORE_RULES,
             drain_seconds=options.drain_seconds,
             exit_flush_seconds=_EXIT_FLUSH_SECONDS,
+            memory_mb=options.memory_mb,
+            max_descriptors=None,
             service=options.service,
             region=options.region,
         )
@@ -84,6 +88,8 @@
         store_rules=settings.store_rules,
         drain_seconds=drain_seconds,
         exit_flush_seconds=settings.exit_flush_seconds,
+        memory_mb=settings.memory_mb or options.memory_mb,
+        max_descriptors=settings.max_descriptors,
         service=qualify_service(strip_team(options.service)),
         region=encode_name(options.region),
         settings_content=content,
--- /dev/null
+++ b/briartack/memory_budget.py
@@ -0,0 +1,124 @@
+"""Bound the memory that a daemon uses for requests and responses.
+
+Everything that holds part of a body has a lease on it. The body of a request is
+leased whole before it is read, and refused if there is no room, so that bodies
+that have been admitted can always be completed. Responses can't be refused:
+their readers wait for room instead.
+"""
+
+from typing import Final, final
+
+from gevent.event import Event
+
+MEGABYTE: Final = 1_000_000
+# The interpreter, the libraries, the configuration and the connections.
+_BASE_BYTES: Final = 64_000_000
+_MIN_BUDGET_BYTES: Final = 16_000_000
+# A body that is joined, encoded or sent exists twice for a while.
+_COPIES: Final = 2
+# Bodies of requests leave the rest to responses, and large ones leave some of
+# their part to small ones, which most callers send.
+_REQUEST_SHARE: Final = 0.75
+_LARGE_REQUEST_SHARE: Final = 0.6
+SMALL_BODY_BYTES: Final = 65536
+
+
+def compute_budget_bytes(memory_bytes: int) -> int:
+    """Return how many bytes of bodies fit into the memory of a process."""
+    return max((memory_bytes - _BASE_BYTES) // _COPIES, _MIN_BUDGET_BYTES)
+
+
+@final
+class Lease:
+    """Represent the bytes that one holder occupies."""
+
+    __slots__ = ('_budget', '_size', '_is_request')
+
+    def __init__(
+        self, *, budget: 'MemoryBudget', size: int, is_request: bool
+    ) -> None:
+        """Occupy `size` bytes; `MemoryBudget` creates leases."""
+        self._budget = budget
+        self._size = 0
+        self._is_request = is_request
+        self.resize(size)
+
+    @property
+    def size(self) -> int:
+        """Return the number of bytes that are occupied."""
+        return self._size
+
+    def resize(self, size: int) -> None:
+        """Occupy another number of bytes."""
+        change = size - self._size
+        self._size = size
+        self._budget.record_change(change, is_request=self._is_request)
+
+    def release(self) -> None:
+        """Give the bytes back; a second time does nothing."""
+        if self._size:
+            self.resize(0)
+
+
+@final
+class MemoryBudget:
+    """Count what is held of requests and responses, within one limit."""
+
+    __slots__ = ('_max_bytes', '_held_bytes', '_request_bytes', '_has_room')
+
+    def __init__(self, *, max_bytes: int) -> None:
+        """Set the limit of all bodies together."""
+        self._max_bytes = max_bytes
+        self._held_bytes = 0
+        self._request_bytes = 0
+        self._has_room = Event()
+        self._has_room.set()
+
+    @property
+    def max_bytes(self) -> int:
+        """Return the limit of all bodies together."""
+        return self._max_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of everything that is held."""
+        return self._held_bytes
+
+    @property
+    def max_request_bytes(self) -> int:
+        """Return the size of the largest request body that ever fits."""
+        return int(self._max_bytes * _LARGE_REQUEST_SHARE)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether responses have to wait for room."""
+        return self._held_bytes >= self._max_bytes
+
+    def reserve_request(self, size: int) -> Lease | None:
+        """Return a lease on a whole request body, or None without room."""
+        share = _LARGE_REQUEST_SHARE
+        if size <= SMALL_BODY_BYTES:
+            share = _REQUEST_SHARE
+        has_share = self._request_bytes + size <= share * self._max_bytes
+        has_room = self._held_bytes + size <= self._max_bytes
+        if not has_share or not has_room:
+            return None
+        return Lease(budget=self, size=size, is_request=True)
+
+    def lease(self, size: int = 0) -> Lease:
+        """Return a lease on bytes of a response, also above the limit."""
+        return Lease(budget=self, size=size, is_request=False)
+
+    def wait_for_room(self) -> None:
+        """Wait until less than the limit is held."""
+        self._has_room.wait()
+
+    def record_change(self, change: int, *, is_request: bool) -> None:
+        """Count a lease that has grown, shrunk or ended."""
+        self._held_bytes += change
+        if is_request:
+            self._request_bytes += change
+        if self.is_full:
+            self._has_room.clear()
+        else:
+            self._has_room.set()
--- a/briartack/options.py
+++ b/briartack/options.py
@@ -26,6 +26,7 @@
 _FOREIGN_NAME_PATTERN: Final = re.compile(r'\S{1,255}')
 _FOREIGN_SERVICE_PATTERN: Final = re.compile(r'[a-z][a-z0-9-]{0,62}/\S{1,255}')
 _MAX_SECONDS: Final = 3600
+_MIN_MEMORY_MB: Final = 64
 _DIALECTS: Final = ('own', 'platform')
 _LOG_STREAMS: Final = ('stderr', 'stdout')
 _LOG_LEVELS: Final = ('debug', 'info', 'warning', 'error')
@@ -52,6 +53,7 @@
     dialect: str = 'own'
     boot: Path | None = None
     probe_seconds: float = 1.0
+    memory_mb: float = 256.0
     metrics_address: Address | None = None
     log_stream: str = 'stderr'
 
@@ -248,6 +250,16 @@
     return seconds
 
 
+def _parse_memory(text: str) -> float:
+    try:
+        megabytes = float(text)
+    except ValueError:
+        megabytes = math.nan
+    if not _MIN_MEMORY_MB <= megabytes < math.inf:
+        raise ValueError(f'{text!r} is not a number from {_MIN_MEMORY_MB} on')
+    return megabytes
+
+
 def _parse_log_level(text: str) -> str:
     if text not in _LOG_LEVELS:
         raise ValueError(f'{text!r} is not a log level')
@@ -355,6 +367,12 @@
         fix=f'Give seconds above 0 and up to {_MAX_SECONDS}.',
         default='1',
     ),
+    _Setting(
+        name='memory_mb',
+        parse=_parse_memory,
+        fix='Give the megabytes above which the process would be ended.',
+        default='256',
+    ),
     _Setting(
         name='log_stream',
         parse=_parse_log_stream,
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -15,6 +15,7 @@
 
 _ZONE_PREFIX: Final = 'zones.'
 _BOUNDS_FIELD: Final = 'bounds'
+_LIMITS_PREFIX: Final = 'limits.'
 # The platform charges for bytes between zones and regions. A queue of a quarter
 # of the slots costs less than another zone, and a large body goes elsewhere
 # only if the owner refuses it.
@@ -72,6 +73,14 @@
     cold_slack: float = 1.0
 
 
+@final
+class _Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Represent the limits of the process; others are ignored."""
+
+    memory_mb: float | None = None
+    max_fds: int | None = None
+
+
 @final
 class ProcessSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Hold the settings that supplement flags and environment variables."""
@@ -81,6 +90,8 @@
     exit_flush_seconds: float
     rules: CallRules
     store_rules: StoreRules
+    memory_mb: float | None  # None if the platform states no limit
+    max_descriptors: int | None
 
 
 def decode_settings(text: str, probe_seconds: float) -> ProcessSettings:
@@ -99,6 +110,7 @@
             f'no field {_ZONE_PREFIX}NAME gives the region of a zone'
         )
     bounds = _parse_bounds(fields.get(_BOUNDS_FIELD, ''))
+    limits = _parse_limits(fields)
     apply_seconds = bounds.config_apply_ms / MILLISECONDS_PER_SECOND
     drain_seconds = bounds.grace_s * _DRAIN_FRACTION
     exit_flush_seconds = bounds.grace_s - drain_seconds - _EXIT_SECONDS
@@ -106,6 +118,8 @@
         regions=regions,
         drain_seconds=drain_seconds,
         exit_flush_seconds=max(0, exit_flush_seconds),
+        memory_mb=limits.memory_mb,
+        max_descriptors=limits.max_fds,
         rules=CallRules(
             probe_seconds=probe_seconds,
             requires_identity=True,
@@ -148,6 +162,18 @@
     return pairs
 
 
+def _parse_limits(fields: Mapping[str, str]) -> _Limits:
+    texts = {
+        name.removeprefix(_LIMITS_PREFIX): text
+        for name, text in fields.items()
+        if name.startswith(_LIMITS_PREFIX) and text
+    }
+    try:
+        return msgspec.convert(texts, _Limits, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f'{_LIMITS_PREFIX}*: {error}') from None
+
+
 def _parse_bounds(text: str) -> _Bounds:
     pairs = dict(part.partition('=')[::2] for part in text.split(',') if part)
     try:
--- a/briartack/test/shell_fixture.py
+++ b/briartack/test/shell_fixture.py
@@ -12,6 +12,7 @@
 from briartack.core.units import InstanceId
 from briartack.dialects import StoreDialect, UpstreamDialect
 from briartack.event_loop import EventLoop
+from briartack.memory_budget import MemoryBudget
 from briartack.native_dialects import create_native_dialects
 from briartack.peers import Peers
 from briartack.store_client import StoreClient
@@ -24,6 +25,8 @@
 )
 from briartack.upstream import UpstreamClient
 
+BUDGET_BYTES = 100_000_000
+
 
 class ShellFixture:
     """Run the sockets of one daemon with the fake reducer, on free ports.
@@ -41,11 +44,12 @@
         incarnation: str = 'i1',
         upstream_dialect: UpstreamDialect | None = None,
         store_dialect: StoreDialect | None = None,
+        budget_bytes: int = BUDGET_BYTES,
     ) -> None:
         self.name = InstanceId(name)
         self.state = FakeState(peer=peer)
         self.observer = CountingObserver()
-        self.bodies = BodyStore()
+        self.bodies = BodyStore(memory=MemoryBudget(max_bytes=budget_bytes))
         self.loop = EventLoop(
             state=self.state,
             reduce=reduce,
--- a/briartack/test/test_options.py
+++ b/briartack/test/test_options.py
@@ -84,6 +84,8 @@
         ('--drain-seconds', 'inf'),
         ('--probe-seconds', '0'),
         ('--probe-seconds', '-1'),
+        ('--memory-mb', '63'),
+        ('--memory-mb', 'nan'),
         ('--record', '/no/such/directory/trace'),
         ('--record', '/'),
         ('--caller-address', '127.0.0.1:7001'),
--- a/briartack/test/test_platform_settings.py
+++ b/briartack/test/test_platform_settings.py
@@ -74,8 +74,23 @@
         )
         self.assertLessEqual(noticed_ms, bound_ms * 3 / 4)
 
+    # Guards against bodies that are bounded by another memory than the one
+    # above which the platform ends the process.
+    @params(
+        ('', (None, None)),
+        ('limits.memory_mb=150\nlimits.max_fds=4100', (150, 4100)),
+        ('limits.memory_mb=\nlimits.cores=1\nlimits.disk_mb=x', (None, None)),
+    )
+    def test_limits_of_the_process_are_decoded(
+        self, lines: str, expected: tuple[float | None, int | None]
+    ) -> None:
+        settings = decode_settings(f'zones.a=b\n{lines}', 5)
+        limits = (settings.memory_mb, settings.max_descriptors)
+        self.assertEqual(limits, expected)
+
     @params(
         ('zones.a=b\nno separator', 'line 2'),
+        ('zones.a=b\nlimits.memory_mb=many', 'limits'),
         ('node=x', 'zones.'),
         ('zones.a=b\nbounds=budget_extra=many', 'bounds'),
     )
