Refuse requests whose bodies do not fit into the memory of the daemon

Cause: only what upstreams sent had a limit, and that was 48 MB whatever the platform allows. Room for the whole body of a request is reserved now before it is read, at the daemon of the caller and at the owner; without room the request is refused as not run at once (memory-full, with Retry-After), at an owner so that the sender tries another one. Bodies of unknown length extend their room as they grow. Frames and answers that wait for a peer count too, and a sender drops the rest of a body whose attempt has been answered.

Ruled out: reading on later instead of refusing. Bodies that are read in part hold their room, so several of them could fill it and never be completed.

--- a/briartack/bodies.py
+++ b/briartack/bodies.py
@@ -7,7 +7,13 @@
 
 from typing import Final, final
 
-from briartack.core.messages import MAX_BODY_BYTES, Answer, Attempt, Chunk
+from briartack.core.messages import (
+    MAX_BODY_BYTES,
+    MAX_CHUNK_BYTES,
+    Answer,
+    Attempt,
+    Chunk,
+)
 from briartack.core.units import BodyId
 from briartack.framing import MalformedFrameError, compute_body_digest
 from briartack.memory_budget import Lease, MemoryBudget
@@ -71,21 +77,17 @@
 class BodyAssembler:
     """Reassemble one body from its chunks and verify its digest."""
 
-    __slots__ = ('_head', '_payloads', '_received_bytes')
+    __slots__ = ('_head', '_payloads', '_received_bytes', 'lease')
 
-    def __init__(self, head: Attempt | Answer) -> None:
+    def __init__(self, head: Attempt | Answer, lease: Lease) -> None:
         """Prepare for the chunks that follow the announcing message.
 
-        Raises MalformedFrameError if the announced length is zero or above
-        MAX_BODY_BYTES.
+        `lease` grows with the body, unless it has its whole size already.
         """
-        if not 0 < head.body_bytes <= MAX_BODY_BYTES:
-            raise MalformedFrameError(
-                f'announced body of {head.body_bytes} bytes is out of range',
-            )
         self._head = head
         self._payloads: list[bytes] = []
         self._received_bytes = 0
+        self.lease: Final = lease
 
     @property
     def head(self) -> Attempt | Answer:
@@ -105,6 +107,8 @@
             )
         self._payloads.append(chunk.payload)
         self._received_bytes += len(chunk.payload)
+        if self._received_bytes > self.lease.size:
+            self.lease.resize(self._received_bytes)
         if self._received_bytes < self._head.body_bytes:
             return None
         body = EMPTY_BODY.join(self._payloads)
@@ -112,6 +116,21 @@
         return body
 
 
+def verify_announcement(head: Attempt | Answer) -> None:
+    """Check the size of an announced body, and that it is sent as agreed.
+
+    Raises MalformedFrameError.
+    """
+    if not 0 <= head.body_bytes <= MAX_BODY_BYTES:
+        raise MalformedFrameError(
+            f'announced body of {head.body_bytes} bytes is out of range',
+        )
+    if head.body_bytes <= MAX_CHUNK_BYTES:
+        verify_body(head, head.body)
+    elif head.body:
+        raise MalformedFrameError('a body above the chunk limit is sent inline')
+
+
 def verify_body(head: Attempt | Answer, body: bytes) -> None:
     """Check a body against the length and digest in its message.
 
--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -22,6 +22,7 @@
 from briartack.dialects import CallerDialect
 from briartack.error_texts import MALFORMED_REQUEST, TOO_LARGE
 from briartack.inbound_call import InboundCall
+from briartack.memory_budget import MemoryBudget
 from briartack.request_head import RequestHead
 from briartack.shell_interfaces import Observer
 from briartack.turns import TurnLimit
@@ -31,6 +32,10 @@
 _STATUS_TOO_LARGE: Final = 413
 
 
+class _NoRoomError(Exception):
+    """Report that a body of unknown length has outgrown the memory for it."""
+
+
 class _CallRegistry(Protocol):
     """Represent the part of `CallerServer` that a connection uses."""
 
@@ -38,6 +43,10 @@
     def dialect(self) -> CallerDialect:
         """Return the codec for request heads and responses."""
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """Return the budget of the bodies that the daemon holds."""
+
     @property
     def observer(self) -> Observer:
         """Return the recorder of metrics and log lines."""
@@ -54,8 +63,8 @@
     def start_call(self, call: InboundCall, pipeline: Pipeline) -> None:
         """Register a call whose request head has been decoded."""
 
-    def complete_body(self, call: InboundCall, body: bytes) -> None:
-        """Record the complete request body of a call."""
+    def complete_body(self, call: InboundCall, body: bytes | None) -> None:
+        """Record the complete request body of a call; None without room."""
 
     def cancel(self, call: InboundCall) -> None:
         """Cancel a call whose caller has disconnected."""
@@ -158,7 +167,7 @@
         except RequestError as error:
             self._refuse(_STATUS_BAD_REQUEST, MALFORMED_REQUEST, str(error))
             return
-        if head.body_bytes is not None and head.body_bytes > MAX_BODY_BYTES:
+        if (head.body_bytes or 0) > self._max_body_bytes:
             self._refuse(_STATUS_TOO_LARGE, TOO_LARGE, '')
             return
         call = InboundCall(
@@ -166,14 +175,16 @@
             connection=self._choose_connection_header(),
             dialect=self._calls.dialect,
         )
-        self._calls.start_call(call, self._pipeline)
-        if not call.is_body_read and not call.is_answered:
-            self._read_body(call)
+        self._receive_call(call)
         if call.closes_connection or self.close_connection:
             self.close_connection = True
             self._discard_input()
         self._pipeline.wait_for_capacity()
 
+    @property
+    def _max_body_bytes(self) -> int:
+        return min(MAX_BODY_BYTES, self._calls.memory.max_request_bytes)
+
     @property
     def _is_chunked(self) -> bool:
         return self.headers.get('transfer-encoding') is not None
@@ -191,6 +202,21 @@
             if isinstance(pending, InboundCall):
                 self._calls.cancel(pending)
 
+    def _receive_call(self, call: InboundCall) -> None:
+        """Start a call and read its body, for which room is reserved first."""
+        expected_bytes = call.head.body_bytes
+        if expected_bytes is None:
+            expected_bytes = _READ_BYTES
+        call.lease = self._calls.memory.reserve_request(expected_bytes)
+        try:
+            self._calls.start_call(call, self._pipeline)
+            if not call.is_body_read and not call.is_answered:
+                self._read_body(call)
+        finally:
+            lease = call.take_lease()
+            if lease is not None:
+                lease.release()
+
     def _read_body(self, call: InboundCall) -> None:
         if self._awaits_continue:
             call.request_body()
@@ -198,6 +224,9 @@
         call.reader = gevent.getcurrent()
         try:
             body = self._receive_body(call)
+        except _NoRoomError:
+            self._calls.complete_body(call, None)
+            return
         except (OSError, ValueError) as error:
             # pywsgi raises OSError for malformed chunks too.
             self._refuse_broken_body(call, error)
@@ -219,14 +248,23 @@
             if not part:
                 break
             received += len(part)
-            if received > MAX_BODY_BYTES:
+            if received > self._max_body_bytes:
                 return None
+            self._extend_room(call, received)
             parts.append(part)
             if received == call.head.body_bytes:
                 break
             turn.count_read(len(part))
         return b''.join(parts)
 
+    def _extend_room(self, call: InboundCall, received: int) -> None:
+        """Extend the room for a body of unknown length; raise _NoRoomError."""
+        lease = call.lease
+        if lease is None or received <= lease.size:
+            return
+        if not self._calls.memory.extend_request(lease, received):
+            raise _NoRoomError
+
     def _refuse_broken_body(self, call: InboundCall, error: Exception) -> None:
         if call.is_answered:
             return
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -25,6 +25,7 @@
 from briartack.error_texts import HEAD_TIMEOUT
 from briartack.framing import compute_body_digest
 from briartack.inbound_call import InboundCall
+from briartack.memory_budget import MemoryBudget
 from briartack.shell_interfaces import (
     LISTEN_BACKLOG,
     Clock,
@@ -101,6 +102,11 @@
             connection.has_unread_input for connection in self._connections
         )
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """Return the budget of the bodies that the daemon holds."""
+        return self._bodies.memory
+
     @property
     def dialect(self) -> CallerDialect:
         """Return the codec for request heads and responses."""
@@ -207,18 +213,26 @@
                 deadline_ms=head.deadline_ms,
                 is_nested=head.is_nested,
                 body_bytes=head.body_bytes,
+                has_room=call.lease is not None,
             ),
         )
 
-    def complete_body(self, call: InboundCall, body: bytes) -> None:
-        """Store the complete request body and report it to the core."""
-        self._bodies.put(call_body_id(CallId(call.call_id)), body)
+    def complete_body(self, call: InboundCall, body: bytes | None) -> None:
+        """Store the complete request body and report it to the core.
+
+        None reports that there is no room for a body of unknown length.
+        """
+        stored = body or b''
+        self._bodies.put(
+            call_body_id(CallId(call.call_id)), stored, call.take_lease()
+        )
         self._deliver(
             CallBodyRead(
                 now=self._clock(),
                 call_id=CallId(call.call_id),
-                body_bytes=len(body),
-                body_digest=compute_body_digest(body),
+                body_bytes=len(stored),
+                body_digest=compute_body_digest(stored),
+                has_room=body is not None,
             ),
         )
 
--- a/briartack/core/calls/call_checks.py
+++ b/briartack/core/calls/call_checks.py
@@ -104,7 +104,7 @@
     """Route a new call, or return the refusal to answer it with.
 
     Checks, in order: whether the daemon accepts calls, the path, the route,
-    the home regions, the size of the body and the deadline.
+    the home regions, the size of the body, the memory for it and the deadline.
     """
     snapshot = context.snapshot
     reason = find_refusal_reason(context)
@@ -128,6 +128,8 @@
         return _refuse(context, event, reasons.PLACEMENT, headers)
     if (event.body_bytes or 0) > MAX_BODY_BYTES:
         return _refuse(context, event, reasons.BODY_TOO_LARGE)
+    if not event.has_room:
+        return _refuse(context, event, reasons.NO_ROOM)
     call = _build_call(
         event, route, routing.choose_share(context.random, route)
     )
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -100,6 +100,7 @@
             event.peer,
             attempt,
             is_stopping=context.is_stopping or state.drain.is_leaving,
+            has_room=event.has_room,
         ),
     )
 
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -146,6 +146,7 @@
         attempt: Attempt,
         *,
         is_stopping: bool,
+        has_room: bool = True,
     ) -> Effects:
         """Handle the head of a peer's attempt, which may carry the whole body.
 
@@ -163,6 +164,8 @@
         reason = self._dedup.register(
             attempt, context.identity.incarnation, now
         )
+        if reason is None and not has_room:
+            reason = reasons.NO_ROOM
         if reason is not None:
             return self._answers.refuse(now, record, reason)
         if attempt.body_bytes == len(attempt.body):
--- a/briartack/core/calls/reasons.py
+++ b/briartack/core/calls/reasons.py
@@ -97,6 +97,10 @@
     code='overload',
     status=UNAVAILABLE,
 )
+NO_ROOM: Final = Reason(
+    code='memory-full',
+    status=UNAVAILABLE,
+)
 UPSTREAM_DOWN: Final = Reason(
     code='upstream-down',
     status=UNAVAILABLE,
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -137,13 +137,14 @@
         call = self._table.get(event.call_id)
         if call is None or call.phase is not CallPhase.READING_BODY:
             return [DropBody(body_id=call_body_id(event.call_id))]
+        reason = None
         if event.body_bytes > MAX_BODY_BYTES:
+            reason = reasons.BODY_TOO_LARGE
+        elif not event.has_room:
+            reason = reasons.NO_ROOM
+        if reason is not None:
             return self._responder.refuse(
-                context,
-                event.now,
-                call,
-                reasons.BODY_TOO_LARGE,
-                Verdict.NOT_RUN,
+                context, event.now, call, reason, Verdict.NOT_RUN
             )
         call.body_bytes = event.body_bytes
         call.body_digest = event.body_digest
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -110,6 +110,8 @@
     now: float
     peer: InstanceId
     message: PeerMessage
+    # False if the daemon has no memory for the body of the attempt.
+    has_room: bool = True
 
 
 @final
@@ -138,6 +140,7 @@
     deadline_ms: float | None = None
     is_nested: bool = False  # made by an upstream while it runs a call
     body_bytes: int | None = 0  # `None` while the length is unknown
+    has_room: bool = True  # the daemon has memory for the body
 
 
 @final
@@ -148,6 +151,8 @@
     call_id: CallId
     body_bytes: int
     body_digest: Digest
+    # False if a body of unknown length has outgrown the memory for it.
+    has_room: bool = True
 
 
 @final
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -206,6 +206,10 @@
             'The instance belongs to another service.',
             'Check the list of instances; the platform may lag.',
         ),
+        'memory-full': ErrorText(
+            'The daemon has no memory for the body of the request.',
+            'Retry after the stated time; see memory_held_bytes.',
+        ),
         'overload': ErrorText(
             'The upstream had no free slot in time.',
             'Retry the request later, with a pause between retries.',
--- a/briartack/inbound_call.py
+++ b/briartack/inbound_call.py
@@ -6,6 +6,7 @@
 
 from briartack.core.effects import AnswerCall
 from briartack.dialects import CallerDialect
+from briartack.memory_budget import Lease
 from briartack.request_head import RequestHead
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -20,7 +21,8 @@
 class InboundCall:
     """Represent one call in flight: its request head and its response.
 
-    `reader` is the greenlet that reads the request body, if one does.
+    `reader` is the greenlet that reads the request body, if one does, and
+    `lease` is the room for the body until it is stored.
     """
 
     __slots__ = (
@@ -31,6 +33,7 @@
         'closes_connection',
         'is_body_read',
         'reader',
+        'lease',
         '_interim',
         '_connection',
         '_dialect',
@@ -54,6 +57,7 @@
         self.closes_connection = False
         self.is_body_read = head.body_bytes == 0
         self.reader: gevent.Greenlet | None = None
+        self.lease: Lease | None = None
         self._interim = b''
         self._connection = connection
         self._dialect = dialect
@@ -73,6 +77,12 @@
         self._interim = b''
         return interim
 
+    def take_lease(self) -> Lease | None:
+        """Return the room for the body, which the taker releases."""
+        lease = self.lease
+        self.lease = None
+        return lease
+
     def answer(
         self,
         effect: AnswerCall,
--- a/briartack/memory_budget.py
+++ b/briartack/memory_budget.py
@@ -6,7 +6,8 @@
 their readers wait for room instead.
 """
 
-from typing import Final, final
+from collections.abc import Callable
+from typing import Final, TypeAlias, final
 
 from gevent.event import Event
 
@@ -23,6 +24,10 @@
 SMALL_BODY_BYTES: Final = 65536
 
 
+# Gives up the least useful bytes; returns False if there are none.
+Relieve: TypeAlias = Callable[[], bool]
+
+
 def compute_budget_bytes(memory_bytes: int) -> int:
     """Return how many bytes of bodies fit into the memory of a process."""
     return max((memory_bytes - _BASE_BYTES) // _COPIES, _MIN_BUDGET_BYTES)
@@ -64,7 +69,13 @@
 class MemoryBudget:
     """Count what is held of requests and responses, within one limit."""
 
-    __slots__ = ('_max_bytes', '_held_bytes', '_request_bytes', '_has_room')
+    __slots__ = (
+        '_max_bytes',
+        '_held_bytes',
+        '_request_bytes',
+        '_has_room',
+        '_relieve',
+    )
 
     def __init__(self, *, max_bytes: int) -> None:
         """Set the limit of all bodies together."""
@@ -73,6 +84,7 @@
         self._request_bytes = 0
         self._has_room = Event()
         self._has_room.set()
+        self._relieve: Relieve = _relieve_nothing
 
     @property
     def max_bytes(self) -> int:
@@ -96,29 +108,54 @@
 
     def reserve_request(self, size: int) -> Lease | None:
         """Return a lease on a whole request body, or None without room."""
-        share = _LARGE_REQUEST_SHARE
-        if size <= SMALL_BODY_BYTES:
-            share = _REQUEST_SHARE
-        has_share = self._request_bytes + size <= share * self._max_bytes
-        has_room = self._held_bytes + size <= self._max_bytes
-        if not has_share or not has_room:
+        if not self._fits(size, size):
             return None
         return Lease(budget=self, size=size, is_request=True)
 
+    def extend_request(self, lease: Lease, size: int) -> bool:
+        """Extend the lease on a request body, if there is room."""
+        has_room = self._fits(size, size - lease.size)
+        if has_room:
+            lease.resize(size)
+        return has_room
+
     def lease(self, size: int = 0) -> Lease:
         """Return a lease on bytes of a response, also above the limit."""
         return Lease(budget=self, size=size, is_request=False)
 
+    def set_reliever(self, relieve: Relieve) -> None:
+        """Set what gives up bytes when a response can neither wait nor fit."""
+        self._relieve = relieve
+
+    def make_room(self) -> bool:
+        """Return whether there is room, after giving up what must be."""
+        while self.is_full:
+            if not self._relieve():
+                return False
+        return True
+
     def wait_for_room(self) -> None:
         """Wait until less than the limit is held."""
         self._has_room.wait()
 
     def record_change(self, change: int, *, is_request: bool) -> None:
         """Count a lease that has grown, shrunk or ended."""
+        was_full = self.is_full
         self._held_bytes += change
         if is_request:
             self._request_bytes += change
         if self.is_full:
             self._has_room.clear()
-        else:
+        elif was_full:
             self._has_room.set()
+
+    def _fits(self, size: int, growth: int) -> bool:
+        share = _LARGE_REQUEST_SHARE
+        if size <= SMALL_BODY_BYTES:
+            share = _REQUEST_SHARE
+        has_share = self._request_bytes + growth <= share * self._max_bytes
+        return has_share and self._held_bytes + growth <= self._max_bytes
+
+
+def _relieve_nothing() -> bool:
+    return False
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -17,11 +17,17 @@
 from briartack.core.effects import Connect, LogLevel
 from briartack.core.events import PeerConnected, PeerDisconnected
 from briartack.core.identity import Identity
-from briartack.core.messages import PROTOCOL_VERSION, Hello, PeerMessage
+from briartack.core.messages import (
+    PROTOCOL_VERSION,
+    Answer,
+    Hello,
+    PeerMessage,
+)
 from briartack.core.units import InstanceId
 from briartack.error_texts import ENTRY_REFUSED, MALFORMED_FRAME
 from briartack.framing import MalformedFrameError, encode
 from briartack.greenlets import report_failed_task
+from briartack.memory_budget import MemoryBudget
 from briartack.peer_inbox import PeerInbox
 from briartack.peer_stream import PeerStream
 from briartack.peer_traffic import PeerTraffic
@@ -46,6 +52,7 @@
         '_clock',
         '_observer',
         '_inbox',
+        '_memory',
         '_streams_by_peer',
         '_dialling',
     )
@@ -55,6 +62,7 @@
         *,
         identity: Identity,
         inbox: PeerInbox,
+        memory: MemoryBudget,
         deliver: DeliverEvent,
         clock: Clock,
         observer: Observer,
@@ -64,6 +72,7 @@
         self._clock = clock
         self._observer = observer
         self._inbox = inbox
+        self._memory = memory
         self._streams_by_peer: dict[InstanceId, PeerStream] = {}
         self._dialling: set[InstanceId] = set()
 
@@ -155,6 +164,7 @@
             sock=sock,
             is_outgoing=is_outgoing,
             traffic=PeerTraffic(self._observer),
+            memory=self._memory,
         )
 
     def _process_stream(
@@ -209,6 +219,9 @@
                 self._observer.count('peers.messages_received')
                 stream.traffic.count_received(stream.last_frame_bytes, message)
                 self._report_refused(stream.hello.instance, stream)
+                if isinstance(message, Answer):
+                    # An owner that answers early needs no more of the body.
+                    stream.outbox.drop_body(message.attempt_id)
                 self._inbox.handle_message(stream.hello.instance, message)
 
     def _handle_hello(self, stream: PeerStream, hello: Hello) -> None:
--- a/briartack/peer_inbox.py
+++ b/briartack/peer_inbox.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from briartack.bodies import BodyAssembler, BodyStore, verify_body
+from briartack.bodies import BodyAssembler, BodyStore, verify_announcement
 from briartack.core.body_ids import answer_body_id, attempt_body_id
+from briartack.core.calls.reasons import NO_ROOM
 from briartack.core.events import AttemptBodyRead, PeerMessageReceived
 from briartack.core.messages import (
     MAX_CHUNK_BYTES,
@@ -20,7 +21,9 @@
     PeerMessage,
 )
 from briartack.core.units import AttemptId, InstanceId
+from briartack.core.verdict import Verdict
 from briartack.framing import MalformedFrameError
+from briartack.memory_budget import Lease
 from briartack.shell_interfaces import Clock, DeliverEvent
 
 # The bool says whether the body is that of an answer.
@@ -65,40 +68,56 @@
         self, peer: InstanceId, attempt_id: AttemptId
     ) -> None:
         """Ignore the remaining chunks of an unneeded request body."""
-        self._assemblies.pop((peer, attempt_id, False), None)
+        self._drop_assembly((peer, attempt_id, False))
 
     def drop_incomplete_bodies(self, peer: InstanceId) -> None:
         """Drop the incomplete bodies of a peer whose stream ended."""
-        self._assemblies = {
-            key: assembly
-            for key, assembly in self._assemblies.items()
-            if key[0] != peer
-        }
+        for key in tuple(self._assemblies):
+            if key[0] == peer:
+                self._drop_assembly(key)
 
     def _handle_head(
         self,
         peer: InstanceId,
         head: Attempt | Answer,
+    ) -> None:
+        verify_announcement(head)
+        lease = self._lease_body(head)
+        if lease is None:
+            # The chunks that follow belong to no body and are ignored.
+            head = msgspec.structs.replace(head, body=b'')
+            self._deliver_message(peer, head, has_room=False)
+        elif head.body_bytes > MAX_CHUNK_BYTES:
+            self._await_chunks(peer, head, lease)
+        else:
+            self._handle_whole(peer, head, lease)
+
+    def _lease_body(self, head: Attempt | Answer) -> Lease | None:
+        """Return a lease on the body, or None if an attempt has no room."""
+        if isinstance(head, Answer):
+            return self._bodies.memory.lease()
+        return self._bodies.memory.reserve_request(head.body_bytes)
+
+    def _await_chunks(
+        self, peer: InstanceId, head: Attempt | Answer, lease: Lease
     ) -> None:
         is_answer = isinstance(head, Answer)
-        if head.body_bytes > MAX_CHUNK_BYTES:
-            if head.body:
-                raise MalformedFrameError(
-                    'a body above the chunk limit is sent inline'
-                )
-            key = (peer, head.attempt_id, is_answer)
-            self._assemblies[key] = BodyAssembler(head)
-            if not is_answer:
-                self._deliver_message(peer, head)
-            return
+        key = (peer, head.attempt_id, is_answer)
+        self._drop_assembly(key)
+        self._assemblies[key] = BodyAssembler(head, lease)
+        if not is_answer:
+            self._deliver_message(peer, head)
+
+    def _handle_whole(
+        self, peer: InstanceId, head: Attempt | Answer, lease: Lease
+    ) -> None:
         body = head.body
-        verify_body(head, body)
+        self._store_body(head, body, lease)
         if body:
-            self._store_body(head, body)
             # The core receives only the size, so traces contain no payload.
             head = msgspec.structs.replace(head, body=b'')
         self._deliver_message(peer, head)
-        if body and not is_answer:
+        if body and not isinstance(head, Answer):
             self._deliver_body_read(peer, head.attempt_id)
 
     def _handle_chunk(self, peer: InstanceId, chunk: Chunk) -> None:
@@ -109,14 +128,42 @@
             # transit.
             return
         body = assembly.add(chunk)
-        if body is None:
-            return
-        self._assemblies.pop(key)
-        self._store_body(assembly.head, body)
-        if chunk.is_answer:
-            self._deliver_message(peer, assembly.head)
+        if body is not None:
+            self._assemblies.pop(key)
+            self._store_body(assembly.head, body, assembly.lease)
+            self._report_whole_body(peer, assembly.head)
+        elif chunk.is_answer and not self._bodies.memory.make_room():
+            self._give_up_answer(peer, assembly.head)
+
+    def _report_whole_body(
+        self, peer: InstanceId, head: Attempt | Answer
+    ) -> None:
+        if isinstance(head, Answer):
+            self._deliver_message(peer, head)
         else:
-            self._deliver_body_read(peer, chunk.attempt_id)
+            self._deliver_body_read(peer, head.attempt_id)
+
+    def _give_up_answer(
+        self, peer: InstanceId, answer: Attempt | Answer
+    ) -> None:
+        """Let the call fail whose answer does not fit into the memory.
+
+        A reader that waited for room would hold up all messages of the peer.
+        """
+        self._drop_assembly((peer, answer.attempt_id, True))
+        lost = msgspec.structs.replace(
+            answer,
+            verdict=Verdict.UNKNOWN,
+            reason=NO_ROOM.code,
+            headers=(),
+            body_bytes=0,
+        )
+        self._deliver_message(peer, lost)
+
+    def _drop_assembly(self, key: _AssemblyKey) -> None:
+        assembly = self._assemblies.pop(key, None)
+        if assembly is not None:
+            assembly.lease.release()
 
     def _deliver_body_read(
         self, peer: InstanceId, attempt_id: AttemptId
@@ -129,17 +176,22 @@
             ),
         )
 
-    def _store_body(self, head: Attempt | Answer, body: bytes) -> None:
+    def _store_body(
+        self, head: Attempt | Answer, body: bytes, lease: Lease
+    ) -> None:
+        body_id = attempt_body_id(head.attempt_id)
         if isinstance(head, Answer):
-            self._bodies.put(answer_body_id(head.attempt_id), body)
-        else:
-            self._bodies.put(attempt_body_id(head.attempt_id), body)
+            body_id = answer_body_id(head.attempt_id)
+        self._bodies.put(body_id, body, lease)
 
-    def _deliver_message(self, peer: InstanceId, message: PeerMessage) -> None:
+    def _deliver_message(
+        self, peer: InstanceId, message: PeerMessage, *, has_room: bool = True
+    ) -> None:
         self._deliver(
             PeerMessageReceived(
                 now=self._clock(),
                 peer=peer,
                 message=message,
+                has_room=has_room,
             ),
         )
--- a/briartack/peer_outbox.py
+++ b/briartack/peer_outbox.py
@@ -7,10 +7,13 @@
 from briartack.core.messages import MAX_CHUNK_BYTES, Chunk
 from briartack.core.units import AttemptId
 from briartack.framing import encode
+from briartack.memory_budget import MemoryBudget
 from briartack.socket_options import DEFAULT_SILENCE_SECONDS
 
 # A peer whose queue exceeds this size reads too slowly.
 MAX_QUEUED_BYTES: Final = 33_554_432
+# Bodies that wait for a silent peer take at most this part of the memory.
+_MAX_SILENT_SHARE: Final = 0.25
 # Several large answers may be ready faster than a link carries them. More of
 # them are kept while the stream doesn't count as silent.
 MAX_QUEUED_BODY_BYTES: Final = 3 * MAX_QUEUED_BYTES
@@ -61,9 +64,17 @@
         '_bodies',
         '_body_bytes',
         '_body_taken_at',
+        '_memory',
+        '_lease',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory: MemoryBudget) -> None:
+        """Start empty; queued frames and answers count towards the budget.
+
+        The body of an attempt is counted where it is stored.
+        """
+        self._memory = memory
+        self._lease = memory.lease()
         self._frames: deque[bytes] = deque()
         self._frame_bytes = 0
         self._bodies: deque[_ChunkedBody] = deque()
@@ -80,7 +91,8 @@
         """Return whether the queue exceeds the limit of frames or bodies."""
         if self._frame_bytes > MAX_QUEUED_BYTES:
             return True
-        if self._body_bytes <= MAX_QUEUED_BYTES:
+        silent_bytes = _MAX_SILENT_SHARE * self._memory.max_bytes
+        if self._body_bytes <= min(MAX_QUEUED_BYTES, silent_bytes):
             return False
         stalled_seconds = monotonic() - self._body_taken_at
         return (
@@ -92,6 +104,7 @@
         """Append a frame to the queue."""
         self._frames.append(frame)
         self._frame_bytes += len(frame)
+        self._count()
 
     def queue_body(
         self,
@@ -111,13 +124,17 @@
             ),
         )
         self._body_bytes += len(body)
+        self._count()
 
     def drop_body(self, attempt_id: AttemptId) -> None:
-        """Remove the bodies of a withdrawn attempt from the queue."""
+        """Remove the bodies of an attempt that has ended from the queue."""
+        if not self._bodies:
+            return
         self._bodies = deque(
             body for body in self._bodies if body.attempt_id != attempt_id
         )
         self._body_bytes = sum(body.remaining_bytes for body in self._bodies)
+        self._count()
 
     def take_frames(self) -> bytes:
         """Remove all frames and return their concatenation."""
@@ -127,6 +144,7 @@
             frames = b''.join(self._frames)
         self._frames.clear()
         self._frame_bytes = 0
+        self._count()
         return frames
 
     def take_frames_and_chunk(self) -> bytes:
@@ -141,6 +159,7 @@
         chunk = body.take_chunk()
         self._body_taken_at = monotonic()
         self._body_bytes -= len(chunk.payload)
+        self._count()
         if body.remaining_bytes:
             self._bodies.append(body)
         return frames + encode(chunk)
@@ -151,3 +170,10 @@
         self._bodies.clear()
         self._frame_bytes = 0
         self._body_bytes = 0
+        self._count()
+
+    def _count(self) -> None:
+        answer_bytes = sum(
+            body.remaining_bytes for body in self._bodies if body.is_answer
+        )
+        self._lease.resize(self._frame_bytes + answer_bytes)
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -12,6 +12,7 @@
     PeerMessage,
 )
 from briartack.framing import FrameReader
+from briartack.memory_budget import MemoryBudget
 from briartack.peer_outbox import PeerOutbox
 from briartack.peer_traffic import PeerTraffic
 from briartack.socket_options import (
@@ -49,11 +50,12 @@
         sock: socket.socket,
         is_outgoing: bool,
         traffic: PeerTraffic,
+        memory: MemoryBudget,
     ) -> None:
         """Set the options of a connected socket and take its ownership."""
         configure_socket(sock)
         self.is_outgoing: Final = is_outgoing
-        self.outbox: Final = PeerOutbox()
+        self.outbox: Final = PeerOutbox(memory=memory)
         self.traffic: Final = traffic
         self.hello: Hello | None = None
         self._sock = sock
--- a/briartack/peers.py
+++ b/briartack/peers.py
@@ -64,6 +64,7 @@
         self._connections = PeerConnections(
             identity=identity,
             inbox=self._inbox,
+            memory=bodies.memory,
             deliver=deliver,
             clock=clock,
             observer=observer,
--- a/briartack/test/test_endless_input.py
+++ b/briartack/test/test_endless_input.py
@@ -18,6 +18,7 @@
 from briartack.body_budget import BodyBudget
 from briartack.http_exchange import Exchange, ExchangeError, KeepAlivePool
 from briartack.http_response import CollectedResponse
+from briartack.memory_budget import MemoryBudget
 from briartack.peer_stream import PeerStream
 from briartack.peer_traffic import PeerTraffic
 from briartack.test.fake_reducer import LOCAL_HOST, CountingObserver
@@ -259,6 +260,7 @@
         sock = gevent.socket.socket(fileno=listener.accept()[0].detach())
         listener.close()
         stream = PeerStream(
+            memory=MemoryBudget(max_bytes=1_000_000),
             sock=sock,
             is_outgoing=False,
             traffic=PeerTraffic(CountingObserver()),
@@ -303,6 +305,7 @@
         sock = gevent.socket.create_connection(sender.address)
         sock.sendall(b'x')
         stream = PeerStream(
+            memory=MemoryBudget(max_bytes=1_000_000),
             sock=sock,
             is_outgoing=False,
             traffic=PeerTraffic(CountingObserver()),
--- a/briartack/test/test_framing.py
+++ b/briartack/test/test_framing.py
@@ -28,6 +28,7 @@
     compute_body_digest,
     encode,
 )
+from briartack.memory_budget import Lease, MemoryBudget
 
 ATTEMPT = Attempt(
     attempt_id=AttemptId('a1'),
@@ -190,14 +191,14 @@
 
         The last two rows send more bytes than announced, and an empty chunk.
         """
-        assembly = BodyAssembler(ANSWER)
+        assembly = BodyAssembler(ANSWER, _lease())
         with self.assertRaises(MalformedFrameError):
             for offset, payload in chunks:
                 assembly.add(_answer_chunk(offset, payload))
 
     def test_body_is_returned_with_its_last_chunk(self) -> None:
         """Guard against a body that is returned before its last chunk."""
-        assembly = BodyAssembler(ANSWER)
+        assembly = BodyAssembler(ANSWER, _lease())
         self.assertIsNone(assembly.add(_answer_chunk(0, b'abc')))
         self.assertEqual(assembly.add(_answer_chunk(3, b'def')), b'abcdef')
 
@@ -210,6 +211,10 @@
         self.assertEqual(len(digests), 5)
 
 
+def _lease() -> Lease:
+    return MemoryBudget(max_bytes=1000).lease()
+
+
 def _answer_chunk(offset: int, payload: bytes) -> Chunk:
     """Return a chunk of the body of `ANSWER`."""
     return Chunk(
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -30,6 +30,7 @@
 )
 from briartack.core.verdict import Verdict
 from briartack.framing import compute_body_digest, encode
+from briartack.memory_budget import MemoryBudget
 from briartack.peer_outbox import PeerOutbox
 from briartack.socket_options import DEFAULT_SILENCE_SECONDS
 from briartack.test.fake_reducer import (
@@ -272,7 +273,7 @@
 
     # Guards against a peer that takes no bytes and whose queue is kept.
     def test_large_answers_for_a_stalled_peer_close_the_stream(self) -> None:
-        outbox = PeerOutbox()
+        outbox = PeerOutbox(memory=MemoryBudget(max_bytes=1_000_000_000))
         with patch('briartack.peer_outbox.monotonic', return_value=1.0) as now:
             for number in range(3):
                 outbox.queue_body(
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -22,6 +22,9 @@
 SERVICES: Final = ('reads', 'buys')
 HOST: Final = 'shop.example'
 SLOTS: Final = 4
+# The smallest limits of the platform's deployments with two services and more.
+MEMORY_MB: Final = 150
+MAX_DESCRIPTORS: Final = 4100
 TIMEOUT_SECONDS: Final = 5.0
 
 
@@ -304,7 +307,8 @@
         for zone, region in shape.regions_by_zone.items()
     )
     bounds = f'bounds=grace_s={grace_seconds:g},retry_budget_ratio=0.2'
-    return f'{zones}\n{bounds},budget_extra=60,cold_overage=1.5\n'
+    limits = f'limits.memory_mb={MEMORY_MB}\nlimits.max_fds={MAX_DESCRIPTORS}'
+    return f'{zones}\n{limits}\n{bounds},budget_extra=60,cold_overage=1.5\n'
 
 
 def _extract_port(address: str) -> str:
