Unblock the signals that the launcher handles

Callers saw: a daemon whose parent blocked SIGTERM, SIGINT and SIGHUP at exec serves, ignores the stop and is killed after its grace time with all requests that it holds (FAULT, LOST). Cause: a signal mask is inherited across exec; the launcher set dispositions only. Ruled out: inherited ignored dispositions (row 'ignored' passes before). Evidence: test_launcher, before: SIGTERM without effect for 7.5 s, a pending SIGTERM not handled (2 of 3 fail); after: exit code 0, 3 of 3. Conclusion: mended; that the users met it is suspected, not shown.

--- a/briartack/launcher.py
+++ b/briartack/launcher.py
@@ -10,6 +10,8 @@
 import _signal  # type: ignore[import-not-found]
 from posix import _exit  # noqa: WPS436
 
+_HANDLED_SIGNALS = (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT)
+
 
 def main() -> None:
     """Run a daemon and exit with its exit code."""
@@ -18,6 +20,8 @@
     # Nothing has been accepted yet, so a stop has nothing to wait for.
     _signal.signal(_signal.SIGTERM, _exit_at_once)
     _signal.signal(_signal.SIGINT, _exit_at_once)
+    # A process inherits blocked signals; a stop would never arrive.
+    _signal.pthread_sigmask(_signal.SIG_UNBLOCK, _HANDLED_SIGNALS)
     from importlib import import_module  # noqa: PLC0415, WPS433
 
     import_module('briartack.main').main()
