Find the libraries beside the program, and name a missing one

Seen: 'python3 -S briartackd.py' without PYTHONPATH ends with 1 and a traceback; -S switches off site-packages, so a machine that puts target/deps on the path that way starts no daemon (FAULT). Libraries of another interpreter end the start with the same words. Cause: the program relied on an inherited path. Ruled out: the build, which installs the libraries (test_deploy). Conclusion: target/deps is appended last; one line names the library, the build command and whose libraries target/deps has. That the users met it is suspected.

--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -29,6 +29,7 @@
 EFFECT_FAILED: Final = 'effect-failed'
 TASK_FAILED: Final = 'task-failed'
 BAD_OPTION: Final = 'bad-option'
+LIBRARY_MISSING: Final = 'library-missing'
 CANNOT_LISTEN: Final = 'cannot-listen'
 ADDRESS_IN_USE: Final = 'address-in-use'
 METRICS_UNAVAILABLE: Final = 'metrics-unavailable'
@@ -92,6 +93,10 @@
             'Flags or environment variables are invalid.',
             'Correct each of the listed problems and start again.',
         ),
+        LIBRARY_MISSING: ErrorText(
+            'A library cannot be loaded.',
+            'Run the build command of deploy/system.toml on this machine.',
+        ),
         CANNOT_LISTEN: ErrorText(
             'An address cannot be bound.',
             'Choose an address of this instance that no other process uses.',
--- a/briartack/launcher.py
+++ b/briartack/launcher.py
@@ -8,9 +8,12 @@
 # The module `signal` loads `enum`, which takes as long as half of the start of
 # the interpreter.
 import _signal  # type: ignore[import-not-found]
+import sys
 from posix import _exit  # noqa: WPS436
 
 _HANDLED_SIGNALS = (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT)
+# Where the build command of the deploy file installs the libraries.
+_LIBRARIES = 'target/deps'
 
 
 def main() -> None:
@@ -22,9 +25,17 @@
     _signal.signal(_signal.SIGINT, _exit_at_once)
     # A process inherits blocked signals; a stop would never arrive.
     _signal.pthread_sigmask(_signal.SIG_UNBLOCK, _HANDLED_SIGNALS)
+    root = __file__.removesuffix('briartack/launcher.py')
+    # Last, so that libraries on the path that the start states go first.
+    sys.path.append(f'{root}{_LIBRARIES}')
     from importlib import import_module  # noqa: PLC0415, WPS433
 
-    import_module('briartack.main').main()
+    try:
+        program = import_module('briartack.main')
+    except ImportError as error:
+        libraries = import_module('briartack.libraries')
+        sys.exit(libraries.report_missing(error, sys.path[-1]))
+    program.main()
 
 
 def _exit_at_once(number: int, frame: object) -> None:
