Begin a last resort in a stop only if the longest known run fits twice

Callers saw 502 in place of the answer of a running request, 0.5 s after the SIGTERM of their own daemon. Cause: an owner in its stop, the last resort of the sender because all other owners stopped too, began a run of 4.7 s with 4.6 s left, since four mean run times fitted. It was 2.7 s old, and after a start the short runs end first: its mean was 0.67 s, that of the load 2.4 s.

Ruled out: a run that began before the owner's SIGTERM, an owner whose stop began between the choice and the arrival, the sender's own end.

The owner now needs a hundred answers, and twice the longest run must fit; runs under way count with their time so far. The model stopping_owner proves it and has a mutant without it.

test_last_resort_must_end_in_time has the same times as before, with a longest run of 1.2 s in place of a mean of 0.6 s. list_cut_runs passes over calls that ended at their deadline, whose runs the sender cancels.

--- a/benchmarks/stop_run.py
+++ b/benchmarks/stop_run.py
@@ -11,6 +11,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from http import HTTPStatus
 from pathlib import Path
 from random import Random
@@ -34,6 +35,7 @@
 )
 from benchmarks.upstream_calls import UpstreamCalls
 from standins.platform_site import (
+    SMALL_SHAPE,
     Machine,
     PlatformSite,
     build_configuration,
@@ -73,6 +75,7 @@
     timeout_ms: int = ROUTE_TIMEOUT_MS,
     max_run_ms: int = 0,
     spread_seconds: float = 0,
+    slots: int = SMALL_SHAPE.slots,
 ) -> Figures:
     """Stop daemons under load and list every violation.
 
@@ -84,9 +87,12 @@
         below it; 0 for mostly short runs
     :param spread_seconds: time within which daemons that stop together get
         their signals
+    :param slots: requests that each worker runs at once
     """
     directory = Path(tempfile.mkdtemp(prefix='briartack-stops-'))
-    site = PlatformSite(directory=directory)
+    site = PlatformSite(
+        directory=directory, shape=replace(SMALL_SHAPE, slots=slots)
+    )
     record = RunRecord()
     calls = UpstreamCalls()
     shape = DEFAULT_SHAPE
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -13,7 +13,7 @@
     ColdStartLimiter,
 )
 from briartack.core.calls.drain import DrainState
-from briartack.core.calls.run_times import MeanRunTime
+from briartack.core.calls.run_times import MeanRunTime, RunTimeBound
 from briartack.core.calls.slow_start import SlowStartState
 from briartack.core.calls.start_limits import StrictestLimiter
 from briartack.core.calls.stated_limiter import StatedLimiter
@@ -43,6 +43,7 @@
         '_slots',
         '_health',
         '_run_time',
+        'run_bound',
         '_reported_load',
         '_reported_at',
         '_drain',
@@ -67,6 +68,7 @@
         self._health = UpstreamHealth()
         self._limits = ServiceLimits(slots=1, connections=1, queue_length=0)
         self._run_time = MeanRunTime()
+        self.run_bound = RunTimeBound()
         self._reported_load = float(0)
         self._reported_at = float('-inf')
         self._drain = drain
@@ -234,6 +236,7 @@
     ) -> bool:
         """Free a slot and return whether the slow start restarted."""
         self._admission.release()
+        self.run_bound.count_answer()
         if is_success:
             self._run_time.update(now, elapsed_seconds)
         return self._ramp.handle_answer(
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -193,7 +193,7 @@
         record = self._attempts.get(attempt_id)
         if record is None or record.phase is not OwnedPhase.READING_BODY:
             return [DropBody(body_id=attempt_body_id(attempt_id))]
-        self._runner.remove(attempt_id)
+        self._runner.remove(now, attempt_id)
         return self._admit(context, now, record, is_stopping=False)
 
     def cancel(
@@ -223,7 +223,7 @@
 
     def handle_upstream_answer(self, event: UpstreamAnswered) -> Effects:
         """Answer the sender and give the freed slot to the queue."""
-        record = self._runner.remove(event.attempt_id)
+        record = self._runner.remove(event.now, event.attempt_id)
         if record is None:
             return drop_late_answer(event.attempt_id)
         limit_effects = _update_stated_limit(self._upstream, event.stated_limit)
@@ -238,7 +238,7 @@
 
     def handle_upstream_failure(self, event: UpstreamFailed) -> Effects:
         """Answer the sender, stating whether the request may have run."""
-        record = self._runner.remove(event.attempt_id)
+        record = self._runner.remove(event.now, event.attempt_id)
         if record is None:
             return drop_late_answer(event.attempt_id)
         limit_effects: Effects = []
@@ -395,7 +395,9 @@
             reason = reasons.CRASH_SUSPECT
         if reason is not None:
             return self._answers.refuse(now, record, reason)
-        latest_start = find_latest_start(self._drain, record, self._upstream)
+        latest_start = find_latest_start(
+            self._drain, now, record, self._upstream
+        )
         return self._runner.offer(now, record, latest_start)
 
 
--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -13,7 +13,7 @@
 
 # If run times are distributed exponentially, 2 % of the runs take longer than
 # this many times the mean.
-LAST_RESORT_MEANS: Final = 4
+KEY_MEANS: Final = 4
 
 
 def find_refusal_reason(
@@ -47,25 +47,28 @@
     upstream: LocalUpstream,
 ) -> bool:
     """Return whether a planned stop may abort the run of a peer's attempt."""
-    return now > find_latest_start(drain, record, upstream)
+    return now > find_latest_start(drain, now, record, upstream)
 
 
 def find_latest_start(
-    drain: DrainState, record: OwnedAttempt, upstream: LocalUpstream
+    drain: DrainState,
+    now: float,
+    record: OwnedAttempt,
+    upstream: LocalUpstream,
 ) -> float:
     """Return until when a planned stop allows the start of an attempt.
 
     The run may last until the deadline of the attempt. Only if no other owner
-    can take the attempt, the mean run time bounds the start, if it is known.
-    The call of a local attempt ends with the same stop, so its sender decides.
+    can take the attempt, the longest of many known runs bounds the start. The
+    call of a local attempt ends with the same stop, so its sender decides.
     """
     if record.peer is None or record.deadline <= drain.deadline:
         return float('inf')
-    mean_seconds = upstream.mean_seconds
-    # Only its owner may ever run a request with an idempotency key.
-    has_key = bool(record.attempt.idempotency_key)
-    if has_key or (record.attempt.is_last_resort and mean_seconds):
-        return drain.deadline - LAST_RESORT_MEANS * mean_seconds
+    if record.attempt.is_last_resort:
+        return drain.deadline - upstream.run_bound.compute_seconds(now)
+    if record.attempt.idempotency_key:
+        # Only its owner may ever run the request.
+        return drain.deadline - KEY_MEANS * upstream.mean_seconds
     return float('-inf')
 
 
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -72,11 +72,12 @@
         self._attempts[attempt_id] = record
         self._timers.add(record.deadline, attempt_id)
 
-    def remove(self, attempt_id: AttemptId) -> OwnedAttempt | None:
+    def remove(self, now: float, attempt_id: AttemptId) -> OwnedAttempt | None:
         """Remove and return an attempt, or return `None` if it is unknown."""
         record = self._attempts.pop(attempt_id, None)
         if record is not None and record.phase is OwnedPhase.RUNNING:
             self._running_ranks.pop(record.attempt.request_id, None)
+            self._upstream.run_bound.end(attempt_id, now)
         return record
 
     def find_running_rank(self, request_id: str) -> int | None:
@@ -114,7 +115,7 @@
         if record.attempt.idempotency_key:
             return []
         attempt_id = record.attempt.attempt_id
-        self.remove(attempt_id)
+        self.remove(now, attempt_id)
         self._upstream.abort()
         return [
             AbortDispatch(attempt_id=attempt_id),
@@ -124,7 +125,7 @@
 
     def withdraw(self, now: float, record: OwnedAttempt) -> Effects:
         """Remove an attempt that has not started, without answering it."""
-        self.remove(record.attempt.attempt_id)
+        self.remove(now, record.attempt.attempt_id)
         effects = self._answers.drop_request_body(record)
         if record.phase is OwnedPhase.QUEUED:
             self._upstream.withdraw(record.attempt.attempt_id)
@@ -141,7 +142,7 @@
         has_ended = self._attempts.get(record.attempt.attempt_id) is not record
         if has_ended or record.phase is OwnedPhase.RUNNING:
             return []
-        self.remove(record.attempt.attempt_id)
+        self.remove(now, record.attempt.attempt_id)
         if record.phase is OwnedPhase.QUEUED:
             self._upstream.withdraw(record.attempt.attempt_id)
         return self._answers.refuse(now, record, reason)
@@ -149,7 +150,7 @@
     def abort(self, now: float, record: OwnedAttempt) -> Effects:
         """Abort a running attempt and answer that its outcome is unknown."""
         attempt_id = record.attempt.attempt_id
-        self.remove(attempt_id)
+        self.remove(now, attempt_id)
         self._upstream.abort()
         return [
             AbortDispatch(attempt_id=attempt_id),
@@ -236,6 +237,7 @@
         record.phase = OwnedPhase.RUNNING
         record.generation = self._upstream.generation
         attempt = record.attempt
+        self._upstream.run_bound.begin(attempt.attempt_id, now)
         if attempt.request_id:
             self._running_ranks[attempt.request_id] = attempt.rank
         remaining = record.deadline - now
--- a/briartack/core/calls/run_times.py
+++ b/briartack/core/calls/run_times.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from typing import Final, final
 
+from briartack.core.units import AttemptId
+
 # The mean averages over about this many answers, so that one long request of a
 # mixed load does not make an upstream look slow.
 MEAN_WINDOW_ANSWERS: Final = 16
@@ -13,6 +15,10 @@
 SLOW_FACTOR: Final = 2.5
 # No instance counts as slow if fewer instances have a known mean.
 MIN_COMPARED_INSTANCES: Final = 3
+# With so many answers, one run in a hundred is longer than all known ones.
+MIN_BOUND_ANSWERS: Final = 100
+# Allows for a run that is longer than all known ones.
+BOUND_FACTOR: Final = 2.0
 # The typical time of a service is recomputed after this time.
 TYPICAL_TIME_MAX_AGE_SECONDS: Final = 0.2
 
@@ -49,6 +55,42 @@
         )
 
 
+@final
+class RunTimeBound:
+    """Bound the time of the next run by the longest one known.
+
+    Runs that have not ended count with their time so far. After a start the
+    short ones end first, so answers alone would make the bound too low.
+    """
+
+    __slots__ = ('_started_at', '_longest_seconds', '_answers')
+
+    def __init__(self) -> None:
+        self._started_at: dict[AttemptId, float] = {}  # in order of time
+        self._longest_seconds = float(0)
+        self._answers = 0
+
+    def begin(self, attempt_id: AttemptId, now: float) -> None:
+        """Record the start of a run."""
+        self._started_at[attempt_id] = now
+
+    def end(self, attempt_id: AttemptId, now: float) -> None:
+        """Record the end of a run, whatever its outcome."""
+        started_at = self._started_at.pop(attempt_id, now)
+        self._longest_seconds = max(self._longest_seconds, now - started_at)
+
+    def count_answer(self) -> None:
+        """Count a run that ended with an answer."""
+        self._answers += 1
+
+    def compute_seconds(self, now: float) -> float:
+        """Return the bound in seconds, infinite if too few runs are known."""
+        if self._answers < MIN_BOUND_ANSWERS:
+            return float('inf')
+        oldest_start = next(iter(self._started_at.values()), now)
+        return BOUND_FACTOR * max(self._longest_seconds, now - oldest_start)
+
+
 @final
 class TypicalTimes:
     """Hold the typical run time of each service."""
--- a/briartack/test/call_fleet.py
+++ b/briartack/test/call_fleet.py
@@ -1,4 +1,4 @@
-"""Run the call paths of several daemons of one service in simulated time.
+"""Run the call paths of several daemons in simulated time.
 
 The links have a fixed latency and lose nothing. The upstream of each daemon
 runs a request for the time that its target states.
@@ -80,11 +80,13 @@
     """Run a fleet and hold what its callers and upstreams saw.
 
     `answers`, `calls` and `callers` hold the answer, the runs and the daemon of
-    each call, `runs` the run of each attempt.
+    each call, `runs` the run of each attempt. Daemons in `others` are beside
+    upstreams of another service, so that calls at them go to peers.
     """
 
     names: str
     timeout_ms: int
+    others: str = ''
     seed: int = 1
     now: float = 100.0
     daemons: dict[str, Daemon] = field(default_factory=dict)
@@ -168,12 +170,13 @@
                 instance=InstanceId(one), data_centre='costa-1', region='costa'
             )
             for one in self.names
+            if one not in self.others
         )
         return CallContext(
             identity=Identity(
                 instance=InstanceId(name),
                 incarnation=Incarnation(f'{name}1'),
-                service='s',
+                service='other' if name in self.others else 's',
                 data_centre='costa-1',
                 region='costa',
             ),
--- a/briartack/test/test_both_ends_of_a_stop.py
+++ b/briartack/test/test_both_ends_of_a_stop.py
@@ -14,7 +14,7 @@
 
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.calls_state import CallsState
-from briartack.test.call_fleet import DRAIN_SECONDS, CallFleet
+from briartack.test.call_fleet import DRAIN_SECONDS, CallFleet, Run
 from briartack.test.call_path_bench import CallPathBench
 
 RULES: Final[dict[str, Any]] = {'linger_seconds': 2.2, 'counts_refusals': False}
@@ -24,7 +24,9 @@
 LAST_RESORT: Final = {**ATTEMPT, 'remaining_ms': 9000, 'last_resort': True}
 GIVEN_BACK: Final = ['reply b x not-run stop-too-near', 'drop attempt:x']
 START_SECONDS: Final = 100.0
+MIN_RUN_MS: Final = 100
 MAX_RUN_MS: Final = 4700
+SHORT_RUNS: Final = 99
 TOLERANCE_SECONDS: Final = 0.15
 
 
@@ -61,7 +63,7 @@
         self.assertEqual(produced, expected)
 
     # Guards against a last resort that is begun, at once or from the queue,
-    # although a run of a few times the average length would be aborted.
+    # although a run of twice the longest known length would be aborted.
     @params((4.4, ['dispatch x']), (4.7, GIVEN_BACK))
     def test_last_resort_must_end_in_time(
         self, at: float, expected: list[str]
@@ -80,15 +82,42 @@
             'reply b x not-run overload' in lines, expected == GIVEN_BACK
         )
 
-    def make_stopping_bench(self) -> CallPathBench:
-        """Make a stopping owner with one slot and a mean run time of 0.6 s."""
-        bench = make_bench(limits={'slots': 1})
-        run = {'do': 'attempt', 'attempt': 'y', 'peer': 'b'}
-        bench.apply_step({**run, 'at': 1})
-        bench.apply_step(
-            {'at': 1.9, 'do': 'upstream', 'attempt': 'y', 'elapsed': 0.6}
-        )
+    # Guards against a last resort whose run is cut, because the few runs that
+    # have ended are the short ones, or their mean hides a long one.
+    @params(
+        (SHORT_RUNS, 2.5, ['dispatch x']),
+        (20, 2.5, GIVEN_BACK),
+        # One run has gone on for 2 s.
+        (SHORT_RUNS + 1, 3.2, GIVEN_BACK),
+    )
+    def test_last_resort_needs_many_known_runs(
+        self, short_runs: int, at: float, expected: list[str]
+    ) -> None:
+        bench = self.make_stopping_bench(short_runs, has_ended=at < 3, slots=2)
+        attempt = {**LAST_RESORT, 'at': at}
+        self.assertEqual(bench.apply_step(attempt), expected)
+
+    def make_stopping_bench(
+        self,
+        short_runs: int = SHORT_RUNS,
+        *,
+        has_ended: bool = True,
+        slots: int = 1,
+    ) -> CallPathBench:
+        """Make a stopping owner with short runs and one of 1.2 s or more."""
+        bench = make_bench(limits={'slots': slots})
+        run = {'do': 'attempt', 'peer': 'b', 'remaining_ms': 4000}
+        ended = {'do': 'upstream', 'elapsed': 0.002}
+        for number in range(short_runs):
+            at = 1 + number * 0.002
+            bench.apply_step({**run, 'at': at, 'attempt': f's{number}'})
+            bench.apply_step(
+                {**ended, 'at': at + 0.002, 'attempt': f's{number}'}
+            )
+        bench.apply_step({**run, 'at': 1.2, 'attempt': 'y'})
         bench.apply_step(STOP)
+        if has_ended:
+            bench.apply_step({**ended, 'at': 2.4, 'attempt': 'y'})
         return bench
 
     # Guards against attempts that wait at the signal, for a slot or for their
@@ -251,41 +280,77 @@
     @params(*range(8))
     def test_no_run_is_begun_and_cut_by_its_owner(self, seed: int) -> None:
         fleet = CallFleet(names='abcde', timeout_ms=9000, seed=seed)
-        random = Random(seed)
-        stopping = random.sample(fleet.names, 2)
-        for name in stopping:
-            stops_at = START_SECONDS + random.uniform(3, 5.5)
-            fleet.schedule(stops_at, partial(fleet.stop, name))
-        for number in range(40):
-            fleet.schedule(
-                START_SECONDS + random.uniform(0, 7.5),
-                partial(
-                    fleet.call,
-                    random.choice(fleet.names),
-                    f'c{number}',
-                    random.randint(100, MAX_RUN_MS),
-                ),
-            )
-        fleet.run_until(START_SECONDS + 30)
+        play_stops(fleet, owners='abcde', stops=2, calls=40)
+        self.check(fleet)
+        self.assertGreaterEqual(len(fleet.calls), 25)
+
+    # Guards against the same as all owners of a service stop and are the last
+    # resort of callers elsewhere. Few of their runs have ended, all of them
+    # short (`stop_run`, routes of 5 s, seed 8980).
+    @params(*range(8))
+    def test_no_last_resort_is_begun_and_cut(self, seed: int) -> None:
+        fleet = CallFleet(
+            names='abcxy', others='xy', timeout_ms=5000, seed=seed
+        )
+        play_stops(fleet, owners='abc', stops=3, calls=100, short_share=0.8)
+        self.check(fleet)
+        self.assertGreaterEqual(len(fleet.calls), 50)
+
+    def check(self, fleet: CallFleet) -> None:
+        """Check that no run was cut or repeated, and that all calls ended."""
         self.assertEqual(list_cut_runs(fleet), [])
         self.assertEqual(
             [len(runs) for runs in fleet.calls.values() if len(runs) > 1], []
         )
-        self.assertEqual(len(fleet.answers), 40)
-        self.assertGreaterEqual(len(fleet.calls), 25)
+        self.assertEqual(len(fleet.answers), len(fleet.callers))
+
+
+def play_stops(
+    fleet: CallFleet,
+    *,
+    owners: str,
+    stops: int,
+    calls: int,
+    short_share: float = 0,
+) -> None:
+    """Play calls while some owners stop at about the same time."""
+    random = Random(fleet.seed)
+    for name in random.sample(owners, stops):
+        stops_at = START_SECONDS + random.uniform(3, 5.5)
+        fleet.schedule(stops_at, partial(fleet.stop, name))
+    for number in range(calls):
+        run_ms = random.randint(MIN_RUN_MS, MAX_RUN_MS)
+        if random.random() < short_share:
+            run_ms = MIN_RUN_MS
+        fleet.schedule(
+            START_SECONDS + random.uniform(0, 7.5),
+            partial(
+                fleet.call,
+                random.choice(fleet.others or fleet.names),
+                f'c{number}',
+                run_ms,
+            ),
+        )
+    fleet.run_until(START_SECONDS + 30)
 
 
 def list_cut_runs(fleet: CallFleet) -> list[str]:
-    """List the runs for peers that owners began in their stop and aborted."""
+    """List the runs for peers that owners began in their stop and aborted.
+
+    The sender of a call that has reached its deadline cancels the run.
+    """
     return [
         f'{call_id} at {run.owner}'
         for call_id, runs in fleet.calls.items()
+        if fleet.answers[call_id].reason != 'deadline'
         for run in runs
-        if run.is_aborted
-        and run.owner != fleet.callers[call_id]
-        and run.started_at >= fleet.daemons[run.owner].stopped_at
-        and run.ended_at
-        >= fleet.daemons[run.owner].stopped_at
-        + DRAIN_SECONDS
-        - TOLERANCE_SECONDS
+        if run.owner != fleet.callers[call_id] and is_cut_by_stop(fleet, run)
     ]
+
+
+def is_cut_by_stop(fleet: CallFleet, run: Run) -> bool:
+    """Return whether an owner began a run in its stop and aborted it."""
+    stopped_at = fleet.daemons[run.owner].stopped_at
+    ends_at = stopped_at + DRAIN_SECONDS - TOLERANCE_SECONDS
+    is_begun_in_stop = run.started_at >= stopped_at
+    return run.is_aborted and is_begun_in_stop and run.ended_at >= ends_at
--- a/models/catalogue.py
+++ b/models/catalogue.py
@@ -42,7 +42,7 @@
 # The steps of the shortest run to each fault, in the order of the guards.
 BINDING_STEPS: Final = (4, 5, 3, 4)
 CALL_STEPS: Final = (5, 4, 7, 6, 5, 6, 7)
-STOP_STEPS: Final = (5, 5, 6)
+STOP_STEPS: Final = (5, 5, 6, 6)
 WATCH_STEPS: Final = (3, 2, 3)
 
 
--- a/models/stopping_owner.py
+++ b/models/stopping_owner.py
@@ -11,7 +11,7 @@
 
 from models.transitions import Variables, unchanged
 
-GUARDS: Final = ('new', 'waiting', 'last_resort')
+GUARDS: Final = ('new', 'waiting', 'last_resort', 'run_time')
 
 
 @final
@@ -31,6 +31,10 @@
             'clock': z3.IntSort(),
             'deadline': z3.IntSort(),
             'stops_at': z3.IntSort(),  # end of the stop
+            'started_at': z3.IntSort(),
+            'run_seconds': z3.IntSort(),
+            # The time that the owner expects of a run at most.
+            'bound_seconds': z3.IntSort(),
             'has_others': z3.BoolSort(),  # other owners can take the request
             'is_stopping': z3.BoolSort(),
             'is_waiting': z3.BoolSort(),
@@ -39,7 +43,7 @@
             'is_given_back': z3.BoolSort(),
             'is_last_resort': z3.BoolSort(),
             'is_over': z3.BoolSort(),
-            # The stop aborted the run before the deadline of the request.
+            # The stop aborted the run, which the deadline would have allowed.
             'is_cut': z3.BoolSort(),
         }
 
@@ -57,7 +61,7 @@
         return z3.Or(
             self._send(now, after),
             self._begin_stop(now, after),
-            _start(now, after),
+            self._start(now, after),
             _finish(now, after),
             _advance_clock(now, after),
             _end_stop(now, after),
@@ -66,15 +70,23 @@
     def safe(self, now: Variables) -> z3.BoolRef:
         """Return the condition that no run is begun in the stop and cut.
 
-        If no other owner can take the request, it may be.
+        If no other owner can take the request, a run that takes longer than
+        the owner expects may be.
         """
+        is_within_bound = now['run_seconds'] <= now['bound_seconds']
         return z3.Not(
-            z3.And(now['is_cut'], now['is_begun_in_stop'], now['has_others'])
+            z3.And(
+                now['is_cut'],
+                now['is_begun_in_stop'],
+                z3.Or(now['has_others'], is_within_bound),
+            )
         )
 
     def invariant(self, now: Variables) -> z3.BoolRef:
         """Return the invariant that what waits or runs in the stop has time."""
         has_time = now['deadline'] <= now['stops_at']
+        ends_by = now['started_at'] + now['bound_seconds']
+        is_begun = z3.And(now['is_running'], now['is_begun_in_stop'])
         return z3.And(
             self.safe(now),
             z3.Implies(now['is_last_resort'], z3.Not(now['has_others'])),
@@ -86,14 +98,15 @@
                 z3.Not(z3.Or(now['is_waiting'], now['is_running'])),
             ),
             z3.Implies(
-                z3.And(
-                    now['has_others'],
-                    z3.Or(
-                        z3.And(now['is_waiting'], now['is_stopping']),
-                        z3.And(now['is_running'], now['is_begun_in_stop']),
-                    ),
+                z3.And(now['is_waiting'], now['is_stopping']),
+                z3.Or(has_time, now['is_last_resort']),
+            ),
+            z3.Implies(
+                is_begun,
+                z3.Or(
+                    has_time,
+                    z3.And(now['is_last_resort'], ends_by <= now['stops_at']),
                 ),
-                has_time,
             ),
         )
 
@@ -145,18 +158,33 @@
             ),
         )
 
-
-def _start(now: Variables, after: Variables) -> z3.BoolRef:
-    """Return the condition that the owner begins the run."""
-    return z3.And(
-        now['is_waiting'],
-        now['clock'] < now['deadline'],
-        z3.Implies(now['is_stopping'], now['clock'] < now['stops_at']),
-        z3.Not(after['is_waiting']),
-        after['is_running'],
-        after['is_begun_in_stop'] == now['is_stopping'],
-        unchanged(now, after, 'is_waiting', 'is_running', 'is_begun_in_stop'),
-    )
+    def _start(self, now: Variables, after: Variables) -> z3.BoolRef:
+        """Return the condition that the owner begins the run."""
+        may_start = z3.BoolVal(val=True)
+        if 'run_time' in self._guards:
+            may_start = z3.Or(
+                z3.Not(now['is_stopping']),
+                now['deadline'] <= now['stops_at'],
+                now['clock'] + now['bound_seconds'] <= now['stops_at'],
+            )
+        return z3.And(
+            may_start,
+            now['is_waiting'],
+            now['clock'] < now['deadline'],
+            z3.Implies(now['is_stopping'], now['clock'] < now['stops_at']),
+            z3.Not(after['is_waiting']),
+            after['is_running'],
+            after['is_begun_in_stop'] == now['is_stopping'],
+            after['started_at'] == now['clock'],
+            unchanged(
+                now,
+                after,
+                'is_waiting',
+                'is_running',
+                'is_begun_in_stop',
+                'started_at',
+            ),
+        )
 
 
 def _finish(now: Variables, after: Variables) -> z3.BoolRef:
@@ -190,7 +218,11 @@
         z3.Not(now['is_over']),
         after['is_over'],
         after['is_cut']
-        == z3.And(now['is_running'], now['clock'] < now['deadline']),
+        == z3.And(
+            now['is_running'],
+            now['clock'] < now['deadline'],
+            now['clock'] < now['started_at'] + now['run_seconds'],
+        ),
         z3.Not(z3.Or(after['is_waiting'], after['is_running'])),
         unchanged(now, after, 'is_over', 'is_cut', 'is_waiting', 'is_running'),
     )
