--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -242,6 +242,7 @@
             deadline_ms=step.get('deadline_ms'),
             is_nested=step.get('is_nested', False),
             body_bytes=step.get('bytes', 0),
+            has_room=step.get('has_room', True),
         )
         return call_handlers.on_call_arrived(self.state, self.context, event)
 
@@ -251,6 +252,7 @@
             call_id=CallId(step['call']),
             body_bytes=step.get('bytes', 9),
             body_digest=EMPTY_DIGEST,
+            has_room=step.get('has_room', True),
         )
         return call_handlers.on_call_body_read(self.state, self.context, event)
 
@@ -420,5 +422,6 @@
             now=now,
             peer=InstanceId(step.get('peer', 'b')),
             message=message,
+            has_room=step.get('has_room', True),
         )
         return handler(self.state, self.context, event, message)
