Keep an unexpected error from ending a daemon or its tasks

Callers saw: the process ends with exit code 1 and all requests that it holds (FAULT, LOST), or lives on without probes, settings, logs or reads. Conclusion: mended; that the users met one of them is suspected, not shown.

--- a/briartack/event_loop.py
+++ b/briartack/event_loop.py
@@ -8,7 +8,6 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
-from functools import partial
 from typing import Final, Generic, TypeAlias, TypeVar, final
 
 import gevent
@@ -31,6 +30,7 @@
 _LATE_SECONDS: Final = 0.1
 # Room for the reads of all sockets that became ready meanwhile.
 _CATCH_UP_SECONDS: Final = 0.02
+_AFTER_EVENT: Final = 'after event'
 
 
 @final
@@ -52,6 +52,7 @@
         '_is_applying',
         '_wake_timer',
         '_wake_at',
+        '_failed_events',
     )
 
     def __init__(
@@ -73,12 +74,18 @@
         self._is_applying = False
         self._wake_timer: gevent.Greenlet | None = None
         self._wake_at: float = 0
+        self._failed_events = 0
 
     @property
     def state(self) -> StateT:
         """Return the state of the core, for reports to operators."""
         return self._state
 
+    @property
+    def failed_events(self) -> int:
+        """Return how many events were skipped since the reducer failed."""
+        return self._failed_events
+
     def attach_handlers(
         self,
         handlers: Handlers,
@@ -158,13 +165,17 @@
             # If the daemon exited here, one faulty event could stop the whole
             # fleet. The event is skipped and the configuration in force
             # is kept.
+            self._failed_events += 1
             write_exception(REDUCER_FAILED, {'event': type(event).__name__})
             self._record(event, [])
             return
         self._record(event, effects)
         for effect in effects:
             self._execute(effect)
-        self._after_event()
+        try:
+            self._after_event()
+        except Exception:
+            write_exception(EFFECT_FAILED, {'effect': _AFTER_EVENT})
 
     def _execute(self, effect: Effect) -> None:
         try:
@@ -173,14 +184,17 @@
             write_exception(EFFECT_FAILED, {'effect': type(effect).__name__})
 
     def _record(self, event: Event, effects: Effects) -> None:
-        if self._recorder is not None:
-            redacted_record = redact_event(event, effects)
-            self._call_recorder(partial(self._recorder.write, redacted_record))
+        recorder = self._recorder
+        if recorder is not None:
+            self._call_recorder(
+                lambda: recorder.write(redact_event(event, effects))
+            )
 
     def _call_recorder(self, write: Callable[[], None]) -> None:
         try:
             write()
-        except OSError:
+        except Exception:
+            # The effects of the event are executed without a trace of it.
             self._recorder = None
             write_exception(TRACE_FAILED, {})
 
--- a/briartack/line_writer.py
+++ b/briartack/line_writer.py
@@ -112,13 +112,13 @@
             self._flush_requested.clear()
             while not self._queue.empty():
                 lines.append(self._queue.get())
-            content = b''.join(lines)
             try:
-                self._write_all(content)
-            except OSError:
-                # Go on, since the reader may return, as with a named pipe.
+                self._write_all(b''.join(lines))
+            except Exception:
+                # Go on, since the reader may return, as with a named pipe, and
+                # memory may be free again. A log line could not be written.
                 self._failed_lines += len(lines)
-            self._processed_bytes += len(content)
+            self._processed_bytes += sum(map(len, lines))
 
     def _write_all(self, content: bytes) -> None:
         descriptor = self._descriptor
--- a/briartack/logs.py
+++ b/briartack/logs.py
@@ -95,7 +95,11 @@
         if record.exc_info and not self._may_write(record):
             self._left_out_lines += 1
             return
-        self._sink.write(f'{self.format(record)}\n')
+        try:
+            self._sink.write(f'{self.format(record)}\n')
+        except Exception:
+            # An operation must not fail since its log line can't be written.
+            self._left_out_lines += 1
 
     def _may_write(self, record: logging.LogRecord) -> bool:
         """Return whether to write a failure; drop tracebacks over the limit."""
--- a/briartack/store_client.py
+++ b/briartack/store_client.py
@@ -32,7 +32,7 @@
 )
 from briartack.error_texts import ITEM_REFUSED
 from briartack.framing import check_entry
-from briartack.greenlets import report_failed_task
+from briartack.greenlets import UNEXPECTED, report_failed_task
 from briartack.http_exchange import (
     ExchangeError,
     KeepAlivePool,
@@ -132,7 +132,7 @@
         started_at = self._clock()
         try:
             page = self._read_pages(effect)
-        except Exception as error:
+        except UNEXPECTED as error:
             self._deliver(
                 self._record_failure(StoreOperation.READ, prefix, error)
             )
@@ -192,7 +192,7 @@
                     StoreOperation.WATCH, target, timeout_seconds
                 ),
             )
-        except Exception as error:
+        except UNEXPECTED as error:
             self._watch = None
             self._deliver(self._record_failure(StoreOperation.WATCH, '', error))
             return
@@ -266,7 +266,7 @@
         self,
         operation: StoreOperation,
         prefix: str,
-        error: Exception,
+        error: BaseException,
     ) -> StoreFailed:
         self._observer.count('store.failures', operation=operation.value)
         if not isinstance(error, _StoreError):
