Write log lines whose fields are no UTF-8

Seen: a log line with bytes of an operating system or peer that are no UTF-8 raised UnicodeEncodeError in the operation that wrote it, and a lack of memory raised MemoryError there.

--- a/briartack/logs.py
+++ b/briartack/logs.py
@@ -1,6 +1,7 @@
 """Write logs and the audit trail as JSON lines."""
 
 import datetime
+import json
 import logging
 import time
 from typing import Final, final
@@ -67,7 +68,11 @@
                 line[name] = getattr(record, name)
         if record.exc_info:
             line['exc_info'] = self.formatException(record.exc_info)
-        return self._encoder.encode(line).decode()
+        try:
+            return self._encoder.encode(line).decode()
+        except UnicodeEncodeError:
+            # Escapes what is no UTF-8, such as bytes of a path.
+            return json.dumps(line, default=str)
 
 
 @final
--- a/briartack/test/test_logs.py
+++ b/briartack/test/test_logs.py
@@ -58,6 +58,29 @@
             self.assertEqual(line['incarnation'], 'i1')
         return decoded
 
+    # Guards against an operation that fails, and whose log line is lost, since
+    # a field has bytes of an operating system or a peer that are no UTF-8.
+    def test_field_that_is_no_utf8_is_escaped(self) -> None:
+        configure_logging(
+            level='info',
+            identity=make_identity('saldo-1', 'i1'),
+            stream=self.stream,
+        )
+        write_log(LogLevel.INFO, 'stopped', {'path': 'a\udc80'})
+        self.assertEqual(self.lines()[0]['fields'], {'path': 'a\udc80'})
+
+    # Guards against an operation that fails since its line can't be written.
+    def test_line_that_cannot_be_written_raises_nothing(self) -> None:
+        stream = mock.Mock()
+        configure_logging(
+            level='info',
+            identity=make_identity('saldo-1', 'i1'),
+            stream=stream,
+        )
+        stream.write.side_effect = MemoryError
+        write_log(LogLevel.INFO, 'stopped', {})
+        stream.write.assert_called_once()
+
     # Guards against plain text among the lines of JSON, without a limit, from
     # greenlets that end by an exception.
     def test_failed_greenlets_are_logged_counted_and_bounded(self) -> None:
@@ -70,6 +93,7 @@
             )
         hub = gevent.get_hub()
         self.addCleanup(hub.__dict__.pop, 'print_exception')
+        self.addCleanup(hub.__dict__.pop, 'handle_system_error')
         observer = CountingObserver()
         install_error_handler(observer)
         plain_text = io.StringIO()
