Go on with a planned stop after an error in one of its steps

Callers saw: a stop that an error ends with exit code 1 and cut connections, or that never begins, while later SIGTERMs count as repeated, until the platform kills the process (FAULT, LOST). Cause: the steps of a stop were not guarded; an event at which the reducer fails is skipped, the request to stop too. Conclusion: each step is guarded, and the beginning is repeated until the reducer has taken it.

--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -24,7 +24,12 @@
 )
 from briartack.event_loop import EventLoop, Handlers, Reduce
 from briartack.exit_flush import ExitFlush
-from briartack.greenlets import install_error_handler, run_forever
+from briartack.greenlets import (
+    install_error_handler,
+    run_forever,
+    run_guarded,
+    run_until_done,
+)
 from briartack.integration import PlatformIntegration, SettingsFileWatcher
 from briartack.line_writer import OutputWriters
 from briartack.listening import start_metrics_server, start_servers
@@ -258,10 +263,9 @@
         """Ask the reducer for a graceful stop."""
         # The file may have changed without a signal since the last check, and
         # its grace time bounds this stop.
-        try:
-            self.reload()
-        finally:
-            self._begin_stop()
+        self._try('reload', self.reload)
+        # A stop is asked for only once.
+        run_until_done(self._begin_stop, task='stop', observer=self._observer)
 
     def clear_suspect(self, fingerprint: bytes) -> None:
         """Discount the evidence that a request crashes its upstreams."""
@@ -305,29 +309,38 @@
         return code
 
     def stop(self) -> None:
-        """Close all servers and streams once the last bytes have arrived."""
-        self._peers.end_all_streams()
-        unfinished = self._flush_last_bytes()
+        """Close all servers and streams once the last bytes have arrived.
+
+        An error in one step leaves out none of the others.
+        """
+        self._try('end of the streams', self._peers.end_all_streams)
+        self._try('last bytes', self._flush_last_bytes)
         for server in self._servers:
-            server.stop(timeout=0)
+            self._try('end of a server', partial(server.stop, timeout=0))
+        unfinished = len(self._callers.unsent_connections)
         # The process may take a while to end, and reads nothing meanwhile.
-        self._callers.close_connections()
+        self._try('end of the callers', self._callers.close_connections)
         gevent.killall(self._background)
-        self._loop.close()
-        write_log(
-            effects.LogLevel.INFO,
-            STOPPED,
-            {'unfinished_callers': str(unfinished)},
+        self._try('end of the trace', self._loop.close)
+        fields = {'unfinished_callers': str(unfinished)}
+        self._try(
+            'last log line',
+            partial(write_log, effects.LogLevel.INFO, STOPPED, fields),
         )
 
+    def _try(self, task: str, run: Callable[[], object]) -> None:
+        run_guarded(run, task=task, observer=self._observer)
+
     def _begin_stop(self) -> None:
         self._is_stopping = True
         self._drained_by = boot_clock() + self._drain_seconds
         self._callers.stop_keep_alive()
+        failed_events = self._loop.failed_events
         self._loop.deliver(events.StopRequested(now=boot_clock()))
+        if self._loop.failed_events > failed_events:
+            raise RuntimeError('the reducer did not begin the stop')
 
-    def _flush_last_bytes(self) -> int:
-        """Return how many callers have yet to get bytes after the wait."""
+    def _flush_last_bytes(self) -> None:
         # The limit counts from the end of the drain time, however late the
         # last call has ended, since the grace time ends soon after it.
         drained_by = self._drained_by
@@ -344,7 +357,6 @@
         }
         write_log(effects.LogLevel.INFO, DELIVERING, fields)
         flush.wait(until)
-        return len(self._callers.unsent_connections)
 
     def _run_maintenance(self) -> None:
         while True:
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -87,7 +87,9 @@
             write_log(LogLevel.ERROR, CANNOT_LISTEN, {'error': str(error)})
             return EXIT_FAILED
         finally:
-            writers.drain()
+            # The exit code is known, and an error would replace it.
+            with contextlib.suppress(Exception):
+                writers.drain()
 
 
 def _await_integration(options: Options) -> PlatformIntegration:
--- a/briartack/test/test_escaped_errors.py
+++ b/briartack/test/test_escaped_errors.py
@@ -111,3 +111,22 @@
             self.assertEqual(
                 daemon.process.wait(LIMIT_OF_A_STOP_SECONDS), 0, daemon.errors
             )
+
+    # Guards against a planned stop that an error turns into a failure, or that
+    # never ends: the platform kills the process with all that it holds.
+    @params(
+        'stop_reload',
+        'stop_keep_alive',
+        'stop_streams',
+        'stop_connections',
+        'stop_log',
+        'stop_reducer',
+        'stop_drain',
+    )
+    def test_stop_goes_on_after_an_error(self, place: str) -> None:
+        with InjectedDaemon(place) as daemon:
+            daemon.process.send_signal(signal.SIGUSR1)
+            time.sleep(0.1)
+            daemon.process.send_signal(signal.SIGTERM)
+            code = daemon.process.wait(LIMIT_OF_A_STOP_SECONDS)
+            self.assertEqual(code, 0, daemon.errors)
