Read answers of the upstream only while the memory has room for them

Cause: bodies that are being received had a limit of their own, 48 MB whatever the platform allows, and it gave up answers in place of reading them later.

BodyBudget now counts in the one memory budget. A reader with 64 KB or more waits before it reads on while the memory is full; its connection to the upstream then takes no more, and the time limit of the attempt holds. The first reader goes on above the limit by the size of one body, since the requests and parts of answers that fill the memory may wait for each other. If partial bodies alone exceed the memory, the rule of before decides who is given up. The joined body replaces its parts, so it exists once while it is decoded and stored.

Evidence: test_room_for_upstreams.

--- a/briartack/body_budget.py
+++ b/briartack/body_budget.py
@@ -1,6 +1,12 @@
 """Limit the memory of the responses that are being received."""
 
-from typing import Protocol, final
+from typing import Final, Protocol, final
+
+from briartack.core.messages import MAX_BODY_BYTES
+from briartack.memory_budget import SMALL_BODY_BYTES, MemoryBudget
+
+# How often a reader that waits for room looks whether callers have stalled.
+_ROOM_POLL_SECONDS: Final = 0.1
 
 
 class BodyHolder(Protocol):
@@ -20,30 +26,32 @@
 
 @final
 class BodyBudget:
-    """Limit the total size of the bodies that several holders receive.
+    """Count the bodies that several holders receive towards the memory.
 
-    Above the limit, the largest body is dropped, those first whose length is
-    not known: one that never ends is among them.
+    Their readers wait while the memory is full. If these bodies alone exceed
+    it, the largest is dropped, those first whose length is not known: one that
+    never ends is among them.
     """
 
-    __slots__ = ('_max_bytes', '_held_bytes', '_holders')
+    __slots__ = ('_memory', '_lease', '_holders')
 
-    def __init__(self, *, max_bytes: int) -> None:
-        """Set the limit of all bodies together."""
-        self._max_bytes = max_bytes
-        self._held_bytes = 0
-        self._holders: set[BodyHolder] = set()
+    def __init__(self, *, memory: MemoryBudget) -> None:
+        """Count towards the budget of everything that the daemon holds."""
+        self._memory = memory
+        self._lease = memory.lease()
+        # In the order in which the bodies began.
+        self._holders: dict[BodyHolder, None] = {}
 
     @property
     def held_bytes(self) -> int:
         """Return the size of all bodies that are being received."""
-        return self._held_bytes
+        return self._lease.size
 
     def admit(self, holder: BodyHolder, grown_bytes: int) -> None:
         """Count a body that has grown; drop others above the limit."""
-        self._holders.add(holder)
-        self._held_bytes += grown_bytes
-        while self._held_bytes > self._max_bytes:
+        self._holders[holder] = None
+        self._lease.resize(self._lease.size + grown_bytes)
+        while self._lease.size > self._memory.max_bytes:
             dropped = max(self._holders, key=_rank)
             self.release(dropped)
             dropped.drop_body()
@@ -51,8 +59,27 @@
     def release(self, holder: BodyHolder) -> None:
         """Stop counting a body that is complete or was given up."""
         if holder in self._holders:
-            self._holders.remove(holder)
-            self._held_bytes -= holder.held_bytes
+            self._holders.pop(holder)
+            self._lease.resize(self._lease.size - holder.held_bytes)
+
+    def wait_for_room(self, holder: BodyHolder) -> None:
+        """Wait until more of a body may be received.
+
+        Small bodies never wait. The first of the others goes on above the limit
+        by the size of one body: the requests and the parts of responses that
+        fill the memory may be waiting for each other.
+        """
+        while self._memory.is_full and holder.held_bytes >= SMALL_BODY_BYTES:
+            if self._memory.make_room() or self._may_exceed(holder):
+                return
+            self._memory.wait_for_room(_ROOM_POLL_SECONDS)
+
+    def _may_exceed(self, holder: BodyHolder) -> bool:
+        first = next(
+            one for one in self._holders if one.held_bytes >= SMALL_BODY_BYTES
+        )
+        limit_bytes = self._memory.max_bytes + MAX_BODY_BYTES
+        return first is holder and self._memory.held_bytes < limit_bytes
 
 
 def _rank(holder: BodyHolder) -> tuple[bool, int]:
--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -401,6 +401,7 @@
 def _receive_response(sock: socket.socket, response: CollectedResponse) -> None:
     turn = TurnLimit()
     while not response.is_complete:
+        response.wait_for_room()
         try:
             received = sock.recv(_RECEIVE_BYTES)
         except OSError as error:
--- a/briartack/http_response.py
+++ b/briartack/http_response.py
@@ -106,7 +106,10 @@
     @property
     def body(self) -> bytes:
         """Return the part of the body received so far."""
-        return b''.join(self._body_parts)
+        if len(self._body_parts) != 1:
+            # Later readers get the same object and the parts are freed.
+            self._body_parts = [b''.join(self._body_parts)]
+        return self._body_parts[0]
 
     @property
     def header_pairs(self) -> Headers:
@@ -123,6 +126,11 @@
         self._is_dropped = True
         self._clear_body()
 
+    def wait_for_room(self) -> None:
+        """Wait until the memory has room for more of the body."""
+        if self._budget is not None:
+            self._budget.wait_for_room(self)
+
     def release_budget(self) -> None:
         """Stop counting the body towards the limit of several responses."""
         if self._budget is not None:
--- a/briartack/memory_budget.py
+++ b/briartack/memory_budget.py
@@ -134,9 +134,9 @@
                 return False
         return True
 
-    def wait_for_room(self) -> None:
-        """Wait until less than the limit is held."""
-        self._has_room.wait()
+    def wait_for_room(self, timeout_seconds: float | None = None) -> None:
+        """Wait until less than the limit is held, or for some seconds."""
+        self._has_room.wait(timeout_seconds)
 
     def record_change(self, change: int, *, is_request: bool) -> None:
         """Count a lease that has grown, shrunk or ended."""
--- a/briartack/test/test_endless_input.py
+++ b/briartack/test/test_endless_input.py
@@ -189,7 +189,7 @@
     # Guards against a daemon above its memory limit: the bodies of several
     # answers without end, each within the limit of one.
     def test_endless_bodies_share_one_limit(self) -> None:
-        budget = BodyBudget(max_bytes=3_000_000)
+        budget = BodyBudget(memory=MemoryBudget(max_bytes=3_000_000))
         sender = self.start_sender(b'%b\r\n' % OK, b'a')
         whole = b'%bX-Id: own\r\nContent-Length: 900000\r\n\r\n' % OK
         proper = self.start_sender(whole + b'b' * 900_000, b' ')
@@ -214,7 +214,7 @@
 
     # Guards against a limit that grows with each body above its own limit.
     def test_oversized_body_is_counted_once(self) -> None:
-        budget = BodyBudget(max_bytes=1000)
+        budget = BodyBudget(memory=MemoryBudget(max_bytes=1000))
         answer = CollectedResponse(
             method='GET', max_body_bytes=100, budget=budget
         )
@@ -228,7 +228,7 @@
 
     # Guards against the body of a skipped answer that stays counted.
     def test_skipped_body_is_not_counted(self) -> None:
-        budget = BodyBudget(max_bytes=1000)
+        budget = BodyBudget(memory=MemoryBudget(max_bytes=1000))
         response = CollectedResponse(
             method='GET',
             max_body_bytes=100,
--- /dev/null
+++ b/briartack/test/test_room_for_upstreams.py
@@ -0,0 +1,93 @@
+"""Test that answers of upstreams wait for room in the memory of a daemon."""
+
+import unittest
+from typing import Final
+
+import gevent
+from nose2.tools import params
+
+from briartack.body_budget import BodyBudget
+from briartack.core import effects, events
+from briartack.core.units import AttemptId, BodyId
+from briartack.memory_budget import MemoryBudget
+from briartack.test.fake_reducer import LOCAL_HOST, EchoServer
+from briartack.test.shell_fixture import ShellFixture
+
+BODY: Final = bytes(8_000_000)
+BODY_ID: Final = BodyId('body')
+
+
+class PartialBody:
+    """Represent an answer of which a part has been received."""
+
+    def __init__(self, held_bytes: int) -> None:
+        self.held_bytes = held_bytes
+        self.is_open_ended = False
+        self.is_dropped = False
+
+    def drop_body(self) -> None:
+        self.is_dropped = True
+
+
+class RoomForUpstreamsTest(unittest.TestCase):
+    # Guards against answers of upstreams that are read without room, and
+    # against readers that wait for each other.
+    @params(
+        # (size of each partial body, size of the rest, who waits)
+        ((100_000, 100_000), 700_000, ()),
+        ((100_000, 100_000), 800_000, (1,)),
+        ((100_000, 100_000, 100_000), 800_000, (1, 2)),
+        ((60_000, 100_000, 100_000), 800_000, (2,)),
+        ((60_000, 60_000), 900_000, ()),
+        ((100_000, 100_000), 900_000 + (1 << 24), (0, 1)),
+    )
+    def test_readers_wait_but_the_first(
+        self, sizes: tuple[int, ...], rest: int, waiting: tuple[int, ...]
+    ) -> None:
+        memory = MemoryBudget(max_bytes=1_000_000)
+        budget = BodyBudget(memory=memory)
+        lease = memory.lease(rest)
+        holders = [PartialBody(size) for size in sizes]
+        for size, one in zip(sizes, holders, strict=True):
+            budget.admit(one, size)
+        readers = [
+            gevent.spawn(budget.wait_for_room, holder) for holder in holders
+        ]
+        gevent.sleep(0.05)
+        still = tuple(
+            index for index, it in enumerate(readers) if not it.ready()
+        )
+        self.assertEqual(still, waiting)
+        lease.release()
+        gevent.joinall(readers, timeout=1, raise_error=True)
+        for done in holders:
+            budget.release(done)
+        self.assertEqual(memory.held_bytes, 0)
+
+    # Guards against an upstream that is read no further once the memory was
+    # full, and against one whose attempt then outlives its time.
+    @params((True, events.UpstreamAnswered), (False, events.UpstreamFailed))
+    def test_answer_waits_for_room_within_its_time(
+        self, is_released: bool, outcome: type[events.Event]
+    ) -> None:
+        upstream = EchoServer()
+        self.addCleanup(upstream.stop, timeout=0)
+        shell = ShellFixture(upstream=(LOCAL_HOST, upstream.server_port))
+        self.addCleanup(shell.stop)
+        lease = shell.bodies.memory.lease(2 * shell.bodies.memory.max_bytes)
+        shell.bodies.put(BODY_ID, BODY, shell.bodies.memory.lease())
+        shell.upstream.dispatch(
+            effects.Dispatch(
+                attempt_id=AttemptId('a1'),
+                body_id=BODY_ID,
+                method='POST',
+                target='/',
+                headers=(),
+                timeout_seconds=1,
+            )
+        )
+        gevent.sleep(0.3)
+        self.assertEqual(shell.state.events_of(outcome), [])
+        if is_released:
+            lease.release()
+        shell.state.wait_for(outcome)
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -48,8 +48,6 @@
 # Probe path until the configuration sets one; an empty path disables probes.
 DEFAULT_HEALTH_PATH: Final = '/healthz'
 _MAX_PROBE_BYTES: Final = 65536
-# Limits the bodies that are being received for all attempts together.
-_MAX_COLLECTED_BYTES: Final = 3 * MAX_BODY_BYTES
 
 _RunningAttempts: TypeAlias = dict[str, tuple[Greenlet, Exchange]]
 
@@ -92,7 +90,7 @@
         """Create the connection pools without connecting."""
         self._pool = KeepAlivePool(address, size=_MAX_CONNECTIONS)
         self._probe_pool = KeepAlivePool(address, size=1)
-        self._body_budget = BodyBudget(max_bytes=_MAX_COLLECTED_BYTES)
+        self._body_budget = BodyBudget(memory=bodies.memory)
         self._host_header = format_address(address)
         self._bodies = bodies
         self._dialect = dialect
