Limit the connections of callers and go on after failed accepts

Callers' connections took all descriptors of a daemon. Each failed accept wrote a traceback, and gevent accepts nothing for up to a second after it, on the ready address too.

A limit now follows from the smaller of the platform's and the system's limit of descriptors, and from 0.15 of the memory; a third of the sockets, at most 512, is kept back for operators, peers, the upstream and the store. Above the limit a new connection takes the place of the one that has been idle for longest. If none is idle for a second, one connection for each eight is accepted to refuse its request with 503 and Retry-After as not run, and is closed after a second without one. Refusing is better for callers than not accepting: a request in the queue of a daemon that doesn't read is given up after a second and may not be repeated at once, while a 503 may.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -4,6 +4,7 @@
 connection's pipeline writes the responses.
 """
 
+import random
 from typing import Any, Final, Protocol
 
 import gevent
@@ -20,7 +21,11 @@
 from briartack.caller_pipeline import Pipeline, ReadyResponse
 from briartack.core.messages import MAX_BODY_BYTES
 from briartack.dialects import CallerDialect
-from briartack.error_texts import MALFORMED_REQUEST, TOO_LARGE
+from briartack.error_texts import (
+    CONNECTIONS_FULL,
+    MALFORMED_REQUEST,
+    TOO_LARGE,
+)
 from briartack.inbound_call import InboundCall
 from briartack.memory_budget import MemoryBudget
 from briartack.request_head import RequestHead
@@ -30,6 +35,11 @@
 _READ_BYTES: Final = 65536
 _STATUS_BAD_REQUEST: Final = 400
 _STATUS_TOO_LARGE: Final = 413
+_STATUS_UNAVAILABLE: Final = 503
+# Bounds of the time after which the caller of a full daemon may retry; idle
+# connections make room after a second at most, and requests in flight earlier.
+_MIN_RETRY_SECONDS: Final = 0.2
+_MAX_RETRY_SECONDS: Final = 0.6
 
 
 class _NoRoomError(Exception):
@@ -51,8 +61,8 @@
     def observer(self) -> Observer:
         """Return the recorder of metrics and log lines."""
 
-    def add_connection(self, connection: Pipeline) -> None:
-        """Register a new connection for the idle timeout."""
+    def add_connection(self, connection: Pipeline) -> bool:
+        """Register a new connection; return False to refuse its requests."""
 
     def start_head(self, connection: Pipeline) -> None:
         """Record that the first byte of a request has arrived."""
@@ -90,13 +100,14 @@
         super().__init__(sock, address, server)
         self._calls: _CallRegistry = server.application.callers
         self._pipeline = Pipeline(sock)
+        self._is_refused = False
 
     def handle(self) -> None:
         """Serve the connection until either side closes it.
 
         Cancels the calls that are still unanswered then.
         """
-        self._calls.add_connection(self._pipeline)
+        self._is_refused = not self._calls.add_connection(self._pipeline)
         try:
             super().handle()
         finally:
@@ -162,6 +173,9 @@
             self.close_connection = True
             self._discard_input()
             return
+        if self._is_refused:
+            self._refuse(_STATUS_UNAVAILABLE, CONNECTIONS_FULL, '')
+            return
         try:
             head = self._decode_head()
         except RequestError as error:
@@ -301,6 +315,7 @@
             code=code,
             detail=detail,
             method=self.command or '',
+            retry_after_seconds=_draw_retry_seconds(status),
         )
 
     def _discard_input(self) -> None:
@@ -336,3 +351,9 @@
             headers=self.headers,
             body_bytes=None if self._is_chunked else self.content_length or 0,
         )
+
+
+def _draw_retry_seconds(status: int) -> float:
+    if status != _STATUS_UNAVAILABLE:
+        return 0
+    return random.uniform(_MIN_RETRY_SECONDS, _MAX_RETRY_SECONDS)
--- a/briartack/caller_responses.py
+++ b/briartack/caller_responses.py
@@ -1,5 +1,6 @@
 """Encode HTTP/1.1 responses to callers in the product's own dialect."""
 
+import math
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final
@@ -36,13 +37,22 @@
 
 
 def encode_refusal(
-    *, status: int, code: str, detail: str, method: str
+    *,
+    status: int,
+    code: str,
+    detail: str,
+    method: str,
+    retry_after_seconds: float,
 ) -> bytes:
     """Encode the response to a request that never reached the core."""
+    headers = [_JSON_HEADER]
+    if retry_after_seconds:
+        # RFC 9110 allows whole seconds only.
+        headers.append(('Retry-After', str(math.ceil(retry_after_seconds))))
     return encode_response(
         status=status,
         verdict=Verdict.NOT_RUN,
-        headers=(_JSON_HEADER,),
+        headers=tuple(headers),
         body=encode_refusal_body(code, detail),
         method=method,
         connection='close',
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -6,8 +6,7 @@
 import itertools
 from typing import Final, final
 
-from gevent.pywsgi import WSGIServer
-
+from briartack.accepting import LimitedHttpServer
 from briartack.addresses import Address
 from briartack.bodies import BodyStore
 from briartack.caller_connection import CallerHandler
@@ -26,6 +25,7 @@
 from briartack.framing import compute_body_digest
 from briartack.inbound_call import InboundCall
 from briartack.memory_budget import MemoryBudget
+from briartack.open_connections import ConnectionLimits, OpenConnections
 from briartack.shell_interfaces import (
     LISTEN_BACKLOG,
     Clock,
@@ -56,6 +56,8 @@
         '_connections',
         '_is_stopping',
         '_limits',
+        '_connection_limits',
+        '_open_connections',
     )
 
     def __init__(
@@ -66,6 +68,7 @@
         deliver: DeliverEvent,
         clock: Clock,
         observer: Observer,
+        connection_limits: ConnectionLimits,
     ) -> None:
         self._bodies = bodies
         self._dialect = dialect
@@ -76,6 +79,10 @@
         self._is_stopping = False
         self._call_numbers = itertools.count(1)
         self._connections: set[Pipeline] = set()
+        self._connection_limits = connection_limits
+        self._open_connections = OpenConnections(
+            limits=connection_limits, clock=clock, observer=observer
+        )
         self._limits = LimitCallers(
             idle_seconds=IDLE_TIMEOUT_SECONDS,
             header_seconds=IDLE_TIMEOUT_SECONDS,
@@ -117,27 +124,33 @@
         """Return the recorder of metrics and log lines."""
         return self._observer
 
-    def create_server(self, address: Address) -> WSGIServer:
+    def create_server(self, address: Address) -> LimitedHttpServer:
         """Create the HTTP server for callers, which does not listen yet."""
-        return WSGIServer(
+        return LimitedHttpServer(
             address,
             _CallerApplication(callers=self),
             backlog=LISTEN_BACKLOG,
             log=None,
             error_log=None,
             handler_class=CallerHandler,
+            limits=self._connection_limits,
             # Without these keys, pywsgi resolves the host name.
             environ={'SERVER_NAME': address[0], 'SERVER_PORT': address[1]},
         )
 
-    def add_connection(self, connection: Pipeline) -> None:
-        """Register a new connection for the idle timeout."""
+    def add_connection(self, connection: Pipeline) -> bool:
+        """Register a new connection, and close an idle one at the limit.
+
+        Returns False if the requests on the connection have to be refused.
+        """
         self._record_activity(connection)
         self._connections.add(connection)
+        return self._open_connections.add(connection)
 
     def remove_connection(self, connection: Pipeline) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        self._open_connections.remove(connection)
 
     def limit(self, effect: LimitCallers) -> None:
         """Set how long callers may take from their next request on.
@@ -285,6 +298,7 @@
     def _record_activity(self, connection: Pipeline) -> None:
         connection.last_active_at = self._clock()
         connection.limits = self._limits
+        self._open_connections.record_activity(connection)
 
     def _limits_of(self, connection: Pipeline) -> LimitCallers:
         before = connection.limits or self._limits
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -34,15 +34,11 @@
 from briartack.line_writer import OutputWriters
 from briartack.listening import start_metrics_server, start_servers
 from briartack.logs import AuditTrail, RequestLogLimiter, write_log
-from briartack.memory_budget import (
-    MEGABYTE,
-    MemoryBudget,
-    compute_budget_bytes,
-)
 from briartack.metrics import MetricRegistry
 from briartack.operator_port import DescribeState, OperatorPort
 from briartack.options import Options
 from briartack.peers import Peers
+from briartack.process_limits import derive_process_limits
 from briartack.recorder import Recorder
 from briartack.shell_interfaces import Attributes
 from briartack.store_client import StoreClient
@@ -164,16 +160,15 @@
             clock=clock,
             recorder=recorder,
         )
-        max_body_bytes = compute_budget_bytes(
-            int(integration.memory_mb * MEGABYTE)
-        )
-        self._bodies = BodyStore(memory=MemoryBudget(max_bytes=max_body_bytes))
+        limits = derive_process_limits(integration)
+        self._bodies = BodyStore(memory=limits.memory)
         self._callers = CallerServer(
             bodies=self._bodies,
             dialect=dialects.callers,
             deliver=self._loop.deliver,
             clock=clock,
             observer=observer,
+            connection_limits=limits.connections,
         )
         self._peers = Peers(
             identity=identity,
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -66,8 +66,12 @@
         code: str,
         detail: str,
         method: str,
+        retry_after_seconds: float = 0,
     ) -> bytes:
-        """Encode the response to a request that never reached the core."""
+        """Encode the response to a request that never reached the core.
+
+        The caller is told when to retry unless that is 0.
+        """
 
 
 @final
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -46,6 +46,8 @@
 SETTINGS_AWAITED: Final = 'settings-awaited'
 LINES_LEFT_OUT: Final = 'lines-left-out'
 STATEMENT_REFUSED: Final = 'statement-refused'
+ACCEPT_FAILED: Final = 'accept-failed'
+CONNECTIONS_FULL: Final = 'connections-full'
 
 _TEXTS: Final[Mapping[str, ErrorText]] = MappingProxyType(
     {
@@ -61,6 +63,14 @@
             'The head of the request did not arrive in time.',
             'Send the whole head at once.',
         ),
+        ACCEPT_FAILED: ErrorText(
+            'A connection could not be accepted; the daemon tries again.',
+            'Raise the limit of open files, or look for what holds them.',
+        ),
+        CONNECTIONS_FULL: ErrorText(
+            'The daemon has too many open connections that are in use.',
+            'Retry after the stated time, and close unused connections.',
+        ),
         MALFORMED_FRAME: ErrorText(
             'A peer sent a malformed message; its stream was closed.',
             'Check that all daemons run compatible versions.',
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -93,10 +93,15 @@
         code: str,
         detail: str,
         method: str,
+        retry_after_seconds: float = 0,
     ) -> bytes:
         """Encode the response to a request that never reached the core."""
         return encode_refusal(
-            status=status, code=code, detail=detail, method=method
+            status=status,
+            code=code,
+            detail=detail,
+            method=method,
+            retry_after_seconds=retry_after_seconds,
         )
 
 
--- /dev/null
+++ b/briartack/open_connections.py
@@ -0,0 +1,176 @@
+"""Limit the open connections of callers by descriptors and memory.
+
+The other descriptors are kept back for operators, peers, the upstream and the
+store. Connections above the limit take the place of idle ones. If there are
+none, their requests are refused at once as not run: requests that wait in the
+queue of a server that doesn't accept would be given up by their callers.
+"""
+
+from typing import Final, Protocol, final
+
+import gevent
+import msgspec
+
+from briartack.core.effects import LogLevel
+from briartack.error_texts import CONNECTIONS_FULL
+from briartack.shell_interfaces import Clock, Observer
+
+# The platform takes these of a stated limit for files, which includes the
+# libraries of the process; the daemon itself has fewer files and servers open.
+_PLATFORM_FILE_DESCRIPTORS: Final = 200
+_OWN_FILE_DESCRIPTORS: Final = 32
+_MAX_KEPT_BACK: Final = 512
+_KEPT_BACK_SHARE: Final = 3
+# Memory of a connection between two requests, see docs/CAPACITY.md.
+CONNECTION_BYTES: Final = 16_000
+_MEMORY_SHARE: Final = 0.15
+# The memory that bodies leave to the process has room for so much.
+_BASE_BYTES: Final = 23_000_000
+# One connection for so many is accepted only to refuse its request.
+_CONNECTIONS_PER_REFUSAL: Final = 8
+# A caller uses a connection again soon after an answer, and a new one at once.
+MIN_IDLE_SECONDS: Final = 1.0
+# The request of a refused connection has to arrive within this time.
+REFUSAL_SECONDS: Final = 1.0
+_LOG_INTERVAL_SECONDS: Final = 10.0
+
+
+@final
+class ConnectionLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold how many connections are served and how many are refused at once."""
+
+    max_served: int
+    max_refused: int
+
+    @property
+    def max_open(self) -> int:
+        """Return the number of connections at which none is accepted."""
+        return self.max_served + self.max_refused
+
+    @property
+    def unplanned_bytes(self) -> int:
+        """Return the memory of connections that bodies must not use."""
+        return max(0, self.max_open * CONNECTION_BYTES - _BASE_BYTES)
+
+
+def compute_connection_limits(
+    *,
+    max_descriptors: int | None,
+    system_descriptors: int | None,
+    memory_bytes: int,
+) -> ConnectionLimits:
+    """Return the limits that follow from descriptors and memory.
+
+    `max_descriptors` is what the platform states and `system_descriptors` what
+    the system allows; None if there is no such limit.
+    """
+    max_open = int(memory_bytes * _MEMORY_SHARE) // CONNECTION_BYTES
+    max_served = (
+        max_open * _CONNECTIONS_PER_REFUSAL // (_CONNECTIONS_PER_REFUSAL + 1)
+    )
+    for stated, files in (
+        (max_descriptors, _PLATFORM_FILE_DESCRIPTORS),
+        (system_descriptors, _OWN_FILE_DESCRIPTORS),
+    ):
+        if stated is not None:
+            sockets = max(0, stated - files)
+            kept_back = min(_MAX_KEPT_BACK, sockets // _KEPT_BACK_SHARE)
+            max_served = min(max_served, sockets - kept_back)
+    max_served = max(1, max_served)
+    return ConnectionLimits(
+        max_served=max_served,
+        max_refused=max(1, max_served // _CONNECTIONS_PER_REFUSAL),
+    )
+
+
+class OpenConnection(Protocol):
+    """Represent the part of `Pipeline` that decides which connection ends."""
+
+    head_began_at: float | None
+
+    @property
+    def awaits_input(self) -> bool:
+        """Return whether the next thing to happen is input of the caller."""
+
+    @property
+    def is_ending(self) -> bool:
+        """Return whether no further response can be written."""
+
+    def shut_down(self) -> None:
+        """Shut the connection down in both directions."""
+
+
+@final
+class OpenConnections:
+    """Decide which connections of callers are served, closed and refused."""
+
+    __slots__ = (
+        '_max_served',
+        '_clock',
+        '_observer',
+        '_served',
+        '_refused',
+        '_logged_at',
+    )
+
+    def __init__(
+        self, *, limits: ConnectionLimits, clock: Clock, observer: Observer
+    ) -> None:
+        self._max_served = limits.max_served
+        self._clock = clock
+        self._observer = observer
+        # Values are the times of the last activity, in ascending order.
+        self._served: dict[OpenConnection, float] = {}
+        self._refused: set[OpenConnection] = set()
+        self._logged_at = float('-inf')
+
+    def add(self, connection: OpenConnection) -> bool:
+        """Register a new connection, perhaps in the place of an idle one.
+
+        Returns False if the requests on the connection have to be refused.
+        """
+        if len(self._served) < self._max_served or self._close_idle():
+            self._served[connection] = self._clock()
+            return True
+        self._refused.add(connection)
+        self._observer.count('connections.refused')
+        self._log_refusal()
+        gevent.spawn_later(REFUSAL_SECONDS, self._end_refused, connection)
+        return False
+
+    def remove(self, connection: OpenConnection) -> None:
+        """Remove a connection that is closed."""
+        self._served.pop(connection, None)
+        self._refused.discard(connection)
+
+    def record_activity(self, connection: OpenConnection) -> None:
+        """Make a connection the last one in the order of activity."""
+        if self._served.pop(connection, None) is not None:
+            self._served[connection] = self._clock()
+
+    def _close_idle(self) -> bool:
+        """Close the connection that has been idle for longest, if any is."""
+        idle_since = self._clock() - MIN_IDLE_SECONDS
+        for connection, active_at in self._served.items():
+            if active_at > idle_since:
+                break
+            if connection.head_began_at is None and connection.awaits_input:
+                self._served.pop(connection)
+                self._observer.count('connections.closed_idle')
+                connection.shut_down()
+                return True
+        return False
+
+    def _end_refused(self, connection: OpenConnection) -> None:
+        if connection in self._refused and not connection.is_ending:
+            connection.shut_down()
+
+    def _log_refusal(self) -> None:
+        now = self._clock()
+        if now - self._logged_at >= _LOG_INTERVAL_SECONDS:
+            self._logged_at = now
+            self._observer.log(
+                LogLevel.WARNING,
+                CONNECTIONS_FULL,
+                max_connections=str(self._max_served),
+            )
--- a/briartack/operator_port.py
+++ b/briartack/operator_port.py
@@ -5,8 +5,8 @@
 from urllib.parse import parse_qsl
 
 import msgspec
-from gevent.pywsgi import WSGIServer
 
+from briartack.accepting import HttpServer
 from briartack.addresses import Address
 from briartack.caller_responses import encode_refusal_body
 from briartack.error_texts import MALFORMED_REQUEST, UNKNOWN_PATH
@@ -76,9 +76,9 @@
             '/clear-suspect': self._handle_clear_suspect,
         }
 
-    def create_server(self, address: Address) -> WSGIServer:
+    def create_server(self, address: Address) -> HttpServer:
         """Create the HTTP server for operators, which does not listen yet."""
-        return WSGIServer(
+        return HttpServer(
             address,
             self._handle_request,
             backlog=LISTEN_BACKLOG,
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -11,8 +11,8 @@
 
 import gevent
 from gevent import socket
-from gevent.server import StreamServer
 
+from briartack.accepting import PeerServer
 from briartack.addresses import Address, parse_address
 from briartack.core.effects import Connect, LogLevel
 from briartack.core.events import PeerConnected, PeerDisconnected
@@ -85,9 +85,9 @@
         """Return the stream in use for a peer, or None."""
         return self._streams_by_peer.get(peer)
 
-    def create_server(self, address: Address) -> StreamServer:
+    def create_server(self, address: Address) -> PeerServer:
         """Create the server for peers, which does not listen yet."""
-        return StreamServer(address, self._accept, backlog=LISTEN_BACKLOG)
+        return PeerServer(address, self._accept, backlog=LISTEN_BACKLOG)
 
     def connect(self, effect: Connect) -> None:
         """Dial a peer unless the peer has a stream or is being dialled."""
--- a/briartack/peers.py
+++ b/briartack/peers.py
@@ -3,8 +3,8 @@
 from typing import final
 
 import msgspec
-from gevent.server import StreamServer
 
+from briartack.accepting import PeerServer
 from briartack.addresses import Address
 from briartack.bodies import BodyStore
 from briartack.core.effects import (
@@ -77,7 +77,7 @@
         """Return the number of bytes that peers have yet to get."""
         return sum(stream.unsent_bytes for stream in self._connections.streams)
 
-    def create_server(self, address: Address) -> StreamServer:
+    def create_server(self, address: Address) -> PeerServer:
         """Create the server for peers, which does not listen yet."""
         return self._connections.create_server(address)
 
--- a/briartack/platform/callers.py
+++ b/briartack/platform/callers.py
@@ -21,6 +21,7 @@
 )
 from briartack.request_head import RequestHead
 
+_JSON_HEADER: Final = ('Content-Type', 'application/json')
 _DAEMON_HEADERS: Final = frozenset(
     name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, CALLER_SERVICE)
 )
@@ -101,11 +102,10 @@
             return _encode_response(
                 effect.status, effect.headers, body, method, connection
             )
-        headers: list[tuple[str, str]] = [('Content-Type', 'application/json')]
+        headers = [_JSON_HEADER]
         status = _choose_status(effect)
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
-            retry_after = f'{effect.retry_after_seconds:.3f}'
-            headers.append(('Retry-After', retry_after))
+            headers.append(_build_retry_after(effect.retry_after_seconds))
         body = encode_refusal_body(effect.reason, effect.detail)
         return _encode_response(
             status, tuple(headers), body, method, connection
@@ -118,11 +118,18 @@
         code: str,
         detail: str,
         method: str,
+        retry_after_seconds: float = 0,
     ) -> bytes:
         """Encode the response to a request that never reached the core."""
-        headers = (('Content-Type', 'application/json'),)
+        headers = [_JSON_HEADER]
+        if retry_after_seconds:
+            headers.append(_build_retry_after(retry_after_seconds))
         body = encode_refusal_body(code, detail)
-        return _encode_response(status, headers, body, method, 'close')
+        return _encode_response(status, tuple(headers), body, method, 'close')
+
+
+def _build_retry_after(seconds: float) -> tuple[str, str]:
+    return 'Retry-After', f'{seconds:.3f}'
 
 
 def _choose_status(effect: AnswerCall) -> int:
--- a/briartack/test/shell_fixture.py
+++ b/briartack/test/shell_fixture.py
@@ -14,6 +14,7 @@
 from briartack.event_loop import EventLoop
 from briartack.memory_budget import MemoryBudget
 from briartack.native_dialects import create_native_dialects
+from briartack.open_connections import ConnectionLimits
 from briartack.peers import Peers
 from briartack.store_client import StoreClient
 from briartack.test.fake_reducer import (
@@ -26,6 +27,7 @@
 from briartack.upstream import UpstreamClient
 
 BUDGET_BYTES = 100_000_000
+CONNECTION_LIMITS = ConnectionLimits(max_served=1000, max_refused=100)
 
 
 class ShellFixture:
@@ -45,6 +47,7 @@
         upstream_dialect: UpstreamDialect | None = None,
         store_dialect: StoreDialect | None = None,
         budget_bytes: int = BUDGET_BYTES,
+        connection_limits: ConnectionLimits = CONNECTION_LIMITS,
     ) -> None:
         self.name = InstanceId(name)
         self.state = FakeState(peer=peer)
@@ -65,6 +68,7 @@
         self.callers = CallerServer(
             bodies=self.bodies,
             dialect=dialects.callers,
+            connection_limits=connection_limits,
             **shared_arguments,
         )
         self.peers = Peers(
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -31,12 +31,16 @@
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SiteShape:
-    """Hold the zones with their regions, the services and their sizes."""
+    """Hold the zones with their regions, the services and their sizes.
+
+    `max_descriptors` also limits the processes of the daemons, unless None.
+    """
 
     regions_by_zone: Mapping[str, str]
     services: tuple[str, ...]
     slots: int
     max_connections: int
+    max_descriptors: int | None = None
 
 
 SMALL_SHAPE: Final = SiteShape(
@@ -184,6 +188,7 @@
             name=ip,
             arguments=arguments,
             directory=self._directory,
+            max_descriptors=self._shape.max_descriptors,
         )
         machine = Machine(
             ip=ip,
@@ -307,7 +312,8 @@
         for zone, region in shape.regions_by_zone.items()
     )
     bounds = f'bounds=grace_s={grace_seconds:g},retry_budget_ratio=0.2'
-    limits = f'limits.memory_mb={MEMORY_MB}\nlimits.max_fds={MAX_DESCRIPTORS}'
+    max_fds = shape.max_descriptors or MAX_DESCRIPTORS
+    limits = f'limits.memory_mb={MEMORY_MB}\nlimits.max_fds={max_fds}'
     return f'{zones}\n{limits}\n{bounds},budget_extra=60,cold_overage=1.5\n'
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,11 +1,14 @@
 """Allocate ports and run child processes whose output goes to files."""
 
 import errno
+import resource
 import signal
 import socket
 import subprocess
 import sys
 import time
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Final, final
@@ -80,7 +83,14 @@
 class ChildProcess:
     """Run a Python module in a child process."""
 
-    __slots__ = ('_name', '_arguments', '_directory', '_process', '_starts')
+    __slots__ = (
+        '_name',
+        '_arguments',
+        '_directory',
+        '_max_descriptors',
+        '_process',
+        '_starts',
+    )
 
     def __init__(
         self,
@@ -88,10 +98,13 @@
         name: str,
         arguments: list[str],
         directory: Path,
+        max_descriptors: int | None = None,
     ) -> None:
+        """Describe the process; None inherits the limit of descriptors."""
         self._name = name
         self._arguments = [sys.executable, '-m', *arguments]
         self._directory = directory
+        self._max_descriptors = max_descriptors
         self._process: subprocess.Popen[bytes] | None = None
         self._starts = 0
 
@@ -134,6 +147,7 @@
                 # Ctrl-C reaches only the parent, which then stops its
                 # children in order.
                 start_new_session=True,
+                preexec_fn=self._limit_descriptors(),
             )
 
     def read_peak_memory_kb(self) -> int:
@@ -168,3 +182,9 @@
         """Return the end of the standard error output."""
         text = self.stderr.read_text(encoding='utf-8', errors='replace')
         return text[-characters:]
+
+    def _limit_descriptors(self) -> Callable[[], None] | None:
+        if self._max_descriptors is None:
+            return None
+        limits = (self._max_descriptors, self._max_descriptors)
+        return partial(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
