Count the heads of requests towards the memory of the daemon

Unfinished heads of callers had no common bound, and each was held twice: the line last read stayed referenced during the wait for the next one. The headers of the last request also stayed in memory while a kept connection was idle.

Heads above 2 KB are now leased from the memory for requests, long lines while they arrive, until the call has ended. A head without room is refused with 503 as not run. At the limit of connections, one whose head has been unfinished for a second makes room for a new connection if none is idle.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from typing import Any, Final, Protocol
+from typing import Any, BinaryIO, Final, Protocol
 
 import gevent
 from gevent import socket
@@ -19,6 +19,7 @@
     check_request_line,
 )
 from briartack.caller_pipeline import Pipeline, ReadyResponse
+from briartack.core.calls.reasons import NO_ROOM
 from briartack.core.messages import MAX_BODY_BYTES
 from briartack.dialects import CallerDialect
 from briartack.error_texts import (
@@ -26,6 +27,7 @@
     MALFORMED_REQUEST,
     TOO_LARGE,
 )
+from briartack.head_room import HeadRoom, NoHeadRoomError
 from briartack.inbound_call import InboundCall
 from briartack.memory_budget import MemoryBudget
 from briartack.request_head import RequestHead
@@ -33,6 +35,8 @@
 from briartack.turns import TurnLimit
 
 _READ_BYTES: Final = 65536
+# What pywsgi keeps of the head of a request.
+_HEAD_ATTRIBUTES: Final = ('headers', 'path', 'requestline')
 _STATUS_BAD_REQUEST: Final = 400
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_UNAVAILABLE: Final = 503
@@ -87,9 +91,6 @@
     that it detects a disconnect of the caller by the end of the stream.
     """
 
-    # pywsgi defines the name of this attribute.
-    MessageClass = RequestHeaders  # noqa: WPS115
-
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
         """Disable Nagle's algorithm and create the response pipeline."""
         sock.setsockopt(
@@ -101,6 +102,7 @@
         self._calls: _CallRegistry = server.application.callers
         self._pipeline = Pipeline(sock)
         self._is_refused = False
+        self._head_room = HeadRoom(memory=self._calls.memory)
 
     def handle(self) -> None:
         """Serve the connection until either side closes it.
@@ -112,6 +114,7 @@
             super().handle()
         finally:
             self._calls.remove_connection(self._pipeline)
+            self._head_room.release()
             self._cancel_unanswered()
 
     def handle_one_request(self) -> Any:
@@ -131,12 +134,22 @@
 
         pywsgi itself would respond to a longer line, without a verdict header.
         """
+        # The head of the request before would be held as long as the wait.
+        for name in _HEAD_ATTRIBUTES:
+            self.__dict__.pop(name, None)
         # Waits for the first byte, and leaves it to be read.
         if self.rfile.peek(1):
             self._calls.start_head(self._pipeline)
         line: bytes = self.rfile.readline(MAX_REQUEST_LINE_BYTES)
         return line.decode('latin-1')
 
+    # pywsgi defines the name, and creates the headers of a request by it.
+    def MessageClass(  # noqa: N802
+        self, stream: BinaryIO, seekable: int
+    ) -> RequestHeaders:
+        """Read the headers of a request within the memory for heads."""
+        return RequestHeaders(stream, reserve=self._head_room.reserve)
+
     def read_request(self, raw_requestline: str) -> bool:
         """Parse the request line and headers; return whether both are valid.
 
@@ -189,6 +202,7 @@
             connection=self._choose_connection_header(),
             dialect=self._calls.dialect,
         )
+        call.head_lease = self._head_room.take()
         self._receive_call(call)
         if call.closes_connection or self.close_connection:
             self.close_connection = True
@@ -335,6 +349,10 @@
         # pywsgi would send a response returned here and close the connection
         # at once. The pipeline keeps the connection half open, so that the
         # caller can read the response.
+        if isinstance(ex, NoHeadRoomError):
+            self._calls.observer.count('calls.heads_refused')
+            self._refuse(_STATUS_UNAVAILABLE, NO_ROOM.code, '')
+            return
         self._calls.observer.count('calls.malformed')
         self._refuse(_STATUS_BAD_REQUEST, MALFORMED_REQUEST, str(ex))
 
--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -7,7 +7,8 @@
 
 import math
 import re
-from typing import BinaryIO, Final, final
+from collections.abc import Callable
+from typing import BinaryIO, Final, TypeAlias, final
 
 from briartack.core.messages import Headers
 from briartack.headers import (
@@ -21,6 +22,10 @@
 _MAX_LINE_BYTES: Final = 16384
 _MAX_HEAD_BYTES: Final = 65536
 _MAX_HEADERS: Final = 128
+# The objects of one header, beside its text.
+_HEADER_OVERHEAD_BYTES: Final = 200
+# Room is reserved for a line that is longer while the line arrives.
+_LINE_PART_BYTES: Final = 2048
 _TOKEN_PATTERN: Final = re.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # A value contains no control characters except tabs, and no line breaks.
 _HEADER_LINE_PATTERN: Final = re.compile(
@@ -50,6 +55,14 @@
 _MAX_CONTENT_LENGTH_DIGITS: Final = 15
 
 
+# Reserves memory for the number of bytes of a head that have arrived.
+ReserveHead: TypeAlias = Callable[[int], None]
+
+
+def _reserve_nothing(size: int) -> None:
+    """Leave the memory of a head uncounted."""
+
+
 @final
 class RequestError(ValueError):
     """Report a malformed request; the message is sent to the caller."""
@@ -59,18 +72,20 @@
 class RequestHeaders:
     """Represent the headers of one request.
 
-    pywsgi creates the object and reads some of the headers through `get`.
+    pywsgi reads some of the headers through `get`.
     """
 
     __slots__ = ('status', '_pairs', '_first_values')
 
-    def __init__(self, stream: BinaryIO, seekable: int = 0) -> None:
+    def __init__(
+        self, stream: BinaryIO, *, reserve: ReserveHead = _reserve_nothing
+    ) -> None:
         """Read and check the headers up to the empty line.
 
-        Raises RequestError.
+        Raises RequestError, and what `reserve` raises without room.
         """
         self.status = ''  # pywsgi rejects the request if this is set
-        self._pairs = _read_headers(stream)
+        self._pairs = _read_headers(stream, reserve)
         self._first_values: dict[str, str] = {}
         for name, text in self._pairs:
             lower = name.lower()
@@ -197,11 +212,14 @@
     )
 
 
-def _read_headers(stream: BinaryIO) -> Headers:
+def _read_headers(stream: BinaryIO, reserve: ReserveHead) -> Headers:
     pairs: list[tuple[str, str]] = []
     total = 0
     while True:
-        line = stream.readline(_MAX_LINE_BYTES + 1)
+        held = total + _HEADER_OVERHEAD_BYTES * len(pairs)
+        # Drops the line before, whose text is held already.
+        line = b''
+        line = _read_line(stream, held, reserve)
         if line in {b'\r\n', b'\n'}:
             return tuple(pairs)
         total += len(line)
@@ -214,6 +232,23 @@
         pairs.append(_parse_header_line(line))
 
 
+def _read_line(stream: BinaryIO, held: int, reserve: ReserveHead) -> bytes:
+    reserve(held)
+    line = stream.readline(_LINE_PART_BYTES)
+    if len(line) < _LINE_PART_BYTES:
+        return line
+    parts = [line]
+    size = len(line)
+    while size <= _MAX_LINE_BYTES and not line.endswith(b'\n'):
+        reserve(held + size)
+        line = stream.readline(_LINE_PART_BYTES)
+        if not line:
+            break
+        parts.append(line)
+        size += len(line)
+    return b''.join(parts)
+
+
 def _parse_header_line(line: bytes) -> tuple[str, str]:
     match = _HEADER_LINE_PATTERN.fullmatch(line)
     if match is None:
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -256,6 +256,7 @@
         """
         if self._calls.pop(call.call_id, None) is None:
             return
+        call.release_head()
         self._observer.count('calls.cancelled')
         self._deliver(
             CallCancelled(now=self._clock(), call_id=CallId(call.call_id)),
@@ -279,6 +280,7 @@
         call, pipeline = self._calls.pop(effect.call_id, (None, None))
         if call is None or pipeline is None:
             return
+        call.release_head()
         is_last = pipeline.unanswered_count == 1
         try:
             call.answer(
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -222,7 +222,7 @@
             'Check the list of instances; the platform may lag.',
         ),
         'memory-full': ErrorText(
-            'The daemon has no memory for the body of the request.',
+            'The daemon has no memory for the request.',
             'Retry after the stated time; see memory_held_bytes.',
         ),
         'overload': ErrorText(
--- a/briartack/inbound_call.py
+++ b/briartack/inbound_call.py
@@ -22,7 +22,8 @@
     """Represent one call in flight: its request head and its response.
 
     `reader` is the greenlet that reads the request body, if one does, and
-    `lease` is the room for the body until it is stored.
+    `lease` is the room for the body until it is stored, and `head_lease` that
+    for a large head until the call ends.
     """
 
     __slots__ = (
@@ -34,6 +35,7 @@
         'is_body_read',
         'reader',
         'lease',
+        'head_lease',
         '_interim',
         '_connection',
         '_dialect',
@@ -58,6 +60,7 @@
         self.is_body_read = head.body_bytes == 0
         self.reader: gevent.Greenlet | None = None
         self.lease: Lease | None = None
+        self.head_lease: Lease | None = None
         self._interim = b''
         self._connection = connection
         self._dialect = dialect
@@ -83,6 +86,11 @@
         self.lease = None
         return lease
 
+    def release_head(self) -> None:
+        """Give back the room for the head at the end of the call."""
+        if self.head_lease is not None:
+            self.head_lease.release()
+
     def answer(
         self,
         effect: AnswerCall,
--- a/briartack/open_connections.py
+++ b/briartack/open_connections.py
@@ -6,6 +6,7 @@
 queue of a server that doesn't accept would be given up by their callers.
 """
 
+from collections.abc import Iterator
 from typing import Final, Protocol, final
 
 import gevent
@@ -149,17 +150,34 @@
             self._served[connection] = self._clock()
 
     def _close_idle(self) -> bool:
-        """Close the connection that has been idle for longest, if any is."""
-        idle_since = self._clock() - MIN_IDLE_SECONDS
+        """Close the connection that has been idle for longest, if any is.
+
+        If none is, closes one whose caller is slow to send a head.
+        """
+        before = self._clock() - MIN_IDLE_SECONDS
+        connection = next(self._list_idle(before), None)
+        if connection is None:
+            connection = next(self._list_slow(before), None)
+        if connection is None:
+            return False
+        self._served.pop(connection)
+        self._observer.count('connections.closed_idle')
+        connection.shut_down()
+        return True
+
+    def _list_idle(self, before: float) -> Iterator[OpenConnection]:
         for connection, active_at in self._served.items():
-            if active_at > idle_since:
-                break
+            if active_at > before:
+                return
             if connection.head_began_at is None and connection.awaits_input:
-                self._served.pop(connection)
-                self._observer.count('connections.closed_idle')
-                connection.shut_down()
-                return True
-        return False
+                yield connection
+
+    def _list_slow(self, before: float) -> Iterator[OpenConnection]:
+        for connection in self._served:
+            began_at = connection.head_began_at
+            is_slow = began_at is not None and began_at <= before
+            if is_slow and connection.awaits_input:
+                yield connection
 
     def _end_refused(self, connection: OpenConnection) -> None:
         if connection in self._refused and not connection.is_ending:
