Take the connections to be refused out of the limit, and plan 18 KB for each

The connections that are accepted only to be refused came on top of the limit, so that with much memory and 4,100 descriptors 89 of the 3,900 sockets were left for operators, peers, the upstream and the store, in place of 512. They are now one of nine of those that are accepted.

A connection between two requests was measured at 17.4 to 17.9 KB (KiB), not 16,000 bytes.

--- a/briartack/open_connections.py
+++ b/briartack/open_connections.py
@@ -16,19 +16,20 @@
 from briartack.error_texts import CONNECTIONS_FULL
 from briartack.shell_interfaces import Clock, Observer
 
-# The platform takes these of a stated limit for files, which includes the
-# libraries of the process; the daemon itself has fewer files and servers open.
+# The platform reserves so many of its limit for files.
 _PLATFORM_FILE_DESCRIPTORS: Final = 200
+# Output, event loop and servers, with room for files that are read.
 _OWN_FILE_DESCRIPTORS: Final = 32
+# No more, and no more than one of so many sockets, is kept back.
 _MAX_KEPT_BACK: Final = 512
-_KEPT_BACK_SHARE: Final = 3
+_SOCKETS_PER_KEPT_BACK: Final = 3
 # Memory of a connection between two requests, see docs/CAPACITY.md.
-CONNECTION_BYTES: Final = 16_000
+CONNECTION_BYTES: Final = 18_000
 _MEMORY_SHARE: Final = 0.15
 # The memory that bodies leave to the process has room for so much.
 _BASE_BYTES: Final = 23_000_000
-# One connection for so many is accepted only to refuse its request.
-_CONNECTIONS_PER_REFUSAL: Final = 8
+# One connection of so many is accepted only to refuse its request.
+_CONNECTIONS_PER_REFUSAL: Final = 9
 # A caller uses a connection again soon after an answer, and a new one at once.
 MIN_IDLE_SECONDS: Final = 1.0
 # The request of a refused connection has to arrive within this time.
@@ -66,21 +67,17 @@
     the system allows; None if there is no such limit.
     """
     max_open = int(memory_bytes * _MEMORY_SHARE) // CONNECTION_BYTES
-    max_served = (
-        max_open * _CONNECTIONS_PER_REFUSAL // (_CONNECTIONS_PER_REFUSAL + 1)
-    )
     for stated, files in (
         (max_descriptors, _PLATFORM_FILE_DESCRIPTORS),
         (system_descriptors, _OWN_FILE_DESCRIPTORS),
     ):
         if stated is not None:
             sockets = max(0, stated - files)
-            kept_back = min(_MAX_KEPT_BACK, sockets // _KEPT_BACK_SHARE)
-            max_served = min(max_served, sockets - kept_back)
-    max_served = max(1, max_served)
+            kept_back = min(_MAX_KEPT_BACK, sockets // _SOCKETS_PER_KEPT_BACK)
+            max_open = min(max_open, sockets - kept_back)
+    max_refused = max(1, max_open // _CONNECTIONS_PER_REFUSAL)
     return ConnectionLimits(
-        max_served=max_served,
-        max_refused=max(1, max_served // _CONNECTIONS_PER_REFUSAL),
+        max_served=max(1, max_open - max_refused), max_refused=max_refused
     )
 
 
