Add a soak of memory beside stops, freezes and silent links

Daemons reach each other through proxies whose streams go silent.

The calls of a run that is repeated have ids of their own now: with the same id they looked like a request that ran twice. A proxy that resets its links passes over those that have been reset, which raised an error as a site stopped.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -26,6 +26,7 @@
         'fault_run': 'benchmarks.fault_run',
         'stop_run': 'benchmarks.stop_run',
         'upstream_run': 'benchmarks.upstream_run',
+        'memory_run': 'benchmarks.memory_run',
         'mixed_stop_run': 'benchmarks.mixed_stop_run',
     },
 )
--- a/benchmarks/mixed_load.py
+++ b/benchmarks/mixed_load.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
 from random import Random
@@ -61,6 +61,7 @@
         '_slow_upload_share',
         '_random',
         '_idle',
+        '_runs',
         '_greenlets',
         '_running',
         '_stopping',
@@ -89,6 +90,7 @@
         self._slow_upload_share = slow_upload_share
         self._random = random
         self._idle: dict[str, list[tuple[Any, Connection]]] = defaultdict(list)
+        self._runs: Counter[str] = Counter()
         self._greenlets: list[gevent.Greenlet] = []
         self._running: set[gevent.Greenlet] = set()
         self._stopping = False
@@ -128,13 +130,22 @@
         )
 
     def make_calls(self, machine: str, attempt: str, names: str) -> None:
-        """Make the calls of a run at a machine, all at once."""
+        """Make the calls of a run at a machine, all at once.
+
+        A request that runs again makes its calls again, under ids of their own.
+        """
+        self._runs[attempt] += 1
+        run_number = self._runs[attempt]
         gevent.joinall(
             [
                 gevent.spawn(
                     self._send_all,
                     machine,
-                    [self._build(machine, kind, f'{attempt}.{number}')],
+                    [
+                        self._build(
+                            machine, kind, f'{attempt}.{run_number}-{number}'
+                        )
+                    ],
                 )
                 for number, kind in enumerate(self._find_kinds(names))
             ],
--- a/standins/link_proxy.py
+++ b/standins/link_proxy.py
@@ -29,7 +29,9 @@
         self.is_closed = False
 
     def reset(self) -> None:
-        """Close both sockets with a reset."""
+        """Close both sockets with a reset; a second time does nothing."""
+        if self.is_closed:
+            return
         self.is_closed = True
         for sock in (self.near, self.far):
             sock.setsockopt(
@@ -106,8 +108,7 @@
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             # One side has ended, which the other side has to see.
-            if not link.is_closed:
-                link.reset()
+            link.reset()
 
     def _hold(self, link: _Link, *, is_back: bool) -> None:
         while not link.is_closed and (
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -14,6 +14,7 @@
 from geventhttpclient.response import HTTPParseError
 
 from standins.deployment_site import write_text
+from standins.link_proxy import LinkProxy
 from standins.platform_store import PlatformStore
 from standins.platform_worker import PlatformWorker
 from standins.processes import LOOPBACK, ChildProcess, PortAllocator
@@ -34,6 +35,7 @@
     """Hold the zones with their regions, the services and their sizes.
 
     `max_descriptors` also limits the processes of the daemons, unless None.
+    With links, the daemons reach each other through proxies.
     """
 
     regions_by_zone: Mapping[str, str]
@@ -41,6 +43,8 @@
     slots: int
     max_connections: int
     max_descriptors: int | None = None
+    memory_mb: int = MEMORY_MB
+    has_links: bool = False
 
 
 SMALL_SHAPE: Final = SiteShape(
@@ -54,7 +58,10 @@
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Machine:
-    """Hold the addresses, the worker and the daemon of one machine."""
+    """Hold the addresses, the worker and the daemon of one machine.
+
+    `link` forwards the streams that other daemons dial, if the site has links.
+    """
 
     ip: str
     zone: str
@@ -64,6 +71,7 @@
     settings: Path
     caller_address: str
     operator_address: str
+    link: LinkProxy | None = None
 
 
 @final
@@ -165,6 +173,13 @@
         )
         worker = PlatformWorker(address=app, identity=f'i-{number}')
         worker.server.start()
+        link = None
+        peer_address = inbound
+        if self._shape.has_links:
+            # The port has to be the same, so the daemon gets another address.
+            peer_address = inbound.replace(ip, f'127.0.2.{number}')
+            link = LinkProxy(address=inbound, target=peer_address)
+            link.start()
         settings = self._directory / f'{ip}.conf'
         write_text(settings, format_settings(self._shape))
         arguments = ['briartack.launcher', '--dialect', 'platform']
@@ -175,7 +190,7 @@
             'data-centre': zone,
             'region': self._shape.regions_by_zone[zone],
             'caller-address': outbound,
-            'peer-address': inbound,
+            'peer-address': peer_address,
             'operator-address': ready,
             'upstream-address': app,
             'store-address': self.store.server.address,
@@ -199,6 +214,7 @@
             settings=settings,
             caller_address=outbound,
             operator_address=ready,
+            link=link,
         )
         self.machines.append(machine)
         self.register_worker(machine)
@@ -247,6 +263,8 @@
         for machine in self.machines:
             machine.daemon.kill()
             machine.worker.server.stop()
+            if machine.link is not None:
+                machine.link.stop()
         self.store.server.stop()
         self._ports.release()
 
@@ -313,7 +331,7 @@
     )
     bounds = f'bounds=grace_s={grace_seconds:g},retry_budget_ratio=0.2'
     max_fds = shape.max_descriptors or MAX_DESCRIPTORS
-    limits = f'limits.memory_mb={MEMORY_MB}\nlimits.max_fds={max_fds}'
+    limits = f'limits.memory_mb={shape.memory_mb}\nlimits.max_fds={max_fds}'
     return f'{zones}\n{limits}\n{bounds},budget_extra=60,cold_overage=1.5\n'
 
 
