Return the memory of dropped bodies to the system

What the operator sees: the resident memory of a daemon stays high after a burst of bodies, so the next one starts nearer to the limit of the platform.

Cause: bodies are read in parts of 64 KB with small objects between them. The GNU C library raises the size from which blocks are mapped by themselves with each larger block that is freed, so the parts lie on the heap, which can only shrink from its end. The size is fixed at 64 KB now.

Ruled out: a leak.

--- a/briartack/framing.py
+++ b/briartack/framing.py
@@ -136,10 +136,11 @@
         self._refused.clear()
         return refused
 
-    def feed(self, received: bytes) -> Iterator[PeerMessage]:
+    def feed(self, received: bytes | memoryview) -> Iterator[PeerMessage]:
         """Yield the messages that the received bytes complete.
 
-        Raises MalformedFrameError.
+        The bytes are copied before the first message is yielded. Raises
+        MalformedFrameError.
         """
         try:
             self._unpacker.feed(received)
--- a/briartack/memory_budget.py
+++ b/briartack/memory_budget.py
@@ -6,6 +6,7 @@
 their readers wait for room instead.
 """
 
+import ctypes
 from collections.abc import Callable
 from typing import Final, TypeAlias, final
 
@@ -22,12 +23,28 @@
 _REQUEST_SHARE: Final = 0.75
 _LARGE_REQUEST_SHARE: Final = 0.6
 SMALL_BODY_BYTES: Final = 65536
+# The smallest block that the allocator maps by itself, and returns to the
+# system once it is freed. Bodies are read in parts of this size, which would
+# stay resident on the heap for as long as one object above them.
+_MAPPED_BLOCK_BYTES: Final = 65536
+_M_MMAP_THRESHOLD: Final = -3  # in malloc.h
 
 
 # Gives up the least useful bytes; returns False if there are none.
 Relieve: TypeAlias = Callable[[], bool]
 
 
+def return_freed_blocks() -> None:
+    """Let the allocator return each large block to the system once freed.
+
+    The GNU C library otherwise raises the size from which it does so with each
+    larger block that is freed, to 32 MB. Other C libraries have no such option.
+    """
+    set_option = getattr(ctypes.CDLL(None), 'mallopt', None)
+    if set_option is not None:
+        set_option(_M_MMAP_THRESHOLD, _MAPPED_BLOCK_BYTES)
+
+
 def compute_budget_bytes(memory_bytes: int) -> int:
     """Return how many bytes of bodies fit into the memory of a process."""
     return max((memory_bytes - _BASE_BYTES) // _COPIES, _MIN_BUDGET_BYTES)
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -22,6 +22,9 @@
 from briartack.turns import TurnLimit
 
 _MAX_RECEIVE_BYTES: Final = 262144
+# One buffer serves all streams, since its bytes are copied before another
+# greenlet runs. A buffer for each read would be larger than most messages.
+_RECEIVE_BUFFER: Final = memoryview(bytearray(_MAX_RECEIVE_BYTES))
 _DRAIN_TIMEOUT_SECONDS: Final = 5.0
 _DRAIN_POLL_SECONDS: Final = 0.01
 
@@ -102,10 +105,10 @@
         """
         turn = TurnLimit()
         while True:
-            received = self._sock.recv(_MAX_RECEIVE_BYTES)
-            if not received:
+            count = self._sock.recv_into(_RECEIVE_BUFFER)
+            if not count:
                 return
-            for message in self._frame_reader.feed(received):
+            for message in self._frame_reader.feed(_RECEIVE_BUFFER[:count]):
                 yield message
                 # One read may hold thousands of messages.
                 turn.count_read(self.last_frame_bytes)
