Bound the answers that wait for their callers

Cause: a connection was read on whatever waited for its caller, and answers had no bound but 60 s without progress.

Answers that wait for their turn or for the socket have a lease now. A request is read behind another one of its connection only while at most 256 KB wait for its caller, its unanswered requests are expected to get at most 2 MB, and all calls in flight are expected to fit into half of the memory; the mean of the recent answers is the expected size. A connection that its caller has closed is still read, so its calls are cancelled. If the memory is full all the same, the caller that holds most of those that have taken no byte for 1 s is given up: caller-given-up, callers.given_up. Requests without a body are refused only far above the limit, so that small requests are served beside a full memory.

Evidence: test_memory_of_answers, real processes with 150 MB.

The inbox gives up an answer when the memory is full and no caller has stalled for 1 s yet.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -30,6 +30,7 @@
 from briartack.head_room import HeadRoom, NoHeadRoomError
 from briartack.inbound_call import InboundCall
 from briartack.memory_budget import MemoryBudget
+from briartack.read_ahead import ReadAhead
 from briartack.request_head import RequestHead
 from briartack.shell_interfaces import Observer
 from briartack.turns import TurnLimit
@@ -65,6 +66,10 @@
     def observer(self) -> Observer:
         """Return the recorder of metrics and log lines."""
 
+    @property
+    def read_ahead(self) -> ReadAhead:
+        """Return what decides whether a further request is read."""
+
     def add_connection(self, connection: Pipeline) -> bool:
         """Register a new connection; return False to refuse its requests."""
 
@@ -100,7 +105,7 @@
         )
         super().__init__(sock, address, server)
         self._calls: _CallRegistry = server.application.callers
-        self._pipeline = Pipeline(sock)
+        self._pipeline = Pipeline(sock, memory=self._calls.memory)
         self._is_refused = False
         self._head_room = HeadRoom(memory=self._calls.memory)
 
@@ -114,8 +119,8 @@
             super().handle()
         finally:
             self._calls.remove_connection(self._pipeline)
-            self._head_room.release()
             self._cancel_unanswered()
+            self._release_memory()
 
     def handle_one_request(self) -> Any:
         """Serve one request; return None at the end of the connection.
@@ -207,7 +212,7 @@
         if call.closes_connection or self.close_connection:
             self.close_connection = True
             self._discard_input()
-        self._pipeline.wait_for_capacity()
+        self._pipeline.wait_for_capacity(self._calls.read_ahead)
 
     @property
     def _max_body_bytes(self) -> int:
@@ -225,6 +230,11 @@
             and self.request_version != 'HTTP/1.0'
         )
 
+    def _release_memory(self) -> None:
+        self._head_room.release()
+        # The socket is closed, so nothing is sent any more.
+        self._pipeline.drop_unsent()
+
     def _cancel_unanswered(self) -> None:
         for pending in self._pipeline.take_unanswered():
             if isinstance(pending, InboundCall):
@@ -235,7 +245,10 @@
         expected_bytes = call.head.body_bytes
         if expected_bytes is None:
             expected_bytes = _READ_BYTES
-        call.lease = self._calls.memory.reserve_request(expected_bytes)
+        memory = self._calls.memory
+        call.lease = memory.reserve_request(expected_bytes)
+        if call.lease is None and memory.is_full and memory.make_room():
+            call.lease = memory.reserve_request(expected_bytes)
         try:
             self._calls.start_call(call, self._pipeline)
             if not call.is_body_read and not call.is_answered:
@@ -314,7 +327,7 @@
         """Cancel a call with an unusable body and respond with a refusal."""
         self._calls.cancel(call)
         call.closes_connection = True
-        call.response = self._encode_refusal(status, code, detail)
+        call.respond(self._encode_refusal(status, code, detail))
         self._pipeline.flush()
 
     def _refuse(self, status: int, code: str, detail: str) -> None:
--- a/briartack/caller_pipeline.py
+++ b/briartack/caller_pipeline.py
@@ -1,8 +1,5 @@
 """Write the responses on one caller's connection in request order."""
 
-import os
-import select
-import time
 from collections import deque
 from typing import Any, Final, Protocol, final
 
@@ -10,35 +7,39 @@
 from gevent import socket
 from gevent.event import Event
 
+from briartack import response_writer
 from briartack.core.effects import LimitCallers
-from briartack.send_progress import SendProgress
-from briartack.socket_options import count_unacknowledged_bytes
+from briartack.memory_budget import MemoryBudget
+from briartack.read_ahead import ReadAhead
+from briartack.response_writer import STALL_POLL_SECONDS, ResponseWriter
+from briartack.socket_options import has_ended_input, has_unread_input
 
-# Maximum number of unanswered requests on one connection. At this number, the
-# handler reads the next request only after a response.
-MAX_PIPELINED_REQUESTS: Final = 32
 # Closing a socket with unread input, or input after the close, sends a reset,
 # which could discard the response before the caller reads it. The connection
 # therefore stays half open for this long after the last response, and until the
 # caller has got the response.
 LINGER_SECONDS: Final = 1.0
-# A caller that takes no byte of a response for so long is gone. Its responses
-# would be held in memory for good otherwise.
-MAX_STALL_SECONDS: Final = 60.0
-_STALL_POLL_SECONDS: Final = 0.1
+# How often a connection that is not read looks whether its caller has closed it
+# and whether it may be read again.
+_READ_POLL_SECONDS: Final = 0.05
 
 
 class PendingResponse(Protocol):
     """Represent one request's position in the order of responses."""
 
+    waiting_bytes: int  # counted while the response waits for its turn
+
     @property
-    def response(self) -> bytes | None:
-        """Return the encoded response, or None while it is not known."""
+    def unwritten_bytes(self) -> int:
+        """Return the size of the response if it has yet to be written."""
 
     @property
     def closes_connection(self) -> bool:
         """Return whether the connection closes after the response."""
 
+    def take_response(self) -> bytes | None:
+        """Return the encoded response, once, or None while it is not known."""
+
     def take_interim(self) -> bytes:
         """Return an interim response that is due before the response, once."""
 
@@ -47,16 +48,26 @@
 class ReadyResponse:
     """Hold a response that is known at once and ends the connection."""
 
-    __slots__ = ('response',)
+    __slots__ = ('_response', 'waiting_bytes')
 
     def __init__(self, *, response: bytes) -> None:
-        self.response: bytes | None = response
+        self._response = response
+        self.waiting_bytes = 0
+
+    @property
+    def unwritten_bytes(self) -> int:
+        """Return the size of the response."""
+        return len(self._response)
 
     @property
     def closes_connection(self) -> bool:
         """Return True: no further request is served."""
         return True
 
+    def take_response(self) -> bytes:
+        """Return the response."""
+        return self._response
+
     def take_interim(self) -> bytes:
         """Return nothing: the response is known."""
         return b''
@@ -74,30 +85,31 @@
 
     __slots__ = (
         '_sock',
-        '_descriptor',
         '_pending',
-        '_unsent',
-        '_queued_bytes',
         '_writer',
         '_is_ending',
+        '_is_half_closed',
         '_is_shut_down',
-        '_has_capacity',
+        '_has_changed',
         'last_active_at',
         'limits',
         'head_began_at',
     )
 
-    def __init__(self, sock: Any) -> None:
+    def __init__(self, sock: Any, *, memory: MemoryBudget) -> None:
+        """Start without any request; responses that wait have a lease."""
         self._sock = sock
-        self._descriptor: int = sock.fileno()
         self._pending: deque[PendingResponse] = deque()
-        self._unsent: deque[memoryview] = deque()
-        self._queued_bytes = 0
-        self._writer: gevent.Greenlet | None = None
+        self._writer = ResponseWriter(
+            sock,
+            memory=memory,
+            on_change=self._handle_change,
+            on_stall=self.give_up,
+        )
         self._is_ending = False
+        self._is_half_closed = False
         self._is_shut_down = False
-        self._has_capacity = Event()
-        self._has_capacity.set()
+        self._has_changed = Event()
         self.last_active_at: float = 0
         self.limits: LimitCallers | None = None
         self.head_began_at: float | None = None
@@ -114,7 +126,7 @@
     @property
     def has_pending(self) -> bool:
         """Return whether responses are outstanding or bytes are unsent."""
-        return bool(self._pending) or bool(self._unsent)
+        return bool(self._pending) or self._writer.has_queued
 
     @property
     def awaits_input(self) -> bool:
@@ -128,21 +140,22 @@
     @property
     def has_unread_input(self) -> bool:
         """Return whether bytes of the caller have arrived and are unread."""
-        poll = select.poll()
-        poll.register(self._descriptor, select.POLLIN)
-        return bool(poll.poll(0))
+        return has_unread_input(self._sock)
 
     @property
     def has_unsent(self) -> bool:
         """Return whether the caller has yet to get part of a response."""
-        return bool(self._unsent) or count_unacknowledged_bytes(self._sock) > 0
+        return self._writer.has_unsent
 
     @property
     def taken_bytes(self) -> int:
         """Return how many bytes of responses the caller's side has taken."""
-        unsent_bytes = sum(len(part) for part in self._unsent)
-        unacknowledged_bytes = count_unacknowledged_bytes(self._sock)
-        return self._queued_bytes - unsent_bytes - unacknowledged_bytes
+        return self._writer.taken_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the responses that the socket has yet to take."""
+        return self._writer.held_bytes
 
     @property
     def unanswered_count(self) -> int:
@@ -152,27 +165,51 @@
     def add(self, pending: PendingResponse) -> None:
         """Append a request that has been read, and write what is ready."""
         self._pending.append(pending)
-        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-            self._has_capacity.clear()
         self.flush()
 
-    def wait_for_capacity(self) -> None:
-        """Wait until fewer than MAX_PIPELINED_REQUESTS are unanswered."""
-        self._has_capacity.wait()
+    def hold(self, pending: PendingResponse) -> None:
+        """Count a response that is known and waits for its turn, if it does."""
+        pending.waiting_bytes = pending.unwritten_bytes
+        self._writer.count(pending.waiting_bytes)
 
-    def wait_until_sent(self) -> None:
-        """Wait until the socket has taken all responses or has failed.
+    def wait_for_capacity(self, read_ahead: ReadAhead) -> None:
+        """Wait until the connection may have one more unanswered request.
 
-        The socket fails if the caller takes nothing for MAX_STALL_SECONDS.
+        A request is read behind others only if `read_ahead` allows it. Returns
+        also when the caller has closed the connection, which is found out by
+        reading.
         """
-        if self._writer is not None:
-            self._writer.join()
+        while self.has_pending and not read_ahead.allows(
+            unanswered=len(self._pending), held_bytes=self.held_bytes
+        ):
+            if self._is_shut_down or has_ended_input(self._sock):
+                return
+            self._has_changed.clear()
+            self._has_changed.wait(_READ_POLL_SECONDS)
+
+    def measure_stall(self) -> float:
+        """Return for how many seconds the caller has taken no unsent byte."""
+        return self._writer.measure_stall() if self._writer.has_queued else 0
+
+    def give_up(self) -> None:
+        """Drop all responses of a caller that reads nothing, and shut down."""
+        self.drop_unsent()
+        self.shut_down()
+
+    def drop_unsent(self) -> None:
+        """Drop the bytes that the socket has yet to take."""
+        self._writer.drop()
+
+    def wait_until_sent(self) -> None:
+        """Wait until the socket has taken all responses or has failed."""
+        self._writer.wait()
 
     def take_unanswered(self) -> list[PendingResponse]:
         """Remove and return the requests that are still unanswered."""
         unanswered = list(self._pending)
         self._pending.clear()
-        self._has_capacity.set()
+        self._writer.count(-sum(one.waiting_bytes for one in unanswered))
+        self._has_changed.set()
         return unanswered
 
     def flush(self) -> None:
@@ -182,18 +219,15 @@
         """
         while self._pending and not self._is_ending:
             pending = self._pending[0]
-            response = pending.response
+            response = pending.take_response()
             if response is None:
-                self._write(pending.take_interim())
+                self._writer.write(pending.take_interim())
                 break
             self._pending.popleft()
-            self._write(response)
-            if pending.closes_connection:
-                self._is_ending = True
-        if len(self._pending) < MAX_PIPELINED_REQUESTS:
-            self._has_capacity.set()
-        if self._is_ending and not self._unsent:
-            self._half_close()
+            self._writer.write(response)
+            self._writer.count(-pending.waiting_bytes)
+            self._is_ending = pending.closes_connection
+        self._handle_change()
 
     def shut_down(self) -> None:
         """Shut the connection down in both directions.
@@ -203,70 +237,26 @@
         self._is_shut_down = True
         self._shutdown(socket.SHUT_RDWR)
 
-    def _write(self, response: bytes) -> None:
-        if not response:
-            return
-        self._queued_bytes += len(response)
-        if self._unsent:
-            self._unsent.append(memoryview(response))
-            return
-        # gevent sets the descriptors of its sockets to non-blocking mode.
-        written = 0
-        try:
-            written = os.write(self._descriptor, response)
-        except BlockingIOError:
-            written = 0
-        except OSError:
-            # The greenlet that reads from the socket gets the same error.
-            return
-        if written < len(response):
-            self._unsent.append(memoryview(response)[written:])
-            self._writer = gevent.spawn(self._write_rest)
-
-    def _write_rest(self) -> None:
-        progress = SendProgress(now=time.monotonic())
-        while self._unsent:
-            try:
-                self._send_next()
-            except OSError:
-                self._unsent.clear()
-                return
-            if self._is_stalled(progress):
-                self._unsent.clear()
-                self.shut_down()
-                return
-        if self._is_ending:
+    def _handle_change(self) -> None:
+        self._has_changed.set()
+        if self._is_ending and not self._writer.has_queued:
             self._half_close()
 
-    def _send_next(self) -> None:
-        """Send what the socket takes, or return after the poll interval.
-
-        Raises OSError.
-        """
-        # The time limit interrupts only the wait for room in the send buffer.
-        with gevent.Timeout(_STALL_POLL_SECONDS, exception=False):
-            sent_bytes = self._sock.send(self._unsent[0])
-            self._unsent[0] = self._unsent[0][sent_bytes:]
-        if not self._unsent[0]:
-            self._unsent.popleft()
-
-    def _is_stalled(self, progress: SendProgress) -> bool:
-        stall_seconds = progress.measure_stall(
-            self.taken_bytes, time.monotonic()
-        )
-        return stall_seconds >= MAX_STALL_SECONDS
-
     def _half_close(self) -> None:
+        if self._is_half_closed:
+            return
+        self._is_half_closed = True
         self._shutdown(socket.SHUT_WR)
         gevent.spawn(self._linger)
 
     def _linger(self) -> None:
         gevent.sleep(LINGER_SECONDS)
-        progress = SendProgress(now=time.monotonic())
-        while count_unacknowledged_bytes(self._sock):
-            if self._is_stalled(progress):
+        self._writer.begin_stall()
+        while self._writer.has_unsent:
+            stall_seconds = self._writer.measure_stall()
+            if stall_seconds >= response_writer.MAX_STALL_SECONDS:
                 break
-            gevent.sleep(_STALL_POLL_SECONDS)
+            gevent.sleep(STALL_POLL_SECONDS)
         self.shut_down()
 
     def _shutdown(self, how: int) -> None:
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+from functools import partial
 from typing import Final, final
 
 from briartack.accepting import LimitedHttpServer
@@ -26,12 +27,14 @@
 from briartack.inbound_call import InboundCall
 from briartack.memory_budget import MemoryBudget
 from briartack.open_connections import ConnectionLimits, OpenConnections
+from briartack.read_ahead import ReadAhead
 from briartack.shell_interfaces import (
     LISTEN_BACKLOG,
     Clock,
     DeliverEvent,
     Observer,
 )
+from briartack.stalled_callers import give_up_stalled_caller
 
 # How long callers may take until a configuration says so.
 IDLE_TIMEOUT_SECONDS: Final = 75.0
@@ -47,13 +50,14 @@
 
     __slots__ = (
         '_bodies',
-        '_dialect',
         '_deliver',
         '_clock',
-        '_observer',
         '_calls',
         '_call_numbers',
         '_connections',
+        'dialect',
+        'observer',
+        'read_ahead',
         '_is_stopping',
         '_limits',
         '_connection_limits',
@@ -71,10 +75,11 @@
         connection_limits: ConnectionLimits,
     ) -> None:
         self._bodies = bodies
-        self._dialect = dialect
+        self.dialect: Final = dialect
         self._deliver = deliver
         self._clock = clock
-        self._observer = observer
+        self.observer: Final = observer
+        self.read_ahead: Final = ReadAhead(memory=bodies.memory)
         self._calls: dict[str, tuple[InboundCall, Pipeline]] = {}
         self._is_stopping = False
         self._call_numbers = itertools.count(1)
@@ -83,6 +88,14 @@
         self._open_connections = OpenConnections(
             limits=connection_limits, clock=clock, observer=observer
         )
+        bodies.memory.set_reliever(
+            partial(
+                give_up_stalled_caller,
+                self._connections,
+                memory=bodies.memory,
+                observer=observer,
+            )
+        )
         self._limits = LimitCallers(
             idle_seconds=IDLE_TIMEOUT_SECONDS,
             header_seconds=IDLE_TIMEOUT_SECONDS,
@@ -114,16 +127,6 @@
         """Return the budget of the bodies that the daemon holds."""
         return self._bodies.memory
 
-    @property
-    def dialect(self) -> CallerDialect:
-        """Return the codec for request heads and responses."""
-        return self._dialect
-
-    @property
-    def observer(self) -> Observer:
-        """Return the recorder of metrics and log lines."""
-        return self._observer
-
     def create_server(self, address: Address) -> LimitedHttpServer:
         """Create the HTTP server for callers, which does not listen yet."""
         return LimitedHttpServer(
@@ -200,6 +203,7 @@
         call.arrived_at = self._clock()
         pipeline.head_began_at = None
         self._calls[call_id] = (call, pipeline)
+        self.read_ahead.start_call()
         pipeline.add(call)
         head = call.head
         if head.key_service:
@@ -256,8 +260,8 @@
         """
         if self._calls.pop(call.call_id, None) is None:
             return
-        call.release_head()
-        self._observer.count('calls.cancelled')
+        self._release(call)
+        self.observer.count('calls.cancelled')
         self._deliver(
             CallCancelled(now=self._clock(), call_id=CallId(call.call_id)),
         )
@@ -280,7 +284,7 @@
         call, pipeline = self._calls.pop(effect.call_id, (None, None))
         if call is None or pipeline is None:
             return
-        call.release_head()
+        self._release(call)
         is_last = pipeline.unanswered_count == 1
         try:
             call.answer(
@@ -292,10 +296,16 @@
             # Otherwise the caller would wait for the response without end.
             pipeline.shut_down()
             raise
+        self.read_ahead.record_response(call.unwritten_bytes)
         pipeline.flush()
+        pipeline.hold(call)
         self._record_activity(pipeline)
         seconds = pipeline.last_active_at - call.arrived_at
-        self._observer.observe('call.seconds', seconds)
+        self.observer.observe('call.seconds', seconds)
+
+    def _release(self, call: InboundCall) -> None:
+        call.release_head()
+        self.read_ahead.end_call()
 
     def _record_activity(self, connection: Pipeline) -> None:
         connection.last_active_at = self._clock()
@@ -312,7 +322,7 @@
         )
 
     def _refuse_late_head(self, connection: Pipeline) -> None:
-        response = self._dialect.encode_refusal(
+        response = self.dialect.encode_refusal(
             status=_STATUS_REQUEST_TIMEOUT,
             code=HEAD_TIMEOUT,
             detail='',
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -34,7 +34,6 @@
 from briartack.line_writer import OutputWriters
 from briartack.listening import start_metrics_server, start_servers
 from briartack.logs import AuditTrail, RequestLogLimiter, write_log
-from briartack.memory_budget import return_freed_blocks
 from briartack.metrics import MetricRegistry
 from briartack.operator_port import DescribeState, OperatorPort
 from briartack.options import Options
@@ -225,7 +224,6 @@
         before that still serves its grace time. Raises OSError if an address
         other than that of the metrics cannot be bound.
         """
-        return_freed_blocks()
         install_error_handler(self._observer)
         options = self._options
         self._servers = [
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -48,6 +48,7 @@
 STATEMENT_REFUSED: Final = 'statement-refused'
 ACCEPT_FAILED: Final = 'accept-failed'
 CONNECTIONS_FULL: Final = 'connections-full'
+CALLER_GIVEN_UP: Final = 'caller-given-up'
 
 _TEXTS: Final[Mapping[str, ErrorText]] = MappingProxyType(
     {
@@ -338,6 +339,11 @@
         'instances-changed': ErrorText(
             'The list of live instances has changed.', ''
         ),
+        CALLER_GIVEN_UP: ErrorText(
+            'The memory was full and a caller took no byte of its responses; '
+            'its connection was closed.',
+            'Correct the caller, or allow the daemon more memory.',
+        ),
         STATEMENT_REFUSED: ErrorText(
             'A header of the upstream is malformed and was ignored.',
             'Correct the upstream that sends it.',
--- a/briartack/inbound_call.py
+++ b/briartack/inbound_call.py
@@ -23,19 +23,23 @@
 
     `reader` is the greenlet that reads the request body, if one does, and
     `lease` is the room for the body until it is stored, and `head_lease` that
-    for a large head until the call ends.
+    for a large head until the call ends. `waiting_bytes` is what the pipeline
+    counts of a response that waits for its turn, and `is_answered` says whether
+    the response has been encoded.
     """
 
     __slots__ = (
         'call_id',
         'arrived_at',
         'head',
-        'response',
         'closes_connection',
         'is_body_read',
         'reader',
         'lease',
         'head_lease',
+        'waiting_bytes',
+        'is_answered',
+        '_response',
         '_interim',
         '_connection',
         '_dialect',
@@ -55,20 +59,22 @@
         self.call_id = ''
         self.arrived_at: float = 0
         self.head = head
-        self.response: bytes | None = None
         self.closes_connection = False
         self.is_body_read = head.body_bytes == 0
         self.reader: gevent.Greenlet | None = None
         self.lease: Lease | None = None
         self.head_lease: Lease | None = None
+        self.waiting_bytes = 0
+        self.is_answered = False
+        self._response: bytes | None = None
         self._interim = b''
         self._connection = connection
         self._dialect = dialect
 
     @property
-    def is_answered(self) -> bool:
-        """Return whether the response has been encoded."""
-        return self.response is not None
+    def unwritten_bytes(self) -> int:
+        """Return the size of the response if it has yet to be written."""
+        return len(self._response or b'')
 
     def request_body(self) -> None:
         """Tell a caller that waits for it to send the request body."""
@@ -80,6 +86,17 @@
         self._interim = b''
         return interim
 
+    def take_response(self) -> bytes | None:
+        """Return the encoded response, once, or None while it is not known."""
+        response = self._response
+        self._response = None
+        return response
+
+    def respond(self, response: bytes) -> None:
+        """Set the encoded response."""
+        self.is_answered = True
+        self._response = response
+
     def take_lease(self) -> Lease | None:
         """Return the room for the body, which the taker releases."""
         lease = self.lease
@@ -107,11 +124,13 @@
         if is_stopping or not self.is_body_read:
             connection = 'close'
         self.closes_connection = connection == 'close'
-        self.response = self._dialect.encode_answer(
-            effect,
-            body=body,
-            method=self.head.method,
-            connection=connection,
+        self.respond(
+            self._dialect.encode_answer(
+                effect,
+                body=body,
+                method=self.head.method,
+                connection=connection,
+            )
         )
         if self.reader is not None:
             gevent.get_hub().loop.run_callback(self._interrupt_reader)
--- a/briartack/main.py
+++ b/briartack/main.py
@@ -30,6 +30,7 @@
 from briartack.integration import PlatformIntegration, load_integration
 from briartack.line_writer import LineWriter, OutputWriters
 from briartack.logs import configure_logging, write_log
+from briartack.memory_budget import return_freed_blocks
 from briartack.options import Options, read_options
 from briartack.recorder import Recorder, TraceHeader
 
@@ -154,6 +155,7 @@
     gevent.signal_handler(signal.SIGTERM, signals.handle_stop)
     gevent.signal_handler(signal.SIGINT, signals.handle_interrupt)
     gevent.signal_handler(signal.SIGHUP, signals.handle_reload)
+    return_freed_blocks()
     # All objects created so far live as long as the process, so exclude them
     # from collections.
     gc.freeze()
--- a/briartack/memory_budget.py
+++ b/briartack/memory_budget.py
@@ -23,6 +23,9 @@
 _REQUEST_SHARE: Final = 0.75
 _LARGE_REQUEST_SHARE: Final = 0.6
 SMALL_BODY_BYTES: Final = 65536
+# Most requests without a body have small responses. They are refused only when
+# responses have gone far beyond the limit: a body of an upstream may exceed it.
+_EMPTY_REQUEST_SHARE: Final = 1.5
 # The smallest block that the allocator maps by itself, and returns to the
 # system once it is freed. Bodies are read in parts of this size, which would
 # stay resident on the heap for as long as one object above them.
@@ -167,6 +170,8 @@
             self._has_room.set()
 
     def _fits(self, size: int, growth: int) -> bool:
+        if not size:
+            return self._held_bytes <= _EMPTY_REQUEST_SHARE * self._max_bytes
         share = _LARGE_REQUEST_SHARE
         if size <= SMALL_BODY_BYTES:
             share = _REQUEST_SHARE
--- a/briartack/socket_options.py
+++ b/briartack/socket_options.py
@@ -1,6 +1,7 @@
 """Set options of sockets, and read the state of their send buffers."""
 
 import fcntl
+import select
 import sys
 import termios
 from typing import Any, Final
@@ -45,8 +46,29 @@
 
     Returns 0 if the socket is closed or the system doesn't tell.
     """
+    return _count_bytes(sock, termios.TIOCOUTQ)
+
+
+def has_unread_input(sock: Any) -> bool:
+    """Return whether bytes, or the end of them, have arrived unread."""
+    return _has_event(sock, select.POLLIN)
+
+
+def has_ended_input(sock: Any) -> bool:
+    """Return whether the other side has closed and all it sent is read."""
+    is_closed = _has_event(sock, select.POLLRDHUP)
+    return is_closed and _count_bytes(sock, termios.FIONREAD) == 0
+
+
+def _has_event(sock: Any, event: int) -> bool:
+    poll = select.poll()
+    poll.register(sock.fileno(), event)
+    return bool(poll.poll(0))
+
+
+def _count_bytes(sock: Any, request: int) -> int:
     try:
-        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
+        answer = fcntl.ioctl(sock.fileno(), request, bytes(_INT_BYTES))
     except (OSError, ValueError):
         return 0
     return int.from_bytes(answer, sys.byteorder)
--- a/briartack/test/test_memory_budget.py
+++ b/briartack/test/test_memory_budget.py
@@ -45,3 +45,14 @@
             response.release()
         self.assertEqual(budget.held_bytes, 0)
         self.assertIs(budget.is_full, False)
+
+    # Guards against small requests that are all refused because answers have
+    # filled the memory to its limit.
+    @params((0, 1_400_000, True), (0, 1_600_000, False), (1, 1_100_000, False))
+    def test_requests_without_body_may_exceed_the_limit(
+        self, size: int, held_bytes: int, is_admitted: bool
+    ) -> None:
+        budget = MemoryBudget(max_bytes=1_000_000)
+        budget.lease(held_bytes)
+        lease = budget.reserve_request(size)
+        self.assertIs(lease is not None, is_admitted)
--- /dev/null
+++ b/briartack/test/test_memory_of_answers.py
@@ -0,0 +1,142 @@
+"""Test that answers stay within the memory of a daemon.
+
+The platform ends a process that exceeds its memory, and every request that the
+process holds is lost with it.
+"""
+
+import tempfile
+import time
+import unittest
+import uuid
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import socket
+from nose2.tools import params
+
+from briartack.test.test_platform_site import becomes_true
+from standins.platform_site import (
+    DEFAULT_ROUTES,
+    HOST,
+    MEMORY_MB,
+    REGIONS_BY_ZONE,
+    SERVICES,
+    Machine,
+    PlatformSite,
+    SiteShape,
+    build_configuration,
+    build_route,
+    send_consumer_request,
+)
+
+PATH = '/large/'
+REQUEST = (
+    f'GET {PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: %s\r\n'
+    'X-Deadline-Ms: 20000\r\n\r\n'
+)
+# Enough for the requests of a test: none of them is refused as overload.
+SHAPE = SiteShape(
+    regions_by_zone=REGIONS_BY_ZONE,
+    services=SERVICES,
+    slots=64,
+    max_connections=500,
+)
+SMALL_BUFFER_BYTES = 16384
+UNREAD_SECONDS = 4.0
+READ_BYTES = 65536
+READ_PAUSE_SECONDS = 0.03
+STEADY_ANSWERS = 8
+# The daemon knows the size of the answers before the others come.
+STEADY_SECONDS = 0.5
+
+
+def send_pipelined(machine: Machine, count: int) -> Any:
+    """Send requests one behind the other; return the connection."""
+    host, _, port = machine.caller_address.rpartition(':')
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    caller.connect((host, int(port)))
+    requests = ''.join(REQUEST % uuid.uuid4().hex for _ in range(count))
+    caller.sendall(requests.encode())
+    return caller
+
+
+def read_steadily(caller: Any, body: bytes, count: int) -> list[str]:
+    """Read answers with pauses; return what is wrong with each of them."""
+    caller.settimeout(10)
+    stream = caller.makefile('rb')
+    problems = []
+    for _ in range(count):
+        status = stream.readline()
+        received = read_body(stream)
+        if b' 200 ' not in status or received != body:
+            problems.append(f'{status!r} with {len(received)} bytes')
+    return problems
+
+
+def read_body(stream: Any) -> bytes:
+    """Read the headers and the body of an answer, with pauses."""
+    head = b''.join(iter(stream.readline, b'\r\n')).lower()
+    length = int(head.partition(b'content-length: ')[2].split()[0])
+    received = b''
+    while len(received) < length:
+        gevent.sleep(READ_PAUSE_SECONDS)
+        part = stream.read(min(READ_BYTES, length - len(received)))
+        if not part:
+            break
+        received += part
+    return received
+
+
+class MemoryOfAnswersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.site = PlatformSite(directory=Path(directory.name), shape=SHAPE)
+        self.addCleanup(self.site.stop)
+        self.site.start()
+        large = build_route('large', PATH, 'reads', timeout_ms=20000)
+        self.site.store.put(
+            'op/config',
+            build_configuration(*DEFAULT_ROUTES, large, version=2, shape=SHAPE),
+        )
+        assert becomes_true(self.site.is_ready)
+        self.machine = self.site.find_machine('east-1', 'reads')
+        assert becomes_true(lambda: self.request(PATH) == HTTPStatus.OK)
+
+    def request(self, path: str) -> int:
+        """Send a small request and return the status of its answer."""
+        return send_consumer_request(self.machine, path).status
+
+    # Guards against callers that read nothing and end a daemon with all that
+    # it holds, its peers' answers included: 20 answers of 1 MB on each of 30
+    # connections took the daemon to 208 MB of its 150 MB, and a peer to 174 MB.
+    @params((30, 20, 1_000_000), (60, 20, 200_000), (120, 1, 1_000_000))
+    def test_unread_answers_stay_within_the_memory(
+        self, connections: int, count: int, size: int
+    ) -> None:
+        body = bytes(size)
+        for machine in self.site.machines:
+            machine.worker.bodies_by_path[PATH] = body
+        steady = send_pipelined(self.machine, STEADY_ANSWERS)
+        self.addCleanup(steady.close)
+        reader = gevent.spawn(read_steadily, steady, body, STEADY_ANSWERS)
+        gevent.sleep(STEADY_SECONDS)
+        callers = [
+            send_pipelined(self.machine, count) for _ in range(connections)
+        ]
+        statuses = set()
+        until = time.monotonic() + UNREAD_SECONDS
+        while time.monotonic() < until:
+            statuses.add(self.request('/reads/'))
+            gevent.sleep(0.1)
+        for caller in callers:
+            caller.close()
+        for machine in self.site.machines:
+            self.assertIs(machine.daemon.is_running, True)
+            peak_mb = machine.daemon.read_peak_memory_kb() / 1024
+            self.assertLess(peak_mb, MEMORY_MB)
+        self.assertEqual(reader.get(), [])
+        self.assertEqual(statuses, {HTTPStatus.OK})
--- a/briartack/test/test_slow_callers.py
+++ b/briartack/test/test_slow_callers.py
@@ -8,7 +8,7 @@
 from gevent import socket
 from nose2.tools import params
 
-from briartack import caller_pipeline
+from briartack import response_writer
 from briartack.caller_pipeline import LINGER_SECONDS
 from briartack.core import events
 from briartack.test.fake_reducer import LOCAL_HOST, EchoServer
@@ -149,6 +149,6 @@
 
     def limit_stall(self, seconds: float) -> None:
         """Let the daemon cut callers that take nothing for some seconds."""
-        limit = patch.object(caller_pipeline, 'MAX_STALL_SECONDS', seconds)
+        limit = patch.object(response_writer, 'MAX_STALL_SECONDS', seconds)
         limit.start()
         self.addCleanup(limit.stop)
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -35,6 +35,7 @@
         'work_seconds',
         'stated_limit',
         'is_leaving',
+        'bodies_by_path',
         'deadly_path',
         'down_seconds',
         'counts',
@@ -52,6 +53,7 @@
         self.work_seconds = 0.001
         self.stated_limit: float | None = None  # requests per second
         self.is_leaving = False  # named in answers, whatever the store says
+        self.bodies_by_path: dict[str, bytes] = {}  # instead of an echo
         self.deadly_path = ''  # a request to it ends this worker
         self.down_seconds = 0.5  # until this worker starts again
         self.counts: Counter[str] = Counter()
@@ -123,8 +125,9 @@
         seal = (
             () if self.active_fault == 'unsealed' else (('X-Server-Seal', 's'),)
         )
+        echo = b' '.join((self.identity.encode(), body))
         return Response(
-            body=b' '.join((self.identity.encode(), body)),
+            body=self.bodies_by_path.get(request.path, echo),
             headers=(
                 ('X-Attempt-Id', attempt_id),
                 *seal,
