Refuse a request if there is no memory for its body

Callers saw: no answer; 15 of 20 uploads with a length and 20 of 20 with chunks, real processes whose address space was limited to 10 MB above what they had. Cause: a MemoryError while a body is read ended the greenlet of the connection. Ruled out: an end of the process; it went on in all plays with 10 MB or more. Conclusion: refused as not run; open: resets while the rest is discarded, and one SIGSEGV in two plays with 4 MB.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -265,7 +265,9 @@
         call.reader = gevent.getcurrent()
         try:
             body = self._receive_body(call)
-        except _NoRoomError:
+        except (_NoRoomError, MemoryError):
+            # The rest of the body is not read as a request.
+            self.close_connection = True
             self._calls.complete_body(call, None)
             return
         except (OSError, ValueError) as error:
--- a/briartack/test/test_memory_of_requests.py
+++ b/briartack/test/test_memory_of_requests.py
@@ -10,9 +10,10 @@
 import uuid
 from pathlib import Path
 from typing import ClassVar
+from unittest import mock
 
 import gevent
-from gevent import socket
+from gevent import pywsgi, socket
 from nose2.tools import params
 
 from briartack.core import events
@@ -148,3 +149,25 @@
         wait_until(lambda: self.memory.held_bytes == 500_000)
         writer.kill()
         caller.close()
+
+    # Guards against a request that ends without an answer, since the process
+    # has no memory left for its body.
+    @params(
+        (b'POST / HTTP/1.1\r\nContent-Length: 300000\r\n\r\n', bytes(300_000)),
+        (CHUNKED, b'10000\r\n%b\r\n' % bytes(65_536)),
+    )
+    def test_request_is_refused_without_memory_for_its_body(
+        self, head: bytes, body: bytes
+    ) -> None:
+        caller = self.shell.connect_caller()
+        self.addCleanup(caller.close)
+        parts = [bytes(1000), MemoryError]
+        with mock.patch.object(pywsgi.Input, 'read', side_effect=parts):
+            caller.sendall(head + body)
+            read = self.shell.state.wait_for(events.CallBodyRead)[0]
+            self.assertIs(read.has_room, False)
+            answer = read_answer(caller)
+        self.assertIn(b'Connection: close', answer[1])
+        wait_until(lambda: self.memory.held_bytes == 0)
+        # The rest of the body is no request.
+        self.assertEqual(len(self.shell.state.events_of(events.CallArrived)), 1)
