Show what a daemon holds and may hold of requests and answers

The gauges memory.held_bytes and memory.max_bytes are read when metrics are exported, so they cost nothing between. The check that pages and code name the same metrics covers gauges too, and names that begin on a line of their own.

Evidence: test_operator_port with a gauge that changes; test_docs.

--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -162,7 +162,14 @@
             recorder=recorder,
         )
         limits = derive_process_limits(integration)
-        self._bodies = BodyStore(memory=limits.memory)
+        memory = limits.memory
+        self._metrics.register_gauge(
+            'memory.held_bytes', lambda: memory.held_bytes
+        )
+        self._metrics.register_gauge(
+            'memory.max_bytes', lambda: memory.max_bytes
+        )
+        self._bodies = BodyStore(memory=memory)
         self._callers = CallerServer(
             bodies=self._bodies,
             dialect=dialects.callers,
--- a/briartack/metric_exporter.py
+++ b/briartack/metric_exporter.py
@@ -56,6 +56,16 @@
             unit=unit,
         )
 
+    def register_gauge(self, name: str, read: Callable[[], int]) -> None:
+        """Register a gauge unless an instrument with this name exists."""
+        if name in self._names:
+            return
+        self._names.add(name)
+        self._meter.create_observable_gauge(
+            _PREFIX + name,
+            callbacks=[partial(_observe, lambda: [(read(), ())])],
+        )
+
     def format_lines(self) -> Iterator[str]:
         """Yield `name{attributes} value` for every data point."""
         collected = self._reader.get_metrics_data()
--- a/briartack/metrics.py
+++ b/briartack/metrics.py
@@ -8,7 +8,7 @@
 
 import bisect
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from importlib import import_module
 from typing import TYPE_CHECKING, Final, final
 
@@ -70,12 +70,13 @@
 class MetricRegistry:
     """Create instruments by name on first use and format them as text."""
 
-    __slots__ = ('_exporter', '_counters', '_histograms')
+    __slots__ = ('_exporter', '_counters', '_histograms', '_gauges')
 
     def __init__(self) -> None:
         self._exporter: MetricExporter | None = None
         self._counters: dict[str, _Counter] = {}
         self._histograms: dict[str, _Histogram] = {}
+        self._gauges: dict[str, Callable[[], int]] = {}
 
     def add(
         self,
@@ -98,6 +99,10 @@
             self._histograms[name] = histogram
         histogram.add(seconds)
 
+    def register_gauge(self, name: str, read: Callable[[], int]) -> None:
+        """Add an instrument whose value is read when metrics are exported."""
+        self._gauges[name] = read
+
     def format_lines(self) -> Iterator[str]:
         """Yield `name{attributes} value` for every data point."""
         exporter = self._exporter
@@ -109,6 +114,8 @@
         for name, histogram in self._histograms.items():
             exporter.register(f'{name}_bucket', histogram.collect_buckets)
             exporter.register(f'{name}_sum', histogram.collect_sum, unit='s')
+        for gauge_name, read in self._gauges.items():
+            exporter.register_gauge(gauge_name, read)
         return exporter.format_lines()
 
 
--- a/briartack/test/test_docs.py
+++ b/briartack/test/test_docs.py
@@ -16,7 +16,8 @@
 DOCS: Final = PACKAGE.parent / 'docs'
 QUOTED: Final = re.compile('`([^`]+)`')
 METRIC: Final = re.compile(
-    r"(?:count|observe|Count|_COUNTER: Final =)\(?\s?(?:name=)?'([a-z_.]+)'",
+    '(?:count|observe|Count|register_gauge|_COUNTER: Final =)'
+    r"\(?\s*(?:name=)?'([a-z_.]+)'",
 )
 AUDIT_KIND: Final = re.compile(r"trail\.record\(\s*'([a-z_]+)'")
 FLAG: Final = re.compile('--[a-z][a-z-]+')
--- a/briartack/test/test_operator_port.py
+++ b/briartack/test/test_operator_port.py
@@ -161,6 +161,8 @@
         for amount in (5, 2):
             self.metrics.add('peers.bytes', amount, attributes)
         self.metrics.add('retries')
+        gauged = [7, 5]
+        self.metrics.register_gauge('memory.held_bytes', gauged.pop)
         for seconds in (0.00005, 0.0008, 0.0009, 100):
             self.metrics.observe('call.seconds', seconds)
         answer = self.get('/metrics')
@@ -171,6 +173,7 @@
         for line in (
             r'briartack_peers_bytes{b="\\c",kind="a\"\n"} 7',
             'briartack_retries 1',
+            'briartack_memory_held_bytes 5',
             bucket % ('5e-05', 1),
             bucket % ('0.0008', 2),
             bucket % ('0.0016', 3),
@@ -178,6 +181,9 @@
             bucket % ('+Inf', 4),
         ):
             self.assertIn(line, lines)
+        self.assertIn(
+            b'\nbriartack_memory_held_bytes 7\n', self.get('/metrics').body
+        )
         sums = [text for text in lines if '_seconds_sum' in text]
         self.assertEqual(len(sums), 1)
         self.assertAlmostEqual(float(sums[0].split()[1]), 100.00175)
