--- a/briartack/test/test_memory_of_answers.py
+++ b/briartack/test/test_memory_of_answers.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 import uuid
+from functools import partial
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any
@@ -29,6 +30,7 @@
     build_configuration,
     build_route,
     send_consumer_request,
+    send_request,
 )
 
 PATH = '/large/'
@@ -90,6 +92,12 @@
     return received
 
 
+def holds_nothing(machine: Machine) -> bool:
+    """Return whether a daemon says that it holds no request or answer."""
+    answer = send_request(f'http://{machine.operator_address}/metrics')
+    return b'\nbriartack_memory_held_bytes 0\n' in answer.body
+
+
 class MemoryOfAnswersTest(unittest.TestCase):
     def setUp(self) -> None:
         directory = tempfile.TemporaryDirectory()
@@ -140,3 +148,5 @@
             self.assertLess(peak_mb, MEMORY_MB)
         self.assertEqual(reader.get(), [])
         self.assertEqual(statuses, {HTTPStatus.OK})
+        for machine in self.site.machines:
+            assert becomes_true(partial(holds_nothing, machine))
