Request large answers in the soak of memory

Many answers of one size, 280 KB to 16 MB, are requested at once and read. Trouble is played beside the forms of pressure that were chosen only.

--- a/benchmarks/memory_load.py
+++ b/benchmarks/memory_load.py
@@ -9,7 +9,7 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
-from functools import cache
+from functools import cache, partial
 from pathlib import Path
 from random import Random
 from types import MappingProxyType
@@ -88,6 +88,7 @@
                 'broken': self.break_off,
                 'unread': self.leave_unread,
                 'slow': self.read_slowly,
+                'answers': self.request_large,
                 'heads': self.send_heads,
                 'idle': self.stay_idle,
                 'queue': self.fill_queues,
@@ -111,26 +112,27 @@
     def break_off(self, machine: Machine, random: Random) -> None:
         """Send parts of uploads, hold them, and close the connections."""
         size = random.choice(HELD_SIZES)
-        _run_all(
-            random,
-            STALLED_UPLOADS,
-            lambda one: _hold_upload(machine, one, size),
-        )
+        _run_all(random, STALLED_UPLOADS, partial(_hold_upload, machine, size))
 
     def leave_unread(self, machine: Machine, random: Random) -> None:
         """Request many answers of 1 MB that nobody reads."""
-        _run_all(
-            random,
-            UNREAD_CONNECTIONS,
-            lambda one: _hold_answers(machine, one),
-        )
+        _run_all(random, UNREAD_CONNECTIONS, partial(_hold_answers, machine))
 
     def read_slowly(self, machine: Machine, random: Random) -> None:
         """Request several answers of 1 MB on connections that read slowly."""
+        query = f'ms=1&bytes={MEGABYTE}'
         _run_all(
             random,
             SLOW_CONNECTIONS,
-            lambda one: self._read_slowly(machine, one),
+            lambda one: self._read(machine, one, query, count=SLOW_ANSWERS),
+        )
+
+    def request_large(self, machine: Machine, random: Random) -> None:
+        """Request many answers of one size at once, and read them."""
+        size, count = random.choice(BURSTS)
+        query = f'ms={random.choice(_RUN_MS)}&bytes={size}'
+        _run_all(
+            random, count, lambda one: self._read(machine, one, query, count=1)
         )
 
     def send_heads(self, machine: Machine, random: Random) -> None:
@@ -179,14 +181,16 @@
         request.body = body
         self._exchange(machine, random, [request])
 
-    def _read_slowly(self, machine: Machine, random: Random) -> None:
+    def _read(
+        self, machine: Machine, random: Random, query: str, *, count: int
+    ) -> None:
         batch = [
-            _build_request(machine, random, 'reads', f'ms=1&bytes={MEGABYTE}')
-            for _ in range(SLOW_ANSWERS)
+            _build_request(machine, random, 'reads', query)
+            for _ in range(count)
         ]
         for behind in batch[1:]:
             behind.is_behind = True
-        self._exchange(machine, random, batch, is_slow=True)
+        self._exchange(machine, random, batch, is_slow=count > 1)
 
     def _exchange(
         self,
@@ -243,17 +247,12 @@
 
 
 def _connect(machine: Machine, *, is_small: bool = False) -> Any:
-    sock = socket.socket()
-    try:
-        if is_small:
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES
-            )
-        host, _, port = machine.caller_address.partition(':')
-        sock.connect((host, int(port)))
-    except OSError:
-        sock.close()
-        raise
+    host, _, port = machine.caller_address.partition(':')
+    sock = socket.create_connection((host, int(port)))
+    if is_small:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES
+        )
     return sock
 
 
@@ -266,7 +265,7 @@
     return '\r\n'.join(lines).encode()
 
 
-def _hold_upload(machine: Machine, random: Random, size: int) -> None:
+def _hold_upload(machine: Machine, size: int, random: Random) -> None:
     path = random.choice(UPLOAD_PATHS)
     attempt = random.randbytes(8).hex()
     start = _encode_start('POST', f'{path}/x?ms=1&bytes=100&answer=')
--- a/benchmarks/memory_run.py
+++ b/benchmarks/memory_run.py
@@ -271,7 +271,11 @@
             return
         machine = random.choice(free)
         self._stopping.add(machine.ip)
-        forms = ('burst', 'unread', 'late', 'queue')
+        forms = [
+            name
+            for name in ('burst', 'unread', 'late', 'queue', 'answers')
+            if not self._names or name in self._names
+        ]
         pressing = [
             gevent.spawn(
                 self._press, random.choice(forms), Random(random.random())
