Count an answer that is being sent until its last chunk

What the operator sees: a daemon whose answers wait for slow peers holds more than its budget says (FAULT if it is ended for that).

Cause: the bytes in the queue were counted while the body whose chunk was taken was not in the queue, so the only answer for a peer counted nothing after its first chunk, and of several one was always missing. The unsent part alone was counted too, though a body is held whole until its last chunk.

Evidence: test_peer_outbox; an answer of 192 KB counted 0, 0 and 0 bytes after each of its three chunks, now 192 KB, 192 KB and 0.

--- a/briartack/peer_outbox.py
+++ b/briartack/peer_outbox.py
@@ -37,6 +37,11 @@
         self._body = body
         self._offset = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the body, which is held to its last chunk."""
+        return len(self._body)
+
     @property
     def remaining_bytes(self) -> int:
         """Return the number of bytes not yet taken in chunks."""
@@ -159,9 +164,9 @@
         chunk = body.take_chunk()
         self._body_taken_at = monotonic()
         self._body_bytes -= len(chunk.payload)
-        self._count()
         if body.remaining_bytes:
             self._bodies.append(body)
+        self._count()
         return frames + encode(chunk)
 
     def clear(self) -> None:
@@ -174,6 +179,6 @@
 
     def _count(self) -> None:
         answer_bytes = sum(
-            body.remaining_bytes for body in self._bodies if body.is_answer
+            body.held_bytes for body in self._bodies if body.is_answer
         )
         self._lease.resize(self._frame_bytes + answer_bytes)
