--- a/briartack/read_ahead.py
+++ b/briartack/read_ahead.py
@@ -16,26 +16,31 @@
 _MAX_EXPECTED_BYTES: Final = 2_000_000
 # Above this share of the memory, no request is read behind another one.
 _SCARCE_SHARE: Final = 0.5
-# The mean size of responses that is expected before any has been seen.
-_INITIAL_MEAN_BYTES: Final = 262_144
-# The weight of one response in the mean size of the recent ones.
-_MEAN_WEIGHT: Final = 0.0625
+# The size of responses that is expected before any has been seen, and at least
+# for a connection with more unanswered requests than a few: the first large
+# responses may come after many requests for them have been read.
+_INITIAL_EXPECTED_SIZE: Final = 262_144
+_FEW_REQUESTS: Final = 4
+# The weight of one response in the expected size. Larger ones count more, so
+# that a burst of them is noticed while its other requests are yet unread.
+_LARGER_WEIGHT: Final = 0.25
+_SMALLER_WEIGHT: Final = 0.015625
 
 
 @final
 class ReadAhead:
     """Estimate whether the responses to further requests fit into the memory.
 
-    The responses to the calls in flight are expected to have the mean size of
-    the recent ones.
+    The responses to the calls in flight are expected to have the size of the
+    larger ones among the recent.
     """
 
-    __slots__ = ('_memory', '_mean_bytes', '_in_flight')
+    __slots__ = ('_memory', '_expected_size', '_in_flight')
 
     def __init__(self, *, memory: MemoryBudget) -> None:
         """Start without any call."""
         self._memory = memory
-        self._mean_bytes: float = _INITIAL_MEAN_BYTES
+        self._expected_size: float = _INITIAL_EXPECTED_SIZE
         self._in_flight = 0
 
     def start_call(self) -> None:
@@ -47,8 +52,10 @@
         self._in_flight -= 1
 
     def record_response(self, size: int) -> None:
-        """Count the size of a response towards the mean."""
-        self._mean_bytes += (size - self._mean_bytes) * _MEAN_WEIGHT
+        """Adapt the expected size to a response."""
+        growth = size - self._expected_size
+        weight = _LARGER_WEIGHT if growth > 0 else _SMALLER_WEIGHT
+        self._expected_size += growth * weight
 
     def allows(self, *, unanswered: int, held_bytes: int) -> bool:
         """Return whether a request may be read behind those of a connection.
@@ -58,8 +65,11 @@
         """
         if unanswered >= MAX_PIPELINED_REQUESTS or held_bytes > MAX_HELD_BYTES:
             return False
-        if self._mean_bytes * unanswered > _MAX_EXPECTED_BYTES:
+        if self._expected_size * unanswered > _MAX_EXPECTED_BYTES:
             return False
-        expected_bytes = self._mean_bytes * self._in_flight
+        expected_size = self._expected_size
+        if unanswered >= _FEW_REQUESTS:
+            expected_size = max(expected_size, _INITIAL_EXPECTED_SIZE)
+        expected_bytes = expected_size * self._in_flight
         used_bytes = expected_bytes + self._memory.held_bytes
         return used_bytes < _SCARCE_SHARE * self._memory.max_bytes
