Join the chunks of a body as they arrive

Cause: pywsgi keeps one object of about 50 bytes for each chunk until the number of bytes that it was asked for has arrived, and it was asked for 64 KB, for which 64 KB were reserved. It is asked for 2 KB now.

The peaks in test_memory_of_requests are compared in units of 10^6 bytes now, as the limit is stated, which is stricter.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -36,6 +36,9 @@
 from briartack.turns import TurnLimit
 
 _READ_BYTES: Final = 65536
+# pywsgi keeps an object of 50 bytes for each chunk until so many bytes have
+# arrived, also if the chunks have a byte or two each.
+_CHUNKED_READ_BYTES: Final = 2048
 # What pywsgi keeps of the head of a request.
 _HEAD_ATTRIBUTES: Final = ('headers', 'path', 'requestline')
 _STATUS_BAD_REQUEST: Final = 400
@@ -286,8 +289,11 @@
         parts: list[bytes] = []
         received = 0
         turn = TurnLimit()
+        read_bytes = _READ_BYTES
+        if call.head.body_bytes is None:
+            read_bytes = _CHUNKED_READ_BYTES
         while not call.is_answered:
-            part = self.wsgi_input.read(_READ_BYTES)
+            part = self.wsgi_input.read(read_bytes)
             if not part:
                 break
             received += len(part)
--- a/briartack/test/test_memory_of_requests.py
+++ b/briartack/test/test_memory_of_requests.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import sys
 import tempfile
 import unittest
 import uuid
@@ -38,6 +39,8 @@
 )
 HOLD_SECONDS = 2.0
 BUDGET_BYTES = 1_000_000
+TINY_CHUNKS = 30_000
+PARSE_SECONDS = 1.0
 CHUNKED = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -100,7 +103,7 @@
         statuses = [upload.get() for upload in uploads]
         for one in self.site.machines:
             self.assertIs(one.daemon.is_running, True)
-            peak_mb = one.daemon.read_peak_memory_kb() / 1024
+            peak_mb = one.daemon.read_peak_memory_kb() * 1024 / MEGABYTE
             self.assertLess(peak_mb, MEMORY_MB)
         self.assertEqual(small.status, 200)
         self.assertLessEqual(set(statuses), {200, 503, 504})
@@ -138,6 +141,19 @@
         caller.close()
         wait_until(lambda: self.memory.held_bytes == 0)
 
+    # Guards against a body in tiny chunks, of which each is an object of many
+    # times its size, in the room of its bytes.
+    def test_tiny_chunks_are_joined_as_they_arrive(self) -> None:
+        self.shell.state.is_silent = True
+        caller = self.shell.connect_caller()
+        caller.sendall(CHUNKED)
+        self.shell.state.wait_for(events.CallArrived)
+        before = sys.getallocatedblocks()
+        caller.sendall(b'2\r\nab\r\n' * TINY_CHUNKS)
+        gevent.sleep(PARSE_SECONDS)
+        self.assertLess(sys.getallocatedblocks() - before, TINY_CHUNKS / 4)
+        caller.close()
+
     # Guards against a body of unknown length that takes all memory.
     def test_body_of_unknown_length_is_refused_without_room(self) -> None:
         caller = self.shell.connect_caller()
