Refuse large frames of peers that have yet to introduce themselves

Cause: each stream buffers a frame of up to 20 MB, which large configurations need, also before the peer is known. A hello takes 200 bytes; until it has come the limit is 4 KB.

--- a/briartack/framing.py
+++ b/briartack/framing.py
@@ -31,6 +31,8 @@
 from briartack.core.units import Digest
 
 MAX_FRAME_BYTES: Final = 20_000_000
+# A peer that has yet to introduce itself gets no more memory than its hello.
+MAX_HELLO_BYTES: Final = 4096
 MAX_UNCOMPRESSED_BYTES: Final = 64_000_000
 COMPRESSION_THRESHOLD_BYTES: Final = 4096
 # Compression blocks the event loop, and level 1 takes a third of the time of
@@ -115,12 +117,24 @@
 
 @final
 class FrameReader:
-    """Decode the bytes of one stream into messages."""
+    """Decode the bytes of one stream into messages.
 
-    __slots__ = ('_unpacker', '_frame_end', '_last_frame_bytes', '_refused')
+    Frames larger than `max_frame_bytes` are refused before they are complete.
+    """
+
+    __slots__ = (
+        '_unpacker',
+        '_fed_bytes',
+        '_frame_end',
+        '_last_frame_bytes',
+        '_refused',
+        'max_frame_bytes',
+    )
 
     def __init__(self) -> None:
+        self.max_frame_bytes = MAX_FRAME_BYTES
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        self._fed_bytes = 0
         self._frame_end = 0
         self._last_frame_bytes = 0
         self._refused: list[str] = []
@@ -148,10 +162,12 @@
             raise MalformedFrameError(
                 f'frame is larger than {MAX_FRAME_BYTES} bytes',
             ) from None
+        self._fed_bytes += len(received)
         while True:
             try:
                 frame = self._unpacker.unpack()
             except msgpack.OutOfData:
+                self._check_rest()
                 return
             except (ValueError, msgpack.UnpackException) as error:
                 raise MalformedFrameError(
@@ -162,6 +178,12 @@
             self._frame_end = position
             yield decode(frame, self._refused)
 
+    def _check_rest(self) -> None:
+        if self._fed_bytes - self._frame_end > self.max_frame_bytes:
+            raise MalformedFrameError(
+                f'frame is larger than {self.max_frame_bytes} bytes',
+            )
+
 
 def decode(frame: object, refused: list[str]) -> PeerMessage:
     """Convert an unpacked msgpack array to a message.
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -11,7 +11,11 @@
     Hello,
     PeerMessage,
 )
-from briartack.framing import FrameReader
+from briartack.framing import (
+    MAX_FRAME_BYTES,
+    MAX_HELLO_BYTES,
+    FrameReader,
+)
 from briartack.memory_budget import MemoryBudget
 from briartack.peer_outbox import PeerOutbox
 from briartack.peer_traffic import PeerTraffic
@@ -64,6 +68,7 @@
         self._sock = sock
         self._descriptor = sock.fileno()
         self._frame_reader = FrameReader()
+        self._frame_reader.max_frame_bytes = MAX_HELLO_BYTES
         self._is_writing = False
         self._is_ending = False
         self._is_closed = False
@@ -110,6 +115,8 @@
                 return
             for message in self._frame_reader.feed(_RECEIVE_BUFFER[:count]):
                 yield message
+                # The first message introduces the peer.
+                self._frame_reader.max_frame_bytes = MAX_FRAME_BYTES
                 # One read may hold thousands of messages.
                 turn.count_read(self.last_frame_bytes)
                 if self._is_closed:
--- a/briartack/test/test_peers.py
+++ b/briartack/test/test_peers.py
@@ -45,6 +45,8 @@
 
 RAW_PEER = InstanceId('raw')
 HELLO = ['hello', 1, 'raw', 'i1', 'saldo', 'costa-1', 'costa', 1.0]
+BUFFER_BYTES = 65536
+LONG_BIN_START = b'\xc6\x00\x10\x00\x00'  # msgpack: 1 MiB follow
 
 
 class PeersTest(unittest.TestCase):
@@ -69,6 +71,29 @@
         right.state.wait_for(events.PeerDisconnected)
         self.assertEqual(len(right.state.events_of(events.PeerConnected)), 1)
 
+    # Guards against connections that fill the memory with large frames before
+    # their peer has introduced itself, or with one that never ends after that.
+    @params((4000, False, True), (5000, False, False), (5000, True, True))
+    def test_frame_before_the_hello_is_small(
+        self, size: int, has_hello: bool, stays_open: bool
+    ) -> None:
+        shell = self.start_shell('a')
+        host, _, port = shell.peer_address.rpartition(':')
+        peer = socket.create_connection((host, int(port)))
+        self.addCleanup(peer.close)
+        if has_hello:
+            peer.sendall(msgpack.packb(HELLO))
+            shell.state.wait_for(events.PeerConnected)
+            peer.recv(BUFFER_BYTES)
+        peer.sendall(LONG_BIN_START + bytes(size))
+        peer.settimeout(0.3)
+        is_open = False
+        try:
+            is_open = bool(peer.recv(BUFFER_BYTES))
+        except TimeoutError:
+            is_open = True
+        self.assertIs(is_open, stays_open)
+
     # Guards against a peer that is never dialled again, or whose stream counts
     # as open for good, after an unexpected error.
     @params(
