Bound the bodies of outcomes that are stored for idempotency keys

Cause: outcomes were bounded by their number.

Evidence: test_bodies_of_outcomes_are_bounded; the bound did not exist before. test_evicted_key_is_expired expects lists now, and the same bodies in them.

--- a/briartack/core/calls/idempotency.py
+++ b/briartack/core/calls/idempotency.py
@@ -7,7 +7,7 @@
 
 import enum
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Final, final
 
@@ -21,6 +21,9 @@
 
 MAX_OUTCOMES: Final = 1024
 MAX_OUTCOME_BYTES: Final = 65536
+# The bodies of stored outcomes are held until they are evicted, and leave most
+# of the memory to requests and answers.
+MAX_STORED_BYTES: Final = 4_194_304
 _CLOCK_DIGITS: Final = 12
 _RANDOM_BITS: Final = 64
 _NONCE_DIGITS: Final = _CLOCK_DIGITS + _RANDOM_BITS // 4
@@ -96,13 +99,24 @@
     """Hold the running keys and the stored outcomes of the local upstream.
 
     At most `MAX_OUTCOMES` outcomes are stored; the oldest is evicted first.
+    Above `MAX_STORED_BYTES`, the oldest outcomes lose their bodies: a repeat of
+    their requests is refused, but does not run again.
     """
 
-    __slots__ = ('_running', '_stored', '_requests', '_expired_until_ms')
+    __slots__ = (
+        '_running',
+        '_stored',
+        '_sizes',
+        '_stored_bytes',
+        '_requests',
+        '_expired_until_ms',
+    )
 
     def __init__(self) -> None:
         self._running: set[str] = set()
         self._stored: OrderedDict[str, StoredOutcome] = OrderedDict()
+        self._sizes: OrderedDict[str, int] = OrderedDict()  # of bodies
+        self._stored_bytes = 0
         self._requests: dict[str, bytes] = {}
         self._expired_until_ms = -1
 
@@ -135,17 +149,36 @@
         self._running.discard(key)
         self._requests.pop(key, None)
 
-    def store(self, key: str, outcome: StoredOutcome) -> BodyId | None:
-        """Store an outcome; return the body of the evicted outcome, if any."""
+    def store(self, key: str, outcome: StoredOutcome) -> list[BodyId]:
+        """Store an outcome; return the bodies that are not kept any longer."""
         self._running.discard(key)
         self._stored[key] = outcome
-        if len(self._stored) <= MAX_OUTCOMES:
-            return None
-        evicted_key, evicted = self._stored.popitem(last=False)
+        if outcome.body_id is not None:
+            self._sizes[key] = outcome.answer.body_bytes
+            self._stored_bytes += outcome.answer.body_bytes
+        dropped: list[BodyId] = []
+        while self._stored_bytes > MAX_STORED_BYTES:
+            dropped.extend(self._drop_body(next(iter(self._sizes))))
+        if len(self._stored) > MAX_OUTCOMES:
+            dropped.extend(self._evict_oldest())
+        return dropped
+
+    def _drop_body(self, key: str) -> list[BodyId]:
+        outcome = self._stored[key]
+        self._stored_bytes -= self._sizes.pop(key, 0)
+        if outcome.body_id is None:
+            return []
+        self._stored[key] = replace(outcome, body_id=None)
+        return [outcome.body_id]
+
+    def _evict_oldest(self) -> list[BodyId]:
+        evicted_key = next(iter(self._stored))
+        dropped = self._drop_body(evicted_key)
+        self._stored.pop(evicted_key)
         self._requests.pop(evicted_key, None)
         issued = parse_key(evicted_key)
         if issued is not None:
             self._expired_until_ms = max(
                 self._expired_until_ms, issued.clock_ms
             )
-        return evicted.body_id
+        return dropped
--- a/briartack/core/calls/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -287,9 +287,10 @@
             stored_body = None
             effects.append(DropBody(body_id=body_id))
         outcome = StoredOutcome(answer=answer, body_id=stored_body)
-        evicted_body = self._outcomes.store(key, outcome)
-        if evicted_body is not None:
-            effects.append(DropBody(body_id=evicted_body))
+        effects.extend(
+            DropBody(body_id=dropped)
+            for dropped in self._outcomes.store(key, outcome)
+        )
         return effects
 
     def _answer_stored(self, now: float, record: OwnedAttempt) -> Effects:
--- a/briartack/test/test_call_bounds.py
+++ b/briartack/test/test_call_bounds.py
@@ -4,8 +4,9 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import chain
 from random import Random
-from typing import cast
+from typing import Final, cast
 
 from nose2.tools import params
 
@@ -317,6 +318,9 @@
         return [text for text in produced if text.startswith('connect')]
 
 
+OUTCOME_BYTES: Final = idempotency.MAX_OUTCOME_BYTES
+
+
 class BoundedStateTest(unittest.TestCase):
     """Check that bounded tables evict without running a request twice.
 
@@ -334,11 +338,29 @@
             for number in range(idempotency.MAX_OUTCOMES + 1)
         ]
         dropped = [state.store(key, _build_outcome(key)) for key in keys]
-        self.assertEqual(set(dropped[:-1]), {None})
-        self.assertEqual(dropped[-1], f'answer:{keys[0]}')
+        self.assertEqual([one for one in dropped[:-1] if one], [])
+        self.assertEqual(dropped[-1], [f'answer:{keys[0]}'])
         statuses = [state.status(key).name for key in keys[:2]]
         self.assertEqual(statuses, ['EXPIRED', 'STORED'])
 
+    # Guards against stored bodies that fill the memory of the daemon for good,
+    # and against requests that run again because their outcome was dropped.
+    def test_bodies_of_outcomes_are_bounded(self) -> None:
+        state = idempotency.OutcomeStore()
+        kept_count = idempotency.MAX_STORED_BYTES // OUTCOME_BYTES
+        keys = [f'key-{number}' for number in range(kept_count + 3)]
+        dropped = [
+            state.store(key, _build_outcome(key, OUTCOME_BYTES)) for key in keys
+        ]
+        self.assertEqual(
+            list(chain.from_iterable(dropped)),
+            [f'answer:{key}' for key in keys[:3]],
+        )
+        outcomes = [state.get_stored_outcome(key) for key in keys]
+        bodies = [one for one in outcomes if one.body_id is not None]
+        self.assertEqual(len(bodies), kept_count)
+        self.assertEqual({state.status(key).name for key in keys}, {'STORED'})
+
     def test_attempt_with_evicted_key_does_not_run(self) -> None:
         bench = CallPathBench(setup={})
         keys = [
@@ -398,14 +420,14 @@
         self.assertIsNone(idempotency.parse_key(key))
 
 
-def _build_outcome(key: str) -> idempotency.StoredOutcome:
+def _build_outcome(key: str, body_bytes: int = 1) -> idempotency.StoredOutcome:
     answer = Answer(
         attempt_id=AttemptId(key),
         verdict=Verdict.RAN,
         status=200,
         reason='',
         headers=(),
-        body_bytes=1,
+        body_bytes=body_bytes,
         body_digest=EMPTY_DIGEST,
         load=0,
         owner_clock=0,
