Wait for the last bytes although the process stood still once

What was seen (independent review): a single pause of 0.4 s, 1.4 s before the limit of the wait, ended the wait 1.0 s early, beside a caller that was reading.

Cause: the time kept for the end of a slow process followed the latest delay. It follows the second longest of the last ten now. A stop whose beginning is repeated after a failure keeps its first limit.

--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -347,7 +347,8 @@
 
     def _begin_stop(self) -> None:
         self._is_stopping = True
-        self._drained_by = boot_clock() + self._drain_seconds
+        if self._drained_by is None:
+            self._drained_by = boot_clock() + self._drain_seconds
         self._callers.stop_keep_alive()
         failed_events = self._loop.failed_events
         self._loop.deliver(events.StopRequested(now=boot_clock()))
--- a/briartack/exit_flush.py
+++ b/briartack/exit_flush.py
@@ -1,5 +1,6 @@
 """Wait at the exit of a daemon until its last bytes have arrived."""
 
+from collections import deque
 from typing import Final, final
 
 import gevent
@@ -27,6 +28,7 @@
 # process allows for short delays.
 _LAST_TURNS: Final = 4
 _SHORT_DELAY_SECONDS: Final = 0.05
+_RECENT_DELAYS: Final = 10
 
 
 @final
@@ -44,7 +46,7 @@
         '_caller_progress',
         '_peer_bytes',
         '_peers_progressed_at',
-        '_late_seconds',
+        '_delays',
     )
 
     def __init__(
@@ -56,7 +58,7 @@
         self._caller_progress: dict[Pipeline, SendProgress] = {}
         self._peer_bytes = 0
         self._peers_progressed_at = float('-inf')
-        self._late_seconds = float(0)
+        self._delays = deque((0.0, 0.0), maxlen=_RECENT_DELAYS)
 
     def watch_forever(self) -> None:
         """Measure the progress of all receivers during the stop."""
@@ -80,19 +82,16 @@
     @property
     def _needed_seconds(self) -> float:
         """Return how much sooner the wait must end for a slow process."""
-        is_slow = self._late_seconds > _SHORT_DELAY_SECONDS
-        return _LAST_TURNS * self._late_seconds if is_slow else 0
+        # A single delay may have a cause that is over.
+        usual_seconds = sorted(self._delays)[-2]
+        is_slow = usual_seconds > _SHORT_DELAY_SECONDS
+        return _LAST_TURNS * usual_seconds if is_slow else 0
 
     def _sleep(self, seconds: float) -> None:
-        """Sleep, and record how late the process continues.
-
-        The record halves with each sleep in time, since a single delay may have
-        a cause that is over.
-        """
+        """Sleep, and record how late the process continues."""
         due_at = self._clock() + seconds
         gevent.sleep(seconds)
-        late_seconds = self._clock() - due_at
-        self._late_seconds = max(late_seconds, self._late_seconds / 2)
+        self._delays.append(self._clock() - due_at)
 
     def _read_waiting_requests(self, until: float) -> None:
         """Let the requests that have arrived be refused, not reset.
--- a/briartack/test/test_exit_flush.py
+++ b/briartack/test/test_exit_flush.py
@@ -101,6 +101,14 @@
         left_seconds = until - read_fast_clock()
         self.assertGreater(left_seconds, SLOWNESS * POLL_SECONDS)
 
+    # Guards against an answer that is cut because the process stood still once.
+    def test_single_delay_does_not_end_the_wait(self) -> None:
+        caller = self.take_answer()
+        reader = gevent.spawn(read_with_pauses, caller)
+        self.addCleanup(reader.kill)
+        gevent.spawn_later(POLL_SECONDS, time.sleep, PAUSE_SECONDS)
+        self.assertGreaterEqual(self.wait(2 * PAUSE_SECONDS), 2 * PAUSE_SECONDS)
+
     # Guards against a stop that measures only at its end whether its callers
     # read, and waits then for those that have taken nothing all the while.
     def test_caller_that_stalled_during_the_stop(self) -> None:
