--- a/briartack/test/test_memory_of_answers.py
+++ b/briartack/test/test_memory_of_answers.py
@@ -144,7 +144,7 @@
             caller.close()
         for machine in self.site.machines:
             self.assertIs(machine.daemon.is_running, True)
-            peak_mb = machine.daemon.read_peak_memory_kb() / 1024
+            peak_mb = machine.daemon.read_peak_memory_kb() * 1024 / 1_000_000
             self.assertLess(peak_mb, MEMORY_MB)
         self.assertEqual(reader.get(), [])
         self.assertEqual(statuses, {HTTPStatus.OK})
--- a/briartack/test/test_unfinished_heads.py
+++ b/briartack/test/test_unfinished_heads.py
@@ -62,7 +62,7 @@
         self.assertEqual(ask_ready(machine), 200)
         statuses = {send_patiently(machine, '/reads/') for _ in range(5)}
         gevent.killall(callers)
-        peak_mb = machine.daemon.read_peak_memory_kb() / 1024
+        peak_mb = machine.daemon.read_peak_memory_kb() * 1024 / 1_000_000
         self.assertIs(machine.daemon.is_running, True)
         self.assertLess(peak_mb, MEMORY_MB - MARGIN_MB)
         self.assertEqual(statuses, {200})
