--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -4,6 +4,7 @@
 module derives the call rules, the store rules and the drain time from the file.
 """
 
+import math
 from collections.abc import Mapping
 from typing import Final, final
 
@@ -75,7 +76,10 @@
 
 @final
 class _Limits(msgspec.Struct, frozen=True, kw_only=True):
-    """Represent the limits of the process; others are ignored."""
+    """Represent the limits of the process; others are ignored.
+
+    A number that is no bound, such as 0 or infinity, states no limit.
+    """
 
     memory_mb: float | None = None
     max_fds: int | None = None
@@ -169,9 +173,16 @@
         if name.startswith(_LIMITS_PREFIX) and text
     }
     try:
-        return msgspec.convert(texts, _Limits, strict=False)
+        limits = msgspec.convert(texts, _Limits, strict=False)
     except msgspec.ValidationError as error:
         raise SettingsError(f'{_LIMITS_PREFIX}*: {error}') from None
+    memory_mb = limits.memory_mb
+    if memory_mb is None or not 0 < memory_mb < math.inf:
+        memory_mb = None
+    max_fds = limits.max_fds
+    if max_fds is None or max_fds <= 0:
+        max_fds = None
+    return _Limits(memory_mb=memory_mb, max_fds=max_fds)
 
 
 def _parse_bounds(text: str) -> _Bounds:
--- a/briartack/test/test_platform_settings.py
+++ b/briartack/test/test_platform_settings.py
@@ -80,6 +80,9 @@
         ('', (None, None)),
         ('limits.memory_mb=150\nlimits.max_fds=4100', (150, 4100)),
         ('limits.memory_mb=\nlimits.cores=1\nlimits.disk_mb=x', (None, None)),
+        ('limits.memory_mb=0\nlimits.max_fds=-1', (None, None)),
+        ('limits.memory_mb=inf', (None, None)),
+        ('limits.memory_mb=nan', (None, None)),
     )
     def test_limits_of_the_process_are_decoded(
         self, lines: str, expected: tuple[float | None, int | None]
