Let answers of known length wait for room instead of dropping them

What was seen (independent review): 40 answers of 12 MB at 150 MB, 3 of 40 calls answered with success and 37 with 502 although all had run; a table of six bodies of 12 MB in a budget of 43 MB lost three.

Cause: the rule that drops the largest body when the bodies of upstreams alone exceed the budget was made for those without an end, and came before the wait of the readers. Bodies of known length are dropped now only above the size of one more body, which the first of them may need to be complete.

Evidence: test_bodies_of_known_length_wait, one of two rows failed before. The review's play was not repeated: what its callers can read in time is the limit there, too.

--- a/briartack/body_budget.py
+++ b/briartack/body_budget.py
@@ -29,8 +29,9 @@
     """Count the bodies that several holders receive towards the memory.
 
     Their readers wait while the memory is full. If these bodies alone exceed
-    it, the largest is dropped, those first whose length is not known: one that
-    never ends is among them.
+    it, the largest of those whose length is not known is dropped: one that
+    never ends is among them. Others are dropped only above the size of one more
+    body, which the first of them may need.
     """
 
     __slots__ = ('_memory', '_lease', '_holders')
@@ -53,6 +54,8 @@
         self._lease.resize(self._lease.size + grown_bytes)
         while self._lease.size > self._memory.max_bytes:
             dropped = max(self._holders, key=_rank)
+            if not dropped.is_open_ended and self._lease.size <= self._most:
+                return  # their readers wait
             self.release(dropped)
             dropped.drop_body()
 
@@ -74,12 +77,15 @@
                 return
             self._memory.wait_for_room(_ROOM_POLL_SECONDS)
 
+    @property
+    def _most(self) -> int:
+        return self._memory.max_bytes + MAX_BODY_BYTES
+
     def _may_exceed(self, holder: BodyHolder) -> bool:
         first = next(
             one for one in self._holders if one.held_bytes >= SMALL_BODY_BYTES
         )
-        limit_bytes = self._memory.max_bytes + MAX_BODY_BYTES
-        return first is holder and self._memory.held_bytes < limit_bytes
+        return first is holder and self._memory.held_bytes < self._most
 
 
 def _rank(holder: BodyHolder) -> tuple[bool, int]:
--- a/briartack/test/test_room_for_upstreams.py
+++ b/briartack/test/test_room_for_upstreams.py
@@ -15,18 +15,33 @@
 
 BODY: Final = bytes(8_000_000)
 BODY_ID: Final = BodyId('body')
+BUDGET_BYTES: Final = 43_000_000
+LARGE_BODY_BYTES: Final = 12_000_000
+PART_BYTES: Final = 65_536
 
 
 class PartialBody:
     """Represent an answer of which a part has been received."""
 
-    def __init__(self, held_bytes: int) -> None:
+    def __init__(self, held_bytes: int, *, is_open_ended: bool = False) -> None:
         self.held_bytes = held_bytes
-        self.is_open_ended = False
+        self.is_open_ended = is_open_ended
         self.is_dropped = False
 
     def drop_body(self) -> None:
         self.is_dropped = True
+        self.held_bytes = 0
+
+
+def receive(budget: BodyBudget, body: PartialBody) -> None:
+    """Receive a body in parts, as an exchange does."""
+    while body.held_bytes < LARGE_BODY_BYTES and not body.is_dropped:
+        budget.wait_for_room(body)
+        if not body.is_dropped:
+            body.held_bytes += PART_BYTES
+            budget.admit(body, PART_BYTES)
+        gevent.sleep(0)
+    budget.release(body)
 
 
 class RoomForUpstreamsTest(unittest.TestCase):
@@ -64,6 +79,23 @@
             budget.release(done)
         self.assertEqual(memory.held_bytes, 0)
 
+    # Guards against answers of known length that are given up, although they
+    # would fit one after the other, and against endless ones that are not.
+    @params((False, 0), (True, 3))
+    def test_bodies_of_known_length_wait(
+        self, is_open_ended: bool, least_dropped: int
+    ) -> None:
+        budget = BodyBudget(memory=MemoryBudget(max_bytes=BUDGET_BYTES))
+        holders = [
+            PartialBody(0, is_open_ended=is_open_ended) for _ in range(6)
+        ]
+        readers = [gevent.spawn(receive, budget, holder) for holder in holders]
+        gevent.joinall(readers, timeout=5, raise_error=True)
+        dropped = [one for one in holders if one.is_dropped]
+        self.assertGreaterEqual(len(dropped), least_dropped)
+        self.assertEqual(bool(dropped), is_open_ended)
+        self.assertEqual(budget.held_bytes, 0)
+
     # Guards against an upstream that is read no further once the memory was
     # full, and against one whose attempt then outlives its time.
     @params((True, events.UpstreamAnswered), (False, events.UpstreamFailed))
