--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -289,6 +289,7 @@
         parts: list[bytes] = []
         received = 0
         turn = TurnLimit()
+        max_body_bytes = self._max_body_bytes
         read_bytes = _READ_BYTES
         if call.head.body_bytes is None:
             read_bytes = _CHUNKED_READ_BYTES
@@ -297,7 +298,7 @@
             if not part:
                 break
             received += len(part)
-            if received > self._max_body_bytes:
+            if received > max_body_bytes:
                 return None
             self._extend_room(call, received)
             parts.append(part)
