--- a/briartack/test/call_fleet.py
+++ b/briartack/test/call_fleet.py
@@ -79,9 +79,10 @@
 class CallFleet:
     """Run a fleet and hold what its callers and upstreams saw.
 
-    `answers`, `calls` and `callers` hold the answer, the runs and the daemon of
-    each call, `runs` the run of each attempt. Daemons in `others` are beside
-    upstreams of another service, so that calls at them go to peers.
+    `answers`, `calls`, `callers` and `deadlines` hold the answer, the runs, the
+    daemon and the deadline of each call, `runs` the run of each attempt.
+    Daemons in `others` are beside upstreams of another service, so that calls
+    at them go to peers.
     """
 
     names: str
@@ -94,6 +95,7 @@
     runs: dict[str, Run] = field(default_factory=dict)
     calls: dict[str, list[Run]] = field(default_factory=dict)
     callers: dict[str, str] = field(default_factory=dict)
+    deadlines: dict[str, float] = field(default_factory=dict)
     _queue: list[tuple[float, int, Action]] = field(default_factory=list)
     _order: Iterator[int] = field(default_factory=itertools.count)
 
@@ -137,6 +139,7 @@
     def call(self, name: str, call_id: str, run_ms: int) -> None:
         """Make a call at a daemon whose request runs for a time."""
         self.callers[call_id] = name
+        self.deadlines[call_id] = self.now + self.timeout_ms / 1000
         event = events.CallArrived(
             now=self.now,
             call_id=CallId(call_id),
--- a/briartack/test/test_both_ends_of_a_stop.py
+++ b/briartack/test/test_both_ends_of_a_stop.py
@@ -337,14 +337,15 @@
 def list_cut_runs(fleet: CallFleet) -> list[str]:
     """List the runs for peers that owners began in their stop and aborted.
 
-    The sender of a call that has reached its deadline cancels the run.
+    From the deadline of a call on, its sender cancels the run.
     """
     return [
         f'{call_id} at {run.owner}'
         for call_id, runs in fleet.calls.items()
-        if fleet.answers[call_id].reason != 'deadline'
         for run in runs
-        if run.owner != fleet.callers[call_id] and is_cut_by_stop(fleet, run)
+        if run.owner != fleet.callers[call_id]
+        and run.ended_at < fleet.deadlines[call_id]
+        and is_cut_by_stop(fleet, run)
     ]
 
 
