Add the fields that load decisions between daemons need

The adapter treats the kind download as repeatable, as the platform's pages ask, and reads the rate of the link from the settings.

--- a/briartack/core/calls/call_rules.py
+++ b/briartack/core/calls/call_rules.py
@@ -45,6 +45,8 @@
     # above 1, requests wait for a slot.
     full_load: float = 1.0
     large_body_full_load: float = 1.0  # for requests with large bodies
+    # Rate of this daemon's link; `None` if the platform states none.
+    link_bytes_per_second: float | None = None
     # A stopping daemon serves its callers for this time, until the platform
     # has observed that the daemon is not ready.
     linger_seconds: float = 0.0
--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -74,6 +74,10 @@
     target_ms: Annotated[int, Meta(ge=1, le=MAX_MILLISECONDS)] | None = None
     # Whether a request that may have run may be attempted again.
     repeatable: bool = False
+    # Whether most answers are large, so that a near upstream is preferred as
+    # for large bodies. Left out of the encoded form if unset: earlier releases
+    # refuse the field.
+    has_large_answers: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 @final
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -172,6 +172,18 @@
     service: str
 
 
+@final
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the load that an upstream states in a response."""
+
+    running: int
+    waiting: int
+    slots: int
+    # Factor by which work takes longer at present on the upstream's machine,
+    # where 1 is usual; `None` if not stated.
+    slowdown: float | None = None
+
+
 @final
 class UpstreamAnswered(msgspec.Struct, frozen=True, kw_only=True):
     """Report a complete answer of the local upstream."""
@@ -189,6 +201,7 @@
     # Identity of the upstream that answered, if it says that it leaves; empty
     # otherwise.
     leaving_identity: str = ''
+    load_report: LoadReport | None = None
 
 
 @final
@@ -210,6 +223,7 @@
     # Stated by a refusal; `None` says nothing about an earlier limit.
     stated_limit: float | None = None
     leaving_identity: str = ''  # as in `UpstreamAnswered`
+    load_report: LoadReport | None = None
 
 
 @final
@@ -225,6 +239,7 @@
     # Requests per second; `None` says nothing about an earlier limit.
     stated_limit: float | None = None
     leaving_identity: str = ''  # as in `UpstreamAnswered`
+    load_report: LoadReport | None = None
 
 
 @final
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -49,6 +49,9 @@
     clock: float
     # True if the sender grants the large answers that wait for its room.
     grants_answers: bool = False
+    # Bodies of attempts above this size wait for the grant of the sender;
+    # `None` if no body does.
+    ungranted_body_bytes: int | None = None
 
 
 @final
@@ -180,6 +183,12 @@
     # No other owner can take the attempt. A stopping owner then starts it even
     # if its time ends after that of the stop.
     is_last_resort: bool = False
+    # The body follows in chunks once the receiver has sent a grant.
+    awaits_grant: bool = False
+    # The latency target has passed before the attempt was sent.
+    is_late: bool = False
+    # An earlier attempt of the same call has reached an upstream.
+    is_repeat: bool = False
 
 
 @final
@@ -209,14 +218,21 @@
     run_seconds: float = 0  # upstream's recent mean run time, 0 if unknown
     # The chunks follow once the receiver has sent a grant.
     awaits_grant: bool = False
+    # Factor by which work takes longer at present on the upstream's machine,
+    # where 1 is usual; 0 if the upstream does not state it.
+    slowdown: float = 0
+    # Expected wait of a new attempt for a slot.
+    wait_seconds: float = 0
+    # Expected wait until the body of a new attempt is granted.
+    body_wait_seconds: float = 0
 
 
 @final
 class Grant(Message, frozen=True, kw_only=True, tag='grant'):
-    """Ask the owner for the body of an answer, for which there is room now.
+    """Ask for the body of an answer or of an attempt.
 
     A daemon of an earlier release ends the stream on this message, so it is
-    sent only for answers that await it.
+    sent only for bodies that await it.
     """
 
     attempt_id: AttemptId
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -14,7 +14,7 @@
 from briartack.caller_headers import RequestHeaders
 from briartack.core.effects import AnswerCall, Dispatch, ReadStore
 from briartack.core.entries import Entry
-from briartack.core.events import UpstreamProbed
+from briartack.core.events import LoadReport, UpstreamProbed
 from briartack.core.messages import Headers
 from briartack.core.units import (
     FIRST_ERA,
@@ -91,6 +91,7 @@
     is_leaving: bool = False  # the upstream says that it leaves
     # A statement about the upstream that is malformed and therefore ignored.
     refused_statement: str = ''
+    load_report: LoadReport | None = None
 
 
 class UpstreamDialect(Protocol):
--- a/briartack/platform/configuration.py
+++ b/briartack/platform/configuration.py
@@ -34,6 +34,8 @@
 
 CONFIG_KEY: Final = 'op/config'
 TEAM_KEY: Final = TEAM_PREFIX + TEAM
+_DOWNLOAD_KIND: Final = 'download'
+_REPEATABLE_KINDS: Final = frozenset(('idempotent', _DOWNLOAD_KIND))
 # A cold upstream that takes no requests; the product has no rate of zero.
 _LOWEST_COLD_PER_SECOND: Final = 0.001
 
@@ -169,7 +171,8 @@
             max_attempts=min(spec.max_attempts, MAX_ATTEMPTS),
             rank=min(spec.priority, MAX_RANK),
             target_ms=_round_optional(spec.target_latency_ms),
-            repeatable=spec.kind == 'idempotent',
+            repeatable=spec.kind in _REPEATABLE_KINDS,
+            has_large_answers=spec.kind == _DOWNLOAD_KIND or msgspec.UNSET,
         )
         policy_name = self._policies.setdefault(
             policy,
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -17,6 +17,7 @@
 _ZONE_PREFIX: Final = 'zones.'
 _BOUNDS_FIELD: Final = 'bounds'
 _LIMITS_PREFIX: Final = 'limits.'
+_BYTES_PER_MEGABIT: Final = 125_000
 # The platform charges for bytes between zones and regions. A queue of a quarter
 # of the slots costs less than another zone, and a large body goes elsewhere
 # only if the owner refuses it.
@@ -83,6 +84,7 @@
 
     memory_mb: float | None = None
     max_fds: int | None = None
+    link_mbps: float | None = None
 
 
 @final
@@ -137,6 +139,7 @@
             stated_limit_overage=_STATED_LIMIT_OVERAGE,
             full_load=_FULL_LOAD,
             large_body_full_load=_FULL_LOAD_LARGE_BODY,
+            link_bytes_per_second=_convert_link_rate(limits.link_mbps),
             linger_seconds=_FAILED_READY_PROBES * _READY_PERIOD_SECONDS,
         ),
         store_rules=StoreRules(
@@ -182,7 +185,14 @@
     max_fds = limits.max_fds
     if max_fds is None or max_fds <= 0:
         max_fds = None
-    return _Limits(memory_mb=memory_mb, max_fds=max_fds)
+    link_mbps = limits.link_mbps
+    if link_mbps is None or not 0 < link_mbps < math.inf:
+        link_mbps = None
+    return _Limits(memory_mb=memory_mb, max_fds=max_fds, link_mbps=link_mbps)
+
+
+def _convert_link_rate(link_mbps: float | None) -> float | None:
+    return None if link_mbps is None else link_mbps * _BYTES_PER_MEGABIT
 
 
 def _parse_bounds(text: str) -> _Bounds:
--- a/briartack/test/test_platform_store.py
+++ b/briartack/test/test_platform_store.py
@@ -226,7 +226,12 @@
         self.assertEqual((limits.connections, limits.slots), (130, 130))
         self.assertEqual(limits.cold_per_second, 18)
 
-    @params(('idempotent', True), ('non_idempotent', False), ('upload', False))
+    @params(
+        ('idempotent', True),
+        ('download', True),
+        ('non_idempotent', False),
+        ('upload', False),
+    )
     def test_kind_decides_whether_a_request_is_repeatable(
         self,
         kind: str,
