Order the queue of an owner by urgency, and estimate its waits by the stated load

Calls that returned after a refusal were accepted although their target had passed, and took the slots of calls that could still meet theirs. The queue is now ordered by priority, calls of runs, rank and lateness; senders measure lateness from the first try of the caller. The load header of the platform is decoded, and owners state slowdown and expected wait in each answer.

--- a/briartack/core/calls/admission.py
+++ b/briartack/core/calls/admission.py
@@ -1,31 +1,14 @@
 """Admission control: slots of the local upstream and the queue for them."""
 
-from collections import deque
 from typing import final
 
 import msgspec
 
+from briartack.core.calls.slot_queue import SlotQueue, SlotRequest
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.units import AttemptId
 
 
-@final
-class SlotRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe an attempt that requests a slot; a lower rank is more urgent."""
-
-    attempt_id: AttemptId
-    deadline: float
-    interactive: bool
-    rank: int = 0
-    # A request that runs at another upstream waits for this attempt.
-    is_awaited_by_run: bool = False
-    # An attempt that starts later misses its latency target.
-    useful_until: float = float('inf')
-    # An attempt that starts later can't be answered by its deadline. It is
-    # refused once urgent attempts have moved it back that far in the queue.
-    latest_start: float = float('inf')
-
-
 @final
 class AdmissionResult(msgspec.Struct, frozen=True, kw_only=True):
     """List the ids of the attempts to start now and of those to refuse."""
@@ -42,8 +25,8 @@
 
     def __init__(self) -> None:
         self._running = 0
-        self._interactive: deque[SlotRequest] = deque()
-        self._background: deque[SlotRequest] = deque()
+        self._interactive = SlotQueue()
+        self._background = SlotQueue()
 
     @property
     def running(self) -> int:
@@ -73,6 +56,7 @@
         starts now; `None` allows any number. An attempt that would leave the
         queue after `latest_start` is refused.
         """
+        self._mark_late(now)
         may_start = available_starts is None or available_starts > 0
         if self._running < limit and may_start and not self.queued:
             self._running += 1
@@ -83,12 +67,13 @@
         ):
             return AdmissionResult(refused=(request.attempt_id,))
         if self.queued < limits.queue_length:
-            self._enqueue(request)
+            self._select_queue(request).add(request)
             return AdmissionResult()
-        shed = self._evict_for(request)
+        shed = self._find_evicted(request)
         if shed is None:
             return AdmissionResult(refused=(request.attempt_id,))
-        self._enqueue(request)
+        self.withdraw(shed.attempt_id)
+        self._select_queue(request).add(request)
         return AdmissionResult(refused=(shed.attempt_id,))
 
     def has_room(
@@ -108,6 +93,7 @@
         `expected` attempts have been accepted and have yet to request a slot.
         Each of them takes a free slot or a place in the queue.
         """
+        self._mark_late(now)
         if not self.queued:
             free = limit - self._running
             if available_starts is not None:
@@ -130,8 +116,8 @@
 
     def withdraw(self, attempt_id: AttemptId) -> None:
         """Remove an attempt from the queue."""
-        self._interactive = _remove_from(self._interactive, attempt_id)
-        self._background = _remove_from(self._background, attempt_id)
+        self._interactive.remove(attempt_id)
+        self._background.remove(attempt_id)
 
     def fill(
         self,
@@ -154,10 +140,13 @@
             else min(limit, self._running + available_starts)
         )
         started: list[AttemptId] = []
-        refused = self._drop_late(now, start_interval_seconds, latest_start)
+        self._mark_late(now)
+        refused = self._drop_overdue(now, start_interval_seconds, latest_start)
         for queue in (self._interactive, self._background):
-            while queue and (self._running < bound or queue[0].deadline <= now):
-                waiting = queue.popleft()
+            while queue and (
+                self._running < bound or queue.first.deadline <= now
+            ):
+                waiting = queue.pop_first()
                 if waiting.deadline <= now:
                     refused.append(waiting.attempt_id)
                     continue
@@ -165,78 +154,61 @@
                 started.append(waiting.attempt_id)
         return AdmissionResult(started=tuple(started), refused=tuple(refused))
 
-    def _drop_late(
+    def _mark_late(self, now: float) -> None:
+        """Move attempts whose target can't be met any more behind others."""
+        self._interactive.mark_late(now)
+        self._background.mark_late(now)
+
+    def _drop_overdue(
         self, now: float, start_interval_seconds: float, latest_start: float
     ) -> list[AttemptId]:
         """Remove and return the attempts that would start too late.
 
-        The first attempt in the queue might start now.
+        The first attempt in the queue might start now. Each of those that are
+        kept delays the ones behind it, so a queue that can't be served in time
+        gets shorter from the tail.
         """
         dropped: list[AttemptId] = []
         starts_at = now
         for queue in (self._interactive, self._background):
-            for waiting in tuple(queue):
+            for waiting in queue.copy_requests():
                 if starts_at > min(waiting.latest_start, latest_start):
-                    queue.remove(waiting)
+                    queue.remove(waiting.attempt_id)
                     dropped.append(waiting.attempt_id)
                 else:
                     starts_at += start_interval_seconds
         return dropped
 
-    def _select_queue(self, waiting: SlotRequest) -> deque[SlotRequest]:
+    def _select_queue(self, waiting: SlotRequest) -> SlotQueue:
         return self._interactive if waiting.interactive else self._background
 
     def _count_ahead(self, waiting: SlotRequest) -> int:
         """Return the number of queued attempts that would start first."""
         ahead = 0 if waiting.interactive else len(self._interactive)
-        order = _sort_key(waiting)
-        return ahead + sum(
-            _sort_key(other) <= order for other in self._select_queue(waiting)
-        )
-
-    def _enqueue(self, waiting: SlotRequest) -> None:
-        queue = self._select_queue(waiting)
-        position = len(queue)
-        order = _sort_key(waiting)
-        while position and _sort_key(queue[position - 1]) > order:
-            position -= 1
-        queue.insert(position, waiting)
-
-    def _evict_for(self, waiting: SlotRequest) -> SlotRequest | None:
-        """Remove and return a less urgent queued attempt, or return `None`."""
-        evicted = self._find_evicted(waiting)
-        return None if evicted is None else self._select_queue(evicted).pop()
+        return ahead + self._select_queue(waiting).count_ahead(waiting)
 
     def _find_evicted(self, waiting: SlotRequest) -> SlotRequest | None:
         """Return the queued attempt that gives way to another, or `None`.
 
-        An interactive attempt evicts the last background one of any rank.
-        Otherwise the last attempt of the same queue is evicted if its sort key
-        is higher.
+        An interactive attempt evicts the last background one. Otherwise the
+        last attempt of the same queue is evicted if it would start later.
         """
         if waiting.interactive and self._background:
-            return self._background[-1]
+            return self._background.last
         queue = self._select_queue(waiting)
-        if queue and _sort_key(queue[-1]) > _sort_key(waiting):
-            return queue[-1]
+        if queue.count_ahead(waiting) < len(queue):
+            return queue.last
         return None
 
 
 def _is_too_late(
     request: SlotRequest, starts_at: float, latest_start: float
 ) -> bool:
-    return starts_at > min(request.deadline, request.useful_until, latest_start)
-
-
-def _sort_key(waiting: SlotRequest) -> tuple[int, bool]:
-    """Return a sort key: lower rank first, then attempts of running calls."""
-    return waiting.rank, not waiting.is_awaited_by_run
-
-
-def _remove_from(
-    queue: deque[SlotRequest],
-    attempt_id: AttemptId,
-) -> deque[SlotRequest]:
-    return deque(
-        waiting for waiting in queue if waiting.attempt_id != attempt_id
-    )
+    """Return whether an attempt would start too late to be worth its slot.
+
+    An attempt whose target has passed is useful until its deadline.
+    """
+    own_bound = request.useful_until
+    if request.is_late:
+        own_bound = request.latest_start
+    return starts_at > min(request.deadline, own_bound, latest_start)
--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -63,6 +63,7 @@
         peer = chosen.member.instance
         call.is_last_resort = chosen.is_last_resort
         endpoint = self._endpoints.get(peer)
+        target_ms = _compute_remaining_target_ms(context, now, call, chosen)
         attempt = Attempt(
             attempt_id=self._table.start_attempt(
                 call,
@@ -84,7 +85,9 @@
             request_id=call.event.request_id,
             rank=call.rank,
             is_awaited_by_run=call.is_from_local_run,
-            target_ms=_compute_remaining_target_ms(context, now, call, chosen),
+            target_ms=target_ms,
+            is_late=_is_late(call, target_ms),
+            route=call.route.name,
             home_regions=format_regions(chosen.regions),
             idempotency_key=call.event.idempotency_key,
             is_last_resort=chosen.is_last_resort,
@@ -174,4 +177,16 @@
     is_near = chosen.member.data_centre == context.identity.data_centre
     if target_ms is None or (is_near and call.body_bytes >= LARGE_BODY_BYTES):
         return None
-    return target_ms - (now - call.event.now) * MILLISECONDS_PER_SECOND
+    elapsed_seconds = now - call.event.now + (call.elapsed_seconds or 0)
+    return target_ms - elapsed_seconds * MILLISECONDS_PER_SECOND
+
+
+def _is_late(call: Call, target_ms: float | None) -> bool:
+    """Return whether the target has passed, measured from the first try.
+
+    Without a known first try, the owner refuses the attempt unless it can
+    start at once.
+    """
+    if call.elapsed_seconds is None or target_ms is None:
+        return False
+    return target_ms <= 0
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -63,6 +63,8 @@
     # Made by a request that runs at this daemon's upstream and waits for it.
     is_from_local_run: bool = False
     last_refusal: Reason | None = None  # reason of the last free refusal
+    # Time at the caller since its first try; `None` if unknown.
+    elapsed_seconds: float | None = None
 
     @property
     def body_id(self) -> BodyId:
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -5,7 +5,6 @@
 from briartack.core.calls.admission import (
     AdmissionResult,
     AdmissionState,
-    SlotRequest,
 )
 from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.calls.cold_start_limiter import (
@@ -13,13 +12,15 @@
     ColdStartLimiter,
 )
 from briartack.core.calls.drain import DrainState
-from briartack.core.calls.run_times import MeanRunTime, RunTimeBound
+from briartack.core.calls.run_times import RunTimeBound
+from briartack.core.calls.service_times import ServiceTimes
+from briartack.core.calls.slot_queue import SlotRequest
 from briartack.core.calls.slow_start import SlowStartState
 from briartack.core.calls.start_limits import StrictestLimiter
 from briartack.core.calls.stated_limiter import StatedLimiter
 from briartack.core.calls.upstream_health import UpstreamHealth
 from briartack.core.configuration.settings import ServiceLimits
-from briartack.core.events import UpstreamProbed
+from briartack.core.events import LoadReport, UpstreamProbed
 from briartack.core.units import AttemptId
 
 LOAD_REPORT_MAX_AGE_SECONDS: Final = 10.0
@@ -41,9 +42,9 @@
         '_rules',
         '_limits',
         '_slots',
-        '_health',
-        '_run_time',
+        'health',
         'run_bound',
+        'times',
         '_reported_load',
         '_reported_at',
         '_drain',
@@ -65,10 +66,10 @@
         )
         self._rules = rules
         self._slots: int | None = None
-        self._health = UpstreamHealth()
+        self.health: Final = UpstreamHealth()
         self._limits = ServiceLimits(slots=1, connections=1, queue_length=0)
-        self._run_time = MeanRunTime()
         self.run_bound = RunTimeBound()
+        self.times: Final = ServiceTimes()
         self._reported_load = float(0)
         self._reported_at = float('-inf')
         self._drain = drain
@@ -76,12 +77,7 @@
     @property
     def is_open(self) -> bool:
         """Return whether the upstream accepts new requests."""
-        return self._health.is_open(self._rules)
-
-    @property
-    def health(self) -> UpstreamHealth:
-        """Return the health, as probes and failed requests report it."""
-        return self._health
+        return self.health.is_open(self._rules)
 
     @property
     def generation(self) -> int:
@@ -143,7 +139,7 @@
         self._cold_start_limiter.extend_cold_phase(
             now, cold_from, now + self._limits.ramp_seconds
         )
-        self._health.request_probe()
+        self.health.request_probe()
 
     def load(self, now: float) -> float:
         """Return the share of the present limit that is in use.
@@ -166,7 +162,17 @@
 
     def run_seconds(self, now: float) -> float:
         """Return the mean seconds of the latest successes, 0 if unknown."""
-        return self._run_time.recent_mean(now) or 0
+        return self.times.recent.recent_mean(now) or 0
+
+    def wait_seconds(self, now: float) -> float:
+        """Return the expected wait of a new attempt for a slot.
+
+        The queue takes the free slots before the new attempt.
+        """
+        free = self.limit - self._admission.running
+        ahead = self._admission.queued - max(free, 0)
+        mean_seconds = self.times.mean_seconds(now, self._ramp.mean_seconds)
+        return max(ahead, 0) * mean_seconds / self.limit
 
     def offer(self, waiting: SlotRequest, now: float) -> AdmissionResult:
         """Start, queue or refuse an attempt."""
@@ -176,7 +182,8 @@
             limit=self.limit,
             limits=self._limits,
             start_interval_seconds=max(
-                self._ramp.mean_seconds / self.limit,
+                self.times.mean_seconds(now, self._ramp.mean_seconds)
+                / self.limit,
                 self._start_limits.start_interval_seconds(now),
             ),
             available_starts=self._start_limits.count_available_starts(now),
@@ -197,7 +204,8 @@
             limit=self.limit,
             limits=self._limits,
             start_interval_seconds=max(
-                self._ramp.mean_seconds / self.limit,
+                self.times.mean_seconds(now, self._ramp.mean_seconds)
+                / self.limit,
                 self._start_limits.start_interval_seconds(now),
             ),
             expected=expected,
@@ -214,7 +222,8 @@
             limit=self.limit,
             available_starts=self._start_limits.count_available_starts(now),
             start_interval_seconds=max(
-                self._ramp.mean_seconds / self.limit,
+                self.times.mean_seconds(now, self._ramp.mean_seconds)
+                / self.limit,
                 self._start_limits.start_interval_seconds(now),
             ),
             latest_start=self._drain.deadline - self._ramp.mean_seconds,
@@ -254,12 +263,15 @@
         *,
         generation: int,
         is_success: bool,
+        route: str = '',
+        load_report: LoadReport | None = None,
     ) -> bool:
         """Free a slot and return whether the slow start restarted."""
         self._admission.release()
         self.run_bound.count_answer()
+        self.times.record_report(now, load_report)
         if is_success:
-            self._run_time.update(now, elapsed_seconds)
+            self.times.record_run(now, route, elapsed_seconds, load_report)
         return self._ramp.handle_answer(
             now,
             elapsed_seconds,
@@ -283,9 +295,9 @@
         """
         self._admission.release()
         if is_reset:
-            self._health.request_probe()
+            self.health.request_probe()
         if is_down and self._rules.requires_identity:
-            self._health.mark_down()
+            self.health.mark_down()
         if not is_reset or generation != self._ramp.generation:
             return False
         self._ramp.restart(now)
@@ -298,13 +310,13 @@
         """
         self.assume_cold(now)
         self._stated_limiter.update(None)
-        self._health.update_identity(identity)
+        self.health.update_identity(identity)
         return self._ramp.update_identity(identity, now)
 
     def handle_probe(self, event: UpstreamProbed) -> bool:
         """Record the result of a probe; return whether slow start restarted."""
-        was_healthy = self._health.is_healthy
-        if event.identity not in {'', self._health.identity}:
+        was_healthy = self.health.is_healthy
+        if event.identity not in {'', self.health.identity}:
             self._stated_limiter.update(None)
         if event.cold_seconds is not None:
             self._cold_start_limiter.record_cold_phase(
@@ -312,7 +324,8 @@
                 _find_cold_from(event.now, event.cold_seconds, self._limits),
                 event.now + event.cold_seconds,
             )
-        self._health.handle_probe(event)
+        self.health.handle_probe(event)
+        self.times.record_report(event.now, event.load_report)
         if event.reported_load is not None:
             self._reported_load = event.reported_load
             self._reported_at = event.now
--- a/briartack/core/calls/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -241,6 +241,8 @@
             body_digest=event.body_digest,
             load=self._upstream.load(event.now),
             run_seconds=self._upstream.run_seconds(event.now),
+            slowdown=self._upstream.times.slowdown(event.now),
+            wait_seconds=self._upstream.wait_seconds(event.now),
             owner_clock=event.now,
         )
         body_id = answer_body_id(event.attempt_id)
@@ -325,6 +327,8 @@
             attempt_id=record.attempt.attempt_id,
             load=self._upstream.load(now),
             run_seconds=self._upstream.run_seconds(now),
+            slowdown=self._upstream.times.slowdown(now),
+            wait_seconds=self._upstream.wait_seconds(now),
             owner_clock=now,
         )
         return self._deliver(record, repeated, body_id, is_body_kept=True)
@@ -389,6 +393,8 @@
             body_digest=EMPTY_DIGEST,
             load=self._upstream.load(now),
             run_seconds=self._upstream.run_seconds(now),
+            slowdown=self._upstream.times.slowdown(now),
+            wait_seconds=self._upstream.wait_seconds(now),
             owner_clock=now,
         )
 
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -9,7 +9,7 @@
 
 from briartack.core.body_ids import answer_body_id
 from briartack.core.calls import reasons
-from briartack.core.calls.admission import AdmissionResult, SlotRequest
+from briartack.core.calls.admission import AdmissionResult
 from briartack.core.calls.call_headers import build_upstream_headers
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import (
@@ -18,6 +18,7 @@
     OwnerAnswers,
 )
 from briartack.core.calls.reasons import Reason
+from briartack.core.calls.slot_queue import SlotRequest
 from briartack.core.calls.timers import Timers
 from briartack.core.effects import (
     AbortDispatch,
@@ -102,10 +103,10 @@
         Attempts whose bodies are being read, and that would go first, are
         expected to take slots or places in the queue.
         """
-        rank = record.attempt.rank
+        order = _make_order(record.attempt)
         expected = sum(
             other.phase is OwnedPhase.READING_BODY
-            and other.attempt.rank <= rank
+            and _make_order(other.attempt) <= order
             for other in self._attempts.values()
         )
         waiting = self._build_slot_request(now, record, latest_start)
@@ -181,6 +182,8 @@
             event.elapsed_seconds,
             generation=record.generation,
             is_success=event.status < MIN_SERVER_ERROR_STATUS,
+            route=record.attempt.route,
+            load_report=event.load_report,
         )
         effects = self._answers.complete(event, record)
         effects.extend(self._apply(event.now, self._upstream.fill(event.now)))
@@ -192,6 +195,7 @@
         record: OwnedAttempt,
     ) -> tuple[Effects, bool]:
         """Answer the sender; also return whether the slow start restarted."""
+        self._upstream.times.record_report(event.now, event.load_report)
         has_restarted = self._upstream.handle_failure(
             event.now,
             generation=record.generation,
@@ -243,24 +247,29 @@
     def _build_slot_request(
         self, now: float, record: OwnedAttempt, latest_start: float
     ) -> SlotRequest:
+        attempt = record.attempt
+        times = self._upstream.times
+        run_seconds = times.run_seconds(
+            now, attempt.route, self._upstream.mean_seconds
+        )
+        useful_until = float('inf')
+        if attempt.target_ms is not None:
+            target_seconds = attempt.target_ms / MILLISECONDS_PER_SECOND
+            useful_until = now + target_seconds - run_seconds
+        # The queue of an upstream that states no load keeps its order.
+        becomes_late = times.has_load_report and times.has_enough_runs
         return SlotRequest(
-            attempt_id=record.attempt.attempt_id,
+            attempt_id=attempt.attempt_id,
             deadline=record.deadline,
-            interactive=record.attempt.interactive,
-            rank=record.attempt.rank,
-            is_awaited_by_run=record.attempt.is_awaited_by_run,
-            useful_until=self._compute_useful_until(now, record.attempt),
-            latest_start=min(
-                latest_start, record.deadline - self._upstream.mean_seconds
-            ),
+            interactive=attempt.interactive,
+            rank=attempt.rank,
+            is_awaited_by_run=attempt.is_awaited_by_run,
+            useful_until=useful_until,
+            latest_start=min(latest_start, record.deadline - run_seconds),
+            is_late=attempt.is_late and times.has_enough_runs,
+            late_from=useful_until if becomes_late else float('inf'),
         )
 
-    def _compute_useful_until(self, now: float, attempt: Attempt) -> float:
-        if attempt.target_ms is None:
-            return float('inf')
-        target_seconds = attempt.target_ms / MILLISECONDS_PER_SECOND
-        return now + target_seconds - self._upstream.mean_seconds
-
     def _dispatch(self, now: float, record: OwnedAttempt) -> Dispatch:
         record.phase = OwnedPhase.RUNNING
         record.generation = self._upstream.generation
@@ -280,6 +289,11 @@
         )
 
 
+def _make_order(attempt: Attempt) -> tuple[bool, int]:
+    """Return the order of attempts of one priority whose body is read."""
+    return not attempt.is_awaited_by_run, attempt.rank
+
+
 def drop_late_answer(attempt_id: AttemptId) -> Effects:
     """Count and drop an upstream's answer to an attempt that has ended."""
     return [
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -17,6 +17,7 @@
 )
 from briartack.core.calls.call_responses import CallResponder
 from briartack.core.calls.call_table import Call, CallPhase, CallTable
+from briartack.core.calls.caller_clocks import CallerClocks
 from briartack.core.calls.drain import DrainState
 from briartack.core.calls.endpoint_choice import (
     ChosenEndpoint,
@@ -73,6 +74,7 @@
         '_chooser',
         '_attempt_sender',
         '_owner',
+        '_caller_clocks',
     )
 
     def __init__(
@@ -90,6 +92,7 @@
         self._routing = routing
         self._streams = streams
         self._owner = owner
+        self._caller_clocks = CallerClocks()
         self._chooser = EndpointChooser(
             routing=routing,
             endpoints=endpoints,
@@ -130,6 +133,7 @@
         if isinstance(call, AnswerCall):
             return [call, log_call_refused(context, event, call.reason)]
         self._inherit_run_rank(call)
+        self._measure_elapsed(call)
         self._table.add(call)
         self._streams.record_call(call.share.service, event.now)
         self._retry.add_tokens_for_call(context, call)
@@ -316,6 +320,18 @@
             call.rank = rank
             call.is_from_local_run = True
 
+    def _measure_elapsed(self, call: Call) -> None:
+        """Measure the time since the first try of a call with a target.
+
+        A call made by a local request has its deadline as the target.
+        """
+        event = call.event
+        has_target = call.route.policy.target_ms is not None
+        if has_target and event.deadline_ms and not call.is_from_local_run:
+            call.elapsed_seconds = self._caller_clocks.measure_elapsed_seconds(
+                event.now, call.route.name, event.deadline_ms
+            )
+
     def _handle_expired_timer(
         self, context: CallContext, now: float, call: Call
     ) -> Effects:
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -240,6 +240,8 @@
     stated_limit: float | None = None
     leaving_identity: str = ''  # as in `UpstreamAnswered`
     load_report: LoadReport | None = None
+    # A malformed statement of the load, which was ignored.
+    refused_load: str = ''
 
 
 @final
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -189,6 +189,8 @@
     is_late: bool = False
     # An earlier attempt of the same call has reached an upstream.
     is_repeat: bool = False
+    # Name of the route, by which the owner keeps the work of a run.
+    route: str = ''
 
 
 @final
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -92,6 +92,7 @@
     # A statement about the upstream that is malformed and therefore ignored.
     refused_statement: str = ''
     load_report: LoadReport | None = None
+    refused_load: str = ''  # the same for the stated load
 
 
 class UpstreamDialect(Protocol):
--- a/briartack/platform/upstream.py
+++ b/briartack/platform/upstream.py
@@ -1,12 +1,13 @@
 """Implement the platform's upstream dialect."""
 
 import math
+import re
 from http import HTTPStatus
 from typing import Final, final
 
 from briartack.core.calls.call_headers import OWN_HEADER_PREFIX
 from briartack.core.effects import Dispatch
-from briartack.core.events import UpstreamProbed
+from briartack.core.events import LoadReport, UpstreamProbed
 from briartack.core.units import MILLISECONDS_PER_SECOND
 from briartack.dialects import UpstreamResult
 from briartack.headers import find_header, select_end_to_end
@@ -37,6 +38,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     ),
 )
+# Running, waiting, slots and, if stated, how long work takes in percent.
+_LOAD_FIGURES: Final = re.compile('[0-9]{1,9}(?:,[0-9]{1,9}){2,3}')
+_PERCENT: Final = 100
+# Part of a malformed header that a log line shows.
+_SHOWN_CHARACTERS: Final = 80
 _INTERNAL_HEADERS: Final = frozenset(
     name.lower() for name in (LOAD, INSTANCE_ID, COLD_MS, NOT_EXECUTED)
 )
@@ -88,6 +94,7 @@
         stated_limit, refused_statement = _parse_limit(
             response.get_single_value(LIMIT)
         )
+        load_report, refused_load = _parse_load(response)
         if (
             response.get_single_value(NOT_EXECUTED)
             and status >= _FIRST_NON_SUCCESS_STATUS
@@ -98,6 +105,8 @@
                 stated_limit=stated_limit,
                 is_leaving=is_leaving,
                 refused_statement=refused_statement,
+                load_report=load_report,
+                refused_load=refused_load,
             )
         flaw = _find_flaw(effect, response, status)
         if flaw:
@@ -111,6 +120,8 @@
             stated_limit=stated_limit,
             is_leaving=is_leaving,
             refused_statement=refused_statement,
+            load_report=load_report,
+            refused_load=refused_load,
         )
 
     def encode_probe(self, path: str, host: str) -> bytes:
@@ -133,6 +144,7 @@
                 reported_load=None,
             )
         identity = response.get_single_value(INSTANCE_ID)
+        load_report, refused_load = _parse_load(response)
         return UpstreamProbed(
             now=now,
             is_healthy=response.get_code() == HTTPStatus.OK,
@@ -145,6 +157,8 @@
             ),
             stated_limit=_parse_limit(response.get_single_value(LIMIT))[0],
             leaving_identity=identity if _is_leaving(response) else '',
+            load_report=load_report,
+            refused_load=refused_load,
         )
 
 
@@ -189,6 +203,23 @@
     return None, f'{LIMIT}: {text}'
 
 
+def _parse_load(response: CollectedResponse) -> tuple[LoadReport | None, str]:
+    """Return the stated load, and the statement if it is malformed."""
+    values = response.get(LOAD)
+    if values is None:
+        return None, ''
+    text = values if isinstance(values, str) else ' / '.join(map(str, values))
+    if _LOAD_FIGURES.fullmatch(text) is None:
+        return None, f'{LOAD}: {text}'[:_SHOWN_CHARACTERS]
+    running, waiting, slots, *percent = map(int, text.split(','))
+    return LoadReport(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowdown=percent[0] / _PERCENT if percent else None,
+    ), ''
+
+
 def _parse_cold_seconds(milliseconds: str) -> float:
     try:
         seconds = float(milliseconds) / MILLISECONDS_PER_SECOND
--- a/briartack/test/test_cold_orders.py
+++ b/briartack/test/test_cold_orders.py
@@ -13,10 +13,10 @@
 
 from nose2.tools import params
 
-from briartack.core.calls.admission import SlotRequest
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.drain import DrainState
 from briartack.core.calls.local_upstream import LocalUpstream
+from briartack.core.calls.slot_queue import SlotRequest
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.events import UpstreamProbed
 from briartack.core.units import AttemptId
--- a/briartack/test/test_queue_overtaking.py
+++ b/briartack/test/test_queue_overtaking.py
@@ -8,7 +8,8 @@
 import unittest
 from typing import Final
 
-from briartack.core.calls.admission import AdmissionState, SlotRequest
+from briartack.core.calls.admission import AdmissionState
+from briartack.core.calls.slot_queue import SlotRequest
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.units import AttemptId
 
--- a/briartack/test/test_stated_limit.py
+++ b/briartack/test/test_stated_limit.py
@@ -12,11 +12,11 @@
 import msgspec
 from nose2.tools import params
 
-from briartack.core.calls.admission import SlotRequest
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.drain import DrainState
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owner import OwnerState
+from briartack.core.calls.slot_queue import SlotRequest
 from briartack.core.calls.stated_limiter import StatedLimiter
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.events import UpstreamProbed
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -75,6 +75,8 @@
         '_clock',
         '_observer',
         '_running',
+        '_refused_identity',
+        '_refused_headers',
     )
 
     def __init__(
@@ -103,6 +105,9 @@
         self._clock = clock
         self._observer = observer
         self._running: _RunningAttempts = {}
+        # Headers of the upstream with this identity whose refusal is logged.
+        self._refused_identity = ''
+        self._refused_headers: set[str] = set()
         bodies.memory.count_objects(lambda: len(self._running), RUN_BYTES)
 
     @property
@@ -197,13 +202,8 @@
         except ExchangeError as error:
             return self._record_failure(effect, error)
         result = self._dialect.decode_result(effect, response)
-        if result.refused_statement:
-            self._observer.count('upstream.statements_refused')
-            self._observer.log(
-                LogLevel.WARNING,
-                STATEMENT_REFUSED,
-                statement=result.refused_statement,
-            )
+        for statement in (result.refused_statement, result.refused_load):
+            self._report_refused(effect.expected_identity, statement)
         if result.failure:
             return self._record_refusal(effect, result)
         return self._record_response(effect, response, result, started_at)
@@ -229,6 +229,7 @@
             body_digest=compute_body_digest(body),
             elapsed_seconds=now - started_at,
             stated_limit=result.stated_limit,
+            load_report=result.load_report,
             leaving_identity=_leaving_identity(effect, result),
         )
 
@@ -262,6 +263,7 @@
             is_refusal=not result.has_run,
             identity=result.identity,
             stated_limit=result.stated_limit,
+            load_report=result.load_report,
             leaving_identity=_leaving_identity(effect, result),
         )
 
@@ -280,7 +282,31 @@
         except ExchangeError:
             self._observer.count('upstream.probe_failures')
             return self._dialect.decode_probe(self._clock(), None)
-        return self._dialect.decode_probe(self._clock(), response)
+        probed = self._dialect.decode_probe(self._clock(), response)
+        self._report_refused(probed.identity, probed.refused_load)
+        return probed
+
+    def _report_refused(self, identity: str, statement: str) -> None:
+        """Count a malformed statement; log it once for each identity.
+
+        `statement` begins with the name of the header, and is empty if the
+        upstream made no malformed statement.
+        """
+        if not statement:
+            return
+        self._observer.count('upstream.statements_refused')
+        if identity != self._refused_identity:
+            self._refused_identity = identity
+            self._refused_headers.clear()
+        header = statement.partition(':')[0]
+        if header not in self._refused_headers:
+            self._refused_headers.add(header)
+            self._observer.log(
+                LogLevel.WARNING,
+                STATEMENT_REFUSED,
+                statement=statement,
+                upstream=identity,
+            )
 
 
 def _leaving_identity(effect: Dispatch, result: UpstreamResult) -> str:
