--- a/briartack/test/test_mutants.py
+++ b/briartack/test/test_mutants.py
@@ -1,12 +1,14 @@
 """Mutation tests of the reducer.
 
-Each mutant removes a guard from the reducer; a stated outcome of a trace or a
-monitor must then fail. This guards against traces and monitors that pass
-whatever the code does.
+Each mutant removes a guard from the reducer; a stated outcome of a trace, a
+monitor or a test must then fail. This guards against traces, monitors and
+tests that pass whatever the code does.
 """
 
 import unittest
-from contextlib import ExitStack
+from collections.abc import Iterator, Mapping
+from contextlib import ExitStack, contextmanager
+from importlib import import_module
 from operator import attrgetter
 from pathlib import Path
 from types import MappingProxyType
@@ -17,6 +19,7 @@
 
 from briartack.replay import replay_trace
 from briartack.test.mutants import MUTANTS, Mutant
+from briartack.test.queue_mutants import QUEUE_MUTANTS, QueueMutant
 
 CORE: Final = Path(__file__).parent.parent / 'core'
 # Maps a module to its package; a mutant names the module alone.
@@ -27,16 +30,23 @@
 INVARIANTS: Final = frozenset(f'I{number}' for number in range(1, 13))
 
 
+@contextmanager
+def apply_patches(patches: Mapping[str, object]) -> Iterator[None]:
+    """Apply the patches of a mutant, whose names begin with the module."""
+    with ExitStack() as stack:
+        for target, replacement in patches.items():
+            package = PACKAGES_BY_MODULE[target.partition('.')[0]]
+            qualified_name = f'briartack.core.{package}.{target}'
+            stack.enter_context(patch(qualified_name, replacement))
+        yield
+
+
 def failures_of(mutant: Mutant) -> tuple[str, ...]:
     """Return the failures of a mutant's trace.
 
     A KeyError counts as a failure, since a mutant may break the reducer.
     """
-    with ExitStack() as stack:
-        for target, replacement in mutant.patches.items():
-            package = PACKAGES_BY_MODULE[target.partition('.')[0]]
-            qualified_name = f'briartack.core.{package}.{target}'
-            stack.enter_context(patch(qualified_name, replacement))
+    with apply_patches(mutant.patches):
         try:
             return replay_trace(TRACES / f'{mutant.trace}.jsonl').failures
         except KeyError as error:
@@ -55,3 +65,21 @@
         """Guard against an invariant whose checks no mutant has failed."""
         invariants = set(map(attrgetter('invariant'), MUTANTS))
         self.assertEqual(invariants, INVARIANTS)
+
+
+def run_test(name: str) -> unittest.TestResult:
+    """Run one test, given by module, class and method."""
+    module, case, method = name.split('.')
+    found = import_module(f'briartack.test.{module}')
+    outcome = unittest.TestResult()
+    getattr(found, case)(method).run(outcome)
+    return outcome
+
+
+class QueueMutantsTest(unittest.TestCase):
+    @params(*QUEUE_MUTANTS)
+    def test_queue_mutant_is_caught(self, mutant: QueueMutant) -> None:
+        """Guard against a test that passes without the removed rule."""
+        with apply_patches(mutant.patches):
+            outcome = run_test(mutant.test)
+        self.assertEqual((len(outcome.failures), outcome.errors), (1, []))
--- a/briartack/test/test_platform_calls.py
+++ b/briartack/test/test_platform_calls.py
@@ -8,6 +8,7 @@
 
 from briartack.caller_headers import RequestError, RequestHeaders
 from briartack.core.effects import AnswerCall, Dispatch
+from briartack.core.events import LoadReport
 from briartack.core.units import AttemptId, BodyId, CallId
 from briartack.core.verdict import Verdict
 from briartack.http_response import CollectedResponse
@@ -235,6 +236,52 @@
         own = UPSTREAM_DIALECT.identify_request(DISPATCH)
         self.assertIs(named == own, is_expected)
 
+    # Guards against a load that is misread, and a malformed one that counts.
+    @params(
+        ('3,6,18', LoadReport(running=3, waiting=6, slots=18)),
+        ('3,0,3,250', LoadReport(running=3, waiting=0, slots=3, slowdown=2.5)),
+        (
+            '999999999,0,0,0',
+            LoadReport(running=999_999_999, waiting=0, slots=0, slowdown=0),
+        ),
+        ('', None),
+        ('3,6', None),
+        ('3,6,18,100,1', None),
+        ('3,6,18,', None),
+        ('3, 6, 18', None),
+        ('-3,6,18', None),
+        ('3,6,18,1e2', None),
+        ('3,6,18,1.5', None),
+        ('1234567890,6,18', None),
+        ('\u0663,6,18', None),
+        ('1,2,3\r\nX-Server-Load: 1,2,3', None),
+    )
+    def test_load_is_decoded_from_answers_refusals_and_probes(
+        self, text: str, expected: LoadReport | None
+    ) -> None:
+        """Check that a malformed statement is ignored and reported."""
+        line = f'X-Server-Load: {text}\r\n'
+        refusal = f'{line}X-Not-Executed: 1\r\n'
+        decoded = (
+            UPSTREAM_DIALECT.decode_result(
+                DISPATCH, parse_answer('200 OK', f'{SEALED_HEADERS}{line}')
+            ),
+            UPSTREAM_DIALECT.decode_result(
+                DISPATCH, parse_answer('503 Full', refusal)
+            ),
+            UPSTREAM_DIALECT.decode_probe(3, parse_answer('200 OK', line)),
+        )
+        for found in decoded:
+            self.assertEqual(found.load_report, expected)
+            self.assertIs(bool(found.refused_load), expected is None)
+
+    def test_missing_load_is_no_malformed_one(self) -> None:
+        """Guard against log lines on upstreams that state no load."""
+        found = UPSTREAM_DIALECT.decode_result(
+            DISPATCH, parse_answer('200 OK', SEALED_HEADERS)
+        )
+        self.assertEqual((found.load_report, found.refused_load), (None, ''))
+
     @params(
         ('200 OK', 'X-Server-Load: 3,6,18\r\n', True, None, 0),
         ('200 OK', 'X-Cold-Ms: 1500\r\n', True, None, 1.5),
--- a/briartack/test/test_stated_limit.py
+++ b/briartack/test/test_stated_limit.py
@@ -19,10 +19,13 @@
 from briartack.core.calls.slot_queue import SlotRequest
 from briartack.core.calls.stated_limiter import StatedLimiter
 from briartack.core.configuration.settings import ServiceLimits
-from briartack.core.events import UpstreamProbed
+from briartack.core.events import UpstreamAnswered, UpstreamProbed
 from briartack.core.units import AttemptId
+from briartack.error_texts import STATEMENT_REFUSED
 from briartack.platform.upstream import PlatformUpstreamDialect
 from briartack.test.call_path_bench import CallPathBench
+from briartack.test.fake_reducer import LOCAL_HOST, EchoServer
+from briartack.test.shell_fixture import ShellFixture
 from briartack.test.test_platform_calls import (
     DISPATCH,
     SEALED_HEADERS,
@@ -238,6 +241,46 @@
         return [now for _ in admitted]
 
 
+class RefusedStatementTest(unittest.TestCase):
+    """Check the count and the log lines of malformed statements."""
+
+    def test_malformed_statements_are_logged_once_for_each_identity(
+        self,
+    ) -> None:
+        """Guard against a log line, or an uncounted flaw, for each answer."""
+        server = EchoServer(
+            b'X-Server-Load: 1,2\r\nServer-Limit: x\r\n'
+            b'X-Attempt-Id: 9c41\r\nX-Server-Seal: s\r\n'
+        )
+        self.addCleanup(server.stop)
+        shell = ShellFixture(
+            upstream=(LOCAL_HOST, server.server_port),
+            upstream_dialect=PlatformUpstreamDialect(),
+        )
+        self.addCleanup(shell.stop)
+        identities = ('i-7', 'i-7', 'i-8', 'i-8')
+        for number, identity in enumerate(identities, start=1):
+            shell.upstream.dispatch(
+                msgspec.structs.replace(
+                    DISPATCH,
+                    attempt_id=AttemptId(f'a{number}'),
+                    expected_identity=identity,
+                ),
+            )
+            shell.state.wait_for(UpstreamAnswered, number)
+        counts = shell.observer.counts
+        self.assertEqual(counts['upstream.statements_refused'], 8)
+        logged = [
+            (fields['upstream'], fields['statement'])
+            for code, fields in shell.observer.logs
+            if code == STATEMENT_REFUSED
+        ]
+        statements = ('Server-Limit: x', 'X-Server-Load: 1,2')
+        self.assertEqual(
+            logged, list(itertools.product(('i-7', 'i-8'), statements))
+        )
+
+
 class StatedLimiterTest(unittest.TestCase):
     def test_new_limit_starts_without_tokens(self) -> None:
         """Guard against a burst on top of the requests before the limit."""
