--- a/briartack/test/load_bench.py
+++ b/briartack/test/load_bench.py
@@ -95,7 +95,7 @@
 
     `slowdown` returns the factor by which work takes longer at a time. The
     upstream states its load only if `states_load`. `started` holds the names
-    of the requests in the order of their runs.
+    of the requests in the order of their runs, and `answers` what peers got.
     """
 
     slowdown: Callable[[float], float] = lambda _: 1.0
@@ -104,6 +104,7 @@
     now: float = STARTED_AT
     requests: dict[str, Request] = field(default_factory=dict)
     started: list[str] = field(default_factory=list)
+    answers: list[messages.Answer] = field(default_factory=list)
     running: int = 0
     state: State = field(
         default_factory=lambda: State(
@@ -250,6 +251,7 @@
                     is_run = effect.verdict is Verdict.RAN
                     self._end(effect.call_id, is_run, effect)
                 case out.SendAnswer():
+                    self.answers.append(effect.answer)
                     is_run = effect.answer.verdict is Verdict.RAN
                     self._end(effect.answer.attempt_id, is_run, None)
 
--- a/briartack/test/queue_mutants.py
+++ b/briartack/test/queue_mutants.py
@@ -84,6 +84,7 @@
 _ORDER: Final = 'test_queue_order.QueueOrderTest'
 _SHARES: Final = 'test_load_shares.LoadSharesTest'
 _ESTIMATES: Final = 'test_service_times.RunEstimateTest'
+_STATED: Final = 'test_service_times.StatedEstimateTest'
 _SLOWDOWN: Final = 'test_service_times.SlowdownTest'
 _CLOCKS: Final = 'test_caller_clocks.CallerClocksTest'
 
@@ -168,6 +169,16 @@
         'test_wait_leaves_out_those_who_take_a_free_slot',
         patches={'admission.AdmissionState.running': make_stub_property(2)},
     ),
+    QueueMutant(
+        guard='answers and refusals state the wait',
+        test=f'{_STATED}.test_answers_and_refusals_state_slowdown_and_wait',
+        patches={'local_upstream.LocalUpstream.wait_seconds': make_stub(0)},
+    ),
+    QueueMutant(
+        guard='reports in refusals and probes count',
+        test=f'{_STATED}.test_reports_in_refusals_and_probes_count',
+        patches={'service_times.ServiceTimes.record_report': make_stub(None)},
+    ),
     QueueMutant(
         guard='a run takes the work of its route times the slowdown',
         test=f'{_ESTIMATES}.test_work_follows_the_slowdown',
--- a/briartack/test/test_service_times.py
+++ b/briartack/test/test_service_times.py
@@ -15,8 +15,10 @@
 )
 from briartack.core.calls.slot_queue import SlotRequest
 from briartack.core.configuration.settings import ServiceLimits
-from briartack.core.events import LoadReport
+from briartack.core.events import LoadReport, UpstreamFailed, UpstreamProbed
 from briartack.core.units import AttemptId
+from briartack.core.verdict import Verdict
+from briartack.test.load_bench import LoadBench
 
 SLOTS = 2
 
@@ -129,6 +131,66 @@
         self.assertAlmostEqual(times.mean_seconds(1, 7), 0.4, 1)
 
 
+class StatedEstimateTest(unittest.TestCase):
+    """Check what an owner tells the senders, through the reducer."""
+
+    def test_answers_and_refusals_state_slowdown_and_wait(self) -> None:
+        """Guard against senders that choose by what nobody stated.
+
+        Three attempts run and two wait; the sixth can't start in time.
+        """
+        bench = LoadBench(slowdown=lambda _: 2.0)
+        for number in range(6):
+            bench.send_attempt(
+                f'a{number}',
+                rank=0,
+                timeout_seconds=2,
+                target_seconds=2 if number < 5 else 0.11,
+            )
+        refusal = bench.answers[0]
+        bench.run_for(1)
+        # A run takes 0.1 s, and one of three slots becomes free in a third.
+        self.assertEqual(refusal.verdict, Verdict.NOT_RUN)
+        self.assertAlmostEqual(refusal.wait_seconds, 2 * 0.1 / 3, 3)
+        first, last = bench.answers[1], bench.answers[-1]
+        self.assertEqual(first.verdict, Verdict.RAN)
+        self.assertAlmostEqual(first.wait_seconds, 0.1 / 3, 3)
+        self.assertEqual(last.wait_seconds, 0)
+        for answer in bench.answers:
+            self.assertAlmostEqual(answer.slowdown, 2)
+            self.assertAlmostEqual(answer.run_seconds, 0.1)
+
+    def test_reports_in_refusals_and_probes_count(self) -> None:
+        """Guard against a slowdown that is unknown while nothing succeeds."""
+        bench = LoadBench(states_load=False)
+        upstream = bench.state.calls.owner.upstream
+        self.assertEqual(upstream.times.slowdown(bench.now), 0)
+        bench.apply(
+            UpstreamProbed(
+                now=bench.now,
+                is_healthy=True,
+                is_draining=False,
+                identity='u',
+                reported_load=None,
+                load_report=make_report(1.5),
+            ),
+        )
+        self.assertEqual(upstream.times.slowdown(bench.now), 1.5)
+        bench.call('a', 0)
+        bench.apply(
+            UpstreamFailed(
+                now=bench.now,
+                attempt_id=next(iter(bench.state.calls.owner._attempts)),
+                may_have_run=False,
+                is_reset=False,
+                reason='refused',
+                is_refusal=True,
+                load_report=make_report(2.5),
+            ),
+        )
+        self.assertEqual(upstream.times.slowdown(bench.now), 2.5)
+
+
 class WaitTest(unittest.TestCase):
     def make_upstream(self) -> LocalUpstream:
         """Make an upstream with two slots whose runs took 0.1 s."""
