Decide in the core which bodies of attempts are granted and where they go

Senders push bodies as soon as they have them, so a backlog forms in front of an owner's link, and answers and small calls are stuck behind it.

The owner now keeps the heads of attempts in order of urgency and grants bodies by the rate of its link. Heads whose bodies would come too late are refused as overload before their bytes are sent. Answers state the wait for a new body; senders prefer the owner that gets a body soonest, go to a farther scope if the near one would use up half of the time left, and refuse at once if all owners that stated a wait lately would be too late.

Nothing asks for grants yet: no hello states a size.

--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -63,6 +63,9 @@
         peer = chosen.member.instance
         call.is_last_resort = chosen.is_last_resort
         endpoint = self._endpoints.get(peer)
+        awaits_grant = endpoint is not None and endpoint.needs_grant(
+            call.body_bytes
+        )
         attempt = Attempt(
             attempt_id=self._table.start_attempt(
                 call,
@@ -84,10 +87,13 @@
             request_id=call.event.request_id,
             rank=call.rank,
             is_awaited_by_run=call.is_from_local_run,
-            target_ms=_compute_remaining_target_ms(context, now, call, chosen),
+            target_ms=_compute_remaining_target_ms(
+                context, now, call, chosen, awaits_grant=awaits_grant
+            ),
             home_regions=format_regions(chosen.regions),
             idempotency_key=call.event.idempotency_key,
             is_last_resort=chosen.is_last_resort,
+            awaits_grant=awaits_grant,
         )
         body_id = call.body_id
         log_line = log_attempt_sent(context, now, call, peer, endpoint)
@@ -95,7 +101,7 @@
             begun = self._owner.begin_local(context, now, attempt, body_id)
             return [*begun, log_line]
         call.sent_at = now
-        self._endpoints.record_attempt_start(peer, now)
+        self._endpoints.record_attempt_start(peer, now, call.body_bytes)
         return [
             SendAttempt(peer=peer, attempt=attempt, body_id=body_id),
             log_line,
@@ -135,6 +141,15 @@
         if call.peer is not None:
             self._endpoints.suspect(call.peer, call.sent_at, now)
 
+    def record_body_wait(
+        self, call: Call, peer: InstanceId, seconds: float, now: float
+    ) -> None:
+        """Record how long bodies as urgent as the call's wait at a peer."""
+        endpoint = self._endpoints.get(peer)
+        if endpoint is not None:
+            urgency = (not call.is_from_local_run, call.rank)
+            endpoint.body_wait.record(seconds, urgency, now)
+
     def apply_refusal(
         self, call: Call, peer: InstanceId, reason: Reason, now: float
     ) -> None:
@@ -159,19 +174,24 @@
     now: float,
     call: Call,
     chosen: ChosenEndpoint,
+    *,
+    awaits_grant: bool,
 ) -> float | None:
     """Return the milliseconds left to meet the policy's target time.
 
     The owner refuses an attempt at once if the expected wait is longer. `None`
     means that the attempt may wait until its deadline, as does an attempt with
     a large body in this data centre: sending the body elsewhere costs more than
-    the wait. A call made by a local request gets the time to its deadline,
-    because the local request fails without the call.
+    the wait. A body that awaits a grant has not been sent when its head is
+    refused, so its attempt states the target. A call made by a local request
+    gets the time to its deadline, because the local request fails without the
+    call.
     """
     if call.is_from_local_run:
         return (call.deadline - now) * MILLISECONDS_PER_SECOND
     target_ms = call.route.policy.target_ms
     is_near = chosen.member.data_centre == context.identity.data_centre
-    if target_ms is None or (is_near and call.body_bytes >= LARGE_BODY_BYTES):
+    is_large = call.body_bytes >= LARGE_BODY_BYTES and not awaits_grant
+    if target_ms is None or (is_near and is_large):
         return None
     return target_ms - (now - call.event.now) * MILLISECONDS_PER_SECOND
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -14,6 +14,7 @@
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.events import (
     AttemptBodyRead,
+    BodyRoomMissing,
     CallArrived,
     CallBodyRead,
     CallCancelled,
@@ -119,6 +120,22 @@
     )
 
 
+def on_body_room_missing(
+    state: CallsState,
+    context: CallContext,
+    event: BodyRoomMissing,
+) -> Effects:
+    """Let an attempt wait again for whose granted body there is no memory."""
+    return finish_event(
+        state,
+        context,
+        event.now,
+        state.owner.bodies.handle_missing_room(
+            event.now, event.peer, event.attempt_id
+        ),
+    )
+
+
 def on_answer(
     state: CallsState,
     context: CallContext,
@@ -225,6 +242,7 @@
         hello.incarnation,
         hello.clock,
         event.now,
+        ungranted_body_bytes=hello.ungranted_body_bytes,
     )
     if state.drain.is_leaving:
         goodbye = Goodbye(incarnation=context.identity.incarnation)
--- a/briartack/core/calls/call_logs.py
+++ b/briartack/core/calls/call_logs.py
@@ -128,8 +128,21 @@
     outcome: str,
     phase: str,
     left_seconds: float,
+    body_seconds: tuple[float, float] | None = None,
 ) -> WriteLog:
-    """Log how an attempt ended at its owner."""
+    """Log how an attempt ended at its owner.
+
+    `body_seconds` is how long a body waited for its grant, and how long it then
+    took to arrive.
+    """
+    body_fields = {}
+    if body_seconds is not None:
+        waited_seconds, arriving_seconds = body_seconds
+        body_fields = {
+            'body_bytes': str(attempt.body_bytes),
+            'body_wait_ms': _format_milliseconds(waited_seconds),
+            'body_ms': _format_milliseconds(arriving_seconds),
+        }
     return _build_line(
         RUN_ENDED,
         request=attempt.request_id,
@@ -140,6 +153,7 @@
         running=str(upstream.running),
         limit=str(upstream.limit),
         left_ms=_format_milliseconds(left_seconds),
+        **body_fields,
     )
 
 
--- a/briartack/core/calls/calls_state.py
+++ b/briartack/core/calls/calls_state.py
@@ -62,6 +62,7 @@
     def replace_rules(self, rules: CallRules, drain_seconds: float) -> None:
         """Replace the rules of the local upstream and of the next stop."""
         self.owner.upstream.replace_rules(rules)
+        self.owner.bodies.replace_rate(rules.link_bytes_per_second)
         self.drain.configure(
             drain_seconds=drain_seconds,
             linger_seconds=rules.linger_seconds,
@@ -99,6 +100,8 @@
 ) -> Effects:
     """Deliver local answers to the sender; exit once a planned stop is done.
 
+    Grants the bodies for which the event has made room.
+
     A stop is done when callers are refused and the sender, the owner and the
     key issuer have no work left. Return `effects`, extended by the effects of
     both steps.
@@ -106,6 +109,7 @@
     own = context.identity.instance
     if state.owner.suspects.take_growth():
         effects.extend(state.owner.refuse_suspects(now))
+    effects.extend(state.owner.bodies.advance(now))
     for outcome in iter(state.owner.pop_outcome, None):
         effects.extend(
             state.sender.handle_answer(
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from briartack.core.calls import placement
+from briartack.core.calls.body_arrivals import describe_body, order_for_body
 from briartack.core.calls.call_context import CallContext, Member, Regions
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.call_table import Call
@@ -187,6 +188,39 @@
             member = self._choose_isolated(context, now, call, scopes, suspect)
             if member is not None:
                 return ChosenEndpoint(member=member, regions=regions)
+        return self._choose_for_body(context, now, call, regions, scopes)
+
+    def _choose_for_body(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        regions: Regions,
+        scopes: Scopes,
+    ) -> EndpointChoice:
+        """Choose by load, after the owners' waits for bodies if these apply."""
+        body = describe_body(context, now, call, scopes, self.endpoints)
+        if body is not None:
+            scopes = order_for_body(
+                self.endpoints,
+                now,
+                body,
+                scopes,
+                load_of=partial(self._compute_untried_load, context, now, call),
+                has_room=partial(self._has_body_room, now, call),
+            )
+            if not scopes:
+                return SelectionFailure.NO_ROOM
+        return self._choose_by_load(context, now, call, regions, scopes)
+
+    def _choose_by_load(
+        self,
+        context: CallContext,
+        now: float,
+        call: Call,
+        regions: Regions,
+        scopes: Scopes,
+    ) -> EndpointChoice:
         choose = partial(
             self.choose_among,
             context,
@@ -210,6 +244,22 @@
             return msgspec.structs.replace(last_resort, is_last_resort=True)
         return choice
 
+    def _compute_untried_load(
+        self, context: CallContext, now: float, call: Call, member: Member
+    ) -> float | None:
+        if member.instance in call.tried_instances:
+            return None
+        return self._compute_load(
+            context, now, member, call.share.limits, call.deadline
+        )
+
+    def _has_body_room(
+        self, now: float, call: Call, member: Member, *, is_near: bool
+    ) -> bool:
+        return call.body_bytes < LARGE_BODY_BYTES or self._has_room(
+            now, member, call.share.limits.slots, is_near=is_near
+        )
+
     def _choose_isolated(
         self,
         context: CallContext,
--- a/briartack/core/calls/endpoints.py
+++ b/briartack/core/calls/endpoints.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterator
 from typing import Final, final
 
+from briartack.core.calls.body_grants import compute_link_rate
+from briartack.core.calls.body_waits import BodyWait
 from briartack.core.calls.run_times import MeanRunTime
 from briartack.core.units import Incarnation, InstanceId
 
@@ -41,6 +43,8 @@
         'load',
         'load_reported_at',
         'run_time',
+        'ungranted_body_bytes',
+        'body_wait',
         'in_flight',
         'last_seen_at',
         'is_draining',
@@ -66,6 +70,9 @@
         self.load = float(0)
         self.load_reported_at = now
         self.run_time = MeanRunTime()
+        # Bodies above this size wait for the peer's grant; `None` if none do.
+        self.ungranted_body_bytes: int | None = None
+        self.body_wait: Final = BodyWait()
         self.in_flight = 0
         self.last_seen_at = now
         self.is_draining = False
@@ -84,6 +91,11 @@
         is_in_service = not self.is_draining and now >= self.avoided_until
         return is_in_service and deadline < self.latest_deadline
 
+    def needs_grant(self, body_bytes: int) -> bool:
+        """Return whether a body waits for the peer's grant."""
+        ungranted_bytes = self.ungranted_body_bytes
+        return ungranted_bytes is not None and body_bytes > ungranted_bytes
+
     def may_hold_another(self, now: float, max_held: int) -> bool:
         """Return whether a silent peer may still get another attempt.
 
@@ -121,9 +133,13 @@
             return not self.in_flight
         return self.estimate_load(now, slots) < 1
 
-    def record_attempt_start(self, now: float) -> None:
-        """Count an attempt sent to the peer as in flight."""
+    def record_attempt_start(self, now: float, body_bytes: int = 0) -> None:
+        """Count an attempt sent to the peer, and its body, as in flight."""
         self.in_flight += 1
+        if self.ungranted_body_bytes is not None:
+            self.body_wait.add_body(
+                body_bytes, compute_link_rate(self.ungranted_body_bytes), now
+            )
         self._sent_at = now
         if self._unanswered_since <= self.last_seen_at:
             self._unanswered_since = now
@@ -149,6 +165,7 @@
         self.load_reported_at = now
         self._room_known_until = float('-inf')
         self._unanswered_since = float('-inf')
+        self.body_wait.reset()
 
 
 @final
@@ -176,8 +193,10 @@
         incarnation: Incarnation,
         clock: float,
         now: float,
+        *,
+        ungranted_body_bytes: int | None = None,
     ) -> None:
-        """Add a connected peer.
+        """Add a connected peer, and the size above which it grants bodies.
 
         A second stream to the same process keeps the state of the peer.
         """
@@ -185,12 +204,10 @@
         endpoint = self._endpoints.get(peer)
         if endpoint is not None and endpoint.incarnation == incarnation:
             self.record_clock_reading(peer, incarnation, clock, now)
-            return
-        self._endpoints[peer] = Endpoint(
-            incarnation=incarnation,
-            clock=clock,
-            now=now,
-        )
+        else:
+            endpoint = Endpoint(incarnation=incarnation, clock=clock, now=now)
+            self._endpoints[peer] = endpoint
+        endpoint.ungranted_body_bytes = ungranted_body_bytes
 
     def disconnect(self, peer: InstanceId) -> None:
         """Remove a peer whose stream is down or whose dial failed."""
@@ -230,9 +247,11 @@
         if endpoint is not None:
             endpoint.record_load(load, run_seconds, now)
 
-    def record_attempt_start(self, peer: InstanceId, now: float) -> None:
-        """Count an attempt sent to a peer as in flight."""
-        self._endpoints[peer].record_attempt_start(now)
+    def record_attempt_start(
+        self, peer: InstanceId, now: float, body_bytes: int = 0
+    ) -> None:
+        """Count an attempt sent to a peer, and its body, as in flight."""
+        self._endpoints[peer].record_attempt_start(now, body_bytes)
 
     def record_attempt_end(self, peer: InstanceId) -> None:
         """Remove an ended attempt from the count in flight."""
--- a/briartack/core/calls/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -13,6 +13,7 @@
 
 from briartack.core.body_ids import answer_body_id
 from briartack.core.calls import reasons
+from briartack.core.calls.body_grants import BodyGrants, get_urgency
 from briartack.core.calls.call_logs import log_run_ended
 from briartack.core.calls.idempotency import (
     MAX_OUTCOME_BYTES,
@@ -49,6 +50,8 @@
 class OwnedPhase(enum.Enum):
     """Enumerate the phases of an attempt at its owner."""
 
+    # The sender keeps the body until this daemon grants it.
+    AWAITING_GRANT = enum.auto()
     READING_BODY = enum.auto()
     QUEUED = enum.auto()
     RUNNING = enum.auto()
@@ -65,8 +68,14 @@
     peer: InstanceId | None
     body_id: BodyId
     deadline: float
+    received_at: float
     phase: OwnedPhase = OwnedPhase.READING_BODY
     generation: int = 0
+    latest_start: float = float('inf')  # as a planned stop allows
+    # The body could not arrive in time for the target.
+    is_body_late: bool = False
+    granted_at: float | None = None
+    body_read_at: float | None = None
 
 
 @final
@@ -87,6 +96,7 @@
 
     __slots__ = (
         '_upstream',
+        '_grants',
         '_attempts',
         '_outcomes',
         '_joined',
@@ -97,10 +107,12 @@
         self,
         *,
         upstream: LocalUpstream,
+        grants: BodyGrants,
         attempts: dict[AttemptId, OwnedAttempt],
     ) -> None:
-        """Share the upstream and the attempts with the owner."""
+        """Share the upstream, the grants and the attempts with the owner."""
         self._upstream = upstream
+        self._grants = grants
         self._attempts = attempts
         self._outcomes = OutcomeStore()
         self._joined: dict[str, list[AttemptId]] = {}
@@ -242,6 +254,7 @@
             load=self._upstream.load(event.now),
             run_seconds=self._upstream.run_seconds(event.now),
             owner_clock=event.now,
+            body_wait_seconds=self._body_wait_seconds(event.now, record),
         )
         body_id = answer_body_id(event.attempt_id)
         outcome = f'status {event.status}'
@@ -326,6 +339,7 @@
             load=self._upstream.load(now),
             run_seconds=self._upstream.run_seconds(now),
             owner_clock=now,
+            body_wait_seconds=self._body_wait_seconds(now, record),
         )
         return self._deliver(record, repeated, body_id, is_body_kept=True)
 
@@ -370,6 +384,7 @@
             outcome=outcome,
             phase=record.phase.name.lower(),
             left_seconds=record.deadline - now,
+            body_seconds=_measure_body_seconds(now, record),
         )
 
     def _create_refusal(
@@ -390,8 +405,13 @@
             load=self._upstream.load(now),
             run_seconds=self._upstream.run_seconds(now),
             owner_clock=now,
+            body_wait_seconds=self._body_wait_seconds(now, record),
         )
 
+    def _body_wait_seconds(self, now: float, record: OwnedAttempt) -> float:
+        """Return how long a new body as urgent as the attempt would wait."""
+        return self._grants.wait_seconds(now, get_urgency(record.attempt))
+
     def _deliver(
         self,
         record: OwnedAttempt,
@@ -417,6 +437,19 @@
         return []
 
 
+def _measure_body_seconds(
+    now: float, record: OwnedAttempt
+) -> tuple[float, float] | None:
+    """Return how long a body waited for its grant, and then to be whole."""
+    if not record.attempt.awaits_grant:
+        return None
+    granted_at = now if record.granted_at is None else record.granted_at
+    read_at = record.body_read_at
+    if read_at is None:
+        read_at = now
+    return granted_at - record.received_at, read_at - granted_at
+
+
 def _is_from_future(issued: IssuedKey | None, now: float) -> bool:
     """Return whether a key is forged: its clock is ahead of its owner's.
 
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -9,6 +9,7 @@
 
 from briartack.core.body_ids import attempt_body_id
 from briartack.core.calls import reasons
+from briartack.core.calls.body_grants import BodyGrants
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.crash_suspects import CrashSuspects
@@ -22,6 +23,7 @@
     OwnedPhase,
     OwnerAnswers,
 )
+from briartack.core.calls.owner_bodies import OwnerBodies
 from briartack.core.calls.owner_checks import (
     find_latest_start,
     find_refusal_reason,
@@ -63,6 +65,8 @@
     __slots__ = (
         '_upstream',
         'dedup',
+        'bodies',
+        '_grants',
         '_answers',
         '_attempts',
         '_runner',
@@ -83,15 +87,23 @@
         self._crash_watch = CrashWatch()
         self.dedup: Final = DedupState()
         self._attempts: dict[AttemptId, OwnedAttempt] = {}
+        self._grants = BodyGrants(
+            link_bytes_per_second=rules.link_bytes_per_second,
+        )
         self._answers = OwnerAnswers(
             upstream=self._upstream,
+            grants=self._grants,
             attempts=self._attempts,
         )
         self._runner = OwnerRunner(
             upstream=self._upstream,
             answers=self._answers,
+            grants=self._grants,
             attempts=self._attempts,
         )
+        self.bodies: Final = OwnerBodies(
+            grants=self._grants, runner=self._runner
+        )
 
     @property
     def in_flight(self) -> int:
@@ -181,6 +193,8 @@
         latest_start = find_latest_start(
             self._drain, now, record, self._upstream
         )
+        if attempt.awaits_grant:
+            return self.bodies.begin(now, record, latest_start)
         return self._runner.expect_body(now, record, latest_start)
 
     def handle_body_read(
@@ -194,6 +208,7 @@
         if record is None or record.phase is not OwnedPhase.READING_BODY:
             return [DropBody(body_id=attempt_body_id(attempt_id))]
         self._runner.remove(now, attempt_id)
+        record.body_read_at = now
         return self._admit(context, now, record, is_stopping=False)
 
     def cancel(
@@ -412,6 +427,7 @@
         peer=peer,
         body_id=body_id,
         deadline=now + attempt.remaining_ms / MILLISECONDS_PER_SECOND,
+        received_at=now,
     )
 
 
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -10,6 +10,7 @@
 from briartack.core.body_ids import answer_body_id
 from briartack.core.calls import reasons
 from briartack.core.calls.admission import AdmissionResult, SlotRequest
+from briartack.core.calls.body_grants import BodyGrants
 from briartack.core.calls.call_headers import build_upstream_headers
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import (
@@ -28,7 +29,6 @@
     WakeAt,
 )
 from briartack.core.events import UpstreamAnswered, UpstreamFailed
-from briartack.core.messages import Attempt
 from briartack.core.units import MILLISECONDS_PER_SECOND, AttemptId
 from briartack.core.verdict import Verdict
 
@@ -44,6 +44,7 @@
     __slots__ = (
         '_upstream',
         '_answers',
+        '_grants',
         '_attempts',
         '_timers',
         '_running_ranks',
@@ -54,10 +55,12 @@
         *,
         upstream: LocalUpstream,
         answers: OwnerAnswers,
+        grants: BodyGrants,
         attempts: dict[AttemptId, OwnedAttempt],
     ) -> None:
         self._upstream = upstream
         self._answers = answers
+        self._grants = grants
         self._attempts = attempts
         self._timers: Timers[AttemptId] = Timers()
         self._running_ranks: dict[str, int] = {}  # by request id
@@ -78,8 +81,18 @@
         if record is not None and record.phase is OwnedPhase.RUNNING:
             self._running_ranks.pop(record.attempt.request_id, None)
             self._upstream.run_bound.end(attempt_id, now)
+        if record is not None and record.attempt.awaits_grant:
+            self._grants.end(attempt_id)
         return record
 
+    def find(self, attempt_id: AttemptId) -> OwnedAttempt | None:
+        """Return an attempt that has not been answered, or `None`."""
+        return self._attempts.get(attempt_id)
+
+    def is_tracked(self, record: OwnedAttempt) -> bool:
+        """Return whether an attempt has not been answered."""
+        return self._attempts.get(record.attempt.attempt_id) is record
+
     def find_running_rank(self, request_id: str) -> int | None:
         """Return the rank of a running request, or `None` if not running."""
         return self._running_ranks.get(request_id)
@@ -91,7 +104,7 @@
         record.phase = OwnedPhase.QUEUED
         self.track(record)
         self._answers.mark_key_running(record)
-        waiting = self._build_slot_request(now, record, latest_start)
+        waiting = self.build_slot_request(now, record, latest_start)
         return self._apply(now, self._upstream.offer(waiting, now))
 
     def expect_body(
@@ -102,14 +115,8 @@
         Attempts whose bodies are being read, and that would go first, are
         expected to take slots or places in the queue.
         """
-        rank = record.attempt.rank
-        expected = sum(
-            other.phase is OwnedPhase.READING_BODY
-            and other.attempt.rank <= rank
-            for other in self._attempts.values()
-        )
-        waiting = self._build_slot_request(now, record, latest_start)
-        if self._upstream.has_room(waiting, now, expected=expected):
+        record.latest_start = latest_start
+        if self.has_slot_room(now, record):
             self.track(record)
             return []
         return [
@@ -117,6 +124,21 @@
             *self._answers.refuse(now, record, reasons.OVERLOAD),
         ]
 
+    def has_slot_room(self, now: float, record: OwnedAttempt) -> bool:
+        """Return whether an attempt would get a slot or a place in the queue.
+
+        Attempts whose bodies wait for a grant are not expected to: the queue
+        may be shorter by the time that they have arrived.
+        """
+        rank = record.attempt.rank
+        expected = sum(
+            other.phase is OwnedPhase.READING_BODY
+            and other.attempt.rank <= rank
+            for other in self._attempts.values()
+        )
+        waiting = self.build_slot_request(now, record, record.latest_start)
+        return self._upstream.has_room(waiting, now, expected=expected)
+
     def cancel(self, now: float, record: OwnedAttempt) -> Effects:
         """Cancel an attempt whose answer nobody waits for.
 
@@ -224,6 +246,22 @@
         self._timers.compact(len(self._attempts), self._attempts.__contains__)
         return effects
 
+    def build_slot_request(
+        self, now: float, record: OwnedAttempt, latest_start: float
+    ) -> SlotRequest:
+        """Describe the slot that an attempt needs, with its time limits."""
+        return SlotRequest(
+            attempt_id=record.attempt.attempt_id,
+            deadline=record.deadline,
+            interactive=record.attempt.interactive,
+            rank=record.attempt.rank,
+            is_awaited_by_run=record.attempt.is_awaited_by_run,
+            useful_until=self._compute_useful_until(now, record),
+            latest_start=min(
+                latest_start, record.deadline - self._upstream.mean_seconds
+            ),
+        )
+
     def _apply(self, now: float, admission: AdmissionResult) -> Effects:
         effects: Effects = []
         for refused in admission.refused:
@@ -240,26 +278,14 @@
             effects.append(WakeAt(at=next_start_at))
         return effects
 
-    def _build_slot_request(
-        self, now: float, record: OwnedAttempt, latest_start: float
-    ) -> SlotRequest:
-        return SlotRequest(
-            attempt_id=record.attempt.attempt_id,
-            deadline=record.deadline,
-            interactive=record.attempt.interactive,
-            rank=record.attempt.rank,
-            is_awaited_by_run=record.attempt.is_awaited_by_run,
-            useful_until=self._compute_useful_until(now, record.attempt),
-            latest_start=min(
-                latest_start, record.deadline - self._upstream.mean_seconds
-            ),
-        )
-
-    def _compute_useful_until(self, now: float, attempt: Attempt) -> float:
-        if attempt.target_ms is None:
+    def _compute_useful_until(self, now: float, record: OwnedAttempt) -> float:
+        attempt = record.attempt
+        if attempt.target_ms is None or record.is_body_late:
             return float('inf')
         target_seconds = attempt.target_ms / MILLISECONDS_PER_SECOND
-        return now + target_seconds - self._upstream.mean_seconds
+        # The wait for a grant is part of the time to the target.
+        stated_at = record.received_at if attempt.awaits_grant else now
+        return stated_at + target_seconds - self._upstream.mean_seconds
 
     def _dispatch(self, now: float, record: OwnedAttempt) -> Dispatch:
         record.phase = OwnedPhase.RUNNING
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -195,6 +195,9 @@
         if call is None or call.peer != peer:
             return [Count(name='answers_late'), *drop_body_effects]
         self._attempt_sender.end(call)
+        self._attempt_sender.record_body_wait(
+            call, peer, answer.body_wait_seconds, now
+        )
         if answer.verdict is Verdict.RAN:
             return self._responder.answer(
                 now, call, answer, body_id, drop_body_effects
--- a/briartack/core/effects.py
+++ b/briartack/core/effects.py
@@ -92,6 +92,17 @@
     deadline: float | None = None  # after which the sender needs no answer
 
 
+@final
+class GrantBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Reserve memory for the body of a peer's attempt, and ask for it.
+
+    `BodyRoomMissing` reports that there is no memory.
+    """
+
+    peer: InstanceId
+    attempt_id: AttemptId
+
+
 @final
 class ReadBody(msgspec.Struct, frozen=True, kw_only=True):
     """Read the body of a caller's request, up to the limit."""
@@ -203,6 +214,7 @@
     | SendMessage
     | SendAttempt
     | SendAnswer
+    | GrantBody
     | ReadBody
     | AnswerCall
     | Dispatch
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -123,6 +123,15 @@
     attempt_id: AttemptId
 
 
+@final
+class BodyRoomMissing(msgspec.Struct, frozen=True, kw_only=True):
+    """Report that there is no memory for a body that was to be granted."""
+
+    now: float
+    peer: InstanceId
+    attempt_id: AttemptId
+
+
 @final
 class CallArrived(msgspec.Struct, frozen=True, kw_only=True):
     """Report the head of a caller's request, before its body is read."""
@@ -276,6 +285,7 @@
     | PeerDisconnected
     | PeerMessageReceived
     | AttemptBodyRead
+    | BodyRoomMissing
     | CallArrived
     | CallBodyRead
     | CallCancelled
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -18,6 +18,7 @@
 from briartack.core.effects import Effects, LogLevel, WriteAudit, WriteLog
 from briartack.core.events import (
     AttemptBodyRead,
+    BodyRoomMissing,
     CallArrived,
     CallBodyRead,
     CallCancelled,
@@ -305,6 +306,12 @@
     )
 
 
+def _on_body_room_missing(state: State, event: BodyRoomMissing) -> Effects:
+    return call_handlers.on_body_room_missing(
+        state.calls, make_call_context(state), event
+    )
+
+
 def _on_call_arrived(state: State, event: CallArrived) -> Effects:
     return call_handlers.on_call_arrived(
         state.calls, make_call_context(state), event
@@ -421,6 +428,7 @@
     PeerDisconnected: _on_peer_disconnected,
     PeerMessageReceived: _on_peer_message,
     AttemptBodyRead: _on_attempt_body_read,
+    BodyRoomMissing: _on_body_room_missing,
     CallArrived: _on_call_arrived,
     CallBodyRead: _on_call_body_read,
     CallCancelled: _on_call_cancelled,
