Hold the bodies of attempts at their senders until they are granted

A daemon with a link rate in its settings states in its hello which bodies wait for its grant. The sender keeps such a body beside the stream, and the hello of that stream alone decides whether a head is sent without its body, so daemons of earlier releases never get one.

--- a/briartack/bodies.py
+++ b/briartack/bodies.py
@@ -125,10 +125,20 @@
         raise MalformedFrameError(
             f'announced body of {head.body_bytes} bytes is out of range',
         )
-    if head.body_bytes <= MAX_CHUNK_BYTES:
+    is_inline = head.body_bytes <= MAX_CHUNK_BYTES and not is_held_attempt(head)
+    if is_inline:
         verify_body(head, head.body)
     elif head.body:
-        raise MalformedFrameError('a body above the chunk limit is sent inline')
+        raise MalformedFrameError(
+            'a body that has to be sent in chunks is inline'
+        )
+
+
+def is_held_attempt(head: Attempt | Answer) -> bool:
+    """Return whether a message announces a request body without sending it."""
+    return (
+        isinstance(head, Attempt) and head.awaits_grant and head.body_bytes > 0
+    )
 
 
 def verify_body(head: Attempt | Answer, body: bytes) -> None:
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -165,6 +165,7 @@
             deliver=self._loop.deliver,
             clock=clock,
             observer=observer,
+            link_bytes_per_second=rules.link_bytes_per_second,
         )
         self._store = StoreClient(
             address=options.store_address,
@@ -300,6 +301,7 @@
         if not self._is_stopping:
             self._drain_seconds = integration.drain_seconds
             self._exit_flush_seconds = integration.exit_flush_seconds
+        self._peers.replace_link_rate(integration.rules.link_bytes_per_second)
         self._loop.deliver(
             events.SettingsReloaded(
                 now=boot_clock(),
@@ -382,6 +384,7 @@
             effects.SendMessage: self._peers.send_message,
             effects.SendAttempt: self._peers.send_attempt,
             effects.SendAnswer: self._peers.send_answer,
+            effects.GrantBody: self._peers.grant_body,
             effects.ReadBody: self._callers.read_body,
             effects.AnswerCall: self._callers.answer,
             effects.LimitCallers: self._callers.limit,
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -15,6 +15,7 @@
 
 from briartack.accepting import PeerServer
 from briartack.addresses import Address, parse_address
+from briartack.core.calls.body_grants import compute_ungranted_body_bytes
 from briartack.core.effects import Connect, LogLevel
 from briartack.core.events import PeerConnected, PeerDisconnected
 from briartack.core.identity import Identity
@@ -65,6 +66,7 @@
         '_streams_by_peer',
         '_unintroduced',
         '_dialling',
+        'link_bytes_per_second',
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         deliver: DeliverEvent,
         clock: Clock,
         observer: Observer,
+        link_bytes_per_second: float | None,
     ) -> None:
         self._identity = identity
         self._deliver = deliver
@@ -87,6 +90,8 @@
         # Accepted streams without a hello, the oldest one first.
         self._unintroduced: OrderedDict[PeerStream, None] = OrderedDict()
         self._dialling: set[InstanceId] = set()
+        # The hello of each new stream asks peers for grants accordingly.
+        self.link_bytes_per_second = link_bytes_per_second
 
     @property
     def streams(self) -> Iterable[PeerStream]:
@@ -144,6 +149,9 @@
                 region=identity.region,
                 clock=self._clock(),
                 grants_answers=True,
+                ungranted_body_bytes=compute_ungranted_body_bytes(
+                    self.link_bytes_per_second
+                ),
             ),
         )
 
@@ -255,13 +263,14 @@
         self, stream: PeerStream, hello: Hello, message: PeerMessage
     ) -> None:
         """Apply what a message says about the bodies queued for its sender."""
+        # A body waits at the stream in use, which may be another one.
+        current = self._streams_by_peer.get(hello.instance, stream)
         if isinstance(message, Answer):
             # An owner that answers early needs no more of the body.
             stream.outbox.drop_body(message.attempt_id)
-            return
-        # An answer waits at the stream in use, which may be another one.
-        current = self._streams_by_peer.get(hello.instance, stream)
-        if isinstance(message, Grant):
+            if current is not stream:
+                current.outbox.drop_body(message.attempt_id)
+        elif isinstance(message, Grant):
             current.grant(message.attempt_id)
         elif isinstance(message, Cancel) and hello.grants_answers:
             # Other peers expect the rest of a body that has begun.
--- a/briartack/peer_inbox.py
+++ b/briartack/peer_inbox.py
@@ -9,10 +9,19 @@
 import msgspec
 
 from briartack.answer_grants import AnswerGrants, CountAhead
-from briartack.bodies import BodyAssembler, BodyStore, verify_announcement
+from briartack.bodies import (
+    BodyAssembler,
+    BodyStore,
+    is_held_attempt,
+    verify_announcement,
+)
 from briartack.core.body_ids import answer_body_id, attempt_body_id
 from briartack.core.calls.reasons import NO_ROOM
-from briartack.core.events import AttemptBodyRead, PeerMessageReceived
+from briartack.core.events import (
+    AttemptBodyRead,
+    BodyRoomMissing,
+    PeerMessageReceived,
+)
 from briartack.core.messages import (
     MAX_CHUNK_BYTES,
     Answer,
@@ -30,6 +39,7 @@
 from briartack.shell_interfaces import Clock, DeliverEvent
 
 # The bool says whether the body is that of an answer.
+_HeldKey: TypeAlias = tuple[InstanceId, AttemptId]
 _AssemblyKey: TypeAlias = tuple[InstanceId, AttemptId, bool]
 SendGrant: TypeAlias = Callable[[InstanceId, Grant], None]
 
@@ -43,6 +53,7 @@
         '_deliver',
         '_clock',
         '_assemblies',
+        '_held',
         '_grants',
         '_send_grant',
     )
@@ -61,6 +72,8 @@
         self._deliver = deliver
         self._clock = clock
         self._assemblies: dict[_AssemblyKey, BodyAssembler] = {}
+        # Heads whose bodies the core has yet to grant.
+        self._held: dict[_HeldKey, Attempt] = {}
         self._grants = AnswerGrants(
             memory=bodies.memory,
             count_ahead=count_ahead,
@@ -84,10 +97,29 @@
                 self.drop_request_body(peer, message.attempt_id)
             self._deliver_message(peer, message)
 
+    def grant_body(self, peer: InstanceId, attempt_id: AttemptId) -> None:
+        """Reserve memory for the body of an attempt and ask for it."""
+        head = self._held.get((peer, attempt_id))
+        if head is None:
+            # Its stream has ended, which the next event reports.
+            return
+        lease = self._bodies.memory.reserve_request(head.body_bytes)
+        if lease is None:
+            self._deliver(
+                BodyRoomMissing(
+                    now=self._clock(), peer=peer, attempt_id=attempt_id
+                )
+            )
+            return
+        self._held.pop((peer, attempt_id))
+        self._assemblies[peer, attempt_id, False] = BodyAssembler(head, lease)
+        self._send_grant(peer, Grant(attempt_id=attempt_id))
+
     def drop_request_body(
         self, peer: InstanceId, attempt_id: AttemptId
     ) -> None:
-        """Ignore the remaining chunks of an unneeded request body."""
+        """Ignore what is to come of an unneeded request body."""
+        self._held.pop((peer, attempt_id), None)
         self._drop_assembly((peer, attempt_id, False))
 
     def drop_answer(self, peer: InstanceId, attempt_id: AttemptId) -> None:
@@ -100,6 +132,9 @@
         for key in tuple(self._assemblies):
             if key[0] == peer:
                 self._drop_assembly(key)
+        for held in tuple(self._held):
+            if held[0] == peer:
+                self._held.pop(held)
         self._grants.drop_peer(peer)
 
     def _handle_head(
@@ -112,6 +147,9 @@
             if not self._grants.add(peer, head):
                 self._deliver_message(peer, head)
             return
+        if isinstance(head, Attempt) and is_held_attempt(head):
+            self._hold_attempt(peer, head)
+            return
         lease = self._lease_body(head)
         if lease is None:
             # The chunks that follow belong to no body and are ignored.
@@ -122,6 +160,19 @@
         else:
             self._handle_whole(peer, head, lease)
 
+    def _hold_attempt(self, peer: InstanceId, head: Attempt) -> None:
+        """Deliver a head; its body takes memory only once it is granted.
+
+        A body that never fits would wait in vain.
+        """
+        memory = self._bodies.memory
+        has_room = head.body_bytes <= memory.max_request_bytes and memory.fits(
+            0, 0
+        )
+        if has_room:
+            self._held[peer, head.attempt_id] = head
+        self._deliver_message(peer, head, has_room=has_room)
+
     def _lease_body(self, head: Attempt | Answer) -> Lease | None:
         """Return a lease on the body, or None if an attempt has no room."""
         if isinstance(head, Answer):
--- a/briartack/peer_outbox.py
+++ b/briartack/peer_outbox.py
@@ -76,6 +76,7 @@
         '_body_bytes',
         '_waiting',
         '_waiting_bytes',
+        '_held_attempts',
         '_body_taken_at',
         '_memory',
         '_lease',
@@ -95,6 +96,8 @@
         # Answers for which the peer has yet to send a grant.
         self._waiting: dict[AttemptId, _WaitingAnswer] = {}
         self._waiting_bytes = 0
+        # Bodies of attempts that the peer has yet to grant.
+        self._held_attempts: dict[AttemptId, bytes] = {}
         self._body_taken_at: float = 0  # monotonic seconds
 
     @property
@@ -158,14 +161,28 @@
         self._waiting_bytes += len(body)
         self._count()
 
-    def grant(self, attempt_id: AttemptId) -> None:
-        """Send the body of an answer, unless it has been dropped."""
+    def hold_attempt(self, attempt_id: AttemptId, body: bytes) -> None:
+        """Keep the body of an attempt until the peer sends a grant."""
+        self._held_attempts[attempt_id] = body
+
+    def grant(self, attempt_id: AttemptId) -> int:
+        """Send the body that waits for a grant, unless it has been dropped.
+
+        Returns the size of the body if it is that of an attempt.
+        """
+        held = self._held_attempts.pop(attempt_id, None)
+        if held is not None:
+            self.queue_body(attempt_id=attempt_id, is_answer=False, body=held)
+            return len(held)
         body = self.drop_waiting(attempt_id)
         if body:
             self.queue_body(attempt_id=attempt_id, is_answer=True, body=body)
+        return 0
 
     def take_over(self, other: 'PeerOutbox') -> None:
-        """Keep the answers that wait in another queue to the same peer."""
+        """Keep the bodies that wait in another queue to the same peer."""
+        self._held_attempts.update(other._held_attempts)  # noqa: SLF001
+        other._held_attempts.clear()  # noqa: SLF001
         waiting = other._waiting  # noqa: SLF001
         for attempt_id, (body, timer) in waiting.items():
             self.hold_answer(attempt_id, body, timer)
@@ -190,6 +207,7 @@
 
     def drop_body(self, attempt_id: AttemptId) -> None:
         """Remove the bodies of an attempt that has ended."""
+        self._held_attempts.pop(attempt_id, None)
         self.drop_waiting(attempt_id)
         if not self._bodies:
             return
@@ -231,6 +249,7 @@
         """Remove all frames and bodies."""
         self._frames.clear()
         self._bodies.clear()
+        self._held_attempts.clear()
         self._frame_bytes = 0
         self._body_bytes = 0
         self.clear_waiting()
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -91,6 +91,12 @@
         """Return whether the peer grants the large answers that it gets."""
         return self.hello is not None and self.hello.grants_answers
 
+    def needs_grant(self, body_bytes: int) -> bool:
+        """Return whether the body of an attempt waits for the peer's grant."""
+        if self.hello is None or self.hello.ungranted_body_bytes is None:
+            return False
+        return body_bytes > self.hello.ungranted_body_bytes
+
     @property
     def unsent_bytes(self) -> int:
         """Return the number of bytes that the peer has yet to get."""
@@ -154,8 +160,11 @@
             self.flush()
 
     def grant(self, attempt_id: AttemptId) -> None:
-        """Send the body of an answer for which the peer has room."""
-        self.outbox.grant(attempt_id)
+        """Send the body for which the peer has room."""
+        attempt_bytes = self.outbox.grant(attempt_id)
+        if attempt_bytes:
+            # Those of answers were counted as they began to wait.
+            self.traffic.count_sent(attempt_bytes, is_call_traffic=True)
         self.flush()
 
     def drop_answer(self, attempt_id: AttemptId) -> None:
--- a/briartack/peers.py
+++ b/briartack/peers.py
@@ -12,6 +12,7 @@
 from briartack.core.effects import (
     Connect,
     Disconnect,
+    GrantBody,
     LogLevel,
     SendAnswer,
     SendAttempt,
@@ -62,11 +63,13 @@
         clock: Clock,
         observer: Observer,
         count_ahead: CountAhead,
+        link_bytes_per_second: float | None = None,
     ) -> None:
         """Start without streams.
 
         `count_ahead` returns how many responses a caller gets before the answer
-        to an attempt.
+        to an attempt. If the rate of the link is known, peers let large bodies
+        of attempts wait for grants.
         """
         self._bodies = bodies
         self._observer = observer
@@ -85,6 +88,7 @@
             deliver=deliver,
             clock=clock,
             observer=observer,
+            link_bytes_per_second=link_bytes_per_second,
         )
         self._unflushed_streams: list[PeerStream] = []
         self._last_encoded: tuple[PeerMessage | None, bytes] = (None, b'')
@@ -132,11 +136,36 @@
         )
 
     def send_attempt(self, effect: SendAttempt) -> None:
-        """Queue an attempt and its body."""
+        """Queue an attempt and its body, which may wait for a grant.
+
+        Only the hello of the stream decides whether it waits. A peer that
+        doesn't ask for grants would wait for the body in vain.
+        """
         stream = self._connections.find_stream(effect.peer)
-        if stream is not None:
-            body = self._bodies.get(effect.body_id)
-            self._queue_head_and_body(effect.peer, stream, effect.attempt, body)
+        if stream is None:
+            return
+        body = self._bodies.get(effect.body_id)
+        awaits_grant = stream.needs_grant(len(body))
+        attempt = effect.attempt
+        if attempt.awaits_grant != awaits_grant:
+            attempt = msgspec.structs.replace(
+                attempt, awaits_grant=awaits_grant
+            )
+        if not awaits_grant:
+            self._queue_head_and_body(effect.peer, stream, attempt, body)
+            return
+        stream.outbox.hold_attempt(attempt.attempt_id, body)
+        self._queue_frame(
+            effect.peer, stream, encode(attempt), is_call_traffic=True
+        )
+
+    def grant_body(self, effect: GrantBody) -> None:
+        """Ask a peer for the body of its attempt, if there is memory for it."""
+        self._inbox.grant_body(effect.peer, effect.attempt_id)
+
+    def replace_link_rate(self, bytes_per_second: float | None) -> None:
+        """Replace the rate of the link for peers that connect from now on."""
+        self._connections.link_bytes_per_second = bytes_per_second
 
     def send_answer(self, effect: SendAnswer) -> None:
         """Queue an answer and its body.
--- a/briartack/test/shell_fixture.py
+++ b/briartack/test/shell_fixture.py
@@ -48,6 +48,7 @@
         store_dialect: StoreDialect | None = None,
         budget_bytes: int = BUDGET_BYTES,
         connection_limits: ConnectionLimits = CONNECTION_LIMITS,
+        link_bytes_per_second: float | None = None,
     ) -> None:
         self.name = InstanceId(name)
         self.state = FakeState(peer=peer)
@@ -77,6 +78,7 @@
             identity=make_identity(name, incarnation),
             bodies=self.bodies,
             count_ahead=lambda attempt_id: self.counts_ahead.get(attempt_id, 0),
+            link_bytes_per_second=link_bytes_per_second,
             **shared_arguments,
         )
         self.upstream = UpstreamClient(
@@ -100,6 +102,7 @@
                 effects.SendMessage: self.peers.send_message,
                 effects.SendAttempt: self.peers.send_attempt,
                 effects.SendAnswer: self.peers.send_answer,
+                effects.GrantBody: self.peers.grant_body,
             },
             after_event=self.peers.flush,
         )
