Test which bodies are granted, refused and sent elsewhere

Heads that are late from the start are now found before the queue of the upstream is asked, and a waiting head whose idempotency key runs meanwhile joins that run without a transfer; the cases showed both.

--- a/briartack/core/calls/body_arrivals.py
+++ b/briartack/core/calls/body_arrivals.py
@@ -69,12 +69,14 @@
 
     Return no scope if those that have said so would all get it too late.
     """
-    nearest = find_nearest_scope(scopes, load_of)
+    nearest = {
+        member.instance for member in find_nearest_scope(scopes, load_of)
+    }
 
     def arrival_of(member: Member) -> BodyArrival | None:  # noqa: WPS430
         if load_of(member) is None:
             return None
-        if not has_room(member, is_near=member in nearest):
+        if not has_room(member, is_near=member.instance in nearest):
             return None
         return _estimate_arrival(endpoints, now, body, member)
 
--- a/briartack/core/calls/body_grants.py
+++ b/briartack/core/calls/body_grants.py
@@ -130,6 +130,11 @@
         """Return the size of the bodies that wait for a grant."""
         return sum(body.request.size for body in self._waiting)
 
+    @property
+    def in_flight_count(self) -> int:
+        """Return the number of bodies granted and not yet received."""
+        return len(self._in_flight)
+
     @property
     def in_flight_bytes(self) -> int:
         """Return the size of the bodies granted and not yet received."""
@@ -146,18 +151,20 @@
         """Replace the rate of the link."""
         self._rate = link_bytes_per_second
 
-    def add(self, request: BodyRequest, now: float) -> bool:
-        """Add a body to those that wait and return whether it is late.
-
-        `advance` grants or refuses it.
+    def is_late(self, request: BodyRequest, now: float) -> bool:
+        """Return whether a new body misses its target even on an idle link.
 
-        A body that would miss the target even on an idle link is late from the
-        start: its deadline alone bounds its wait, and it goes after the bodies
+        Its deadline alone bounds its wait then, and it goes after the bodies
         that can meet their targets.
         """
         useful_until = request.useful_until
         arrives_at = now + self._transfer_seconds(request.size)
-        is_late = useful_until is None or useful_until < arrives_at
+        return useful_until is None or useful_until < arrives_at
+
+    def add(self, request: BodyRequest, now: float) -> None:
+        """Add a body to those that wait; `advance` grants or refuses it."""
+        useful_until = request.useful_until
+        is_late = self.is_late(request, now)
         latest_arrival = request.latest_arrival
         if useful_until is not None and not is_late:
             latest_arrival = min(useful_until, latest_arrival)
@@ -168,7 +175,6 @@
             latest_arrival=latest_arrival,
         )
         insort(self._waiting, waiting)
-        return is_late
 
     def end(self, attempt_id: AttemptId) -> None:
         """Remove a body that has arrived or whose attempt has ended."""
--- a/briartack/core/calls/calls_state.py
+++ b/briartack/core/calls/calls_state.py
@@ -109,7 +109,7 @@
     own = context.identity.instance
     if state.owner.suspects.take_growth():
         effects.extend(state.owner.refuse_suspects(now))
-    effects.extend(state.owner.bodies.advance(now))
+    effects.extend(state.owner.bodies.advance(context.identity, now))
     for outcome in iter(state.owner.pop_outcome, None):
         effects.extend(
             state.sender.handle_answer(
--- a/briartack/core/calls/endpoints.py
+++ b/briartack/core/calls/endpoints.py
@@ -136,10 +136,10 @@
     def record_attempt_start(self, now: float, body_bytes: int = 0) -> None:
         """Count an attempt sent to the peer, and its body, as in flight."""
         self.in_flight += 1
-        if self.ungranted_body_bytes is not None:
-            self.body_wait.add_body(
-                body_bytes, compute_link_rate(self.ungranted_body_bytes), now
-            )
+        ungranted_bytes = self.ungranted_body_bytes
+        if ungranted_bytes is not None and body_bytes > ungranted_bytes:
+            link_rate = compute_link_rate(ungranted_bytes)
+            self.body_wait.add_body(body_bytes, link_rate, now)
         self._sent_at = now
         if self._unanswered_since <= self.last_seen_at:
             self._unanswered_since = now
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -102,7 +102,9 @@
             attempts=self._attempts,
         )
         self.bodies: Final = OwnerBodies(
-            grants=self._grants, runner=self._runner
+            grants=self._grants,
+            answers=self._answers,
+            runner=self._runner,
         )
 
     @property
--- a/briartack/core/calls/owner_bodies.py
+++ b/briartack/core/calls/owner_bodies.py
@@ -7,14 +7,21 @@
 from typing import final
 
 from briartack.core.calls import reasons
+from briartack.core.calls.admission import SlotRequest
 from briartack.core.calls.body_grants import (
     BodyGrants,
     BodyRequest,
     get_urgency,
 )
-from briartack.core.calls.owned_attempts import OwnedAttempt, OwnedPhase
+from briartack.core.calls.owned_attempts import (
+    OwnedAttempt,
+    OwnedPhase,
+    OwnerAnswers,
+)
 from briartack.core.calls.owner_runner import OwnerRunner
 from briartack.core.effects import Count, Effects, GrantBody, WakeAt
+from briartack.core.identity import Identity
+from briartack.core.messages import Attempt
 from briartack.core.units import AttemptId, InstanceId
 
 
@@ -22,11 +29,14 @@
 class OwnerBodies:
     """Grant the bodies of attempts, or refuse the attempts as overload."""
 
-    __slots__ = ('_grants', '_runner')
+    __slots__ = ('_grants', '_answers', '_runner')
 
-    def __init__(self, *, grants: BodyGrants, runner: OwnerRunner) -> None:
-        """Share the grants and the attempts with the owner."""
+    def __init__(
+        self, *, grants: BodyGrants, answers: OwnerAnswers, runner: OwnerRunner
+    ) -> None:
+        """Share the grants, the answers and the attempts with the owner."""
         self._grants = grants
+        self._answers = answers
         self._runner = runner
 
     def begin(
@@ -39,26 +49,21 @@
         """
         attempt = record.attempt
         record.phase = OwnedPhase.AWAITING_GRANT
-        record.latest_start = latest_start
-        effects = self._runner.expect_body(now, record, latest_start)
-        if not self._runner.is_tracked(record):
-            return effects
         slot_request = self._runner.build_slot_request(
             now, record, latest_start
         )
-        is_late = attempt.is_late or (
-            attempt.target_ms is not None and attempt.target_ms <= 0
-        )
-        record.is_body_late = self._grants.add(
-            BodyRequest(
-                attempt_id=attempt.attempt_id,
-                size=attempt.body_bytes,
-                urgency=get_urgency(attempt),
-                useful_until=None if is_late else slot_request.useful_until,
-                latest_arrival=slot_request.latest_start,
-            ),
-            now,
+        request = BodyRequest(
+            attempt_id=attempt.attempt_id,
+            size=attempt.body_bytes,
+            urgency=get_urgency(attempt),
+            useful_until=_find_useful_until(attempt, slot_request),
+            latest_arrival=slot_request.latest_start,
         )
+        record.is_body_late = self._grants.is_late(request, now)
+        effects = self._runner.expect_body(now, record, latest_start)
+        if not self._runner.is_tracked(record):
+            return effects
+        self._grants.add(request, now)
         effects.append(Count(name='bodies.awaited_grant'))
         return effects
 
@@ -80,7 +85,7 @@
         """Replace the rate of the link of this daemon."""
         self._grants.replace_rate(link_bytes_per_second)
 
-    def advance(self, now: float) -> Effects:
+    def advance(self, identity: Identity, now: float) -> Effects:
         """Grant bodies and refuse attempts whose bodies would come too late."""
         effects: Effects = []
         has_room = self._grants.waiting_count > 0
@@ -92,32 +97,51 @@
                 )
             for refused in result.refused:
                 effects.extend(self._refuse(now, refused))
-            without_slot = self._grant_all(now, result.granted, effects)
+            given_up = self._grant_all(identity, now, result.granted, effects)
             # Those refused leave their room on the link to others.
-            has_room = bool(without_slot)
+            has_room = bool(given_up)
         retry_at = self._grants.retry_at
         if retry_at is not None and retry_at > now:
             effects.append(WakeAt(at=retry_at))
         return effects
 
     def _grant_all(
-        self, now: float, granted: tuple[AttemptId, ...], effects: Effects
+        self,
+        identity: Identity,
+        now: float,
+        granted: tuple[AttemptId, ...],
+        effects: Effects,
     ) -> int:
-        """Grant bodies, and return how many were refused instead.
-
-        The queue of the upstream may have filled up while a head waited, so
-        its room is checked again before the bytes are transferred.
-        """
-        refused = 0
+        """Grant bodies, and return how many are not needed after all."""
+        unneeded = 0
         for attempt_id in granted:
             record = self._runner.find(attempt_id)
-            if record is not None and self._runner.has_slot_room(now, record):
+            assert record is not None
+            answered = self._answer_without_body(identity, now, record)
+            if answered is None:
                 effects.extend(self._grant(now, record))
-                continue
-            refused += 1
-            self._grants.end(attempt_id)
-            effects.extend(self._refuse(now, attempt_id))
-        return refused
+            else:
+                unneeded += 1
+                self._grants.end(attempt_id)
+                effects.extend(answered)
+        return unneeded
+
+    def _answer_without_body(
+        self, identity: Identity, now: float, record: OwnedAttempt
+    ) -> Effects | None:
+        """Answer an attempt that needs no transfer, `None` if it does.
+
+        While its head waited, a request with its idempotency key may have
+        begun, or the queue of the upstream may have filled up.
+        """
+        repeated = self._answers.answer_repeated_key(identity, now, record)
+        if repeated is not None:
+            if record.phase is not OwnedPhase.JOINED:
+                self._runner.remove(now, record.attempt.attempt_id)
+            return repeated
+        if self._runner.has_slot_room(now, record):
+            return None
+        return self._refuse(now, record.attempt.attempt_id)
 
     def _grant(self, now: float, record: OwnedAttempt) -> Effects:
         record.phase = OwnedPhase.READING_BODY
@@ -139,3 +163,13 @@
             Count(name='bodies.refused'),
             *self._runner.expire(now, record, reasons.OVERLOAD),
         ]
+
+
+def _find_useful_until(
+    attempt: Attempt, slot_request: SlotRequest
+) -> float | None:
+    """Return until when a body is in time for the target, `None` if late."""
+    has_passed = attempt.target_ms is not None and attempt.target_ms <= 0
+    if attempt.is_late or has_passed:
+        return None
+    return slot_request.useful_until
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -158,6 +158,11 @@
     random: Random = field(default_factory=lambda: Random(1))
     _context: CallContext | None = None
 
+    def __post_init__(self) -> None:
+        """Set the rate of the link, if the setup states one."""
+        rules = CallRules(link_bytes_per_second=self.setup.get('link'))
+        self.state.replace_rules(rules, 5)
+
     @property
     def context(self) -> CallContext:
         """Return the context for the current setup; cached until `change`."""
@@ -287,6 +292,8 @@
             request_id=step.get('request', ''),
             rank=step.get('rank', 0),
             is_last_resort=step.get('last_resort', False),
+            awaits_grant=step.get('awaits_grant', False),
+            target_ms=step.get('target_ms'),
         )
         return self._handle_message(
             call_handlers.on_attempt, now, step, message
@@ -302,6 +309,16 @@
             self.state, self.context, event
         )
 
+    def _no_memory(self, now: float, step: Step) -> effects.Effects:
+        event = events.BodyRoomMissing(
+            now=now,
+            peer=InstanceId(step.get('peer', 'b')),
+            attempt_id=AttemptId(step['attempt']),
+        )
+        return call_handlers.on_body_room_missing(
+            self.state, self.context, event
+        )
+
     def _answer(self, now: float, step: Step) -> effects.Effects:
         message = messages.Answer(
             attempt_id=AttemptId(step['attempt']),
@@ -314,6 +331,7 @@
             load=step.get('load', 0),
             owner_clock=step.get('clock', now),
             run_seconds=step.get('run_seconds', 0),
+            body_wait_seconds=step.get('body_wait', 0),
         )
         return self._handle_message(call_handlers.on_answer, now, step, message)
 
@@ -350,6 +368,7 @@
             data_centre=peer.data_centre,
             region=peer.region,
             clock=step.get('clock', now),
+            ungranted_body_bytes=step.get('ungranted_bytes'),
         )
         event = events.PeerConnected(now=now, peer=peer.instance, hello=hello)
         return call_handlers.on_peer_connected(self.state, self.context, event)
--- a/briartack/test/effect_lines.py
+++ b/briartack/test/effect_lines.py
@@ -28,6 +28,8 @@
             )
         case effects.SendAttempt():
             return f'send {effect.peer} {_format_attempt(effect.attempt)}'
+        case effects.GrantBody():
+            return f'grant {effect.peer} {effect.attempt_id}'
         case effects.SendMessage():
             return f'{type(effect.message).__name__.lower()} {effect.peer}'
         case effects.Dispatch():
@@ -49,4 +51,6 @@
 
 def _format_attempt(attempt: Attempt) -> str:
     mark = ' last-resort' if attempt.is_last_resort else ''
+    if attempt.awaits_grant:
+        mark = f'{mark} awaits-grant'
     return f'{attempt.attempt_id}{mark}'
