--- a/standins/link_proxy.py
+++ b/standins/link_proxy.py
@@ -4,6 +4,7 @@
 """
 
 import struct
+from time import monotonic
 from typing import Any, Final, final
 
 import gevent
@@ -11,6 +12,10 @@
 from gevent.server import StreamServer
 
 RECEIVE_BYTES: Final = 65536
+# About three packets, so that streams take turns on a slow link.
+SLOW_RECEIVE_BYTES: Final = 4096
+# Timers are late by a millisecond or so, which would slow the link down.
+SLACK_SECONDS: Final = 0.01
 POLL_SECONDS: Final = 0.1
 _RESET_AT_CLOSE: Final = struct.pack('ii', 1, 0)
 
@@ -45,14 +50,31 @@
     """Forward streams to a daemon; `fault` states what holds them up.
 
     `cut` resets new streams, `hang` holds up both directions, and `one-way`
-    only the bytes of the daemon.
+    only the bytes of the daemon. With a rate, all streams share a link that
+    carries as many bytes a second in each direction, in order.
     """
 
-    __slots__ = ('fault', '_target', '_links', '_server')
-
-    def __init__(self, *, address: str, target: str) -> None:
+    __slots__ = (
+        'fault',
+        '_target',
+        '_links',
+        '_server',
+        '_bytes_per_second',
+        '_free_at',
+    )
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        target: str,
+        bytes_per_second: float | None = None,
+    ) -> None:
         """Create the proxy, which does not listen yet."""
         self.fault = ''
+        self._bytes_per_second = bytes_per_second
+        # When the link has carried all bytes so far, by direction.
+        self._free_at = {True: 0.0, False: 0.0}
         self._target = _split_address(target)
         self._links: set[_Link] = set()
         self._server = StreamServer(_split_address(address), self._serve)
@@ -101,8 +123,9 @@
         if is_back:
             source, sink = sink, source
         try:
-            while part := source.recv(RECEIVE_BYTES):
+            while part := source.recv(self._part_bytes):
                 self._hold(link, is_back=is_back)
+                self._pace(len(part), is_back=is_back)
                 sink.sendall(part)
             self._hold(link, is_back=is_back)
             sink.shutdown(socket.SHUT_WR)
@@ -110,6 +133,20 @@
             # One side has ended, which the other side has to see.
             link.reset()
 
+    @property
+    def _part_bytes(self) -> int:
+        is_slow = self._bytes_per_second is not None
+        return SLOW_RECEIVE_BYTES if is_slow else RECEIVE_BYTES
+
+    def _pace(self, size: int, *, is_back: bool) -> None:
+        """Wait until the link has carried bytes after all before them."""
+        if self._bytes_per_second is None:
+            return
+        now = monotonic()
+        begins_at = max(self._free_at[is_back], now - SLACK_SECONDS)
+        self._free_at[is_back] = begins_at + size / self._bytes_per_second
+        gevent.sleep(max(0, self._free_at[is_back] - now))
+
     def _hold(self, link: _Link, *, is_back: bool) -> None:
         while not link.is_closed and (
             link.is_silent
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -35,7 +35,8 @@
     """Hold the zones with their regions, the services and their sizes.
 
     `max_descriptors` also limits the processes of the daemons, unless None.
-    With links, the daemons reach each other through proxies.
+    With links, the daemons reach each other through proxies, which have the
+    rate of the links.
     """
 
     regions_by_zone: Mapping[str, str]
@@ -45,6 +46,9 @@
     max_descriptors: int | None = None
     memory_mb: int = MEMORY_MB
     has_links: bool = False
+    # Rate of the link of each daemon; its settings state it if `states_rate`.
+    link_mbps: float | None = None
+    states_rate: bool = True
 
 
 SMALL_SHAPE: Final = SiteShape(
@@ -178,7 +182,12 @@
         if self._shape.has_links:
             # The port has to be the same, so the daemon gets another address.
             peer_address = inbound.replace(ip, f'127.0.2.{number}')
-            link = LinkProxy(address=inbound, target=peer_address)
+            mbps = self._shape.link_mbps
+            link = LinkProxy(
+                address=inbound,
+                target=peer_address,
+                bytes_per_second=None if mbps is None else mbps * 125_000,
+            )
             link.start()
         settings = self._directory / f'{ip}.conf'
         write_text(settings, format_settings(self._shape))
@@ -332,6 +341,8 @@
     bounds = f'bounds=grace_s={grace_seconds:g},retry_budget_ratio=0.2'
     max_fds = shape.max_descriptors or MAX_DESCRIPTORS
     limits = f'limits.memory_mb={shape.memory_mb}\nlimits.max_fds={max_fds}'
+    if shape.link_mbps is not None and shape.states_rate:
+        limits = f'{limits}\nlimits.link_mbps={shape.link_mbps:g}'
     return f'{zones}\n{limits}\n{bounds},budget_extra=60,cold_overage=1.5\n'
 
 
