--- a/briartack/test/test_peer_outbox.py
+++ b/briartack/test/test_peer_outbox.py
@@ -49,6 +49,19 @@
         outbox.drop_body(ATTEMPT)
         self.assertEqual(memory.held_bytes, 0)
 
+    # Guards against bodies of attempts that are lost as one of two streams
+    # ends, or that count twice: the call holds them too.
+    def test_held_attempt_moves_to_the_stream_in_use(self) -> None:
+        memory = MemoryBudget(max_bytes=BUDGET_BYTES)
+        outbox = PeerOutbox(memory=memory)
+        kept = PeerOutbox(memory=memory)
+        outbox.hold_attempt(ATTEMPT, bytes(BODY_BYTES))
+        kept.take_over(outbox)
+        self.assertEqual(outbox.grant(ATTEMPT), 0)
+        self.assertEqual(kept.grant(ATTEMPT), BODY_BYTES)
+        self.assertEqual(kept.queued_bytes, BODY_BYTES)
+        self.assertEqual(memory.held_bytes, 0)
+
     # Guards against timers that outlive the answers whose deadlines they watch.
     @params('grant', 'drop_body', 'clear', 'take_over')
     def test_timer_ends_with_the_wait(self, end: str) -> None:
