--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -10,6 +10,7 @@
 from briartack.core.body_ids import answer_body_id
 from briartack.core.calls import reasons
 from briartack.core.calls.admission import AdmissionResult
+from briartack.core.calls.body_grants import BodyGrants, get_urgency
 from briartack.core.calls.call_headers import build_upstream_headers
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import (
@@ -29,7 +30,6 @@
     WakeAt,
 )
 from briartack.core.events import UpstreamAnswered, UpstreamFailed
-from briartack.core.messages import Attempt
 from briartack.core.units import MILLISECONDS_PER_SECOND, AttemptId
 from briartack.core.verdict import Verdict
 
@@ -45,6 +45,7 @@
     __slots__ = (
         '_upstream',
         '_answers',
+        '_grants',
         '_attempts',
         '_timers',
         '_running_ranks',
@@ -55,10 +56,12 @@
         *,
         upstream: LocalUpstream,
         answers: OwnerAnswers,
+        grants: BodyGrants,
         attempts: dict[AttemptId, OwnedAttempt],
     ) -> None:
         self._upstream = upstream
         self._answers = answers
+        self._grants = grants
         self._attempts = attempts
         self._timers: Timers[AttemptId] = Timers()
         self._running_ranks: dict[str, int] = {}  # by request id
@@ -79,8 +82,18 @@
         if record is not None and record.phase is OwnedPhase.RUNNING:
             self._running_ranks.pop(record.attempt.request_id, None)
             self._upstream.run_bound.end(attempt_id, now)
+        if record is not None and record.attempt.awaits_grant:
+            self._grants.end(attempt_id)
         return record
 
+    def find(self, attempt_id: AttemptId) -> OwnedAttempt | None:
+        """Return an attempt that has not been answered, or `None`."""
+        return self._attempts.get(attempt_id)
+
+    def is_tracked(self, record: OwnedAttempt) -> bool:
+        """Return whether an attempt has not been answered."""
+        return self._attempts.get(record.attempt.attempt_id) is record
+
     def find_running_rank(self, request_id: str) -> int | None:
         """Return the rank of a running request, or `None` if not running."""
         return self._running_ranks.get(request_id)
@@ -92,7 +105,7 @@
         record.phase = OwnedPhase.QUEUED
         self.track(record)
         self._answers.mark_key_running(record)
-        waiting = self._build_slot_request(now, record, latest_start)
+        waiting = self.build_slot_request(now, record, latest_start)
         return self._apply(now, self._upstream.offer(waiting, now))
 
     def expect_body(
@@ -103,14 +116,8 @@
         Attempts whose bodies are being read, and that would go first, are
         expected to take slots or places in the queue.
         """
-        order = _make_order(record.attempt)
-        expected = sum(
-            other.phase is OwnedPhase.READING_BODY
-            and _make_order(other.attempt) <= order
-            for other in self._attempts.values()
-        )
-        waiting = self._build_slot_request(now, record, latest_start)
-        if self._upstream.has_room(waiting, now, expected=expected):
+        record.latest_start = latest_start
+        if self.has_slot_room(now, record):
             self.track(record)
             return []
         return [
@@ -118,6 +125,21 @@
             *self._answers.refuse(now, record, reasons.OVERLOAD),
         ]
 
+    def has_slot_room(self, now: float, record: OwnedAttempt) -> bool:
+        """Return whether an attempt would get a slot or a place in the queue.
+
+        Attempts whose bodies wait for a grant are not expected to: the queue
+        may be shorter by the time that they have arrived.
+        """
+        order = get_urgency(record.attempt)
+        expected = sum(
+            other.phase is OwnedPhase.READING_BODY
+            and get_urgency(other.attempt) <= order
+            for other in self._attempts.values()
+        )
+        waiting = self.build_slot_request(now, record, record.latest_start)
+        return self._upstream.has_room(waiting, now, expected=expected)
+
     def cancel(self, now: float, record: OwnedAttempt) -> Effects:
         """Cancel an attempt whose answer nobody waits for.
 
@@ -228,36 +250,24 @@
         self._timers.compact(len(self._attempts), self._attempts.__contains__)
         return effects
 
-    def _apply(self, now: float, admission: AdmissionResult) -> Effects:
-        effects: Effects = []
-        for refused in admission.refused:
-            record = self._attempts.pop(refused)
-            reason = reasons.OVERLOAD
-            if now >= record.deadline:
-                reason = reasons.DEADLINE
-            effects.append(Count(name='attempts_shed'))
-            effects.extend(self._answers.refuse(now, record, reason))
-        for started in admission.started:
-            effects.append(self._dispatch(now, self._attempts[started]))
-        next_start_at = self._upstream.next_start_at(now)
-        if next_start_at is not None:
-            effects.append(WakeAt(at=next_start_at))
-        return effects
-
-    def _build_slot_request(
+    def build_slot_request(
         self, now: float, record: OwnedAttempt, latest_start: float
     ) -> SlotRequest:
+        """Describe the slot that an attempt needs, with its time limits."""
         attempt = record.attempt
         times = self._upstream.times
         run_seconds = times.run_seconds(
             now, attempt.route, self._upstream.mean_seconds
         )
         useful_until = float('inf')
-        if attempt.target_ms is not None:
+        if attempt.target_ms is not None and not record.is_body_late:
             target_seconds = attempt.target_ms / MILLISECONDS_PER_SECOND
-            useful_until = now + target_seconds - run_seconds
+            # The wait for a grant is part of the time to the target.
+            stated_at = record.received_at if attempt.awaits_grant else now
+            useful_until = stated_at + target_seconds - run_seconds
         # The queue of an upstream that states no load keeps its order.
         becomes_late = times.has_load_report and times.has_enough_runs
+        is_late = attempt.is_late or record.is_body_late
         return SlotRequest(
             attempt_id=attempt.attempt_id,
             deadline=record.deadline,
@@ -266,10 +276,26 @@
             is_awaited_by_run=attempt.is_awaited_by_run,
             useful_until=useful_until,
             latest_start=min(latest_start, record.deadline - run_seconds),
-            is_late=attempt.is_late and times.has_enough_runs,
+            is_late=is_late and times.has_enough_runs,
             late_from=useful_until if becomes_late else float('inf'),
         )
 
+    def _apply(self, now: float, admission: AdmissionResult) -> Effects:
+        effects: Effects = []
+        for refused in admission.refused:
+            record = self._attempts.pop(refused)
+            reason = reasons.OVERLOAD
+            if now >= record.deadline:
+                reason = reasons.DEADLINE
+            effects.append(Count(name='attempts_shed'))
+            effects.extend(self._answers.refuse(now, record, reason))
+        for started in admission.started:
+            effects.append(self._dispatch(now, self._attempts[started]))
+        next_start_at = self._upstream.next_start_at(now)
+        if next_start_at is not None:
+            effects.append(WakeAt(at=next_start_at))
+        return effects
+
     def _dispatch(self, now: float, record: OwnedAttempt) -> Dispatch:
         record.phase = OwnedPhase.RUNNING
         record.generation = self._upstream.generation
@@ -289,11 +315,6 @@
         )
 
 
-def _make_order(attempt: Attempt) -> tuple[bool, int]:
-    """Return the order of attempts of one priority whose body is read."""
-    return not attempt.is_awaited_by_run, attempt.rank
-
-
 def drop_late_answer(attempt_id: AttemptId) -> Effects:
     """Count and drop an upstream's answer to an attempt that has ended."""
     return [
