Prefer near upstreams for routes with large answers

Cause: a fifth of the bytes of downloads crossed data centres, because only large request bodies raised the load up to which near upstreams are chosen. Change: routes with `has_large_answers` use `large_body_full_load` as well; what an attempt needs of its endpoint is passed as one struct.

--- a/briartack/core/calls/call_rules.py
+++ b/briartack/core/calls/call_rules.py
@@ -44,7 +44,7 @@
     # Load of near upstreams from which farther ones are chosen. At a load
     # above 1, requests wait for a slot.
     full_load: float = 1.0
-    large_body_full_load: float = 1.0  # for requests with large bodies
+    large_body_full_load: float = 1.0  # for large bodies and answers
     # Rate of this daemon's link; `None` if the platform states none.
     link_bytes_per_second: float | None = None
     # A stopping daemon serves its callers for this time, until the platform
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -66,6 +66,22 @@
 EndpointChoice: TypeAlias = ChosenEndpoint | SelectionFailure | Effects
 
 
+@final
+class AttemptNeeds(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what the next attempt of a call needs of its endpoint.
+
+    `allows_tried` permits tried instances if no other is available. An owner
+    that has just refused a call would refuse it again, so the flag is false
+    after a free refusal.
+    """
+
+    limits: ServiceLimits  # of each upstream of the service
+    tried_instances: tuple[InstanceId, ...] = ()
+    allows_tried: bool = True
+    body_bytes: int = 0
+    has_large_answers: bool = False  # most answers of the route are large
+
+
 @final
 class EndpointChooser(msgspec.Struct, frozen=True, kw_only=True):
     """Choose endpoints by placement, load and run time."""
@@ -110,21 +126,18 @@
         scopes: Scopes,
         regions: Regions,
         *,
-        limits: ServiceLimits,
-        tried_instances: tuple[InstanceId, ...] = (),
-        allows_tried: bool = True,
+        needs: AttemptNeeds,
         deadline: float = float('-inf'),
-        body_bytes: int = 0,
     ) -> EndpointChoice:
         """Choose among candidates, with untried ones first.
 
-        `allows_tried` permits tried instances if no other is available. An
-        owner that has just refused a call would refuse it again, so the flag
-        is false after a free refusal. Owners whose stop may end before the
-        deadline are not chosen, nor owners that lack room for a large body.
+        Owners whose stop may end before the deadline are not chosen, nor owners
+        that lack room for a large body.
         """
-        full_load = _select_full_load(context.rules, body_bytes)
-        needs_room = body_bytes >= LARGE_BODY_BYTES
+        limits = needs.limits
+        tried_instances = needs.tried_instances
+        full_load = _select_full_load(context.rules, needs)
+        needs_room = needs.body_bytes >= LARGE_BODY_BYTES
 
         def usable_load_of(member: Member) -> float | None:  # noqa: WPS430
             return self._compute_load(context, now, member, limits, deadline)
@@ -147,7 +160,7 @@
         member = choose_member(
             context.random, scopes, untried_load_of, full_load
         )
-        if member is None and tried_instances and allows_tried:
+        if member is None and tried_instances and needs.allows_tried:
             member = choose_member(context.random, scopes, load_of, full_load)
         if member is not None:
             return ChosenEndpoint(member=member, regions=regions)
@@ -193,10 +206,7 @@
             now,
             scopes,
             regions,
-            limits=call.share.limits,
-            tried_instances=call.tried_instances,
-            allows_tried=call.last_refusal is None,
-            body_bytes=call.body_bytes,
+            needs=_collect_needs(call),
         )
         choice = choose(deadline=call.deadline)
         has_last_resort = not call.has_met_overload and not call.is_last_resort
@@ -219,7 +229,7 @@
         suspect: Fingerprint,
     ) -> Member | None:
         """Choose the endpoint of a suspect, `None` if all are full."""
-        full_load = _select_full_load(context.rules, call.body_bytes)
+        full_load = _select_full_load(context.rules, _collect_needs(call))
 
         def has_room(member: Member) -> bool:  # noqa: WPS430
             load = self._compute_load(
@@ -371,13 +381,23 @@
         return context.members.get(issued.instance)
 
 
-def _select_full_load(rules: CallRules, body_bytes: int) -> float:
+def _collect_needs(call: Call) -> AttemptNeeds:
+    return AttemptNeeds(
+        limits=call.share.limits,
+        tried_instances=call.tried_instances,
+        allows_tried=call.last_refusal is None,
+        body_bytes=call.body_bytes,
+        has_large_answers=call.route.policy.has_large_answers is True,
+    )
+
+
+def _select_full_load(rules: CallRules, needs: AttemptNeeds) -> float:
     """Return the load of near upstreams from which farther ones are chosen.
 
-    Sending a large body farther costs more than a wait for a slot. If the wait
-    would be too long, the owner refuses the attempt.
+    Sending a large body or answer farther costs more than a wait for a slot.
+    If the wait would be too long, the owner refuses the attempt.
     """
-    is_large = body_bytes >= LARGE_BODY_BYTES
+    is_large = needs.has_large_answers or needs.body_bytes >= LARGE_BODY_BYTES
     return rules.large_body_full_load if is_large else rules.full_load
 
 
--- a/briartack/core/calls/key_issuer.py
+++ b/briartack/core/calls/key_issuer.py
@@ -10,6 +10,7 @@
 from briartack.core.calls.call_checks import build_refusal, find_refusal_reason
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.endpoint_choice import (
+    AttemptNeeds,
     ChosenEndpoint,
     EndpointChooser,
     SelectionFailure,
@@ -114,7 +115,7 @@
             now,
             scopes,
             None,
-            limits=limits,
+            needs=AttemptNeeds(limits=limits),
         )
         if isinstance(choice, ChosenEndpoint):
             return [self._answer_with_key(context, now, request, choice)]
