Choose instances by expected completion, refuse early at the sender

Cause: instances were chosen by free slots and a fixed bound on slowness, so calls went to owners that refused them one after another, and large answers crossed data centres although a local wait would have met the target. Change: `expected_times` and `stated_times` estimate the completion from what owners state; `completion_choice` picks by it, with hysteresis per service, and refuses a call that no owner would answer by its deadline; `return_times` spreads the returns of refused callers. The selection of key owners and the types of a choice move to modules of their own.

--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -9,11 +9,12 @@
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.call_logs import log_attempt_sent
 from briartack.core.calls.call_table import Call, CallTable
-from briartack.core.calls.endpoint_choice import (
+from briartack.core.calls.choice_types import (
     LARGE_BODY_BYTES,
     ChosenEndpoint,
 )
 from briartack.core.calls.endpoints import UNKNOWN_CLOCK, EndpointsState
+from briartack.core.calls.expected_times import ExpectedTimes
 from briartack.core.calls.owner import OwnerState
 from briartack.core.calls.placement import format_regions
 from briartack.core.calls.reasons import Reason
@@ -38,17 +39,19 @@
 class AttemptSender:
     """Send attempts to peers, or directly to the owner in this daemon."""
 
-    __slots__ = ('_table', '_endpoints', '_owner')
+    __slots__ = ('_table', '_endpoints', '_expected_times', '_owner')
 
     def __init__(
         self,
         *,
         table: CallTable,
         endpoints: EndpointsState,
+        expected_times: ExpectedTimes,
         owner: OwnerState,
     ) -> None:
         self._table = table
         self._endpoints = endpoints
+        self._expected_times = expected_times
         self._owner = owner
 
     def send(
@@ -89,12 +92,15 @@
             idempotency_key=call.event.idempotency_key,
             is_last_resort=chosen.is_last_resort,
         )
+        call.sent_at = now
+        call.starts_at_once = self._expected_times.record_attempt_start(
+            now, call.share.service, chosen.member, call.share.limits.slots
+        )
         body_id = call.body_id
         log_line = log_attempt_sent(context, now, call, peer, endpoint)
         if peer == own.instance:
             begun = self._owner.begin_local(context, now, attempt, body_id)
             return [*begun, log_line]
-        call.sent_at = now
         self._endpoints.record_attempt_start(peer, now)
         return [
             SendAttempt(peer=peer, attempt=attempt, body_id=body_id),
@@ -128,6 +134,7 @@
         """Unregister the call's attempt; a later answer counts as late."""
         if call.peer is not None:
             self._endpoints.record_attempt_end(call.peer)
+            self._expected_times.record_attempt_end(call.share.service)
         self._table.end_attempt(call)
 
     def suspect(self, call: Call, now: float) -> None:
@@ -168,10 +175,11 @@
     the wait. A call made by a local request gets the time to its deadline,
     because the local request fails without the call.
     """
-    if call.is_from_local_run:
-        return (call.deadline - now) * MILLISECONDS_PER_SECOND
-    target_ms = call.route.policy.target_ms
     is_near = chosen.member.data_centre == context.identity.data_centre
-    if target_ms is None or (is_near and call.body_bytes >= LARGE_BODY_BYTES):
+    is_near_upload = is_near and call.body_bytes >= LARGE_BODY_BYTES
+    if is_near_upload and not call.is_from_local_run:
+        return None
+    target_at = call.target_at
+    if target_at == float('inf'):
         return None
-    return target_ms - (now - call.event.now) * MILLISECONDS_PER_SECOND
+    return (target_at - now) * MILLISECONDS_PER_SECOND
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -220,6 +220,9 @@
     endpoint = state.endpoints.get(event.peer)
     if endpoint is not None and endpoint.incarnation != hello.incarnation:
         effects = _handle_peer_loss(state, context, event.now, event.peer)
+    state.sender.chooser.expected_times.record_hello(
+        hello, state.endpoints.get_dial_seconds(event.peer, event.now)
+    )
     state.endpoints.connect(
         event.peer,
         hello.incarnation,
--- a/briartack/core/calls/call_responses.py
+++ b/briartack/core/calls/call_responses.py
@@ -15,8 +15,9 @@
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.call_logs import log_call_ended
 from briartack.core.calls.call_table import Call, CallTable
-from briartack.core.calls.endpoint_choice import SelectionFailure
+from briartack.core.calls.choice_types import SelectionFailure
 from briartack.core.calls.reasons import Reason
+from briartack.core.calls.return_times import ReturnTimes
 from briartack.core.effects import AnswerCall, Count, DropBody, Effects
 from briartack.core.messages import Answer, Headers
 from briartack.core.units import BodyId
@@ -27,10 +28,11 @@
 class CallResponder:
     """Remove calls from the table and answer their callers."""
 
-    __slots__ = ('_table',)
+    __slots__ = ('_table', '_return_times')
 
-    def __init__(self, *, table: CallTable) -> None:
+    def __init__(self, *, table: CallTable, return_times: ReturnTimes) -> None:
         self._table = table
+        self._return_times = return_times
 
     def answer(
         self,
@@ -87,6 +89,10 @@
         has_key = bool(call.event.idempotency_key)
         if call.may_have_run or (has_key and not is_from_owner):
             verdict = Verdict.UNKNOWN
+        if retry_after_seconds is None and reason is reasons.OVERLOAD:
+            retry_after_seconds = self._return_times.draw_seconds(
+                context, now, call
+            )
         if retry_after_seconds is None:
             retry_after_seconds = draw_retry_after_seconds(
                 context.random, call.route.policy
@@ -140,6 +146,11 @@
             return refuse(reasons.KEY_OWNER_GONE, Verdict.UNKNOWN)
         if failure is SelectionFailure.STOP_TOO_NEAR:
             return refuse(reasons.STOP_TOO_NEAR, Verdict.NOT_RUN)
+        if failure is SelectionFailure.OVERLOAD:
+            return [
+                Count(name='calls_refused_early'),
+                *refuse(reasons.OVERLOAD, Verdict.NOT_RUN),
+            ]
         if failure is SelectionFailure.NO_ROOM:
             return refuse(
                 call.last_refusal or reasons.OVERLOAD, Verdict.NOT_RUN
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -13,6 +13,7 @@
 from briartack.core.events import CallArrived
 from briartack.core.messages import Headers
 from briartack.core.units import (
+    MILLISECONDS_PER_SECOND,
     AttemptId,
     BodyId,
     CallId,
@@ -55,6 +56,7 @@
     tried_instances: tuple[InstanceId, ...] = ()
     may_have_run: bool = False
     sent_at: float = 0
+    starts_at_once: bool = False  # the owner probably had a free slot
     stale_clock_refusals: int = 0
     free_refusals: int = 0
     is_last_resort: bool = False  # the attempt was, see `ChosenEndpoint`
@@ -69,6 +71,20 @@
         """Return the id of the request body."""
         return call_body_id(self.event.call_id)
 
+    @property
+    def target_at(self) -> float:
+        """Return the time of the latency target.
+
+        It is the deadline for a call of a local run, which fails without the
+        call, and infinite without a target.
+        """
+        if self.is_from_local_run:
+            return self.deadline
+        target_ms = self.route.policy.target_ms
+        if target_ms is None:
+            return float('inf')
+        return self.event.now + target_ms / MILLISECONDS_PER_SECOND
+
 
 @final
 class CallTable:
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -3,10 +3,9 @@
 Used by the sender, and by the key issuer to select a key's owner.
 """
 
-import enum
 from functools import partial
 from itertools import chain
-from typing import Final, TypeAlias, final
+from typing import final
 
 import msgspec
 
@@ -14,83 +13,45 @@
 from briartack.core.calls.call_context import CallContext, Member, Regions
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.call_table import Call
+from briartack.core.calls.choice_types import (
+    LARGE_BODY_BYTES,
+    AttemptNeeds,
+    ChosenEndpoint,
+    EndpointChoice,
+    SelectionFailure,
+)
+from briartack.core.calls.completion_choice import CompletionChooser
 from briartack.core.calls.drain import DrainState
 from briartack.core.calls.endpoints import EndpointsState
+from briartack.core.calls.expected_times import ExpectedTimes
 from briartack.core.calls.fingerprint import Fingerprint
+from briartack.core.calls.key_owner import choose_key_owner
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.routing import (
     RoutingState,
     Scopes,
     choose_member,
     find_nearest_scope,
-    is_out_of_service,
 )
 from briartack.core.calls.run_times import TypicalTimes
 from briartack.core.calls.streams import dial_nearest
 from briartack.core.configuration.settings import ServiceLimits
-from briartack.core.effects import Effects
 from briartack.core.rendezvous import rank
-from briartack.core.units import InstanceId
-
-LARGE_BODY_BYTES: Final = 16_384
-
-
-@final
-@enum.unique
-class SelectionFailure(enum.Enum):
-    """Enumerate the reasons why no endpoint can be chosen now or soon."""
-
-    PLACEMENT = enum.auto()
-    KEY_OWNER_GONE = enum.auto()
-    NO_ENDPOINT = enum.auto()
-    # Only owners without room for a large body are left.
-    NO_ROOM = enum.auto()
-    # The planned stop of this daemon would abort a run of average length.
-    STOP_TOO_NEAR = enum.auto()
-
-
-@final
-class ChosenEndpoint(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold a chosen endpoint and the home regions that allow its use.
-
-    One that is the last resort may have a planned stop before the deadline of
-    the call; no other is available.
-    """
-
-    member: Member
-    regions: Regions
-    is_last_resort: bool = False
-
-
-# A list of effects dials peers, and the call waits for their streams.
-EndpointChoice: TypeAlias = ChosenEndpoint | SelectionFailure | Effects
 
 
 @final
-class AttemptNeeds(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what the next attempt of a call needs of its endpoint.
+class EndpointChooser(msgspec.Struct, frozen=True, kw_only=True):
+    """Choose endpoints by placement, expected completion, load and run time.
 
-    `allows_tried` permits tried instances if no other is available. An owner
-    that has just refused a call would refuse it again, so the flag is false
-    after a free refusal.
+    The load decides where owners state too little to expect a completion.
     """
 
-    limits: ServiceLimits  # of each upstream of the service
-    tried_instances: tuple[InstanceId, ...] = ()
-    allows_tried: bool = True
-    body_bytes: int = 0
-    has_large_answers: bool = False  # most answers of the route are large
-
-
-@final
-class EndpointChooser(msgspec.Struct, frozen=True, kw_only=True):
-    """Choose endpoints by placement, load and run time."""
-
     routing: RoutingState
     endpoints: EndpointsState
     upstream: LocalUpstream
     drain: DrainState
     typical_times: TypicalTimes = msgspec.field(default_factory=TypicalTimes)
+    expected_times: ExpectedTimes = msgspec.field(default_factory=ExpectedTimes)
 
     def choose_for_call(
         self,
@@ -134,6 +95,67 @@
         Owners whose stop may end before the deadline are not chosen, nor owners
         that lack room for a large body.
         """
+        choice = self._choose_by_completion(
+            context, now, scopes, needs=needs, deadline=deadline
+        )
+        if choice is None:
+            choice = self._choose_by_load(
+                context, now, scopes, needs=needs, deadline=deadline
+            )
+        if isinstance(choice, SelectionFailure):
+            return choice
+        if choice is not None:
+            return ChosenEndpoint(member=choice, regions=regions)
+        dials = dial_nearest(context, now, scopes, self.endpoints)
+        return SelectionFailure.NO_ENDPOINT if dials is None else dials
+
+    def _choose_by_completion(
+        self,
+        context: CallContext,
+        now: float,
+        scopes: Scopes,
+        *,
+        needs: AttemptNeeds,
+        deadline: float,
+    ) -> Member | SelectionFailure | None:
+        """Choose by the expected completion.
+
+        Return `None` if none can be expected, or no instance is available.
+        """
+        times = self.expected_times.get(needs.service)
+        if times is None:
+            return None
+        estimator = self.expected_times.prepare(context, now, needs)
+        if estimator is None:
+            return None
+        is_large_body = needs.body_bytes >= LARGE_BODY_BYTES
+
+        def is_available(member: Member) -> bool:  # noqa: WPS430
+            if is_large_body and not self._has_memory(now, member):
+                return False
+            return self._is_available(
+                context, now, member, needs.limits, deadline
+            )
+
+        chooser = CompletionChooser(
+            random=context.random,
+            now=now,
+            estimator=estimator,
+            is_available=is_available,
+            needs=needs,
+        )
+        return chooser.choose(scopes, times)
+
+    def _choose_by_load(
+        self,
+        context: CallContext,
+        now: float,
+        scopes: Scopes,
+        *,
+        needs: AttemptNeeds,
+        deadline: float,
+    ) -> Member | SelectionFailure | None:
+        """Choose by load, with untried instances first."""
         limits = needs.limits
         tried_instances = needs.tried_instances
         full_load = _select_full_load(context.rules, needs)
@@ -162,13 +184,10 @@
         )
         if member is None and tried_instances and needs.allows_tried:
             member = choose_member(context.random, scopes, load_of, full_load)
-        if member is not None:
-            return ChosenEndpoint(member=member, regions=regions)
-        if nearest:
+        if member is None and nearest:
             # No body waits for a stream while owners that have one are full.
             return SelectionFailure.NO_ROOM
-        dials = dial_nearest(context, now, scopes, self.endpoints)
-        return SelectionFailure.NO_ENDPOINT if dials is None else dials
+        return member
 
     def _choose(
         self,
@@ -189,7 +208,7 @@
         if not placement.may_accept(regions, context):
             return SelectionFailure.PLACEMENT
         if call.event.idempotency_key:
-            return self._choose_key_owner(context, now, call, regions)
+            return choose_key_owner(self.endpoints, context, now, call, regions)
         scopes = self.routing.list_candidates(
             context,
             snapshot,
@@ -210,7 +229,8 @@
         )
         choice = choose(deadline=call.deadline)
         has_last_resort = not call.has_met_overload and not call.is_last_resort
-        if isinstance(choice, ChosenEndpoint) or not has_last_resort:
+        is_final = choice is SelectionFailure.OVERLOAD or not has_last_resort
+        if isinstance(choice, ChosenEndpoint) or is_final:
             return choice
         if isinstance(choice, list) and not call.has_waited:
             # Owners without a stream may come; a call waits for them once.
@@ -275,33 +295,58 @@
         The slots of the service apply if the instance list states none for the
         instance.
         """
-        if context.members.is_leaving(member.instance):
+        if not self._is_available(context, now, member, limits, deadline):
             return None
-        if member.instance == context.identity.instance:
-            if not self.upstream.is_open:
-                return None
+        endpoint = self.endpoints.get(member.instance)
+        if endpoint is None:
             load = self.upstream.load(now)
         else:
-            endpoint = self.endpoints.get(member.instance)
-            if endpoint is None or not endpoint.is_usable(now, deadline):
-                return None
-            slots = member.slots or limits.slots
-            if not endpoint.may_hold_another(now, slots + limits.queue_length):
-                return None
-            load = endpoint.estimate_load(now, slots)
+            load = endpoint.estimate_load(now, member.slots or limits.slots)
         if self._is_slow(context, now, member):
             # Makes the instance look full, so that others are preferred.
             load += context.rules.full_load
         return load
 
+    def _is_available(
+        self,
+        context: CallContext,
+        now: float,
+        member: Member,
+        limits: ServiceLimits,
+        deadline: float,
+    ) -> bool:
+        """Return whether an instance may get an attempt now.
+
+        It is not leaving, avoided or silent, and has a stream.
+        """
+        if context.members.is_leaving(member.instance):
+            return False
+        if member.instance == context.identity.instance:
+            return self.upstream.is_open
+        endpoint = self.endpoints.get(member.instance)
+        if endpoint is None or not endpoint.is_usable(now, deadline):
+            return False
+        slots = member.slots or limits.slots
+        return endpoint.may_hold_another(now, slots + limits.queue_length)
+
+    def _has_memory(self, now: float, member: Member) -> bool:
+        """Return whether an instance has not lately lacked memory."""
+        endpoint = self.endpoints.get(member.instance)
+        return endpoint is None or endpoint.has_memory(now)
+
     def _is_slow(
         self,
         context: CallContext,
         now: float,
         member: Member,
     ) -> bool:
-        """Return whether an instance is slow compared to its service."""
+        """Return whether an instance is slow compared to its service.
+
+        Stated slowdowns are exact, and the fixed bound is not used beside them.
+        """
         service = member.service
+        if self.expected_times.knows_slowdowns(service, now):
+            return False
         if self.typical_times.is_due(service, now):
             self.typical_times.update(
                 service,
@@ -326,68 +371,19 @@
         endpoint = self.endpoints.get(member.instance)
         return None if endpoint is None else endpoint.run_time.recent_mean(now)
 
-    def _choose_key_owner(
-        self,
-        context: CallContext,
-        now: float,
-        call: Call,
-        regions: Regions,
-    ) -> EndpointChoice:
-        """Choose the only instance that may run a call with an idempotency key.
-
-        A key issued by a daemon names its owner. A key made by the caller is
-        hashed over the live instance list, so daemons whose lists differ may
-        choose different owners.
-        """
-        owner = self._find_key_owner(context, call, regions)
-        if owner is None:
-            is_issued = call.issued_key is not None
-            return (
-                SelectionFailure.KEY_OWNER_GONE
-                if is_issued
-                else SelectionFailure.NO_ENDPOINT
-            )
-        if not placement.may_hold(regions, owner.region):
-            return SelectionFailure.PLACEMENT
-        if owner.instance == context.identity.instance:
-            return ChosenEndpoint(member=owner, regions=regions)
-        if self.endpoints.get(owner.instance) is not None:
-            return ChosenEndpoint(member=owner, regions=regions)
-        dials = dial_nearest(context, now, ((owner,),), self.endpoints)
-        return SelectionFailure.NO_ENDPOINT if dials is None else dials
-
-    def _find_key_owner(
-        self,
-        context: CallContext,
-        call: Call,
-        regions: Regions,
-    ) -> Member | None:
-        """Return the owner of the call's key, or `None` if it is gone.
-
-        The owner of an issued key is gone once it has restarted, which changes
-        its incarnation.
-        """
-        issued = call.issued_key
-        if issued is None:
-            return _select_hashed_owner(context, call, regions)
-        incarnation = context.identity.incarnation
-        if issued.instance != context.identity.instance:
-            endpoint = self.endpoints.get(issued.instance)
-            incarnation = (
-                endpoint.incarnation if endpoint else issued.incarnation
-            )
-        if issued.incarnation != incarnation:
-            return None
-        return context.members.get(issued.instance)
-
 
 def _collect_needs(call: Call) -> AttemptNeeds:
     return AttemptNeeds(
         limits=call.share.limits,
+        service=call.share.service,
+        route=call.route.name,
+        target_at=call.target_at,
+        deadline=call.deadline,
         tried_instances=call.tried_instances,
         allows_tried=call.last_refusal is None,
         body_bytes=call.body_bytes,
         has_large_answers=call.route.policy.has_large_answers is True,
+        has_met_overload=call.has_met_overload,
     )
 
 
@@ -397,32 +393,4 @@
     Sending a large body or answer farther costs more than a wait for a slot.
     If the wait would be too long, the owner refuses the attempt.
     """
-    is_large = needs.has_large_answers or needs.body_bytes >= LARGE_BODY_BYTES
-    return rules.large_body_full_load if is_large else rules.full_load
-
-
-def _select_hashed_owner(
-    context: CallContext,
-    call: Call,
-    regions: Regions,
-) -> Member | None:
-    """Return the available instance with the lowest hash for a key.
-
-    Instances outside the home regions, out of service or about to stop are
-    not available.
-    """
-    snapshot = context.snapshot
-    members = context.members
-    key = call.event.idempotency_key
-    return min(
-        (
-            member
-            for member in members.live_members_of(call.share.service)
-            if snapshot is not None
-            and placement.may_hold(regions, member.region)
-            and not is_out_of_service(snapshot.platform, member)
-            and not members.is_leaving(member.instance)
-        ),
-        key=lambda member: rank(key, member.instance),
-        default=None,
-    )
+    return rules.large_body_full_load if needs.is_large else rules.full_load
--- a/briartack/core/calls/endpoints.py
+++ b/briartack/core/calls/endpoints.py
@@ -294,6 +294,12 @@
         self._dialling.add(peer)
         return True
 
+    def get_dial_seconds(self, peer: InstanceId, now: float) -> float | None:
+        """Return how long the dial in progress has taken, if there is one."""
+        if peer not in self._dialling:
+            return None
+        return now - self._dialled_at[peer]
+
     def is_dialling(self, peer: InstanceId, now: float) -> bool:
         """Return whether a dial is in progress and has not timed out."""
         if peer not in self._dialling:
--- a/briartack/core/calls/key_issuer.py
+++ b/briartack/core/calls/key_issuer.py
@@ -9,12 +9,12 @@
 from briartack.core.calls import reasons
 from briartack.core.calls.call_checks import build_refusal, find_refusal_reason
 from briartack.core.calls.call_context import CallContext
-from briartack.core.calls.endpoint_choice import (
+from briartack.core.calls.choice_types import (
     AttemptNeeds,
     ChosenEndpoint,
-    EndpointChooser,
     SelectionFailure,
 )
+from briartack.core.calls.endpoint_choice import EndpointChooser
 from briartack.core.calls.idempotency import issue_key
 from briartack.core.effects import AnswerCall, Effects
 from briartack.core.events import KeyRequested
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -17,12 +17,12 @@
 )
 from briartack.core.calls.call_responses import CallResponder
 from briartack.core.calls.call_table import Call, CallPhase, CallTable
-from briartack.core.calls.drain import DrainState
-from briartack.core.calls.endpoint_choice import (
+from briartack.core.calls.choice_types import (
     ChosenEndpoint,
-    EndpointChooser,
     SelectionFailure,
 )
+from briartack.core.calls.drain import DrainState
+from briartack.core.calls.endpoint_choice import EndpointChooser
 from briartack.core.calls.endpoints import EndpointsState
 from briartack.core.calls.owner import OwnerState
 from briartack.core.calls.reasons import Reason
@@ -31,6 +31,7 @@
     draw_backoff_seconds,
     is_free_refusal,
 )
+from briartack.core.calls.return_times import ReturnTimes
 from briartack.core.calls.routing import RoutingState
 from briartack.core.calls.streams import StreamsState
 from briartack.core.calls.suspect_calls import find_suspicion
@@ -85,7 +86,6 @@
         drain: DrainState,
     ) -> None:
         self._table = CallTable()
-        self._responder = CallResponder(table=self._table)
         self._retry = RetryState()
         self._routing = routing
         self._streams = streams
@@ -96,9 +96,16 @@
             upstream=owner.upstream,
             drain=drain,
         )
+        self._responder = CallResponder(
+            table=self._table,
+            return_times=ReturnTimes(
+                expected_times=self._chooser.expected_times
+            ),
+        )
         self._attempt_sender = AttemptSender(
             table=self._table,
             endpoints=endpoints,
+            expected_times=self._chooser.expected_times,
             owner=owner,
         )
 
@@ -192,7 +199,12 @@
         """
         drop_body_effects = _drop_body(None if is_body_kept else body_id)
         call = self._table.find_by_attempt(answer.attempt_id)
-        if call is None or call.peer != peer:
+        if call is not None and call.peer != peer:
+            call = None
+        self._chooser.expected_times.record_answer(
+            context, now, peer, answer, call
+        )
+        if call is None:
             return [Count(name='answers_late'), *drop_body_effects]
         self._attempt_sender.end(call)
         if answer.verdict is Verdict.RAN:
@@ -226,6 +238,7 @@
         peer: InstanceId,
     ) -> Effects:
         """Fail the attempts at a peer whose stream is down."""
+        self._chooser.expected_times.forget(peer)
         effects: Effects = []
         for call in self._table.list_sent_to(peer):
             self._attempt_sender.end(call)
