Count the calls of retried runs, and give tokens to calls that would be lost

Cause: daemons left two fifths of the retry budget unused, because they did not know which calls a retried run makes, and tokens went to calls whose callers can repeat them after a 503 while runs failed for the lack of one. Change: senders mark retries, owners remember the running ones, and a call of such a run takes a token where it is sent. 0.95 of the budget is used, a process gets its burst 10 s after its first call, half of the burst is left to calls that would be lost, and bursts below one token add up.

--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -91,6 +91,8 @@
             home_regions=format_regions(chosen.regions),
             idempotency_key=call.event.idempotency_key,
             is_last_resort=chosen.is_last_resort,
+            # Calls of the run then count as retries too, at each level.
+            is_repeat=call.has_reached_upstream or call.is_from_repeat,
         )
         call.sent_at = now
         call.starts_at_once = self._expected_times.record_attempt_start(
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -64,6 +64,8 @@
     has_waited: bool = False  # in vain, for a stream to an owner
     # Made by a request that runs at this daemon's upstream and waits for it.
     is_from_local_run: bool = False
+    is_from_repeat: bool = False  # that request is a retry
+    has_reached_upstream: bool = False  # an earlier attempt has, or may have
     last_refusal: Reason | None = None  # reason of the last free refusal
 
     @property
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -108,9 +108,9 @@
         """Return the requests that are suspected to crash their upstreams."""
         return self._crash_watch.suspects
 
-    def find_running_rank(self, request_id: str) -> int | None:
-        """Return the rank of a running request, or `None` if not running."""
-        return self._runner.find_running_rank(request_id)
+    def find_running(self, request_id: str) -> Attempt | None:
+        """Return the attempt of a running request, or `None`."""
+        return self._runner.find_running(request_id)
 
     def pop_outcome(self) -> LocalOutcome | None:
         """Remove and return the next outcome for the sender of this daemon."""
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -46,7 +46,7 @@
         '_answers',
         '_attempts',
         '_timers',
-        '_running_ranks',
+        '_running',
     )
 
     def __init__(
@@ -60,7 +60,7 @@
         self._answers = answers
         self._attempts = attempts
         self._timers: Timers[AttemptId] = Timers()
-        self._running_ranks: dict[str, int] = {}  # by request id
+        self._running: dict[str, Attempt] = {}  # by request id
 
     def __iter__(self) -> Iterator[OwnedAttempt]:
         """Iterate over a copy, so that attempts may end meanwhile."""
@@ -76,13 +76,13 @@
         """Remove and return an attempt, or return `None` if it is unknown."""
         record = self._attempts.pop(attempt_id, None)
         if record is not None and record.phase is OwnedPhase.RUNNING:
-            self._running_ranks.pop(record.attempt.request_id, None)
+            self._running.pop(record.attempt.request_id, None)
             self._upstream.run_bound.end(attempt_id, now)
         return record
 
-    def find_running_rank(self, request_id: str) -> int | None:
-        """Return the rank of a running request, or `None` if not running."""
-        return self._running_ranks.get(request_id)
+    def find_running(self, request_id: str) -> Attempt | None:
+        """Return the attempt of a running request, or `None`."""
+        return self._running.get(request_id)
 
     def offer(
         self, now: float, record: OwnedAttempt, latest_start: float
@@ -267,7 +267,7 @@
         attempt = record.attempt
         self._upstream.run_bound.begin(attempt.attempt_id, now)
         if attempt.request_id:
-            self._running_ranks[attempt.request_id] = attempt.rank
+            self._running[attempt.request_id] = attempt
         remaining = record.deadline - now
         return Dispatch(
             attempt_id=attempt.attempt_id,
--- a/briartack/core/calls/retry.py
+++ b/briartack/core/calls/retry.py
@@ -14,9 +14,16 @@
 BASE_BACKOFF_SECONDS: Final = 0.005
 MAX_BACKOFF_SECONDS: Final = 0.2
 PERCENT: Final = 100
-# Share of a shared retry budget for direct retries. The rest is reserved for
-# nested calls made by retried requests, which count towards the budget too.
-DIRECT_RETRY_RATIO: Final = 0.6
+# Share of a shared retry budget that daemons use. Retries and the calls of
+# retried runs are counted exactly; the rest allows for daemons whose instance
+# lists differ for a moment.
+USED_SHARE: Final = 0.95
+# Window in which the platform counts retries. A daemon that starts gets its
+# burst after this time, because its previous process may have spent one.
+WINDOW_SECONDS: Final = 10.0
+# Calls whose callers can repeat them after a 503 leave this share of the burst
+# to calls of runs, which fail without them.
+RESERVED_SHARE: Final = 0.5
 MAX_SERVICES: Final = 4096
 
 
@@ -28,42 +35,86 @@
     return random.uniform(0, max_wait_seconds)
 
 
+@final
+class _Balance:
+    """Hold the retry tokens of one service; a debt is negative."""
+
+    __slots__ = ('tokens', 'burst', 'awaits_burst')
+
+    def __init__(self, *, awaits_burst: bool, burst: float) -> None:
+        self.tokens = 0 if awaits_burst else burst
+        self.burst = burst
+        self.awaits_burst = awaits_burst
+
+    def add(self, tokens: float) -> None:
+        """Add tokens up to the burst.
+
+        Bursts below one token allow one, to which several calls add up.
+        """
+        self.tokens = min(self.tokens + tokens, max(self.burst, 1.0))
+
+
 @final
 class RetryState:
     """Hold the retry tokens of each service."""
 
-    __slots__ = ('_tokens',)
+    __slots__ = ('_balances', '_began_at')
 
     def __init__(self) -> None:
-        """Create a state in which every service has its full burst."""
-        self._tokens: dict[str, float] = {}
+        """Create a state in which every service has its full burst.
+
+        Shared budgets have it only some time after the first call.
+        """
+        self._balances: dict[str, _Balance] = {}
+        self._began_at: float | None = None
 
     def add_tokens(
         self,
         service: str,
-        retry_percent: int,
+        retry_percent: float,
         burst: float = BURST_TOKENS,
+        *,
+        shared_at: float | None = None,
     ) -> None:
-        """Add the tokens that one call earns, up to the burst."""
-        if len(self._tokens) >= MAX_SERVICES:
-            self._tokens.clear()
-        tokens = self._tokens.get(service, burst)
-        total = tokens + retry_percent / PERCENT
-        self._tokens[service] = min(burst, total)
-
-    def take_token(self, service: str) -> bool:
-        """Take one token and return whether there was one."""
-        tokens = self._tokens.get(service, BURST_TOKENS)
-        if tokens < 1:
+        """Add the tokens that one call earns, up to the burst.
+
+        `shared_at` is the time of the call, if all daemons share the budget.
+        """
+        is_starting = self._is_starting(shared_at)
+        balance = self._balances.get(service)
+        if balance is None:
+            if len(self._balances) >= MAX_SERVICES:
+                self._balances.clear()
+            balance = _Balance(awaits_burst=is_starting, burst=burst)
+            self._balances[service] = balance
+        balance.burst = burst
+        if balance.awaits_burst and not is_starting:
+            balance.awaits_burst = False
+            balance.add(burst)
+        balance.add(retry_percent / PERCENT)
+
+    def take_token(self, service: str, *, reserved_share: float = 0) -> bool:
+        """Take one token and return whether there was one.
+
+        Tokens up to a share of the burst are left to others.
+        """
+        balance = self._balances.get(service)
+        if balance is None:
+            balance = _Balance(awaits_burst=False, burst=BURST_TOKENS)
+            self._balances[service] = balance
+        if balance.tokens < 1:
+            return False
+        if balance.tokens <= balance.burst * reserved_share:
             return False
-        self._tokens[service] = tokens - 1
+        balance.tokens -= 1
         return True
 
-    def add_tokens_for_call(self, context: CallContext, call: Call) -> None:
-        """Add the tokens of a call to its service.
+    def count_call(self, context: CallContext, now: float, call: Call) -> None:
+        """Add the tokens of a call to its service, or take one.
 
         The rate and the burst are those of the shared budget, if the platform
-        has one, otherwise those of the policy.
+        has one, otherwise those of the policy. A call of a retried run counts
+        as a retry, also without a token.
         """
         service = call.share.service
         budget = compute_shared_budget(
@@ -71,11 +122,17 @@
         )
         if budget is None:
             self.add_tokens(service, call.route.policy.retry_percent)
+            return
+        percent, burst = budget
+        if call.is_from_repeat:
+            self.add_tokens(service, 0, burst, shared_at=now)
+            self._balances[service].tokens -= 1
         else:
-            self.add_tokens(service, *budget)
+            self.add_tokens(service, percent, burst, shared_at=now)
 
     def reserve_retry(
         self,
+        rules: CallRules,
         call: Call,
         verdict: Verdict,
         reason: Reason,
@@ -92,7 +149,44 @@
             return False
         if not may_repeat(verdict, repeatable=policy.repeatable):
             return False
-        return self.take_token(call.share.service)
+        return self.take_token(
+            call.share.service,
+            reserved_share=_select_reserved_share(rules, call, verdict),
+        )
+
+    def _is_starting(self, shared_at: float | None) -> bool:
+        """Return whether the burst of a shared budget is not yet allowed."""
+        if shared_at is None:
+            return False
+        if self._began_at is None:
+            self._began_at = shared_at
+        return shared_at - self._began_at <= WINDOW_SECONDS
+
+
+def has_reached_upstream(verdict: Verdict, reason: Reason) -> bool:
+    """Return whether a failed attempt has probably reached an upstream."""
+    return verdict is not Verdict.NOT_RUN or reason in {
+        reasons.UPSTREAM_REFUSED,
+        reasons.UPSTREAM_REPLACED,
+    }
+
+
+def _select_reserved_share(
+    rules: CallRules, call: Call, verdict: Verdict
+) -> float:
+    """Return the share of a shared burst that a call leaves to others.
+
+    Without the retry, its caller gets a 503 and can repeat the call. A call of
+    a run, and one that may have run, would be lost.
+    """
+    is_lost = (
+        call.is_from_local_run
+        or call.may_have_run
+        or verdict is not Verdict.NOT_RUN
+    )
+    if rules.retry_ratio is None or is_lost:
+        return 0
+    return RESERVED_SHARE
 
 
 def is_free_refusal(
@@ -121,14 +215,12 @@
 
 def compute_shared_budget(
     rules: CallRules, instances: int
-) -> tuple[int, float] | None:
+) -> tuple[float, float] | None:
     """Return this daemon's percentage and burst of the shared retry budget.
 
     Return `None` if the platform has no shared budget.
     """
     if rules.retry_ratio is None:
         return None
-    percent = int(rules.retry_ratio * DIRECT_RETRY_RATIO * PERCENT)
-    burst = rules.retry_burst * DIRECT_RETRY_RATIO / max(instances, 1)
-    # A budget below one token would forbid each first retry.
-    return percent, max(burst, 1.0)
+    percent = rules.retry_ratio * USED_SHARE * PERCENT
+    return percent, rules.retry_burst * USED_SHARE / max(instances, 1)
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -29,6 +29,7 @@
 from briartack.core.calls.retry import (
     RetryState,
     draw_backoff_seconds,
+    has_reached_upstream,
     is_free_refusal,
 )
 from briartack.core.calls.return_times import ReturnTimes
@@ -139,7 +140,7 @@
         self._inherit_run_rank(call)
         self._table.add(call)
         self._streams.record_call(call.share.service, event.now)
-        self._retry.add_tokens_for_call(context, call)
+        self._retry.count_call(context, event.now, call)
         effects = _schedule_wake(event.now, call.deadline)
         if event.body_bytes == 0:
             effects.extend(self._start_next_attempt(context, event.now, call))
@@ -323,11 +324,15 @@
         return effects
 
     def _inherit_run_rank(self, call: Call) -> None:
-        """Give a call made by a local request the rank of that request."""
-        rank = self._owner.find_running_rank(call.event.parent_id)
-        if rank is not None:
-            call.rank = rank
+        """Give a call made by a local request the rank of that request.
+
+        A call of a retried request counts as a retry.
+        """
+        running = self._owner.find_running(call.event.parent_id)
+        if running is not None:
+            call.rank = running.rank
             call.is_from_local_run = True
+            call.is_from_repeat = running.is_repeat
 
     def _handle_expired_timer(
         self, context: CallContext, now: float, call: Call
@@ -408,6 +413,8 @@
         """
         if verdict is Verdict.UNKNOWN:
             call.may_have_run = True
+        if has_reached_upstream(verdict, reason):
+            call.has_reached_upstream = True
         if (
             reason is reasons.STALE_CLOCK
             and call.stale_clock_refusals < MAX_STALE_CLOCK_RETRIES
@@ -424,6 +431,7 @@
                 call.last_refusal = reason
             return self._start_next_attempt(context, now, call)
         if now + wait_seconds < call.deadline and self._retry.reserve_retry(
+            context.rules,
             call,
             verdict,
             reason,
