--- a/briartack/test/test_mutants.py
+++ b/briartack/test/test_mutants.py
@@ -16,6 +16,7 @@
 from nose2.tools import params
 
 from briartack.replay import replay_trace
+from briartack.test.choice_mutants import CHOICE_MUTANTS
 from briartack.test.mutants import MUTANTS, Mutant
 
 CORE: Final = Path(__file__).parent.parent / 'core'
@@ -44,7 +45,7 @@
 
 
 class MutantsTest(unittest.TestCase):
-    @params(*MUTANTS)
+    @params(*MUTANTS, *CHOICE_MUTANTS)
     def test_mutant_is_caught(self, mutant: Mutant) -> None:
         """Guard against a trace that passes without the removed guard."""
         failures = failures_of(mutant)
