--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -28,6 +28,7 @@
         'upstream_run': 'benchmarks.upstream_run',
         'memory_run': 'benchmarks.memory_run',
         'object_memory': 'benchmarks.object_memory',
+        'choice': 'benchmarks.choice',
         'mixed_stop_run': 'benchmarks.mixed_stop_run',
     },
 )
