--- a/briartack/core/calls/body_arrivals.py
+++ b/briartack/core/calls/body_arrivals.py
@@ -16,7 +16,6 @@
     Scopes,
     find_nearest_scope,
 )
-from briartack.core.units import MILLISECONDS_PER_SECOND
 
 
 class RoomFunction(Protocol):
@@ -41,15 +40,10 @@
     if not call.body_bytes or not _may_need_grant(call, scopes, endpoints):
         return None
     deadline_seconds = call.deadline - now
-    target_seconds = deadline_seconds
-    target_ms = call.route.policy.target_ms
-    if target_ms is not None and not call.is_from_local_run:
-        elapsed_seconds = now - call.event.now
-        target_seconds = target_ms / MILLISECONDS_PER_SECOND - elapsed_seconds
     return AwaitedBody(
         size=call.body_bytes,
         urgency=(not call.is_from_local_run, call.rank),
-        target_seconds=target_seconds,
+        target_seconds=min(call.target_at - now, deadline_seconds),
         deadline_seconds=deadline_seconds,
         link_rate=context.rules.link_bytes_per_second,
         own_instance=context.identity.instance,
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -13,6 +13,7 @@
 from briartack.core.events import CallArrived
 from briartack.core.messages import Headers
 from briartack.core.units import (
+    MILLISECONDS_PER_SECOND,
     AttemptId,
     BodyId,
     CallId,
@@ -55,6 +56,7 @@
     tried_instances: tuple[InstanceId, ...] = ()
     may_have_run: bool = False
     sent_at: float = 0
+    starts_at_once: bool = False  # the owner probably had a free slot
     stale_clock_refusals: int = 0
     free_refusals: int = 0
     is_last_resort: bool = False  # the attempt was, see `ChosenEndpoint`
@@ -62,6 +64,8 @@
     has_waited: bool = False  # in vain, for a stream to an owner
     # Made by a request that runs at this daemon's upstream and waits for it.
     is_from_local_run: bool = False
+    is_from_repeat: bool = False  # that request is a retry
+    has_reached_upstream: bool = False  # an earlier attempt has, or may have
     last_refusal: Reason | None = None  # reason of the last free refusal
     # Time at the caller since its first try; `None` if unknown.
     elapsed_seconds: float | None = None
@@ -71,6 +75,21 @@
         """Return the id of the request body."""
         return call_body_id(self.event.call_id)
 
+    @property
+    def target_at(self) -> float:
+        """Return the time of the latency target, from the caller's first try.
+
+        It is the deadline for a call of a local run, which fails without the
+        call, and infinite without a target.
+        """
+        if self.is_from_local_run:
+            return self.deadline
+        target_ms = self.route.policy.target_ms
+        if target_ms is None:
+            return float('inf')
+        first_try_at = self.event.now - (self.elapsed_seconds or 0)
+        return first_try_at + target_ms / MILLISECONDS_PER_SECOND
+
 
 @final
 class CallTable:
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -18,20 +18,22 @@
 from briartack.core.calls.call_responses import CallResponder
 from briartack.core.calls.call_table import Call, CallPhase, CallTable
 from briartack.core.calls.caller_clocks import CallerClocks
-from briartack.core.calls.drain import DrainState
-from briartack.core.calls.endpoint_choice import (
+from briartack.core.calls.choice_types import (
     ChosenEndpoint,
-    EndpointChooser,
     SelectionFailure,
 )
+from briartack.core.calls.drain import DrainState
+from briartack.core.calls.endpoint_choice import EndpointChooser
 from briartack.core.calls.endpoints import EndpointsState
 from briartack.core.calls.owner import OwnerState
 from briartack.core.calls.reasons import Reason
 from briartack.core.calls.retry import (
     RetryState,
     draw_backoff_seconds,
+    has_reached_upstream,
     is_free_refusal,
 )
+from briartack.core.calls.return_times import ReturnTimes
 from briartack.core.calls.routing import RoutingState
 from briartack.core.calls.streams import StreamsState
 from briartack.core.calls.suspect_calls import find_suspicion
@@ -87,7 +89,6 @@
         drain: DrainState,
     ) -> None:
         self._table = CallTable()
-        self._responder = CallResponder(table=self._table)
         self._retry = RetryState()
         self._routing = routing
         self._streams = streams
@@ -99,9 +100,16 @@
             upstream=owner.upstream,
             drain=drain,
         )
+        self._responder = CallResponder(
+            table=self._table,
+            return_times=ReturnTimes(
+                expected_times=self._chooser.expected_times
+            ),
+        )
         self._attempt_sender = AttemptSender(
             table=self._table,
             endpoints=endpoints,
+            expected_times=self._chooser.expected_times,
             owner=owner,
         )
 
@@ -136,7 +144,7 @@
         self._measure_elapsed(call)
         self._table.add(call)
         self._streams.record_call(call.share.service, event.now)
-        self._retry.add_tokens_for_call(context, call)
+        self._retry.count_call(context, event.now, call)
         effects = _schedule_wake(event.now, call.deadline)
         if event.body_bytes == 0:
             effects.extend(self._start_next_attempt(context, event.now, call))
@@ -196,7 +204,12 @@
         """
         drop_body_effects = _drop_body(None if is_body_kept else body_id)
         call = self._table.find_by_attempt(answer.attempt_id)
-        if call is None or call.peer != peer:
+        if call is not None and call.peer != peer:
+            call = None
+        self._chooser.expected_times.record_answer(
+            context, now, peer, answer, call
+        )
+        if call is None:
             return [Count(name='answers_late'), *drop_body_effects]
         self._attempt_sender.end(call)
         self._attempt_sender.record_body_wait(
@@ -233,6 +246,7 @@
         peer: InstanceId,
     ) -> Effects:
         """Fail the attempts at a peer whose stream is down."""
+        self._chooser.expected_times.forget(peer)
         effects: Effects = []
         for call in self._table.list_sent_to(peer):
             self._attempt_sender.end(call)
@@ -317,11 +331,15 @@
         return effects
 
     def _inherit_run_rank(self, call: Call) -> None:
-        """Give a call made by a local request the rank of that request."""
-        rank = self._owner.find_running_rank(call.event.parent_id)
-        if rank is not None:
-            call.rank = rank
+        """Give a call made by a local request the rank of that request.
+
+        A call of a retried request counts as a retry.
+        """
+        running = self._owner.find_running(call.event.parent_id)
+        if running is not None:
+            call.rank = running.rank
             call.is_from_local_run = True
+            call.is_from_repeat = running.is_repeat
 
     def _measure_elapsed(self, call: Call) -> None:
         """Measure the time since the first try of a call with a target.
@@ -414,6 +432,8 @@
         """
         if verdict is Verdict.UNKNOWN:
             call.may_have_run = True
+        if has_reached_upstream(verdict, reason):
+            call.has_reached_upstream = True
         if (
             reason is reasons.STALE_CLOCK
             and call.stale_clock_refusals < MAX_STALE_CLOCK_RETRIES
@@ -430,6 +450,7 @@
                 call.last_refusal = reason
             return self._start_next_attempt(context, now, call)
         if now + wait_seconds < call.deadline and self._retry.reserve_retry(
+            context.rules,
             call,
             verdict,
             reason,
