Leave late and refused calls out of the hysteresis of a service

Cause: a call whose target had passed marked the service as away, so that calls in time kept to the lower bound of the return. Change: only first attempts in time record the scope. Result: the new test fails without the condition.

--- a/briartack/core/calls/completion_choice.py
+++ b/briartack/core/calls/completion_choice.py
@@ -119,13 +119,22 @@
                 return NO_CANDIDATE
             home = self._choose_in_home(scope, home_seconds)
         if home[1] <= home_seconds:
-            times.is_away = False
+            self._record_scope(times, is_away=False)
             return home
         best = self._choose_farther(remaining, home, kept_seconds)
         if best is not home:
-            times.is_away = True
+            self._record_scope(times, is_away=True)
         return best
 
+    def _record_scope(self, times: ServiceTimes, *, is_away: bool) -> None:
+        """Record where the calls of the service go.
+
+        Late calls and those that were refused say nothing about the others.
+        """
+        is_first = not self._needs.tried_instances
+        if is_first and self._target_seconds > 0:
+            times.is_away = is_away
+
     def _choose_in_home(
         self, scope: tuple[Member, ...], kept_seconds: float
     ) -> Candidate:
--- a/briartack/test/test_early_refusal.py
+++ b/briartack/test/test_early_refusal.py
@@ -149,6 +149,16 @@
             found += 'b' if 'send b' in ' '.join(effects) else 'd'
         self.assertEqual(found, 'dddbb')
 
+    def test_late_calls_do_not_move_the_service(self) -> None:
+        """Guard against late calls that send all others beyond their scope."""
+        bench = make_bench({'wait_seconds': 0.5}, {}, policy={'target_ms': 1})
+        times = bench.state.sender.chooser.expected_times.get('s')
+        assert times is not None
+        bench.apply_step({'at': 1.02, 'do': 'arrive', 'call': 'q', 'bytes': 9})
+        effects = bench.apply_step({'at': 1.1, 'do': 'body', 'call': 'q'})
+        self.assertIn('send d', ' '.join(effects))
+        self.assertFalse(times.is_away)
+
 
 class ReturnTimesTest(unittest.TestCase):
     def test_a_third_of_the_time_left_wins(self) -> None:
