Test unusable, cold and grant-bound instances of the choice by completion

Cause: no test showed that leaving, avoided and cold instances keep their handling, or that the wait for a grant counts. Change: three tables in test_early_refusal.

--- a/briartack/test/test_early_refusal.py
+++ b/briartack/test/test_early_refusal.py
@@ -16,7 +16,13 @@
 from briartack.core.calls.call_table import Call
 from briartack.core.calls.return_times import ReturnTimes
 from briartack.core.effects import AnswerCall
-from briartack.core.units import AttemptId, CallId, InstanceId
+from briartack.core.messages import PROTOCOL_VERSION, Hello
+from briartack.core.units import (
+    AttemptId,
+    CallId,
+    Incarnation,
+    InstanceId,
+)
 from briartack.core.verdict import Verdict
 from briartack.test.call_path_bench import CallPathBench
 from briartack.test.effect_lines import format_effect
@@ -97,6 +103,83 @@
         effects = bench.apply_step({'at': 1, 'do': 'arrive', 'call': 'p'})
         self.assertIn('send b', ' '.join(effects))
 
+    # Each row: what makes `b` unusable, or full although it states no wait.
+    @params(
+        [{'do': 'change', 'setup': {'leaving': 'b'}}],
+        [{'do': 'goodbye', 'peer': 'b', 'at': 1}],
+        [{'do': 'disconnect', 'peer': 'b', 'at': 1}],
+        [
+            {'do': 'arrive', 'call': 'x', 'at': 1},
+            {
+                'do': 'answer',
+                'at': 1,
+                'peer': 'b',
+                'attempt': 'a.i1.1',
+                'verdict': 'not-run',
+                'reason': 'upstream-down',
+            },
+        ],
+    )
+    def test_unusable_instances_are_passed_over(
+        self, steps: list[dict[str, Any]]
+    ) -> None:
+        """Guard against calls at instances that leave, are gone or avoided."""
+        bench = make_bench({}, {})
+        for step in steps:
+            bench.apply_step(step)
+        effects = bench.apply_step({'at': 1, 'do': 'arrive', 'call': 'p'})
+        self.assertIn('send d', ' '.join(effects))
+
+    @params((0, 'send d'), (5000, 'send b'))
+    def test_cold_instance_is_asked_last(
+        self, wait_ms: int, expected: str
+    ) -> None:
+        """Guard against calls that fill a cold upstream with free slots."""
+        bench = make_bench(
+            {'load': 2.0}, {'wait_seconds': wait_ms / 1000}, cold_ms=2000
+        )
+        effects = bench.apply_step({'at': 1, 'do': 'arrive', 'call': 'p'})
+        self.assertIn(expected, ' '.join(effects))
+
+    @params((9_000, 'send b'), (40_000, 'send d'))
+    def test_large_body_waits_for_no_grant_beyond_its_target(
+        self, body_bytes: int, expected: str
+    ) -> None:
+        """Guard against uploads at a link that is full.
+
+        The near owner states a wait of 0.5 s for bodies above 12.5 KB.
+        """
+        bench = make_bench(
+            {'body_wait_seconds': 0.5, 'slowdown': 0},
+            {'slowdown': 0},
+            rules={
+                'counts_refusals': False,
+                'link_bytes_per_second': 625_000,
+                'large_body_full_load': 4.0,
+            },
+        )
+        times = bench.state.sender.chooser.expected_times
+        times.record_hello(
+            Hello(
+                protocol_version=PROTOCOL_VERSION,
+                instance=InstanceId('b'),
+                incarnation=Incarnation('j1'),
+                service='s',
+                data_centre='costa-1',
+                region='costa',
+                clock=1,
+                ungranted_body_bytes=12_500,
+            ),
+            None,
+        )
+        bench.apply_step(
+            {'at': 1, 'do': 'arrive', 'call': 'p', 'bytes': body_bytes}
+        )
+        effects = bench.apply_step(
+            {'at': 1, 'do': 'body', 'call': 'p', 'bytes': body_bytes}
+        )
+        self.assertIn(expected, ' '.join(effects))
+
     @params((0.1, 'send d'), (0.6, FULL_EVERYWHERE))
     def test_refused_call_asks_no_hopeless_owner(
         self, far_wait: float, expected: str
