--- a/briartack/core/calls/completion_choice.py
+++ b/briartack/core/calls/completion_choice.py
@@ -43,6 +43,7 @@
         '_needs',
         '_target_seconds',
         '_deadline_seconds',
+        '_left_seconds',
         '_max_wait_seconds',
         '_excluded',
         '_has_passed_over',
@@ -63,11 +64,13 @@
         self._needs = needs
         self._deadline_seconds = needs.deadline - now
         self._target_seconds = min(needs.target_at, needs.deadline) - now
+        # A call that has missed its target is served until its deadline.
+        self._left_seconds = self._target_seconds
+        if self._target_seconds <= 0:
+            self._left_seconds = self._deadline_seconds
         self._max_wait_seconds = float('inf')
         if needs.has_met_overload:
-            self._max_wait_seconds = self._target_seconds
-            if self._target_seconds <= 0:
-                self._max_wait_seconds = self._deadline_seconds
+            self._max_wait_seconds = self._left_seconds
         self._excluded = needs.tried_instances
         self._has_passed_over = False
 
@@ -91,7 +94,7 @@
         self, scopes: Scopes, times: ServiceTimes
     ) -> Member | SelectionFailure | None:
         best, best_seconds = self._choose_scope(scopes, times)
-        if best is None or best_seconds <= self._target_seconds:
+        if best is None or best_seconds <= self._deadline_seconds:
             return best
         best, best_seconds = self._find_earliest(chain.from_iterable(scopes))
         if best is None or best_seconds <= self._deadline_seconds:
@@ -104,13 +107,14 @@
     def _choose_scope(self, scopes: Scopes, times: ServiceTimes) -> Candidate:
         """Return the best candidate, from the nearest scope in time.
 
-        A farther scope has to complete earlier by more than its round trip.
+        If no scope is in time, the call stays in the nearest: in a shortage
+        everywhere, a farther queue is no shorter.
         """
         share = KEPT_SHARE_LARGE if self._needs.is_large else KEPT_SHARE
-        kept_seconds = self._target_seconds * share
+        kept_seconds = self._left_seconds * share
         home_seconds = kept_seconds
         if times.is_away:
-            home_seconds = self._target_seconds * RETURN_SHARE
+            home_seconds = self._left_seconds * RETURN_SHARE
         remaining = iter(scopes)
         home = NO_CANDIDATE
         while home is NO_CANDIDATE:
@@ -153,16 +157,22 @@
         home: Candidate,
         kept_seconds: float,
     ) -> Candidate:
-        """Return the home candidate, or that of the first better scope."""
+        """Return the candidate of the first scope that is well in time.
+
+        Otherwise return one that is just in time if the home candidate is not.
+        A farther scope has to complete earlier by more than its round trip.
+        """
         best = home
         for scope in scopes:
             member, seconds = self._pick_earlier(scope)
             if member is None:
                 continue
-            if seconds + self._estimator.get_round_trip(member) < best[1]:
+            if seconds + self._estimator.get_round_trip(member) >= best[1]:
+                continue
+            if seconds <= kept_seconds:
+                return member, seconds
+            if seconds <= self._left_seconds < home[1]:
                 best = member, seconds
-            if best[1] <= kept_seconds:
-                break
         return best
 
     def _pick_earlier(self, scope: tuple[Member, ...]) -> Candidate:
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -265,7 +265,10 @@
             target_seconds = attempt.target_ms / MILLISECONDS_PER_SECOND
             # The wait for a grant is part of the time to the target.
             stated_at = record.received_at if attempt.awaits_grant else now
-            useful_until = stated_at + target_seconds - run_seconds
+            useful_until = stated_at + target_seconds
+            useful_until -= times.likely_run_seconds(
+                now, attempt.route, self._upstream.mean_seconds
+            )
         # The queue of an upstream that states no load keeps its order.
         becomes_late = times.has_load_report and times.has_enough_runs
         is_late = attempt.is_late or record.is_body_late
--- a/briartack/core/calls/service_times.py
+++ b/briartack/core/calls/service_times.py
@@ -16,6 +16,8 @@
 MIN_RUNS: Final = 10
 # The work of a route averages over about this many of its runs.
 MEAN_WINDOW_RUNS: Final = 64
+# About nine runs in ten take less than the mean and this many mean deviations.
+LIKELY_DEVIATIONS: Final = 2.0
 # Slow spells of a shared host last about 0.6 s.
 SLOWDOWN_HALF_LIFE_SECONDS: Final = 0.6
 # Several spells fit into this time, so an older report says nothing.
@@ -66,12 +68,13 @@
 
 @final
 class RouteWork:
-    """Hold the mean work of a route: its run time at the usual speed."""
+    """Hold the work of a route: its run time at the usual speed."""
 
-    __slots__ = ('_mean', '_runs')
+    __slots__ = ('_mean', '_deviation', '_runs')
 
     def __init__(self) -> None:
         self._mean = float(0)
+        self._deviation = float(0)
         self._runs = 0
 
     @property
@@ -79,10 +82,17 @@
         """Return the mean seconds of a run at the usual speed."""
         return self._mean
 
+    @property
+    def likely_seconds(self) -> float:
+        """Return the seconds within which most runs at the usual speed end."""
+        return self._mean + LIKELY_DEVIATIONS * self._deviation
+
     def update(self, seconds: float) -> None:
-        """Add the work of one run to the mean."""
+        """Add the work of one run to the mean and the mean deviation."""
         self._runs = min(self._runs + 1, MEAN_WINDOW_RUNS)
         self._mean += (seconds - self._mean) / self._runs
+        deviation = abs(seconds - self._mean)
+        self._deviation += (deviation - self._deviation) / self._runs
 
 
 @final
@@ -179,3 +189,18 @@
         return min(
             work.mean_seconds * self.slowdown(now), self._longest_seconds
         )
+
+    def likely_run_seconds(
+        self, now: float, route: str, long_run_mean: float
+    ) -> float:
+        """Estimate within which time most runs of a route end.
+
+        A queue that is bounded by the mean makes half of the attempts miss
+        their target. The long-run mean counts if too little is known.
+        """
+        work = self._routes.get(route)
+        if work is None or not self.is_usable(now):
+            return long_run_mean
+        return min(
+            work.likely_seconds * self.slowdown(now), self._longest_seconds
+        )
