--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -107,12 +107,14 @@
     idle = _make_site(size, slowdown=1)
     after = _measure_choice(idle)
     full = _measure_choice(_make_site(size, slowdown=1, wait=0.3, load=2))
+    refused = _measure_choice(_make_site(size, slowdown=1, wait=5, load=4))
     statement = _measure_statements(idle)
     return {
         'by_load_us': before,
         'by_load_full_us': full_before,
         'by_completion_us': after,
         'by_completion_full_us': full,
+        'refused_early_us': refused,
         'statement_us': statement,
         'added_us': round(after + statement - before, 1),
         'added_full_us': round(full + statement - full_before, 1),
