Read chunked bodies with limits on chunk lines and trailers

pywsgi reads chunk lines and trailers byte by byte, 0.07 us each, up to 8 KB per chunk, and a read of 2 KB of data lets no other greenlet run while bytes have arrived. 80 clients with extensions of 8 KB, or with trailers, stopped a daemon for longer than 6 s. The cost is linear; what grows with it is the backlog of all connections between two turns of the loop.

A reader of our own reads a line at a time and counts lines as turns. A chunk line may have 1,024 bytes, a trailer 8 KiB, all trailers 64 KiB; beyond that the request gets 400 and the connection closes. As before, a chunk line and a trailer end with CRLF; a bare LF within an extension and a trailer without a colon are refused now.

--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -9,7 +9,7 @@
 
 import gevent
 from gevent import socket
-from gevent.pywsgi import Input, WSGIHandler
+from gevent.pywsgi import WSGIHandler
 
 from briartack.arriving_bodies import ArrivingBodies, NoBodyRoomError
 from briartack.buffered_input import has_buffered_input
@@ -33,6 +33,7 @@
 from briartack.inbound_call import InboundCall
 from briartack.memory_budget import Lease, MemoryBudget
 from briartack.read_ahead import MAX_PIPELINED_REQUESTS
+from briartack.request_body import RequestBody
 from briartack.request_head import RequestHead
 from briartack.shell_interfaces import Observer
 from briartack.turns import TurnLimit
@@ -169,12 +170,9 @@
 
         Returns an empty environment, since no WSGI application runs.
         """
-        # Without a socket, pywsgi leaves "100 Continue" to the pipeline.
-        self.wsgi_input = Input(
-            self.rfile,
-            self.content_length,
-            socket=None,
-            chunked_input=self._is_chunked,
+        # The pipeline sends "100 Continue".
+        self.wsgi_input = RequestBody(
+            self.rfile, self.content_length, is_chunked=self._is_chunked
         )
         return {}
 
