Answer the platform before the tasks of connections that come at once

Each accepted connection starts a task, and the tasks of all ports start in one queue. The callers' port accepted 100 connections in each pass of the event loop, of which the loop starts about 50 in a pass, so the platform's question waited behind the queue. At the operators' port, a connection without a request takes 0.5 ms until it has given way, and the question waited behind up to 1,024 of them.

The callers' port accepts 8 connections a pass, as the others do. While more than 32 connections wait at the operators' port, one without a whole head is closed before a task is started.

--- a/briartack/accepting.py
+++ b/briartack/accepting.py
@@ -22,7 +22,11 @@
 from briartack.logs import write_log
 from briartack.open_connections import ConnectionLimits
 from briartack.request_body import RequestBody
-from briartack.socket_options import limit_receive_buffer
+from briartack.socket_options import (
+    count_waiting_connections,
+    has_unread_input,
+    limit_receive_buffer,
+)
 
 # The connection stays in the queue, so another accept at once fails as well.
 _EXHAUSTION_ERRORS: Final = frozenset(
@@ -33,6 +37,8 @@
 # The platform, some operators and a collector of metrics at the same time.
 MAX_OPERATOR_CONNECTIONS: Final = 32
 _MAX_OPERATOR_HEAD_BYTES: Final = 16_384
+# Connections that are closed unread in one go, of about 50 us each.
+_MAX_UNREAD: Final = 64
 # No operator's request has a use for a body. One up to this size is skipped.
 _MAX_OPERATOR_BODY_BYTES: Final = 16_384
 # Unread bytes count towards the memory of the process, and those of a process
@@ -40,7 +46,9 @@
 # and a half times as much, which carries 1.5 MB/s over round trips of 24 ms.
 CALLER_BUFFER_BYTES: Final = 24_576
 # Connections that are accepted before those accepted earlier are read: their
-# first bytes say which of them are in use.
+# first bytes say which of them are in use. Each starts a greenlet in one queue
+# for all ports: with gevent's 100, those of 1,500 callers that connected at
+# once went before the answer to the platform, which took 0.6 to 3 s.
 _ACCEPTS: Final = 8
 
 
@@ -97,6 +105,8 @@
 class LimitedHttpServer(HttpServer):
     """Accept connections for HTTP up to a number of open ones."""
 
+    max_accept = _ACCEPTS
+
     def __init__(
         self, *args: Any, limits: ConnectionLimits, **options: Any
     ) -> None:
@@ -160,13 +170,21 @@
         self._open: OrderedDict[socket.socket, None] = OrderedDict()
 
     def do_read(self) -> Any:
-        """Accept one connection; return None if there is none."""
-        accepted = super().do_read()
-        if accepted is not None:
-            if len(self._open) >= MAX_OPERATOR_CONNECTIONS:
-                self._close_oldest()
-            self._open[accepted[0]] = None
-        return accepted
+        """Accept a connection, and close those before it that give way unread.
+
+        Returns None if there is none. A connection without a whole head takes
+        half a millisecond until it has given way, and the platform's question
+        waits behind up to LISTEN_BACKLOG of them.
+        """
+        for _ in range(_MAX_UNREAD):
+            accepted = super().do_read()
+            if accepted is None:
+                break
+            if not self._gives_way(accepted[0]):
+                self._add(accepted[0])
+                return accepted
+            accepted[0].close()
+        return None
 
     def do_close(self, sock: socket.socket, *args: Any) -> None:
         """Close a connection."""
@@ -178,6 +196,19 @@
         if sock in self._open:
             self._open.move_to_end(sock)
 
+    def _add(self, sock: socket.socket) -> None:
+        if len(self._open) >= MAX_OPERATOR_CONNECTIONS:
+            self._close_oldest()
+        self._open[sock] = None
+
+    def _gives_way(self, sock: socket.socket) -> bool:
+        """Return whether a connection without a request gives way at once.
+
+        Those that wait to be accepted would take its place.
+        """
+        waiting = count_waiting_connections(self.socket)
+        return waiting >= MAX_OPERATOR_CONNECTIONS and not _has_whole_head(sock)
+
     def _close_oldest(self) -> None:
         sock, _ = self._open.popitem(last=False)
         # The client may have closed the connection. Its greenlet ends by this,
@@ -186,6 +217,17 @@
             sock.shutdown(socket.SHUT_RDWR)
 
 
+def _has_whole_head(sock: socket.socket) -> bool:
+    """Return whether the head of a request has arrived."""
+    if not has_unread_input(sock):
+        return False
+    try:
+        received = sock.recv(_MAX_OPERATOR_HEAD_BYTES, socket.MSG_PEEK)
+    except OSError:
+        return False
+    return b'\r\n\r\n' in received
+
+
 class _OperatorHandler(WSGIHandler):  # type: ignore[misc]
     """Read requests of operators, whose heads are small."""
 
--- a/briartack/socket_options.py
+++ b/briartack/socket_options.py
@@ -16,6 +16,9 @@
 DEFAULT_SILENCE_SECONDS: Final = 3.0
 _MILLISECONDS_PER_SECOND: Final = 1000
 _INT_BYTES: Final = 4
+# Of `tcpi_unacked` in Linux's `struct tcp_info`: eight bytes and four integers
+# precede it. For a listener, it is the length of its queue.
+_WAITING_OFFSET: Final = 24
 
 
 def configure_socket(sock: Any) -> None:
@@ -54,6 +57,14 @@
     return _count_bytes(sock, termios.TIOCOUTQ)
 
 
+def count_waiting_connections(listener: Any) -> int:
+    """Return how many connections wait to be accepted."""
+    state = listener.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, _WAITING_OFFSET + _INT_BYTES
+    )
+    return int.from_bytes(state[_WAITING_OFFSET:], sys.byteorder)
+
+
 def has_unread_input(sock: Any) -> bool:
     """Return whether bytes, or the end of them, have arrived unread."""
     return _has_event(sock, select.POLLIN)
--- a/briartack/test/test_port_limits.py
+++ b/briartack/test/test_port_limits.py
@@ -6,6 +6,7 @@
 
 import os
 import resource
+import socket as plain_socket
 import unittest
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -19,8 +20,13 @@
 from nose2.tools import params
 
 from briartack import accepting, peer_connections
+from briartack.accepting import OperatorServer
 from briartack.core import events
 from briartack.memory_budget import MEGABYTE
+from briartack.open_connections import ConnectionLimits
+from briartack.shell_interfaces import LISTEN_BACKLOG
+from briartack.socket_options import has_unread_input
+from briartack.test.fake_reducer import LOCAL_HOST, wait_until
 from briartack.test.shell_fixture import ShellFixture, read_answer
 from briartack.test.test_descriptor_limits import (
     ask_ready,
@@ -40,6 +46,8 @@
 MAX_DESCRIPTORS = 300
 LONG_HEAD = b'GET /readyz HTTP/1.1\r\n%b' % (b'A: %b\r\n' % bytes(60_000) * 20)
 HALF_HEAD = b'GET /readyz HTTP/1.1\r\nHost:'
+QUESTION = b'GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n'
+CALLERS = 300
 HALF_FRAME = b'\xc6\x00\x00\x0f\x00%b' % bytes(3000)
 
 
@@ -147,6 +155,72 @@
         self.assertEqual(status, 400)
 
 
+class OperatorTurnTest(unittest.TestCase):
+    """Test that the platform's question does not wait for other clients.
+
+    The clients connect before the servers run, in the order that is shown.
+    """
+
+    def setUp(self) -> None:
+        self.server = OperatorServer(
+            (LOCAL_HOST, 0),
+            answer_ready,
+            log=None,
+            error_log=None,
+            backlog=LISTEN_BACKLOG,
+        )
+        self.server.init_socket()
+
+    def connect(self, port: int, sent: bytes) -> plain_socket.socket:
+        """Connect and send without a turn of the servers."""
+        client = plain_socket.create_connection((LOCAL_HOST, port))
+        self.addCleanup(client.close)
+        client.sendall(sent)
+        return client
+
+    def start(self) -> None:
+        """Start to serve operators."""
+        self.server.start()
+        self.addCleanup(self.server.stop, timeout=0)
+
+    # Guards against a question whose task waits behind those of all callers
+    # that connect at the same time, for 3 s with 1,500 callers.
+    def test_question_goes_before_callers_that_connect(self) -> None:
+        shell = ShellFixture(
+            connection_limits=ConnectionLimits(max_served=1000, max_refused=10)
+        )
+        self.addCleanup(shell.stop)
+        for _ in range(CALLERS):
+            self.connect(shell.caller_server.server_port, HALF_HEAD)
+        asking = self.connect(self.server.server_port, QUESTION)
+        self.start()
+        wait_until(lambda: has_unread_input(asking))
+        self.assertLess(shell.callers.open_connections, CALLERS / 5)
+        self.assertEqual(read_answer(asking)[0], 200)
+
+    # Guards against a question that is closed unread, and against one that
+    # waits until each of the connections without a request has been served.
+    @params((0, 200), (100, 100), (200, 0))
+    def test_question_is_answered_among_idle_connections(
+        self, before: int, behind: int
+    ) -> None:
+        port = self.server.server_port
+        for _ in range(before):
+            self.connect(port, HALF_HEAD)
+        asking = self.connect(port, QUESTION)
+        for _ in range(behind):
+            self.connect(port, HALF_HEAD)
+        self.start()
+        wait_until(lambda: has_unread_input(asking))
+        self.assertEqual(read_answer(asking)[0], 200)
+
+
+def answer_ready(environ: dict[str, str], start_response: Any) -> list[bytes]:
+    """Answer the platform's question."""
+    start_response('200 OK', [('Content-Length', '0')])
+    return [b'']
+
+
 class PeerLimitTest(unittest.TestCase):
     # Guards against a client that introduces itself by thousands of names.
     def test_peers_beyond_the_limit_are_refused(self) -> None:
