Take no broken end for the end of an answer, and no invalid status

An answer without a length ends with its connection. When an upstream answered an upload at once and reset the connection, the failed write took the error, and the read after it reported a plain end: the part that had arrived went to the caller as a whole answer with 200. After a failed write, an end of the input is now no end of the answer.

A status outside 100 to 599 (RFC 9110, section 15) was passed on if it was 600 or more. The parser refuses it, which gives 502.

--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -334,7 +334,7 @@
                 _receive_available(descriptor, self._response)
             except OSError as error:
                 # The response may have arrived before the connection broke.
-                _receive_available(descriptor, self._response)
+                _receive_available(descriptor, self._response, is_broken=True)
                 if not self._response.is_complete:
                     raise _make_write_error(error, may_have_run=True) from None
 
@@ -422,15 +422,22 @@
             turn.count_read(len(received))
 
 
-def _receive_available(descriptor: int, response: CollectedResponse) -> None:
-    """Parse the bytes that have arrived, without waiting."""
+def _receive_available(
+    descriptor: int, response: CollectedResponse, *, is_broken: bool = False
+) -> None:
+    """Parse the bytes that have arrived, without waiting.
+
+    On a broken connection, an end of the input is none of the response: the
+    write that failed has taken the error, which a read would report otherwise.
+    """
     try:
         received = os.read(descriptor, _RECEIVE_BYTES)
     except BlockingIOError:
         return
     except OSError as error:
         raise _make_read_error(error) from None
-    _parse_received(response, received)
+    if received or not is_broken:
+        _parse_received(response, received)
 
 
 def _make_read_error(error: OSError) -> ExchangeError:
--- a/briartack/http_response.py
+++ b/briartack/http_response.py
@@ -10,6 +10,9 @@
 from briartack.core.messages import Headers
 
 _FIRST_FINAL_STATUS: Final = 200
+# RFC 9110, section 15: a status outside this range is invalid.
+_FIRST_STATUS: Final = 100
+_LAST_STATUS: Final = 599
 # Heads, trailers and chunk sizes may take so many bytes, and so many more for
 # each byte of a body: a chunk of one byte has a frame of five.
 _MAX_FRAMING_BYTES: Final = 65536
@@ -149,6 +152,12 @@
         self._body_bytes = 0
         super()._on_message_begin()
 
+    def _on_headers_complete(self) -> int | bool | None:
+        status = self.get_code()
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            raise HTTPProtocolViolationError(f'status {status} is invalid')
+        return super()._on_headers_complete()
+
     def _on_message_complete(self) -> None:
         super()._on_message_complete()
         if self.get_code() < _FIRST_FINAL_STATUS:
