Follow the operators' limits of sizes above the product's own

max_body_bytes and max_header_bytes were ignored: a body above 16 MiB got 413 and a head above 64 KiB 400, whatever the operators allow. The settings have fields for both, left out unless stated; the adapter translates values above the product's own, up to 64 MiB and 1 MiB.

- Sender: bodies up to the limit, or three fifths of the memory for bodies if that is less. 413 names the limit in force, and /status shows it.
- Peers: a hello states the largest body of an attempt that its sender takes; without it, that is 16 MiB, since a daemon of an earlier release would end the stream.
Owners that don't take a body are not chosen.
A queue takes three bodies of the largest size in it before it counts as full.
- Owner: the limit of its own configuration; the room is reserved as before.
- Answers keep to 16 MiB, and so does what they may exceed the memory by.

--- a/briartack/bodies.py
+++ b/briartack/bodies.py
@@ -8,6 +8,7 @@
 from typing import Final, final
 
 from briartack.core.messages import (
+    MAX_ALLOWED_BODY_BYTES,
     MAX_BODY_BYTES,
     MAX_CHUNK_BYTES,
     Answer,
@@ -121,7 +122,10 @@
 
     Raises MalformedFrameError.
     """
-    if not 0 <= head.body_bytes <= MAX_BODY_BYTES:
+    most = MAX_BODY_BYTES
+    if isinstance(head, Attempt):
+        most = MAX_ALLOWED_BODY_BYTES
+    if not 0 <= head.body_bytes <= most:
         raise MalformedFrameError(
             f'announced body of {head.body_bytes} bytes is out of range',
         )
--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -22,6 +22,7 @@
 )
 from briartack.caller_pipeline import Pipeline, ReadyResponse
 from briartack.core.calls.reasons import NO_ROOM
+from briartack.core.effects import LimitCallers
 from briartack.core.messages import MAX_BODY_BYTES
 from briartack.dialects import CallerDialect
 from briartack.error_texts import (
@@ -62,6 +63,10 @@
     def dialect(self) -> CallerDialect:
         """Return the codec for request heads and responses."""
 
+    @property
+    def limits_in_force(self) -> LimitCallers:
+        """Return how much callers may send, and how long they may take."""
+
     @property
     def memory(self) -> MemoryBudget:
         """Return the budget of the bodies that the daemon holds."""
@@ -155,7 +160,11 @@
         self, stream: BinaryIO, seekable: int
     ) -> RequestHeaders:
         """Read the headers of a request within the memory for heads."""
-        return RequestHeaders(stream, reserve=self._head_room.reserve)
+        return RequestHeaders(
+            stream,
+            reserve=self._head_room.reserve,
+            max_bytes=self._calls.limits_in_force.max_head_bytes,
+        )
 
     def read_request(self, raw_requestline: str) -> bool:
         """Parse the request line and headers; return whether both are valid.
@@ -201,8 +210,10 @@
         except RequestError as error:
             self._refuse(_STATUS_BAD_REQUEST, MALFORMED_REQUEST, str(error))
             return
-        if (head.body_bytes or 0) > self._max_body_bytes:
-            self._refuse(_STATUS_TOO_LARGE, TOO_LARGE, '')
+        max_bytes = self._calls.limits_in_force.max_body_bytes
+        if (head.body_bytes or 0) > max_bytes:
+            detail = _describe_limit(max_bytes)
+            self._refuse(_STATUS_TOO_LARGE, TOO_LARGE, detail)
             return
         call = InboundCall(
             head=head,
@@ -216,10 +227,6 @@
             self._discard_input()
         self._pipeline.wait_for_capacity()
 
-    @property
-    def _max_body_bytes(self) -> int:
-        return min(MAX_BODY_BYTES, self._calls.memory.max_request_bytes)
-
     @property
     def _is_chunked(self) -> bool:
         return self.headers.get('transfer-encoding') is not None
@@ -263,13 +270,15 @@
             call.request_body()
             self._pipeline.flush()
         call.reader = gevent.getcurrent()
+        # Another configuration may come in force while the body arrives.
+        max_bytes = self._calls.limits_in_force.max_body_bytes
         try:
             body = self._calls.arriving_bodies.read(
                 call,
                 lease,
                 self.wsgi_input,
                 connection=self._pipeline,
-                max_bytes=self._max_body_bytes,
+                max_bytes=max_bytes,
             )
         except (NoBodyRoomError, MemoryError):
             # The rest of the body is not read as a request.
@@ -283,7 +292,9 @@
         finally:
             call.reader = None
         if body is None:
-            self._abort_call(call, _STATUS_TOO_LARGE, TOO_LARGE, '')
+            self._abort_call(
+                call, _STATUS_TOO_LARGE, TOO_LARGE, _describe_limit(max_bytes)
+            )
         elif not call.is_answered:
             call.is_body_read = True
             self._calls.complete_body(call, body)
@@ -401,3 +412,7 @@
     if status != _STATUS_UNAVAILABLE:
         return 0
     return random.uniform(_MIN_RETRY_SECONDS, _MAX_RETRY_SECONDS)
+
+
+def _describe_limit(max_bytes: int) -> str:
+    return f'At most {max_bytes} bytes are taken.'
--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import BinaryIO, Final, TypeAlias, final
 
-from briartack.core.messages import Headers
+from briartack.core.messages import MAX_HEAD_BYTES, Headers
 from briartack.headers import (
     CONTENT_LENGTH,
     DEADLINE,
@@ -19,9 +19,10 @@
 )
 
 MAX_REQUEST_LINE_BYTES: Final = 8190
+# Of a header, unless operators allow larger heads.
 _MAX_LINE_BYTES: Final = 16384
-_MAX_HEAD_BYTES: Final = 65536
 _MAX_HEADERS: Final = 128
+_KIBIBYTE: Final = 1024
 # The objects of one header, beside its text.
 _HEADER_OVERHEAD_BYTES: Final = 200
 # Room is reserved for a line that is longer while the line arrives.
@@ -78,14 +79,18 @@
     __slots__ = ('status', '_pairs', '_first_values')
 
     def __init__(
-        self, stream: BinaryIO, *, reserve: ReserveHead = _reserve_nothing
+        self,
+        stream: BinaryIO,
+        *,
+        reserve: ReserveHead = _reserve_nothing,
+        max_bytes: int = MAX_HEAD_BYTES,
     ) -> None:
-        """Read and check the headers up to the empty line.
+        """Read and check the headers, of so many bytes, up to the empty line.
 
         Raises RequestError, and what `reserve` raises without room.
         """
         self.status = ''  # pywsgi rejects the request if this is set
-        self._pairs = _read_headers(stream, reserve)
+        self._pairs = _read_headers(stream, reserve, max_bytes)
         self._first_values: dict[str, str] = {}
         for name, text in self._pairs:
             lower = name.lower()
@@ -212,34 +217,42 @@
     )
 
 
-def _read_headers(stream: BinaryIO, reserve: ReserveHead) -> Headers:
+def _read_headers(
+    stream: BinaryIO, reserve: ReserveHead, max_bytes: int
+) -> Headers:
+    max_line_bytes = _MAX_LINE_BYTES
+    if max_bytes > MAX_HEAD_BYTES:
+        max_line_bytes = max_bytes
     pairs: list[tuple[str, str]] = []
     total = 0
     while True:
         held = total + _HEADER_OVERHEAD_BYTES * len(pairs)
         # Drops the line before, whose text is held already.
         line = b''
-        line = _read_line(stream, held, reserve)
+        line = _read_line(stream, held, reserve, max_line_bytes)
         if line in {b'\r\n', b'\n'}:
             return tuple(pairs)
         total += len(line)
-        if len(line) > _MAX_LINE_BYTES or total > _MAX_HEAD_BYTES:
+        if len(line) > max_line_bytes or total > max_bytes:
             raise RequestError(
-                'The headers exceed 64 KiB, or one line of them exceeds 16 KiB.'
+                f'The headers exceed {max_bytes // _KIBIBYTE} KiB, or one line '
+                f'of them exceeds {max_line_bytes // _KIBIBYTE} KiB.'
             )
         if len(pairs) == _MAX_HEADERS:
             raise RequestError(f'There are more than {_MAX_HEADERS} headers.')
         pairs.append(_parse_header_line(line))
 
 
-def _read_line(stream: BinaryIO, held: int, reserve: ReserveHead) -> bytes:
+def _read_line(
+    stream: BinaryIO, held: int, reserve: ReserveHead, max_bytes: int
+) -> bytes:
     reserve(held)
     line = stream.readline(_LINE_PART_BYTES)
     if len(line) < _LINE_PART_BYTES:
         return line
     parts = [line]
     size = len(line)
-    while size <= _MAX_LINE_BYTES and not line.endswith(b'\n'):
+    while size <= max_bytes and not line.endswith(b'\n'):
         reserve(held + size)
         line = stream.readline(_LINE_PART_BYTES)
         if not line:
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -7,6 +7,8 @@
 from functools import partial
 from typing import Final, final
 
+import msgspec
+
 from briartack.accepting import LimitedHttpServer
 from briartack.addresses import Address
 from briartack.arriving_bodies import ArrivingBodies
@@ -147,6 +149,14 @@
         """Return the budget of the bodies that the daemon holds."""
         return self._bodies.memory
 
+    @property
+    def limits_in_force(self) -> LimitCallers:
+        """Return the limits, of which that of bodies keeps to the memory."""
+        most_bytes = self.memory.max_request_bytes
+        if self._limits.max_body_bytes <= most_bytes:
+            return self._limits
+        return msgspec.structs.replace(self._limits, max_body_bytes=most_bytes)
+
     def create_server(self, address: Address) -> LimitedHttpServer:
         """Create the HTTP server for callers, which does not listen yet."""
         self.server = LimitedHttpServer(
@@ -374,4 +384,6 @@
     return LimitCallers(
         idle_seconds=max(before.idle_seconds, limits.idle_seconds),
         header_seconds=max(before.header_seconds, limits.header_seconds),
+        max_body_bytes=limits.max_body_bytes,
+        max_head_bytes=limits.max_head_bytes,
     )
--- a/briartack/core/calls/call_checks.py
+++ b/briartack/core/calls/call_checks.py
@@ -27,7 +27,7 @@
 from briartack.core.configuration.settings import Policy, Priority
 from briartack.core.effects import AnswerCall
 from briartack.core.events import CallArrived
-from briartack.core.messages import MAX_BODY_BYTES, Headers
+from briartack.core.messages import Headers
 from briartack.core.units import MILLISECONDS_PER_SECOND, CallId
 from briartack.core.verdict import Verdict
 
@@ -126,7 +126,7 @@
     if not placement.may_accept(regions, context):
         headers = build_home_region_headers(regions)
         return _refuse(context, event, reasons.PLACEMENT, headers)
-    if (event.body_bytes or 0) > MAX_BODY_BYTES:
+    if (event.body_bytes or 0) > snapshot.caller_limits.body_limit:
         return _refuse(context, event, reasons.BODY_TOO_LARGE)
     if not event.has_room:
         return _refuse(context, event, reasons.NO_ROOM)
--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -12,6 +12,7 @@
 
 from briartack.core.calls.call_rules import DEFAULT_RULES, CallRules
 from briartack.core.configuration.settings import (
+    CallerLimits,
     PlatformSettings,
     Policy,
     ServiceLimits,
@@ -86,6 +87,10 @@
     def tenant_regions(self) -> Mapping[str, frozenset[str]]:
         """Return the home regions of each tenant of a workspace."""
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Return what callers may send, and how long they may take."""
+
     @property
     def platform(self) -> PlatformSettings:
         """Return the data centres and instances that are out of service."""
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -225,6 +225,7 @@
         hello.incarnation,
         hello.clock,
         event.now,
+        max_body_bytes=hello.max_body_bytes,
     )
     if state.drain.is_leaving:
         goodbye = Goodbye(incarnation=context.identity.incarnation)
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -101,6 +101,8 @@
             run_seconds = self._get_run_seconds(context, now, choice.member)
             if now + (run_seconds or 0) > self.drain.deadline:
                 return SelectionFailure.STOP_TOO_NEAR
+            if not self._takes_body(choice.member, call.body_bytes):
+                return SelectionFailure.NO_ROOM
         return choice
 
     def choose_among(
@@ -134,9 +136,10 @@
         )
 
         def load_of(member: Member) -> float | None:  # noqa: WPS430
-            lacks_room = needs_room and not self._has_room(
+            has_room = self._takes_body(member, body_bytes) and self._has_room(
                 now, member, limits.slots, is_near=member in nearest
             )
+            lacks_room = needs_room and not has_room
             return None if lacks_room else usable_load_of(member)
 
         def untried_load_of(member: Member) -> float | None:  # noqa: WPS430
@@ -225,7 +228,8 @@
             load = self._compute_load(
                 context, now, member, call.share.limits, call.deadline
             )
-            return load is not None and load < full_load
+            takes_body = self._takes_body(member, call.body_bytes)
+            return takes_body and load is not None and load < full_load
 
         return min(
             (
@@ -252,6 +256,14 @@
             return False
         return endpoint.has_memory(now)
 
+    def _takes_body(self, member: Member, body_bytes: int) -> bool:
+        """Return whether the daemon of an instance takes bodies of a size.
+
+        A larger body would end the stream to a daemon of an earlier release.
+        """
+        endpoint = self.endpoints.get(member.instance)
+        return endpoint is None or body_bytes <= endpoint.max_body_bytes
+
     def _compute_load(
         self,
         context: CallContext,
--- a/briartack/core/calls/endpoints.py
+++ b/briartack/core/calls/endpoints.py
@@ -8,6 +8,7 @@
 from typing import Final, final
 
 from briartack.core.calls.run_times import MeanRunTime
+from briartack.core.messages import MAX_BODY_BYTES
 from briartack.core.units import Incarnation, InstanceId
 
 LOAD_DECAY_SECONDS: Final = 10.0
@@ -47,6 +48,7 @@
         'avoided_until',
         'silent_attempts',
         'latest_deadline',
+        'max_body_bytes',
         '_sent_at',
         '_unanswered_since',
         '_room_known_until',
@@ -59,6 +61,7 @@
         incarnation: Incarnation,
         clock: float,
         now: float,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Create a state with the clock reading of the peer's first message."""
         self.incarnation = incarnation
@@ -74,6 +77,7 @@
         # The peer refuses attempts with this deadline or a later one, because
         # its planned stop may end first.
         self.latest_deadline = float('inf')
+        self.max_body_bytes = max_body_bytes
         self._sent_at = float('-inf')  # the latest attempt
         self._unanswered_since = float('-inf')
         self._room_known_until = float('-inf')
@@ -176,6 +180,8 @@
         incarnation: Incarnation,
         clock: float,
         now: float,
+        *,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Add a connected peer.
 
@@ -190,6 +196,7 @@
             incarnation=incarnation,
             clock=clock,
             now=now,
+            max_body_bytes=max_body_bytes,
         )
 
     def disconnect(self, peer: InstanceId) -> None:
--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -9,7 +9,7 @@
 from briartack.core.calls.owned_attempts import OwnedAttempt
 from briartack.core.calls.reasons import Reason
 from briartack.core.configuration.settings import PlatformSettings
-from briartack.core.messages import MAX_BODY_BYTES, Attempt
+from briartack.core.messages import Attempt
 
 # If run times are distributed exponentially, 2 % of the runs take longer than
 # this many times the mean.
@@ -95,7 +95,7 @@
         return reasons.OUT_OF_SERVICE
     if is_upstream_leaving(context, upstream.health.identity):
         return reasons.OUT_OF_SERVICE
-    if attempt.body_bytes > MAX_BODY_BYTES:
+    if attempt.body_bytes > snapshot.caller_limits.body_limit:
         return reasons.BODY_TOO_LARGE
     return None if upstream.is_open else reasons.UPSTREAM_DOWN
 
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -148,7 +148,7 @@
         if call is None or call.phase is not CallPhase.READING_BODY:
             return [DropBody(body_id=call_body_id(event.call_id))]
         reason = None
-        if event.body_bytes > MAX_BODY_BYTES:
+        if event.body_bytes > _get_body_limit(context):
             reason = reasons.BODY_TOO_LARGE
         elif not event.has_room:
             reason = reasons.NO_ROOM
@@ -444,3 +444,10 @@
 def _schedule_wake(now: float, at: float) -> Effects:
     """Request a wake-up at a time that precedes the next regular tick."""
     return [WakeAt(at=at)] if at < now + TICK_SECONDS else []
+
+
+def _get_body_limit(context: CallContext) -> int:
+    snapshot = context.snapshot
+    if snapshot is None:
+        return MAX_BODY_BYTES
+    return snapshot.caller_limits.body_limit
--- a/briartack/core/configuration/resolved_snapshot.py
+++ b/briartack/core/configuration/resolved_snapshot.py
@@ -272,6 +272,8 @@
     return CallerLimits(
         idle_timeout_ms=max(limits.idle_timeout_ms for limits in stated),
         header_timeout_ms=max(limits.header_timeout_ms for limits in stated),
+        max_body_bytes=max(limits.body_limit for limits in stated),
+        max_header_bytes=max(limits.head_limit for limits in stated),
     )
 
 
--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -6,6 +6,13 @@
 import msgspec
 from msgspec import Meta
 
+from briartack.core.messages import (
+    MAX_ALLOWED_BODY_BYTES,
+    MAX_ALLOWED_HEAD_BYTES,
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+)
+
 # `\Z` instead of `$`, which would accept a trailing line break.
 Name = Annotated[str, Meta(pattern=r'^[a-z][a-z0-9-]{0,62}\Z')]
 Reference = Annotated[
@@ -20,6 +27,8 @@
 MAX_RANK: Final = 1000
 MAX_WEIGHT: Final = 1_000_000.0
 PositiveInt = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
+_BodyLimit = Annotated[int, Meta(ge=MAX_BODY_BYTES, le=MAX_ALLOWED_BODY_BYTES)]
+_HeadLimit = Annotated[int, Meta(ge=MAX_HEAD_BYTES, le=MAX_ALLOWED_HEAD_BYTES)]
 
 
 class Setting(
@@ -112,12 +121,31 @@
 
 @final
 class CallerLimits(Setting, frozen=True, kw_only=True):
-    """Limit how long callers may take on their connections."""
+    """Limit how long callers may take, and how much they may send.
+
+    The sizes only raise the product's own limits. They are left out of the
+    encoded form if unset: earlier releases refuse the fields.
+    """
 
     # A connection without a request for this long is closed.
     idle_timeout_ms: Annotated[int, Meta(ge=1, le=MAX_MILLISECONDS)] = 75_000
     # From the first byte of a request to the end of its head.
     header_timeout_ms: Annotated[int, Meta(ge=1, le=MAX_MILLISECONDS)] = 75_000
+    max_body_bytes: _BodyLimit | msgspec.UnsetType = msgspec.UNSET
+    # The request line is limited apart from it.
+    max_header_bytes: _HeadLimit | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def body_limit(self) -> int:
+        """Return the size of the largest body of a request."""
+        stated = self.max_body_bytes
+        return stated if isinstance(stated, int) else MAX_BODY_BYTES
+
+    @property
+    def head_limit(self) -> int:
+        """Return the size of the largest head of a request."""
+        stated = self.max_header_bytes
+        return stated if isinstance(stated, int) else MAX_HEAD_BYTES
 
 
 @final
--- a/briartack/core/effects.py
+++ b/briartack/core/effects.py
@@ -6,7 +6,14 @@
 import msgspec
 
 from briartack.core.audit_trail import AuditRecord
-from briartack.core.messages import Answer, Attempt, Headers, PeerMessage
+from briartack.core.messages import (
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    Answer,
+    Attempt,
+    Headers,
+    PeerMessage,
+)
 from briartack.core.units import (
     AttemptId,
     BodyId,
@@ -128,10 +135,12 @@
 
 @final
 class LimitCallers(msgspec.Struct, frozen=True, kw_only=True):
-    """Set how long callers may take on their connections."""
+    """Set how long callers may take, and how much they may send."""
 
     idle_seconds: float  # without a request
     header_seconds: float  # from the first byte of a request to its head's end
+    max_body_bytes: int = MAX_BODY_BYTES
+    max_head_bytes: int = MAX_HEAD_BYTES
 
 
 @final
--- a/briartack/core/merging.py
+++ b/briartack/core/merging.py
@@ -266,6 +266,8 @@
                 header_seconds=(
                     limits.header_timeout_ms / MILLISECONDS_PER_SECOND
                 ),
+                max_body_bytes=limits.body_limit,
+                max_head_bytes=limits.head_limit,
             )
         )
     if before is None or before.platform != after.platform:
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -21,7 +21,14 @@
 PROTOCOL_VERSION: Final = 1
 MAX_INTEGER: Final = 0x7FFFFFFFFFFFFFFF
 MAX_CHUNK_BYTES: Final = 65536
+# The largest answer, and the largest request unless operators allow more.
 MAX_BODY_BYTES: Final = 1 << 24  # 16 MiB
+# The largest request that operators can allow. A daemon with room for it has
+# 290 MB of memory, and the queue of a peer takes three such bodies.
+MAX_ALLOWED_BODY_BYTES: Final = 4 * MAX_BODY_BYTES  # 64 MiB
+# The head of a request unless operators allow more, and what they can allow.
+MAX_HEAD_BYTES: Final = 65_536
+MAX_ALLOWED_HEAD_BYTES: Final = 1_048_576
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 
@@ -52,6 +59,8 @@
     # Bodies of attempts above this size wait for the grant of the sender;
     # `None` if no body does.
     ungranted_body_bytes: int | None = None
+    # The largest body of an attempt that the sender of the hello takes.
+    max_body_bytes: int = MAX_BODY_BYTES
 
 
 @final
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -184,7 +184,10 @@
             probe_path='' if rules.requires_identity else DEFAULT_HEALTH_PATH,
         )
         self._operator_port = OperatorPort(
-            describe=partial(reports.describe, self._loop.state),
+            describe=lambda: {
+                **reports.describe(self._loop.state),
+                'limits': self._callers.limits_in_force,
+            },
             is_ready=partial(reports.is_ready, self._loop.state),
             explain=partial(reports.explain, self._loop.state),
             clear_suspect=self.clear_suspect,
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -54,8 +54,8 @@
 _TEXTS: Final[Mapping[str, ErrorText]] = MappingProxyType(
     {
         TOO_LARGE: ErrorText(
-            'The body of the request is larger than 16 MiB.',
-            'Split the upload into requests of at most 16777216 bytes.',
+            'The body of the request is larger than the limit in force.',
+            'Split the upload into smaller requests.',
         ),
         MALFORMED_REQUEST: ErrorText(
             'The request is not valid HTTP/1.1.',
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -19,6 +19,7 @@
 from briartack.core.events import PeerConnected, PeerDisconnected
 from briartack.core.identity import Identity
 from briartack.core.messages import (
+    MAX_BODY_BYTES,
     PROTOCOL_VERSION,
     Answer,
     Cancel,
@@ -144,6 +145,9 @@
                 region=identity.region,
                 clock=self._clock(),
                 grants_answers=True,
+                max_body_bytes=max(
+                    MAX_BODY_BYTES, self._memory.max_request_bytes
+                ),
             ),
         )
 
--- a/briartack/peer_outbox.py
+++ b/briartack/peer_outbox.py
@@ -6,7 +6,10 @@
 
 import gevent
 
-from briartack.core.messages import MAX_CHUNK_BYTES, Chunk
+from briartack.core.messages import (
+    MAX_CHUNK_BYTES,
+    Chunk,
+)
 from briartack.core.units import AttemptId
 from briartack.framing import encode
 from briartack.memory_budget import MemoryBudget
@@ -19,6 +22,8 @@
 # Several large answers may be ready faster than a link carries them. More of
 # them are kept while the stream doesn't count as silent.
 MAX_QUEUED_BODY_BYTES: Final = 3 * MAX_QUEUED_BYTES
+# So are requests that operators allow to be larger than an answer.
+_MAX_QUEUED_BODIES: Final = 3
 
 
 # The body of an answer, and what ends its wait at the deadline, if anything.
@@ -118,7 +123,7 @@
         stalled_seconds = monotonic() - self._body_taken_at
         return (
             stalled_seconds > DEFAULT_SILENCE_SECONDS
-            or self._body_bytes > MAX_QUEUED_BODY_BYTES
+            or self._body_bytes > self._max_body_bytes
         )
 
     def queue(self, frame: bytes) -> None:
@@ -235,6 +240,11 @@
         self._body_bytes = 0
         self.clear_waiting()
 
+    @property
+    def _max_body_bytes(self) -> int:
+        largest_bytes = max(body.held_bytes for body in self._bodies)
+        return max(MAX_QUEUED_BODY_BYTES, _MAX_QUEUED_BODIES * largest_bytes)
+
     def _count(self) -> None:
         answer_bytes = sum(
             body.held_bytes for body in self._bodies if body.is_answer
--- a/briartack/platform/configuration.py
+++ b/briartack/platform/configuration.py
@@ -29,7 +29,13 @@
 )
 from briartack.core.entries import TEAM_PREFIX, StatedOrder
 from briartack.core.json_decoding import decode_json
-from briartack.core.messages import MAX_INTEGER
+from briartack.core.messages import (
+    MAX_ALLOWED_BODY_BYTES,
+    MAX_ALLOWED_HEAD_BYTES,
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_INTEGER,
+)
 from briartack.platform.names import TEAM, encode_name
 
 CONFIG_KEY: Final = 'op/config'
@@ -101,8 +107,18 @@
 
     idle_timeout_ms: float | None = None
     header_timeout_ms: float | None = None
-
-
+    max_body_bytes: float | None = None
+    max_header_bytes: float | None = None
+
+
+_OWN_LIMITS: Final = CallerLimits()
+# The product's own limit and the highest one that operators can set.
+_LIMIT_RANGES: Final = {
+    'idle_timeout_ms': (_OWN_LIMITS.idle_timeout_ms, MAX_MILLISECONDS),
+    'header_timeout_ms': (_OWN_LIMITS.header_timeout_ms, MAX_MILLISECONDS),
+    'max_body_bytes': (MAX_BODY_BYTES, MAX_ALLOWED_BODY_BYTES),
+    'max_header_bytes': (MAX_HEAD_BYTES, MAX_ALLOWED_HEAD_BYTES),
+}
 _CONFIG_DECODER: Final = msgspec.json.Decoder(_Config)
 _ROUTE_DECODER: Final = msgspec.json.Decoder(_Route)
 _SERVICE_DECODER: Final = msgspec.json.Decoder(_Service)
@@ -245,18 +261,17 @@
 
 
 def _translate_limits(spec: _Limits) -> CallerLimits | msgspec.UnsetType:
-    """Translate the limits that are longer than the product's own.
+    """Translate the limits that are above the product's own.
 
     To close a connection later than the operators ask harms no caller, and
     daemons of earlier releases refuse a version that states limits.
     """
-    own = msgspec.structs.asdict(CallerLimits())
-    longer = {
-        name: _round_milliseconds(milliseconds)
-        for name, milliseconds in msgspec.structs.asdict(spec).items()
-        if milliseconds is not None and milliseconds > own[name]
+    raised = {
+        name: int(min(limit, most))
+        for name, (own, most) in _LIMIT_RANGES.items()
+        if (limit := getattr(spec, name)) is not None and limit > own
     }
-    return CallerLimits(**longer) if longer else msgspec.UNSET
+    return CallerLimits(**raised) if raised else msgspec.UNSET
 
 
 def _translate_rate(per_second: float | None) -> float | None:
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -17,6 +17,7 @@
 from briartack.core.calls.call_rules import CallRules
 from briartack.core.calls.calls_state import CallsState
 from briartack.core.configuration.settings import (
+    CallerLimits,
     PlatformSettings,
     Policy,
     ServiceLimits,
@@ -81,6 +82,7 @@
     tenant_regions: Mapping[str, frozenset[str]]
     platform: PlatformSettings
     highest: Revision = Revision(1)  # noqa: RUF009
+    caller_limits: CallerLimits = field(default_factory=CallerLimits)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -202,6 +204,7 @@
         )
         tenants = setup.get('tenant_regions', {})
         snapshot = FakeSnapshot(
+            caller_limits=CallerLimits(**setup.get('caller_limits', {})),
             routes=(route,),
             services={'s': limits},
             tenant_regions={
@@ -350,6 +353,7 @@
             data_centre=peer.data_centre,
             region=peer.region,
             clock=step.get('clock', now),
+            **step.get('hello', {}),
         )
         event = events.PeerConnected(now=now, peer=peer.instance, hello=hello)
         return call_handlers.on_peer_connected(self.state, self.context, event)
--- a/briartack/test/test_platform_limits.py
+++ b/briartack/test/test_platform_limits.py
@@ -72,6 +72,9 @@
     return snapshots.snapshot.routes
 
 
+MIB_16 = 16_777_216
+
+
 class NameTest(unittest.TestCase):
     # Guards against a version that is refused whole for the form of a name.
     @params(*NAMES)
@@ -174,6 +177,46 @@
             found = [one for one in merged if isinstance(one, LimitCallers)]
             self.assertEqual(found, limits)
 
+    # Guards against sizes that operators allow and daemons refuse, and against
+    # limits below the product's own, which callers may rely on.
+    @params(
+        ({}, MIB_16, 65_536, False),
+        ({'max_body_bytes': 2 * MIB_16}, 2 * MIB_16, 65_536, True),
+        ({'max_body_bytes': 1e12}, 4 * MIB_16, 65_536, True),
+        ({'max_body_bytes': MIB_16}, MIB_16, 65_536, False),
+        ({'max_body_bytes': 0, 'max_header_bytes': -1}, MIB_16, 65_536, False),
+        (
+            {'max_body_bytes': None, 'max_header_bytes': 1},
+            MIB_16,
+            65_536,
+            False,
+        ),
+        ({'max_header_bytes': 100_000.5}, MIB_16, 100_000, True),
+        ({'max_header_bytes': 1e9}, MIB_16, 1_048_576, True),
+    )
+    def test_sizes_are_in_force(
+        self,
+        spec: dict[str, Any],
+        body_bytes: int,
+        head_bytes: int,
+        is_stated: bool,
+    ) -> None:
+        value = {'version': 7, 'resources': [resource('limits', 'all', spec)]}
+        entry = decode_single_entry(item('op/config', value))
+        self.assertIs('_bytes' in (entry.value or ''), is_stated)
+        state = State(
+            identity=make_identity('a-1'), random=Random(1), drain_seconds=1
+        )
+        received = ReceivedEntries(
+            entries=(entry,), revision=entry.revision, source=None, effects=[]
+        )
+        limits = [
+            (one.max_body_bytes, one.max_head_bytes)
+            for one in merge(state, 1, received)
+            if isinstance(one, LimitCallers)
+        ]
+        self.assertEqual(limits, [(body_bytes, head_bytes)])
+
     # Guards against a version that daemons of the release before refuse for a
     # field that they don't know (CONFIG).
     @params(
