--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -4,12 +4,13 @@
 connection's pipeline writes the responses.
 """
 
+import io
 import random
 from typing import Any, BinaryIO, Final, Protocol
 
 import gevent
 from gevent import socket
-from gevent.pywsgi import Input, WSGIHandler
+from gevent.pywsgi import WSGIHandler
 
 from briartack.arriving_bodies import ArrivingBodies, NoBodyRoomError
 from briartack.buffered_input import has_buffered_input
@@ -22,6 +23,7 @@
 )
 from briartack.caller_pipeline import Pipeline, ReadyResponse
 from briartack.core.calls.reasons import NO_ROOM
+from briartack.core.effects import LimitCallers
 from briartack.core.messages import MAX_BODY_BYTES
 from briartack.dialects import CallerDialect
 from briartack.error_texts import (
@@ -33,6 +35,8 @@
 from briartack.inbound_call import InboundCall
 from briartack.memory_budget import Lease, MemoryBudget
 from briartack.read_ahead import MAX_PIPELINED_REQUESTS
+from briartack.read_turns import ReadTurns, TurnInput
+from briartack.request_body import RequestBody
 from briartack.request_head import RequestHead
 from briartack.shell_interfaces import Observer
 from briartack.turns import TurnLimit
@@ -61,6 +65,10 @@
     def dialect(self) -> CallerDialect:
         """Return the codec for request heads and responses."""
 
+    @property
+    def limits_in_force(self) -> LimitCallers:
+        """Return how much callers may send, and how long they may take."""
+
     @property
     def memory(self) -> MemoryBudget:
         """Return the budget of the bodies that the daemon holds."""
@@ -69,6 +77,10 @@
     def observer(self) -> Observer:
         """Return the recorder of metrics and log lines."""
 
+    @property
+    def read_turns(self) -> ReadTurns:
+        """Return the bound of one pass over the connections."""
+
     def add_connection(self, connection: Pipeline) -> bool:
         """Register a new connection; return False to refuse its requests."""
 
@@ -102,8 +114,10 @@
             socket.TCP_NODELAY,
             1,
         )
-        super().__init__(sock, address, server)
         self._calls: _CallRegistry = server.application.callers
+        turns = self._calls.read_turns
+        stream = TurnInput(sock, sock.makefile('rb', buffering=0), turns)
+        super().__init__(sock, address, server, io.BufferedReader(stream))
         self._pipeline = Pipeline(sock, memory=self._calls.memory)
         self._is_refused = False
         self._refusals = 0
@@ -154,7 +168,11 @@
         self, stream: BinaryIO, seekable: int
     ) -> RequestHeaders:
         """Read the headers of a request within the memory for heads."""
-        return RequestHeaders(stream, reserve=self._head_room.reserve)
+        return RequestHeaders(
+            stream,
+            reserve=self._head_room.reserve,
+            max_bytes=self._calls.limits_in_force.max_head_bytes,
+        )
 
     def read_request(self, raw_requestline: str) -> bool:
         """Parse the request line and headers; return whether both are valid.
@@ -169,12 +187,9 @@
 
         Returns an empty environment, since no WSGI application runs.
         """
-        # Without a socket, pywsgi leaves "100 Continue" to the pipeline.
-        self.wsgi_input = Input(
-            self.rfile,
-            self.content_length,
-            socket=None,
-            chunked_input=self._is_chunked,
+        # The pipeline sends "100 Continue".
+        self.wsgi_input = RequestBody(
+            self.rfile, self.content_length, is_chunked=self._is_chunked
         )
         return {}
 
@@ -203,8 +218,10 @@
         except RequestError as error:
             self._refuse(_STATUS_BAD_REQUEST, MALFORMED_REQUEST, str(error))
             return
-        if (head.body_bytes or 0) > self._max_body_bytes:
-            self._refuse(_STATUS_TOO_LARGE, TOO_LARGE, '')
+        max_bytes = self._calls.limits_in_force.max_body_bytes
+        if (head.body_bytes or 0) > max_bytes:
+            detail = _describe_limit(max_bytes)
+            self._refuse(_STATUS_TOO_LARGE, TOO_LARGE, detail)
             return
         call = InboundCall(
             head=head,
@@ -218,10 +235,6 @@
             self._discard_input()
         self._pipeline.wait_for_capacity()
 
-    @property
-    def _max_body_bytes(self) -> int:
-        return min(MAX_BODY_BYTES, self._calls.memory.max_request_bytes)
-
     @property
     def _is_chunked(self) -> bool:
         return self.headers.get('transfer-encoding') is not None
@@ -265,13 +278,15 @@
             call.request_body()
             self._pipeline.flush()
         call.reader = gevent.getcurrent()
+        # Another configuration may come in force while the body arrives.
+        max_bytes = self._calls.limits_in_force.max_body_bytes
         try:
             body = self._calls.arriving_bodies.read(
                 call,
                 lease,
                 self.wsgi_input,
                 connection=self._pipeline,
-                max_bytes=self._max_body_bytes,
+                max_bytes=max_bytes,
             )
         except (NoBodyRoomError, MemoryError):
             # The rest of the body is not read as a request.
@@ -285,7 +300,9 @@
         finally:
             call.reader = None
         if body is None:
-            self._abort_call(call, _STATUS_TOO_LARGE, TOO_LARGE, '')
+            self._abort_call(
+                call, _STATUS_TOO_LARGE, TOO_LARGE, _describe_limit(max_bytes)
+            )
         elif not call.is_answered:
             call.is_body_read = True
             self._calls.complete_body(call, body)
@@ -403,3 +420,7 @@
     if status != _STATUS_UNAVAILABLE:
         return 0
     return random.uniform(_MIN_RETRY_SECONDS, _MAX_RETRY_SECONDS)
+
+
+def _describe_limit(max_bytes: int) -> str:
+    return f'At most {max_bytes} bytes are taken.'
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -7,6 +7,8 @@
 from functools import partial
 from typing import Final, final
 
+import msgspec
+
 from briartack.accepting import LimitedHttpServer
 from briartack.addresses import Address
 from briartack.arriving_bodies import ArrivingBodies
@@ -32,6 +34,7 @@
     ConnectionLimits,
     OpenConnections,
 )
+from briartack.read_turns import ReadTurns
 from briartack.shell_interfaces import (
     LISTEN_BACKLOG,
     Clock,
@@ -63,6 +66,7 @@
         '_call_numbers',
         '_connections',
         'arriving_bodies',
+        'read_turns',
         'dialect',
         'observer',
         '_is_stopping',
@@ -90,6 +94,7 @@
         self.arriving_bodies: Final = ArrivingBodies(
             memory=bodies.memory, observer=observer
         )
+        self.read_turns: Final = ReadTurns()
         self._calls: dict[str, tuple[InboundCall, Pipeline]] = {}
         self._is_stopping = False
         self._call_numbers = itertools.count(1)
@@ -147,6 +152,14 @@
         """Return the budget of the bodies that the daemon holds."""
         return self._bodies.memory
 
+    @property
+    def limits_in_force(self) -> LimitCallers:
+        """Return the limits, of which that of bodies keeps to the memory."""
+        most_bytes = self.memory.max_request_bytes
+        if self._limits.max_body_bytes <= most_bytes:
+            return self._limits
+        return msgspec.structs.replace(self._limits, max_body_bytes=most_bytes)
+
     def create_server(self, address: Address) -> LimitedHttpServer:
         """Create the HTTP server for callers, which does not listen yet."""
         self.server = LimitedHttpServer(
@@ -374,4 +387,6 @@
     return LimitCallers(
         idle_seconds=max(before.idle_seconds, limits.idle_seconds),
         header_seconds=max(before.header_seconds, limits.header_seconds),
+        max_body_bytes=limits.max_body_bytes,
+        max_head_bytes=limits.max_head_bytes,
     )
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -246,6 +246,7 @@
         hello.clock,
         event.now,
         ungranted_body_bytes=hello.ungranted_body_bytes,
+        max_body_bytes=hello.max_body_bytes,
     )
     if state.drain.is_leaving:
         goodbye = Goodbye(incarnation=context.identity.incarnation)
--- a/briartack/core/calls/endpoints.py
+++ b/briartack/core/calls/endpoints.py
@@ -10,6 +10,7 @@
 from briartack.core.calls.body_grants import compute_link_rate
 from briartack.core.calls.body_waits import BodyWait
 from briartack.core.calls.run_times import MeanRunTime
+from briartack.core.messages import MAX_BODY_BYTES
 from briartack.core.units import Incarnation, InstanceId
 
 LOAD_DECAY_SECONDS: Final = 10.0
@@ -51,6 +52,7 @@
         'avoided_until',
         'silent_attempts',
         'latest_deadline',
+        'max_body_bytes',
         '_sent_at',
         '_unanswered_since',
         '_room_known_until',
@@ -63,6 +65,7 @@
         incarnation: Incarnation,
         clock: float,
         now: float,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Create a state with the clock reading of the peer's first message."""
         self.incarnation = incarnation
@@ -81,6 +84,7 @@
         # The peer refuses attempts with this deadline or a later one, because
         # its planned stop may end first.
         self.latest_deadline = float('inf')
+        self.max_body_bytes = max_body_bytes
         self._sent_at = float('-inf')  # the latest attempt
         self._unanswered_since = float('-inf')
         self._room_known_until = float('-inf')
@@ -195,6 +199,7 @@
         now: float,
         *,
         ungranted_body_bytes: int | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Add a connected peer, and the size above which it grants bodies.
 
@@ -205,7 +210,12 @@
         if endpoint is not None and endpoint.incarnation == incarnation:
             self.record_clock_reading(peer, incarnation, clock, now)
         else:
-            endpoint = Endpoint(incarnation=incarnation, clock=clock, now=now)
+            endpoint = Endpoint(
+                incarnation=incarnation,
+                clock=clock,
+                now=now,
+                max_body_bytes=max_body_bytes,
+            )
             self._endpoints[peer] = endpoint
         endpoint.ungranted_body_bytes = ungranted_body_bytes
 
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -20,6 +20,7 @@
 from briartack.core.events import PeerConnected, PeerDisconnected
 from briartack.core.identity import Identity
 from briartack.core.messages import (
+    MAX_BODY_BYTES,
     PROTOCOL_VERSION,
     Answer,
     Cancel,
@@ -152,6 +153,9 @@
                 ungranted_body_bytes=compute_ungranted_body_bytes(
                     self.link_bytes_per_second
                 ),
+                max_body_bytes=max(
+                    MAX_BODY_BYTES, self._memory.max_request_bytes
+                ),
             ),
         )
 
