--- a/briartack/core/calls/admission.py
+++ b/briartack/core/calls/admission.py
@@ -62,7 +62,7 @@
             self._running += 1
             return AdmissionResult(started=(request.attempt_id,))
         ahead = self._count_ahead(request)
-        if _is_too_late(
+        if not request.may_wait or _is_too_late(
             request, now + (ahead + 1) * start_interval_seconds, latest_start
         ):
             return AdmissionResult(refused=(request.attempt_id,))
@@ -102,7 +102,7 @@
         if expected < 0:
             return True
         ahead = self._count_ahead(request) + expected
-        if _is_too_late(
+        if not request.may_wait or _is_too_late(
             request, now + (ahead + 1) * start_interval_seconds, latest_start
         ):
             return False
--- a/briartack/core/calls/call_logs.py
+++ b/briartack/core/calls/call_logs.py
@@ -122,18 +122,21 @@
 
 
 def log_run_ended(
+    now: float,
     attempt: Attempt,
     upstream: LocalUpstream,
     *,
     outcome: str,
     phase: str,
     left_seconds: float,
+    wait_seconds: float,
     body_seconds: tuple[float, float] | None = None,
 ) -> WriteLog:
     """Log how an attempt ended at its owner.
 
-    `body_seconds` is how long a body waited for its grant, and how long it then
-    took to arrive.
+    `wait_seconds` is the time from the arrival of the attempt to the start of
+    its run, or to its refusal. `body_seconds` is how long a body waited for its
+    grant, and how long it then took to arrive.
     """
     body_fields = {}
     if body_seconds is not None:
@@ -153,6 +156,8 @@
         running=str(upstream.running),
         limit=str(upstream.limit),
         left_ms=_format_milliseconds(left_seconds),
+        wait_ms=_format_milliseconds(wait_seconds),
+        slowdown=f'{upstream.times.slowdown(now):.2f}',
         **body_fields,
     )
 
--- a/briartack/core/calls/call_responses.py
+++ b/briartack/core/calls/call_responses.py
@@ -15,6 +15,7 @@
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.call_logs import log_call_ended
 from briartack.core.calls.call_table import Call, CallTable
+from briartack.core.calls.caller_clocks import CallerClocks
 from briartack.core.calls.choice_types import SelectionFailure
 from briartack.core.calls.reasons import Reason
 from briartack.core.calls.return_times import ReturnTimes
@@ -28,11 +29,18 @@
 class CallResponder:
     """Remove calls from the table and answer their callers."""
 
-    __slots__ = ('_table', '_return_times')
+    __slots__ = ('_table', '_return_times', '_caller_clocks')
 
-    def __init__(self, *, table: CallTable, return_times: ReturnTimes) -> None:
+    def __init__(
+        self,
+        *,
+        table: CallTable,
+        return_times: ReturnTimes,
+        caller_clocks: CallerClocks,
+    ) -> None:
         self._table = table
         self._return_times = return_times
+        self._caller_clocks = caller_clocks
 
     def answer(
         self,
@@ -89,6 +97,8 @@
         has_key = bool(call.event.idempotency_key)
         if call.may_have_run or (has_key and not is_from_owner):
             verdict = Verdict.UNKNOWN
+        if verdict is Verdict.NOT_RUN:
+            self._caller_clocks.record_refusal(now, call.route.name)
         if retry_after_seconds is None and reason is reasons.OVERLOAD:
             retry_after_seconds = self._return_times.draw_seconds(
                 context, now, call
--- a/briartack/core/calls/caller_clocks.py
+++ b/briartack/core/calls/caller_clocks.py
@@ -19,7 +19,7 @@
 # Among fewer calls there may be no first try.
 MIN_CALLS: Final = 10
 # A caller that states less than this share of the largest time has a shorter
-# time-out of its own.
+# time-out of its own, unless callers that were refused may have returned.
 MIN_LEFT_RATIO: Final = 0.5
 # Bounds the memory; the least recently called route is evicted.
 MAX_ROUTES: Final = 256
@@ -29,9 +29,10 @@
 class RouteClock:
     """Hold the largest stated time of each step of the window."""
 
-    __slots__ = ('_steps', '_calls')
+    __slots__ = ('_steps', '_calls', 'refused_at')
 
     def __init__(self) -> None:
+        self.refused_at = float('-inf')  # the latest refusal
         # Each step is its number, its calls and the largest stated time.
         self._steps: deque[tuple[int, int, float]] = deque()
         self._calls = 0
@@ -81,6 +82,16 @@
         first_try_ms = clock.first_try_ms()
         if first_try_ms is None:
             return None
-        if stated_ms < MIN_LEFT_RATIO * first_try_ms:
+        first_try_seconds = first_try_ms / MILLISECONDS_PER_SECOND
+        if (
+            stated_ms < MIN_LEFT_RATIO * first_try_ms
+            and now - clock.refused_at > first_try_seconds
+        ):
             return 0.0
-        return (first_try_ms - stated_ms) / MILLISECONDS_PER_SECOND
+        return first_try_seconds - stated_ms / MILLISECONDS_PER_SECOND
+
+    def record_refusal(self, now: float, route: str) -> None:
+        """Record that a caller of a route may return with less time left."""
+        clock = self._routes.get(route)
+        if clock is not None:
+            clock.refused_at = now
--- a/briartack/core/calls/completion_choice.py
+++ b/briartack/core/calls/completion_choice.py
@@ -44,6 +44,7 @@
         '_target_seconds',
         '_deadline_seconds',
         '_left_seconds',
+        '_is_late',
         '_max_wait_seconds',
         '_excluded',
         '_has_passed_over',
@@ -71,6 +72,10 @@
         self._max_wait_seconds = float('inf')
         if needs.has_met_overload:
             self._max_wait_seconds = self._left_seconds
+        # Owners refuse a late call unless it can start at once.
+        self._is_late = self._target_seconds <= 0 and not needs.body_bytes
+        if self._is_late:
+            self._max_wait_seconds = 0
         self._excluded = needs.tried_instances
         self._has_passed_over = False
 
@@ -219,7 +224,8 @@
             return None
         if self._max_wait_seconds < float('inf'):
             wait = self._estimator.compute_wait_seconds(member)
-            wait += self._estimator.get_round_trip(member)
+            if not self._is_late:
+                wait += self._estimator.get_round_trip(member)
             if wait > self._max_wait_seconds:
                 self._has_passed_over = True
                 return None
--- a/briartack/core/calls/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -75,6 +75,7 @@
     # The body could not arrive in time for the target.
     is_body_late: bool = False
     granted_at: float | None = None
+    started_at: float | None = None  # the upstream got the request
     body_read_at: float | None = None
 
 
@@ -383,11 +384,13 @@
         outcome: str,
     ) -> WriteLog:
         return log_run_ended(
+            now,
             record.attempt,
             self._upstream,
             outcome=outcome,
             phase=record.phase.name.lower(),
             left_seconds=record.deadline - now,
+            wait_seconds=(record.started_at or now) - record.received_at,
             body_seconds=_measure_body_seconds(now, record),
         )
 
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -272,6 +272,11 @@
         # The queue of an upstream that states no load keeps its order.
         becomes_late = times.has_load_report and times.has_enough_runs
         is_late = attempt.is_late or record.is_body_late
+        # While slots are short, each run of a late attempt makes one that is
+        # in time miss its target. A body that was granted has its place.
+        may_wait = not (
+            attempt.is_late and times.is_usable(now) and not attempt.body_bytes
+        )
         return SlotRequest(
             attempt_id=attempt.attempt_id,
             deadline=record.deadline,
@@ -281,6 +286,7 @@
             useful_until=useful_until,
             latest_start=min(latest_start, record.deadline - run_seconds),
             is_late=is_late and times.has_enough_runs,
+            may_wait=may_wait or attempt.is_awaited_by_run,
             late_from=useful_until if becomes_late else float('inf'),
         )
 
@@ -302,6 +308,7 @@
 
     def _dispatch(self, now: float, record: OwnedAttempt) -> Dispatch:
         record.phase = OwnedPhase.RUNNING
+        record.started_at = now
         record.generation = self._upstream.generation
         attempt = record.attempt
         self._upstream.run_bound.begin(attempt.attempt_id, now)
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -105,6 +105,7 @@
             return_times=ReturnTimes(
                 expected_times=self._chooser.expected_times
             ),
+            caller_clocks=self._caller_clocks,
         )
         self._attempt_sender = AttemptSender(
             table=self._table,
--- a/briartack/core/calls/slot_queue.py
+++ b/briartack/core/calls/slot_queue.py
@@ -29,6 +29,8 @@
     latest_start: float = float('inf')
     # The latency target had passed before the attempt arrived.
     is_late: bool = False
+    # False for an attempt that is refused unless it can start at once.
+    may_wait: bool = True
     # While it waits, the attempt counts as late from this time on.
     late_from: float = float('inf')
 
