Identify tenants by their API keys

Deployments may define tenants, but every caller was served alike.

A call of a route that is not public is refused with 401 without a known key, and with 503 if it may be that of a run that this daemon does not know. The tenant's rank precedes the route's, the home regions of both bind, and upstreams get the tenant's name in X-Tenant from the daemon alone. A version in which two tenants have one key is refused with both names. Without tenants, calls are served as before.

--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -259,6 +259,7 @@
                 is_nested=head.is_nested,
                 body_bytes=head.body_bytes,
                 has_room=call.lease is not None,
+                key_digest=head.key_digest,
             ),
         )
 
--- a/briartack/core/calls/call_checks.py
+++ b/briartack/core/calls/call_checks.py
@@ -7,16 +7,20 @@
 from random import Random
 from typing import Final
 
+import msgspec
+
 from briartack.core.calls import placement, reasons
 from briartack.core.calls.call_context import (
     CallContext,
     Regions,
     RouteView,
     ShareView,
+    SnapshotView,
 )
 from briartack.core.calls.call_headers import (
     HOME_REGIONS_HEADER,
     is_background,
+    replace_tenant_header,
     select_forwarded_headers,
 )
 from briartack.core.calls.call_table import Call
@@ -28,6 +32,11 @@
 from briartack.core.effects import AnswerCall
 from briartack.core.events import CallArrived
 from briartack.core.messages import MAX_BODY_BYTES, Headers
+from briartack.core.tenants.identification import (
+    CallOrigin,
+    compute_rank,
+    identify,
+)
 from briartack.core.units import MILLISECONDS_PER_SECOND, CallId
 from briartack.core.verdict import Verdict
 
@@ -100,11 +109,14 @@
     context: CallContext,
     event: CallArrived,
     routing: RoutingState,
+    *,
+    is_parent_running: bool,
 ) -> Call | AnswerCall:
     """Route a new call, or return the refusal to answer it with.
 
     Checks, in order: whether the daemon accepts calls, the path, the route,
-    the home regions, the size of the body, the memory for it and the deadline.
+    the API key, the home regions, the size of the body, the memory for it and
+    the deadline.
     """
     snapshot = context.snapshot
     reason = find_refusal_reason(context)
@@ -122,17 +134,23 @@
     )
     if route is None:
         return _refuse(context, event, reasons.NO_ROUTE)
+    origin = identify(
+        snapshot, route, event, is_parent_running=is_parent_running
+    )
+    if isinstance(origin, Reason):
+        return _refuse(context, event, origin)
+    event = _name_tenant(snapshot, event, origin)
     regions = placement.home_regions(snapshot, route, event.tenant)
     if not placement.may_accept(regions, context):
         headers = build_home_region_headers(regions)
         return _refuse(context, event, reasons.PLACEMENT, headers)
-    if (event.body_bytes or 0) > MAX_BODY_BYTES:
-        return _refuse(context, event, reasons.BODY_TOO_LARGE)
-    if not event.has_room:
-        return _refuse(context, event, reasons.NO_ROOM)
+    body_reason = _find_body_reason(event)
+    if body_reason is not None:
+        return _refuse(context, event, body_reason)
     call = _build_call(
-        event, route, routing.choose_share(context.random, route)
+        event, route, routing.choose_share(context.random, route), origin
     )
+    call.rank = compute_rank(snapshot, route, origin.tenant)
     if not event.now < call.deadline:
         return _refuse(context, event, reasons.DEADLINE)
     return call
@@ -148,6 +166,12 @@
     return ((HOME_REGIONS_HEADER, ','.join(placement.format_regions(regions))),)
 
 
+def _find_body_reason(event: CallArrived) -> Reason | None:
+    if (event.body_bytes or 0) > MAX_BODY_BYTES:
+        return reasons.BODY_TOO_LARGE
+    return None if event.has_room else reasons.NO_ROOM
+
+
 def _refuse(
     context: CallContext,
     event: CallArrived,
@@ -166,7 +190,27 @@
     return build_refusal(event.call_id, reason, verdict, headers, wait_seconds)
 
 
-def _build_call(event: CallArrived, route: RouteView, share: ShareView) -> Call:
+def _name_tenant(
+    snapshot: SnapshotView, event: CallArrived, origin: CallOrigin
+) -> CallArrived:
+    """Return the event with the name and the header of its tenant.
+
+    Without tenants in the configuration, what the caller states is kept.
+    """
+    if not snapshot.tenants:
+        return event
+    tenant = origin.tenant
+    header = None if tenant is None else tenant.header
+    return msgspec.structs.replace(
+        event,
+        tenant='' if tenant is None else tenant.name,
+        headers=replace_tenant_header(event.headers, header),
+    )
+
+
+def _build_call(
+    event: CallArrived, route: RouteView, share: ShareView, origin: CallOrigin
+) -> Call:
     """Build the record of a routed call.
 
     The deadline is the earlier of the caller's and the policy's timeout.
@@ -182,6 +226,7 @@
         headers=select_forwarded_headers(event.headers, event.tenant),
         route=route,
         share=share,
+        origin=origin,
         issued_key=parse_key(key) if key else None,
         rank=policy.rank,
         is_interactive=is_interactive and not is_background(event.headers),
--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -17,6 +17,7 @@
     ServiceLimits,
 )
 from briartack.core.identity import Identity
+from briartack.core.tenants.tenant_table import TenantTable
 from briartack.core.units import InstanceId, Revision
 
 # `None` allows every region; an empty set allows none.
@@ -70,6 +71,10 @@
     def home_regions(self) -> Regions:
         """Return the home regions of the route's workspace."""
 
+    @property
+    def is_public(self) -> bool:
+        """Return whether callers need no API key."""
+
 
 class SnapshotView(Protocol):
     """Describe the active configuration."""
@@ -84,7 +89,11 @@
 
     @property
     def tenant_regions(self) -> Mapping[str, frozenset[str]]:
-        """Return the home regions of each tenant of a workspace."""
+        """Return the home regions of each tenant that has any."""
+
+    @property
+    def tenants(self) -> TenantTable:
+        """Return the tenants with API keys."""
 
     @property
     def platform(self) -> PlatformSettings:
--- a/briartack/core/calls/call_headers.py
+++ b/briartack/core/calls/call_headers.py
@@ -26,6 +26,20 @@
     return False
 
 
+def replace_tenant_header(headers: Headers, tenant: str | None) -> Headers:
+    """Return headers with the tenant header of this daemon alone.
+
+    Where callers have API keys, they must not state the tenant themselves. Some
+    upstreams do not distinguish underscores from dashes in names.
+    """
+    kept = tuple(
+        header
+        for header in headers
+        if header[0].lower().replace('_', '-') != _TENANT_HEADER_LOWER
+    )
+    return kept if tenant is None else (*kept, (TENANT_HEADER, tenant))
+
+
 def select_forwarded_headers(headers: Headers, tenant: str) -> Headers:
     """Return a caller's headers without those that daemons set.
 
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -12,6 +12,7 @@
 from briartack.core.calls.timers import Timers
 from briartack.core.events import CallArrived
 from briartack.core.messages import Headers
+from briartack.core.tenants.identification import UNKEYED, CallOrigin
 from briartack.core.units import (
     AttemptId,
     BodyId,
@@ -47,6 +48,7 @@
     deadline: float
     body_bytes: int
     body_digest: Digest
+    origin: CallOrigin = UNKEYED
     phase: CallPhase = CallPhase.READING_BODY
     wait_until: float = 0
     attempt_id: AttemptId | None = None
--- a/briartack/core/calls/reasons.py
+++ b/briartack/core/calls/reasons.py
@@ -9,10 +9,12 @@
 from typing import Final, final
 
 BAD_REQUEST: Final = 400
+UNAUTHORIZED: Final = 401
 FORBIDDEN: Final = 403
 NOT_FOUND: Final = 404
 CONTENT_TOO_LARGE: Final = 413
 UNPROCESSABLE: Final = 422
+TOO_MANY_REQUESTS: Final = 429
 BAD_GATEWAY: Final = 502
 UNAVAILABLE: Final = 503
 GATEWAY_TIMEOUT: Final = 504
@@ -73,6 +75,24 @@
     code='deadline',
     status=GATEWAY_TIMEOUT,
 )
+UNKNOWN_KEY: Final = Reason(
+    code='unknown-api-key',
+    status=UNAUTHORIZED,
+    is_retryable=False,
+)
+NO_KEY: Final = Reason(
+    code='no-api-key',
+    status=UNAUTHORIZED,
+    is_retryable=False,
+)
+UNKNOWN_RUN: Final = Reason(
+    code='unknown-run',
+    status=UNAVAILABLE,
+)
+BEYOND_CAP: Final = Reason(
+    code='beyond-cap',
+    status=TOO_MANY_REQUESTS,
+)
 NO_ENDPOINT: Final = Reason(
     code='no-endpoint',
     status=UNAVAILABLE,
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -126,10 +126,19 @@
         self, context: CallContext, event: CallArrived
     ) -> Effects:
         """Handle a new call: refuse it, send it or read its body."""
-        call = route_call(context, event, self._routing)
+        run_rank = self._owner.find_running_rank(event.parent_id)
+        call = route_call(
+            context,
+            event,
+            self._routing,
+            is_parent_running=run_rank is not None,
+        )
         if isinstance(call, AnswerCall):
             return [call, log_call_refused(context, event, call.reason)]
-        self._inherit_run_rank(call)
+        if run_rank is not None and call.origin.may_be_of_run:
+            # A call of a local request is as urgent as that request.
+            call.rank = run_rank
+            call.is_from_local_run = True
         self._table.add(call)
         self._streams.record_call(call.share.service, event.now)
         self._retry.add_tokens_for_call(context, call)
@@ -309,13 +318,6 @@
             effects.extend(self._abandon_call(context, now, call, reason))
         return effects
 
-    def _inherit_run_rank(self, call: Call) -> None:
-        """Give a call made by a local request the rank of that request."""
-        rank = self._owner.find_running_rank(call.event.parent_id)
-        if rank is not None:
-            call.rank = rank
-            call.is_from_local_run = True
-
     def _handle_expired_timer(
         self, context: CallContext, now: float, call: Call
     ) -> Effects:
--- a/briartack/core/configuration/problems.py
+++ b/briartack/core/configuration/problems.py
@@ -29,6 +29,8 @@
     EMPTY_ITEM = 'empty-item'
     METHOD = 'method'
     TENANT = 'tenant'
+    DUPLICATE_KEY = 'duplicate-key'
+    UNKNOWN_TENANT = 'unknown-tenant'
     PATH_PREFIX = 'path-prefix'
     NO_WEIGHT = 'no-weight'
     ADDRESS = 'address'
@@ -113,6 +115,14 @@
             'The tenant {detail!r} cannot be sent in an X-Tenant header.',
             'Use visible ASCII characters.',
         ),
+        Code.DUPLICATE_KEY: (
+            'The tenants {detail} have the same API key.',
+            'Remove the key from all but one of them, or issue a new one.',
+        ),
+        Code.UNKNOWN_TENANT: (
+            'No team defines the tenant {detail!r}.',
+            'Correct the name, or define the tenant first.',
+        ),
         Code.PATH_PREFIX: (
             'The path prefix {detail!r} cannot match any request path.',
             'Write a path of ASCII characters without query, fragment, spaces, '
--- a/briartack/core/configuration/resolved_snapshot.py
+++ b/briartack/core/configuration/resolved_snapshot.py
@@ -19,12 +19,14 @@
     Workspace,
 )
 from briartack.core.configuration.validation import Resource
+from briartack.core.configuration.value_checks import get_tenants
 from briartack.core.configuration.versions import (
     ResourceId,
     Version,
     list_references,
 )
 from briartack.core.entries import StatedOrder, is_platform_key
+from briartack.core.tenants.tenant_table import TenantTable, build_tenant_table
 from briartack.core.units import Digest, Revision
 
 _EMPTY_PLATFORM: Final = PlatformSettings()
@@ -55,6 +57,7 @@
     policy_name: str  # TEAM/NAME
     policy: Policy
     home_regions: frozenset[str] | None  # `None` allows every region
+    is_public: bool  # callers need no API key
 
     @property
     def service(self) -> str:
@@ -83,6 +86,7 @@
     routes: tuple[ResolvedRoute, ...]  # longest prefix first, then by team
     services: Mapping[str, ServiceLimits]
     tenant_regions: Mapping[str, frozenset[str]]
+    tenants: TenantTable
     platform: PlatformSettings
     caller_limits: CallerLimits
     retained: tuple[str, ...]  # KIND/TEAM/NAME that the owner has removed
@@ -117,6 +121,10 @@
             key: self._resolve_team(version, configuration)
             for key, version in sorted(configuration.active.items())
         }
+        tenants = build_tenant_table(
+            (version.team, get_tenants(version.settings))
+            for _, version in sorted(configuration.active.items())
+        )
         ordered = [
             pair
             for team in self._resolved_teams.values()
@@ -141,8 +149,9 @@
             routes=tuple(route for _, route in ordered),
             services=MappingProxyType(_collect_services(configuration)),
             tenant_regions=MappingProxyType(
-                _collect_tenant_regions(configuration)
+                _collect_tenant_regions(configuration, tenants)
             ),
+            tenants=tenants,
             platform=_merge_platform_settings(configuration),
             caller_limits=_merge_caller_limits(configuration),
             retained=configuration.retained,
@@ -227,6 +236,7 @@
         policy_name=policy.qualified,
         policy=bounds,
         home_regions=_resolve_home_regions(others[len(split) :], resources),
+        is_public=route.public is True,
     )
 
 
@@ -304,10 +314,13 @@
 
 
 def _collect_tenant_regions(
-    configuration: EffectiveConfiguration,
+    configuration: EffectiveConfiguration, tenants: TenantTable
 ) -> dict[str, frozenset[str]]:
     """Intersect the home regions of all workspaces that name a tenant.
 
+    A tenant with API keys is listed as TEAM/NAME. It has home regions of its
+    own, and workspaces name it by its header.
+
     Retained workspaces restrict their tenants too: refusing a request is
     safer than serving the request outside its home regions.
     """
@@ -318,4 +331,16 @@
         own = frozenset(workspace.home_regions)
         for tenant in workspace.tenants:
             regions[tenant] = regions.get(tenant, own) & own
+    for keyed in tenants.by_name.values():
+        homes = _intersect(regions.get(keyed.header), keyed.home_regions)
+        if homes is not None:
+            regions[keyed.name] = homes
     return dict(sorted(regions.items()))
+
+
+def _intersect(
+    left: frozenset[str] | None, right: frozenset[str] | None
+) -> frozenset[str] | None:
+    if left is None or right is None:
+        return right if left is None else left
+    return left & right
--- a/briartack/core/configuration/schema_problems.py
+++ b/briartack/core/configuration/schema_problems.py
@@ -18,6 +18,7 @@
     Route,
     ServiceLimits,
     TeamSettings,
+    Tenant,
     Workspace,
 )
 
@@ -26,6 +27,7 @@
     ('services', ServiceLimits),
     ('policies', Policy),
     ('workspaces', Workspace),
+    ('tenants', Tenant),
 )
 _CALLERS: Final = 'callers'
 _UNSTATED: Final = object()
--- a/briartack/core/configuration/settings.py
+++ b/briartack/core/configuration/settings.py
@@ -19,6 +19,15 @@
 MAX_ATTEMPTS: Final = 10
 MAX_RANK: Final = 1000
 MAX_WEIGHT: Final = 1_000_000.0
+# Far above what one data centre serves; keeps sums of caps exact.
+MAX_CALLS_PER_SECOND: Final = 1_000_000.0
+MAX_CALL_BURST: Final = 10_000_000.0
+# A SHA-256 digest as URL-safe base64 without padding.
+KeyDigest = Annotated[str, Meta(pattern=r'^[A-Za-z0-9_-]{43}\Z')]
+# The bytes of a header value as Latin-1 characters.
+HeaderText = Annotated[
+    str, Meta(pattern=r'^[\x20-\x7e\x80-\xff]*\Z', max_length=1024)
+]
 PositiveInt = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
 
 
@@ -108,6 +117,9 @@
     split: tuple[Share, ...] = ()  # replaces `service` if not empty
     policy: Reference
     workspace: Reference | None = None
+    # Whether callers without an API key may use the route. Left out of the
+    # encoded form if unset: earlier releases refuse the field.
+    public: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 @final
@@ -120,6 +132,21 @@
     header_timeout_ms: Annotated[int, Meta(ge=1, le=MAX_MILLISECONDS)] = 75_000
 
 
+@final
+class Tenant(Setting, frozen=True, kw_only=True, omit_defaults=True):
+    """Identify a tenant by its API keys, and limit its calls."""
+
+    # Value of the tenant header; by default the name in the section.
+    header: HeaderText | msgspec.UnsetType = msgspec.UNSET
+    keys: tuple[KeyDigest, ...] = ()
+    # Precedes the rank of the policy; 0 is served first.
+    rank: Annotated[int, Meta(ge=0, le=MAX_RANK)] = 0
+    # Calls of all daemons together; 0 is no limit.
+    calls_per_second: Annotated[float, Meta(ge=0, le=MAX_CALLS_PER_SECOND)] = 0
+    burst: Annotated[float, Meta(ge=0, le=MAX_CALL_BURST)] = 0
+    home_regions: tuple[Name, ...] = ()  # empty allows every region
+
+
 @final
 class TeamSettings(Setting, frozen=True, kw_only=True):
     """Hold all resources and routes of one team."""
@@ -131,6 +158,9 @@
     # Callers share the connections of all teams; the longest times apply.
     # Left out of the encoded form if unset: earlier releases refuse the field.
     callers: CallerLimits | msgspec.UnsetType = msgspec.UNSET
+    # Unset like `callers`. With a tenant, callers need an API key on all routes
+    # that are not public.
+    tenants: dict[Name, Tenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 @final
--- a/briartack/core/configuration/validation.py
+++ b/briartack/core/configuration/validation.py
@@ -32,6 +32,10 @@
     TeamSettings,
     Workspace,
 )
+from briartack.core.configuration.value_checks import (
+    find_list_problems,
+    find_tenant_problems,
+)
 from briartack.core.entries import (
     INSTANCE_PREFIX,
     TEAM_PREFIX,
@@ -77,12 +81,12 @@
     settings = _decode(key, text, _PLATFORM_DECODER)
     _raise_if_any(
         (
-            *_find_list_problems(
+            *find_list_problems(
                 key,
                 f'{ROOT}.data_centres_out',
                 settings.data_centres_out,
             ),
-            *_find_list_problems(
+            *find_list_problems(
                 key,
                 f'{ROOT}.instances_out',
                 settings.instances_out,
@@ -198,15 +202,16 @@
 ) -> Iterator[Problem]:
     for name, workspace in settings.workspaces.items():
         place = f'{ROOT}.workspaces.{name}'
-        yield from _find_list_problems(
+        yield from find_list_problems(
             key, f'{place}.tenants', workspace.tenants
         )
-        yield from _find_tenant_problems(key, place, workspace.tenants)
-        yield from _find_list_problems(
+        yield from _find_tenant_name_problems(key, place, workspace.tenants)
+        yield from find_list_problems(
             key,
             f'{place}.home_regions',
             workspace.home_regions,
         )
+    yield from find_tenant_problems(key, settings)
     counts = Counter(route.name for route in settings.routes)
     for index, route in enumerate(settings.routes):
         path = f'{ROOT}.routes[{index}]'
@@ -221,7 +226,7 @@
         )
 
 
-def _find_tenant_problems(
+def _find_tenant_name_problems(
     key: str,
     place: str,
     tenants: tuple[str, ...],
@@ -249,7 +254,7 @@
         if not (method.isascii() and method.isalpha() and method.isupper()):
             yield make_problem(key, place, Code.METHOD, method)
     if route.methods:
-        yield from _find_list_problems(key, place, route.methods)
+        yield from find_list_problems(key, place, route.methods)
 
 
 def _has_allowed_characters(prefix: str) -> bool:
@@ -270,15 +275,3 @@
             missing = f'{kind} {team}/{name}'
             place = f'{path}.{FIELD_OF_KIND[kind]}'
             yield make_problem(key, place, Code.OWN_REFERENCE, missing)
-
-
-def _find_list_problems(
-    key: str,
-    path: str,
-    names: tuple[str, ...],
-) -> Iterator[Problem]:
-    for listed, count in Counter(names).items():
-        if not listed or listed != listed.strip():
-            yield make_problem(key, path, Code.EMPTY_ITEM, listed)
-        if count > 1:
-            yield make_problem(key, path, Code.DUPLICATE_ITEM, listed)
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -141,6 +141,7 @@
     is_nested: bool = False  # made by an upstream while it runs a call
     body_bytes: int | None = 0  # `None` while the length is unknown
     has_room: bool = True  # the daemon has memory for the body
+    key_digest: str = ''  # of the caller's API key; empty if it has none
 
 
 @final
--- /dev/null
+++ b/briartack/core/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants: identification by API keys, and caps over all daemons."""
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -190,6 +190,22 @@
             'Send the path without dot segments, empty segments and '
             'unnecessary percent-encoding.',
         ),
+        'unknown-api-key': ErrorText(
+            'No tenant has this API key.',
+            'Use a key that the configuration in force assigns to a tenant.',
+        ),
+        'no-api-key': ErrorText(
+            'The request has no API key, and its route is not public.',
+            'Send the API key of a tenant.',
+        ),
+        'unknown-run': ErrorText(
+            'The request that made this call is not known to run here.',
+            'Retry the request after a moment, or send an API key.',
+        ),
+        'beyond-cap': ErrorText(
+            'The tenant has used up its cap of requests.',
+            'Retry the request after the stated time.',
+        ),
         'no-service': ErrorText(
             'No service has this name.',
             'Check the name; it has the form TEAM/NAME.',
--- a/briartack/platform/callers.py
+++ b/briartack/platform/callers.py
@@ -14,10 +14,12 @@
 from briartack.core.verdict import Verdict
 from briartack.headers import select_end_to_end
 from briartack.platform.names import (
+    API_KEY,
     ATTEMPT_ID,
     CALLER_SERVICE,
     DEADLINE_MS,
     EXPECT_INSTANCE,
+    digest_key,
 )
 from briartack.request_head import RequestHead
 
@@ -25,6 +27,7 @@
 _DAEMON_HEADERS: Final = frozenset(
     name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, CALLER_SERVICE)
 )
+_API_KEY_LOWER: Final = API_KEY.lower()
 _REASON_PHRASES: Final = MappingProxyType(
     {status.value: status.phrase for status in HTTPStatus},
 )
@@ -32,10 +35,14 @@
 _NON_RETRYABLE_STATUSES: Final = frozenset(
     (
         HTTPStatus.BAD_REQUEST,
+        HTTPStatus.UNAUTHORIZED,
         HTTPStatus.NOT_FOUND,
         HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     ),
 )
+_RETRYABLE_STATUSES: Final = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE),
+)
 
 
 @final
@@ -63,11 +70,16 @@
 
         Raises RequestError.
         """
-        kept = tuple(
-            pair
-            for pair in select_end_to_end(headers.pairs)
-            if pair[0].lower() not in _DAEMON_HEADERS
-        )
+        kept: list[tuple[str, str]] = []
+        keys: list[str] = []
+        for name, text in select_end_to_end(headers.pairs):
+            lower = name.lower()
+            # Some upstreams do not distinguish underscores from dashes.
+            if lower.replace('_', '-') == _API_KEY_LOWER:
+                if lower == _API_KEY_LOWER and text:
+                    keys.append(text)
+            elif lower not in _DAEMON_HEADERS:
+                kept.append((name, text))
         host = headers.get('host') or ''
         request_id = headers.get(ATTEMPT_ID) or ''
         return RequestHead(
@@ -87,6 +99,7 @@
             # An upstream forms the id of its own request by appending a dot
             # and a suffix to the id of the request that it is running.
             parent_id=request_id.rpartition('.')[0],
+            key_digest=_digest_keys(keys),
         )
 
     def encode_answer(
@@ -104,7 +117,7 @@
             )
         headers = [_JSON_HEADER]
         status = _choose_status(effect)
-        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        if status in _RETRYABLE_STATUSES:
             headers.append(_build_retry_after(effect.retry_after_seconds))
         body = encode_refusal_body(effect.reason, effect.detail)
         return _encode_response(
@@ -131,6 +144,17 @@
         )
 
 
+def _digest_keys(keys: list[str]) -> str:
+    """Return the digest of the API key of a request; empty without a key.
+
+    Several keys count as one that is unknown, because two readers of the
+    request could take different ones.
+    """
+    if not keys:
+        return ''
+    return digest_key(', '.join(keys).encode('latin-1'))
+
+
 def _build_retry_after(seconds: float) -> tuple[str, str]:
     return 'Retry-After', f'{seconds:.3f}'
 
@@ -142,7 +166,7 @@
     and 504 guarantee nothing.
     """
     if effect.verdict is Verdict.NOT_RUN:
-        if effect.status in _NON_RETRYABLE_STATUSES:
+        if effect.status in _NON_RETRYABLE_STATUSES | _RETRYABLE_STATUSES:
             return effect.status
         return HTTPStatus.SERVICE_UNAVAILABLE
     if effect.status == HTTPStatus.GATEWAY_TIMEOUT:
--- a/briartack/platform/configuration.py
+++ b/briartack/platform/configuration.py
@@ -13,6 +13,8 @@
 
 from briartack.core.configuration.settings import (
     MAX_ATTEMPTS,
+    MAX_CALL_BURST,
+    MAX_CALLS_PER_SECOND,
     MAX_COLD_PER_SECOND,
     MAX_COUNT,
     MAX_MILLISECONDS,
@@ -25,12 +27,18 @@
     ServiceLimits,
     Share,
     TeamSettings,
+    Tenant,
     Workspace,
 )
 from briartack.core.entries import TEAM_PREFIX, StatedOrder
 from briartack.core.json_decoding import decode_json
 from briartack.core.messages import MAX_INTEGER
-from briartack.platform.names import TEAM, encode_name
+from briartack.platform.names import (
+    TEAM,
+    digest_key,
+    encode_name,
+    format_header_value,
+)
 
 CONFIG_KEY: Final = 'op/config'
 TEAM_KEY: Final = TEAM_PREFIX + TEAM
@@ -85,6 +93,17 @@
     max_attempts: Annotated[int, Meta(ge=1)] = 1
     # An empty list allows all regions.
     home_regions: tuple[str, ...] | None = None
+    public: bool | None = None
+
+
+class _Tenant(msgspec.Struct, frozen=True, kw_only=True):
+    """Represent the `spec` of a tenant."""
+
+    api_keys: tuple[str, ...] | None = None
+    priority: Annotated[int, Meta(ge=0)] = 0  # 0 is the most urgent
+    rate_per_s: float | None = None  # 0 is no limit
+    burst: float | None = None
+    home_regions: tuple[str, ...] | None = None
 
 
 class _Service(msgspec.Struct, frozen=True, kw_only=True):
@@ -106,6 +125,7 @@
 _CONFIG_DECODER: Final = msgspec.json.Decoder(_Config)
 _ROUTE_DECODER: Final = msgspec.json.Decoder(_Route)
 _SERVICE_DECODER: Final = msgspec.json.Decoder(_Service)
+_TENANT_DECODER: Final = msgspec.json.Decoder(_Tenant)
 _LIMITS_DECODER: Final = msgspec.json.Decoder(_Limits)
 
 
@@ -163,8 +183,27 @@
             },
             routes=tuple(routes),
             callers=callers,
+            tenants=self._translate_tenants() or msgspec.UNSET,
         )
 
+    def _translate_tenants(self) -> dict[str, Tenant]:
+        tenants: dict[str, Tenant] = {}
+        for resource in self._config.resources:
+            if resource.resource_kind != 'tenants':
+                continue
+            name = resource.metadata.name
+            try:
+                spec = _decode_spec(resource, _TENANT_DECODER)
+            except ValueError as error:
+                raise ValueError(f'tenant {name!r}: {error}') from None
+            encoded = encode_name(name)
+            if encoded in tenants:
+                raise ValueError(
+                    f'two tenants have the name {name!r}; rename one of them'
+                )
+            tenants[encoded] = _translate_tenant(name, encoded, spec)
+        return tenants
+
     def _translate_route(self, name: str, spec: _Route) -> Route:
         policy = Policy(
             timeout_ms=_round_milliseconds(spec.timeout_ms),
@@ -188,6 +227,7 @@
             split=split,
             policy=policy_name,
             workspace=self._register_workspace(spec.home_regions or ()),
+            public=spec.public or msgspec.UNSET,
         )
 
     def _register_route(self, name: str) -> str:
@@ -244,6 +284,32 @@
     )
 
 
+def _translate_tenant(name: str, encoded: str, spec: _Tenant) -> Tenant:
+    """Translate a tenant; of its keys only the digests are kept.
+
+    An empty key is left out, since a header without a key is none. Rates below
+    0 are left for the validation to refuse.
+    """
+    # Keeps the order and drops repeated keys and regions.
+    digests = dict.fromkeys(
+        digest_key(key.encode(errors='surrogatepass'))
+        for key in spec.api_keys or ()
+        if key
+    )
+    regions = dict.fromkeys(
+        encode_name(region) for region in spec.home_regions or ()
+    )
+    header = format_header_value(name)
+    return Tenant(
+        header=msgspec.UNSET if header == encoded else header,
+        keys=tuple(digests),
+        rank=min(spec.priority, MAX_RANK),
+        calls_per_second=min(spec.rate_per_s or 0, MAX_CALLS_PER_SECOND),
+        burst=min(spec.burst or 0, MAX_CALL_BURST),
+        home_regions=tuple(regions),
+    )
+
+
 def _translate_limits(spec: _Limits) -> CallerLimits | msgspec.UnsetType:
     """Translate the limits that are longer than the product's own.
 
--- a/briartack/platform/names.py
+++ b/briartack/platform/names.py
@@ -1,5 +1,6 @@
 """Define names of the platform that several modules use."""
 
+import base64
 import hashlib
 import re
 from typing import Final
@@ -17,6 +18,7 @@
 LOAD: Final = 'X-Server-Load'  # running, waiting, slots
 LIMIT: Final = 'Server-Limit'  # requests per second that an upstream takes
 LEAVING: Final = 'Server-Leaving'  # an upstream that leaves says 1
+API_KEY: Final = 'X-Api-Key'  # just the key of a tenant
 STORE_ERA: Final = 'Store-Era'  # rises each time the store is restored
 COLD_MS: Final = 'X-Cold-Ms'
 
@@ -27,6 +29,9 @@
 _ENCODED_PREFIX: Final = 'x--'
 _SHOWN_CHARACTERS: Final = 40
 _DIGEST_BYTES: Final = 8
+# What a header value must not contain, and white space at its ends, which
+# readers of headers remove.
+_UNSENDABLE: Final = re.compile(r'[\x00-\x1f\x7f%]|^ | $')
 
 
 def encode_name(name: str) -> str:
@@ -43,6 +48,27 @@
     return f'{_ENCODED_PREFIX}{readable}-{digest.hexdigest()}'
 
 
+def digest_key(key: bytes) -> str:
+    """Return the SHA-256 digest of an API key as URL-safe base64.
+
+    Base64 is a third shorter than hexadecimal digits, and the subtree with the
+    digests of all tenants has to stay below 1 MB.
+    """
+    digest = hashlib.sha256(key).digest()
+    return base64.urlsafe_b64encode(digest).decode().rstrip('=')
+
+
+def format_header_value(text: str) -> str:
+    """Return a text of any form as the value of a header.
+
+    Other characters than ASCII are sent as UTF-8. What no header can carry is
+    percent-encoded, and so is the percent sign, so that two texts never become
+    one.
+    """
+    sendable = _UNSENDABLE.sub(lambda found: f'%{ord(found[0]):02X}', text)
+    return sendable.encode(errors='surrogatepass').decode('latin-1')
+
+
 def qualify_service(service: str) -> str:
     """Return the product's name of a service, with the team."""
     return f'{TEAM}/{encode_name(service)}'
--- a/briartack/request_head.py
+++ b/briartack/request_head.py
@@ -29,3 +29,4 @@
     # Id of the request that an upstream was running when it sent this one, if
     # the id of this request contains it.
     parent_id: str = ''
+    key_digest: str = ''  # of the caller's API key; empty if it has none
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -22,6 +22,7 @@
     ServiceLimits,
 )
 from briartack.core.identity import Identity
+from briartack.core.tenants.tenant_table import NO_TENANTS, TenantTable
 from briartack.core.units import (
     AttemptId,
     CallId,
@@ -70,6 +71,7 @@
     shares: tuple[FakeShare, ...]
     policy: Policy
     home_regions: Regions = None
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,6 +82,7 @@
     services: Mapping[str, ServiceLimits]
     tenant_regions: Mapping[str, frozenset[str]]
     platform: PlatformSettings
+    tenants: TenantTable = NO_TENANTS
     highest: Revision = Revision(1)  # noqa: RUF009
 
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -103,6 +103,20 @@
     return {'resource_kind': 'routes', 'metadata': {'name': name}, 'spec': spec}
 
 
+def build_tenant(name: str, *keys: str, **overrides: Any) -> dict[str, Any]:
+    """Create a tenant resource of the operators' configuration."""
+    spec = {
+        'api_keys': list(keys),
+        'priority': 1,
+        'rate_per_s': 0,
+        'burst': 0,
+        'home_regions': [],
+        **overrides,
+    }
+    metadata = {'name': name}
+    return {'resource_kind': 'tenants', 'metadata': metadata, 'spec': spec}
+
+
 def build_configuration(
     *routes: dict[str, Any], version: int = 1, shape: SiteShape = SMALL_SHAPE
 ) -> dict[str, Any]:
@@ -274,17 +288,18 @@
     path: str,
     body: bytes | None = None,
     attempt_id: str = '',
+    *,
+    api_key: str = '',
 ) -> ConsumerResponse:
     """Send a request to a machine's daemon as a consumer would."""
-    return send_request(
-        f'http://{machine.caller_address}{path}',
-        {
-            'Host': HOST,
-            'X-Attempt-Id': attempt_id or uuid.uuid4().hex,
-            'X-Deadline-Ms': '2000',
-        },
-        body,
-    )
+    headers = {
+        'Host': HOST,
+        'X-Attempt-Id': attempt_id or uuid.uuid4().hex,
+        'X-Deadline-Ms': '2000',
+    }
+    if api_key:
+        headers['X-Api-Key'] = api_key
+    return send_request(f'http://{machine.caller_address}{path}', headers, body)
 
 
 def send_request(
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -14,6 +14,12 @@
 MS_PER_SECOND: Final = 1000.0
 HEALTH_PATH: Final = '/health'
 ENDLESS_BLOCK_BYTES: Final = 65536
+RECORDED_HEADERS: Final = (
+    'X-Deadline-Ms',
+    'X-Caller-Service',
+    'X-Tenant',
+    'X-Api-Key',
+)
 # The beginning of an answer without end, and the bytes that follow it.
 ENDLESS_ANSWERS: Final[Mapping[str, tuple[bytes, bytes]]] = MappingProxyType(
     {
@@ -99,10 +105,7 @@
 
     def _run(self, request: Request, body: bytes) -> Response | BrokenResponse:
         attempt_id = request.header('X-Attempt-Id')
-        headers = {
-            name: request.header(name)
-            for name in ('X-Deadline-Ms', 'X-Caller-Service')
-        }
+        headers = {name: request.header(name) for name in RECORDED_HEADERS}
         self.counts['ran'] += 1
         self.received_requests.append((attempt_id, request.path, headers))
         try:
