Cap the calls of tenants over all daemons

A tenant's cap bound nothing, since each daemon saw only its own callers.

The first live instance by rendezvous hash holds a tenant's token bucket. The other daemons request tokens for calls that wait, and in advance what they used in the last quarter of a second; tokens expire after half a second. A call waits for the holder 0.1 s at most. Beyond the cap it gets 429 with Retry-After before its body is read. Without a holder, all daemons together admit a quarter of the cap. CapRequest and CapGrant go only to peers whose hello knows them.

Random histories with cuts, restarts, freezes, changed lists and caps stay within the bound; histories that break it without each mechanism are listed.

--- a/briartack/core/calls/call_checks.py
+++ b/briartack/core/calls/call_checks.py
@@ -233,4 +233,5 @@
         deadline=event.now + timeout_ms / MILLISECONDS_PER_SECOND,
         body_bytes=event.body_bytes or 0,
         body_digest=EMPTY_DIGEST,
+        is_body_read=event.body_bytes == 0,
     )
--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -159,6 +159,9 @@
     def instance_count(self) -> int:
         """Return the number of live instances."""
 
+    def live_members(self) -> tuple[Member, ...]:
+        """Return all live instances, as the same object until a change."""
+
 
 @final
 class CallContext(msgspec.Struct, frozen=True, kw_only=True):
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -229,6 +229,11 @@
     if state.drain.is_leaving:
         goodbye = Goodbye(incarnation=context.identity.incarnation)
         effects.append(SendMessage(peer=event.peer, message=goodbye))
+    effects.extend(
+        state.sender.tokens.connect(
+            context, event.now, event.peer, leases_caps=hello.leases_caps
+        )
+    )
     effects.extend(
         state.sender.resume_connecting_calls(context, event.now, hello.service),
     )
@@ -301,6 +306,7 @@
     reached.
     """
     effects = _advance_stop(state, context, event.now)
+    effects.extend(state.sender.tokens.tick(context, event.now))
     effects.extend(state.sender.tick(context, event.now))
     effects.extend(state.owner.tick(context, event.now))
     effects.extend(state.keys.tick(event.now))
@@ -353,7 +359,7 @@
     state.endpoints.reset_readings(now)
     waiting = state.owner.expire_all(now, reasons.UNCONFIRMED)
     effects = finish_event(state, context, now, waiting)
-    effects.extend(state.sender.end_after_pause(context, now))
+    effects.extend(state.sender.endings.end_after_pause(context, now))
     return finish_event(state, context, now, effects)
 
 
@@ -386,7 +392,10 @@
 ) -> Effects:
     """Remove a peer and end the attempts sent to it or received from it."""
     state.endpoints.disconnect(peer)
-    effects = state.sender.handle_peer_loss(context, now, peer)
+    effects = state.sender.continue_all(
+        context, now, state.sender.tokens.disconnect(context, now, peer)
+    )
+    effects.extend(state.sender.handle_peer_loss(context, now, peer))
     effects.extend(state.owner.handle_peer_loss(now, peer))
     return effects
 
--- a/briartack/core/calls/call_responses.py
+++ b/briartack/core/calls/call_responses.py
@@ -19,6 +19,8 @@
 from briartack.core.calls.reasons import Reason
 from briartack.core.effects import AnswerCall, Count, DropBody, Effects
 from briartack.core.messages import Answer, Headers
+from briartack.core.tenants.caps import CapsState
+from briartack.core.tenants.tenant_counters import SERVED
 from briartack.core.units import BodyId
 from briartack.core.verdict import Verdict
 
@@ -27,10 +29,11 @@
 class CallResponder:
     """Remove calls from the table and answer their callers."""
 
-    __slots__ = ('_table',)
+    __slots__ = ('_table', '_caps')
 
-    def __init__(self, *, table: CallTable) -> None:
+    def __init__(self, *, table: CallTable, caps: CapsState) -> None:
         self._table = table
+        self._caps = caps
 
     def answer(
         self,
@@ -45,7 +48,14 @@
         `drop_body_effects` drops the answer's body, unless the owner keeps it.
         """
         self._table.remove(call)
+        tenant = call.origin.tenant
+        served = (
+            []
+            if tenant is None
+            else [self._caps.counters.count(tenant, SERVED)]
+        )
         return [
+            *served,
             AnswerCall(
                 call_id=call.event.call_id,
                 verdict=Verdict.RAN,
@@ -87,6 +97,8 @@
         has_key = bool(call.event.idempotency_key)
         if call.may_have_run or (has_key and not is_from_owner):
             verdict = Verdict.UNKNOWN
+        if verdict is Verdict.NOT_RUN:
+            self.release_token(now, call)
         if retry_after_seconds is None:
             retry_after_seconds = draw_retry_after_seconds(
                 context.random, call.route.policy
@@ -107,6 +119,14 @@
         )
         return [answer, DropBody(body_id=call.body_id), log_line]
 
+    def release_token(self, now: float, call: Call) -> None:
+        """Give back the token of a call that has not run, if it has one."""
+        tenant = call.origin.tenant
+        if tenant is not None:
+            self._caps.release(
+                tenant.name, call.event.call_id, now, call.token_expires_at
+            )
+
     def refuse_suspect(
         self,
         context: CallContext,
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -27,6 +27,7 @@
 class CallPhase(enum.Enum):
     """Enumerate the phases of a call at the daemon that accepted it."""
 
+    AWAITING_TOKEN = enum.auto()
     READING_BODY = enum.auto()
     CONNECTING = enum.auto()
     BACKING_OFF = enum.auto()
@@ -49,6 +50,9 @@
     body_bytes: int
     body_digest: Digest
     origin: CallOrigin = UNKEYED
+    token_expires_at: float | None = None  # of the tenant's cap
+    is_body_read: bool = False
+    is_counted: bool = False  # towards what the service earns in retries
     phase: CallPhase = CallPhase.READING_BODY
     wait_until: float = 0
     attempt_id: AttemptId | None = None
@@ -126,7 +130,7 @@
     def begin_wait(self, call: Call, phase: CallPhase, until: float) -> None:
         """Move a call to a waiting phase until a time.
 
-        The phase is `CONNECTING` or `BACKING_OFF`.
+        The phase is `AWAITING_TOKEN`, `CONNECTING` or `BACKING_OFF`.
         """
         call.phase = phase
         call.wait_until = until
--- a/briartack/core/calls/calls_state.py
+++ b/briartack/core/calls/calls_state.py
@@ -16,6 +16,7 @@
 from briartack.core.calls.sender import SenderState
 from briartack.core.calls.streams import StreamsState
 from briartack.core.effects import Effects, Exit
+from briartack.core.tenants.caps import CapsState
 
 
 @final
@@ -30,6 +31,7 @@
         'sender',
         'keys',
         'drain',
+        'caps',
     )
 
     def __init__(
@@ -49,6 +51,7 @@
             drain_seconds=drain_seconds,
             linger_seconds=rules.linger_seconds,
         )
+        self.caps = CapsState()
         self.owner = OwnerState(drain=self.drain, rules=rules)
         self.sender = SenderState(
             routing=self.routing,
@@ -56,6 +59,7 @@
             streams=self.streams,
             owner=self.owner,
             drain=self.drain,
+            caps=self.caps,
         )
         self.keys = KeyIssuerState(chooser=self.sender.chooser)
 
@@ -85,7 +89,7 @@
     """
     waiting = state.owner.expire_all(now, unsent_reason)
     effects = finish_event(state, context, now, waiting)
-    ended = state.sender.end_all(
+    ended = state.sender.endings.end_all(
         context, now, sent_reason=sent_reason, unsent_reason=unsent_reason
     )
     return [*effects, *ended]
--- a/briartack/core/calls/reasons.py
+++ b/briartack/core/calls/reasons.py
@@ -93,6 +93,10 @@
     code='beyond-cap',
     status=TOO_MANY_REQUESTS,
 )
+NO_CAP_HOLDER: Final = Reason(
+    code='no-cap-holder',
+    status=UNAVAILABLE,
+)
 NO_ENDPOINT: Final = Reason(
     code='no-endpoint',
     status=UNAVAILABLE,
--- a/briartack/core/calls/sender.py
+++ b/briartack/core/calls/sender.py
@@ -11,6 +11,7 @@
 from briartack.core.calls.attempt_sender import AttemptSender
 from briartack.core.calls.call_checks import route_call
 from briartack.core.calls.call_context import CallContext
+from briartack.core.calls.call_endings import CallEndings
 from briartack.core.calls.call_logs import (
     log_attempt_failed,
     log_call_refused,
@@ -34,6 +35,7 @@
 from briartack.core.calls.routing import RoutingState
 from briartack.core.calls.streams import StreamsState
 from briartack.core.calls.suspect_calls import find_suspicion
+from briartack.core.calls.token_phase import TokenPhase
 from briartack.core.effects import (
     AnswerCall,
     Count,
@@ -47,6 +49,7 @@
     MAX_BODY_BYTES,
     Answer,
 )
+from briartack.core.tenants.caps import CapsState
 from briartack.core.units import AttemptId, BodyId, CallId, InstanceId
 from briartack.core.verdict import Verdict
 
@@ -58,6 +61,10 @@
 # these attempts are not counted. The bound is above 1 because the endpoint
 # chosen next may have an old reading too.
 MAX_STALE_CLOCK_RETRIES: Final = 3
+# The body may arrive while the call waits for a token.
+_PHASES_BEFORE_BODY: Final = frozenset(
+    (CallPhase.AWAITING_TOKEN, CallPhase.READING_BODY)
+)
 
 
 @final
@@ -73,6 +80,8 @@
         '_chooser',
         '_attempt_sender',
         '_owner',
+        '_tokens',
+        '_endings',
     )
 
     def __init__(
@@ -83,9 +92,17 @@
         streams: StreamsState,
         owner: OwnerState,
         drain: DrainState,
+        caps: CapsState,
     ) -> None:
         self._table = CallTable()
-        self._responder = CallResponder(table=self._table)
+        self._responder = CallResponder(table=self._table, caps=caps)
+        self._tokens = TokenPhase(
+            caps=caps,
+            table=self._table,
+            responder=self._responder,
+            endpoints=endpoints,
+            drain=drain,
+        )
         self._retry = RetryState()
         self._routing = routing
         self._streams = streams
@@ -101,6 +118,11 @@
             endpoints=endpoints,
             owner=owner,
         )
+        self._endings = CallEndings(
+            table=self._table,
+            attempt_sender=self._attempt_sender,
+            responder=self._responder,
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -122,6 +144,16 @@
         """Return the chooser of endpoints, which the key issuer shares."""
         return self._chooser
 
+    @property
+    def endings(self) -> CallEndings:
+        """Return what ends all calls."""
+        return self._endings
+
+    @property
+    def tokens(self) -> TokenPhase:
+        """Return the phase that gets tokens of the caps of tenants."""
+        return self._tokens
+
     def handle_call_arrived(
         self, context: CallContext, event: CallArrived
     ) -> Effects:
@@ -140,21 +172,18 @@
             call.rank = run_rank
             call.is_from_local_run = True
         self._table.add(call)
-        self._streams.record_call(call.share.service, event.now)
-        self._retry.add_tokens_for_call(context, call)
-        effects = _schedule_wake(event.now, call.deadline)
-        if event.body_bytes == 0:
-            effects.extend(self._start_next_attempt(context, event.now, call))
-        else:
-            effects.append(ReadBody(call_id=event.call_id))
-        return effects
+        return [
+            *_schedule_wake(event.now, call.deadline),
+            *self._tokens.begin(context, event.now, call),
+            *self._continue_with_token(context, event.now, call),
+        ]
 
     def handle_body_read(
         self, context: CallContext, event: CallBodyRead
     ) -> Effects:
         """Handle the complete body of a call and send the first attempt."""
         call = self._table.get(event.call_id)
-        if call is None or call.phase is not CallPhase.READING_BODY:
+        if call is None or call.phase not in _PHASES_BEFORE_BODY:
             return [DropBody(body_id=call_body_id(event.call_id))]
         reason = None
         if event.body_bytes > MAX_BODY_BYTES:
@@ -167,7 +196,23 @@
             )
         call.body_bytes = event.body_bytes
         call.body_digest = event.body_digest
-        return self._start_next_attempt(context, event.now, call)
+        call.is_body_read = True
+        return [
+            *self._tokens.renew(context, event.now, call),
+            *self._continue_with_token(context, event.now, call),
+        ]
+
+    def continue_all(
+        self,
+        context: CallContext,
+        now: float,
+        settled: tuple[list[Call], Effects],
+    ) -> Effects:
+        """Continue the calls that have got a token, after the effects."""
+        calls, effects = settled
+        for call in calls:
+            effects.extend(self._continue_with_token(context, now, call))
+        return effects
 
     def cancel(
         self,
@@ -180,6 +225,8 @@
         if call is None:
             return []
         effects = self._attempt_sender.withdraw(context, now, call)
+        if not (call.attempts or call.may_have_run):
+            self._responder.release_token(now, call)
         self._table.remove(call)
         effects.append(DropBody(body_id=call.body_id))
         return effects
@@ -281,42 +328,19 @@
             effects.extend(_schedule_wake(now, next_at))
         return effects
 
-    def end_all(
-        self,
-        context: CallContext,
-        now: float,
-        *,
-        sent_reason: Reason,
-        unsent_reason: Reason,
+    def _continue_with_token(
+        self, context: CallContext, now: float, call: Call
     ) -> Effects:
-        """End every call, with `sent_reason` if an attempt is in flight.
-
-        All other calls end with `unsent_reason`.
-        """
-        effects: Effects = []
-        for call in self._table:
-            reason = (
-                sent_reason if call.phase is CallPhase.SENT else unsent_reason
-            )
-            effects.extend(self._abandon_call(context, now, call, reason))
-        return effects
-
-    def end_after_pause(self, context: CallContext, now: float) -> Effects:
-        """End the calls that a pause of this process has made outdated.
-
-        A call keeps its attempt in flight until its deadline, because the
-        answer may have arrived during the pause. All other calls were routed
-        with a configuration that may no longer be in force.
-        """
-        effects: Effects = []
-        for call in self._table:
-            reason = reasons.UNCONFIRMED
-            if call.phase is CallPhase.SENT:
-                if now < call.deadline:
-                    continue
-                reason = reasons.PAUSED
-            effects.extend(self._abandon_call(context, now, call, reason))
-        return effects
+        """Send a call or read its body, unless it waits or was refused."""
+        if self._tokens.is_waiting(call):
+            return []
+        if not call.is_counted:
+            call.is_counted = True
+            self._streams.record_call(call.share.service, now)
+            self._retry.add_tokens_for_call(context, call)
+        if call.is_body_read:
+            return self._start_next_attempt(context, now, call)
+        return [ReadBody(call_id=call.event.call_id)]
 
     def _handle_expired_timer(
         self, context: CallContext, now: float, call: Call
@@ -324,9 +348,14 @@
         """Handle an expired timer of a call: its deadline or its wait."""
         if now >= call.deadline:
             self._attempt_sender.suspect(call, now)
-            return self._abandon_call(context, now, call, reasons.DEADLINE)
+            return self._endings.abandon(context, now, call, reasons.DEADLINE)
         if now < call.wait_until:
             return []
+        if call.phase is CallPhase.AWAITING_TOKEN:
+            return [
+                *self._tokens.give_up(context, now, call),
+                *self._continue_with_token(context, now, call),
+            ]
         if call.phase is CallPhase.CONNECTING:
             return self._end_wait(context, now, call)
         if call.phase is CallPhase.BACKING_OFF:
@@ -357,7 +386,7 @@
         Refuses the call if no endpoint can be chosen.
         """
         if now >= call.deadline:
-            return self._abandon_call(context, now, call, reasons.DEADLINE)
+            return self._endings.abandon(context, now, call, reasons.DEADLINE)
         if not context.is_confirmed:
             # The call outlasted a pause of this process. Its route may have
             # changed meanwhile.
@@ -424,20 +453,6 @@
             context, now, call, reason, verdict, is_from_owner=True
         )
 
-    def _abandon_call(
-        self,
-        context: CallContext,
-        now: float,
-        call: Call,
-        reason: Reason,
-    ) -> Effects:
-        """Cancel the attempt in flight and refuse the call."""
-        effects = self._attempt_sender.withdraw(context, now, call)
-        effects.extend(
-            self._responder.refuse(context, now, call, reason, Verdict.NOT_RUN)
-        )
-        return effects
-
 
 def _drop_body(body_id: BodyId | None) -> Effects:
     return [] if body_id is None else [DropBody(body_id=body_id)]
--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -3,9 +3,10 @@
 Each message is encoded as a msgpack array whose first element is the tag.
 """
 
-from typing import Final, TypeAlias, final
+from typing import Annotated, Final, TypeAlias, final
 
 import msgspec
+from msgspec import Meta
 
 from briartack.core.entries import Entry, HighestRevisions, KeyVersion
 from briartack.core.units import (
@@ -24,6 +25,7 @@
 MAX_BODY_BYTES: Final = 1 << 24  # 16 MiB
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
+TokenCount: TypeAlias = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 
 
 class Message(
@@ -52,6 +54,8 @@
     # Bodies of attempts above this size wait for the grant of the sender;
     # `None` if no body does.
     ungranted_body_bytes: int | None = None
+    # True if the sender understands `CapRequest` and `CapGrant`.
+    leases_caps: bool = False
 
 
 @final
@@ -252,6 +256,34 @@
     incarnation: Incarnation
 
 
+@final
+class CapRequest(Message, frozen=True, kw_only=True, tag='cap_request'):
+    """Ask the holder of a tenant's cap for tokens, or return some.
+
+    A daemon of an earlier release ends the stream on this message, so it is
+    sent only to peers that say in their hello that they understand it.
+    """
+
+    tenant: str  # TEAM/NAME
+    number: int  # names the request in its answer
+    needed: TokenCount  # by calls that wait; 0 with `ahead` 0 asks for none
+    ahead: TokenCount = 0
+    returned: TokenCount = 0  # expired unused
+
+
+@final
+class CapGrant(Message, frozen=True, kw_only=True, tag='cap_grant'):
+    """Answer a request for tokens."""
+
+    tenant: str
+    number: int
+    tokens: TokenCount
+    # Above 0 if not all needed tokens were granted: ask again after this time.
+    wait_seconds: float = 0
+    # False if the sender is not the holder by the list that it has.
+    is_holder: bool = True
+
+
 PeerMessage: TypeAlias = (
     Hello
     | Summary
@@ -265,6 +297,8 @@
     | Grant
     | Cancel
     | Goodbye
+    | CapRequest
+    | CapGrant
 )
 
 
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Final, TypeAlias
 
-from briartack.core.calls import call_handlers
+from briartack.core.calls import call_handlers, cap_handlers
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.calls_state import CallsState
 from briartack.core.dissemination import dissemination
@@ -43,6 +43,8 @@
     Answer,
     Attempt,
     Cancel,
+    CapGrant,
+    CapRequest,
     Entries,
     Goodbye,
     Inventory,
@@ -299,6 +301,22 @@
     )
 
 
+def _on_cap_request(state: State, event: PeerMessageReceived) -> Effects:
+    message = event.message
+    assert isinstance(message, CapRequest)
+    return cap_handlers.on_cap_request(
+        state.calls, make_call_context(state), event, message
+    )
+
+
+def _on_cap_grant(state: State, event: PeerMessageReceived) -> Effects:
+    message = event.message
+    assert isinstance(message, CapGrant)
+    return cap_handlers.on_cap_grant(
+        state.calls, make_call_context(state), event, message
+    )
+
+
 def _on_attempt_body_read(state: State, event: AttemptBodyRead) -> Effects:
     return call_handlers.on_attempt_body_read(
         state.calls, make_call_context(state), event
@@ -409,6 +427,8 @@
     Attempt: _on_attempt,
     Answer: _on_answer,
     Cancel: _on_cancel,
+    CapRequest: _on_cap_request,
+    CapGrant: _on_cap_grant,
 }
 
 _HANDLERS: Final[dict[type[Event], _Handler]] = {
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -202,6 +202,10 @@
             'The request that made this call is not known to run here.',
             'Retry the request after a moment, or send an API key.',
         ),
+        'no-cap-holder': ErrorText(
+            'The daemon that holds the cap of the tenant is not reached.',
+            'Retry the request after the stated time.',
+        ),
         'beyond-cap': ErrorText(
             'The tenant has used up its cap of requests.',
             'Retry the request after the stated time.',
--- a/briartack/framing.py
+++ b/briartack/framing.py
@@ -18,6 +18,8 @@
     Answer,
     Attempt,
     Cancel,
+    CapGrant,
+    CapRequest,
     Chunk,
     Entries,
     Goodbye,
@@ -62,6 +64,8 @@
     | type[Grant]
     | type[Cancel]
     | type[Goodbye]
+    | type[CapRequest]
+    | type[CapGrant]
 )
 
 # msgspec converts to a concrete class many times faster than to the union.
@@ -79,6 +83,8 @@
         'grant': Grant,
         'cancel': Cancel,
         'goodbye': Goodbye,
+        'cap_request': CapRequest,
+        'cap_grant': CapGrant,
     }
 )
 
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -144,6 +144,7 @@
                 region=identity.region,
                 clock=self._clock(),
                 grants_answers=True,
+                leases_caps=True,
             ),
         )
 
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -97,6 +97,9 @@
     def instance_count(self) -> int:
         return len(self.members)
 
+    def live_members(self) -> tuple[Member, ...]:
+        return self.members
+
     def is_upstream_leaving(self, record_id: str) -> bool:
         """Return false: no upstream here is listed under an id of its own."""
         return False
--- a/briartack/test/tenant_fleet.py
+++ b/briartack/test/tenant_fleet.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import json
+from bisect import bisect_left
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from functools import partial
@@ -38,6 +39,7 @@
 SERVICE: Final = 'op/main'
 REGIONS: Final = ('north', 'south')
 TENANT_HEADER: Final = 'X-Tenant'
+WINDOW_SECONDS: Final = 5.0
 Action: TypeAlias = Callable[[], None]
 
 
@@ -70,6 +72,7 @@
 ROUTES: Final = (
     route('main', '/main/'),
     route('public', '/public/', public=True),
+    route('slow', '/slow/', timeout_ms=60_000),
 )
 
 
@@ -95,21 +98,26 @@
         default_factory=list
     )
     cuts: set[frozenset[str]] = field(default_factory=set)
+    # Daemons that are frozen, so that their peers' messages go unanswered.
+    frozen: set[str] = field(default_factory=set)
+    # Daemons of an earlier release.
+    old: set[str] = field(default_factory=set)
     run_seconds: float = RUN_SECONDS
     _linked: set[frozenset[str]] = field(default_factory=set)
-    _listed: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    listed: dict[str, tuple[str, ...]] = field(default_factory=dict)
     _entry: Entry | None = None
     _revision: int = 0
     _starts: int = 0
     _running: dict[str, str] = field(default_factory=dict)
     _queue: list[tuple[float, int, Action]] = field(default_factory=list)
     _order: Iterator[int] = field(default_factory=itertools.count)
+    _random: Random = field(default_factory=lambda: Random(7))
 
     def __post_init__(self) -> None:
         """Start the daemons and publish the first version everywhere."""
         self.names = [f'm{number}' for number in range(self.size)]
         for name in self.names:
-            self._listed[name] = tuple(self.names)
+            self.listed[name] = tuple(self.names)
         for name in self.names:
             self.start(name)
         if self.resources:
@@ -177,7 +185,7 @@
 
     def list_instances(self, name: str, listed: tuple[str, ...]) -> None:
         """Set which instances one daemon sees in the list."""
-        self._listed[name] = listed
+        self.listed[name] = listed
         self._revision += 1
         self._read_store(name)
 
@@ -246,12 +254,52 @@
         for effect in reduce(self.states[name], event):
             self._execute(name, effect)
 
-    def count_runs(self, header: str, start: float, end: float) -> int:
-        """Return how many runs of a tenant began within a window."""
-        return sum(
-            start <= at < end and headers.get(TENANT_HEADER) == header
+    def flood(
+        self,
+        names: tuple[str, ...],
+        calls_per_second: float,
+        seconds: float,
+        *,
+        label: str = 'f',
+        **request: Any,
+    ) -> None:
+        """Schedule calls at random times from now on, at each daemon.
+
+        Their ids begin with the label.
+        """
+        for name in names:
+            end = self.now + seconds
+            at = self.now + self._random.expovariate(calls_per_second)
+            while at < end:
+                call_id = f'{label}{next(self._order)}'
+                self.schedule(at, partial(self.call, name, call_id, **request))
+                at += self._random.expovariate(calls_per_second)
+
+    def list_excesses(
+        self, header: str, bound: float, since: float = 0
+    ) -> list[tuple[float, int]]:
+        """Return the windows of 5 s with more runs than a bound.
+
+        Each is given by the time of its first run, and their number.
+        """
+        times = [
+            at
             for at, _, headers in self.runs
-        )
+            if headers.get(TENANT_HEADER) == header and at >= since
+        ]
+        counts = [
+            (start, bisect_left(times, start + WINDOW_SECONDS) - first)
+            for first, start in enumerate(times)
+        ]
+        return [(start, count) for start, count in counts if count > bound]
+
+    def count_answers(self, status: int) -> int:
+        """Return how many calls were answered with a status."""
+        return sum(one.status == status for one in self.answers.values())
+
+    def count_sent(self, *kinds: type) -> int:
+        """Return how many messages of some kinds the daemons sent."""
+        return sum(isinstance(sent[-1], kinds) for sent in self.sent)
 
     def make_hello(self, name: str) -> messages.Hello:
         """Return the first message of a daemon."""
@@ -264,6 +312,7 @@
             data_centre=identity.data_centre,
             region=identity.region,
             clock=self.now,
+            leases_caps=name not in self.old,
         )
 
     def _execute(self, name: str, effect: out.Effect) -> None:
@@ -344,11 +393,24 @@
     def _receive(
         self, name: str, peer: str, message: messages.PeerMessage
     ) -> None:
-        if frozenset((name, peer)) in self._linked:
+        is_linked = frozenset((name, peer)) in self._linked
+        if is_linked and peer not in self.frozen:
             event = events.PeerMessageReceived(
                 now=self.now, peer=InstanceId(name), message=message
             )
             self.apply(peer, event)
+            self._deliver_body(name, peer, message)
+
+    def _deliver_body(
+        self, name: str, peer: str, message: messages.PeerMessage
+    ) -> None:
+        if isinstance(message, messages.Attempt) and message.body_bytes:
+            read = events.AttemptBodyRead(
+                now=self.now,
+                peer=InstanceId(name),
+                attempt_id=message.attempt_id,
+            )
+            self.apply(peer, read)
 
     def _dispatch(self, name: str, effect: out.Dispatch) -> None:
         self.runs.append((self.now, name, dict(effect.headers)))
@@ -374,7 +436,7 @@
 
     def _read_store(self, name: str) -> None:
         entries = [] if self._entry is None else [self._entry]
-        entries.extend(map(self._make_record, self._listed[name]))
+        entries.extend(map(self._make_record, self.listed[name]))
         read = events.StoreRead(
             now=self.now,
             prefix='',
@@ -394,7 +456,7 @@
         }
         return Entry(
             key=f'instances/{name}',
-            revision=Revision(1),
+            revision=Revision(self._revision + 1),
             value=json.dumps(record),
         )
 
--- a/briartack/test/test_platform_boundary.py
+++ b/briartack/test/test_platform_boundary.py
@@ -15,7 +15,7 @@
 PACKAGE: Final = Path(__file__).parent.parent
 ADAPTER_PACKAGE: Final = PACKAGE / 'platform'
 WIRE_NAMES: Final = re.compile(
-    'X-Server-|X-Attempt-|X-Api-|rate_per_s\\b|api_keys'
+    r'X-Server-|X-Attempt-|X-Api-|rate_per_s\b|api_keys'
     '|X-Not-Executed|X-Expect-|X-Caller-|X-Cold-'
     '|/api/kv-|cold_left|resource_kind|op/config|op/evacuate'
     '|as_of|retry_budget|cold_overage=',
