Show the calls of tenants in status and metrics, and check tenants

Operators saw neither which tenant is refused by its cap nor that two teams give one key to two tenants.

Status and metrics count requested, served and refused calls of the five largest tenants by name and of the rest in sum. briartack check names tenants of several teams with one key, and names in workspaces that no tenant has. The holder's buckets have a module of their own.

--- a/briartack/check.py
+++ b/briartack/check.py
@@ -19,6 +19,7 @@
     list_references,
 )
 from briartack.settings_tree import SettingsTree, read_tree
+from briartack.tenant_checks import find_shared_keys, find_unknown_tenants
 
 _RoutesByResource: TypeAlias = dict[ResourceId, list[str]]
 
@@ -65,7 +66,12 @@
     route still refers to it.
     """
     tree = read_tree(path)
-    errors = [*tree.problems, *_find_unresolved_references(tree)]
+    errors = [
+        *tree.problems,
+        *_find_unresolved_references(tree),
+        *find_shared_keys(tree),
+        *find_unknown_tenants(tree),
+    ]
     warnings = list(_find_equal_prefixes(tree))
     if against is not None:
         published = read_tree(against)
--- a/briartack/cli.py
+++ b/briartack/cli.py
@@ -40,6 +40,8 @@
     'retained',
     'waiting',
     'crash_suspects',
+    'tenants',
+    'caps',
 )
 _STATUS_ROW: Final = '{:<22} {:<16} {:<6} {:>8} {:>7}  {}'
 _ENDPOINT_ROW: Final = '    {:<16} {:<16} {:<10} {}'
--- a/briartack/core/calls/token_phase.py
+++ b/briartack/core/calls/token_phase.py
@@ -96,7 +96,7 @@
     ) -> Effects:
         """Answer a request of a peer for tokens."""
         self._refresh(context, now)
-        return self._caps.handle_request(context, now, peer, asked)
+        return self._caps.held.answer(context, now, peer, asked)
 
     def handle_grant(
         self, context: CallContext, now: float, grant: CapGrant
@@ -131,6 +131,9 @@
         return self._caps.tick(context, now)
 
     def _refresh(self, context: CallContext, now: float) -> None:
+        # Without tenants, the list of instances is of no use here.
+        if context.snapshot is None or not context.snapshot.tenants:
+            return
         self._caps.refresh(context, now, is_leaving=self._drain.is_leaving)
 
     def _acquire(self, context: CallContext, now: float, call: Call) -> Effects:
@@ -197,7 +200,9 @@
         tenant = call.origin.tenant
         assert tenant is not None
         # Callers that were refused together come back one after the other.
-        wait_seconds = decision.wait_seconds * context.random.uniform(1, 2)
+        wait_seconds = decision.wait_seconds + context.random.uniform(
+            0, self._caps.compute_spread(now, tenant, decision.wait_seconds)
+        )
         refused = self._responder.refuse(
             context,
             now,
--- a/briartack/core/configuration/value_checks.py
+++ b/briartack/core/configuration/value_checks.py
@@ -40,7 +40,8 @@
             holder = holders.setdefault(digest, name)
             if holder == name:
                 continue
-            both = f'{_show(holder, tenants[holder])} and {_show(name, tenant)}'
+            shown = show_name(holder, tenants[holder])
+            both = f'{shown!r} and {show_name(name, tenant)!r}'
             if both not in reported:
                 reported.add(both)
                 yield make_problem(
@@ -54,8 +55,8 @@
     return {} if isinstance(tenants, msgspec.UnsetType) else tenants
 
 
-def _show(name: str, tenant: Tenant) -> str:
+def show_name(name: str, tenant: Tenant) -> str:
     """Return the name that operators gave the tenant."""
     if isinstance(tenant.header, str):
-        return repr(tenant.header.encode('latin-1').decode(errors='replace'))
-    return repr(name)
+        return tenant.header.encode('latin-1').decode(errors='replace')
+    return name
--- a/briartack/core/status.py
+++ b/briartack/core/status.py
@@ -31,6 +31,7 @@
         ),
     }
     described.update(_describe_snapshot(state))
+    described.update(_describe_tenants(state))
     return described
 
 
@@ -78,6 +79,28 @@
     }
 
 
+def _describe_tenants(state: State) -> dict[str, object]:
+    """Describe the calls of tenants; empty without tenants."""
+    snapshot = state.configuration.snapshot
+    if snapshot is None or not snapshot.tenants:
+        return {}
+    caps = state.calls.caps
+    return {
+        'tenants': caps.counters.describe(),
+        'caps': {
+            'tenants': sum(
+                tenant.has_cap for tenant in snapshot.tenants.by_name.values()
+            ),
+            'held_here': len(caps.held),
+            'beyond': [
+                tenant.title
+                for name in caps.list_blocked(state.last_event_at)
+                if (tenant := snapshot.tenants.by_name.get(name)) is not None
+            ],
+        },
+    }
+
+
 def _describe_dissemination(state: State) -> dict[str, object]:
     part = state.dissemination
     return {
--- a/briartack/core/tenants/cap_fallback.py
+++ b/briartack/core/tenants/cap_fallback.py
@@ -11,6 +11,8 @@
 WINDOW_SECONDS: Final = 5.0
 FALLBACK_RATIO: Final = 0.25
 EXTRA_RUNS: Final = 20
+# A call may run that much later than it was admitted.
+_KEPT_SECONDS: Final = WINDOW_SECONDS + LEASE_SECONDS
 
 
 def compute_share(
@@ -44,11 +46,11 @@
 
     def take(self, now: float, share: int) -> float:
         """Admit a call and return 0, or return the seconds until it may be."""
-        while self._admitted and self._admitted[0] <= now - WINDOW_SECONDS:
+        while self._admitted and self._admitted[0] <= now - _KEPT_SECONDS:
             self._admitted.popleft()
         if len(self._admitted) < share:
             self._admitted.append(now)
             return 0
         if not self._admitted:
-            return WINDOW_SECONDS
-        return self._admitted[0] + WINDOW_SECONDS - now
+            return _KEPT_SECONDS
+        return self._admitted[0] + _KEPT_SECONDS - now
--- a/briartack/core/tenants/cap_lease.py
+++ b/briartack/core/tenants/cap_lease.py
@@ -38,6 +38,7 @@
         '_uses',
         '_requests',
         '_requested_at',
+        '_refusals',
     )
 
     def __init__(self) -> None:
@@ -51,12 +52,18 @@
         self._uses: deque[float] = deque()
         self._requests: dict[int, float] = {}
         self._requested_at = float('-inf')
+        self._refusals: deque[float] = deque()
 
     @property
     def stock(self) -> int:
         """Return the number of tokens, expired ones included."""
         return sum(count for _, count in self._stock)
 
+    @property
+    def refused_lately(self) -> int:
+        """Return how many calls were refused in the last second."""
+        return len(self._refusals)
+
     def has_open_request(self, now: float) -> bool:
         """Return whether the answer to a request is due."""
         return any(
@@ -110,6 +117,13 @@
         self._uses.append(now)
         self._forget_uses(now)
 
+    def record_refusal(self, now: float) -> None:
+        """Record a refused call."""
+        self.used_at = now
+        self._refusals.append(now)
+        while self._refusals[0] <= now - 1:
+            self._refusals.popleft()
+
     def count_ahead(self, now: float) -> int:
         """Return how many tokens to request in advance."""
         self._forget_uses(now)
--- a/briartack/core/tenants/caps.py
+++ b/briartack/core/tenants/caps.py
@@ -7,8 +7,9 @@
 from briartack.core.calls.call_context import CallContext, Member
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.messages import CapGrant, CapRequest
-from briartack.core.tenants.cap_bucket import LEASE_SECONDS, CapBucket
+from briartack.core.tenants.cap_bucket import LEASE_SECONDS
 from briartack.core.tenants.cap_fallback import compute_share
+from briartack.core.tenants.cap_holder import HeldCaps, find_tenant
 from briartack.core.tenants.cap_lease import SILENCE_SECONDS, CapLease
 from briartack.core.tenants.holders import HolderTable
 from briartack.core.tenants.tenant_counters import TenantCounters
@@ -77,7 +78,7 @@
     __slots__ = (
         'counters',
         '_holders',
-        '_buckets',
+        '_held',
         '_leases',
         '_peers',
         '_number',
@@ -87,7 +88,7 @@
     def __init__(self) -> None:
         self.counters = TenantCounters()
         self._holders = HolderTable()
-        self._buckets: dict[str, CapBucket] = {}
+        self._held = HeldCaps(holders=self._holders)
         self._leases: dict[str, CapLease] = {}
         # Connected peers, and whether they understand requests for tokens.
         self._peers: dict[InstanceId, bool] = {}
@@ -102,6 +103,17 @@
         """Return the leases of all tenants with calls here."""
         return tuple(self._leases.values())
 
+    @property
+    def held(self) -> HeldCaps:
+        """Return the buckets that this daemon holds."""
+        return self._held
+
+    def list_blocked(self, now: float) -> Iterator[str]:
+        """Yield the tenants that are refused until a later time."""
+        for name, lease in self._leases.items():
+            if now < lease.blocked_until:
+                yield name
+
     def refresh(
         self, context: CallContext, now: float, *, is_leaving: bool
     ) -> None:
@@ -119,11 +131,7 @@
             listed = self._unavailable[1]
         if not self._holders.update(now, listed):
             return
-        self._buckets = {
-            name: bucket
-            for name, bucket in self._buckets.items()
-            if self._is_held_here(context, name)
-        }
+        self._held.drop_moved(context)
 
     def acquire(
         self,
@@ -144,8 +152,8 @@
             return Token(expires_at=expires_at)
         if now < lease.blocked_until:
             return BeyondCap(wait_seconds=lease.blocked_until - now)
-        if self._is_held_here(context, tenant.name):
-            bucket = self._find_bucket(now, tenant)
+        if self._held.is_held_here(context, tenant.name):
+            bucket = self._held.find_bucket(now, tenant)
             granted = bucket.take(now, needed=1, ahead=0)
             if not granted.tokens:
                 return BeyondCap(wait_seconds=granted.wait_seconds)
@@ -179,38 +187,6 @@
         lease.open_request(now, self._number)
         return [self._send_request(holder, tenant, lease, needed, ahead)]
 
-    def handle_request(
-        self,
-        context: CallContext,
-        now: float,
-        peer: InstanceId,
-        asked: CapRequest,
-    ) -> Effects:
-        """Answer a request for tokens as the holder of a tenant."""
-        tenant = self._find_tenant(context, asked.tenant)
-        is_held = tenant is not None and self._is_held_here(
-            context, asked.tenant
-        )
-        granted = CapGrant(
-            tenant=asked.tenant,
-            number=asked.number,
-            tokens=0,
-            is_holder=is_held,
-        )
-        if tenant is not None and is_held:
-            bucket = self._find_bucket(now, tenant)
-            bucket.give_back(now, asked.returned)
-            taken = bucket.take(now, asked.needed, asked.ahead)
-            granted = CapGrant(
-                tenant=asked.tenant,
-                number=asked.number,
-                tokens=taken.tokens,
-                wait_seconds=taken.wait_seconds,
-            )
-        if not asked.needed and not asked.ahead:
-            return []
-        return [SendMessage(peer=peer, message=granted)]
-
     def handle_grant(
         self, context: CallContext, now: float, grant: CapGrant
     ) -> Settlement:
@@ -265,6 +241,19 @@
             if expires_at is not None:
                 lease.add(now, expires_at, 1)
 
+    def compute_spread(
+        self, now: float, tenant: ResolvedTenant, wait_seconds: float
+    ) -> float:
+        """Return the time over which refused callers come back.
+
+        It is that in which the cap has room for the callers that this daemon
+        refused in the last second, and this one. At least it doubles the wait.
+        """
+        lease = self._leases.setdefault(tenant.name, CapLease())
+        lease.record_refusal(now)
+        room_seconds = lease.refused_lately / tenant.calls_per_second
+        return max(wait_seconds, room_seconds)
+
     def connect(
         self, peer: InstanceId, now: float, *, leases_caps: bool
     ) -> Effects:
@@ -301,27 +290,15 @@
             is_idle = now - lease.used_at > IDLE_SECONDS
             if is_idle and not lease.waiting and now > lease.blocked_until:
                 self._leases.pop(name)
-        self._drop_unknown_buckets(context, now)
+        self._held.drop_unknown(context, now)
         self.counters.name_largest(now)
         return effects
 
-    def _drop_unknown_buckets(self, context: CallContext, now: float) -> None:
-        """Forget the buckets of former tenants.
-
-        One that is not full is kept, or a tenant that is defined again would
-        get a whole burst.
-        """
-        for name, bucket in tuple(self._buckets.items()):
-            if self._find_tenant(context, name) is None and bucket.is_full(now):
-                self._buckets.pop(name)
-
     def _return_tokens(
         self, context: CallContext, now: float, name: str, lease: CapLease
     ) -> Effects:
-        if self._is_held_here(context, name):
-            bucket = self._buckets.get(name)
-            if bucket is not None:
-                bucket.give_back(now, lease.returned)
+        if self._held.is_held_here(context, name):
+            self._held.give_back(now, name, lease.returned)
             lease.returned = 0
             return []
         holder = self._holders.find(name)
@@ -359,7 +336,7 @@
         self, context: CallContext, now: float, name: str, lease: CapLease
     ) -> Settlement:
         settled = Settlement()
-        tenant = self._find_tenant(context, name)
+        tenant = find_tenant(context, name)
         for call_id in lease.waiting:
             # The cap may have gone with the tenant.
             decision: TokenDecision = Token(expires_at=now + LEASE_SECONDS)
@@ -386,32 +363,7 @@
         if wait_seconds > 0:
             return WithoutHolder(wait_seconds=wait_seconds)
         lease.record_use(now)
-        # Such a token is for the call that got it.
-        return Token(expires_at=now)
-
-    def _find_bucket(self, now: float, tenant: ResolvedTenant) -> CapBucket:
-        bucket = self._buckets.get(tenant.name)
-        if bucket is None:
-            bucket = CapBucket(
-                tenant=tenant, now=now, since=self._holders.changed_at
-            )
-            self._buckets[tenant.name] = bucket
-        else:
-            bucket.set_cap(now, tenant)
-        return bucket
-
-    def _find_tenant(
-        self, context: CallContext, name: str
-    ) -> ResolvedTenant | None:
-        if context.snapshot is None:
-            return None
-        return context.snapshot.tenants.by_name.get(name)
-
-    def _is_held_here(self, context: CallContext, tenant: str) -> bool:
-        holder = self._holders.find(tenant)
-        return (
-            holder is not None and holder.instance == context.identity.instance
-        )
+        return Token(expires_at=now + LEASE_SECONDS)
 
     def _list_waiting_for(self, peer: InstanceId) -> Iterator[str]:
         for tenant, lease in tuple(self._leases.items()):
--- a/briartack/core/tenants/tenant_counters.py
+++ b/briartack/core/tenants/tenant_counters.py
@@ -58,13 +58,13 @@
 
         `kind` is one of the names of the counts.
         """
-        counts = self._counts.get(tenant.header)
+        counts = self._counts.get(tenant.title)
         if counts is None:
-            counts = self._counts.setdefault(tenant.header, TenantCounts())
+            counts = self._counts.setdefault(tenant.title, TenantCounts())
             if len(self._named) < MAX_NAMED:
-                self._named |= {tenant.header}
+                self._named |= {tenant.title}
         setattr(counts, kind, getattr(counts, kind) + 1)
-        label = tenant.header if tenant.header in self._named else OTHERS
+        label = tenant.title if tenant.title in self._named else OTHERS
         return Count(name=f'tenants.{kind}', attributes=(('tenant', label),))
 
     def name_largest(self, now: float) -> None:
--- a/briartack/core/tenants/tenant_table.py
+++ b/briartack/core/tenants/tenant_table.py
@@ -6,6 +6,7 @@
 from typing import Final, final
 
 from briartack.core.configuration.settings import Tenant
+from briartack.core.configuration.value_checks import show_name
 
 
 @final
@@ -14,6 +15,7 @@
     """Hold a tenant as calls need it."""
 
     name: str  # TEAM/NAME
+    title: str  # as operators see it
     header: str  # value of the tenant header for upstreams
     rank: int
     calls_per_second: float  # 0 is no limit
@@ -72,6 +74,7 @@
     header = tenant.header if isinstance(tenant.header, str) else name
     return ResolvedTenant(
         name=f'{team}/{name}',
+        title=show_name(name, tenant),
         header=header,
         rank=tenant.rank,
         calls_per_second=tenant.calls_per_second,
--- a/briartack/test/test_tenants_caps.py
+++ b/briartack/test/test_tenants_caps.py
@@ -14,6 +14,7 @@
 from briartack.core.messages import CapGrant, CapRequest
 from briartack.core.reducer import reduce
 from briartack.core.tenants import caps
+from briartack.core.tenants.cap_holder import HeldCaps
 from briartack.core.tenants.holders import HolderTable
 from briartack.core.units import CallId
 from briartack.platform.names import digest_key
@@ -112,7 +113,7 @@
 )
 # Each mechanism with the history that exceeds the bound without it.
 MECHANISMS: Final[tuple[tuple[Any, ...], ...]] = (
-    (flood_all, caps.CapsState, '_is_held_here', lambda *_: True),
+    (flood_all, HeldCaps, 'is_held_here', lambda *_: True),
     (flood_all, caps.CapsState, 'acquire', lambda *_: caps.Token(expires_at=0)),
     (cut_all, caps, 'compute_share', lambda *_: RATE * 5 + BURST),
     (restart_holder, HolderTable, 'changed_at', property(lambda _: 0)),
--- a/briartack/test/test_tenants_histories.py
+++ b/briartack/test/test_tenants_histories.py
@@ -53,6 +53,7 @@
     """Return a tenant with a cap."""
     return ResolvedTenant(
         name='op/t',
+        title='t',
         header='t',
         rank=0,
         calls_per_second=rate,
