Fill a tenant's bucket since its holder is first in the list

A bucket that is used for the first time began empty at the last change of the list, so that calls of small tenants were refused after each change.

It now counts from when its holder was listed, and from when the last instance before it left. A real site shows that the cap binds over all daemons.

--- a/briartack/core/calls/token_phase.py
+++ b/briartack/core/calls/token_phase.py
@@ -127,7 +127,9 @@
 
     def tick(self, context: CallContext, now: float) -> Effects:
         """Return tokens that were not used."""
-        self._refresh(context, now)
+        # Also before there are tenants: a bucket has filled since its holder
+        # has been first in the list.
+        self._caps.refresh(context, now, is_leaving=self._drain.is_leaving)
         return self._caps.tick(context, now)
 
     def _refresh(self, context: CallContext, now: float) -> None:
--- a/briartack/core/tenants/cap_holder.py
+++ b/briartack/core/tenants/cap_holder.py
@@ -32,12 +32,17 @@
             holder is not None and holder.instance == context.identity.instance
         )
 
-    def find_bucket(self, now: float, tenant: ResolvedTenant) -> CapBucket:
+    def find_bucket(
+        self, context: CallContext, now: float, tenant: ResolvedTenant
+    ) -> CapBucket:
         """Return the bucket of a tenant that is held here."""
         bucket = self._buckets.get(tenant.name)
         if bucket is None:
+            own = context.identity.instance
             bucket = CapBucket(
-                tenant=tenant, now=now, since=self._holders.changed_at
+                tenant=tenant,
+                now=now,
+                since=self._holders.find_start(tenant.name, own),
             )
             self._buckets[tenant.name] = bucket
         else:
@@ -63,7 +68,7 @@
             is_holder=is_held,
         )
         if tenant is not None and is_held:
-            bucket = self.find_bucket(now, tenant)
+            bucket = self.find_bucket(context, now, tenant)
             bucket.give_back(now, asked.returned)
             taken = bucket.take(now, asked.needed, asked.ahead)
             granted = CapGrant(
--- a/briartack/core/tenants/caps.py
+++ b/briartack/core/tenants/caps.py
@@ -153,7 +153,7 @@
         if now < lease.blocked_until:
             return BeyondCap(wait_seconds=lease.blocked_until - now)
         if self._held.is_held_here(context, tenant.name):
-            bucket = self._held.find_bucket(now, tenant)
+            bucket = self._held.find_bucket(context, now, tenant)
             granted = bucket.take(now, needed=1, ahead=0)
             if not granted.tokens:
                 return BeyondCap(wait_seconds=granted.wait_seconds)
--- a/briartack/core/tenants/holders.py
+++ b/briartack/core/tenants/holders.py
@@ -1,11 +1,16 @@
 """Which daemon holds the token bucket of a tenant."""
 
-from typing import final
+from collections import deque
+from typing import Final, final
 
 from briartack.core.calls.call_context import Member
 from briartack.core.rendezvous import rank
 from briartack.core.units import InstanceId
 
+# Removed instances that are remembered. With more removals, a bucket that is
+# used for the first time begins empty at the time of the oldest.
+MAX_REMOVED: Final = 256
+
 
 @final
 class HolderTable:
@@ -17,21 +22,24 @@
     fleet.
     """
 
-    __slots__ = ('_listed', '_members', '_changed_at', '_holders')
+    __slots__ = (
+        '_listed',
+        '_members',
+        '_added_at',
+        '_removed',
+        '_holders',
+        '_positions',
+    )
 
     def __init__(self) -> None:
         self._listed: tuple[Member, ...] = ()
         self._members: dict[InstanceId, Member] = {}
-        self._changed_at = float('inf')
+        self._added_at: dict[InstanceId, float] = {}
+        self._removed: deque[tuple[float, InstanceId]] = deque(
+            maxlen=MAX_REMOVED
+        )
         self._holders: dict[str, tuple[int, InstanceId]] = {}
-
-    @property
-    def changed_at(self) -> float:
-        """Return when the set of instances last changed.
-
-        A tenant's holder has been the same at least since then.
-        """
-        return self._changed_at
+        self._positions: dict[str, int | None] = {}
 
     @property
     def instance_count(self) -> int:
@@ -51,7 +59,11 @@
         added = self._members.keys() - before.keys()
         if not added and len(before) == len(self._members):
             return False
-        self._changed_at = now
+        self._positions.clear()
+        for gone in before.keys() - self._members.keys():
+            self._added_at.pop(gone)
+            self._removed.append((now, gone))
+        self._added_at.update(dict.fromkeys(added, now))
         self._holders = {
             tenant: min(
                 (holder, *(_rank(tenant, instance) for instance in added))
@@ -71,8 +83,33 @@
             self._holders[tenant] = holder
         return self._members[holder[1]]
 
+    def find_start(self, tenant: str, instance: InstanceId) -> float:
+        """Return since when an instance has been the present holder, at least.
+
+        That is since it was listed, and since the last one before it left.
+        """
+        own = _rank(tenant, instance)
+        times = [
+            removed_at
+            for removed_at, other in self._removed
+            if _rank(tenant, other) < own
+        ]
+        if len(self._removed) == MAX_REMOVED:
+            times.append(self._removed[0][0])
+        return max((self._added_at[instance], *times))
+
     def find_position(self, tenant: str, instance: InstanceId) -> int | None:
-        """Return how many instances precede one, `None` if it is not listed."""
+        """Return how many instances precede one, `None` if it is not listed.
+
+        The same instance is asked for each time.
+        """
+        if tenant not in self._positions:
+            self._positions[tenant] = self._compute_position(tenant, instance)
+        return self._positions[tenant]
+
+    def _compute_position(
+        self, tenant: str, instance: InstanceId
+    ) -> int | None:
         if instance not in self._members:
             return None
         own = _rank(tenant, instance)
--- a/briartack/test/mutants.py
+++ b/briartack/test/mutants.py
@@ -15,6 +15,7 @@
 from briartack.core.configuration.settings import ServiceLimits
 from briartack.core.configuration.versions import Version
 from briartack.core.messages import Answer
+from briartack.core.tenants.identification import UNKEYED
 
 ORIGINAL_BIND: Final = dedup.DedupState.register
 ORIGINAL_ANSWERED: Final = sender.SenderState.handle_answer
@@ -207,6 +208,29 @@
         caught_by="'call_id': 'c3'",
         patches={'placement.intersect': lambda left, right: right or left},
     ),
+    Mutant(
+        guard='the home regions of a tenant with an API key bind',
+        invariant='I6',
+        trace='keys_of_tenants',
+        caught_by="'call_id': 'c5'",
+        patches={'resolved_snapshot._intersect': make_stub(None)},
+    ),
+    Mutant(
+        guard='a caller with an API key cannot state another tenant',
+        invariant='I6',
+        trace='keys_of_tenants',
+        caught_by='no SendAttempt',
+        patches={
+            'call_checks.replace_tenant_header': lambda headers, _: headers
+        },
+    ),
+    Mutant(
+        guard='a version that withdraws an API key refuses it',
+        invariant='I12',
+        trace='keys_of_tenants',
+        caught_by="'call_id': 'c6'",
+        patches={'call_checks.identify': make_stub(UNKEYED)},
+    ),
     Mutant(
         guard='an owner outside the home regions refuses the attempt',
         invariant='I6',
--- a/briartack/test/test_tenants_caps.py
+++ b/briartack/test/test_tenants_caps.py
@@ -116,8 +116,8 @@
     (flood_all, HeldCaps, 'is_held_here', lambda *_: True),
     (flood_all, caps.CapsState, 'acquire', lambda *_: caps.Token(expires_at=0)),
     (cut_all, caps, 'compute_share', lambda *_: RATE * 5 + BURST),
-    (restart_holder, HolderTable, 'changed_at', property(lambda _: 0)),
-    (move_holder, HolderTable, 'changed_at', property(lambda _: 0)),
+    (restart_holder, HolderTable, 'find_start', lambda *_: 0),
+    (move_holder, HolderTable, 'find_start', lambda *_: 0),
     (complete_slow_bodies, TokenPhase, 'renew', lambda *_: []),
 )
 
--- a/briartack/test/test_tenants_histories.py
+++ b/briartack/test/test_tenants_histories.py
@@ -270,6 +270,25 @@
             for tenant in ('a', 'b', 'c'):
                 self.assertEqual(table.find(tenant), fresh.find(tenant))
 
+    def test_bucket_fills_since_its_holder_is_first(self) -> None:
+        """Guard against an empty bucket after each change of the list."""
+        table = HolderTable()
+        members = tuple(map(make_member, range(9)))
+        for now in range(1, 9):
+            table.update(now, members[now:])
+        starts = [
+            (number, table.find_start(f't{number}', InstanceId('m8')))
+            for number in range(40)
+        ]
+        for number, start in starts:
+            # The list of a time lacks the instances before it.
+            others = [
+                list_at
+                for list_at in range(1, 8)
+                if find_first(members[list_at:], f't{number}') != 'm8'
+            ]
+            self.assertEqual(start, max(others, default=0) + 1)
+
     def test_tenants_are_spread_over_the_instances(self) -> None:
         """Guard against one daemon that holds the caps of all tenants."""
         table = HolderTable()
@@ -278,6 +297,15 @@
         self.assertGreater(len(held), 15)
 
 
+def find_first(members: tuple[FakeMember, ...], tenant: str) -> str:
+    """Return the holder of a tenant in a list."""
+    table = HolderTable()
+    table.update(0, members)
+    holder = table.find(tenant)
+    assert holder is not None
+    return holder.instance
+
+
 def make_member(number: int) -> FakeMember:
     """Return a listed instance."""
     return FakeMember(
--- a/briartack/test/test_tenants_site.py
+++ b/briartack/test/test_tenants_site.py
@@ -1,11 +1,15 @@
 """Tests of tenants with real processes, their store and their workers."""
 
 import tempfile
+import time
 import unittest
+from collections import Counter
 from functools import partial
 from pathlib import Path
 from typing import Any, ClassVar, Final
 
+import gevent
+
 from briartack.test.test_platform_site import becomes_true
 from standins.platform_site import (
     DEFAULT_ROUTES,
@@ -126,6 +130,34 @@
         self.assertLessEqual(seen, {0, 401, 503})
         self.assertIn(401, seen)
 
+    def test_cap_binds_over_all_daemons(self) -> None:
+        """Guard against a share for each daemon, or a cap for each.
+
+        A daemon that reached no holder would serve 5 requests. The bucket
+        fills in 1.5 s while the site runs.
+        """
+        self.publish(
+            build_tenant('pulo 780', KEPT_KEY, rate_per_s=20, burst=30)
+        )
+        self.assertTrue(
+            becomes_true(lambda: self.collect_statuses(WITHDRAWN_KEY) == {401})
+        )
+        gevent.sleep(1.5)
+        began = time.monotonic()
+        served: Counter[int] = Counter()
+        for machine in (*self.site.machines, *self.site.machines):
+            for _ in range(15):
+                reply = send_consumer_request(
+                    machine, '/reads/', api_key=KEPT_KEY
+                )
+                served[reply.status] += 1
+                if reply.status == 429:
+                    self.assertGreater(float(reply.headers['retry-after']), 0)
+        seconds = time.monotonic() - began
+        self.assertEqual(set(served), {200, 429})
+        self.assertLessEqual(served[200], 30 + 20 * (seconds + 1))
+        self.assertGreater(served[200], 20)
+
     def serves_kept_key(self, machine: Machine, seen: set[int]) -> bool:
         """Try both keys; add the status of the withdrawn one to `seen`."""
         seen.add(self.ask(machine, WITHDRAWN_KEY))
