Give the product's own dialect a header for API keys

A native deployment with tenants could serve public routes only, and the explanation of a call knew tenants by their internal names.

Briartack-Api-Key carries the key and is never passed on. briartack explain takes the name that operators gave the tenant.

--- a/briartack/caller_headers.py
+++ b/briartack/caller_headers.py
@@ -12,6 +12,7 @@
 
 from briartack.core.messages import Headers
 from briartack.headers import (
+    API_KEY,
     CONTENT_LENGTH,
     DEADLINE,
     IDEMPOTENCY_KEY,
@@ -41,6 +42,7 @@
 # If one of these headers is repeated, two servers may use different values.
 _SINGLE_VALUED_HEADERS: Final = frozenset(
     (
+        API_KEY,
         CONTENT_LENGTH,
         DEADLINE,
         IDEMPOTENCY_KEY,
--- a/briartack/core/calls/call_responses.py
+++ b/briartack/core/calls/call_responses.py
@@ -20,7 +20,6 @@
 from briartack.core.effects import AnswerCall, Count, DropBody, Effects
 from briartack.core.messages import Answer, Headers
 from briartack.core.tenants.caps import CapsState
-from briartack.core.tenants.tenant_counters import SERVED
 from briartack.core.units import BodyId
 from briartack.core.verdict import Verdict
 
@@ -50,9 +49,7 @@
         self._table.remove(call)
         tenant = call.origin.tenant
         served = (
-            []
-            if tenant is None
-            else [self._caps.counters.count(tenant, SERVED)]
+            [] if tenant is None else [self._caps.counters.count_served(tenant)]
         )
         return [
             *served,
--- a/briartack/core/calls/token_phase.py
+++ b/briartack/core/calls/token_phase.py
@@ -20,7 +20,6 @@
     Token,
     TokenDecision,
 )
-from briartack.core.tenants.tenant_counters import REFUSED, REQUESTED
 from briartack.core.units import InstanceId
 from briartack.core.verdict import Verdict
 
@@ -59,7 +58,7 @@
         tenant = call.origin.tenant
         if tenant is None:
             return []
-        requested = self._caps.counters.count(tenant, REQUESTED)
+        requested = self._caps.counters.count_requested(tenant)
         return [requested, *self._acquire(context, now, call)]
 
     def renew(self, context: CallContext, now: float, call: Call) -> Effects:
@@ -216,4 +215,4 @@
                 MAX_RETRY_AFTER_SECONDS,
             ),
         )
-        return [self._caps.counters.count(tenant, REFUSED), *refused]
+        return [self._caps.counters.count_refused(tenant), *refused]
--- a/briartack/core/explanation.py
+++ b/briartack/core/explanation.py
@@ -34,7 +34,9 @@
             'outcome': 'refused: no route matches the method and path',
             'highest': snapshot.highest,
         }
-    regions = placement.home_regions(snapshot, route, tenant)
+    regions = placement.home_regions(
+        snapshot, route, _find_tenant_name(snapshot, tenant)
+    )
     described = _describe_route(snapshot, route)
     described['home_regions'] = None if regions is None else sorted(regions)
     if not placement.may_hold(regions, state.identity.region):
@@ -49,6 +51,14 @@
     return described
 
 
+def _find_tenant_name(snapshot: Snapshot, title: str) -> str:
+    """Return the name of a tenant with API keys, or the title itself."""
+    for tenant in snapshot.tenants.by_name.values():
+        if tenant.title == title:
+            return tenant.name
+    return title
+
+
 def _describe_route(
     snapshot: Snapshot,
     route: ResolvedRoute,
--- a/briartack/core/tenants/holders.py
+++ b/briartack/core/tenants/holders.py
@@ -60,7 +60,8 @@
         if not added and len(before) == len(self._members):
             return False
         self._positions.clear()
-        for gone in before.keys() - self._members.keys():
+        # Sorted, because the order of a set differs between processes.
+        for gone in sorted(before.keys() - self._members.keys()):
             self._added_at.pop(gone)
             self._removed.append((now, gone))
         self._added_at.update(dict.fromkeys(added, now))
--- a/briartack/core/tenants/tenant_counters.py
+++ b/briartack/core/tenants/tenant_counters.py
@@ -11,9 +11,6 @@
 OTHERS: Final = 'others'
 # Each change of the named tenants may add five series to the metrics.
 NAMING_SECONDS: Final = 60.0
-REQUESTED: Final = 'requested'
-SERVED: Final = 'served'
-REFUSED: Final = 'refused_by_cap'
 
 
 @final
@@ -36,9 +33,9 @@
     def describe(self) -> dict[str, int]:
         """Return the counts by name."""
         return {
-            REQUESTED: self.requested,
-            SERVED: self.served,
-            REFUSED: self.refused_by_cap,
+            'requested': self.requested,
+            'served': self.served,
+            'refused_by_cap': self.refused_by_cap,
         }
 
 
@@ -53,19 +50,22 @@
         self._named: frozenset[str] = frozenset()
         self._named_at = float('-inf')
 
-    def count(self, tenant: ResolvedTenant, kind: str) -> Count:
-        """Count a call and return the effect for the metric.
-
-        `kind` is one of the names of the counts.
-        """
-        counts = self._counts.get(tenant.title)
-        if counts is None:
-            counts = self._counts.setdefault(tenant.title, TenantCounts())
-            if len(self._named) < MAX_NAMED:
-                self._named |= {tenant.title}
-        setattr(counts, kind, getattr(counts, kind) + 1)
-        label = tenant.title if tenant.title in self._named else OTHERS
-        return Count(name=f'tenants.{kind}', attributes=(('tenant', label),))
+    def count_requested(self, tenant: ResolvedTenant) -> Count:
+        """Count a call that arrived; return the effect for the metric."""
+        self._find(tenant).requested += 1
+        return Count(name='tenants.requested', attributes=self._label(tenant))
+
+    def count_served(self, tenant: ResolvedTenant) -> Count:
+        """Count a call that an upstream answered."""
+        self._find(tenant).served += 1
+        return Count(name='tenants.served', attributes=self._label(tenant))
+
+    def count_refused(self, tenant: ResolvedTenant) -> Count:
+        """Count a call that was refused because of the cap."""
+        self._find(tenant).refused_by_cap += 1
+        return Count(
+            name='tenants.refused_by_cap', attributes=self._label(tenant)
+        )
 
     def name_largest(self, now: float) -> None:
         """Choose the tenants that are named, by what they requested."""
@@ -87,5 +87,18 @@
             described[OTHERS] = rest.describe()
         return described
 
+    def _find(self, tenant: ResolvedTenant) -> TenantCounts:
+        counts = self._counts.get(tenant.title)
+        if counts is None:
+            counts = TenantCounts()
+            self._counts[tenant.title] = counts
+            if len(self._named) < MAX_NAMED:
+                self._named |= {tenant.title}
+        return counts
+
+    def _label(self, tenant: ResolvedTenant) -> tuple[tuple[str, str]]:
+        is_named = tenant.title in self._named
+        return (('tenant', tenant.title if is_named else OTHERS),)
+
     def _sort_key(self, name: str) -> tuple[int, str]:
         return self._counts[name].requested, name
--- a/briartack/headers.py
+++ b/briartack/headers.py
@@ -9,6 +9,7 @@
 VERDICT: Final = 'briartack-verdict'
 TENANT: Final = 'x-tenant'
 IDEMPOTENCY_KEY: Final = 'idempotency-key'
+API_KEY: Final = 'briartack-api-key'
 CONTENT_LENGTH: Final = 'content-length'
 
 _HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -26,7 +27,7 @@
         CONTENT_LENGTH,
     ),
 )
-_DAEMON_HEADERS: Final = frozenset((DEADLINE, ATTEMPT, VERDICT))
+_DAEMON_HEADERS: Final = frozenset((DEADLINE, ATTEMPT, VERDICT, API_KEY))
 _UNFORWARDED_HEADERS: Final = _HOP_BY_HOP_HEADERS | _DAEMON_HEADERS
 
 
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -13,6 +13,7 @@
 from briartack.core.json_decoding import MalformedJsonError, decode_json
 from briartack.core.messages import Headers
 from briartack.core.units import Era, Revision
+from briartack.credentials import digest_header
 from briartack.dialects import (
     Dialects,
     StoreAnswerError,
@@ -22,6 +23,7 @@
     decode_era_header,
 )
 from briartack.headers import (
+    API_KEY,
     ATTEMPT,
     CONTENT_LENGTH,
     IDEMPOTENCY_KEY,
@@ -68,6 +70,7 @@
             body_bytes=body_bytes,
             key_service=_parse_key_service(method, target),
             host=headers.get('host') or '',
+            key_digest=digest_header(headers.get(API_KEY)),
         )
 
     def encode_answer(
--- a/briartack/platform/callers.py
+++ b/briartack/platform/callers.py
@@ -12,6 +12,7 @@
 from briartack.core.effects import AnswerCall
 from briartack.core.messages import Headers
 from briartack.core.verdict import Verdict
+from briartack.credentials import digest_header
 from briartack.headers import select_end_to_end
 from briartack.platform.names import (
     API_KEY,
@@ -19,7 +20,6 @@
     CALLER_SERVICE,
     DEADLINE_MS,
     EXPECT_INSTANCE,
-    digest_key,
 )
 from briartack.request_head import RequestHead
 
@@ -99,7 +99,9 @@
             # An upstream forms the id of its own request by appending a dot
             # and a suffix to the id of the request that it is running.
             parent_id=request_id.rpartition('.')[0],
-            key_digest=_digest_keys(keys),
+            # Several keys count as one that is unknown, because two readers
+            # of the request could take different ones.
+            key_digest=digest_header(', '.join(keys)),
         )
 
     def encode_answer(
@@ -144,17 +146,6 @@
         )
 
 
-def _digest_keys(keys: list[str]) -> str:
-    """Return the digest of the API key of a request; empty without a key.
-
-    Several keys count as one that is unknown, because two readers of the
-    request could take different ones.
-    """
-    if not keys:
-        return ''
-    return digest_key(', '.join(keys).encode('latin-1'))
-
-
 def _build_retry_after(seconds: float) -> tuple[str, str]:
     return 'Retry-After', f'{seconds:.3f}'
 
--- a/briartack/platform/configuration.py
+++ b/briartack/platform/configuration.py
@@ -33,9 +33,9 @@
 from briartack.core.entries import TEAM_PREFIX, StatedOrder
 from briartack.core.json_decoding import decode_json
 from briartack.core.messages import MAX_INTEGER
+from briartack.credentials import digest_key
 from briartack.platform.names import (
     TEAM,
-    digest_key,
     encode_name,
     format_header_value,
 )
--- a/briartack/platform/names.py
+++ b/briartack/platform/names.py
@@ -1,6 +1,5 @@
 """Define names of the platform that several modules use."""
 
-import base64
 import hashlib
 import re
 from typing import Final
@@ -48,16 +47,6 @@
     return f'{_ENCODED_PREFIX}{readable}-{digest.hexdigest()}'
 
 
-def digest_key(key: bytes) -> str:
-    """Return the SHA-256 digest of an API key as URL-safe base64.
-
-    Base64 is a third shorter than hexadecimal digits, and the subtree with the
-    digests of all tenants has to stay below 1 MB.
-    """
-    digest = hashlib.sha256(key).digest()
-    return base64.urlsafe_b64encode(digest).decode().rstrip('=')
-
-
 def format_header_value(text: str) -> str:
     """Return a text of any form as the value of a header.
 
--- a/briartack/test/tenant_fleet.py
+++ b/briartack/test/tenant_fleet.py
@@ -29,8 +29,8 @@
     InstanceId,
     Revision,
 )
+from briartack.credentials import digest_key
 from briartack.platform.configuration import TEAM_KEY, translate_subtree
-from briartack.platform.names import digest_key
 
 TICK_SECONDS: Final = 0.1
 LATENCY_SECONDS: Final = 0.002
--- a/briartack/test/test_tenants_caps.py
+++ b/briartack/test/test_tenants_caps.py
@@ -17,7 +17,7 @@
 from briartack.core.tenants.cap_holder import HeldCaps
 from briartack.core.tenants.holders import HolderTable
 from briartack.core.units import CallId
-from briartack.platform.names import digest_key
+from briartack.credentials import digest_key
 from briartack.test.tenant_fleet import TenantFleet, tenant
 
 RATE: Final = 20
--- a/briartack/test/test_tenants_keys.py
+++ b/briartack/test/test_tenants_keys.py
@@ -12,9 +12,12 @@
 from briartack.core.configuration.problems import InvalidValueError
 from briartack.core.configuration.validation import validate_team
 from briartack.core.effects import WriteLog
+from briartack.core.explanation import explain
+from briartack.credentials import digest_key
+from briartack.native_dialects import NativeCallerDialect
 from briartack.platform.callers import PlatformCallerDialect
 from briartack.platform.configuration import TEAM_KEY, translate_subtree
-from briartack.platform.names import digest_key, format_header_value
+from briartack.platform.names import format_header_value
 from briartack.request_head import RequestHead
 from briartack.test.tenant_fleet import ROUTES, TenantFleet, route, tenant
 
@@ -130,6 +133,18 @@
         self.assertEqual(head.key_digest, expected)
         self.assertNotIn(KEY, repr(msgspec.structs.asdict(head)))
 
+    def test_own_dialect_has_a_header_for_keys(self) -> None:
+        """Guard against a key that the product's own dialect passes on."""
+        stream = io.BytesIO(f'Briartack-Api-Key: {KEY}\r\n\r\n'.encode())
+        head = NativeCallerDialect().decode_head(
+            method='GET',
+            target='/a/1',
+            headers=RequestHeaders(stream),
+            body_bytes=0,
+        )
+        self.assertEqual(head.key_digest, digest_key(KEY.encode()))
+        self.assertEqual(head.headers, ())
+
     def test_configuration_and_request_agree_on_any_key(self) -> None:
         """Guard against a key outside ASCII that never matches."""
         head = decode_head('X-Api-Key: clé\r\n')
@@ -229,6 +244,12 @@
         self.assertEqual(fleet.answers['c2'].reason, 'placement')
         self.assertEqual(fleet.runs, [])
 
+    def test_explanation_knows_the_regions_of_a_tenant(self) -> None:
+        """Guard against an explanation that ignores a tenant's regions."""
+        fleet = self.start()
+        explained = explain(fleet.states['m0'], 'GET', '/main/', 'Óscar & Co')
+        self.assertEqual(explained['home_regions'], ['south'])
+
     def test_withdrawn_key_is_refused_with_its_version(self) -> None:
         """Guard against a key that outlives its version, or moves late."""
         fleet = self.start()
--- a/briartack/test/test_tenants_operators.py
+++ b/briartack/test/test_tenants_operators.py
@@ -15,8 +15,6 @@
 from briartack.core.tenants.tenant_counters import (
     NAMING_SECONDS,
     OTHERS,
-    REFUSED,
-    REQUESTED,
     TenantCounters,
 )
 from briartack.core.tenants.tenant_table import (
@@ -120,7 +118,7 @@
         home_regions=None,
     )
     return {
-        counters.count(resolved, REQUESTED).attributes[0][1]
+        counters.count_requested(resolved).attributes[0][1]
         for _ in range(number)
     }
 
@@ -135,7 +133,7 @@
         self.assertEqual(
             list(described), ['t8', 't7', 't6', 't5', 't4', OTHERS]
         )
-        self.assertEqual(described[OTHERS][REQUESTED], 1 + 2 + 3 + 4)
+        self.assertEqual(described[OTHERS]['requested'], 1 + 2 + 3 + 4)
         self.assertEqual(count_calls(counters, 't8', 1), {OTHERS})
         counters.name_largest(NAMING_SECONDS)
         self.assertEqual(count_calls(counters, 't8', 1), {'t8'})
@@ -153,7 +151,7 @@
         described = describe(fleet.states['m0'])
         self.assertEqual(
             described['tenants'],
-            {'Ó': {REQUESTED: 5, 'served': 2, REFUSED: 3}},
+            {'Ó': {'requested': 5, 'served': 2, 'refused_by_cap': 3}},
         )
         self.assertEqual(
             described['caps'], {'tenants': 1, 'held_here': 1, 'beyond': []}
@@ -167,9 +165,8 @@
     def test_counts_are_metrics_by_tenant(self) -> None:
         """Guard against a metric that hides which tenant is refused."""
         self.assertEqual(
-            TenantCounters().count(
-                build_tenant_table((('op', {'t': Tenant()}),)).by_name['op/t'],
-                REFUSED,
+            TenantCounters().count_refused(
+                build_tenant_table((('op', {'t': Tenant()}),)).by_name['op/t']
             ),
             Count(name='tenants.refused_by_cap', attributes=(('tenant', 't'),)),
         )
