--- a/briartack/core/redaction.py
+++ b/briartack/core/redaction.py
@@ -2,7 +2,9 @@
 
 A daemon outside the home regions of a request must not keep the query, the
 headers, the body or the idempotency key of the request, not even in the traces
-that the daemon records. Replaying the redacted event gives the same result.
+that the daemon records. API keys arrive as digests; the digest of an unknown
+key is removed too, since the caller may have sent something that is easy to
+guess. Replaying the redacted event gives the same result.
 """
 
 from typing import Final
@@ -19,6 +21,8 @@
 
 def redact_event(event: Event, effects: Effects) -> Event:
     """Return the event, without payload and key if placement refused it."""
+    if isinstance(event, CallArrived) and _is_refused_for_key(effects):
+        return msgspec.structs.replace(event, key_digest=REMOVED_PLACEHOLDER)
     if not any(map(_is_refused_by_placement, effects)):
         return event
     if isinstance(event, CallArrived):
@@ -51,6 +55,14 @@
     return False
 
 
+def _is_refused_for_key(effects: Effects) -> bool:
+    return any(
+        isinstance(effect, AnswerCall)
+        and effect.reason == reasons.UNKNOWN_KEY.code
+        for effect in effects
+    )
+
+
 def _strip_query(target: str) -> str:
     return target.partition('?')[0]
 
--- a/briartack/test/test_redaction.py
+++ b/briartack/test/test_redaction.py
@@ -13,7 +13,7 @@
 from briartack.core.effects import AnswerCall, Effects, SendAnswer
 from briartack.core.events import CallArrived, Event, PeerMessageReceived
 from briartack.core.messages import Answer
-from briartack.core.redaction import redact_event
+from briartack.core.redaction import REMOVED_PLACEHOLDER, redact_event
 from briartack.core.units import CallId, Digest, InstanceId
 from briartack.core.verdict import Verdict
 from briartack.test.test_framing import ATTEMPT
@@ -79,6 +79,14 @@
         self.assertNotIn(SECRET.encode(), kept)
         self.assertIn(b'/saldo/galapagos/1', kept)
 
+    def test_digest_of_an_unknown_key_is_removed(self) -> None:
+        """Guard against a trace from which a mistyped password is guessed."""
+        call = msgspec.structs.replace(SECRET_CALL, key_digest=SECRET)
+        kept = redact_event(call, refusal_effects('unknown-api-key'))
+        assert isinstance(kept, CallArrived)
+        self.assertEqual(kept.key_digest, REMOVED_PLACEHOLDER)
+        self.assertIs(redact_event(call, refusal_effects('overload')), call)
+
     @params(SECRET_CALL, SECRET_ATTEMPT)
     def test_event_refused_for_other_reasons_is_unchanged(
         self, event: Event
