Keep a call in the home regions that its tenant had

A call that waited or was retried used the tenant's home regions of the newest version, so a change could let it run outside those it arrived with.

The regions of the arrival and of the version in force now both bind. briartack diff lists changed tenants.

--- a/briartack/core/calls/call_responses.py
+++ b/briartack/core/calls/call_responses.py
@@ -164,8 +164,11 @@
         if failure is SelectionFailure.NO_ENDPOINT or context.snapshot is None:
             reason = call.last_refusal or reasons.NO_ENDPOINT
             return refuse(reason, Verdict.NOT_RUN)
-        regions = placement.home_regions(
-            context.snapshot, call.route, call.event.tenant
+        regions = placement.intersect(
+            placement.home_regions(
+                context.snapshot, call.route, call.event.tenant
+            ),
+            call.origin.home_regions,
         )
         return refuse(
             reasons.PLACEMENT,
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -168,10 +168,9 @@
         snapshot = context.snapshot
         if snapshot is None:
             return SelectionFailure.NO_ENDPOINT
-        regions = placement.home_regions(
-            snapshot,
-            call.route,
-            call.event.tenant,
+        regions = placement.intersect(
+            placement.home_regions(snapshot, call.route, call.event.tenant),
+            call.origin.home_regions,
         )
         if not placement.may_accept(regions, context):
             return SelectionFailure.PLACEMENT
--- a/briartack/core/tenants/identification.py
+++ b/briartack/core/tenants/identification.py
@@ -4,7 +4,7 @@
 from typing import Final, final
 
 from briartack.core.calls import reasons
-from briartack.core.calls.call_context import RouteView, SnapshotView
+from briartack.core.calls.call_context import Regions, RouteView, SnapshotView
 from briartack.core.calls.reasons import Reason
 from briartack.core.configuration.settings import MAX_RANK
 from briartack.core.events import CallArrived
@@ -24,6 +24,11 @@
     may_be_of_run: bool = True  # the call may extend a request that runs here
     counts_towards_cap: bool = False
 
+    @property
+    def home_regions(self) -> Regions:
+        """Return the home regions that the tenant had when the call came."""
+        return None if self.tenant is None else self.tenant.home_regions
+
 
 # Without tenants, every call may be that of a run.
 UNKEYED: Final = CallOrigin()
--- a/briartack/diff.py
+++ b/briartack/diff.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from briartack.core.configuration.problems import Problem
+from briartack.core.configuration.value_checks import get_tenants
 from briartack.settings_tree import SettingsTree, read_tree
 
 _PartId: TypeAlias = tuple[str, str]  # kind and name
@@ -36,7 +37,8 @@
     """
 
     change: Change
-    # routes, services, policies, workspaces, data_centres_out or instances_out
+    # routes, services, policies, workspaces, tenants, data_centres_out or
+    # instances_out
     kind: str
     name: str
     old: str | None
@@ -101,6 +103,8 @@
     for team in tree.teams.values():
         for name, resource in team.definitions.items():
             yield (name.kind, name.qualified), _encode_part(resource)
+        for tenant, settings in get_tenants(team.settings).items():
+            yield ('tenants', f'{team.team}/{tenant}'), _encode_part(settings)
         for route in team.settings.routes:
             yield ('routes', f'{team.team}/{route.name}'), _encode_part(route)
     for data_centre in tree.platform.data_centres_out:
--- a/briartack/test/mutants.py
+++ b/briartack/test/mutants.py
@@ -213,7 +213,10 @@
         invariant='I6',
         trace='keys_of_tenants',
         caught_by="'call_id': 'c5'",
-        patches={'resolved_snapshot._intersect': make_stub(None)},
+        patches={
+            'resolved_snapshot._intersect': make_stub(None),
+            'identification.CallOrigin.home_regions': make_stub_property(None),
+        },
     ),
     Mutant(
         guard='a caller with an API key cannot state another tenant',
--- a/briartack/test/test_tenants_caps.py
+++ b/briartack/test/test_tenants_caps.py
@@ -11,7 +11,7 @@
 from briartack.core import events
 from briartack.core.calls.token_phase import TokenPhase
 from briartack.core.effects import ReadBody, SendMessage
-from briartack.core.messages import CapGrant, CapRequest
+from briartack.core.messages import Attempt, CapGrant, CapRequest
 from briartack.core.reducer import reduce
 from briartack.core.tenants import caps
 from briartack.core.tenants.cap_holder import HeldCaps
@@ -39,10 +39,10 @@
     return fleet
 
 
-def find_holder(fleet: TenantFleet) -> str:
-    """Return the daemon that holds the bucket of the tenant."""
+def find_holder(fleet: TenantFleet, name: str = 'op/t') -> str:
+    """Return the daemon that holds the bucket of a tenant."""
     table = fleet.states['m0'].calls.caps._holders
-    holder = table.find('op/t')
+    holder = table.find(name)
     assert holder is not None
     return holder.instance
 
@@ -283,6 +283,33 @@
         if fault == 'old':
             self.assertEqual(fleet.count_sent(CapRequest), 0)
 
+    def test_home_regions_outlast_a_change_while_a_call_waits(self) -> None:
+        """Guard against a run outside the home regions of its caller."""
+        fleet = TenantFleet(size=2, resources=(capped(home_regions=['north']),))
+        name = next(
+            f't{number}'
+            for number in range(99)
+            if find_holder(fleet, f'op/t{number}') == 'm1'
+        )
+        spec = {'rate_per_s': RATE, 'burst': BURST}
+        fleet.publish(tenant(name, 'k', home_regions=['north'], **spec))
+        fleet.run_until(fleet.now + 1)
+        fleet.frozen.add('m1')
+        fleet.call('m0', 'c', key='k')
+        fleet.publish(tenant(name, 'k', **spec))
+        down = events.UpstreamProbed(
+            now=fleet.now,
+            is_healthy=False,
+            is_draining=False,
+            identity='u-m0',
+            reported_load=0,
+        )
+        fleet.apply('m0', down)
+        fleet.run_until(fleet.now + 0.3)
+        self.assertEqual(fleet.count_sent(CapRequest), 1)
+        self.assertEqual(fleet.count_sent(Attempt), 0)
+        self.assertEqual(fleet.answers['c'].verdict.value, 'not-run')
+
     def test_body_that_arrives_while_the_call_waits_is_kept(self) -> None:
         """Guard against an upload that ends because its token comes late."""
         fleet = start_fleet()
--- a/briartack/test/test_tenants_operators.py
+++ b/briartack/test/test_tenants_operators.py
@@ -21,20 +21,26 @@
     ResolvedTenant,
     build_tenant_table,
 )
+from briartack.diff import diff_trees
 from briartack.test.tenant_fleet import TenantFleet, tenant
 
 DIGEST: Final = 'A' * 43
 OTHER_DIGEST: Final = 'B' * 43
 
 
+def write_tree(directory: Path, teams: dict[str, Any]) -> Path:
+    """Write the files of a settings tree."""
+    (directory / 'teams').mkdir(parents=True)
+    for team, settings in teams.items():
+        path = directory / 'teams' / f'{team}.json'
+        path.write_text(json.dumps(settings))
+    return directory
+
+
 def find_errors(teams: dict[str, Any]) -> list[tuple[str, str, str]]:
     """Return key, path and text of each error in a tree."""
     with tempfile.TemporaryDirectory() as name:
-        directory = Path(name) / 'teams'
-        directory.mkdir()
-        for team, settings in teams.items():
-            (directory / f'{team}.json').write_text(json.dumps(settings))
-        report = check_tree(Path(name))
+        report = check_tree(write_tree(Path(name) / 'tree', teams))
     return [(one.key, one.path, one.text) for one in report.errors]
 
 
@@ -98,6 +104,22 @@
         """Guard against errors about trees that daemons accept."""
         self.assertEqual(find_errors(teams), [])
 
+    def test_withdrawn_key_is_a_difference(self) -> None:
+        """Guard against a diff that hides which tenant changes."""
+        trees = [
+            {'a': {'tenants': {'t': {'keys': keys}}}}
+            for keys in ([DIGEST, OTHER_DIGEST], [DIGEST])
+        ]
+        with tempfile.TemporaryDirectory() as name:
+            old, new = (
+                write_tree(Path(name) / str(number), tree)
+                for number, tree in enumerate(trees)
+            )
+            found = diff_trees(old, new).differences
+        self.assertEqual(
+            [(one.kind, one.name) for one in found], [('tenants', 'a/t')]
+        )
+
     def test_key_of_two_teams_has_one_tenant(self) -> None:
         """Guard against daemons that differ in the tenant of a key."""
         table = build_tenant_table(
