Hold no caps while cut off from the store's side of a partition

Daemons beside the store drop those that are cut off and turn to other holders, while a holder on the far side went on by its old list: up to twice the cap.

A daemon that knows the store to be away and has lost all peers of another listed region holds no buckets; its side uses the share without a holder.

--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -175,3 +175,5 @@
     # False after a pause until the configuration has been confirmed.
     is_confirmed: bool = True
     rules: CallRules = DEFAULT_RULES
+    # This daemon or a peer has lately found the store away.
+    is_store_away: bool = False
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -230,9 +230,7 @@
         goodbye = Goodbye(incarnation=context.identity.incarnation)
         effects.append(SendMessage(peer=event.peer, message=goodbye))
     effects.extend(
-        state.sender.tokens.connect(
-            context, event.now, event.peer, leases_caps=hello.leases_caps
-        )
+        state.sender.tokens.connect(context, event.now, event.peer, hello)
     )
     effects.extend(
         state.sender.resume_connecting_calls(context, event.now, hello.service),
--- a/briartack/core/calls/token_phase.py
+++ b/briartack/core/calls/token_phase.py
@@ -10,7 +10,7 @@
 from briartack.core.calls.endpoints import EndpointsState
 from briartack.core.calls.streams import dial_if_needed
 from briartack.core.effects import Effects, WakeAt
-from briartack.core.messages import CapGrant, CapRequest
+from briartack.core.messages import CapGrant, CapRequest, Hello
 from briartack.core.tenants.cap_lease import TOKEN_WAIT_SECONDS
 from briartack.core.tenants.caps import (
     AwaitHolder,
@@ -106,16 +106,11 @@
         return self._settle(context, now, settled)
 
     def connect(
-        self,
-        context: CallContext,
-        now: float,
-        peer: InstanceId,
-        *,
-        leases_caps: bool,
+        self, context: CallContext, now: float, peer: InstanceId, hello: Hello
     ) -> Effects:
         """Send the requests that wait for a stream to a peer."""
         self._refresh(context, now)
-        return self._caps.connect(peer, now, leases_caps=leases_caps)
+        return self._caps.connect(peer, now, hello)
 
     def disconnect(
         self, context: CallContext, now: float, peer: InstanceId
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -76,6 +76,7 @@
 
 def make_call_context(state: State) -> CallContext:
     """Collect the parts of other slices that the call path may read."""
+    outages = state.dissemination.store.outages
     return CallContext(
         identity=state.identity,
         snapshot=state.configuration.snapshot,
@@ -84,6 +85,7 @@
         is_stopping=state.calls.drain.is_refusing,
         is_confirmed=dissemination.is_confirmed(state.dissemination),
         rules=state.rules,
+        is_store_away=outages.seconds_since(state.last_event_at) is not None,
     )
 
 
--- a/briartack/core/tenants/cap_holder.py
+++ b/briartack/core/tenants/cap_holder.py
@@ -6,6 +6,7 @@
 from briartack.core.effects import Effects, SendMessage
 from briartack.core.messages import CapGrant, CapRequest
 from briartack.core.tenants.cap_bucket import CapBucket
+from briartack.core.tenants.cut_off import CutOffDetector
 from briartack.core.tenants.holders import HolderTable
 from briartack.core.tenants.tenant_table import ResolvedTenant
 from briartack.core.units import InstanceId
@@ -15,10 +16,13 @@
 class HeldCaps:
     """Hold the token buckets of the tenants whose holder this daemon is."""
 
-    __slots__ = ('_holders', '_buckets')
+    __slots__ = ('_holders', '_cut_off', '_buckets')
 
-    def __init__(self, *, holders: HolderTable) -> None:
+    def __init__(
+        self, *, holders: HolderTable, cut_off: CutOffDetector
+    ) -> None:
         self._holders = holders
+        self._cut_off = cut_off
         self._buckets: dict[str, CapBucket] = {}
 
     def __len__(self) -> int:
@@ -26,7 +30,12 @@
         return len(self._buckets)
 
     def is_held_here(self, context: CallContext, tenant: str) -> bool:
-        """Return whether this daemon is the holder by its list."""
+        """Return whether this daemon is the holder by its list.
+
+        None is while it may be that others hold its tenants already.
+        """
+        if self._cut_off.is_cut_off:
+            return False
         holder = self._holders.find(tenant)
         return (
             holder is not None and holder.instance == context.identity.instance
@@ -42,7 +51,10 @@
             bucket = CapBucket(
                 tenant=tenant,
                 now=now,
-                since=self._holders.find_start(tenant.name, own),
+                since=max(
+                    self._holders.find_start(tenant.name, own),
+                    self._cut_off.ended_at,
+                ),
             )
             self._buckets[tenant.name] = bucket
         else:
--- a/briartack/core/tenants/caps.py
+++ b/briartack/core/tenants/caps.py
@@ -6,11 +6,12 @@
 
 from briartack.core.calls.call_context import CallContext, Member
 from briartack.core.effects import Effects, SendMessage
-from briartack.core.messages import CapGrant, CapRequest
+from briartack.core.messages import CapGrant, CapRequest, Hello
 from briartack.core.tenants.cap_bucket import LEASE_SECONDS
 from briartack.core.tenants.cap_fallback import compute_share
 from briartack.core.tenants.cap_holder import HeldCaps, find_tenant
 from briartack.core.tenants.cap_lease import SILENCE_SECONDS, CapLease
+from briartack.core.tenants.cut_off import CutOffDetector
 from briartack.core.tenants.holders import HolderTable
 from briartack.core.tenants.tenant_counters import TenantCounters
 from briartack.core.tenants.tenant_table import ResolvedTenant
@@ -78,6 +79,7 @@
     __slots__ = (
         'counters',
         '_holders',
+        '_cut_off',
         '_held',
         '_leases',
         '_peers',
@@ -88,7 +90,8 @@
     def __init__(self) -> None:
         self.counters = TenantCounters()
         self._holders = HolderTable()
-        self._held = HeldCaps(holders=self._holders)
+        self._cut_off = CutOffDetector()
+        self._held = HeldCaps(holders=self._holders, cut_off=self._cut_off)
         self._leases: dict[str, CapLease] = {}
         # Connected peers, and whether they understand requests for tokens.
         self._peers: dict[InstanceId, bool] = {}
@@ -129,9 +132,14 @@
                 others = tuple(one for one in listed if one.instance != own)
                 self._unavailable = (listed, others)
             listed = self._unavailable[1]
-        if not self._holders.update(now, listed):
-            return
-        self._held.drop_moved(context)
+        is_list_new = self._holders.update(now, listed)
+        is_cut_off_new = self._cut_off.update(
+            now,
+            self._holders.regions - {context.identity.region},
+            is_store_away=context.is_store_away,
+        )
+        if is_list_new or is_cut_off_new:
+            self._held.drop_moved(context)
 
     def acquire(
         self,
@@ -160,7 +168,12 @@
             lease.record_use(now)
             return Token(expires_at=now + LEASE_SECONDS)
         holder = self._holders.find(tenant.name)
-        if holder is None or not self._may_answer(now, lease, holder):
+        own = context.identity.instance
+        if (
+            holder is None
+            or holder.instance == own
+            or not self._may_answer(now, lease, holder)
+        ):
             return self._admit_alone(context, now, tenant, lease)
         lease.waiting[call_id] = None
         return AwaitHolder(holder=holder)
@@ -254,13 +267,12 @@
         room_seconds = lease.refused_lately / tenant.calls_per_second
         return max(wait_seconds, room_seconds)
 
-    def connect(
-        self, peer: InstanceId, now: float, *, leases_caps: bool
-    ) -> Effects:
+    def connect(self, peer: InstanceId, now: float, hello: Hello) -> Effects:
         """Send the requests that wait for a stream to a holder."""
         if peer in self._peers:
             return []
-        self._peers[peer] = leases_caps
+        self._peers[peer] = hello.leases_caps
+        self._cut_off.connect(peer, hello.region)
         effects: Effects = []
         for tenant in self._list_waiting_for(peer):
             self._leases[tenant].drop_requests()
@@ -272,6 +284,7 @@
     ) -> Settlement:
         """Decide about the calls that wait for a holder without a stream."""
         self._peers.pop(peer, None)
+        self._cut_off.disconnect(peer)
         settled = Settlement()
         for tenant in self._list_waiting_for(peer):
             lease = self._leases[tenant]
--- a/briartack/core/tenants/holders.py
+++ b/briartack/core/tenants/holders.py
@@ -19,7 +19,7 @@
     Holders are computed for the tenants that are asked for. A change of the
     list costs one hash for each of these and each added instance, since the
     ranks of all instances would take milliseconds for a tenant in a large
-    fleet.
+    fleet. `regions` are those of the listed instances.
     """
 
     __slots__ = (
@@ -29,6 +29,7 @@
         '_removed',
         '_holders',
         '_positions',
+        'regions',
     )
 
     def __init__(self) -> None:
@@ -40,6 +41,7 @@
         )
         self._holders: dict[str, tuple[int, InstanceId]] = {}
         self._positions: dict[str, int | None] = {}
+        self.regions: frozenset[str] = frozenset()
 
     @property
     def instance_count(self) -> int:
@@ -60,6 +62,7 @@
         if not added and len(before) == len(self._members):
             return False
         self._positions.clear()
+        self.regions = frozenset(member.region for member in listed)
         # Sorted, because the order of a set differs between processes.
         for gone in sorted(before.keys() - self._members.keys()):
             self._added_at.pop(gone)
--- a/briartack/test/tenant_fleet.py
+++ b/briartack/test/tenant_fleet.py
@@ -102,12 +102,14 @@
     frozen: set[str] = field(default_factory=set)
     # Daemons of an earlier release.
     old: set[str] = field(default_factory=set)
+    cut_from_store: set[str] = field(default_factory=set)
     run_seconds: float = RUN_SECONDS
     _linked: set[frozenset[str]] = field(default_factory=set)
     listed: dict[str, tuple[str, ...]] = field(default_factory=dict)
     _entry: Entry | None = None
     _revision: int = 0
     _starts: int = 0
+    _partitions: int = 0
     _running: dict[str, str] = field(default_factory=dict)
     _queue: list[tuple[float, int, Action]] = field(default_factory=list)
     _order: Iterator[int] = field(default_factory=itertools.count)
@@ -194,9 +196,30 @@
         self.cuts.add(frozenset((left, right)))
         self._unlink(left, right)
 
+    def partition(self, cut_off: tuple[str, ...]) -> None:
+        """Cut some daemons off from the others and from the store.
+
+        The others drop them from their lists 2.5 s later.
+        """
+        others = tuple(one for one in self.names if one not in cut_off)
+        for left in cut_off:
+            for right in others:
+                self.cut(left, right)
+        self.cut_from_store.update(cut_off)
+        self._fail_store()
+        self._partitions += 1
+        self._after(2.5, partial(self._drop_cut_off, self._partitions, others))
+
     def heal(self) -> None:
-        """Restore all links; daemons dial again by themselves."""
+        """Restore all links; daemons dial again by themselves.
+
+        Those that were cut off from the store are listed again.
+        """
         self.cuts.clear()
+        if self.cut_from_store:
+            self.cut_from_store.clear()
+            for name in self.names:
+                self.list_instances(name, tuple(self.names))
 
     def call(
         self,
@@ -335,8 +358,13 @@
                 self.schedule(
                     effect.at, partial(self._tick, name, self.states[name])
                 )
-            case out.ReadStore():
-                self._after(LATENCY_SECONDS, partial(self._read_store, name))
+            case out.ReadStore() | out.WatchStore():
+                self._after(
+                    LATENCY_SECONDS,
+                    partial(
+                        self._answer_store, name, self.states[name], effect
+                    ),
+                )
             case out.WriteLog() | out.WriteAudit():
                 self.written.append(effect)
             case out.AnswerCall():
@@ -346,6 +374,47 @@
     def _after(self, seconds: float, action: Action) -> None:
         self.schedule(self.now + seconds, action)
 
+    def _drop_cut_off(self, number: int, others: tuple[str, ...]) -> None:
+        """Let the other daemons drop those of a partition that still lasts."""
+        if self.cut_from_store and number == self._partitions:
+            for name in others:
+                self.list_instances(name, others)
+
+    def _answer_store(
+        self, name: str, state: State, call: out.ReadStore | out.WatchStore
+    ) -> None:
+        """Answer a read, or let a call fail; other watches stay open."""
+        if self.states[name] is not state:
+            return
+        if name in self.cut_from_store:
+            is_read = isinstance(call, out.ReadStore)
+            failed = events.StoreFailed(
+                now=self.now,
+                operation=(
+                    events.StoreOperation.READ
+                    if is_read
+                    else events.StoreOperation.WATCH
+                ),
+                prefix=call.prefix if isinstance(call, out.ReadStore) else '',
+                reason='cut',
+            )
+            self.apply(name, failed)
+        elif isinstance(call, out.ReadStore):
+            self._read_store(name)
+
+    def _fail_store(self) -> None:
+        """Report failed watches each second, as the watchers see them."""
+        for name in self.cut_from_store:
+            failed = events.StoreFailed(
+                now=self.now,
+                operation=events.StoreOperation.WATCH,
+                prefix='',
+                reason='cut',
+            )
+            self.apply(name, failed)
+        if self.cut_from_store:
+            self._after(1, self._fail_store)
+
     def _tick(self, name: str, state: State) -> None:
         if self.states[name] is state:
             self.apply(name, events.Tick(now=self.now))
@@ -435,6 +504,8 @@
             self.apply(name, msgspec.structs.replace(event, now=self.now))
 
     def _read_store(self, name: str) -> None:
+        if name in self.cut_from_store:
+            return
         entries = [] if self._entry is None else [self._entry]
         entries.extend(map(self._make_record, self.listed[name]))
         read = events.StoreRead(
--- a/briartack/test/test_tenants_caps.py
+++ b/briartack/test/test_tenants_caps.py
@@ -15,13 +15,14 @@
 from briartack.core.reducer import reduce
 from briartack.core.tenants import caps
 from briartack.core.tenants.cap_holder import HeldCaps
+from briartack.core.tenants.cut_off import CutOffDetector
 from briartack.core.tenants.holders import HolderTable
 from briartack.core.units import CallId
 from briartack.credentials import digest_key
 from briartack.test.tenant_fleet import TenantFleet, tenant
 
 RATE: Final = 20
-BURST: Final = 60
+BURST: Final = 20
 BOUND: Final = (RATE * 5 + BURST) * 1.25 + 20
 SIZE: Final = 4
 ALL: Final = tuple(f'm{number}' for number in range(SIZE))
@@ -103,14 +104,33 @@
     fleet.run_until(fleet.now + 2)
 
 
+def partition_from_holder(fleet: TenantFleet) -> None:
+    """Cut the region of the holder off, until others have dropped it."""
+    side = ALL.index(find_holder(fleet)) % 2
+    fleet.flood(ALL, 4 * RATE, 14, key='k')
+    fleet.run_until(fleet.now + 1)
+    fleet.partition(ALL[side::2])
+    fleet.run_until(fleet.now + 8)
+    fleet.heal()
+    fleet.run_until(fleet.now + 5)
+
+
 HISTORIES: Final[tuple[Callable[[TenantFleet], None], ...]] = (
     flood_all,
     cut_all,
     cut_while_hot,
     restart_holder,
     move_holder,
+    partition_from_holder,
     complete_slow_bodies,
 )
+
+
+def never_cut_off(*_: Any, **named: Any) -> bool:
+    """Never notice that the store's side is cut off."""
+    return False
+
+
 # Each mechanism with the history that exceeds the bound without it.
 MECHANISMS: Final[tuple[tuple[Any, ...], ...]] = (
     (flood_all, HeldCaps, 'is_held_here', lambda *_: True),
@@ -118,6 +138,7 @@
     (cut_all, caps, 'compute_share', lambda *_: RATE * 5 + BURST),
     (restart_holder, HolderTable, 'find_start', lambda *_: 0),
     (move_holder, HolderTable, 'find_start', lambda *_: 0),
+    (partition_from_holder, CutOffDetector, 'update', never_cut_off),
     (complete_slow_bodies, TokenPhase, 'renew', lambda *_: []),
 )
 
@@ -255,6 +276,26 @@
             self.assertEqual(answer.verdict.value, 'not-run')
             self.assertGreater(answer.retry_after_seconds, 0)
 
+    def test_holder_goes_on_while_only_the_store_is_away(self) -> None:
+        """Guard against caps that shrink during an outage of the store."""
+        fleet = start_fleet()
+        fleet.cut_from_store.update(ALL)
+        fleet.flood(ALL, RATE, 4, key='k')
+        fleet.run_until(fleet.now + 1)
+        failed = events.StoreFailed(
+            now=fleet.now,
+            operation=events.StoreOperation.WATCH,
+            prefix='',
+            reason='away',
+        )
+        for name in ALL:
+            fleet.apply(name, failed)
+        before = len(fleet.runs)
+        fleet.run_until(fleet.now + 2)
+        self.assertGreater(len(fleet.runs) - before, RATE)
+        reasons = {answer.reason for answer in fleet.answers.values()}
+        self.assertLessEqual(reasons, {'', 'beyond-cap'})
+
     @params('frozen', 'cut', 'old')
     def test_calls_do_not_wait_for_a_lost_holder(self, fault: str) -> None:
         """Guard against calls that end because their holder is away.
--- a/briartack/test/test_tenants_histories.py
+++ b/briartack/test/test_tenants_histories.py
@@ -74,6 +74,12 @@
             fleet.cut(ALL[number], other)
 
 
+def partition(fleet: TenantFleet, number: int, pause: float) -> None:
+    """Cut a region off from the other one and from the store."""
+    if not fleet.cut_from_store:
+        fleet.partition(ALL[number % 2 :: 2])
+
+
 def heal(fleet: TenantFleet, number: int, pause: float) -> None:
     """End all cuts and freezes."""
     fleet.heal()
@@ -111,6 +117,7 @@
 CHANGES: Final = (
     flood_one,
     cut_off,
+    partition,
     heal,
     restart,
     freeze,
