--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -183,7 +183,9 @@
         target='/team-0/x',
         headers=(),
     )
-    call = route_call(context, arrival, state.calls.routing)
+    call = route_call(
+        context, arrival, state.calls.routing, is_parent_running=False
+    )
     assert isinstance(call, Call)
     return Site(
         state=state,
--- a/briartack/core/calls/admission.py
+++ b/briartack/core/calls/admission.py
@@ -57,12 +57,16 @@
         queue after `latest_start` is refused.
         """
         self._mark_late(now)
+        if request.gives_way and (
+            self._has_timely or now > request.latest_start
+        ):
+            return AdmissionResult(refused=(request.attempt_id,))
         may_start = available_starts is None or available_starts > 0
         if self._running < limit and may_start and not self.queued:
             self._running += 1
             return AdmissionResult(started=(request.attempt_id,))
         ahead = self._count_ahead(request)
-        if not request.may_wait or _is_too_late(
+        if _is_too_late(
             request, now + (ahead + 1) * start_interval_seconds, latest_start
         ):
             return AdmissionResult(refused=(request.attempt_id,))
@@ -102,7 +106,7 @@
         if expected < 0:
             return True
         ahead = self._count_ahead(request) + expected
-        if not request.may_wait or _is_too_late(
+        if _is_too_late(
             request, now + (ahead + 1) * start_interval_seconds, latest_start
         ):
             return False
@@ -154,6 +158,14 @@
                 started.append(waiting.attempt_id)
         return AdmissionResult(started=tuple(started), refused=tuple(refused))
 
+    @property
+    def _has_timely(self) -> bool:
+        """Return whether an attempt waits that can still be in time."""
+        return any(
+            queue and not queue.first.is_late
+            for queue in (self._interactive, self._background)
+        )
+
     def _mark_late(self, now: float) -> None:
         """Move attempts whose target can't be met any more behind others."""
         self._interactive.mark_late(now)
--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -18,6 +18,7 @@
     ServiceLimits,
 )
 from briartack.core.identity import Identity
+from briartack.core.tenants.tenant_table import TenantTable
 from briartack.core.units import InstanceId, Revision
 
 # `None` allows every region; an empty set allows none.
@@ -71,6 +72,10 @@
     def home_regions(self) -> Regions:
         """Return the home regions of the route's workspace."""
 
+    @property
+    def is_public(self) -> bool:
+        """Return whether callers need no API key."""
+
 
 class SnapshotView(Protocol):
     """Describe the active configuration."""
@@ -85,7 +90,11 @@
 
     @property
     def tenant_regions(self) -> Mapping[str, frozenset[str]]:
-        """Return the home regions of each tenant of a workspace."""
+        """Return the home regions of each tenant that has any."""
+
+    @property
+    def tenants(self) -> TenantTable:
+        """Return the tenants with API keys."""
 
     @property
     def caller_limits(self) -> CallerLimits:
@@ -155,6 +164,9 @@
     def instance_count(self) -> int:
         """Return the number of live instances."""
 
+    def live_members(self) -> tuple[Member, ...]:
+        """Return all live instances, as the same object until a change."""
+
 
 @final
 class CallContext(msgspec.Struct, frozen=True, kw_only=True):
@@ -168,3 +180,5 @@
     # False after a pause until the configuration has been confirmed.
     is_confirmed: bool = True
     rules: CallRules = DEFAULT_RULES
+    # This daemon or a peer has lately found the store away.
+    is_store_away: bool = False
--- a/briartack/core/calls/call_responses.py
+++ b/briartack/core/calls/call_responses.py
@@ -21,6 +21,7 @@
 from briartack.core.calls.return_times import ReturnTimes
 from briartack.core.effects import AnswerCall, Count, DropBody, Effects
 from briartack.core.messages import Answer, Headers
+from briartack.core.tenants.caps import CapsState
 from briartack.core.units import BodyId
 from briartack.core.verdict import Verdict
 
@@ -29,7 +30,7 @@
 class CallResponder:
     """Remove calls from the table and answer their callers."""
 
-    __slots__ = ('_table', '_return_times', '_caller_clocks')
+    __slots__ = ('_table', '_return_times', '_caller_clocks', '_caps')
 
     def __init__(
         self,
@@ -37,10 +38,12 @@
         table: CallTable,
         return_times: ReturnTimes,
         caller_clocks: CallerClocks,
+        caps: CapsState,
     ) -> None:
         self._table = table
         self._return_times = return_times
         self._caller_clocks = caller_clocks
+        self._caps = caps
 
     def answer(
         self,
@@ -55,7 +58,12 @@
         `drop_body_effects` drops the answer's body, unless the owner keeps it.
         """
         self._table.remove(call)
+        tenant = call.origin.tenant
+        served = (
+            [] if tenant is None else [self._caps.counters.count_served(tenant)]
+        )
         return [
+            *served,
             AnswerCall(
                 call_id=call.event.call_id,
                 verdict=Verdict.RAN,
@@ -98,6 +106,7 @@
         if call.may_have_run or (has_key and not is_from_owner):
             verdict = Verdict.UNKNOWN
         if verdict is Verdict.NOT_RUN:
+            self.release_token(now, call)
             self._caller_clocks.record_refusal(now, call.route.name)
         if retry_after_seconds is None and reason is reasons.OVERLOAD:
             retry_after_seconds = self._return_times.draw_seconds(
@@ -123,6 +132,14 @@
         )
         return [answer, DropBody(body_id=call.body_id), log_line]
 
+    def release_token(self, now: float, call: Call) -> None:
+        """Give back the token of a call that has not run, if it has one."""
+        tenant = call.origin.tenant
+        if tenant is not None:
+            self._caps.release(
+                tenant.name, call.event.call_id, now, call.token_expires_at
+            )
+
     def refuse_suspect(
         self,
         context: CallContext,
@@ -168,8 +185,11 @@
         if failure is SelectionFailure.NO_ENDPOINT or context.snapshot is None:
             reason = call.last_refusal or reasons.NO_ENDPOINT
             return refuse(reason, Verdict.NOT_RUN)
-        regions = placement.home_regions(
-            context.snapshot, call.route, call.event.tenant
+        regions = placement.intersect(
+            placement.home_regions(
+                context.snapshot, call.route, call.event.tenant
+            ),
+            call.origin.home_regions,
         )
         return refuse(
             reasons.PLACEMENT,
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -12,6 +12,7 @@
 from briartack.core.calls.timers import Timers
 from briartack.core.events import CallArrived
 from briartack.core.messages import Headers
+from briartack.core.tenants.identification import UNKEYED, CallOrigin
 from briartack.core.units import (
     MILLISECONDS_PER_SECOND,
     AttemptId,
@@ -27,6 +28,7 @@
 class CallPhase(enum.Enum):
     """Enumerate the phases of a call at the daemon that accepted it."""
 
+    AWAITING_TOKEN = enum.auto()
     READING_BODY = enum.auto()
     CONNECTING = enum.auto()
     BACKING_OFF = enum.auto()
@@ -48,6 +50,10 @@
     deadline: float
     body_bytes: int
     body_digest: Digest
+    origin: CallOrigin = UNKEYED
+    token_expires_at: float | None = None  # of the tenant's cap
+    is_body_read: bool = False
+    is_counted: bool = False  # towards what the service earns in retries
     phase: CallPhase = CallPhase.READING_BODY
     wait_until: float = 0
     attempt_id: AttemptId | None = None
@@ -145,7 +151,7 @@
     def begin_wait(self, call: Call, phase: CallPhase, until: float) -> None:
         """Move a call to a waiting phase until a time.
 
-        The phase is `CONNECTING` or `BACKING_OFF`.
+        The phase is `AWAITING_TOKEN`, `CONNECTING` or `BACKING_OFF`.
         """
         call.phase = phase
         call.wait_until = until
--- a/briartack/core/calls/caller_clocks.py
+++ b/briartack/core/calls/caller_clocks.py
@@ -82,13 +82,14 @@
         first_try_ms = clock.first_try_ms()
         if first_try_ms is None:
             return None
-        first_try_seconds = first_try_ms / MILLISECONDS_PER_SECOND
+        elapsed_ms = first_try_ms - stated_ms
+        refused_ms = (now - clock.refused_at) * MILLISECONDS_PER_SECOND
         if (
             stated_ms < MIN_LEFT_RATIO * first_try_ms
-            and now - clock.refused_at > first_try_seconds
+            and refused_ms > first_try_ms
         ):
             return 0.0
-        return first_try_seconds - stated_ms / MILLISECONDS_PER_SECOND
+        return elapsed_ms / MILLISECONDS_PER_SECOND
 
     def record_refusal(self, now: float, route: str) -> None:
         """Record that a caller of a route may return with less time left."""
--- a/briartack/core/calls/expected_times.py
+++ b/briartack/core/calls/expected_times.py
@@ -114,6 +114,11 @@
         stated = self._find_news(member)
         run_seconds = self._compute_run_seconds(stated)
         seconds = self._compute_wait_seconds(member, stated) + run_seconds
+        # Others send there too: the fuller an instance was, the less likely is
+        # a slot that is still free when the attempt arrives.
+        load = self._typical.load if stated is None else stated.load
+        if load < 1:
+            seconds += load * self._find_mean_run_seconds(stated)
         if member.instance == self._identity.instance:
             return seconds
         if member.data_centre != self._identity.data_centre:
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -274,8 +274,10 @@
         is_late = attempt.is_late or record.is_body_late
         # While slots are short, each run of a late attempt makes one that is
         # in time miss its target. A body that was granted has its place.
-        may_wait = not (
-            attempt.is_late and times.is_usable(now) and not attempt.body_bytes
+        gives_way = (
+            attempt.is_late
+            and times.is_usable(now)
+            and not (attempt.body_bytes or attempt.is_awaited_by_run)
         )
         return SlotRequest(
             attempt_id=attempt.attempt_id,
@@ -286,7 +288,7 @@
             useful_until=useful_until,
             latest_start=min(latest_start, record.deadline - run_seconds),
             is_late=is_late and times.has_enough_runs,
-            may_wait=may_wait or attempt.is_awaited_by_run,
+            gives_way=gives_way,
             late_from=useful_until if becomes_late else float('inf'),
         )
 
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -156,6 +156,7 @@
                 max_body_bytes=max(
                     MAX_BODY_BYTES, self._memory.max_request_bytes
                 ),
+                leases_caps=True,
             ),
         )
 
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -23,6 +23,7 @@
     ServiceLimits,
 )
 from briartack.core.identity import Identity
+from briartack.core.tenants.tenant_table import NO_TENANTS, TenantTable
 from briartack.core.units import (
     AttemptId,
     CallId,
@@ -71,6 +72,7 @@
     shares: tuple[FakeShare, ...]
     policy: Policy
     home_regions: Regions = None
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +83,7 @@
     services: Mapping[str, ServiceLimits]
     tenant_regions: Mapping[str, frozenset[str]]
     platform: PlatformSettings
+    tenants: TenantTable = NO_TENANTS
     highest: Revision = Revision(1)  # noqa: RUF009
     caller_limits: CallerLimits = field(default_factory=CallerLimits)
 
@@ -96,6 +99,9 @@
     def instance_count(self) -> int:
         return len(self.members)
 
+    def live_members(self) -> tuple[Member, ...]:
+        return self.members
+
     def is_upstream_leaving(self, record_id: str) -> bool:
         """Return false: no upstream here is listed under an id of its own."""
         return False
