--- a/briartack/test/queue_mutants.py
+++ b/briartack/test/queue_mutants.py
@@ -124,7 +124,7 @@
     ),
     QueueMutant(
         guard='attempts in time go before late ones',
-        test=f'{_SHARES}.test_peak_with_callers_that_return',
+        test=f'{_SHARES}.test_late_attempt_goes_behind_one_in_time',
         patches={'slot_queue._make_key': order_without_lateness},
     ),
     QueueMutant(
