Do not say not run of a head whose key another attempt has used

Cause: the owner checks the idempotency key of an attempt when its head arrives and when its body is granted. A head that waited for its grant (or a body that was being read) could be refused for overload, at its deadline or at a stop while a repeat with the same key was running or had run. The answer was `not-run`, and the caller got 503 for a request that has run.

Change: such a refusal has the verdict `unknown`, as that of an attempt that joined a running one. A key that nobody has used is refused as not run as before.

--- a/briartack/core/calls/owned_attempts.py
+++ b/briartack/core/calls/owned_attempts.py
@@ -59,6 +59,12 @@
     JOINED = enum.auto()
 
 
+# An attempt marks its key as running once its body is complete.
+_PHASES_BEFORE_KEY: Final = frozenset(
+    (OwnedPhase.AWAITING_GRANT, OwnedPhase.READING_BODY)
+)
+
+
 @final
 @dataclass(slots=True, kw_only=True)
 class OwnedAttempt:
@@ -210,9 +216,10 @@
         """Refuse an attempt that has not started.
 
         The outcome of a joined attempt is unknown, because the attempt that it
-        joined is still running.
+        joined is still running. So is that of an attempt whose key another one
+        has used while its body was awaited.
         """
-        if record.phase is OwnedPhase.JOINED:
+        if record.phase is OwnedPhase.JOINED or self._is_key_used(record):
             return self._refuse_unknown(now, record, reasons.KEY_IN_PROGRESS)
         effects = self._refuse(now, record, reason, Verdict.NOT_RUN)
         if record.phase is OwnedPhase.QUEUED:
@@ -282,6 +289,18 @@
             return []
         return [DropBody(body_id=record.body_id)]
 
+    def _is_key_used(self, record: OwnedAttempt) -> bool:
+        """Return whether another attempt has run, or runs, the same request."""
+        key = record.attempt.idempotency_key
+        if not key or record.phase not in _PHASES_BEFORE_KEY:
+            return False
+        key = build_scoped_key(record.attempt)
+        return self._outcomes.status(
+            key
+        ) is not KeyStatus.FRESH and self._outcomes.matches_request(
+            key, compute_request_digest(record.attempt)
+        )
+
     def _store_outcome(
         self,
         now: float,
