Do not take the hello of a peer that dialled for the end of a dial

Cause: the time from a dial to the next hello of the peer counted as two round trips, also if the hello came on a stream that the peer had dialled meanwhile. With crossed dials this time can be close to 0, and the smallest round trip to a data centre is kept for ever. Farther scopes then look as near as the own one, and the work of a route is learned with the round trip in it.

Change: `PeerConnected` says who dialled; only a dial of this daemon gives a round trip. The field has a default, so recorded events are read as before.

--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -237,9 +237,13 @@
     endpoint = state.endpoints.get(event.peer)
     if endpoint is not None and endpoint.incarnation != hello.incarnation:
         effects = _handle_peer_loss(state, context, event.now, event.peer)
-    state.sender.chooser.expected_times.record_hello(
-        hello, state.endpoints.get_dial_seconds(event.peer, event.now)
+    # The hello of a peer that dialled says nothing about a dial in progress.
+    dial_seconds = (
+        state.endpoints.get_dial_seconds(event.peer, event.now)
+        if event.is_outgoing
+        else None
     )
+    state.sender.chooser.expected_times.record_hello(hello, dial_seconds)
     state.endpoints.connect(
         event.peer,
         hello.incarnation,
--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -92,6 +92,8 @@
     now: float
     peer: InstanceId
     hello: Hello
+    # False if the peer dialled: a dial of this daemon may still be in progress.
+    is_outgoing: bool = True
 
 
 @final
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -308,7 +308,7 @@
         current = self._streams_by_peer.get(peer)
         if current is None:
             self._streams_by_peer[peer] = stream
-            self._report_connected(hello)
+            self._report_connected(hello, stream)
         elif _is_simultaneous_dial(current, stream):
             self._resolve_simultaneous_dials(peer, current, stream)
         else:
@@ -316,7 +316,7 @@
             self.handle_lost_stream(peer, current, 'replaced by a new stream')
             current.close()
             self._streams_by_peer[peer] = stream
-            self._report_connected(hello)
+            self._report_connected(hello, stream)
 
     def _resolve_simultaneous_dials(
         self,
@@ -334,12 +334,13 @@
         if is_lower:
             redundant.end()
 
-    def _report_connected(self, hello: Hello) -> None:
+    def _report_connected(self, hello: Hello, stream: PeerStream) -> None:
         self._deliver(
             PeerConnected(
                 now=self._clock(),
                 peer=hello.instance,
                 hello=hello,
+                is_outgoing=stream.is_outgoing,
             ),
         )
 
--- a/briartack/test/test_review_calls.py
+++ b/briartack/test/test_review_calls.py
@@ -2,10 +2,17 @@
 
 import unittest
 from typing import Any, Final
+from unittest.mock import Mock
 
 from nose2.tools import params
 
-from briartack.test.call_path_bench import CallPathBench
+from briartack.core import events
+from briartack.core.calls import call_handlers
+from briartack.core.calls.expected_times import find_round_trip
+from briartack.core.messages import PROTOCOL_VERSION, Hello
+from briartack.core.units import Incarnation
+from briartack.peer_connections import PeerConnections
+from briartack.test.call_path_bench import CallPathBench, make_member
 
 KEY: Final = 'made-by-the-caller'
 BODY_BYTES: Final = 50_000
@@ -71,3 +78,62 @@
         produced += bench.apply_step({'at': 1.2, 'do': 'tick'})
         answers = [line for line in produced if 'head' in line]
         self.assertIn('not-run', ' '.join(answers))
+
+
+def make_hello(name: str) -> Hello:
+    """Make the hello of an instance."""
+    peer = make_member(name)
+    return Hello(
+        protocol_version=PROTOCOL_VERSION,
+        instance=peer.instance,
+        incarnation=Incarnation('j1'),
+        service='s',
+        data_centre=peer.data_centre,
+        region=peer.region,
+        clock=1,
+    )
+
+
+class CrossedDialTest(unittest.TestCase):
+    @params((True, 0.02), (False, 0.024))
+    def test_hello_of_a_peer_that_dialled_is_no_round_trip(
+        self, is_outgoing: bool, round_trip: float
+    ) -> None:
+        """Guard against a round trip of almost 0 after crossed dials.
+
+        The smallest round trip to a data centre is kept for ever, and 24 ms
+        count while none is known. The dial of the daemon takes 40 ms.
+        """
+        bench = CallPathBench(setup={'members': 'ad'})
+        hello = make_hello('d')
+        bench.state.endpoints.reserve_dial(hello.instance, 1)
+        event = events.PeerConnected(
+            now=1.04,
+            peer=hello.instance,
+            hello=hello,
+            is_outgoing=is_outgoing,
+        )
+        call_handlers.on_peer_connected(bench.state, bench.context, event)
+        times = bench.state.sender.chooser.expected_times
+        known = find_round_trip(
+            times._round_trips, bench.context.identity, make_member('d')
+        )
+        self.assertAlmostEqual(known, round_trip)
+
+    @params(False, True)
+    def test_event_says_who_dialled(self, is_outgoing: bool) -> None:
+        """Guard against an event that says that this daemon dialled."""
+        delivered: list[Any] = []
+        bench = CallPathBench(setup={'members': 'ad'})
+        connections = PeerConnections(
+            identity=bench.context.identity,
+            memory=Mock(max_request_bytes=0),
+            inbox=Mock(),
+            deliver=delivered.append,
+            clock=lambda: 1.0,
+            observer=Mock(),
+            link_bytes_per_second=None,
+        )
+        stream: Any = Mock(is_outgoing=is_outgoing, last_frame_bytes=1)
+        connections._handle_hello(stream, make_hello('d'))
+        self.assertEqual([one.is_outgoing for one in delivered], [is_outgoing])
