Keep a run known while another run of its request ends

Cause: the owner kept one running attempt for each request id, and the end of any run removed it. A repeat can run beside the attempt that it repeats: the run goes on after the stream of its sender was lost, and the only owner gets the request again.

Change: the running attempts of a request id are kept by attempt id, and the latest one that still runs is returned.

--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -65,7 +65,8 @@
         self._grants = grants
         self._attempts = attempts
         self._timers: Timers[AttemptId] = Timers()
-        self._running: dict[str, Attempt] = {}  # by request id
+        # By request id. A repeat may run beside the attempt that it repeats.
+        self._running: dict[str, dict[AttemptId, Attempt]] = {}
 
     def __iter__(self) -> Iterator[OwnedAttempt]:
         """Iterate over a copy, so that attempts may end meanwhile."""
@@ -81,7 +82,7 @@
         """Remove and return an attempt, or return `None` if it is unknown."""
         record = self._attempts.pop(attempt_id, None)
         if record is not None and record.phase is OwnedPhase.RUNNING:
-            self._running.pop(record.attempt.request_id, None)
+            self._end_run(record.attempt)
             self._upstream.run_bound.end(attempt_id, now)
         if record is not None and record.attempt.awaits_grant:
             self._grants.end(attempt_id)
@@ -96,8 +97,9 @@
         return self._attempts.get(record.attempt.attempt_id) is record
 
     def find_running(self, request_id: str) -> Attempt | None:
-        """Return the attempt of a running request, or `None`."""
-        return self._running.get(request_id)
+        """Return the latest attempt of a running request, or `None`."""
+        attempts = self._running.get(request_id)
+        return next(reversed(attempts.values())) if attempts else None
 
     def offer(
         self, now: float, record: OwnedAttempt, latest_start: float
@@ -292,6 +294,12 @@
             late_from=useful_until if becomes_late else float('inf'),
         )
 
+    def _end_run(self, attempt: Attempt) -> None:
+        attempts = self._running.get(attempt.request_id, {})
+        attempts.pop(attempt.attempt_id, None)
+        if not attempts:
+            self._running.pop(attempt.request_id, None)
+
     def _apply(self, now: float, admission: AdmissionResult) -> Effects:
         effects: Effects = []
         for refused in admission.refused:
@@ -315,7 +323,8 @@
         attempt = record.attempt
         self._upstream.run_bound.begin(attempt.attempt_id, now)
         if attempt.request_id:
-            self._running[attempt.request_id] = attempt
+            attempts = self._running.setdefault(attempt.request_id, {})
+            attempts[attempt.attempt_id] = attempt
         remaining = record.deadline - now
         return Dispatch(
             attempt_id=attempt.attempt_id,
--- a/briartack/test/test_review_calls.py
+++ b/briartack/test/test_review_calls.py
@@ -137,3 +137,31 @@
         stream: Any = Mock(is_outgoing=is_outgoing, last_frame_bytes=1)
         connections._handle_hello(stream, make_hello('d'))
         self.assertEqual([one.is_outgoing for one in delivered], [is_outgoing])
+
+
+class RepeatedRunTest(unittest.TestCase):
+    @params('first', 'repeat')
+    def test_run_beside_a_repeat_of_its_request_stays_known(
+        self, ended: str
+    ) -> None:
+        """Guard against nested calls of a run that count as calls of callers.
+
+        The stream of the first attempt was lost while it ran, and its sender
+        repeats the request at the same owner. One of the two runs ends.
+        """
+        bench = make_owner()
+        for number in range(9):
+            # The slow start allows a second run after some answers.
+            send_head(bench, 1, f'warm-{number}')
+            bench.apply_step(
+                {'at': 1, 'do': 'upstream', 'attempt': f'warm-{number}'}
+            )
+        for attempt in ('first', 'repeat'):
+            send_head(bench, 1, attempt, request='r1')
+        self.assertEqual(bench.state.owner.upstream.running, 2)
+        left = {'first': 'repeat', 'repeat': 'first'}[ended]
+        bench.apply_step({'at': 1.1, 'do': 'upstream', 'attempt': ended})
+        run = bench.state.owner.find_running('r1')
+        self.assertEqual(run and run.attempt_id, left)
+        bench.apply_step({'at': 1.2, 'do': 'upstream', 'attempt': left})
+        self.assertIsNone(bench.state.owner.find_running('r1'))
