Forget above which size a peer grants bodies once it grants none

Cause: a sender kept the smallest size that any instance of a service had ever stated. After the link rate was taken out of the settings, or the instance was gone, bodies above it still counted as such that need grants: they were chosen by expected completion, with the time of the own link, and their callers got the spread return times.

Change: the sizes are kept by instance, replaced by each hello and dropped with the stream. The smallest one is computed when one of them changes, so a call costs what it did.

--- a/briartack/core/calls/expected_times.py
+++ b/briartack/core/calls/expected_times.py
@@ -253,12 +253,11 @@
         `dial_seconds` is `None` if the peer dialled.
         """
         size = hello.ungranted_body_bytes
-        if size is not None:
+        times = self._services.get(hello.service)
+        if times is None and size is not None:
             times = self._get_or_add(hello.service)
-            known = times.ungranted_body_bytes
-            times.ungranted_body_bytes = (
-                size if known is None else min(known, size)
-            )
+        if times is not None:
+            times.record_ungranted(hello.instance, size)
         if dial_seconds is not None:
             self._record_round_trip(
                 hello.data_centre, dial_seconds / DIAL_ROUND_TRIPS
--- a/briartack/core/calls/stated_times.py
+++ b/briartack/core/calls/stated_times.py
@@ -102,6 +102,7 @@
         'in_flight',
         'is_away',
         'ungranted_body_bytes',
+        '_ungranted_by_instance',
         '_instances',
         '_typical',
         '_checked_at',
@@ -113,6 +114,7 @@
         self.is_away = False
         # The smallest size of any instance above which bodies need a grant.
         self.ungranted_body_bytes: int | None = None
+        self._ungranted_by_instance: dict[InstanceId, int] = {}
         self._instances: dict[InstanceId, StatedTimes] = {}
         self._typical: TypicalStatement | None = None
         self._checked_at = float('-inf')
@@ -132,6 +134,18 @@
     def forget(self, instance: InstanceId) -> None:
         """Forget an instance, whose stream has ended."""
         self._instances.pop(instance, None)
+        self.record_ungranted(instance, None)
+
+    def record_ungranted(self, instance: InstanceId, size: int | None) -> None:
+        """Record above which size an instance grants bodies, if it does."""
+        sizes = self._ungranted_by_instance
+        if sizes.get(instance) == size:
+            return
+        if size is None:
+            sizes.pop(instance)
+        else:
+            sizes[instance] = size
+        self.ungranted_body_bytes = min(sizes.values(), default=None)
 
     def find_typical(self, now: float) -> TypicalStatement | None:
         """Return the typical values, or `None` if nothing is known."""
--- a/briartack/test/test_review_calls.py
+++ b/briartack/test/test_review_calls.py
@@ -8,7 +8,10 @@
 
 from briartack.core import events
 from briartack.core.calls import call_handlers
-from briartack.core.calls.expected_times import find_round_trip
+from briartack.core.calls.expected_times import (
+    ExpectedTimes,
+    find_round_trip,
+)
 from briartack.core.messages import PROTOCOL_VERSION, Hello
 from briartack.core.units import Incarnation
 from briartack.peer_connections import PeerConnections
@@ -80,7 +83,7 @@
         self.assertIn('not-run', ' '.join(answers))
 
 
-def make_hello(name: str) -> Hello:
+def make_hello(name: str, ungranted_bytes: int | None = None) -> Hello:
     """Make the hello of an instance."""
     peer = make_member(name)
     return Hello(
@@ -91,6 +94,7 @@
         data_centre=peer.data_centre,
         region=peer.region,
         clock=1,
+        ungranted_body_bytes=ungranted_bytes,
     )
 
 
@@ -165,3 +169,26 @@
         self.assertEqual(run and run.attempt_id, left)
         bench.apply_step({'at': 1.2, 'do': 'upstream', 'attempt': left})
         self.assertIsNone(bench.state.owner.find_running('r1'))
+
+
+class GrantSizeTest(unittest.TestCase):
+    @params('disconnect', 'hello')
+    def test_size_of_a_peer_that_grants_no_more_is_forgotten(
+        self, how: str
+    ) -> None:
+        """Guard against a choice for grants that no instance asks for.
+
+        Instances whose link rate was taken out of the settings need none.
+        """
+        times = ExpectedTimes()
+        times.record_hello(make_hello('b', 12_500), None)
+        times.record_hello(make_hello('c', 2_500_000), None)
+        service = times.get('s')
+        assert service is not None
+        self.assertTrue(service.is_granted(BODY_BYTES))
+        if how == 'disconnect':
+            times.forget(make_member('b').instance)
+        else:
+            times.record_hello(make_hello('b'), None)
+        self.assertFalse(service.is_granted(BODY_BYTES))
+        self.assertTrue(service.is_granted(3_000_000))
