Show load, waits and room per service in the status

An operator could not see which service is short of room, nor whether uploads wait for grants. The status now states for each service the load, the free slots and the means of what owners stated, and for the own upstream the slowdown, the expected wait, and the bodies that wait for a grant or are in flight. Typical values are read without being stored, so that a status changes no later choice.

--- a/briartack/cli.py
+++ b/briartack/cli.py
@@ -285,6 +285,23 @@
         detail = daemon.get(name)
         if detail:
             yield f'    {name}: {_format_value(detail)}'
+    upstream = daemon.get('upstream')
+    if isinstance(upstream, dict):
+        yield f'    upstream: {_format_fields(upstream)}'
+    services = daemon.get('services')
+    if isinstance(services, dict):
+        for service, described in services.items():
+            yield f'    service {service}: {_format_fields(described)}'
+
+
+def _format_fields(fields: dict[str, object]) -> str:
+    """Return names and values in one line, without JSON syntax."""
+    return ', '.join(
+        f'{name} ({_format_fields(value)})'
+        if isinstance(value, dict)
+        else f'{name} {_format_value(value)}'
+        for name, value in fields.items()
+    )
 
 
 def _get_highest_revision(daemon: dict[str, object]) -> Revision:
--- a/briartack/core/calls/expected_times.py
+++ b/briartack/core/calls/expected_times.py
@@ -212,6 +212,10 @@
         """Return what is known of a service, or `None`."""
         return self._services.get(service)
 
+    def list_services(self) -> list[tuple[str, ServiceTimes]]:
+        """Return the known services with what is known of each."""
+        return list(self._services.items())
+
     def knows_slowdowns(self, service: str, now: float) -> bool:
         """Return whether instances of a service state a slowdown."""
         times = self._services.get(service)
--- a/briartack/core/calls/owner_bodies.py
+++ b/briartack/core/calls/owner_bodies.py
@@ -39,6 +39,16 @@
         self._answers = answers
         self._runner = runner
 
+    def describe(self) -> dict[str, object]:
+        """Describe the bodies that wait for a grant and those in flight."""
+        grants = self._grants
+        return {
+            'waiting': grants.waiting_count,
+            'waiting_bytes': grants.waiting_bytes,
+            'in_flight': grants.in_flight_count,
+            'in_flight_bytes': grants.in_flight_bytes,
+        }
+
     def begin(
         self, now: float, record: OwnedAttempt, latest_start: float
     ) -> Effects:
--- a/briartack/core/calls/stated_times.py
+++ b/briartack/core/calls/stated_times.py
@@ -136,10 +136,29 @@
     def find_typical(self, now: float) -> TypicalStatement | None:
         """Return the typical values, or `None` if nothing is known."""
         if now - self._checked_at >= TYPICAL_MAX_AGE_SECONDS:
+            typical = self.peek_typical(now)
             self._checked_at = now
-            self._update_typical(now)
+            if typical is None and self._typical is not None:
+                self._instances.clear()
+            self._typical = typical
         return self._typical
 
+    def peek_typical(self, now: float) -> TypicalStatement | None:
+        """Return what `find_typical` would return, without storing it."""
+        if now - self._checked_at < TYPICAL_MAX_AGE_SECONDS:
+            return self._typical
+        fresh = [
+            stated
+            for stated in self._instances.values()
+            if now - stated.stated_at <= NEWS_SECONDS
+        ]
+        if fresh:
+            return _compute_typical(fresh, now)
+        typical = self._typical
+        if typical is None or now - typical.computed_at > FORGOTTEN_SECONDS:
+            return None
+        return typical
+
     def find_typical_for(
         self, now: float, body_bytes: int
     ) -> TypicalStatement | None:
@@ -157,20 +176,6 @@
         size = self.ungranted_body_bytes
         return size is not None and body_bytes > size
 
-    def _update_typical(self, now: float) -> None:
-        fresh = [
-            stated
-            for stated in self._instances.values()
-            if now - stated.stated_at <= NEWS_SECONDS
-        ]
-        if fresh:
-            self._typical = _compute_typical(fresh, now)
-        elif self._typical is not None:
-            age = now - self._typical.computed_at
-            if age > FORGOTTEN_SECONDS:
-                self._typical = None
-                self._instances.clear()
-
 
 def _compute_typical(fresh: list[StatedTimes], now: float) -> TypicalStatement:
     waits = [max(0, one.wait_seconds - now + one.stated_at) for one in fresh]
--- a/briartack/core/status.py
+++ b/briartack/core/status.py
@@ -1,7 +1,12 @@
 """Status report of a daemon, for operators."""
 
+from briartack.core.service_status import describe_services
 from briartack.core.state import State
-from briartack.core.units import AttemptId, CallId
+from briartack.core.units import (
+    MILLISECONDS_PER_SECOND,
+    AttemptId,
+    CallId,
+)
 
 
 def describe(state: State) -> dict[str, object]:
@@ -26,6 +31,7 @@
         ],
         'dissemination': _describe_dissemination(state),
         'upstream': _describe_upstream(state),
+        'services': describe_services(state),
         'crash_suspects': list(
             state.calls.owner.suspects.describe(state.last_event_at)
         ),
@@ -117,9 +123,15 @@
 
 
 def _describe_upstream(state: State) -> dict[str, object]:
-    upstream = state.calls.owner.upstream
+    now = state.last_event_at
+    owner = state.calls.owner
+    upstream = owner.upstream
+    wait_ms = upstream.wait_seconds(now) * MILLISECONDS_PER_SECOND
     return {
         'open': upstream.is_open,
         'in_flight': upstream.running,
         'limit': upstream.limit,
+        'slowdown': round(upstream.times.slowdown(now), 2),
+        'wait_ms': round(wait_ms),
+        'bodies': owner.bodies.describe(),
     }
--- a/briartack/test/test_cli.py
+++ b/briartack/test/test_cli.py
@@ -60,6 +60,8 @@
         'highest': 3,
         'digest': 'd',
         'data_centres_out': ['costa-2'],
+        'upstream': {'limit': 3, 'bodies': {'waiting': 2}},
+        'services': {'banco/saldo': {'load': 0.5, 'is_away': False}},
     },
     '/exp': {
         'outcome': 'the less loaded of two chosen from 1 in the data centre',
@@ -184,6 +186,12 @@
         for row in text.splitlines():
             self.assertRegex(row, '^ {0,4}[^ {[]')
 
+    def test_status_shows_load_without_json_syntax(self) -> None:
+        """Check the lines of the upstream and of each service."""
+        lines = self.run_command('status', 'a:1').splitlines()
+        self.assertIn('    upstream: limit 3, bodies (waiting 2)', lines)
+        self.assertIn('    service banco/saldo: load 0.5, is_away false', lines)
+
     def test_endpoint_columns_align_with_titles(self) -> None:
         """Check that each column of the table starts below its title."""
         lines = self.run_command('explain', 'a:1', '/x').splitlines()
