Explain expected completions and the reason of a choice

An explanation named the endpoints, but not when a call would complete at each, nor why it would leave its data centre. It now states the expected completion with its parts and the endpoint that would be chosen with the bound that decided. It works on copies, so that it draws no random numbers and changes no later choice. A size of the body can be given, since grants matter only to bodies.

--- a/briartack/cli.py
+++ b/briartack/cli.py
@@ -44,7 +44,7 @@
     'caps',
 )
 _STATUS_ROW: Final = '{:<22} {:<16} {:<6} {:>8} {:>7}  {}'
-_ENDPOINT_ROW: Final = '    {:<16} {:<16} {:<10} {}'
+_ENDPOINT_ROW: Final = '    {:<16} {:<16} {:<10} {:<36} {}'
 
 
 class UsageError(Exception):
@@ -103,6 +103,7 @@
     *,
     method: str = 'GET',
     tenant: str = '',
+    body_bytes: int = 0,
     as_json: bool = False,
 ) -> int:
     """Show where a call would go from a daemon now, and why.
@@ -111,9 +112,16 @@
     :param path: path of the call
     :param method: HTTP method of the call
     :param tenant: value of the X-Tenant header
+    :param body_bytes: size of the body
     :param as_json: print JSON
     """
-    query = urlencode({'path': path, 'method': method, 'tenant': tenant})
+    call_fields = {
+        'path': path,
+        'method': method,
+        'tenant': tenant,
+        'body_bytes': body_bytes,
+    }
+    query = urlencode(call_fields)
     try:
         answer = fetch(address, f'/explain?{query}')
     except OperatorError as error:
@@ -268,6 +276,7 @@
             'ENDPOINT',
             'DATA CENTRE',
             'STREAM',
+            'EXPECTED MS (WAY, WAIT, BODY, RUN)',
             'EXCLUDED',
         ).rstrip()
     for endpoint in endpoints:
@@ -276,10 +285,22 @@
             endpoint['instance'],
             endpoint['data_centre'],
             'own' if endpoint['is_own'] else stream,
+            _format_expected(endpoint.get('expected')),
             endpoint['excluded'],
         ).rstrip()
 
 
+def _format_expected(expected: dict[str, int] | None) -> str:
+    """Return the expected completion and its parts; `-` if unknown."""
+    if expected is None:
+        return '-'
+    parts = ', '.join(
+        str(expected[name])
+        for name in ('way_ms', 'wait_ms', 'body_ms', 'run_ms')
+    )
+    return f'{expected["total_ms"]} ({parts})'
+
+
 def _format_status_details(daemon: dict[str, object]) -> Iterator[str]:
     for name in _STATUS_DETAILS:
         detail = daemon.get(name)
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -112,6 +112,22 @@
         dials = dial_nearest(context, now, scopes, self.endpoints)
         return SelectionFailure.NO_ENDPOINT if dials is None else dials
 
+    def may_take(
+        self,
+        context: CallContext,
+        now: float,
+        needs: AttemptNeeds,
+        deadline: float,
+        member: Member,
+    ) -> bool:
+        """Return whether an instance may get an attempt and its body now."""
+        if needs.body_bytes >= LARGE_BODY_BYTES and not (
+            self._has_memory(now, member)
+            and self._takes_body(member, needs.body_bytes)
+        ):
+            return False
+        return self._is_available(context, now, member, needs.limits, deadline)
+
     def _choose_by_completion(
         self,
         context: CallContext,
@@ -131,23 +147,11 @@
         estimator = self.expected_times.prepare(context, now, needs)
         if estimator is None:
             return None
-        is_large_body = needs.body_bytes >= LARGE_BODY_BYTES
-
-        def is_available(member: Member) -> bool:  # noqa: WPS430
-            if is_large_body and not (
-                self._has_memory(now, member)
-                and self._takes_body(member, needs.body_bytes)
-            ):
-                return False
-            return self._is_available(
-                context, now, member, needs.limits, deadline
-            )
-
         chooser = CompletionChooser(
             random=context.random,
             now=now,
             estimator=estimator,
-            is_available=is_available,
+            is_available=partial(self.may_take, context, now, needs, deadline),
             needs=needs,
         )
         return chooser.choose(scopes, times)
--- a/briartack/core/calls/expected_times.py
+++ b/briartack/core/calls/expected_times.py
@@ -6,6 +6,8 @@
 
 from typing import Final, final
 
+import msgspec
+
 from briartack.core.calls.call_context import CallContext, Member
 from briartack.core.calls.call_table import Call
 from briartack.core.calls.choice_types import AttemptNeeds
@@ -65,6 +67,20 @@
             self._means.pop(next(iter(self._means)))
 
 
+@final
+class ExpectedParts(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the parts of an expected completion, in seconds.
+
+    `wait` is the time until a slot is free, with the likely wait behind the
+    attempts of other senders.
+    """
+
+    way: float
+    wait: float
+    body: float
+    run: float
+
+
 @final
 class CompletionEstimator:
     """Estimate for one attempt when it would complete at an instance.
@@ -127,6 +143,22 @@
             return seconds
         return seconds + self._compute_body_seconds(stated)
 
+    def compute_parts(self, member: Member) -> ExpectedParts:
+        """Return the parts of what `compute_seconds` returns."""
+        stated = self._find_news(member)
+        wait = self._compute_wait_seconds(member, stated)
+        load = self._typical.load if stated is None else stated.load
+        if load < 1:
+            wait += load * self._find_mean_run_seconds(stated)
+        is_own = member.instance == self._identity.instance
+        is_granted = self._body_seconds is not None and not is_own
+        return ExpectedParts(
+            way=self.get_round_trip(member),
+            wait=wait,
+            body=self._compute_body_seconds(stated) if is_granted else 0,
+            run=self._compute_run_seconds(stated),
+        )
+
     def compute_wait_seconds(self, member: Member) -> float:
         """Return the wait for a slot of an instance."""
         return self._compute_wait_seconds(member, self._find_news(member))
@@ -236,20 +268,19 @@
         typical = times.find_typical_for(now, needs.body_bytes)
         if typical is None:
             return None
-        body_seconds = None
-        if times.is_granted(needs.body_bytes):
-            rate = context.rules.link_bytes_per_second
-            body_seconds = needs.body_bytes / rate if rate else 0
-        return CompletionEstimator(
-            now=now,
-            identity=context.identity,
-            times=times,
-            typical=typical,
-            needs=needs,
-            work_seconds=self._work.get(needs.route, needs.service),
-            body_seconds=body_seconds,
-            round_trips=self._round_trips,
-        )
+        return self._build(context, now, needs, times, typical)
+
+    def preview(
+        self, context: CallContext, now: float, needs: AttemptNeeds
+    ) -> CompletionEstimator | None:
+        """Return what `prepare` would return, without storing anything."""
+        times = self._services.get(needs.service)
+        typical = None if times is None else times.peek_typical(now)
+        if times is None or typical is None:
+            return None
+        if typical.slowdown or times.is_granted(needs.body_bytes):
+            return self._build(context, now, needs, times, typical)
+        return None
 
     def record_hello(self, hello: Hello, dial_seconds: float | None) -> None:
         """Record which bodies a peer grants, and the round trip to it.
@@ -321,6 +352,29 @@
         for times in self._services.values():
             times.forget(peer)
 
+    def _build(
+        self,
+        context: CallContext,
+        now: float,
+        needs: AttemptNeeds,
+        times: ServiceTimes,
+        typical: TypicalStatement,
+    ) -> CompletionEstimator:
+        body_seconds = None
+        if times.is_granted(needs.body_bytes):
+            rate = context.rules.link_bytes_per_second
+            body_seconds = needs.body_bytes / rate if rate else 0
+        return CompletionEstimator(
+            now=now,
+            identity=context.identity,
+            times=times,
+            typical=typical,
+            needs=needs,
+            work_seconds=self._work.get(needs.route, needs.service),
+            body_seconds=body_seconds,
+            round_trips=self._round_trips,
+        )
+
     def _learn_work(self, seconds: float, answer: Answer, call: Call) -> None:
         """Add a run to the work of its route, unless it has waited."""
         if not answer.slowdown > 0 or seconds <= 0:
--- /dev/null
+++ b/briartack/core/choice_explanation.py
@@ -0,0 +1,183 @@
+"""Explanation of a choice by expected completion, for operators.
+
+Nothing here changes the state of the choice: it works on copies of the random
+generator and of what is known of the service.
+"""
+
+from copy import copy
+from functools import partial
+from typing import Final, final
+
+from briartack.core.calls.call_context import Member
+from briartack.core.calls.choice_types import AttemptNeeds, SelectionFailure
+from briartack.core.calls.completion_choice import (
+    KEPT_SHARE,
+    KEPT_SHARE_LARGE,
+    RETURN_SHARE,
+    CompletionChooser,
+)
+from briartack.core.calls.routing import Scopes
+from briartack.core.configuration.resolved_snapshot import ResolvedRoute
+from briartack.core.reducer import make_call_context
+from briartack.core.service_status import round_milliseconds
+from briartack.core.state import State
+from briartack.core.units import MILLISECONDS_PER_SECOND
+
+SCOPE_NAMES: Final = ('data centre', 'region', 'fleet')
+
+
+@final
+class ChoiceExplanation:
+    """Explain the choice of an instance for the first attempt of a call.
+
+    The call is one of a caller that states no time of its own.
+    """
+
+    __slots__ = (
+        '_context',
+        '_now',
+        '_needs',
+        '_times',
+        '_estimator',
+        '_may_take',
+        '_scopes',
+    )
+
+    def __init__(
+        self,
+        state: State,
+        route: ResolvedRoute,
+        scopes: Scopes,
+        body_bytes: int,
+    ) -> None:
+        """Read what a choice at the time of the last event would read."""
+        self._scopes = scopes
+        self._now = state.last_event_at
+        self._context = make_call_context(state)
+        self._needs = _collect_needs(self._now, route, body_bytes)
+        chooser = state.calls.sender.chooser
+        self._times = chooser.expected_times.get(route.service)
+        self._estimator = chooser.expected_times.preview(
+            self._context, self._now, self._needs
+        )
+        self._may_take = partial(
+            chooser.may_take,
+            self._context,
+            self._now,
+            self._needs,
+            self._needs.deadline,
+        )
+
+    def is_available(self, member: Member) -> bool:
+        """Return whether an instance may get an attempt now."""
+        return self._may_take(member)
+
+    def describe_expected(self, member: Member) -> dict[str, int] | None:
+        """Return the expected completion and its parts in milliseconds.
+
+        Return `None` if the choice goes by load.
+        """
+        if self._estimator is None:
+            return None
+        parts = self._estimator.compute_parts(member)
+        return {
+            'total_ms': round_milliseconds(
+                self._estimator.compute_seconds(member)
+            ),
+            'way_ms': round_milliseconds(parts.way),
+            'wait_ms': round_milliseconds(parts.wait),
+            'body_ms': round_milliseconds(parts.body),
+            'run_ms': round_milliseconds(parts.run),
+        }
+
+    def describe_choice(self) -> str | None:
+        """Return which instance is chosen and why.
+
+        Return `None` if the choice goes by load.
+        """
+        if self._estimator is None or self._times is None:
+            return None
+        chooser = CompletionChooser(
+            random=copy(self._context.random),
+            now=self._now,
+            estimator=self._estimator,
+            is_available=self._may_take,
+            needs=self._needs,
+        )
+        chosen = chooser.choose(self._scopes, copy(self._times))
+        if chosen is None:
+            return None
+        if isinstance(chosen, SelectionFailure):
+            return 'refused: no endpoint would complete by the deadline'
+        seconds = self._estimator.compute_seconds(chosen)
+        scope = self._find_scope(chosen)
+        return (
+            f'{chosen.instance} in the {SCOPE_NAMES[scope]},'
+            f' in {round_milliseconds(seconds)} ms: '
+            f'{self._describe_reason(scope, seconds)}'
+        )
+
+    def _describe_reason(self, scope: int, seconds: float) -> str:
+        needs = self._needs
+        left_seconds = min(needs.target_at, needs.deadline) - self._now
+        share = KEPT_SHARE_LARGE if needs.is_large else KEPT_SHARE
+        if self._times is not None and self._times.is_away:
+            share = RETURN_SHARE
+        bound = (
+            f'{round_milliseconds(left_seconds * share)} of '
+            f'{round_milliseconds(left_seconds)} ms'
+        )
+        home = self._find_home()
+        if scope != home:
+            home_ms = round_milliseconds(self._find_earliest(home))
+            return (
+                f'the {SCOPE_NAMES[home]} needs {home_ms} ms, and calls stay '
+                f'there up to {bound}'
+            )
+        if seconds <= left_seconds * share:
+            return f'the earlier of two; calls stay there up to {bound}'
+        return (
+            f'calls stay there up to {bound}, but no farther scope is earlier '
+            'by more than its round trip and in time'
+        )
+
+    def _find_scope(self, member: Member) -> int:
+        return next(
+            index for index, scope in enumerate(self._scopes) if member in scope
+        )
+
+    def _find_home(self) -> int:
+        """Return the nearest scope with an instance that may be chosen."""
+        return next(
+            index
+            for index, scope in enumerate(self._scopes)
+            if any(map(self._may_take, scope))
+        )
+
+    def _find_earliest(self, scope: int) -> float:
+        """Return the earliest completion in a scope."""
+        if self._estimator is None:
+            return float('inf')
+        return min(
+            self._estimator.compute_seconds(member)
+            for member in self._scopes[scope]
+            if self._may_take(member)
+        )
+
+
+def _collect_needs(
+    now: float, route: ResolvedRoute, body_bytes: int
+) -> AttemptNeeds:
+    policy = route.policy
+    target_at = float('inf')
+    if policy.target_ms is not None:
+        target_at = now + policy.target_ms / MILLISECONDS_PER_SECOND
+    return AttemptNeeds(
+        limits=route.limits,
+        service=route.service,
+        route=route.name,
+        target_at=target_at,
+        deadline=now + policy.timeout_ms / MILLISECONDS_PER_SECOND,
+        body_bytes=body_bytes,
+        has_large_answers=policy.has_large_answers is True,
+    )
--- a/briartack/core/explanation.py
+++ b/briartack/core/explanation.py
@@ -1,10 +1,9 @@
 """Explanation of how this daemon would route a call now, for operators."""
 
-from typing import Final
-
 from briartack.core.calls import placement
 from briartack.core.calls.call_context import Member, Regions
-from briartack.core.calls.routing import is_out_of_service
+from briartack.core.calls.routing import Scopes, is_out_of_service
+from briartack.core.choice_explanation import SCOPE_NAMES, ChoiceExplanation
 from briartack.core.configuration.resolved_snapshot import (
     ResolvedRoute,
     Snapshot,
@@ -12,18 +11,18 @@
 from briartack.core.reducer import make_call_context
 from briartack.core.state import State
 
-_SCOPE_NAMES: Final = ('data centre', 'region', 'fleet')
-
 
 def explain(
     state: State,
     method: str,
     path: str,
     tenant: str,
+    body_bytes: int = 0,
 ) -> dict[str, object]:
     """Describe the route, placement and endpoints of a call.
 
-    The result is a dict of plain values, ready for JSON.
+    No later choice depends on whether a call was explained. The result is a
+    dict of plain values, ready for JSON.
     """
     snapshot = state.configuration.snapshot
     if snapshot is None:
@@ -42,12 +41,16 @@
     if not placement.may_hold(regions, state.identity.region):
         described['outcome'] = 'refused: outside the home regions'
         return described
+    scopes = state.calls.routing.list_candidates(
+        make_call_context(state), snapshot, route.service, regions
+    )
+    choice = ChoiceExplanation(state, route, scopes, body_bytes)
     endpoints = [
-        _describe_member(state, snapshot, member, regions)
+        _describe_member(state, snapshot, member, regions, choice)
         for member in state.membership.live_members_of(route.service)
     ]
     described['endpoints'] = endpoints
-    described['outcome'] = _describe_outcome(state, snapshot, route, regions)
+    described['outcome'] = _describe_outcome(scopes, choice)
     return described
 
 
@@ -82,6 +85,7 @@
     snapshot: Snapshot,
     member: Member,
     regions: Regions,
+    choice: ChoiceExplanation,
 ) -> dict[str, object]:
     endpoint = state.calls.endpoints.get(member.instance)
     return {
@@ -89,7 +93,8 @@
         'data_centre': member.data_centre,
         'is_own': member.instance == state.identity.instance,
         'is_connected': endpoint is not None,
-        'excluded': _find_exclusion(state, snapshot, member, regions),
+        'excluded': _find_exclusion(state, snapshot, member, regions, choice),
+        'expected': choice.describe_expected(member),
     }
 
 
@@ -98,6 +103,7 @@
     snapshot: Snapshot,
     member: Member,
     regions: Regions,
+    choice: ChoiceExplanation,
 ) -> str:
     if is_out_of_service(snapshot.platform, member):
         return 'out of service'
@@ -105,22 +111,18 @@
         return 'outside the home regions'
     if state.membership.is_leaving(member.instance):
         return 'leaving'
+    is_own = member.instance == state.identity.instance
+    has_stream = state.calls.endpoints.get(member.instance) is not None
+    if (is_own or has_stream) and not choice.is_available(member):
+        return 'not available now'
     return ''
 
 
-def _describe_outcome(
-    state: State,
-    snapshot: Snapshot,
-    route: ResolvedRoute,
-    regions: Regions,
-) -> str:
-    scopes = state.calls.routing.list_candidates(
-        make_call_context(state),
-        snapshot,
-        route.service,
-        regions,
-    )
-    for name, scope in zip(_SCOPE_NAMES, scopes, strict=True):
+def _describe_outcome(scopes: Scopes, choice: ChoiceExplanation) -> str:
+    chosen = choice.describe_choice()
+    if chosen is not None:
+        return chosen
+    for name, scope in zip(SCOPE_NAMES, scopes, strict=True):
         if scope:
             return (
                 f'the less loaded of two chosen from {len(scope)} in the {name}'
--- a/briartack/core/service_status.py
+++ b/briartack/core/service_status.py
@@ -61,12 +61,14 @@
     typical = times.peek_typical(state.last_event_at)
     if typical is not None:
         described['slowdown'] = round(typical.slowdown, 2)
-        described['wait_ms'] = to_milliseconds(typical.wait_seconds)
-        described['smallest_wait_ms'] = to_milliseconds(
+        described['wait_ms'] = round_milliseconds(typical.wait_seconds)
+        described['smallest_wait_ms'] = round_milliseconds(
             typical.smallest_wait_seconds
         )
-        described['body_wait_ms'] = to_milliseconds(typical.body_wait_seconds)
-        described['run_ms'] = to_milliseconds(typical.run_seconds)
+        described['body_wait_ms'] = round_milliseconds(
+            typical.body_wait_seconds
+        )
+        described['run_ms'] = round_milliseconds(typical.run_seconds)
     return described
 
 
@@ -84,6 +86,6 @@
     return endpoint.estimate_load(now, member.slots or limits.slots)
 
 
-def to_milliseconds(seconds: float) -> int:
+def round_milliseconds(seconds: float) -> int:
     """Return a time in whole milliseconds."""
     return round(seconds * MILLISECONDS_PER_SECOND)
--- a/briartack/operator_port.py
+++ b/briartack/operator_port.py
@@ -1,5 +1,6 @@
 """Serve health checks, status and metrics to operators and the platform."""
 
+import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final, Generic, Protocol, TypeAlias, TypeVar, final
@@ -19,8 +20,8 @@
 DescribeState: TypeAlias = Callable[[StateT], dict[str, object]]
 _JsonObject: TypeAlias = dict[str, object]
 _Answer: TypeAlias = tuple[str, str, bytes]
-# The arguments are the method, the path and the tenant of a call.
-ExplainCall: TypeAlias = Callable[[str, str, str], _JsonObject]
+# The arguments are the method, path, tenant and body size of a call.
+ExplainCall: TypeAlias = Callable[[str, str, str, int], _JsonObject]
 
 _JSON: Final = 'application/json'
 _PLAIN_TEXT: Final = 'text/plain; charset=utf-8'
@@ -28,6 +29,8 @@
 _NOT_READY: Final = '503 Service Unavailable'
 _NOT_FOUND: Final = '404 Not Found'
 _BAD_REQUEST: Final = '400 Bad Request'
+# A whole number of at most 15 digits, which covers every legal body.
+_BODY_BYTES: Final = re.compile('[0-9]{1,15}')
 
 
 @final
@@ -37,14 +40,14 @@
 
     `describe` returns the status, and `is_ready` whether the daemon takes
     work, which the platform asks each second. `explain` takes the state and
-    the method, path and tenant of a request, and explains how the request is
-    handled. `find_call` returns the call that an attempt in flight was made
-    for, if any. The others count what the reducer holds.
+    the method, path, tenant and body size of a request, and explains how the
+    request is handled. `find_call` returns the call that an attempt in
+    flight was made for, if any. The others count what the reducer holds.
     """
 
     describe: DescribeState[StateT]
     is_ready: Callable[[StateT], bool]
-    explain: Callable[[StateT, str, str, str], dict[str, object]]
+    explain: Callable[[StateT, str, str, str, int], dict[str, object]]
     count_calls: Callable[[StateT], int]
     count_attempts: Callable[[StateT], int]
     count_attempt_ids: Callable[[StateT], int]
@@ -141,10 +144,14 @@
 
     def _handle_explain(self, query: str) -> _Answer:
         call_fields = dict(parse_qsl(query))
+        size = call_fields.get('body_bytes', '0')
+        if not _BODY_BYTES.fullmatch(size):
+            return _refuse_query(f'body_bytes {size!r} is not a whole number')
         explanation = self._explain(
             call_fields.get('method', 'GET'),
             call_fields.get('path', '/'),
             call_fields.get('tenant', ''),
+            int(size),
         )
         return _OK, _JSON, msgspec.json.encode(explanation, enc_hook=str)
 
@@ -155,12 +162,7 @@
         except ValueError:
             fingerprint = b''
         if not fingerprint:
-            detail = f'fingerprint {text!r} is not hexadecimal'
-            return (
-                _BAD_REQUEST,
-                _JSON,
-                encode_refusal_body(MALFORMED_REQUEST, detail),
-            )
+            return _refuse_query(f'fingerprint {text!r} is not hexadecimal')
         self._clear_suspect(fingerprint)
         body = msgspec.json.encode({'fingerprint': fingerprint.hex()})
         return _OK, _JSON, body
@@ -170,5 +172,10 @@
         return _OK, _PLAIN_TEXT, '\n'.join(text_lines).encode()
 
 
+def _refuse_query(detail: str) -> _Answer:
+    body = encode_refusal_body(MALFORMED_REQUEST, detail)
+    return _BAD_REQUEST, _JSON, body
+
+
 def _handle_unknown_path(query: str) -> _Answer:
     return _NOT_FOUND, _JSON, encode_refusal_body(UNKNOWN_PATH, '')
--- a/briartack/test/test_cli.py
+++ b/briartack/test/test_cli.py
@@ -80,6 +80,13 @@
                 'is_own': False,
                 'is_connected': True,
                 'excluded': 'leaving',
+                'expected': {
+                    'total_ms': 90,
+                    'way_ms': 2,
+                    'wait_ms': 40,
+                    'body_ms': 0,
+                    'run_ms': 48,
+                },
             },
         ],
     },
@@ -198,9 +205,24 @@
         title, own, other = lines[-3:]
         self.assertIn('home_regions: costa, sierra', lines)
         for row, texts in (
-            (own, ('saldo-1', 'costa-1', 'own')),
-            (other, ('saldo-2', 'costa-2', 'yes', 'leaving')),
+            (own, ('saldo-1', 'costa-1', 'own', '-')),
+            (
+                other,
+                (
+                    'saldo-2',
+                    'costa-2',
+                    'yes',
+                    '90 (2, 40, 0, 48)',
+                    'leaving',
+                ),
+            ),
         ):
-            titles = ('ENDPOINT', 'DATA CENTRE', 'STREAM', 'EXCLUDED')
+            titles = (
+                'ENDPOINT',
+                'DATA CENTRE',
+                'STREAM',
+                'EXPECTED MS',
+                'EXCLUDED',
+            )
             for column, text in zip(titles, texts, strict=False):
                 self.assertTrue(row[title.index(column) :].startswith(text))
--- a/briartack/test/test_expected_times.py
+++ b/briartack/test/test_expected_times.py
@@ -116,6 +116,9 @@
         estimator = make_estimator(times, now, **given)
         seconds = estimator.compute_seconds(make_member('b'))
         self.assertAlmostEqual(seconds, expected)
+        parts = estimator.compute_parts(make_member('b'))
+        total = parts.way + parts.wait + parts.body + parts.run
+        self.assertAlmostEqual(total, expected)
 
     @params(('b', 0), ('c', 0.002), ('d', 0.024))
     def test_distance_costs_a_round_trip(self, name: str, cost: float) -> None:
@@ -127,6 +130,7 @@
         self.assertAlmostEqual(
             estimator.compute_seconds(make_member(name)), 0.05 + cost
         )
+        self.assertEqual(estimator.compute_parts(make_member(name)).way, cost)
 
     def test_old_news_count_as_typical(self) -> None:
         """Guard against an instance that is avoided for ever, or herded to."""
--- a/briartack/test/test_load_status.py
+++ b/briartack/test/test_load_status.py
@@ -4,8 +4,11 @@
 import unittest
 from typing import Any
 
+from nose2.tools import params
+
 from briartack.core import events
 from briartack.core.calls.call_rules import CallRules
+from briartack.core.explanation import explain
 from briartack.core.messages import Attempt
 from briartack.core.reducer import make_call_context
 from briartack.core.state import State
@@ -128,3 +131,97 @@
             },
         )
         self.assertEqual((described['slowdown'], described['wait_ms']), (0, 0))
+
+
+class ExplanationTest(unittest.TestCase):
+    # Each row: waits that the daemons of the own data centre and the far one
+    # state, the expected completion at these, and the outcome.
+    @params(
+        (
+            (0.1, 0),
+            (140, 64),
+            'm2 in the data centre, in 140 ms: the earlier of two; '
+            'calls stay there up to 250 of 500 ms',
+            ['m2'],
+        ),
+        (
+            (0.4, 0),
+            (440, 64),
+            'm1 in the fleet, in 64 ms: the data centre needs 440 ms, and '
+            'calls stay there up to 250 of 500 ms',
+            ['m1'],
+        ),
+        (
+            (0.4, 0.45),
+            (440, 514),
+            'm2 in the data centre, in 440 ms: calls stay there up to 250 of '
+            '500 ms, but no farther scope is earlier by more than its round '
+            'trip and in time',
+            ['m2'],
+        ),
+        (
+            (9, 9),
+            (9040, 9064),
+            'refused: no endpoint would complete by the deadline',
+            [],
+        ),
+    )
+    def test_explanation_states_times_and_reason(
+        self,
+        waits: tuple[float, float],
+        totals: tuple[int, int],
+        outcome: str,
+        chosen: list[str],
+    ) -> None:
+        """Guard against an explanation that differs from the choice."""
+        fleet = make_fleet()
+        state = fleet.states['m0']
+        state.calls.owner.upstream.health.mark_down()
+        near_wait, far_wait = waits
+        state_times(state, 'm2', wait_seconds=near_wait, run_seconds=0.04)
+        state_times(state, 'm1', wait_seconds=far_wait, run_seconds=0.04)
+        before = encode_choice_state(state)
+        explained: Any = explain(state, 'GET', '/main/x', '')
+        self.assertEqual(encode_choice_state(state), before)
+        self.assertEqual(explained['outcome'], outcome)
+        expected = {
+            one['instance']: one['expected']['total_ms']
+            for one in explained['endpoints']
+            if not one['excluded']
+        }
+        self.assertEqual((expected['m2'], expected['m1']), totals)
+        self.assertNotIn('m0', expected)
+        fleet.sent.clear()
+        fleet.call('m0', 'c1')
+        receivers = [
+            peer
+            for _, peer, message in fleet.sent
+            if isinstance(message, Attempt)
+        ]
+        self.assertEqual(receivers, chosen)
+
+    def test_body_that_needs_a_grant_has_its_part(self) -> None:
+        """Guard against an upload explained as if it had no body."""
+        state = make_fleet().states['m0']
+        state_times(state, 'm2', body_wait_seconds=0.2)
+        times = state.calls.sender.chooser.expected_times.get(SERVICE)
+        assert times is not None
+        times.ungranted_body_bytes = BODY_BYTES - 1
+        state.rules = CallRules(link_bytes_per_second=100_000)
+        for size, body_ms in ((0, 0), (BODY_BYTES, 280)):
+            explained: Any = explain(state, 'GET', '/main/x', '', size)
+            expected = {
+                one['instance']: one['expected']['body_ms']
+                for one in explained['endpoints']
+            }
+            self.assertEqual(expected['m2'], body_ms)
+            self.assertEqual(expected['m0'], 0)
+
+    def test_choice_by_load_has_no_times(self) -> None:
+        """Guard against times for a service whose owners state none."""
+        explained: Any = explain(
+            make_fleet().states['m0'], 'GET', '/main/x', ''
+        )
+        self.assertIn('the less loaded of two', explained['outcome'])
+        for endpoint in explained['endpoints']:
+            self.assertIsNone(endpoint['expected'])
--- a/briartack/test/test_operator_port.py
+++ b/briartack/test/test_operator_port.py
@@ -131,6 +131,15 @@
         unrouted = self.get_json('/explain?path=/svc-1/other/x')
         self.assertIn('no route matches', unrouted['outcome'])
 
+    @params(('0', 200), ('60000', 200), ('-1', 400), ('1.5', 400), ('x', 400))
+    def test_size_of_an_explained_body_is_checked(
+        self, size: str, status: int
+    ) -> None:
+        """Guard against a typing error that ends in another explanation."""
+        self.load_snapshot()
+        answer = self.get(f'/explain?path=/svc-1/write/x&body_bytes={size}')
+        self.assertEqual(answer.status, status)
+
     @params(
         ('POST', 'fingerprint=00ff', 200, [b'\x00\xff']),
         ('POST', 'fingerprint=x', 400, []),
