Copy the random generator without the copy module

test_core_imports failed: the core may not import copy. The explanation now restores the generator's state in one of its own and takes only is_away of the service, so the test passes unchanged.

--- a/briartack/core/choice_explanation.py
+++ b/briartack/core/choice_explanation.py
@@ -4,8 +4,8 @@
 generator and of what is known of the service.
 """
 
-from copy import copy
 from functools import partial
+from random import Random
 from typing import Final, final
 
 from briartack.core.calls.call_context import Member
@@ -17,6 +17,7 @@
     CompletionChooser,
 )
 from briartack.core.calls.routing import Scopes
+from briartack.core.calls.stated_times import ServiceTimes
 from briartack.core.configuration.resolved_snapshot import ResolvedRoute
 from briartack.core.reducer import make_call_context
 from briartack.core.service_status import round_milliseconds
@@ -97,14 +98,19 @@
         """
         if self._estimator is None or self._times is None:
             return None
+        random = Random(0)
+        random.setstate(self._context.random.getstate())
+        # The chooser reads and records here only whether calls go away.
+        times = ServiceTimes()
+        times.is_away = self._times.is_away
         chooser = CompletionChooser(
-            random=copy(self._context.random),
+            random=random,
             now=self._now,
             estimator=self._estimator,
             is_available=self._may_take,
             needs=self._needs,
         )
-        chosen = chooser.choose(self._scopes, copy(self._times))
+        chosen = chooser.choose(self._scopes, times)
         if chosen is None:
             return None
         if isinstance(chosen, SelectionFailure):
