Explain uploads in the order of their waits for grants

An explanation with a body size left out that owners which get the body soonest go first, so it could name another endpoint than the choice. It now uses the same order, and a test compares it with the attempt that is sent.

--- a/briartack/core/calls/body_arrivals.py
+++ b/briartack/core/calls/body_arrivals.py
@@ -37,7 +37,9 @@
     The time of a call without a target, or whose target has passed, is that to
     its deadline. A run that waits for the call fails only at the deadline.
     """
-    if not call.body_bytes or not _may_need_grant(call, scopes, endpoints):
+    if not call.body_bytes or not may_need_grant(
+        call.body_bytes, scopes, endpoints
+    ):
         return None
     deadline_seconds = call.deadline - now
     return AwaitedBody(
@@ -77,6 +79,18 @@
     return order_scopes(scopes, body, arrival_of)
 
 
+def may_need_grant(
+    body_bytes: int, scopes: Scopes, endpoints: EndpointsState
+) -> bool:
+    """Return whether any owner would have to grant a body of this size."""
+    for scope in scopes:
+        for member in scope:
+            endpoint = endpoints.get(member.instance)
+            if endpoint is not None and endpoint.needs_grant(body_bytes):
+                return True
+    return False
+
+
 def _estimate_arrival(
     endpoints: EndpointsState,
     now: float,
@@ -105,14 +119,3 @@
         transfer_seconds=body.size / rate,
         is_stated=endpoint.body_wait.is_stated_for(body.urgency, now),
     )
-
-
-def _may_need_grant(
-    call: Call, scopes: Scopes, endpoints: EndpointsState
-) -> bool:
-    for scope in scopes:
-        for member in scope:
-            endpoint = endpoints.get(member.instance)
-            if endpoint is not None and endpoint.needs_grant(call.body_bytes):
-                return True
-    return False
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -128,6 +128,16 @@
             return False
         return self._is_available(context, now, member, needs.limits, deadline)
 
+    def has_body_room(
+        self, now: float, needs: AttemptNeeds, member: Member, *, is_near: bool
+    ) -> bool:
+        """Return whether an instance has room for the body of an attempt."""
+        if needs.body_bytes < LARGE_BODY_BYTES:
+            return True
+        return self._takes_body(member, needs.body_bytes) and self._has_room(
+            now, member, needs.limits.slots, is_near=is_near
+        )
+
     def _choose_by_completion(
         self,
         context: CallContext,
@@ -250,7 +260,7 @@
                 body,
                 scopes,
                 load_of=partial(self._compute_untried_load, context, now, call),
-                has_room=partial(self._has_body_room, now, call),
+                has_room=partial(self.has_body_room, now, _collect_needs(call)),
             )
             if not scopes:
                 return SelectionFailure.NO_ROOM
@@ -295,15 +305,6 @@
             context, now, member, call.share.limits, call.deadline
         )
 
-    def _has_body_room(
-        self, now: float, call: Call, member: Member, *, is_near: bool
-    ) -> bool:
-        if call.body_bytes < LARGE_BODY_BYTES:
-            return True
-        return self._takes_body(member, call.body_bytes) and self._has_room(
-            now, member, call.share.limits.slots, is_near=is_near
-        )
-
     def _choose_isolated(
         self,
         context: CallContext,
--- a/briartack/core/choice_explanation.py
+++ b/briartack/core/choice_explanation.py
@@ -8,6 +8,8 @@
 from random import Random
 from typing import Final, final
 
+from briartack.core.calls.body_arrivals import may_need_grant, order_for_body
+from briartack.core.calls.body_waits import AwaitedBody
 from briartack.core.calls.call_context import Member
 from briartack.core.calls.choice_types import AttemptNeeds, SelectionFailure
 from briartack.core.calls.completion_choice import (
@@ -16,6 +18,7 @@
     RETURN_SHARE,
     CompletionChooser,
 )
+from briartack.core.calls.expected_times import CompletionEstimator
 from briartack.core.calls.routing import Scopes
 from briartack.core.calls.stated_times import ServiceTimes
 from briartack.core.configuration.resolved_snapshot import ResolvedRoute
@@ -42,6 +45,7 @@
         '_estimator',
         '_may_take',
         '_scopes',
+        '_ordered',
     )
 
     def __init__(
@@ -68,6 +72,18 @@
             self._needs,
             self._needs.deadline,
         )
+        self._ordered = scopes
+        if body_bytes and may_need_grant(
+            body_bytes, scopes, state.calls.endpoints
+        ):
+            self._ordered = order_for_body(
+                state.calls.endpoints,
+                self._now,
+                self._make_awaited_body(route),
+                scopes,
+                load_of=self._find_load,
+                has_room=partial(chooser.has_body_room, self._now, self._needs),
+            )
 
     def is_available(self, member: Member) -> bool:
         """Return whether an instance may get an attempt now."""
@@ -96,6 +112,8 @@
 
         Return `None` if the choice goes by load.
         """
+        if not self._ordered:
+            return 'refused: no endpoint would get the body in time'
         if self._estimator is None or self._times is None:
             return None
         random = Random(0)
@@ -110,20 +128,30 @@
             is_available=self._may_take,
             needs=self._needs,
         )
-        chosen = chooser.choose(self._scopes, times)
+        chosen = chooser.choose(self._ordered, times)
         if chosen is None:
             return None
         if isinstance(chosen, SelectionFailure):
             return 'refused: no endpoint would complete by the deadline'
-        seconds = self._estimator.compute_seconds(chosen)
-        scope = self._find_scope(chosen)
+        return self._describe_chosen(self._estimator, chosen)
+
+    def _describe_chosen(
+        self, estimator: CompletionEstimator, chosen: Member
+    ) -> str:
+        chosen_ms = round_milliseconds(estimator.compute_seconds(chosen))
+        home = self._find_home()
+        reason = self._describe_reason(estimator, chosen, home)
         return (
-            f'{chosen.instance} in the {SCOPE_NAMES[scope]},'
-            f' in {round_milliseconds(seconds)} ms: '
-            f'{self._describe_reason(scope, seconds)}'
+            f'{chosen.instance} in the {self._name_scope(chosen)}, '
+            f'in {chosen_ms} ms: {reason}'
         )
 
-    def _describe_reason(self, scope: int, seconds: float) -> str:
+    def _describe_reason(
+        self,
+        estimator: CompletionEstimator,
+        chosen: Member,
+        home: list[Member],
+    ) -> str:
         needs = self._needs
         left_seconds = min(needs.target_at, needs.deadline) - self._now
         share = KEPT_SHARE_LARGE if needs.is_large else KEPT_SHARE
@@ -133,41 +161,50 @@
             f'{round_milliseconds(left_seconds * share)} of '
             f'{round_milliseconds(left_seconds)} ms'
         )
-        home = self._find_home()
-        if scope != home:
-            home_ms = round_milliseconds(self._find_earliest(home))
+        if chosen not in home:
+            home_ms = round_milliseconds(
+                min(map(estimator.compute_seconds, home))
+            )
             return (
-                f'the {SCOPE_NAMES[home]} needs {home_ms} ms, and calls stay '
-                f'there up to {bound}'
+                f'the {self._name_scope(home[0])} needs {home_ms} ms, and '
+                f'calls stay there up to {bound}'
             )
-        if seconds <= left_seconds * share:
+        if estimator.compute_seconds(chosen) <= left_seconds * share:
             return f'the earlier of two; calls stay there up to {bound}'
         return (
             f'calls stay there up to {bound}, but no farther scope is earlier '
             'by more than its round trip and in time'
         )
 
-    def _find_scope(self, member: Member) -> int:
+    def _name_scope(self, member: Member) -> str:
+        """Return the name of the scope that holds an instance."""
         return next(
-            index for index, scope in enumerate(self._scopes) if member in scope
+            name
+            for name, scope in zip(SCOPE_NAMES, self._scopes, strict=True)
+            if member in scope
         )
 
-    def _find_home(self) -> int:
-        """Return the nearest scope with an instance that may be chosen."""
-        return next(
-            index
-            for index, scope in enumerate(self._scopes)
-            if any(map(self._may_take, scope))
+    def _find_home(self) -> list[Member]:
+        """Return the available instances of the first scope with any."""
+        available = (
+            list(filter(self._may_take, scope)) for scope in self._ordered
         )
+        return next(filter(None, available))
 
-    def _find_earliest(self, scope: int) -> float:
-        """Return the earliest completion in a scope."""
-        if self._estimator is None:
-            return float('inf')
-        return min(
-            self._estimator.compute_seconds(member)
-            for member in self._scopes[scope]
-            if self._may_take(member)
+    def _find_load(self, member: Member) -> float | None:
+        """Return 0 for an available instance: no load orders the uploads."""
+        return 0 if self._may_take(member) else None
+
+    def _make_awaited_body(self, route: ResolvedRoute) -> AwaitedBody:
+        needs = self._needs
+        deadline_seconds = needs.deadline - self._now
+        return AwaitedBody(
+            size=needs.body_bytes,
+            urgency=(True, route.policy.rank),
+            target_seconds=min(needs.target_at - self._now, deadline_seconds),
+            deadline_seconds=deadline_seconds,
+            link_rate=self._context.rules.link_bytes_per_second,
+            own_instance=self._context.identity.instance,
         )
 
 
--- a/briartack/test/test_load_status.py
+++ b/briartack/test/test_load_status.py
@@ -65,6 +65,13 @@
     )
 
 
+def list_receivers(fleet: TenantFleet) -> list[str]:
+    """Return the daemons to which attempts were sent, in order."""
+    return [
+        peer for _, peer, message in fleet.sent if isinstance(message, Attempt)
+    ]
+
+
 class StatusTest(unittest.TestCase):
     def test_status_shows_load_waits_and_room(self) -> None:
         """Guard against a status that hides which service lacks room."""
@@ -193,12 +200,7 @@
         self.assertNotIn('m0', expected)
         fleet.sent.clear()
         fleet.call('m0', 'c1')
-        receivers = [
-            peer
-            for _, peer, message in fleet.sent
-            if isinstance(message, Attempt)
-        ]
-        self.assertEqual(receivers, chosen)
+        self.assertEqual(list_receivers(fleet), chosen)
 
     def test_body_that_needs_a_grant_has_its_part(self) -> None:
         """Guard against an upload explained as if it had no body."""
@@ -217,6 +219,35 @@
             self.assertEqual(expected['m2'], body_ms)
             self.assertEqual(expected['m0'], 0)
 
+    # Each row: waits for a grant at the near and the far owner, and the choice.
+    @params(
+        (0, 0, ['m2']),
+        (0.45, 0, ['m1']),
+        (9, 9, []),
+    )
+    def test_upload_is_explained_as_it_is_chosen(
+        self, near_wait: float, far_wait: float, chosen: list[str]
+    ) -> None:
+        """Guard against an explanation that ignores the waits for grants."""
+        fleet = make_fleet()
+        state = fleet.states['m0']
+        state.calls.owner.upstream.health.mark_down()
+        for peer, wait in (('m2', near_wait), ('m1', far_wait)):
+            state_times(state, peer, body_wait_seconds=wait)
+            endpoint = state.calls.endpoints.get(InstanceId(peer))
+            assert endpoint is not None
+            endpoint.ungranted_body_bytes = BODY_BYTES - 1
+            endpoint.body_wait.record(wait, (True, 0), fleet.now)
+        before = encode_choice_state(state)
+        explained: Any = explain(state, 'GET', '/main/x', '', BODY_BYTES)
+        self.assertEqual(encode_choice_state(state), before)
+        expected = chosen[0] if chosen else 'refused: no endpoint would get'
+        self.assertTrue(explained['outcome'].startswith(expected), explained)
+        fleet.sent.clear()
+        fleet.call('m0', 'c1', body_bytes=BODY_BYTES)
+        fleet.read_body('m0', 'c1', BODY_BYTES)
+        self.assertEqual(list_receivers(fleet), chosen)
+
     def test_choice_by_load_has_no_times(self) -> None:
         """Guard against times for a service whose owners state none."""
         explained: Any = explain(
