--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -112,6 +112,32 @@
         dials = dial_nearest(context, now, scopes, self.endpoints)
         return SelectionFailure.NO_ENDPOINT if dials is None else dials
 
+    def may_take(
+        self,
+        context: CallContext,
+        now: float,
+        needs: AttemptNeeds,
+        deadline: float,
+        member: Member,
+    ) -> bool:
+        """Return whether an instance may get an attempt and its body now."""
+        if needs.body_bytes >= LARGE_BODY_BYTES and not (
+            self._has_memory(now, member)
+            and self._takes_body(member, needs.body_bytes)
+        ):
+            return False
+        return self._is_available(context, now, member, needs.limits, deadline)
+
+    def has_body_room(
+        self, now: float, needs: AttemptNeeds, member: Member, *, is_near: bool
+    ) -> bool:
+        """Return whether an instance has room for the body of an attempt."""
+        if needs.body_bytes < LARGE_BODY_BYTES:
+            return True
+        return self._takes_body(member, needs.body_bytes) and self._has_room(
+            now, member, needs.limits.slots, is_near=is_near
+        )
+
     def _choose_by_completion(
         self,
         context: CallContext,
@@ -131,23 +157,11 @@
         estimator = self.expected_times.prepare(context, now, needs)
         if estimator is None:
             return None
-        is_large_body = needs.body_bytes >= LARGE_BODY_BYTES
-
-        def is_available(member: Member) -> bool:  # noqa: WPS430
-            if is_large_body and not (
-                self._has_memory(now, member)
-                and self._takes_body(member, needs.body_bytes)
-            ):
-                return False
-            return self._is_available(
-                context, now, member, needs.limits, deadline
-            )
-
         chooser = CompletionChooser(
             random=context.random,
             now=now,
             estimator=estimator,
-            is_available=is_available,
+            is_available=partial(self.may_take, context, now, needs, deadline),
             needs=needs,
         )
         return chooser.choose(scopes, times)
@@ -246,7 +260,7 @@
                 body,
                 scopes,
                 load_of=partial(self._compute_untried_load, context, now, call),
-                has_room=partial(self._has_body_room, now, call),
+                has_room=partial(self.has_body_room, now, _collect_needs(call)),
             )
             if not scopes:
                 return SelectionFailure.NO_ROOM
@@ -291,15 +305,6 @@
             context, now, member, call.share.limits, call.deadline
         )
 
-    def _has_body_room(
-        self, now: float, call: Call, member: Member, *, is_near: bool
-    ) -> bool:
-        if call.body_bytes < LARGE_BODY_BYTES:
-            return True
-        return self._takes_body(member, call.body_bytes) and self._has_room(
-            now, member, call.share.limits.slots, is_near=is_near
-        )
-
     def _choose_isolated(
         self,
         context: CallContext,
