Grant tokens to daemons that still limit a tenant without a cap

Cause: while a version that removes a cap is in force at the holder and not yet at another daemon, the holder answers that daemon's request with a bucket of rate 0. The wait for the next token was then a division by zero, so the request stayed without an answer, each one was logged as reducer-failed, and the calls waited 0.1 s and fell back to the share without a holder. Change: a holder whose version has no cap grants all tokens that are asked for. Result: test_removed_cap_is_granted_to_daemons_with_the_former failed with ZeroDivisionError and passes.

--- a/briartack/core/tenants/cap_holder.py
+++ b/briartack/core/tenants/cap_holder.py
@@ -79,7 +79,14 @@
             tokens=0,
             is_holder=is_held,
         )
-        if tenant is not None and is_held:
+        if tenant is not None and is_held and not tenant.has_cap:
+            # The asking daemon has a version that still limits the tenant.
+            granted = CapGrant(
+                tenant=asked.tenant,
+                number=asked.number,
+                tokens=asked.needed + asked.ahead,
+            )
+        elif tenant is not None and is_held:
             bucket = self.find_bucket(context, now, tenant)
             bucket.give_back(now, asked.returned)
             taken = bucket.take(now, asked.needed, asked.ahead)
