End refusals of a tenant soon after its cap is raised

Cause: a daemon refused a tenant with 429 for the whole time that the holder had named, which is 50 s for a rate of 0.02, whatever cap came into force meanwhile. The bucket at the holder took over a new rate at its next use only, and had filled at the former rate until then. Change: a daemon asks the holder again after 1 s, or at the first call under another cap; Retry-After still follows the time that the holder named. Each tick applies the caps in force to the buckets. Result: test_raised_cap_ends_refusals failed with 429 and passes, as do test_tenants_caps and test_tenants_histories.

--- a/briartack/core/tenants/cap_holder.py
+++ b/briartack/core/tenants/cap_holder.py
@@ -114,15 +114,20 @@
             if self.is_held_here(context, name)
         }
 
-    def drop_unknown(self, context: CallContext, now: float) -> None:
-        """Forget the buckets of former tenants.
+    def apply_caps(self, context: CallContext, now: float) -> None:
+        """Let the caps in force bind, and forget buckets of former tenants.
 
-        One that is not full is kept, or a tenant that is defined again would
-        get a whole burst.
+        Otherwise a bucket would fill at the former rate until its next use, and
+        refuse calls below a raised cap. A bucket of a former tenant that is not
+        full is kept, or a tenant that is defined again would get a whole burst.
         """
         for name, bucket in tuple(self._buckets.items()):
-            if find_tenant(context, name) is None and bucket.is_full(now):
-                self._buckets.pop(name)
+            tenant = find_tenant(context, name)
+            if tenant is None:
+                if bucket.is_full(now):
+                    self._buckets.pop(name)
+            elif tenant.has_cap:
+                bucket.set_cap(now, tenant)
 
 
 def find_tenant(context: CallContext, name: str) -> ResolvedTenant | None:
--- a/briartack/core/tenants/cap_lease.py
+++ b/briartack/core/tenants/cap_lease.py
@@ -16,6 +16,9 @@
 # After that time without an answer, calls do not wait for the holder for this
 # time, so that a frozen holder costs few calls the wait.
 SILENCE_SECONDS: Final = 0.5
+# A daemon asks the holder again after that time. The wait that the holder named
+# may be as long as 1 / rate, and the cap may be raised meanwhile.
+MAX_BLOCK_SECONDS: Final = 1.0
 
 
 @final
@@ -23,17 +26,20 @@
     """Hold the tokens, the open requests and the waiting calls of a tenant.
 
     `waiting` holds the calls in their order. Calls are refused before
-    `blocked_until`, and do not wait for the holder before `silent_until`.
+    `blocked_until`, and do not wait for the holder before `silent_until`. The
+    holder has room at `room_at`.
     `returned` counts the tokens that expired unused.
     """
 
     __slots__ = (
         'waiting',
         'blocked_until',
+        'room_at',
         'silent_until',
         'returned',
         'fallback',
         'used_at',
+        '_cap',
         '_stock',
         '_uses',
         '_requests',
@@ -44,10 +50,12 @@
     def __init__(self) -> None:
         self.waiting: dict[CallId, None] = {}
         self.blocked_until = float('-inf')
+        self.room_at = float('-inf')
         self.silent_until = float('-inf')
         self.returned = 0
         self.fallback = FallbackWindow()
         self.used_at = float('-inf')
+        self._cap: tuple[float, float] | None = None
         self._stock: deque[tuple[float, int]] = deque()
         self._uses: deque[float] = deque()
         self._requests: dict[int, float] = {}
@@ -89,6 +97,17 @@
         """Forget the requests to a holder that will not answer."""
         self._requests.clear()
 
+    def block(self, now: float, wait_seconds: float) -> None:
+        """Refuse calls until the holder is asked again."""
+        self.room_at = now + wait_seconds
+        self.blocked_until = now + min(wait_seconds, MAX_BLOCK_SECONDS)
+
+    def apply_cap(self, now: float, cap: tuple[float, float]) -> None:
+        """Record the rate and the burst; others than before end a block."""
+        if cap != self._cap:
+            self._cap = cap
+            self.blocked_until = min(self.blocked_until, now)
+
     def add(self, now: float, expires_at: float, count: int) -> None:
         """Add tokens unless they have expired."""
         if count and now < expires_at:
--- a/briartack/core/tenants/caps.py
+++ b/briartack/core/tenants/caps.py
@@ -154,12 +154,13 @@
         """
         lease = self._leases.setdefault(tenant.name, CapLease())
         lease.used_at = now
+        lease.apply_cap(now, (tenant.calls_per_second, tenant.burst))
         expires_at = lease.take(now)
         if expires_at is not None:
             lease.record_use(now)
             return Token(expires_at=expires_at)
         if now < lease.blocked_until:
-            return BeyondCap(wait_seconds=lease.blocked_until - now)
+            return BeyondCap(wait_seconds=lease.room_at - now)
         if self._held.is_held_here(context, tenant.name):
             bucket = self._held.find_bucket(context, now, tenant)
             granted = bucket.take(now, needed=1, ahead=0)
@@ -223,7 +224,7 @@
             decision = Token(expires_at=expires_at)
             settled.decisions.append((call_id, decision))
         if grant.wait_seconds > 0:
-            lease.blocked_until = now + grant.wait_seconds
+            lease.block(now, grant.wait_seconds)
             refused = BeyondCap(wait_seconds=grant.wait_seconds)
             settled.decisions.extend((one, refused) for one in lease.waiting)
             lease.waiting.clear()
@@ -303,7 +304,7 @@
             is_idle = now - lease.used_at > IDLE_SECONDS
             if is_idle and not lease.waiting and now > lease.blocked_until:
                 self._leases.pop(name)
-        self._held.drop_unknown(context, now)
+        self._held.apply_caps(context, now)
         self.counters.name_largest(now)
         return effects
 
--- a/briartack/test/test_review_tenants.py
+++ b/briartack/test/test_review_tenants.py
@@ -10,7 +10,8 @@
 
 def find_daemons(fleet: TenantFleet) -> tuple[str, str]:
     """Return the holder of the tenant and another daemon."""
-    held_by = fleet.states['m0'].calls.caps._holders.find('op/t')
+    caps = fleet.states['m0'].calls.caps
+    held_by = caps._holders.find('op/t')
     assert held_by is not None
     holder = str(held_by.instance)
     return holder, next(name for name in ALL if name != holder)
@@ -34,3 +35,23 @@
             fleet.call(caller, f'c{number}', key='k')
         fleet.run_until(fleet.now + 1)
         self.assertEqual(fleet.count_answers(200), 50)
+
+    def test_raised_cap_ends_refusals(self) -> None:
+        """Guard against refusals below a cap, for the wait of a lower one."""
+        fleet = start_fleet(0.02, 1)
+        _, caller = find_daemons(fleet)
+        fleet.run_until(fleet.now + 60)
+        for number in range(3):
+            fleet.call(caller, f'c{number}', key='k')
+        fleet.run_until(fleet.now + 0.5)
+        self.assertEqual(fleet.count_answers(429), 2)
+        # The holder names the wait of the former cap until it has the version.
+        raised = tenant('t', 'k', rate_per_s=20, burst=20)
+        fleet.publish(raised, to=(caller,))
+        fleet.call(caller, 'early', key='k')
+        fleet.run_until(fleet.now + 0.2)
+        fleet.publish(raised)
+        fleet.run_until(fleet.now + 2)
+        fleet.call(caller, 'late', key='k')
+        fleet.run_until(fleet.now + 0.5)
+        self.assertEqual(fleet.answers['late'].status, 200)
