Answer a repeat beyond the cap that may have run with 502

Cause: a call with an idempotency key may repeat a request that has run, so its refusal has the verdict unknown. Status 503 became 502 then, but 429 stayed, which guarantees that the request has not run. Change: 502 replaces 429 as it replaces 503. Result: test_repeat_beyond_the_cap_is_not_said_to_have_not_run failed with 429 and passes.

--- a/briartack/core/calls/call_checks.py
+++ b/briartack/core/calls/call_checks.py
@@ -44,6 +44,9 @@
 RETRY_AFTER_TARGET_RATIO: Final = 0.25
 RETRY_AFTER_JITTER_RATIO: Final = 0.5
 DEFAULT_TARGET_MS: Final = 1000
+_NOT_RUN_STATUSES: Final = frozenset(
+    (reasons.TOO_MANY_REQUESTS, reasons.UNAVAILABLE)
+)
 # Matches dot segments, empty segments, and percent-encoded slashes, backslashes
 # or characters that need no encoding. If only the upstream normalised such a
 # path, it could bypass the route that restricts it to home regions.
@@ -63,11 +66,11 @@
 ) -> AnswerCall:
     """Build the answer to a call that no upstream answered.
 
-    Status 503 guarantees that the request has not run, so 502 replaces it for
-    every other verdict.
+    Statuses 429 and 503 guarantee that the request has not run, so 502 replaces
+    them for every other verdict.
     """
     status = reason.status
-    if verdict is not Verdict.NOT_RUN and status == reasons.UNAVAILABLE:
+    if verdict is not Verdict.NOT_RUN and status in _NOT_RUN_STATUSES:
         status = reasons.BAD_GATEWAY
     return AnswerCall(
         call_id=call_id,
--- a/briartack/test/test_review_tenants.py
+++ b/briartack/test/test_review_tenants.py
@@ -3,6 +3,9 @@
 import unittest
 from typing import Final
 
+from briartack.core import events
+from briartack.core.units import CallId
+from briartack.credentials import digest_key
 from briartack.test.tenant_fleet import TenantFleet, tenant
 
 ALL: Final = ('m0', 'm1')
@@ -25,6 +28,24 @@
     return fleet
 
 
+def call_with_idempotency_key(
+    fleet: TenantFleet, name: str, call_id: str, deadline_ms: float
+) -> None:
+    """Make a call that may repeat one that has run."""
+    arrived = events.CallArrived(
+        now=fleet.now,
+        call_id=CallId(call_id),
+        method='GET',
+        target='/main/x',
+        headers=(),
+        key_digest=digest_key(b'k'),
+        idempotency_key='repeated',
+        body_bytes=0,
+        deadline_ms=deadline_ms,
+    )
+    fleet.apply(name, arrived)
+
+
 class ChangedCapTest(unittest.TestCase):
     def test_removed_cap_is_granted_to_daemons_with_the_former(self) -> None:
         """Guard against an error at a holder whose version has no cap."""
@@ -55,3 +76,17 @@
         fleet.call(caller, 'late', key='k')
         fleet.run_until(fleet.now + 0.5)
         self.assertEqual(fleet.answers['late'].status, 200)
+
+
+class IdempotencyKeyTest(unittest.TestCase):
+    def test_repeat_beyond_the_cap_is_not_said_to_have_not_run(self) -> None:
+        """Guard against a 429 for a request that may have run before."""
+        fleet = start_fleet(1, 1)
+        holder, _ = find_daemons(fleet)
+        fleet.call(holder, 'first', key='k')
+        call_with_idempotency_key(fleet, holder, 'repeat', 1000)
+        fleet.run_until(fleet.now + 0.5)
+        answer = fleet.answers['repeat']
+        self.assertEqual(answer.reason, 'beyond-cap')
+        self.assertEqual(answer.verdict.value, 'unknown')
+        self.assertEqual(answer.status, 502)
