End the wait for a token of a refused call with an idempotency key

Cause: a refusal released the wait for a token, and an unused token, only with the verdict not-run. A call with an idempotency key has the verdict unknown also before its first attempt, so one that reached its deadline while it waited stayed in the lease for good and took a token of a later grant. Change: a call without an attempt releases both, whatever its verdict. Result: test_ended_call_waits_for_no_token failed and passes.

--- a/briartack/core/calls/call_responses.py
+++ b/briartack/core/calls/call_responses.py
@@ -105,8 +105,12 @@
         has_key = bool(call.event.idempotency_key)
         if call.may_have_run or (has_key and not is_from_owner):
             verdict = Verdict.UNKNOWN
-        if verdict is Verdict.NOT_RUN:
+        # The verdict on a key says nothing about this call, which has not run
+        # before its first attempt.
+        is_unsent = not (call.attempts or call.may_have_run)
+        if is_unsent or verdict is Verdict.NOT_RUN:
             self.release_token(now, call)
+        if verdict is Verdict.NOT_RUN:
             self._caller_clocks.record_refusal(now, call.route.name)
         if retry_after_seconds is None and reason is reasons.OVERLOAD:
             retry_after_seconds = self._return_times.draw_seconds(
--- a/briartack/test/test_review_tenants.py
+++ b/briartack/test/test_review_tenants.py
@@ -90,3 +90,14 @@
         self.assertEqual(answer.reason, 'beyond-cap')
         self.assertEqual(answer.verdict.value, 'unknown')
         self.assertEqual(answer.status, 502)
+
+    def test_ended_call_waits_for_no_token(self) -> None:
+        """Guard against tokens for calls that ended while they waited."""
+        fleet = start_fleet(20, 20)
+        holder, caller = find_daemons(fleet)
+        fleet.frozen.add(holder)
+        call_with_idempotency_key(fleet, caller, 'c', 30)
+        fleet.run_until(fleet.now + 0.5)
+        self.assertIn('c', fleet.answers)
+        leases = fleet.states[caller].calls.caps.leases
+        self.assertEqual([len(lease.waiting) for lease in leases], [0])
