Keep a run known after another run with the same request id

Cause: the end of a run removed its request id from the running ones, also if a later run had the same id. Calls of the later run were then refused with 503 (unknown-run) where callers need API keys. Change: the id is removed with the run that it names. Result: test_run_is_known_after_another_of_the_same_id failed with 503 and passes.

--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -81,7 +81,10 @@
         """Remove and return an attempt, or return `None` if it is unknown."""
         record = self._attempts.pop(attempt_id, None)
         if record is not None and record.phase is OwnedPhase.RUNNING:
-            self._running.pop(record.attempt.request_id, None)
+            request_id = record.attempt.request_id
+            # A caller may have repeated the id while its request ran.
+            if self._running.get(request_id) is record.attempt:
+                self._running.pop(request_id)
             self._upstream.run_bound.end(attempt_id, now)
         if record is not None and record.attempt.awaits_grant:
             self._grants.end(attempt_id)
--- a/briartack/test/test_review_tenants.py
+++ b/briartack/test/test_review_tenants.py
@@ -101,3 +101,19 @@
         self.assertIn('c', fleet.answers)
         leases = fleet.states[caller].calls.caps.leases
         self.assertEqual([len(lease.waiting) for lease in leases], [0])
+
+
+class CallOfRunTest(unittest.TestCase):
+    def test_run_is_known_after_another_of_the_same_id(self) -> None:
+        """Guard against a refused call of a run whose id another run had."""
+        fleet = TenantFleet(resources=(tenant('t', 'k'),))
+        fleet.run_until(fleet.now + 1)
+        fleet.run_seconds = 0.3
+        fleet.call('m0', 'first', key='k', request_id='r')
+        fleet.run_until(fleet.now + 0.2)
+        fleet.call('m0', 'second', key='k', request_id='r')
+        fleet.run_until(fleet.now + 0.2)
+        self.assertEqual(set(fleet.answers), {'first'})
+        fleet.call('m0', 'nested', request_id='r.1')
+        fleet.run_until(fleet.now + 0.5)
+        self.assertEqual(fleet.answers['nested'].status, 200)
