Let calls with slow bodies count towards the cap in force

Cause: a call whose body took longer than its token got the next one under the cap that it found at its arrival. After a cap was lowered, each such call put the former rate back into the holder's bucket: 101 runs in 5 s, where the bound was 35. After a cap was removed, such calls were refused with 429, and calls that waited for a holder with 503. Change: the token phase takes the tenant from the configuration in force.

--- a/briartack/core/calls/token_phase.py
+++ b/briartack/core/calls/token_phase.py
@@ -11,6 +11,7 @@
 from briartack.core.calls.streams import dial_if_needed
 from briartack.core.effects import Effects, WakeAt
 from briartack.core.messages import CapGrant, CapRequest, Hello
+from briartack.core.tenants.cap_holder import find_tenant
 from briartack.core.tenants.cap_lease import TOKEN_WAIT_SECONDS
 from briartack.core.tenants.caps import (
     AwaitHolder,
@@ -20,6 +21,7 @@
     Token,
     TokenDecision,
 )
+from briartack.core.tenants.tenant_table import ResolvedTenant
 from briartack.core.units import InstanceId
 from briartack.core.verdict import Verdict
 
@@ -79,11 +81,10 @@
 
     def give_up(self, context: CallContext, now: float, call: Call) -> Effects:
         """Decide about a call that got no answer of the holder in time."""
-        assert call.origin.tenant is not None
+        tenant = _find_tenant_in_force(context, call)
+        assert tenant is not None
         self._refresh(context, now)
-        decision = self._caps.give_up(
-            context, now, call.origin.tenant, call.event.call_id
-        )
+        decision = self._caps.give_up(context, now, tenant, call.event.call_id)
         return self._apply(context, now, call, decision)
 
     def handle_request(
@@ -133,9 +134,11 @@
         self._caps.refresh(context, now, is_leaving=self._drain.is_leaving)
 
     def _acquire(self, context: CallContext, now: float, call: Call) -> Effects:
-        tenant = call.origin.tenant
+        tenant = _find_tenant_in_force(context, call)
         if tenant is None or not call.origin.counts_towards_cap:
             return []
+        if not tenant.has_cap:
+            return []
         self._refresh(context, now)
         decision = self._caps.acquire(context, now, tenant, call.event.call_id)
         effects: Effects = []
@@ -211,3 +214,17 @@
             ),
         )
         return [self._caps.counters.count_refused(tenant), *refused]
+
+
+def _find_tenant_in_force(
+    context: CallContext, call: Call
+) -> ResolvedTenant | None:
+    """Return the tenant of a call with its present cap.
+
+    The cap may have changed while the body of the call arrived. A tenant that
+    has been removed is returned as the call found it.
+    """
+    tenant = call.origin.tenant
+    if tenant is None:
+        return None
+    return find_tenant(context, tenant.name) or tenant
--- a/briartack/core/tenants/caps.py
+++ b/briartack/core/tenants/caps.py
@@ -243,6 +243,9 @@
         lease = self._leases.setdefault(tenant.name, CapLease())
         lease.waiting.pop(call_id, None)
         lease.silent_until = now + SILENCE_SECONDS
+        if not tenant.has_cap:
+            # A version without the cap came into force during the wait.
+            return Token(expires_at=now + LEASE_SECONDS)
         return self._admit_alone(context, now, tenant, lease)
 
     def release(
--- a/briartack/test/test_review_tenants.py
+++ b/briartack/test/test_review_tenants.py
@@ -77,6 +77,56 @@
         fleet.run_until(fleet.now + 0.5)
         self.assertEqual(fleet.answers['late'].status, 200)
 
+    def test_lowered_cap_binds_for_slow_bodies(self) -> None:
+        """Guard against a bucket that fills by the cap of earlier calls."""
+        fleet = TenantFleet(
+            resources=(tenant('t', 'k', rate_per_s=200, burst=400),)
+        )
+        fleet.run_until(fleet.now + 4)
+        ids = [f'c{number}' for number in range(200)]
+        for call_id in ids:
+            fleet.call('m0', call_id, key='k', path='/slow/x', body_bytes=9)
+        fleet.publish(tenant('t', 'k', rate_per_s=2, burst=2))
+        fleet.run_until(fleet.now + 1)
+        lowered_at = fleet.now
+        for call_id in ids:
+            fleet.read_body('m0', call_id, 9)
+            fleet.run_until(fleet.now + 0.05)
+        bound = (2 * 5 + 2) * 1.25 + 20
+        self.assertEqual(fleet.list_excesses('t', bound, lowered_at), [])
+        self.assertGreater(fleet.count_answers(200), 9)
+
+    def test_removed_cap_refuses_no_slow_body(self) -> None:
+        """Guard against a refusal by a cap that is no longer in force."""
+        fleet = TenantFleet(
+            resources=(tenant('t', 'k', rate_per_s=1, burst=20),)
+        )
+        fleet.run_until(fleet.now + 25)
+        ids = [f'c{number}' for number in range(15)]
+        for call_id in ids:
+            fleet.call('m0', call_id, key='k', path='/slow/x', body_bytes=9)
+        fleet.publish(tenant('t', 'k'))
+        fleet.run_until(fleet.now + 1)
+        for call_id in ids:
+            fleet.read_body('m0', call_id, 9)
+        fleet.run_until(fleet.now + 1)
+        self.assertEqual(fleet.count_answers(200), len(ids))
+
+    def test_removed_cap_refuses_no_waiting_call(self) -> None:
+        """Guard against a refusal by a cap that went during the wait."""
+        fleet = start_fleet(1, 0)
+        holder, caller = find_daemons(fleet)
+        fleet.frozen.add(holder)
+        for number in range(9):
+            fleet.call(caller, f'c{number}', key='k')
+        fleet.publish(tenant('t', 'k'), to=(caller,))
+        fleet.run_until(fleet.now + 0.05)
+        self.assertEqual(len(fleet.answers), 0)
+        fleet.run_until(fleet.now + 0.5)
+        reasons = {answer.reason for answer in fleet.answers.values()}
+        self.assertEqual(len(fleet.answers), 9)
+        self.assertNotIn('no-cap-holder', reasons)
+
 
 class IdempotencyKeyTest(unittest.TestCase):
     def test_repeat_beyond_the_cap_is_not_said_to_have_not_run(self) -> None:
