Share repeated computations of the call path

The expected completion and its parts, the two estimates of a run time, the check whether typical values decide on a call, the check for body room and the urgency of a call's body were each written twice. Each is now written once, and an estimate of a run time computes the slowdown once instead of twice.

Behaviour is unchanged, except that terms of the expected completion are added in another order, which can change the last bit of the sum.

--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -159,8 +159,7 @@
         """Record how long bodies as urgent as the call's wait at a peer."""
         endpoint = self._endpoints.get(peer)
         if endpoint is not None:
-            urgency = (not call.is_from_local_run, call.rank)
-            endpoint.body_wait.record(seconds, urgency, now)
+            endpoint.body_wait.record(seconds, call.urgency, now)
 
     def apply_refusal(
         self, call: Call, peer: InstanceId, reason: Reason, now: float
--- a/briartack/core/calls/body_arrivals.py
+++ b/briartack/core/calls/body_arrivals.py
@@ -44,7 +44,7 @@
     deadline_seconds = call.deadline - now
     return AwaitedBody(
         size=call.body_bytes,
-        urgency=(not call.is_from_local_run, call.rank),
+        urgency=call.urgency,
         target_seconds=min(call.target_at - now, deadline_seconds),
         deadline_seconds=deadline_seconds,
         link_rate=context.rules.link_bytes_per_second,
--- a/briartack/core/calls/call_table.py
+++ b/briartack/core/calls/call_table.py
@@ -76,6 +76,11 @@
     # Time at the caller since its first try; `None` if unknown.
     elapsed_seconds: float | None = None
 
+    @property
+    def urgency(self) -> tuple[bool, int]:
+        """Return the order of the call's body among those of other calls."""
+        return not self.is_from_local_run, self.rank
+
     @property
     def body_id(self) -> BodyId:
         """Return the id of the request body."""
--- a/briartack/core/calls/endpoint_choice.py
+++ b/briartack/core/calls/endpoint_choice.py
@@ -189,13 +189,10 @@
         )
 
         def load_of(member: Member) -> float | None:  # noqa: WPS430
-            lacks_room = needs_room and not (
-                self._takes_body(member, needs.body_bytes)
-                and self._has_room(
-                    now, member, limits.slots, is_near=member in nearest
-                )
+            has_room = self.has_body_room(
+                now, needs, member, is_near=member in nearest
             )
-            return None if lacks_room else usable_load_of(member)
+            return usable_load_of(member) if has_room else None
 
         def untried_load_of(member: Member) -> float | None:  # noqa: WPS430
             return (
--- a/briartack/core/calls/expected_times.py
+++ b/briartack/core/calls/expected_times.py
@@ -129,32 +129,19 @@
         """Return when the attempt would complete at an instance."""
         stated = self._find_news(member)
         run_seconds = self._compute_run_seconds(stated)
-        seconds = self._compute_wait_seconds(member, stated) + run_seconds
-        # Others send there too: the fuller an instance was, the less likely is
-        # a slot that is still free when the attempt arrives.
-        load = self._typical.load if stated is None else stated.load
-        if load < 1:
-            seconds += load * self._find_mean_run_seconds(stated)
-        if member.instance == self._identity.instance:
-            return seconds
-        if member.data_centre != self._identity.data_centre:
-            seconds += self.get_round_trip(member)
-        if self._body_seconds is None:
+        seconds = self._compute_likely_wait(member, stated) + run_seconds
+        seconds += self.get_round_trip(member)
+        if not self._needs_grant(member):
             return seconds
         return seconds + self._compute_body_seconds(stated)
 
     def compute_parts(self, member: Member) -> ExpectedParts:
         """Return the parts of what `compute_seconds` returns."""
         stated = self._find_news(member)
-        wait = self._compute_wait_seconds(member, stated)
-        load = self._typical.load if stated is None else stated.load
-        if load < 1:
-            wait += load * self._find_mean_run_seconds(stated)
-        is_own = member.instance == self._identity.instance
-        is_granted = self._body_seconds is not None and not is_own
+        is_granted = self._needs_grant(member)
         return ExpectedParts(
             way=self.get_round_trip(member),
-            wait=wait,
+            wait=self._compute_likely_wait(member, stated),
             body=self._compute_body_seconds(stated) if is_granted else 0,
             run=self._compute_run_seconds(stated),
         )
@@ -191,6 +178,24 @@
             return self._typical.run_seconds
         return stated.run_seconds or self._typical.run_seconds
 
+    def _needs_grant(self, member: Member) -> bool:
+        is_own = member.instance == self._identity.instance
+        return self._body_seconds is not None and not is_own
+
+    def _compute_likely_wait(
+        self, member: Member, stated: StatedTimes | None
+    ) -> float:
+        """Return the wait, with that behind the attempts of other senders.
+
+        The fuller an instance was, the less likely is a slot that is still
+        free when the attempt arrives.
+        """
+        wait = self._compute_wait_seconds(member, stated)
+        load = self._typical.load if stated is None else stated.load
+        if load < 1:
+            wait += load * self._find_mean_run_seconds(stated)
+        return wait
+
     def _compute_wait_seconds(
         self, member: Member, stated: StatedTimes | None
     ) -> float:
@@ -275,12 +280,12 @@
     ) -> CompletionEstimator | None:
         """Return what `prepare` would return, without storing anything."""
         times = self._services.get(needs.service)
-        typical = None if times is None else times.peek_typical(now)
-        if times is None or typical is None:
+        if times is None:
             return None
-        if typical.slowdown or times.is_granted(needs.body_bytes):
-            return self._build(context, now, needs, times, typical)
-        return None
+        typical = times.peek_typical(now)
+        if typical is None or not times.decides(typical, needs.body_bytes):
+            return None
+        return self._build(context, now, needs, times, typical)
 
     def record_hello(self, hello: Hello, dial_seconds: float | None) -> None:
         """Record which bodies a peer grants, and the round trip to it.
--- a/briartack/core/calls/service_times.py
+++ b/briartack/core/calls/service_times.py
@@ -184,11 +184,9 @@
         bounded by the longest run known.
         """
         work = self._routes.get(route)
-        if work is None or not self.is_usable(now):
+        if work is None:
             return long_run_mean
-        return min(
-            work.mean_seconds * self.slowdown(now), self._longest_seconds
-        )
+        return self._apply_slowdown(now, work.mean_seconds, long_run_mean)
 
     def likely_run_seconds(
         self, now: float, route: str, long_run_mean: float
@@ -199,8 +197,14 @@
         their target. The long-run mean counts if too little is known.
         """
         work = self._routes.get(route)
-        if work is None or not self.is_usable(now):
+        if work is None:
             return long_run_mean
-        return min(
-            work.likely_seconds * self.slowdown(now), self._longest_seconds
-        )
+        return self._apply_slowdown(now, work.likely_seconds, long_run_mean)
+
+    def _apply_slowdown(
+        self, now: float, work_seconds: float, long_run_mean: float
+    ) -> float:
+        slowdown = self.slowdown(now)
+        if not self.has_enough_runs or slowdown <= 0:
+            return long_run_mean
+        return min(work_seconds * slowdown, self._longest_seconds)
--- a/briartack/core/calls/stated_times.py
+++ b/briartack/core/calls/stated_times.py
@@ -176,14 +176,18 @@
     def find_typical_for(
         self, now: float, body_bytes: int
     ) -> TypicalStatement | None:
-        """Return the typical values if they decide on a call.
+        """Return the typical values if they decide on a call."""
+        typical = self.find_typical(now)
+        if typical is None or not self.decides(typical, body_bytes):
+            return None
+        return typical
+
+    def decides(self, typical: TypicalStatement, body_bytes: int) -> bool:
+        """Return whether typical values decide on a call.
 
         They do if instances state a slowdown, or if the body needs a grant.
         """
-        typical = self.find_typical(now)
-        if typical is None or typical.slowdown or self.is_granted(body_bytes):
-            return typical
-        return None
+        return typical.slowdown > 0 or self.is_granted(body_bytes)
 
     def is_granted(self, body_bytes: int) -> bool:
         """Return whether a body of this size probably needs a grant."""
