Bound what waits unread at the ports of operators and peers

A client that opens 1,000 connections to the port of operators or of peers and sends on each fills 128 MB while the daemon stands still, and the platform, which counts these bytes, kills the daemon with all requests that it holds.

Cause: only the port of callers set a receive buffer. The other listeners gave each connection the system's default of 128 KB, also before it was accepted, and up to 1,024 wait there.

Why this works: connections inherit the buffer of the listener, and 4 KB hold at most 6 KB. Operators send heads of a few hundred bytes.

Ruled out: a shorter queue, which makes connections of peers that start at the same moment wait for seconds.

--- a/briartack/accepting.py
+++ b/briartack/accepting.py
@@ -42,8 +42,10 @@
 # No operator's request has a use for a body. One up to this size is skipped.
 _MAX_OPERATOR_BODY_BYTES: Final = 16_384
 # Unread bytes count towards the memory of the process, and those of a process
-# that stands still are bounded by nothing else. Linux announces a window of one
-# and a half times as much, which carries 1.5 MB/s over round trips of 24 ms.
+# that stands still are bounded by nothing else. Linux takes up to one and a
+# half times as much, on each connection that waits to be accepted too.
+_ACCEPT_BUFFER_BYTES: Final = 4096
+# Its window carries 1.5 MB/s over round trips of 24 ms.
 CALLER_BUFFER_BYTES: Final = 24_576
 # Connections that are accepted before those accepted earlier are read: their
 # first bytes say which of them are in use. Each starts a greenlet in one queue
@@ -53,7 +55,12 @@
 
 
 class PatientAccept(BaseServer):  # type: ignore[misc]
-    """Go on accepting after errors, which are logged at a bounded rate."""
+    """Go on accepting after errors, which are logged at a bounded rate.
+
+    Connections inherit a receive buffer of `receive_buffer_bytes`.
+    """
+
+    receive_buffer_bytes = _ACCEPT_BUFFER_BYTES
 
     def __init__(self, *args: Any, **options: Any) -> None:
         """Pass all arguments to the server."""
@@ -61,6 +68,11 @@
         self._failures = 0
         self._logged_at = float('-inf')
 
+    def init_socket(self) -> None:
+        """Listen, with bounded receive buffers of the connections."""
+        super().init_socket()
+        limit_receive_buffer(self.socket, self.receive_buffer_bytes)
+
     def do_read(self) -> Any:
         """Accept one connection; return None if there is none."""
         try:
@@ -106,6 +118,7 @@
     """Accept connections for HTTP up to a number of open ones."""
 
     max_accept = _ACCEPTS
+    receive_buffer_bytes = CALLER_BUFFER_BYTES
 
     def __init__(
         self, *args: Any, limits: ConnectionLimits, **options: Any
@@ -116,11 +129,6 @@
         self._open = 0
         super().__init__(*args, **options)
 
-    def init_socket(self) -> None:
-        """Listen, with small receive buffers of the connections."""
-        super().init_socket()
-        limit_receive_buffer(self.socket, CALLER_BUFFER_BYTES)
-
     def full(self) -> bool:
         """Return whether the next connections have to wait in the queue."""
         return self._open >= self._max_open
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -291,12 +291,7 @@
     def _handle_hello(self, stream: PeerStream, hello: Hello) -> None:
         peer = hello.instance
         own_hello = self._encode_hello()
-        stream.hello = hello
-        if not stream.is_outgoing:
-            # The dialler must not end a redundant stream before this side has
-            # registered the new stream, so the acceptor sends its hello second.
-            stream.outbox.queue(own_hello)
-            stream.flush()
+        stream.introduce(hello, own_hello)
         # A dialler sent its hello, which has the same size, before it knew the
         # region of the peer, so the hellos of both sides are counted here.
         stream.traffic.count_hellos(
--- a/briartack/peer_stream.py
+++ b/briartack/peer_stream.py
@@ -65,9 +65,14 @@
         traffic: PeerTraffic,
         memory: MemoryBudget,
     ) -> None:
-        """Set the options of a connected socket and take its ownership."""
+        """Set the options of a connected socket and take its ownership.
+
+        An accepted one has the small receive buffer of the port until the peer
+        has introduced itself.
+        """
         configure_socket(sock)
-        limit_receive_buffer(sock, _RECEIVE_BUFFER_BYTES)
+        if is_outgoing:
+            limit_receive_buffer(sock, _RECEIVE_BUFFER_BYTES)
         self.is_outgoing: Final = is_outgoing
         self.outbox: Final = PeerOutbox(memory=memory)
         self.traffic: Final = traffic
@@ -113,6 +118,19 @@
         """Return the encoded size of the last received message in bytes."""
         return self._frame_reader.last_frame_bytes
 
+    def introduce(self, hello: Hello, own_hello: bytes) -> None:
+        """Record the hello of the peer, and answer it on an accepted stream.
+
+        The peer may send large messages from now on.
+        """
+        self.hello = hello
+        if not self.is_outgoing:
+            limit_receive_buffer(self._sock, _RECEIVE_BUFFER_BYTES)
+            # The dialler must not end a redundant stream before this side has
+            # registered the new stream, so the acceptor sends its hello second.
+            self.outbox.queue(own_hello)
+            self.flush()
+
     def take_refused(self) -> tuple[str, ...]:
         """Return why elements of messages were left out since the last call."""
         return self._frame_reader.take_refused()
