Leave callers a small receive buffer until their bodies have room

What callers saw: a crowd whose bodies stop just short of their end takes a daemon of 100 MB to 110 MB, resident and received bytes together, and one that stands still meanwhile to 123 MB. The platform ends such a process, and all requests on it are lost.

Cause: each connection took up to 45 KB unread, whether its body was admitted or not. 1,024 connections that waited to be accepted held 37 MB, which no part of the budget counted, and neither did it count what open connections held.

Why this works: the port gives connections a buffer of 4 KB, which takes 6 KB. The lease of an admitted body covers 64 KB ahead of what has been read, so the buffer is enlarged to the former 24 KB with it. It can't be made smaller again, so enlarged connections count towards the budget as long as they are open, and take an eighth of it at most. The limit on bodies in calm is as before.

test_window_carries_an_upload_in_its_time measured the window of a connection that had yet to be accepted. It now sends the head first, as an upload does, and demands the same window.

Ruled out: a shorter queue, since connections that are dropped come again after a second, and a small buffer for all, which makes uploads over round trips of some milliseconds slower.

--- a/briartack/accepting.py
+++ b/briartack/accepting.py
@@ -44,9 +44,9 @@
 # Unread bytes count towards the memory of the process, and those of a process
 # that stands still are bounded by nothing else. Linux takes up to one and a
 # half times as much, on each connection that waits to be accepted too.
-_ACCEPT_BUFFER_BYTES: Final = 4096
-# Its window carries 1.5 MB/s over round trips of 24 ms.
-CALLER_BUFFER_BYTES: Final = 24_576
+ACCEPT_BUFFER_BYTES: Final = 4096
+# The most that Linux takes unread with such a buffer.
+MAX_UNREAD_HEAD_BYTES: Final = 6144
 # Connections that are accepted before those accepted earlier are read: their
 # first bytes say which of them are in use. Each starts a greenlet in one queue
 # for all ports: with gevent's 100, those of 1,500 callers that connected at
@@ -57,11 +57,10 @@
 class PatientAccept(BaseServer):  # type: ignore[misc]
     """Go on accepting after errors, which are logged at a bounded rate.
 
-    Connections inherit a receive buffer of `receive_buffer_bytes`.
+    Connections inherit a small receive buffer, which is enlarged once there is
+    room for what they send.
     """
 
-    receive_buffer_bytes = _ACCEPT_BUFFER_BYTES
-
     def __init__(self, *args: Any, **options: Any) -> None:
         """Pass all arguments to the server."""
         super().__init__(*args, **options)
@@ -69,9 +68,9 @@
         self._logged_at = float('-inf')
 
     def init_socket(self) -> None:
-        """Listen, with bounded receive buffers of the connections."""
+        """Listen, with small receive buffers of the connections."""
         super().init_socket()
-        limit_receive_buffer(self.socket, self.receive_buffer_bytes)
+        limit_receive_buffer(self.socket, ACCEPT_BUFFER_BYTES)
 
     def do_read(self) -> Any:
         """Accept one connection; return None if there is none."""
@@ -118,7 +117,6 @@
     """Accept connections for HTTP up to a number of open ones."""
 
     max_accept = _ACCEPTS
-    receive_buffer_bytes = CALLER_BUFFER_BYTES
 
     def __init__(
         self, *args: Any, limits: ConnectionLimits, **options: Any
--- a/briartack/caller_connection.py
+++ b/briartack/caller_connection.py
@@ -36,6 +36,7 @@
 from briartack.memory_budget import Lease, MemoryBudget
 from briartack.read_ahead import MAX_PIPELINED_REQUESTS
 from briartack.read_turns import ReadTurns, TurnInput
+from briartack.receive_windows import ReceiveWindow, ReceiveWindows
 from briartack.request_body import RequestBody
 from briartack.request_head import RequestHead
 from briartack.shell_interfaces import Observer
@@ -81,6 +82,10 @@
     def read_turns(self) -> ReadTurns:
         """Return the bound of one pass over the connections."""
 
+    @property
+    def receive_windows(self) -> ReceiveWindows:
+        """Return the bound of connections that receive in large steps."""
+
     def add_connection(self, connection: Pipeline) -> bool:
         """Register a new connection; return False to refuse its requests."""
 
@@ -123,6 +128,9 @@
         self._refusals = 0
         self._turn = TurnLimit()
         self._head_room = HeadRoom(memory=self._calls.memory)
+        self._window = ReceiveWindow(
+            sock=sock, windows=self._calls.receive_windows
+        )
 
     def handle(self) -> None:
         """Serve the connection until either side closes it.
@@ -249,6 +257,7 @@
 
     def _release_memory(self) -> None:
         self._head_room.release()
+        self._window.close()
         self._pipeline.close()
 
     def _cancel_unanswered(self) -> None:
@@ -274,6 +283,7 @@
                 lease.release()
 
     def _read_body(self, call: InboundCall, lease: Lease) -> None:
+        self._window.expect_body(call.head.body_bytes)
         if self._awaits_continue:
             call.request_body()
             self._pipeline.flush()
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from briartack.accepting import LimitedHttpServer
+from briartack.accepting import MAX_UNREAD_HEAD_BYTES, LimitedHttpServer
 from briartack.addresses import Address
 from briartack.arriving_bodies import ArrivingBodies
 from briartack.bodies import BodyStore
@@ -35,6 +35,7 @@
     OpenConnections,
 )
 from briartack.read_turns import ReadTurns
+from briartack.receive_windows import ReceiveWindows
 from briartack.shell_interfaces import (
     LISTEN_BACKLOG,
     Clock,
@@ -67,6 +68,7 @@
         '_connections',
         'arriving_bodies',
         'read_turns',
+        'receive_windows',
         'dialect',
         'observer',
         '_is_stopping',
@@ -95,6 +97,7 @@
             memory=bodies.memory, observer=observer
         )
         self.read_turns: Final = ReadTurns()
+        self.receive_windows: Final = ReceiveWindows(memory=bodies.memory)
         self._calls: dict[str, tuple[InboundCall, Pipeline]] = {}
         self._is_stopping = False
         self._call_numbers = itertools.count(1)
@@ -105,7 +108,9 @@
             limits=connection_limits, clock=clock, observer=observer
         )
         bodies.memory.count_objects(
-            lambda: len(self._connections), CONNECTION_BYTES
+            lambda: len(self._connections),
+            CONNECTION_BYTES,
+            unread_bytes=MAX_UNREAD_HEAD_BYTES,
         )
         bodies.memory.count_objects(lambda: len(self._calls), CALL_BYTES)
         bodies.memory.set_reliever(
--- a/briartack/memory_budget.py
+++ b/briartack/memory_budget.py
@@ -121,8 +121,9 @@
         """Set the limit of all that is held together."""
         self._most_bytes = max_bytes
         self._max_bytes = max_bytes
-        # Each number of objects with the size of one.
-        self._object_kinds: list[tuple[CountObjects, int]] = []
+        # Each number of objects with the size of one, and with the bytes that
+        # one may have received and not yet read.
+        self._object_kinds: list[tuple[CountObjects, int, int]] = []
         self._body_bytes = 0
         self._request_bytes = 0
         self._relieve: Relieve = _relieve_nothing
@@ -135,6 +136,11 @@
         """Return the limit of all that is held together."""
         return self._max_bytes
 
+    @property
+    def process_bytes(self) -> int:
+        """Return the memory that all that is held may take at its most."""
+        return self._most_bytes * _COPIES
+
     @property
     def held_bytes(self) -> int:
         """Return the size of everything that is held.
@@ -158,23 +164,34 @@
         """Return whether large responses have to wait for room."""
         return self.held_bytes >= _LARGE_RESPONSE_SHARE * self._max_bytes
 
-    def count_objects(self, count: CountObjects, size: int) -> None:
-        """Count objects of a kind towards the limit, each with its size."""
-        self._object_kinds.append((count, size))
+    def count_objects(
+        self, count: CountObjects, size: int, *, unread_bytes: int = 0
+    ) -> None:
+        """Count objects of a kind towards the limit, each with its size.
 
-    def measure(self, *, resident_bytes: int, memory_bytes: int) -> None:
+        `unread_bytes` is what the system may hold for one beside its size.
+        """
+        self._object_kinds.append((count, size, unread_bytes))
+
+    def measure(
+        self,
+        *,
+        resident_bytes: int,
+        memory_bytes: int,
+        reserved_bytes: int = 0,
+    ) -> None:
         """Adapt the limit to what the process occupies besides all this.
 
         Freed memory of many small objects stays with the process. The limit
         stays as it is while `resident_bytes` is 0, which means not known.
+        `reserved_bytes` is what may come beside it at any time.
         """
         is_known = resident_bytes > 0
         if is_known and self._body_bytes <= _MAX_MEASURED_BYTES:
+            base_bytes = resident_bytes - self._resident_object_bytes
             self._max_bytes = min(
                 self._most_bytes,
-                compute_budget_bytes(
-                    memory_bytes, resident_bytes - self._object_bytes
-                ),
+                compute_budget_bytes(memory_bytes, base_bytes + reserved_bytes),
             )
 
     def fits_response(self, size: int) -> bool:
@@ -250,7 +267,14 @@
 
     @property
     def _object_bytes(self) -> int:
-        return sum(count() * size for count, size in self._object_kinds)
+        return sum(
+            count() * (size + unread_bytes)
+            for count, size, unread_bytes in self._object_kinds
+        )
+
+    @property
+    def _resident_object_bytes(self) -> int:
+        return sum(count() * size for count, size, _ in self._object_kinds)
 
 
 def _relieve_nothing() -> bool:
--- a/briartack/memory_report.py
+++ b/briartack/memory_report.py
@@ -10,13 +10,14 @@
 
 import gevent
 
+from briartack.accepting import MAX_UNREAD_HEAD_BYTES
 from briartack.callers import CallerServer
 from briartack.core.effects import LogLevel
 from briartack.error_texts import MEMORY_GROWN
 from briartack.memory_budget import MemoryBudget
 from briartack.metrics import MetricRegistry
 from briartack.peers import Peers
-from briartack.shell_interfaces import Observer
+from briartack.shell_interfaces import LISTEN_BACKLOG, Observer
 from briartack.upstream import UpstreamClient
 
 _POLL_SECONDS: Final = 0.5
@@ -31,6 +32,8 @@
 # see docs/CAPACITY.md.
 ATTEMPT_BYTES: Final = 4000
 _ATTEMPT_ID_BYTES: Final = 250
+# Callers whose connections wait to be accepted may have sent so much.
+_MAX_WAITING_BYTES: Final = LISTEN_BACKLOG * MAX_UNREAD_HEAD_BYTES
 _PAGE_BYTES: Final = os.sysconf('SC_PAGE_SIZE')
 
 
@@ -108,7 +111,9 @@
     def report(self, resident_bytes: int) -> None:
         """Adapt the limit to the memory; log the gauges at a new height."""
         self._memory.measure(
-            resident_bytes=resident_bytes, memory_bytes=self._memory_bytes
+            resident_bytes=resident_bytes,
+            memory_bytes=self._memory_bytes,
+            reserved_bytes=_MAX_WAITING_BYTES,
         )
         step = resident_bytes * _STEPS // self._memory_bytes
         if step <= self._logged_step:
--- a/briartack/test/test_memory_budget.py
+++ b/briartack/test/test_memory_budget.py
@@ -101,3 +101,19 @@
         self.assertEqual(budget.max_request_bytes, 25_800_000)
         budget.measure(resident_bytes=0, memory_bytes=150 * MEGABYTE)
         self.assertEqual(budget.max_bytes, budget_mb * MEGABYTE)
+
+    # Guards against bodies in the memory of what has yet to be read: 37 MB on
+    # connections that were not accepted, beside a process of 72 of 100 MB.
+    @params((0, 35), (6, 32), (40, 16))
+    def test_unread_bytes_leave_less_to_bodies(
+        self, reserved_mb: int, budget_mb: int
+    ) -> None:
+        budget = MemoryBudget(max_bytes=compute_budget_bytes(150 * MEGABYTE))
+        budget.count_objects(lambda: 4, MEGABYTE, unread_bytes=MEGABYTE)
+        budget.measure(
+            resident_bytes=84 * MEGABYTE,
+            memory_bytes=150 * MEGABYTE,
+            reserved_bytes=reserved_mb * MEGABYTE,
+        )
+        self.assertEqual(budget.max_bytes, budget_mb * MEGABYTE)
+        self.assertEqual(budget.held_bytes, 4 * MEGABYTE)
--- a/briartack/test/test_unread_bytes.py
+++ b/briartack/test/test_unread_bytes.py
@@ -19,6 +19,7 @@
 from briartack.core.units import AttemptId
 from briartack.framing import encode
 from briartack.memory_budget import MEGABYTE
+from briartack.test.fake_reducer import wait_until
 from briartack.test.shell_fixture import ShellFixture, read_answer
 from briartack.test.test_descriptor_limits import start_small_site
 from briartack.test.test_platform_site import becomes_true
@@ -47,6 +48,9 @@
     'POST /reads/ HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: {attempt}\r\n'
     'X-Deadline-Ms: 8000\r\nContent-Length: {length}\r\n\r\n'
 )
+UPLOAD_HEAD = (
+    f'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n'
+).encode()
 
 
 class UnreadBytesTest(unittest.TestCase):
@@ -110,7 +114,9 @@
         self.addCleanup(shell.stop)
         caller = shell.connect_caller()
         self.addCleanup(caller.close)
-        # The server accepts nothing until this greenlet waits.
+        caller.sendall(UPLOAD_HEAD)
+        wait_until(lambda: shell.callers.in_flight == 1)
+        # The server reads nothing until this greenlet waits.
         with contextlib.suppress(BlockingIOError):
             while True:
                 os.write(caller.fileno(), bytes(BODY_BYTES))
