Hold a large request body once at each step of its way

What callers saw: 413 for a legal body. The limit itself is unchanged here.

Cause: three copies. A caller's body and the chunks of a peer were collected in lists and joined, and a request to the upstream was joined from its head and its body, beside the stored body, for as long as it ran.

Why this works: the value of io.BytesIO shares the memory in which it was collected, which the allocator moves without a copy when it grows. The first 64 KB of a body are sent with the head in one write, as before, and the rest from the stored body.

--- a/briartack/arriving_bodies.py
+++ b/briartack/arriving_bodies.py
@@ -6,6 +6,7 @@
 others can go on. A refused request has not run, since its body is incomplete.
 """
 
+import io
 import time
 from typing import Final, Protocol, final
 
@@ -183,7 +184,8 @@
     def _read_parts(
         self, call: InboundCall, source: _BodySource, body: _ArrivingBody
     ) -> bytes | None:
-        parts: list[bytes] = []
+        # Its value shares the memory in which the parts are collected.
+        collected = io.BytesIO()
         received = 0
         turn = TurnLimit()
         read_bytes = STEP_BYTES
@@ -197,11 +199,11 @@
             received += len(part)
             if received > body.max_bytes:
                 return None
-            parts.append(part)
+            collected.write(part)
             turn.count_read(len(part))
         if body.is_refused:
             raise NoBodyRoomError
-        return b''.join(parts)
+        return collected.getvalue()
 
     def _extend_room(self, body: _ArrivingBody, received: int) -> None:
         """Extend the room by a step if what has arrived fills it.
--- a/briartack/bodies.py
+++ b/briartack/bodies.py
@@ -5,6 +5,7 @@
 no longer needs the body.
 """
 
+import io
 from typing import Final, final
 
 from briartack.core.messages import (
@@ -78,7 +79,7 @@
 class BodyAssembler:
     """Reassemble one body from its chunks and verify its digest."""
 
-    __slots__ = ('_head', '_payloads', '_received_bytes', 'lease')
+    __slots__ = ('_head', '_received', 'lease')
 
     def __init__(self, head: Attempt | Answer, lease: Lease) -> None:
         """Prepare for the chunks that follow the announcing message.
@@ -86,8 +87,8 @@
         `lease` grows with the body, unless it has its whole size already.
         """
         self._head = head
-        self._payloads: list[bytes] = []
-        self._received_bytes = 0
+        # Its value shares the memory in which the chunks are collected.
+        self._received = io.BytesIO()
         self.lease: Final = lease
 
     @property
@@ -101,18 +102,17 @@
         Raises MalformedFrameError if the chunk is empty or out of order, or
         if the complete body differs from its announcement.
         """
-        if chunk.offset != self._received_bytes or not chunk.payload:
+        received_bytes = self._received.tell()
+        if chunk.offset != received_bytes or not chunk.payload:
             raise MalformedFrameError(
-                f'chunk at offset {chunk.offset}, '
-                f'expected {self._received_bytes}',
+                f'chunk at offset {chunk.offset}, expected {received_bytes}',
             )
-        self._payloads.append(chunk.payload)
-        self._received_bytes += len(chunk.payload)
-        if self._received_bytes > self.lease.size:
-            self.lease.resize(self._received_bytes)
-        if self._received_bytes < self._head.body_bytes:
+        received_bytes += self._received.write(chunk.payload)
+        if received_bytes > self.lease.size:
+            self.lease.resize(received_bytes)
+        if received_bytes < self._head.body_bytes:
             return None
-        body = EMPTY_BODY.join(self._payloads)
+        body = self._received.getvalue()
         verify_body(self._head, body)
         return body
 
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -98,7 +98,9 @@
 class UpstreamDialect(Protocol):
     """Encode requests to the local upstream and decode its responses."""
 
-    def encode_request(self, effect: Dispatch, body: bytes, host: str) -> bytes:
+    def encode_request_head(
+        self, effect: Dispatch, body_bytes: int, host: str
+    ) -> bytes:
         """Encode the HTTP request of an attempt."""
 
     def identify_request(self, effect: Dispatch) -> str:
--- a/briartack/http_exchange.py
+++ b/briartack/http_exchange.py
@@ -41,6 +41,8 @@
 # A server may take its time to read a longer request, such as one that reads
 # the body late. The exchange itself has a time limit.
 _MAX_SHORT_REQUEST_BYTES: Final = 16384
+# A body up to this size is sent with its head in one write.
+_JOINED_BYTES: Final = 65536
 # Share of the stated idle time in which a connection is used again. A server
 # that closes it as the next request arrives leaves the outcome unknown.
 _IDLE_SHARE: Final = 0.8
@@ -180,6 +182,7 @@
     __slots__ = (
         '_pool',
         '_request',
+        '_rest',
         '_request_id',
         '_response',
         '_sock',
@@ -194,17 +197,20 @@
         method: str,
         request: bytes,
         max_body_bytes: int,
+        body: bytes = b'',
         request_id: str = '',
         identify_response: IdentifyResponse = identify_nothing,
         budget: BodyBudget | None = None,
     ) -> None:
         """Prepare the exchange without sending anything.
 
+        `body` is sent behind `request`, and a large one isn't copied.
         `request_id` is the id that the response names; empty if it names none.
         `budget` limits the bodies of several responses together.
         """
         self._pool = pool
-        self._request = request
+        self._request = request + body[:_JOINED_BYTES]
+        self._rest = memoryview(body)[_JOINED_BYTES:]
         self._request_id = request_id
         self._response = CollectedResponse(
             method=method,
@@ -263,6 +269,13 @@
             self._response.release_budget()
         return self._response
 
+    @property
+    def _unsent(self) -> memoryview:
+        """Return the next bytes of the request to be sent."""
+        if self._sent_bytes < len(self._request):
+            return memoryview(self._request)[self._sent_bytes :]
+        return self._rest[self._sent_bytes - len(self._request) :]
+
     @property
     def _is_long(self) -> bool:
         return len(self._request) > _MAX_SHORT_REQUEST_BYTES
@@ -299,7 +312,7 @@
         """Return whether the connection may carry another request."""
         # After an early response, the server still expects the rest of the
         # request on this connection.
-        is_sent = self._sent_bytes == len(self._request)
+        is_sent = not self._unsent
         if not is_sent or self._response.should_close():
             return False
         # A copy of an answer that names no request could answer any of them.
@@ -320,15 +333,9 @@
     def _send_rest(self, sock: socket.socket) -> None:
         """Send until the request is complete or the server responds early."""
         descriptor = sock.fileno()
-        rest = memoryview(self._request)
-        while (
-            self._sent_bytes < len(self._request)
-            and not self._response.is_complete
-        ):
+        while self._unsent and not self._response.is_complete:
             try:
-                self._sent_bytes += os.write(
-                    descriptor, rest[self._sent_bytes :]
-                )
+                self._sent_bytes += os.write(descriptor, self._unsent)
             except BlockingIOError:
                 socket.wait_readwrite(descriptor)
                 _receive_available(descriptor, self._response)
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -127,10 +127,12 @@
 
     __slots__ = ()
 
-    def encode_request(self, effect: Dispatch, body: bytes, host: str) -> bytes:
+    def encode_request_head(
+        self, effect: Dispatch, body_bytes: int, host: str
+    ) -> bytes:
         """Encode the HTTP request of an attempt."""
         # The caller dialect has removed all but end-to-end headers.
-        return encode_request(effect, effect.headers, body, host)
+        return encode_request_head(effect, effect.headers, body_bytes, host)
 
     def identify_request(self, effect: Dispatch) -> str:
         """Return an empty text: responses arrive in the order of requests."""
@@ -250,21 +252,21 @@
         return self.decode_read_page(body)
 
 
-def encode_request(
+def encode_request_head(
     effect: Dispatch,
     headers: Headers,
-    body: bytes,
+    body_bytes: int,
     host: str,
 ) -> bytes:
-    """Encode an attempt as an HTTP request with the given headers."""
+    """Encode the head of an attempt as an HTTP request, with given headers."""
     lines = [f'{effect.method} {effect.target} HTTP/1.1']
     if find_header(headers, 'host') is None:
         lines.append(f'Host: {host}')
     lines.extend(f'{name}: {text}' for name, text in headers)
-    if body or effect.method in _METHODS_WITH_BODY:
-        lines.append(f'Content-Length: {len(body)}')
-    head = '\r\n'.join(lines).encode('latin-1', 'replace')
-    return b''.join((head, _CRLF, _CRLF, body))
+    if body_bytes or effect.method in _METHODS_WITH_BODY:
+        lines.append(f'Content-Length: {body_bytes}')
+    lines.extend(('', ''))
+    return '\r\n'.join(lines).encode('latin-1', 'replace')
 
 
 def encode_probe(path: str, host: str) -> bytes:
--- a/briartack/platform/upstream.py
+++ b/briartack/platform/upstream.py
@@ -12,7 +12,7 @@
 from briartack.dialects import UpstreamResult
 from briartack.headers import find_header, select_end_to_end
 from briartack.http_response import CollectedResponse
-from briartack.native_dialects import encode_probe, encode_request
+from briartack.native_dialects import encode_probe, encode_request_head
 from briartack.platform.names import (
     ATTEMPT_ID,
     COLD_MS,
@@ -54,8 +54,10 @@
 
     __slots__ = ()
 
-    def encode_request(self, effect: Dispatch, body: bytes, host: str) -> bytes:
-        """Encode the HTTP request of an attempt."""
+    def encode_request_head(
+        self, effect: Dispatch, body_bytes: int, host: str
+    ) -> bytes:
+        """Encode the head of the HTTP request of an attempt."""
         kept = (
             pair
             for pair in effect.headers
@@ -69,7 +71,7 @@
             (DEADLINE_MS, str(remaining_ms)),
             (EXPECT_INSTANCE, effect.expected_identity),
         )
-        return encode_request(effect, headers, body, host)
+        return encode_request_head(effect, headers, body_bytes, host)
 
     def identify_request(self, effect: Dispatch) -> str:
         """Return the attempt id of the caller, which responses repeat."""
--- a/briartack/test/test_platform_calls.py
+++ b/briartack/test/test_platform_calls.py
@@ -172,10 +172,10 @@
         Headers between daemons must not reach the upstream.
         """
         self.assertEqual(
-            UPSTREAM_DIALECT.encode_request(DISPATCH, b'xy', 'unused'),
+            UPSTREAM_DIALECT.encode_request_head(DISPATCH, 2, 'unused'),
             b'POST /a/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 9c41\r\n'
             b'X-Caller-Service: huvo\r\nX-Deadline-Ms: 1250\r\n'
-            b'X-Expect-Instance: i-7\r\nContent-Length: 2\r\n\r\nxy',
+            b'X-Expect-Instance: i-7\r\nContent-Length: 2\r\n\r\n',
         )
 
     @params(
--- a/briartack/upstream.py
+++ b/briartack/upstream.py
@@ -118,14 +118,14 @@
     def dispatch(self, effect: Dispatch) -> None:
         """Send an attempt; its result arrives as an event."""
         started_at = self._clock()
+        body = self._bodies.get(effect.body_id)
         request = Exchange(
             self._pool,
             method=effect.method,
-            request=self._dialect.encode_request(
-                effect,
-                self._bodies.get(effect.body_id),
-                self._host_header,
+            request=self._dialect.encode_request_head(
+                effect, len(body), self._host_header
             ),
+            body=body,
             max_body_bytes=MAX_BODY_BYTES,
             request_id=self._dialect.identify_request(effect),
             identify_response=self._dialect.identify_response,
