Serve a single legal body of 64 MiB with 128 MB of memory

What callers saw: 413 for a body within the limit that operators state, while nothing else ran. No client repeats a request after 413. Daemons of 128, 150 and 200 MB took at most 19.2, 25.8 and 40.8 MB of the 64 MiB.

Cause: the limit followed from the part of the memory that many bodies share, each of which counts twice, beside 64 MB assumed for the process.

Evidence: test_single_body_is_served, four cases: 413 before, 200 now, at the caller's daemon and at the owner.

A body above the shared part is taken if it is the only such one and all that is held fits beside it, with what the process occupies as measured. While it is held, the rest of the memory bounds all others. It is refused like any slow body when others need the room. If it doesn't fit now, the answer is 503; 413 is left for bodies above what the memory leaves beyond 60 MB.

--- a/briartack/core/messages.py
+++ b/briartack/core/messages.py
@@ -25,7 +25,7 @@
 # The largest answer, and the largest request unless operators allow more.
 MAX_BODY_BYTES: Final = 1 << 24  # 16 MiB
 # The largest request that operators can allow. A daemon with room for it has
-# 290 MB of memory, and the queue of a peer takes three such bodies.
+# 128 MB of memory, and the queue of a peer takes three such bodies.
 MAX_ALLOWED_BODY_BYTES: Final = 4 * MAX_BODY_BYTES  # 64 MiB
 # The head of a request unless operators allow more, and what they can allow.
 MAX_HEAD_BYTES: Final = 65_536
--- a/briartack/memory_budget.py
+++ b/briartack/memory_budget.py
@@ -5,6 +5,10 @@
 attempt whole, and both are refused if there is no room. Responses can't be
 refused: their readers wait for room instead.
 
+A request body above the share of large ones exists once and is the only one of
+its kind. It takes what the process leaves free at that time, and all that is
+held beside it has to fit into the rest.
+
 Connections, calls and attempts take memory too, with a body or without. They
 are counted where they are held, and share the limit with the bodies.
 """
@@ -32,6 +36,10 @@
 _REQUEST_SHARE: Final = 0.75
 _LARGE_REQUEST_SHARE: Final = 0.6
 SMALL_BODY_BYTES: Final = 65536
+# Of the memory of the process, a sole body leaves this to the process itself
+# and to what is held beside the body.
+_BESIDE_SOLE_BODY_BYTES: Final = 60_000_000
+_MIN_REST_BYTES: Final = 2_000_000
 # Large responses leave the rest to requests without a body, most of which have
 # small responses, and to what these hold.
 _LARGE_RESPONSE_SHARE: Final = 0.85
@@ -92,9 +100,9 @@
 
     def resize(self, size: int) -> None:
         """Occupy another number of bytes."""
-        change = size - self._size
+        before = self._size
         self._size = size
-        self._budget.record_change(change, is_request=self._is_request)
+        self._budget.record_change(before, size, is_request=self._is_request)
 
     def release(self) -> None:
         """Give the bytes back; a second time does nothing."""
@@ -112,13 +120,19 @@
         '_object_kinds',
         '_body_bytes',
         '_request_bytes',
+        '_sole_bytes',
+        '_memory_bytes',
+        '_base_bytes',
         '_relieve',
         '_excess_from',
         '_excess_at',
     )
 
-    def __init__(self, *, max_bytes: int) -> None:
-        """Set the limit of all that is held together."""
+    def __init__(self, *, max_bytes: int, memory_bytes: int = 0) -> None:
+        """Set the limit of all that is held together.
+
+        `memory_bytes` is the limit of the process; 0 allows no sole bodies.
+        """
         self._most_bytes = max_bytes
         self._max_bytes = max_bytes
         # Each number of objects with the size of one, and with the bytes that
@@ -126,6 +140,11 @@
         self._object_kinds: list[tuple[CountObjects, int, int]] = []
         self._body_bytes = 0
         self._request_bytes = 0
+        # Neither body nor request bytes include the sole body.
+        self._sole_bytes = 0
+        self._memory_bytes = memory_bytes
+        # What the process occupies besides all that is held.
+        self._base_bytes = _BASE_BYTES
         self._relieve: Relieve = _relieve_nothing
         # What was held as a response last went above the limit, and when.
         self._excess_from = 0
@@ -133,17 +152,14 @@
 
     @property
     def max_bytes(self) -> int:
-        """Return the limit of all that is held together."""
-        return self._max_bytes
-
-    @property
-    def process_bytes(self) -> int:
-        """Return the memory that all that is held may take at its most."""
-        return self._most_bytes * _COPIES
+        """Return the limit of all that is held beside a sole body."""
+        if not self._sole_bytes:
+            return self._max_bytes
+        return min(self._max_bytes, self._compute_rest(self._sole_bytes))
 
     @property
     def held_bytes(self) -> int:
-        """Return the size of everything that is held.
+        """Return the size of everything that is held beside a sole body.
 
         An object takes its size once, unlike a body, so half of it counts.
         """
@@ -152,17 +168,19 @@
     @property
     def body_bytes(self) -> int:
         """Return the size of the bodies alone."""
-        return self._body_bytes
+        return self._body_bytes + self._sole_bytes
 
     @property
     def max_request_bytes(self) -> int:
         """Return the size of the largest request body that ever fits."""
-        return int(self._most_bytes * _LARGE_REQUEST_SHARE)
+        return max(
+            self._max_shared_bytes, self._memory_bytes - _BESIDE_SOLE_BODY_BYTES
+        )
 
     @property
     def is_full(self) -> bool:
         """Return whether large responses have to wait for room."""
-        return self.held_bytes >= _LARGE_RESPONSE_SHARE * self._max_bytes
+        return self.held_bytes >= _LARGE_RESPONSE_SHARE * self.max_bytes
 
     def count_objects(
         self, count: CountObjects, size: int, *, unread_bytes: int = 0
@@ -187,16 +205,17 @@
         `reserved_bytes` is what may come beside it at any time.
         """
         is_known = resident_bytes > 0
-        if is_known and self._body_bytes <= _MAX_MEASURED_BYTES:
+        if is_known and self.body_bytes <= _MAX_MEASURED_BYTES:
             base_bytes = resident_bytes - self._resident_object_bytes
+            self._base_bytes = base_bytes + reserved_bytes
             self._max_bytes = min(
                 self._most_bytes,
-                compute_budget_bytes(memory_bytes, base_bytes + reserved_bytes),
+                compute_budget_bytes(memory_bytes, self._base_bytes),
             )
 
     def fits_response(self, size: int) -> bool:
         """Return whether a large response of a known size has room."""
-        most_bytes = _LARGE_RESPONSE_SHARE * self._max_bytes
+        most_bytes = _LARGE_RESPONSE_SHARE * self.max_bytes
         return self.held_bytes + size <= most_bytes
 
     def begin_excess(self, size: int) -> bool:
@@ -205,7 +224,7 @@
         Returns False while the one before is held.
         """
         held_bytes = self.held_bytes
-        if held_bytes + size > self._max_bytes + MAX_BODY_BYTES:
+        if held_bytes + size > self.max_bytes + MAX_BODY_BYTES:
             return False
         now = time.monotonic()
         is_recent = now - self._excess_at < _EXCESS_SECONDS
@@ -220,19 +239,24 @@
 
         `size` is that of the whole body, which decides on its share.
         """
-        if self.held_bytes + growth > self._max_bytes:
+        if size > self._max_shared_bytes:
+            return self._fits_alone(size, growth)
+        if self.held_bytes + growth > self.max_bytes:
             return False
         share = _LARGE_REQUEST_SHARE
         if size <= SMALL_BODY_BYTES:
             share = _REQUEST_SHARE
         request_bytes = self._request_bytes + growth
-        return not size or request_bytes <= share * self._max_bytes
+        return not size or request_bytes <= share * self.max_bytes
 
     def reserve_request(self, size: int, whole_bytes: int = 0) -> Lease | None:
         """Return a lease on a request body, or None without room.
 
-        `whole_bytes` is the size of the body if only part of it is leased.
+        `whole_bytes` is the size of the body if only part of it is leased. A
+        sole body is leased whole.
         """
+        if whole_bytes > self._max_shared_bytes:
+            size = whole_bytes
         if not self.fits(max(size, whole_bytes), size):
             return None
         return Lease(budget=self, size=size, is_request=True)
@@ -259,11 +283,35 @@
                 return False
         return True
 
-    def record_change(self, change: int, *, is_request: bool) -> None:
+    def record_change(
+        self, before: int, after: int, *, is_request: bool
+    ) -> None:
         """Count a lease that has grown, shrunk or ended."""
-        self._body_bytes += change
+        self._count(before, -1, is_request=is_request)
+        self._count(after, 1, is_request=is_request)
+
+    @property
+    def _max_shared_bytes(self) -> int:
+        """Return the size of the largest request body beside others."""
+        return int(self._most_bytes * _LARGE_REQUEST_SHARE)
+
+    def _count(self, size: int, sign: int, *, is_request: bool) -> None:
+        if is_request and size > self._max_shared_bytes:
+            self._sole_bytes += sign * size
+            return
+        self._body_bytes += sign * size
         if is_request:
-            self._request_bytes += change
+            self._request_bytes += sign * size
+
+    def _fits_alone(self, size: int, growth: int) -> bool:
+        """Return whether a body may be the sole one, beside all else."""
+        others = self.held_bytes + self._sole_bytes - (size - growth)
+        return others + _MIN_REST_BYTES <= self._compute_rest(size)
+
+    def _compute_rest(self, sole_bytes: int) -> int:
+        """Return the limit of what is held beside a sole body."""
+        rest_bytes = self._memory_bytes - self._base_bytes - sole_bytes
+        return max(0, rest_bytes // _COPIES)
 
     @property
     def _object_bytes(self) -> int:
--- a/briartack/process_limits.py
+++ b/briartack/process_limits.py
@@ -41,7 +41,7 @@
     return ProcessLimits(
         memory_bytes=memory_bytes,
         connections=connections,
-        memory=MemoryBudget(max_bytes=budget_bytes),
+        memory=MemoryBudget(max_bytes=budget_bytes, memory_bytes=memory_bytes),
     )
 
 
--- a/briartack/receive_windows.py
+++ b/briartack/receive_windows.py
@@ -16,8 +16,8 @@
 _BODY_BUFFER_BYTES: Final = 24_576
 # The most that Linux takes unread with such a buffer.
 _MAX_UNREAD_BODY_BYTES: Final = 48_000
-# Enlarged connections use no more of the memory for requests and responses.
-_MEMORY_SHARE: Final = 0.125
+# Enlarged connections use no more of the memory for bodies, which exist twice.
+_MEMORY_SHARE: Final = 0.25
 
 
 @final
@@ -28,7 +28,7 @@
 
     def __init__(self, *, memory: MemoryBudget) -> None:
         """Count the enlarged connections towards the memory."""
-        most_bytes = memory.process_bytes * _MEMORY_SHARE
+        most_bytes = memory.max_bytes * _MEMORY_SHARE
         self._max_enlarged = int(most_bytes / _MAX_UNREAD_BODY_BYTES)
         self._enlarged = 0
         memory.count_objects(
--- a/briartack/test/test_counted_memory.py
+++ b/briartack/test/test_counted_memory.py
@@ -98,6 +98,17 @@
         framing='Transfer-Encoding: chunked',
         body=b'493e0\r\n%b' % bytes(299_999),
     ),
+    # Only one body of this size is taken at a time.
+    'stated, 16 MB': Crowd(
+        clients=60,
+        framing='Content-Length: 16000001',
+        body=bytes(16_000_000),
+    ),
+    'one chunk of 16 MB': Crowd(
+        clients=60,
+        framing='Transfer-Encoding: chunked',
+        body=b'f42400\r\n%b' % bytes(15_999_999),
+    ),
     'stated, 300 KB, frozen': Crowd(
         clients=1800,
         framing='Content-Length: 300001',
--- /dev/null
+++ b/briartack/test/test_largest_body.py
@@ -0,0 +1,181 @@
+"""Test that a single body of any legal size is served while nothing else runs.
+
+Callers do not repeat a request after 413, so a body within the limit that the
+operators state has to fit into the memory of each daemon on its way.
+"""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import gevent
+from nose2.tools import params
+
+from briartack.memory_budget import (
+    MEGABYTE,
+    MemoryBudget,
+    compute_budget_bytes,
+)
+from briartack.test.process_memory import MemoryWatch
+from briartack.test.test_platform_site import becomes_true
+from standins.platform_site import (
+    DEFAULT_ROUTES,
+    HOST,
+    Machine,
+    PlatformSite,
+    SiteShape,
+    build_configuration,
+    build_route,
+    send_request,
+)
+
+MAX_BODY_BYTES = 67_108_864
+TIMEOUT_MS = 30_000
+UPLOAD_PATH = '/up/'
+LIMITS = {
+    'resource_kind': 'limits',
+    'metadata': {'name': 'limits'},
+    'spec': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': MAX_BODY_BYTES,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    },
+}
+
+
+class LargestBodyTest(unittest.TestCase):
+    # Guards against 413 for legal bodies: daemons of 128 and 150 MB took bodies
+    # of 19.2 and 25.8 MB at most.
+    @params(
+        (128, 32_000_000, 'reads'),
+        (128, MAX_BODY_BYTES, 'reads'),
+        (128, MAX_BODY_BYTES, 'buys'),
+        (150, MAX_BODY_BYTES, 'reads'),
+    )
+    def test_single_body_is_served(
+        self, memory_mb: int, body_bytes: int, service: str
+    ) -> None:
+        site = self.start_site(memory_mb)
+        machine = site.find_machine('east-1', service)
+        watch = MemoryWatch(machines=site.machines)
+        watching = gevent.spawn(watch.run)
+        self.assertEqual(upload(machine, bytes(body_bytes)), 200)
+        watch.stop()
+        watching.get()
+        for each in site.machines:
+            self.assertIs(each.daemon.is_running, True)
+        for peak in watch.peaks_mb.values():
+            self.assertLess(sum(peak), memory_mb, msg=peak)
+        # The memory is free again.
+        self.assertEqual(upload(machine, bytes(body_bytes)), 200)
+
+    def start_site(self, memory_mb: int) -> PlatformSite:
+        """Start a site that takes uploads, and stop it after the test."""
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        site = PlatformSite(
+            directory=Path(directory.name),
+            shape=SiteShape(
+                regions_by_zone={'east-1': 'east'},
+                services=('reads', 'buys'),
+                slots=4,
+                max_connections=50,
+                memory_mb=memory_mb,
+            ),
+        )
+        self.addCleanup(site.stop)
+        site.start()
+        uploads = build_route(
+            'uploads',
+            UPLOAD_PATH,
+            'buys',
+            kind='non_idempotent',
+            timeout_ms=TIMEOUT_MS,
+            target_latency_ms=TIMEOUT_MS,
+        )
+        site.store.put(
+            'op/config',
+            build_configuration(*DEFAULT_ROUTES, uploads, LIMITS, version=2),
+        )
+        self.assertTrue(becomes_true(site.is_ready))
+        for machine in site.machines:
+            # The answer to a large body must not be as large.
+            machine.worker.bodies_by_path = {UPLOAD_PATH: b'stored'}
+            self.await_service(machine)
+        return site
+
+    def await_service(self, machine: Machine) -> None:
+        """Wait until a daemon serves uploads."""
+        self.assertTrue(becomes_true(lambda: upload(machine, b'x') == 200))
+
+
+def upload(machine: Machine, body: bytes) -> int:
+    """Send an upload to a daemon and return the status of the answer."""
+    return send_request(
+        f'http://{machine.caller_address}{UPLOAD_PATH}',
+        {'Host': HOST, 'X-Deadline-Ms': str(TIMEOUT_MS)},
+        body,
+        timeout_seconds=TIMEOUT_MS / 1000,
+    ).status
+
+
+class SoleBodyTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.budget = MemoryBudget(
+            max_bytes=compute_budget_bytes(128 * MEGABYTE),
+            memory_bytes=128 * MEGABYTE,
+        )
+        self.budget.measure(
+            resident_bytes=40 * MEGABYTE,
+            memory_bytes=128 * MEGABYTE,
+            reserved_bytes=6 * MEGABYTE,
+        )
+
+    # Guards against a large body beside what no longer fits into the memory.
+    @params(
+        (19, 0, True),
+        (20, 0, True),
+        (67, 0, True),
+        (67, 5, True),
+        (67, 6, False),
+        (79, 0, False),
+    )
+    def test_large_body_takes_what_is_free(
+        self, body_mb: int, held_mb: int, is_admitted: bool
+    ) -> None:
+        self.budget.lease(held_mb * MEGABYTE)
+        lease = self.budget.reserve_request(65536, body_mb * MEGABYTE)
+        self.assertIs(lease is not None, is_admitted)
+
+    # Guards against two bodies that take the same memory, and against memory
+    # that stays taken.
+    def test_sole_body_leaves_the_rest_to_others(self) -> None:
+        sole = self.budget.reserve_request(65536, 60 * MEGABYTE)
+        assert sole is not None
+        self.assertEqual(sole.size, 60 * MEGABYTE)
+        self.assertEqual(self.budget.body_bytes, 60 * MEGABYTE)
+        self.assertEqual(self.budget.held_bytes, 0)
+        # 128 MB less 46 and 60, of which bodies take their size twice.
+        self.assertEqual(self.budget.max_bytes, 11 * MEGABYTE)
+        self.assertIsNone(self.budget.reserve_request(20 * MEGABYTE))
+        self.assertIsNone(self.budget.reserve_request(7 * MEGABYTE))
+        self.assertIsNotNone(self.budget.reserve_request(6 * MEGABYTE))
+        sole.release()
+        self.assertEqual(self.budget.max_bytes, 32 * MEGABYTE)
+        self.assertIsNotNone(self.budget.reserve_request(7 * MEGABYTE))
+
+    # Guards against a body of unknown size that grows beyond the memory.
+    def test_growing_body_becomes_the_sole_one(self) -> None:
+        growing = self.budget.reserve_request(65536)
+        other = self.budget.reserve_request(65536)
+        assert growing is not None
+        assert other is not None
+        for size_mb in range(1, 68):
+            size = size_mb * MEGABYTE
+            self.assertTrue(self.budget.extend_request(growing, size))
+        self.assertEqual(self.budget.held_bytes, 65536)
+        self.assertFalse(self.budget.extend_request(other, 20 * MEGABYTE))
+        self.assertTrue(self.budget.extend_request(other, MEGABYTE))
+        growing.release()
+        self.assertTrue(self.budget.extend_request(other, 20 * MEGABYTE))
