Show what an unfinished body of 64 MiB leaves to others

A client that stops one byte short of its end holds most of 128 MB with one body. test_others_are_served_beside_an_unfinished_body: a request without a body and an upload of 1 MB are served beside it, and the body gives way to another of its size once its caller is slow.

A gauge tells how many connections have an enlarged receive buffer.

--- a/briartack/memory_report.py
+++ b/briartack/memory_report.py
@@ -157,6 +157,9 @@
         observer=observer,
     )
     report.register_gauge('connections.open', lambda: callers.open_connections)
+    report.register_gauge(
+        'connections.enlarged', lambda: callers.receive_windows.enlarged
+    )
     report.register_gauge('calls.in_flight', count_calls)
     report.register_gauge('attempts.in_flight', count_attempts)
     report.register_gauge('attempts.running', lambda: upstream.running)
--- a/briartack/receive_windows.py
+++ b/briartack/receive_windows.py
@@ -35,6 +35,11 @@
             lambda: self._enlarged, 0, unread_bytes=_MAX_UNREAD_BODY_BYTES
         )
 
+    @property
+    def enlarged(self) -> int:
+        """Return the number of enlarged connections."""
+        return self._enlarged
+
     def try_enlarge(self, sock: Any) -> bool:
         """Enlarge the buffer of a connection unless too many are enlarged."""
         if self._enlarged >= self._max_enlarged:
--- a/briartack/test/test_largest_body.py
+++ b/briartack/test/test_largest_body.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import gevent
+from gevent import socket
 from nose2.tools import params
 
 from briartack.memory_budget import (
@@ -26,6 +27,7 @@
     SiteShape,
     build_configuration,
     build_route,
+    send_consumer_request,
     send_request,
 )
 
@@ -42,6 +44,10 @@
         'idle_timeout_ms': 15000,
     },
 }
+UNFINISHED_HEAD = (
+    f'POST {UPLOAD_PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: a-1\r\n'
+    f'X-Deadline-Ms: {TIMEOUT_MS}\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n'
+).encode()
 
 
 class LargestBodyTest(unittest.TestCase):
@@ -70,6 +76,26 @@
         # The memory is free again.
         self.assertEqual(upload(machine, bytes(body_bytes)), 200)
 
+    # Guards against a client that keeps the memory from all others by one body:
+    # it holds most of 128 MB and stops just short of its end.
+    def test_others_are_served_beside_an_unfinished_body(self) -> None:
+        site = self.start_site(128)
+        machine = site.find_machine('east-1', 'reads')
+        host, _, port = machine.caller_address.rpartition(':')
+        with socket.create_connection((host, int(port)), timeout=10) as client:
+            client.sendall(UNFINISHED_HEAD + bytes(MAX_BODY_BYTES - 1))
+            self.assertTrue(becomes_true(lambda: holds_body(machine)))
+            self.assertEqual(
+                send_consumer_request(machine, '/reads/').status, 200
+            )
+            self.assertEqual(upload(machine, bytes(MEGABYTE)), 200)
+            self.assertTrue(
+                becomes_true(
+                    lambda: upload(machine, bytes(MAX_BODY_BYTES)) == 200
+                )
+            )
+        self.assertIs(machine.daemon.is_running, True)
+
     def start_site(self, memory_mb: int) -> PlatformSite:
         """Start a site that takes uploads, and stop it after the test."""
         directory = tempfile.TemporaryDirectory()
@@ -110,6 +136,13 @@
         self.assertTrue(becomes_true(lambda: upload(machine, b'x') == 200))
 
 
+def holds_body(machine: Machine) -> bool:
+    """Return whether a daemon holds the largest body."""
+    answer = send_request(f'http://{machine.operator_address}/metrics')
+    held = f'\nbriartack_memory_body_bytes {MAX_BODY_BYTES}\n'
+    return held.encode() in answer.body
+
+
 def upload(machine: Machine, body: bytes) -> int:
     """Send an upload to a daemon and return the status of the answer."""
     return send_request(
