Let the sole large body give way to connections

A client that sends a body of 64 MiB without its end, and 2,500 unfinished heads beside it, took a daemon of 128 MB to 141 MB, resident and unread.

Cause: a sole body bounds bodies and calls by what it leaves, but connections were limited by their number alone, which follows from the whole memory.

Why this works: while a sole body is held, a new connection needs room for itself and for those that are open only to be refused. Without it the body is refused as not run if it still arrives; otherwise the connection is refused. Receive buffers are enlarged only with room, too. Without a sole body, nothing changes.

The accounting of the sole body is a class of its own now.

--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -74,6 +74,7 @@
         '_is_stopping',
         '_limits',
         '_connection_limits',
+        '_reserve_bytes',
         '_open_connections',
         'server',
     )
@@ -104,6 +105,11 @@
         self._connections: set[Pipeline] = set()
         self.server: LimitedHttpServer | None = None
         self._connection_limits = connection_limits
+        # A connection, and those that are open only to be refused.
+        reserved_count = connection_limits.max_refused + 1
+        self._reserve_bytes = reserved_count * (
+            CONNECTION_BYTES + MAX_UNREAD_HEAD_BYTES
+        )
         self._open_connections = OpenConnections(
             limits=connection_limits, clock=clock, observer=observer
         )
@@ -187,7 +193,8 @@
         """
         self._record_activity(connection)
         self._connections.add(connection)
-        return self._open_connections.add(connection)
+        has_room = self.arriving_bodies.give_way_to_objects(self._reserve_bytes)
+        return self._open_connections.add(connection, has_room=has_room)
 
     def remove_connection(self, connection: Pipeline) -> None:
         """Remove a closed connection."""
--- a/briartack/memory_budget.py
+++ b/briartack/memory_budget.py
@@ -5,9 +5,8 @@
 attempt whole, and both are refused if there is no room. Responses can't be
 refused: their readers wait for room instead.
 
-A request body above the share of large ones exists once and is the only one of
-its kind. It takes what the process leaves free at that time, and all that is
-held beside it has to fit into the rest.
+A request body above the share of large ones may be the sole one (`sole_body`),
+and all that is held beside it has to fit into the rest.
 
 Connections, calls and attempts take memory too, with a body or without. They
 are counted where they are held, and share the limit with the bodies.
@@ -20,6 +19,7 @@
 from typing import Final, TypeAlias, final
 
 from briartack.core.messages import MAX_BODY_BYTES
+from briartack.sole_body import SoleBody
 
 MEGABYTE: Final = 1_000_000
 # The interpreter, the libraries, the configuration and freed memory of small
@@ -36,10 +36,6 @@
 _REQUEST_SHARE: Final = 0.75
 _LARGE_REQUEST_SHARE: Final = 0.6
 SMALL_BODY_BYTES: Final = 65536
-# Of the memory of the process, a sole body leaves this to the process itself
-# and to what is held beside the body.
-_BESIDE_SOLE_BODY_BYTES: Final = 60_000_000
-_MIN_REST_BYTES: Final = 2_000_000
 # Large responses leave the rest to requests without a body, most of which have
 # small responses, and to what these hold.
 _LARGE_RESPONSE_SHARE: Final = 0.85
@@ -120,9 +116,7 @@
         '_object_kinds',
         '_body_bytes',
         '_request_bytes',
-        '_sole_bytes',
-        '_memory_bytes',
-        '_base_bytes',
+        'sole',
         '_relieve',
         '_excess_from',
         '_excess_at',
@@ -140,11 +134,12 @@
         self._object_kinds: list[tuple[CountObjects, int, int]] = []
         self._body_bytes = 0
         self._request_bytes = 0
-        # Neither body nor request bytes include the sole body.
-        self._sole_bytes = 0
-        self._memory_bytes = memory_bytes
-        # What the process occupies besides all that is held.
-        self._base_bytes = _BASE_BYTES
+        # Neither body nor request bytes include this one.
+        self.sole: Final = SoleBody(
+            shared_bytes=int(max_bytes * _LARGE_REQUEST_SHARE),
+            memory_bytes=memory_bytes,
+            base_bytes=_BASE_BYTES,
+        )
         self._relieve: Relieve = _relieve_nothing
         # What was held as a response last went above the limit, and when.
         self._excess_from = 0
@@ -153,9 +148,9 @@
     @property
     def max_bytes(self) -> int:
         """Return the limit of all that is held beside a sole body."""
-        if not self._sole_bytes:
+        if not self.sole.held_bytes:
             return self._max_bytes
-        return min(self._max_bytes, self._compute_rest(self._sole_bytes))
+        return min(self._max_bytes, self.sole.rest_bytes // _COPIES)
 
     @property
     def held_bytes(self) -> int:
@@ -168,14 +163,13 @@
     @property
     def body_bytes(self) -> int:
         """Return the size of the bodies alone."""
-        return self._body_bytes + self._sole_bytes
+        return self._body_bytes + self.sole.held_bytes
 
     @property
     def max_request_bytes(self) -> int:
         """Return the size of the largest request body that ever fits."""
-        return max(
-            self._max_shared_bytes, self._memory_bytes - _BESIDE_SOLE_BODY_BYTES
-        )
+        shared_bytes = int(self._most_bytes * _LARGE_REQUEST_SHARE)
+        return max(shared_bytes, self.sole.max_bytes)
 
     @property
     def is_full(self) -> bool:
@@ -207,10 +201,10 @@
         is_known = resident_bytes > 0
         if is_known and self.body_bytes <= _MAX_MEASURED_BYTES:
             base_bytes = resident_bytes - self._resident_object_bytes
-            self._base_bytes = base_bytes + reserved_bytes
+            base_bytes += reserved_bytes
+            self.sole.measure(base_bytes)
             self._max_bytes = min(
-                self._most_bytes,
-                compute_budget_bytes(memory_bytes, self._base_bytes),
+                self._most_bytes, compute_budget_bytes(memory_bytes, base_bytes)
             )
 
     def fits_response(self, size: int) -> bool:
@@ -234,13 +228,20 @@
         self._excess_at = now
         return True
 
+    def fits_objects(self, size: int) -> bool:
+        """Return whether objects of so many bytes in all have room."""
+        return self.held_bytes + size // _COPIES <= self.max_bytes
+
     def fits(self, size: int, growth: int) -> bool:
         """Return whether the body of a request may grow.
 
         `size` is that of the whole body, which decides on its share.
         """
-        if size > self._max_shared_bytes:
-            return self._fits_alone(size, growth)
+        if self.sole.covers(size):
+            # What is held of the body itself may count twice until it is sole.
+            own_bytes = size - growth
+            held_bytes = self.held_bytes * _COPIES + self.sole.held_bytes
+            return self.sole.fits(size, held_bytes - own_bytes)
         if self.held_bytes + growth > self.max_bytes:
             return False
         share = _LARGE_REQUEST_SHARE
@@ -255,7 +256,7 @@
         `whole_bytes` is the size of the body if only part of it is leased. A
         sole body is leased whole.
         """
-        if whole_bytes > self._max_shared_bytes:
+        if self.sole.covers(whole_bytes):
             size = whole_bytes
         if not self.fits(max(size, whole_bytes), size):
             return None
@@ -290,29 +291,14 @@
         self._count(before, -1, is_request=is_request)
         self._count(after, 1, is_request=is_request)
 
-    @property
-    def _max_shared_bytes(self) -> int:
-        """Return the size of the largest request body beside others."""
-        return int(self._most_bytes * _LARGE_REQUEST_SHARE)
-
     def _count(self, size: int, sign: int, *, is_request: bool) -> None:
-        if is_request and size > self._max_shared_bytes:
-            self._sole_bytes += sign * size
+        if is_request and self.sole.covers(size):
+            self.sole.record_change(sign * size)
             return
         self._body_bytes += sign * size
         if is_request:
             self._request_bytes += sign * size
 
-    def _fits_alone(self, size: int, growth: int) -> bool:
-        """Return whether a body may be the sole one, beside all else."""
-        others = self.held_bytes + self._sole_bytes - (size - growth)
-        return others + _MIN_REST_BYTES <= self._compute_rest(size)
-
-    def _compute_rest(self, sole_bytes: int) -> int:
-        """Return the limit of what is held beside a sole body."""
-        rest_bytes = self._memory_bytes - self._base_bytes - sole_bytes
-        return max(0, rest_bytes // _COPIES)
-
     @property
     def _object_bytes(self) -> int:
         return sum(
--- a/briartack/open_connections.py
+++ b/briartack/open_connections.py
@@ -130,12 +130,14 @@
         self._is_timer_set = False
         self._logged_at = float('-inf')
 
-    def add(self, connection: OpenConnection) -> bool:
+    def add(self, connection: OpenConnection, *, has_room: bool = True) -> bool:
         """Register a new connection, perhaps in the place of an idle one.
 
-        Returns False if the requests on the connection have to be refused.
+        `has_room` says whether there is memory for one more. Returns False if
+        the requests on the connection have to be refused.
         """
-        if len(self._served) < self._limits.max_served or self._close_idle():
+        has_place = has_room and len(self._served) < self._limits.max_served
+        if has_place or self._close_idle():
             self._served[connection] = self._clock()
             return True
         self._refused[connection] = self._clock() + REFUSAL_SECONDS
--- a/briartack/receive_windows.py
+++ b/briartack/receive_windows.py
@@ -24,11 +24,12 @@
 class ReceiveWindows:
     """Bound the number of connections that receive bodies in large steps."""
 
-    __slots__ = ('_max_enlarged', '_enlarged')
+    __slots__ = ('_memory', '_max_enlarged', '_enlarged')
 
     def __init__(self, *, memory: MemoryBudget) -> None:
         """Count the enlarged connections towards the memory."""
         most_bytes = memory.max_bytes * _MEMORY_SHARE
+        self._memory = memory
         self._max_enlarged = int(most_bytes / _MAX_UNREAD_BODY_BYTES)
         self._enlarged = 0
         memory.count_objects(
@@ -41,8 +42,9 @@
         return self._enlarged
 
     def try_enlarge(self, sock: Any) -> bool:
-        """Enlarge the buffer of a connection unless too many are enlarged."""
-        if self._enlarged >= self._max_enlarged:
+        """Enlarge the buffer of a connection if there is room."""
+        has_room = self._memory.fits_objects(_MAX_UNREAD_BODY_BYTES)
+        if self._enlarged >= self._max_enlarged or not has_room:
             return False
         limit_receive_buffer(sock, _BODY_BUFFER_BYTES)
         self._enlarged += 1
--- a/briartack/test/test_largest_body.py
+++ b/briartack/test/test_largest_body.py
@@ -4,12 +4,14 @@
 operators state has to fit into the memory of each daemon on its way.
 """
 
+import contextlib
 import tempfile
 import unittest
 from pathlib import Path
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from nose2.tools import params
 
 from briartack.memory_budget import (
@@ -18,7 +20,9 @@
     compute_budget_bytes,
 )
 from briartack.test.process_memory import MemoryWatch
+from briartack.test.test_counted_memory import hold_connection
 from briartack.test.test_platform_site import becomes_true
+from briartack.test.test_port_limits import raised_descriptor_limit
 from standins.platform_site import (
     DEFAULT_ROUTES,
     HOST,
@@ -48,6 +52,25 @@
     f'POST {UPLOAD_PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: a-1\r\n'
     f'X-Deadline-Ms: {TIMEOUT_MS}\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n'
 ).encode()
+CROWD_CLIENTS = 2500
+CROWD_SECONDS = 5.0
+# What each client of a crowd sends: an opening, and what follows at once.
+CROWDS = {
+    'unfinished heads': (
+        f'GET /reads/ HTTP/1.1\r\nHost: {HOST}\r\nX-Filler: '.encode(),
+        b'a' * 12_000,
+    ),
+    'unfinished bodies': (
+        f'POST {UPLOAD_PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: a-2\r\n'
+        f'X-Deadline-Ms: {TIMEOUT_MS}\r\n'
+        'Content-Length: 60001\r\n\r\n'.encode(),
+        bytes(60_000),
+    ),
+}
+# The large body arrives in full steps up to its last part.
+PART_BYTES = 100_000
+PARTS = 60
+PAUSE_SECONDS = 0.1
 
 
 class LargestBodyTest(unittest.TestCase):
@@ -96,6 +119,44 @@
             )
         self.assertIs(machine.daemon.is_running, True)
 
+    # Guards against a crowd beside a body that takes most of the memory: with
+    # 1,066 connections, a daemon of 128 MB took 137 MB.
+    @params(*CROWDS)
+    def test_crowd_beside_a_large_body(self, name: str) -> None:
+        site = self.start_site(128)
+        machine = site.find_machine('east-1', 'reads')
+        opening, rest = CROWDS[name]
+        watch = MemoryWatch(machines=site.machines)
+        watching = gevent.spawn(watch.run)
+        begin = Event()
+        begin.set()
+        end = Event()
+        sender = gevent.spawn(send_slowly, machine, end)
+        self.assertTrue(becomes_true(lambda: holds_body(machine)))
+        with raised_descriptor_limit():
+            clients = [
+                gevent.spawn(
+                    hold_connection,
+                    machine.caller_address,
+                    opening,
+                    rest,
+                    begin,
+                    end,
+                )
+                for _ in range(CROWD_CLIENTS)
+            ]
+            gevent.sleep(CROWD_SECONDS)
+            watch.stop()
+            watching.get()
+            end.set()
+            gevent.joinall([sender, *clients], raise_error=True)
+        self.assertIs(machine.daemon.is_running, True)
+        for peak in watch.peaks_mb.values():
+            self.assertLess(sum(peak), 128, msg=peak)
+        self.assertTrue(
+            becomes_true(lambda: upload(machine, bytes(MEGABYTE)) == 200)
+        )
+
     def start_site(self, memory_mb: int) -> PlatformSite:
         """Start a site that takes uploads, and stop it after the test."""
         directory = tempfile.TemporaryDirectory()
@@ -136,6 +197,20 @@
         self.assertTrue(becomes_true(lambda: upload(machine, b'x') == 200))
 
 
+def send_slowly(machine: Machine, end: Event) -> None:
+    """Send the largest body, slowly near its end; hold it until the end."""
+    host, _, port = machine.caller_address.rpartition(':')
+    with socket.create_connection((host, int(port)), timeout=10) as client:
+        # The body may be refused for others.
+        with contextlib.suppress(OSError):
+            first_bytes = MAX_BODY_BYTES - 1 - PARTS * PART_BYTES
+            client.sendall(UNFINISHED_HEAD + bytes(first_bytes))
+            for _ in range(PARTS):
+                gevent.sleep(PAUSE_SECONDS)
+                client.sendall(bytes(PART_BYTES))
+        end.wait()
+
+
 def holds_body(machine: Machine) -> bool:
     """Return whether a daemon holds the largest body."""
     answer = send_request(f'http://{machine.operator_address}/metrics')
