--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -101,7 +101,7 @@
     def encode_request_head(
         self, effect: Dispatch, body_bytes: int, host: str
     ) -> bytes:
-        """Encode the HTTP request of an attempt."""
+        """Encode the head of the HTTP request of an attempt."""
 
     def identify_request(self, effect: Dispatch) -> str:
         """Return the id that the response to an attempt repeats.
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -130,7 +130,7 @@
     def encode_request_head(
         self, effect: Dispatch, body_bytes: int, host: str
     ) -> bytes:
-        """Encode the HTTP request of an attempt."""
+        """Encode the head of the HTTP request of an attempt."""
         # The caller dialect has removed all but end-to-end headers.
         return encode_request_head(effect, effect.headers, body_bytes, host)
 
