--- a/briartack/arriving_bodies.py
+++ b/briartack/arriving_bodies.py
@@ -154,16 +154,17 @@
             min(whole_bytes, STEP_BYTES), whole_bytes
         )
 
-    def give_way_to_objects(self, size: int) -> bool:
-        """Return whether objects have room, after refusing a sole body if not.
+    def make_room_for_objects(self, size: int) -> bool:
+        """Return whether objects have room beside an exclusive body.
 
-        Without a sole body, the number of objects has limits of its own.
+        The body is refused for them if it still arrives. Without such a body,
+        the number of objects has limits of its own.
         """
         memory = self._memory
-        if not memory.sole.held_bytes or memory.fits_objects(size):
+        if not memory.exclusive.held_bytes or memory.fits_objects(size):
             return True
         for body in self._bodies:
-            if memory.sole.covers(body.lease.size):
+            if memory.exclusive.applies_to(body.lease.size):
                 self._refuse(body)
                 return True
         return False
--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -193,7 +193,9 @@
         """
         self._record_activity(connection)
         self._connections.add(connection)
-        has_room = self.arriving_bodies.give_way_to_objects(self._reserve_bytes)
+        has_room = self.arriving_bodies.make_room_for_objects(
+            self._reserve_bytes
+        )
         return self._open_connections.add(connection, has_room=has_room)
 
     def remove_connection(self, connection: Pipeline) -> None:
--- a/briartack/sole_body.py
+++ b/briartack/exclusive_body.py
@@ -7,15 +7,16 @@
 
 from typing import Final, final
 
-# A sole body leaves so much to the process and to what is held beside the body.
+# An exclusive body leaves so much to the process and to all that is held beside
+# the body.
 _BESIDE_BYTES: Final = 60_000_000
-# What others may need at least while a sole body is held.
+# What others may need at least while an exclusive body is held.
 _MIN_REST_BYTES: Final = 4_000_000
 
 
 @final
-class SoleBody:
-    """Count the body that shares the memory with no other large one."""
+class ExclusiveBody:
+    """Bound the body that may take all memory that is free."""
 
     __slots__ = ('_shared_bytes', '_memory_bytes', '_base_bytes', '_held_bytes')
 
@@ -46,7 +47,7 @@
         """Return the memory that the body leaves to all else."""
         return self._compute_rest(self._held_bytes)
 
-    def covers(self, size: int) -> bool:
+    def applies_to(self, size: int) -> bool:
         """Return whether a body of a size is too large to share the memory."""
         return size > self._shared_bytes
 
--- a/briartack/memory_budget.py
+++ b/briartack/memory_budget.py
@@ -5,8 +5,8 @@
 attempt whole, and both are refused if there is no room. Responses can't be
 refused: their readers wait for room instead.
 
-A request body above the share of large ones may be the sole one (`sole_body`),
-and all that is held beside it has to fit into the rest.
+A request body above the share of large ones is exclusive (`exclusive_body`):
+all that is held beside it has to fit into the rest.
 
 Connections, calls and attempts take memory too, with a body or without. They
 are counted where they are held, and share the limit with the bodies.
@@ -19,7 +19,7 @@
 from typing import Final, TypeAlias, final
 
 from briartack.core.messages import MAX_BODY_BYTES
-from briartack.sole_body import SoleBody
+from briartack.exclusive_body import ExclusiveBody
 
 MEGABYTE: Final = 1_000_000
 # The interpreter, the libraries, the configuration and freed memory of small
@@ -116,7 +116,7 @@
         '_object_kinds',
         '_body_bytes',
         '_request_bytes',
-        'sole',
+        'exclusive',
         '_relieve',
         '_excess_from',
         '_excess_at',
@@ -125,7 +125,7 @@
     def __init__(self, *, max_bytes: int, memory_bytes: int = 0) -> None:
         """Set the limit of all that is held together.
 
-        `memory_bytes` is the limit of the process; 0 allows no sole bodies.
+        `memory_bytes` is the limit of the process; 0 allows no exclusive body.
         """
         self._most_bytes = max_bytes
         self._max_bytes = max_bytes
@@ -135,7 +135,7 @@
         self._body_bytes = 0
         self._request_bytes = 0
         # Neither body nor request bytes include this one.
-        self.sole: Final = SoleBody(
+        self.exclusive: Final = ExclusiveBody(
             shared_bytes=int(max_bytes * _LARGE_REQUEST_SHARE),
             memory_bytes=memory_bytes,
             base_bytes=_BASE_BYTES,
@@ -147,14 +147,14 @@
 
     @property
     def max_bytes(self) -> int:
-        """Return the limit of all that is held beside a sole body."""
-        if not self.sole.held_bytes:
+        """Return the limit of all that is held beside an exclusive body."""
+        if not self.exclusive.held_bytes:
             return self._max_bytes
-        return min(self._max_bytes, self.sole.rest_bytes // _COPIES)
+        return min(self._max_bytes, self.exclusive.rest_bytes // _COPIES)
 
     @property
     def held_bytes(self) -> int:
-        """Return the size of everything that is held beside a sole body.
+        """Return the size of everything that is held beside an exclusive body.
 
         An object takes its size once, unlike a body, so half of it counts.
         """
@@ -163,13 +163,13 @@
     @property
     def body_bytes(self) -> int:
         """Return the size of the bodies alone."""
-        return self._body_bytes + self.sole.held_bytes
+        return self._body_bytes + self.exclusive.held_bytes
 
     @property
     def max_request_bytes(self) -> int:
         """Return the size of the largest request body that ever fits."""
         shared_bytes = int(self._most_bytes * _LARGE_REQUEST_SHARE)
-        return max(shared_bytes, self.sole.max_bytes)
+        return max(shared_bytes, self.exclusive.max_bytes)
 
     @property
     def is_full(self) -> bool:
@@ -202,7 +202,7 @@
         if is_known and self.body_bytes <= _MAX_MEASURED_BYTES:
             base_bytes = resident_bytes - self._resident_object_bytes
             base_bytes += reserved_bytes
-            self.sole.measure(base_bytes)
+            self.exclusive.measure(base_bytes)
             self._max_bytes = min(
                 self._most_bytes, compute_budget_bytes(memory_bytes, base_bytes)
             )
@@ -237,11 +237,11 @@
 
         `size` is that of the whole body, which decides on its share.
         """
-        if self.sole.covers(size):
-            # What is held of the body itself may count twice until it is sole.
+        if self.exclusive.applies_to(size):
+            # What is held of the body may count twice until it is exclusive.
             own_bytes = size - growth
-            held_bytes = self.held_bytes * _COPIES + self.sole.held_bytes
-            return self.sole.fits(size, held_bytes - own_bytes)
+            held_bytes = self.held_bytes * _COPIES + self.exclusive.held_bytes
+            return self.exclusive.fits(size, held_bytes - own_bytes)
         if self.held_bytes + growth > self.max_bytes:
             return False
         share = _LARGE_REQUEST_SHARE
@@ -254,9 +254,9 @@
         """Return a lease on a request body, or None without room.
 
         `whole_bytes` is the size of the body if only part of it is leased. A
-        sole body is leased whole.
+        exclusive body is leased whole.
         """
-        if self.sole.covers(whole_bytes):
+        if self.exclusive.applies_to(whole_bytes):
             size = whole_bytes
         if not self.fits(max(size, whole_bytes), size):
             return None
@@ -292,8 +292,8 @@
         self._count(after, 1, is_request=is_request)
 
     def _count(self, size: int, sign: int, *, is_request: bool) -> None:
-        if is_request and self.sole.covers(size):
-            self.sole.record_change(sign * size)
+        if is_request and self.exclusive.applies_to(size):
+            self.exclusive.record_change(sign * size)
             return
         self._body_bytes += sign * size
         if is_request:
--- a/briartack/test/test_largest_body.py
+++ b/briartack/test/test_largest_body.py
@@ -228,7 +228,7 @@
     ).status
 
 
-class SoleBodyTest(unittest.TestCase):
+class ExclusiveBodyTest(unittest.TestCase):
     def setUp(self) -> None:
         self.budget = MemoryBudget(
             max_bytes=compute_budget_bytes(128 * MEGABYTE),
@@ -258,10 +258,10 @@
 
     # Guards against two bodies that take the same memory, and against memory
     # that stays taken.
-    def test_sole_body_leaves_the_rest_to_others(self) -> None:
-        sole = self.budget.reserve_request(65536, 60 * MEGABYTE)
-        assert sole is not None
-        self.assertEqual(sole.size, 60 * MEGABYTE)
+    def test_exclusive_body_leaves_the_rest_to_others(self) -> None:
+        exclusive = self.budget.reserve_request(65536, 60 * MEGABYTE)
+        assert exclusive is not None
+        self.assertEqual(exclusive.size, 60 * MEGABYTE)
         self.assertEqual(self.budget.body_bytes, 60 * MEGABYTE)
         self.assertEqual(self.budget.held_bytes, 0)
         # 128 MB less 46 and 60, of which bodies take their size twice.
@@ -269,12 +269,12 @@
         self.assertIsNone(self.budget.reserve_request(20 * MEGABYTE))
         self.assertIsNone(self.budget.reserve_request(7 * MEGABYTE))
         self.assertIsNotNone(self.budget.reserve_request(6 * MEGABYTE))
-        sole.release()
+        exclusive.release()
         self.assertEqual(self.budget.max_bytes, 32 * MEGABYTE)
         self.assertIsNotNone(self.budget.reserve_request(7 * MEGABYTE))
 
     # Guards against a body of unknown size that grows beyond the memory.
-    def test_growing_body_becomes_the_sole_one(self) -> None:
+    def test_growing_body_becomes_exclusive(self) -> None:
         growing = self.budget.reserve_request(65536)
         other = self.budget.reserve_request(65536)
         assert growing is not None
