Write repeated parts of the memory tests and limits once

Found in a last reading of the change: - the largest body that fits was computed in MemoryBudget and again from the same share in ExclusiveBody, which now answers alone; - the site with uploads was also written out in test_size_limits, the wait for an ordinary request twice, and the table of connections was parsed by two modules of tests. Each is written once; bounds, patience and assertions are as before; - a constant of native_dialects had lost its last use.

Behaviour is unchanged.

--- a/briartack/exclusive_body.py
+++ b/briartack/exclusive_body.py
@@ -39,8 +39,8 @@
 
     @property
     def max_bytes(self) -> int:
-        """Return the size of the largest body that ever fits."""
-        return self._memory_bytes - _BESIDE_BYTES
+        """Return the size of the largest body that ever fits, shared or not."""
+        return max(self._shared_bytes, self._memory_bytes - _BESIDE_BYTES)
 
     @property
     def rest_bytes(self) -> int:
--- a/briartack/memory_budget.py
+++ b/briartack/memory_budget.py
@@ -168,8 +168,7 @@
     @property
     def max_request_bytes(self) -> int:
         """Return the size of the largest request body that ever fits."""
-        shared_bytes = int(self._most_bytes * _LARGE_REQUEST_SHARE)
-        return max(shared_bytes, self.exclusive.max_bytes)
+        return self.exclusive.max_bytes
 
     @property
     def is_full(self) -> bool:
@@ -253,7 +252,7 @@
     def reserve_request(self, size: int, whole_bytes: int = 0) -> Lease | None:
         """Return a lease on a request body, or None without room.
 
-        `whole_bytes` is the size of the body if only part of it is leased. A
+        `whole_bytes` is the size of the body if only part of it is leased. An
         exclusive body is leased whole.
         """
         if self.exclusive.applies_to(whole_bytes):
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -37,7 +37,6 @@
 _KEYS_PATH: Final = '/.briartack/keys'
 _STORE_ERA: Final = 'X-Store-Era'
 _STATUS_OK: Final = 200
-_CRLF: Final = b'\r\n'
 _METHODS_WITH_BODY: Final = frozenset(('POST', 'PUT', 'PATCH'))
 
 
--- a/briartack/test/process_memory.py
+++ b/briartack/test/process_memory.py
@@ -7,6 +7,7 @@
 import os
 import socket
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Final, final
 
@@ -26,6 +27,18 @@
     return int(statm.split()[1]) * _PAGE_BYTES
 
 
+def list_unread_bytes() -> Iterator[tuple[str, int]]:
+    """Return the unread bytes of each connection, with its local address.
+
+    Addresses are hexadecimal, as /proc/net/tcp writes them.
+    """
+    lines = Path('/proc/net/tcp').read_text('ascii').splitlines()
+    for line in lines[1:]:
+        local, _, state, queues = line.split(maxsplit=5)[1:5]
+        if state != _LISTENING:
+            yield local, int(queues.partition(':')[2], 16)
+
+
 def read_unread_bytes(ip: str, except_port: int = 0) -> int:
     """Return what the sockets at an address have received and not yet read.
 
@@ -33,14 +46,11 @@
     """
     prefix = f'{_encode_ip(ip)}:'
     left_out = f'{prefix}{except_port:04X}'
-    unread = 0
-    lines = Path('/proc/net/tcp').read_text('ascii').splitlines()
-    for line in lines[1:]:
-        local, _, state, queues = line.split(maxsplit=5)[1:5]
-        is_counted = local.startswith(prefix) and local != left_out
-        if is_counted and state != _LISTENING:
-            unread += int(queues.partition(':')[2], 16)
-    return unread
+    return sum(
+        unread
+        for local, unread in list_unread_bytes()
+        if local.startswith(prefix) and local != left_out
+    )
 
 
 @final
--- a/briartack/test/test_counted_memory.py
+++ b/briartack/test/test_counted_memory.py
@@ -25,8 +25,12 @@
     find_address,
     raised_descriptor_limit,
 )
-from briartack.test.upload_site import UPLOAD_PATH, start_upload_site
-from standins.platform_site import HOST, Machine, send_consumer_request
+from briartack.test.upload_site import (
+    UPLOAD_PATH,
+    serves_others,
+    start_upload_site,
+)
+from standins.platform_site import HOST, Machine
 
 # The configuration and the libraries alone take 37 MB.
 MEMORY_MB: Final = 100
@@ -131,16 +135,6 @@
             end.wait()
 
 
-def serves_others(machine: Machine) -> bool:
-    """Return whether an ordinary request is served in time."""
-    until = time.monotonic() + PATIENCE_SECONDS
-    while time.monotonic() < until:
-        if send_consumer_request(machine, '/reads/').status == 200:
-            return True
-        gevent.sleep(0.1)
-    return False
-
-
 class CountedMemoryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.site = start_upload_site(
@@ -233,7 +227,7 @@
     def check_daemon(self, machine: Machine) -> None:
         """Check that a daemon lives within its memory, and serves."""
         self.assertIs(machine.daemon.is_running, True)
-        self.assertTrue(serves_others(machine))
+        self.assertTrue(serves_others(machine, PATIENCE_SECONDS))
         self.assertTrue(
             becomes_true(lambda: count_descriptors(machine) < OTHER_DESCRIPTORS)
         )
--- a/briartack/test/test_size_limits.py
+++ b/briartack/test/test_size_limits.py
@@ -1,10 +1,8 @@
 """Test that the operators' limits of sizes are in force where memory allows."""
 
 import json
-import tempfile
 import unittest
 import uuid
-from pathlib import Path
 from typing import Any, Final
 
 import gevent
@@ -16,16 +14,11 @@
 from briartack.memory_budget import MEGABYTE, MemoryBudget
 from briartack.peer_outbox import MAX_QUEUED_BODY_BYTES, PeerOutbox
 from briartack.test.shell_fixture import ShellFixture, read_answer
-from briartack.test.test_platform_site import becomes_true
+from briartack.test.upload_site import UPLOAD_PATH, start_upload_site
 from standins.platform_site import (
-    DEFAULT_ROUTES,
     HOST,
     Machine,
     PlatformSite,
-    SiteShape,
-    build_configuration,
-    build_route,
-    send_consumer_request,
     send_request,
 )
 
@@ -67,29 +60,6 @@
 
         Its upstreams get no uploads; those are sent to another machine.
         """
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        site = PlatformSite(
-            directory=Path(directory.name),
-            shape=SiteShape(
-                regions_by_zone={'east-1': 'east'},
-                services=('reads', 'buys'),
-                slots=4,
-                max_connections=50,
-                memory_mb=memory_mb,
-            ),
-        )
-        self.site = site
-        self.addCleanup(site.stop)
-        site.start()
-        uploads = build_route(
-            'uploads',
-            '/up/',
-            'buys',
-            kind='non_idempotent',
-            timeout_ms=20_000,
-            target_latency_ms=20_000,
-        )
         limits = {
             'resource_kind': 'limits',
             'metadata': {'name': 'all'},
@@ -98,23 +68,13 @@
                 'max_header_bytes': 262_144,
             },
         }
-        site.store.put(
-            'op/config',
-            build_configuration(*DEFAULT_ROUTES, uploads, limits, version=2),
+        self.site = start_upload_site(
+            self, limits, memory_mb=memory_mb, timeout_ms=20_000
         )
-        self.assertTrue(becomes_true(site.is_ready))
         # An echo would be above the limit of answers.
-        owner = site.find_machine('east-1', 'buys')
-        owner.worker.bodies_by_path['/up/'] = b'done'
-        machine = site.find_machine('east-1', 'reads')
-        self.assertTrue(
-            becomes_true(
-                lambda: (
-                    send_consumer_request(machine, '/up/', b'x').status == 200
-                )
-            )
-        )
-        return machine
+        owner = self.site.find_machine('east-1', 'buys')
+        owner.worker.bodies_by_path[UPLOAD_PATH] = b'done'
+        return self.site.find_machine('east-1', 'reads')
 
     # Guards against a body that operators allow and memory has room for, and
     # that is refused, or ends the stream to its owner.
--- a/briartack/test/test_unread_bytes.py
+++ b/briartack/test/test_unread_bytes.py
@@ -9,7 +9,6 @@
 import signal
 import unittest
 import uuid
-from pathlib import Path
 from typing import Any
 
 import gevent
@@ -20,6 +19,7 @@
 from briartack.framing import encode
 from briartack.memory_budget import MEGABYTE
 from briartack.test.fake_reducer import wait_until
+from briartack.test.process_memory import list_unread_bytes
 from briartack.test.shell_fixture import ShellFixture, read_answer
 from briartack.test.test_descriptor_limits import start_small_site
 from briartack.test.test_platform_site import becomes_true
@@ -143,10 +143,8 @@
 
 def read_unread_bytes(port: int) -> int:
     """Return the bytes that a port has received and nobody has read."""
-    unread = 0
-    for line in Path('/proc/net/tcp').read_text('utf-8').splitlines()[1:]:
-        fields = line.split()
-        is_listening = fields[3] == '0A'
-        if fields[1].endswith(f':{port:04X}') and not is_listening:
-            unread += int(fields[4].partition(':')[2], 16)
-    return unread
+    return sum(
+        unread
+        for local, unread in list_unread_bytes()
+        if local.endswith(f':{port:04X}')
+    )
--- a/briartack/test/test_untrusted_clients.py
+++ b/briartack/test/test_untrusted_clients.py
@@ -23,8 +23,12 @@
 
 from briartack.memory_budget import MEGABYTE
 from briartack.test.test_platform_site import becomes_true
-from briartack.test.upload_site import UPLOAD_PATH, start_upload_site
-from standins.platform_site import HOST, Machine, send_consumer_request
+from briartack.test.upload_site import (
+    UPLOAD_PATH,
+    serves_others,
+    start_upload_site,
+)
+from standins.platform_site import HOST, Machine
 
 # The bounds. The configuration and the libraries alone take 37 MB.
 MEMORY_MB: Final = 100
@@ -236,7 +240,7 @@
         end.set()
         gevent.joinall(clients, raise_error=True)
         served = {
-            machine.service: serves_others(machine)
+            machine.service: serves_others(machine, PATIENCE_SECONDS)
             for machine in self.site.machines
         }
         for machine in self.site.machines:
@@ -252,13 +256,3 @@
         self.assertTrue(
             becomes_true(lambda: count_descriptors(machine) < OTHER_DESCRIPTORS)
         )
-
-
-def serves_others(machine: Machine) -> bool:
-    """Return whether an ordinary request is served in time."""
-    until = time.monotonic() + PATIENCE_SECONDS
-    while time.monotonic() < until:
-        if send_consumer_request(machine, '/reads/').status == 200:
-            return True
-        gevent.sleep(0.1)
-    return False
--- a/briartack/test/upload_site.py
+++ b/briartack/test/upload_site.py
@@ -1,10 +1,13 @@
 """Start a small site of real processes that takes uploads."""
 
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from typing import Any, Final
 
+import gevent
+
 from briartack.test.test_platform_site import becomes_true
 from standins.platform_site import (
     DEFAULT_ROUTES,
@@ -63,6 +66,16 @@
     return site
 
 
+def serves_others(machine: Machine, patience_seconds: float) -> bool:
+    """Return whether an ordinary request is served in time."""
+    until = time.monotonic() + patience_seconds
+    while time.monotonic() < until:
+        if send_consumer_request(machine, '/reads/').status == 200:
+            return True
+        gevent.sleep(0.1)
+    return False
+
+
 def _await_uploads(case: unittest.TestCase, machine: Machine) -> None:
     """Wait until a daemon serves uploads."""
     case.assertTrue(
