--- a/review/second/daemon.py
+++ b/review/daemon_2.py
@@ -12,7 +12,7 @@
 
 import gevent
 
-ROOT: Final = Path(__file__).resolve().parents[2]
+ROOT: Final = Path(__file__).resolve().parents[1]
 DEPLOY_FILE: Final = ROOT / 'deploy' / 'system.toml'
 _PLACEHOLDER: Final = re.compile(r'\{\{([\w.]+)\}\}')
 # What a process gets of the environment of the bench.
