--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # and their libraries are those of the deploy file's build.
 set -e
 cd "$(dirname "$0")/.."
-PYTHONPATH=.:target/deps python3 -c 'import review.second.record, review.second.site'
+PYTHONPATH=.:target/deps python3 -c 'import review.second_record, review.second_site'
--- a/review/record_2.py
+++ b/review/second_record.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Final, final
 
-from review.site_2 import CannotRunError, Site
+from review.second_site import CannotRunError, Site
 
 EXIT_HELD: Final = 0
 EXIT_BROKEN: Final = 1
--- a/review/site_2.py
+++ b/review/second_site.py
@@ -16,7 +16,7 @@
 
 import gevent
 
-from review.daemon_2 import DaemonProcess
+from review.second_daemon import DaemonProcess
 from standins.platform_site import (
     ConsumerResponse,
     build_route,
