--- a/review/second_record.py
+++ b/review/second_record.py
@@ -25,6 +25,7 @@
         self._began_at = time.monotonic()
         self._lines: list[str] = []
         self.broken: list[str] = []
+        self.unserved: set[str] = set()  # ids of attempts without success
 
     @property
     def seconds(self) -> float:
--- a/review/second_site.py
+++ b/review/second_site.py
@@ -174,9 +174,14 @@
         )
 
     def register(
-        self, worker: PlatformWorker, zone: str, service: str, born: int
+        self,
+        worker: PlatformWorker,
+        zone: str,
+        service: str,
+        born: int,
+        **status: Any,
     ) -> None:
-        """Write the entry of a worker that is ready."""
+        """Write the entry of a worker, which is ready unless stated."""
         entry = {
             'address': worker.server.address,
             'born': born,
@@ -186,7 +191,12 @@
                 'zone': zone,
                 'slots': SLOTS,
             },
-            'status': {'state': 'ready', 'sequence': 1, 'cold_left_ms': 0},
+            'status': {
+                'state': 'ready',
+                'sequence': 1,
+                'cold_left_ms': 0,
+                **status,
+            },
         }
         self.store.put(f'servers/{worker.identity}', entry)
 
