--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
 """Case 6: a worker of another service gets the address of one that ended."""
 
+import signal
 import sys
 from collections import Counter
 from itertools import count
@@ -18,6 +19,8 @@
     build_plain_route('buy', 'compras', 'non_idempotent'),
 )
 CALM_SECONDS: Final = 4.0
+# From the end of a worker to the SIGTERM of the daemon beside it.
+TERM_SECONDS: Final = 1.0
 # `addr_reuse_s` of the settings.
 REUSE_SECONDS: Final = 2.1
 # `lag_ms` under [discovery] in the site file: from a start to its entry.
@@ -51,7 +54,7 @@
     ended = machine.worker
     ended.server.stop()
     record.add(f'worker {ended.identity} of compras crashes for good')
-    gevent.sleep(REUSE_SECONDS)
+    await_reuse(machine, record)
     successor = PlatformWorker(
         address=machine.addresses['app'], identity='i-saldo-next'
     )
@@ -62,6 +65,14 @@
     return successor
 
 
+def await_reuse(machine: Machine, record: Record) -> None:
+    """Let the time pass after which the address may be used again."""
+    gevent.sleep(TERM_SECONDS)
+    machine.daemon.send_signal(signal.SIGTERM)
+    record.add('SIGTERM to the daemon beside it')
+    gevent.sleep(REUSE_SECONDS - TERM_SECONDS)
+
+
 def update_list(
     site: Site, machine: Machine, ended: PlatformWorker, record: Record
 ) -> None:
