Log and count each identity of the upstream, and what the list says of it

Change: the line upstream-identity and the counter upstream_identity_changes name the identity of before, the listing (own-service, other-service, unlisted) and the evidence (probe, refusal, list). Platforms without identities have none.

--- a/briartack/core/calls/call_context.py
+++ b/briartack/core/calls/call_context.py
@@ -157,6 +157,9 @@
     def is_leaving(self, instance: InstanceId) -> bool:
         """Return whether an instance is listed as about to stop."""
 
+    def find_upstream(self, record_id: str) -> Member | None:
+        """Return what the list says of an upstream, `None` if nothing."""
+
     def is_upstream_leaving(self, record_id: str) -> bool:
         """Return whether an upstream leaves or its record was deleted."""
 
--- a/briartack/core/calls/call_handlers.py
+++ b/briartack/core/calls/call_handlers.py
@@ -305,7 +305,10 @@
 ) -> Effects:
     """Report a failed upstream request, and whether it may have run."""
     return finish_event(
-        state, context, event.now, state.owner.handle_upstream_failure(event)
+        state,
+        context,
+        event.now,
+        state.owner.handle_upstream_failure(context, event),
     )
 
 
@@ -319,7 +322,7 @@
         state,
         context,
         event.now,
-        state.owner.handle_upstream_probe(event),
+        state.owner.handle_upstream_probe(context, event),
     )
 
 
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -33,6 +33,10 @@
 )
 from briartack.core.calls.owner_runner import OwnerRunner, drop_late_answer
 from briartack.core.calls.reasons import Reason
+from briartack.core.calls.upstream_identity import (
+    Evidence,
+    IdentityWatch,
+)
 from briartack.core.calls.upstream_reports import (
     report_health,
     report_ramp_restart,
@@ -74,6 +78,7 @@
         '_was_out_of_service',
         '_listed_cold_ms',
         '_crash_watch',
+        '_identity_watch',
         '_drain',
     )
 
@@ -85,6 +90,7 @@
         self._was_out_of_service = False
         self._listed_cold_ms = 0
         self._crash_watch = CrashWatch()
+        self._identity_watch = IdentityWatch()
         self.dedup: Final = DedupState()
         self._attempts: dict[AttemptId, OwnedAttempt] = {}
         self._grants = BodyGrants(
@@ -253,7 +259,9 @@
             effects.extend(report_ramp_restart('answers'))
         return effects
 
-    def handle_upstream_failure(self, event: UpstreamFailed) -> Effects:
+    def handle_upstream_failure(
+        self, context: CallContext, event: UpstreamFailed
+    ) -> Effects:
         """Answer the sender, stating whether the request may have run."""
         record = self._runner.remove(event.now, event.attempt_id)
         if record is None:
@@ -268,6 +276,12 @@
         effects.extend(limit_effects)
         if has_restarted:
             effects.extend(report_ramp_restart('reset'))
+        if event.identity:
+            effects.extend(
+                self._identity_watch.update(
+                    context, event.identity, Evidence.REFUSAL
+                )
+            )
         if event.is_reset and event.may_have_run:
             # Evidence on a crash waits for the probe.
             effects.extend(
@@ -275,7 +289,9 @@
             )
         return effects
 
-    def handle_upstream_probe(self, event: UpstreamProbed) -> Effects:
+    def handle_upstream_probe(
+        self, context: CallContext, event: UpstreamProbed
+    ) -> Effects:
         """Record the health, identity and load that a probe reports."""
         upstream = self._upstream
         before = (upstream.health.identity, upstream.is_open)
@@ -286,6 +302,11 @@
             effects.extend(report_ramp_restart('probe'))
         if before != (upstream.health.identity, upstream.is_open):
             effects.append(report_health(upstream, event))
+        effects.extend(
+            self._identity_watch.update(
+                context, upstream.health.identity, Evidence.PROBE
+            )
+        )
         if event.stated_limit is not None:
             effects.extend(
                 _update_stated_limit(self._upstream, event.stated_limit)
@@ -310,6 +331,11 @@
     def tick(self, context: CallContext, now: float) -> Effects:
         """Expire overdue attempts, apply new limits and request due probes."""
         effects = self._runner.tick(now)
+        effects.extend(
+            self._identity_watch.update(
+                context, self._upstream.health.identity, Evidence.LIST
+            )
+        )
         effects.extend(self.suspects.expire(now))
         effects.extend(self._apply_configuration(context, now))
         return effects
--- a/briartack/core/dissemination/membership.py
+++ b/briartack/core/dissemination/membership.py
@@ -104,6 +104,11 @@
         """Return the record in force under an id, which may be a deletion."""
         return self._lapsed.get(record_id) or self._records.get(record_id)
 
+    def find_upstream(self, record_id: str) -> Member | None:
+        """Return what the record of an upstream says, `None` without one."""
+        held = self.find_record(record_id)
+        return None if held is None else held.member
+
     def is_upstream_leaving(self, record_id: str) -> bool:
         """Return whether an upstream leaves or its record was deleted."""
         held = self.find_record(record_id)
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -392,6 +392,10 @@
         'upstream-limit': ErrorText(
             'The upstream states a limit, or states it no longer.', ''
         ),
+        'upstream-identity': ErrorText(
+            'The identity of the upstream, or its listing, has changed.',
+            'Look for its record if the list does not hold it for long.',
+        ),
         'upstream-health': ErrorText(
             'The state of the upstream has changed.', ''
         ),
--- a/briartack/test/test_stated_limit.py
+++ b/briartack/test/test_stated_limit.py
@@ -182,11 +182,12 @@
         )
         probed = PlatformUpstreamDialect().decode_probe(0, answer)
         owner = OwnerState(drain=DrainState(drain_seconds=5), rules=CallRules())
-        owner.handle_upstream_probe(probed)
+        context = CallPathBench(setup={}).context
+        owner.handle_upstream_probe(context, probed)
         self.assertGreaterEqual(owner.upstream.load(0), 1)
         # A probe without a limit does not end it; only answers do.
         owner.handle_upstream_probe(
-            msgspec.structs.replace(probed, stated_limit=None)
+            context, msgspec.structs.replace(probed, stated_limit=None)
         )
         self.assertGreaterEqual(owner.upstream.load(0), 1)
 
