Send requests only to an upstream that the list has in the service

Callers saw: the answer of another service to a purchase that its own service never got (ROUTE). Cause: the owner took the identity of a probe's answer, or of a refusal (421), for that of an upstream of its own service, and then named it itself in X-Expect-Instance. Nothing asked the list for the service of the identity. Evidence: upstream-identity shows the new identity as unlisted, by a probe, 0.04 s after the start of the worker, and as other-service, by the list, 0.80 s later; all wrong runs lie between the two. Ruled out: a request without X-Expect-Instance (each names the new identity), and a wrong service in the list (the record of the successor is right). Why the fix works: an identity counts as verified only while the list holds it in the daemon's service. Nothing starts at an upstream that is not verified: admission refuses with upstream-unverified, the queue is given back as not run when a probe, a refusal or the list changes the answer, and where requests are sent only a verified identity can be named. Senders avoid such an owner as they do one whose upstream is down. Platforms without identities are not concerned. Not included: an identity that is new less than addr_reuse_s after the last sign of life of the one before must be of the same service.

--- a/briartack/core/calls/attempt_sender.py
+++ b/briartack/core/calls/attempt_sender.py
@@ -30,6 +30,7 @@
         reasons.OUT_OF_SERVICE.code,
         reasons.WRONG_SERVICE.code,
         reasons.UPSTREAM_DOWN.code,
+        reasons.UPSTREAM_UNVERIFIED.code,
         reasons.WINDOW_FULL.code,
     ),
 )
--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -66,7 +66,7 @@
         )
         self._rules = rules
         self._slots: int | None = None
-        self.health: Final = UpstreamHealth()
+        self.health: Final = UpstreamHealth(rules=rules)
         self._limits = ServiceLimits(slots=1, connections=1, queue_length=0)
         self.run_bound = RunTimeBound()
         self.times: Final = ServiceTimes()
@@ -77,7 +77,7 @@
     @property
     def is_open(self) -> bool:
         """Return whether the upstream accepts new requests."""
-        return self.health.is_open(self._rules)
+        return self.health.is_open
 
     @property
     def generation(self) -> int:
@@ -110,6 +110,7 @@
     def replace_rules(self, rules: CallRules) -> None:
         """Replace the call rules."""
         self._rules = rules
+        self.health.replace_rules(rules)
 
     def configure(self, limits: ServiceLimits, slots: int | None) -> None:
         """Set the limits of the service and the slots of the instance list.
@@ -214,8 +215,12 @@
         )
 
     def fill(self, now: float) -> AdmissionResult:
-        """Start queued attempts in the free slots; refuse overdue ones."""
-        if not self._admission.queued:
+        """Start queued attempts in the free slots; refuse overdue ones.
+
+        Nothing starts while the identity of the upstream is not verified: the
+        attempts were checked for the upstream before.
+        """
+        if not self._admission.queued or not self.health.may_start:
             return NOTHING_ADMITTED
         admission = self._admission.fill(
             now,
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -16,6 +16,7 @@
 from briartack.core.calls.crash_watch import CrashWatch
 from briartack.core.calls.dedup import DedupState
 from briartack.core.calls.drain import DrainState
+from briartack.core.calls.identity_watch import Evidence, IdentityWatch
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import (
     LocalOutcome,
@@ -33,10 +34,6 @@
 )
 from briartack.core.calls.owner_runner import OwnerRunner, drop_late_answer
 from briartack.core.calls.reasons import Reason
-from briartack.core.calls.upstream_identity import (
-    Evidence,
-    IdentityWatch,
-)
 from briartack.core.calls.upstream_reports import (
     report_health,
     report_ramp_restart,
@@ -90,7 +87,6 @@
         self._was_out_of_service = False
         self._listed_cold_ms = 0
         self._crash_watch = CrashWatch()
-        self._identity_watch = IdentityWatch()
         self.dedup: Final = DedupState()
         self._attempts: dict[AttemptId, OwnedAttempt] = {}
         self._grants = BodyGrants(
@@ -107,6 +103,9 @@
             grants=self._grants,
             attempts=self._attempts,
         )
+        self._identity_watch = IdentityWatch(
+            upstream=self._upstream, runner=self._runner
+        )
         self.bodies: Final = OwnerBodies(
             grants=self._grants,
             answers=self._answers,
@@ -279,9 +278,10 @@
         if event.identity:
             effects.extend(
                 self._identity_watch.update(
-                    context, event.identity, Evidence.REFUSAL
+                    context, event.now, Evidence.REFUSAL
                 )
             )
+            effects.extend(self._runner.fill(event.now))
         if event.is_reset and event.may_have_run:
             # Evidence on a crash waits for the probe.
             effects.extend(
@@ -303,9 +303,7 @@
         if before != (upstream.health.identity, upstream.is_open):
             effects.append(report_health(upstream, event))
         effects.extend(
-            self._identity_watch.update(
-                context, upstream.health.identity, Evidence.PROBE
-            )
+            self._identity_watch.update(context, event.now, Evidence.PROBE)
         )
         if event.stated_limit is not None:
             effects.extend(
@@ -330,12 +328,8 @@
 
     def tick(self, context: CallContext, now: float) -> Effects:
         """Expire overdue attempts, apply new limits and request due probes."""
-        effects = self._runner.tick(now)
-        effects.extend(
-            self._identity_watch.update(
-                context, self._upstream.health.identity, Evidence.LIST
-            )
-        )
+        effects = self._identity_watch.update(context, now, Evidence.LIST)
+        effects.extend(self._runner.tick(now))
         effects.extend(self.suspects.expire(now))
         effects.extend(self._apply_configuration(context, now))
         return effects
--- a/briartack/core/calls/owner_checks.py
+++ b/briartack/core/calls/owner_checks.py
@@ -8,6 +8,7 @@
 from briartack.core.calls.local_upstream import LocalUpstream
 from briartack.core.calls.owned_attempts import OwnedAttempt
 from briartack.core.calls.reasons import Reason
+from briartack.core.calls.upstream_identity import verify_identity
 from briartack.core.configuration.settings import PlatformSettings
 from briartack.core.messages import Attempt
 
@@ -97,6 +98,15 @@
         return reasons.OUT_OF_SERVICE
     if attempt.body_bytes > snapshot.caller_limits.body_limit:
         return reasons.BODY_TOO_LARGE
+    return _find_upstream_problem(context, upstream)
+
+
+def _find_upstream_problem(
+    context: CallContext, upstream: LocalUpstream
+) -> Reason | None:
+    verify_identity(context, upstream)
+    if upstream.health.identity and not upstream.health.may_start:
+        return reasons.UPSTREAM_UNVERIFIED
     return None if upstream.is_open else reasons.UPSTREAM_DOWN
 
 
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -159,7 +159,7 @@
         return [
             AbortDispatch(attempt_id=attempt_id),
             *self._answers.drop_request_body(record),
-            *self._apply(now, self._upstream.fill(now)),
+            *self.fill(now),
         ]
 
     def withdraw(self, now: float, record: OwnedAttempt) -> Effects:
@@ -211,7 +211,7 @@
             load_report=event.load_report,
         )
         effects = self._answers.complete(event, record)
-        effects.extend(self._apply(event.now, self._upstream.fill(event.now)))
+        effects.extend(self.fill(event.now))
         return effects, has_restarted
 
     def handle_failure(
@@ -237,9 +237,13 @@
             reason = reasons.UPSTREAM_REPLACED
         verdict = Verdict.UNKNOWN if event.may_have_run else Verdict.NOT_RUN
         effects = self._answers.fail(event.now, record, verdict, reason)
-        effects.extend(self._apply(event.now, self._upstream.fill(event.now)))
+        effects.extend(self.fill(event.now))
         return effects, has_restarted
 
+    def fill(self, now: float) -> Effects:
+        """Start queued attempts in the free slots."""
+        return self._apply(now, self._upstream.fill(now))
+
     def tick(self, now: float) -> Effects:
         """Expire overdue attempts that have not started; start queued ones."""
         effects: Effects = []
@@ -249,7 +253,7 @@
                 effects.extend(self.expire(now, record, reasons.DEADLINE))
         # The rate of a cold upstream allows new starts as time passes, even
         # if no answer frees a slot.
-        effects.extend(self._apply(now, self._upstream.fill(now)))
+        effects.extend(self.fill(now))
         self._timers.compact(len(self._attempts), self._attempts.__contains__)
         return effects
 
--- a/briartack/core/calls/reasons.py
+++ b/briartack/core/calls/reasons.py
@@ -129,6 +129,10 @@
     code='upstream-down',
     status=UNAVAILABLE,
 )
+UPSTREAM_UNVERIFIED: Final = Reason(
+    code='upstream-unverified',
+    status=UNAVAILABLE,
+)
 UPSTREAM_FAILED: Final = Reason(
     code='upstream-failed',
     status=BAD_GATEWAY,
--- a/briartack/core/calls/upstream_health.py
+++ b/briartack/core/calls/upstream_health.py
@@ -12,32 +12,53 @@
 
     __slots__ = (
         '_identity',
+        '_verified_identity',
         '_is_healthy',
         '_is_draining',
         '_is_probe_requested',
+        '_rules',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, rules: CallRules) -> None:
         """Start healthy, with an unknown identity until the first probe."""
         self._identity = ''
+        self._verified_identity = ''
         self._is_healthy = True
         self._is_draining = False
         self._is_probe_requested = False
+        self._rules = rules
 
     @property
     def identity(self) -> str:
         """Return the id of this start of the upstream, or empty if unknown."""
         return self._identity
 
+    @property
+    def is_verified(self) -> bool:
+        """Return whether the list has the present identity in the service."""
+        return bool(self._identity) and (
+            self._identity == self._verified_identity
+        )
+
     @property
     def is_healthy(self) -> bool:
         """Return whether no probe or failure has marked the upstream down."""
         return self._is_healthy
 
-    def is_open(self, rules: CallRules) -> bool:
+    @property
+    def may_start(self) -> bool:
+        """Return whether requests may be sent under the present identity."""
+        return self.is_verified or not self._rules.requires_identity
+
+    @property
+    def is_open(self) -> bool:
         """Return whether the upstream accepts new requests."""
-        is_known = bool(self._identity) or not rules.requires_identity
-        return self._is_healthy and not self._is_draining and is_known
+        is_usable = self._is_healthy and not self._is_draining
+        return is_usable and self.may_start
+
+    def replace_rules(self, rules: CallRules) -> None:
+        """Replace the rules that say whether an identity is required."""
+        self._rules = rules
 
     def take_probe_request(self) -> bool:
         """Return and clear the request for an early probe."""
@@ -57,6 +78,13 @@
         """Set the identity of the upstream; an empty one changes nothing."""
         self._identity = identity or self._identity
 
+    def verify(self, *, is_own_service: bool) -> None:
+        """Record whether the list has the present identity in the service.
+
+        The next identity is not verified until this is called again.
+        """
+        self._verified_identity = self._identity if is_own_service else ''
+
     def handle_probe(self, event: UpstreamProbed) -> None:
         """Record the result of a probe."""
         self.update_identity(event.identity)
--- a/briartack/core/calls/upstream_identity.py
+++ b/briartack/core/calls/upstream_identity.py
@@ -8,7 +8,7 @@
 from typing import final
 
 from briartack.core.calls.call_context import CallContext
-from briartack.core.effects import Count, Effects, LogLevel, WriteLog
+from briartack.core.calls.local_upstream import LocalUpstream
 
 
 @final
@@ -21,15 +21,6 @@
     OWN_SERVICE = 'own-service'
 
 
-@final
-class Evidence(Enum):
-    """Name the source of a change of the upstream's identity or listing."""
-
-    PROBE = 'probe'
-    REFUSAL = 'refusal'  # the upstream was not the expected one
-    LIST = 'list'
-
-
 def find_listing(context: CallContext, identity: str) -> Listing:
     """Return how the instance list describes an identity."""
     if not identity:
@@ -42,47 +33,8 @@
     return Listing.OWN_SERVICE
 
 
-@final
-class IdentityWatch:
-    """Report each change of the upstream's identity and of its listing once."""
-
-    __slots__ = ('_identity', '_listing')
-
-    def __init__(self) -> None:
-        self._identity = ''
-        self._listing = Listing.UNNAMED
-
-    def update(
-        self, context: CallContext, identity: str, evidence: Evidence
-    ) -> Effects:
-        """Count and log the identity if it or its listing has changed.
-
-        A platform without identities has no listing of them either.
-        """
-        if not context.rules.requires_identity:
-            return []
-        listing = find_listing(context, identity)
-        if (identity, listing) == (self._identity, self._listing):
-            return []
-        previous = self._identity
-        self._identity = identity
-        self._listing = listing
-        return [
-            Count(
-                name='upstream_identity_changes',
-                attributes=(
-                    ('evidence', evidence.value),
-                    ('listing', listing.value),
-                ),
-            ),
-            WriteLog(
-                level=LogLevel.INFO,
-                code='upstream-identity',
-                fields=(
-                    ('upstream', identity),
-                    ('previous', previous),
-                    ('listing', listing.value),
-                    ('evidence', evidence.value),
-                ),
-            ),
-        ]
+def verify_identity(context: CallContext, upstream: LocalUpstream) -> Listing:
+    """Verify the upstream's identity by the list; return its listing."""
+    listing = find_listing(context, upstream.health.identity)
+    upstream.health.verify(is_own_service=listing is Listing.OWN_SERVICE)
+    return listing
--- a/briartack/core/status.py
+++ b/briartack/core/status.py
@@ -1,5 +1,7 @@
 """Status report of a daemon, for operators."""
 
+from briartack.core.calls.upstream_identity import find_listing
+from briartack.core.reducer import make_call_context
 from briartack.core.service_status import describe_services
 from briartack.core.state import State
 from briartack.core.units import (
@@ -122,6 +124,15 @@
     }
 
 
+def _describe_identity(state: State) -> dict[str, object]:
+    """Describe the upstream's identity if the platform requires one."""
+    if not state.rules.requires_identity:
+        return {}
+    identity = state.calls.owner.upstream.health.identity
+    listing = find_listing(make_call_context(state), identity)
+    return {'identity': identity, 'listing': listing.value}
+
+
 def _describe_upstream(state: State) -> dict[str, object]:
     now = state.last_event_at
     owner = state.calls.owner
@@ -129,6 +140,7 @@
     wait_ms = upstream.wait_seconds(now) * MILLISECONDS_PER_SECOND
     return {
         'open': upstream.is_open,
+        **_describe_identity(state),
         'in_flight': upstream.running,
         'limit': upstream.limit,
         'slowdown': round(upstream.times.slowdown(now), 2),
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -255,6 +255,10 @@
             'The upstream is not healthy or is draining.',
             'Retry the request after a moment.',
         ),
+        'upstream-unverified': ErrorText(
+            'The list does not show that the upstream is of this service.',
+            'Retry the request after a moment; see the line upstream-identity.',
+        ),
         'upstream-failed': ErrorText(
             'The upstream sent no complete and valid response.',
             'Check the outcome before retrying the request.',
--- a/briartack/test/test_platform_site.py
+++ b/briartack/test/test_platform_site.py
@@ -87,6 +87,14 @@
         configuration = build_configuration(*routes, version=self.version)
         self.site.store.put('op/config', configuration)
 
+    def buy_in_both_zones(self) -> None:
+        """Check that purchases through two machines are served by others."""
+        for number in range(20):
+            zone = ('east-1', 'east-2')[number % 2]
+            reply = self.request_from(zone, '/buys/', b'order')
+            self.assertEqual(reply.status, 200)
+            self.assertNotIn(b'i-other', reply.body)
+
     def count_failures(self) -> int:
         """Return how often the daemons logged a failure of their own."""
         logs = [
@@ -171,6 +179,28 @@
             ),
         )
 
+    # Guards against purchases that a worker of another service runs, which has
+    # the address of the one that ended (ROUTE).
+    def test_worker_of_another_service_gets_no_requests(self) -> None:
+        machine = self.site.find_machine('east-2', 'buys')
+        worker = machine.worker
+        before = worker.identity
+        self.addCleanup(
+            becomes_true,
+            lambda: (
+                self.request_from('east-2', '/buys/').body
+                == f'{before} '.encode()
+            ),
+        )
+        self.addCleanup(self.site.store.delete, 'servers/i-other')
+        self.addCleanup(worker.restart, before)
+        worker.restart('i-other')
+        ran = worker.counts['ran']
+        self.buy_in_both_zones()
+        self.site.register_worker(machine, 'reads')
+        self.buy_in_both_zones()
+        self.assertEqual(worker.counts['ran'], ran)
+
     def test_worker_with_a_limit_gets_no_more_than_it_takes(self) -> None:
         """Guard against requests beyond the limit that a worker names.
 
--- a/briartack/test/test_stated_limit.py
+++ b/briartack/test/test_stated_limit.py
@@ -68,7 +68,7 @@
 
 
 def probe(upstream: LocalUpstream, identity: str) -> None:
-    """Let a probe report a healthy, warm upstream."""
+    """Let a probe report a healthy, warm upstream that the list has."""
     upstream.handle_probe(
         UpstreamProbed(
             now=0,
@@ -79,6 +79,7 @@
             cold_seconds=0,
         ),
     )
+    upstream.health.verify(is_own_service=True)
 
 
 class StatedLimitTest(unittest.TestCase):
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -244,15 +244,20 @@
         daemon.start()
         return machine
 
-    def register_worker(self, machine: Machine, **status: Any) -> None:
-        """Write the registration of a machine's worker to the store."""
+    def register_worker(
+        self, machine: Machine, service: str = '', **status: Any
+    ) -> None:
+        """Write the registration of a machine's worker to the store.
+
+        The service is that of the machine if none is given.
+        """
         self.store.put(
             f'servers/{machine.worker.identity}',
             {
                 'address': machine.worker.server.address,
                 'born': 1,
                 'info': {
-                    'service': machine.service,
+                    'service': service or machine.service,
                     'version': 'v1',
                     'zone': machine.zone,
                     'slots': self._shape.slots,
