--- a/briartack/test/test_foreign_upstream.py
+++ b/briartack/test/test_foreign_upstream.py
@@ -263,6 +263,24 @@
         sent = list_dispatches(send(state, 1.2, 'b.b1.1'))
         self.assertEqual(sent, [('b.b1.1', SUCCESSOR)] if is_used else [])
 
+    # Guards against an upstream that is refused while its record has only
+    # lapsed, as it does while the store is away, or was restored from a copy.
+    @params((0.5, ''), (1.5, reasons.OUT_OF_SERVICE.code))
+    def test_lapsed_record_still_verifies_its_upstream(
+        self, seconds: float, reason: str
+    ) -> None:
+        state = make_daemon()
+        # Without ticks the daemon would take the time for a pause of its own.
+        for tick in range(2, 11):
+            reduce(state, events.Tick(now=tick / 2))
+        read_list(state, 5, (make_record(OWN, 4, None),))
+        now = 5 + seconds
+        reduce(state, events.Tick(now=now))
+        effects = send(state, now, 'b.b1.1')
+        refused = [code for _, _, code in list_refusals(effects)]
+        self.assertEqual(refused, [reason] if reason else [])
+        self.assertEqual(bool(list_dispatches(effects)), not reason)
+
     # Guards against an upstream that operators see as open although it gets no
     # requests.
     @params(((), 'unlisted'), ((OTHER_SERVICE,), 'other-service'))
