Refuse entries in which a field is missing or of another type

Cause: the adapter took an entry without version, sequence and cold_left_ms for a whole one; of two records at one address, both of named services, the newer hides the other. What is refused is logged and counted as before (item-refused), and names no upstream.

--- a/briartack/platform/registry.py
+++ b/briartack/platform/registry.py
@@ -29,6 +29,8 @@
     """Represent the static properties of a server."""
 
     service: Annotated[str, Meta(min_length=1)]
+    # Not used; an entry without it is not one of a server.
+    version: str
     zone: str
     slots: Annotated[int, Meta(ge=1)]
 
@@ -37,8 +39,8 @@
     """Represent the status of a server."""
 
     state: str
-    sequence: object = None  # counts the server's writes since its start
-    cold_left_ms: object = None  # how much longer the server is slow
+    sequence: int  # counts the server's writes since its start
+    cold_left_ms: float  # how much longer the server is slow
 
 
 class _Server(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,18 +95,13 @@
         return msgspec.json.encode(record).decode(), _find_order(server)
 
 
-def _find_cold_ms(left_ms: object) -> int:
+def _find_cold_ms(left_ms: float) -> int:
     """Return the milliseconds for which a server is cold; 0 if unusable."""
-    if isinstance(left_ms, bool) or not isinstance(left_ms, int | float):
-        return 0
     return round(left_ms) if 0 < left_ms <= MAX_MILLISECONDS else 0
 
 
 def _find_order(server: _Server) -> StatedOrder:
     sequence = server.status.sequence
-    # A bool is an `int` for `isinstance`, but not for the decoder of a peer.
-    if isinstance(sequence, bool) or not isinstance(sequence, int):
-        return ()
     if server.born is None:
         return ()
     if not 0 <= sequence <= MAX_INTEGER:
