Follow the service that a changed settings file names

Change: the settings file's service counts at the start and at each reload, the option only where the file states none. A change is logged (service-changed) and recorded (service_changed). Open streams keep the hello of before.

--- a/briartack/core/events.py
+++ b/briartack/core/events.py
@@ -273,11 +273,12 @@
 
 @final
 class SettingsReloaded(msgspec.Struct, frozen=True, kw_only=True):
-    """Report the call rules and the drain time of changed settings."""
+    """Report the call rules, drain time and service of changed settings."""
 
     now: float
     rules: CallRules
     drain_seconds: float
+    service: str = ''  # of this instance; empty changes nothing
 
 
 Event: TypeAlias = (
--- a/briartack/core/identity.py
+++ b/briartack/core/identity.py
@@ -1,6 +1,9 @@
-"""Identity and location of this daemon, fixed for one incarnation."""
+"""Identity and location of this daemon.
 
-from dataclasses import dataclass
+All but the service is fixed for one incarnation.
+"""
+
+from dataclasses import dataclass, replace
 from typing import final
 
 from briartack.core.units import Incarnation, InstanceId
@@ -16,3 +19,7 @@
     service: str
     data_centre: str
     region: str
+
+    def with_service(self, service: str) -> 'Identity':
+        """Return this identity with another service."""
+        return replace(self, service=service)
--- a/briartack/core/reducer.py
+++ b/briartack/core/reducer.py
@@ -10,6 +10,7 @@
 from briartack.core.calls import call_handlers, cap_handlers
 from briartack.core.calls.call_context import CallContext
 from briartack.core.calls.calls_state import CallsState
+from briartack.core.calls.service_change import on_service_changed
 from briartack.core.dissemination import dissemination
 from briartack.core.dissemination.upstream_notices import (
     announce_crash_evidence,
@@ -423,7 +424,18 @@
 
 def _on_settings_reloaded(state: State, event: SettingsReloaded) -> Effects:
     state.replace_rules(event.rules, event.drain_seconds)
-    return []
+    previous = state.identity.service
+    if event.service in {'', previous}:
+        return []
+    state.replace_service(event.service)
+    fields = (('service', event.service), ('previous', previous))
+    return [
+        WriteLog(level=LogLevel.WARNING, code='service-changed', fields=fields),
+        WriteAudit(
+            record=state.audit_trail.record('service_changed', dict(fields))
+        ),
+        *on_service_changed(state.calls, make_call_context(state), event.now),
+    ]
 
 
 _MESSAGE_HANDLERS: Final[dict[type[PeerMessage], _Handler]] = {
--- a/briartack/core/state.py
+++ b/briartack/core/state.py
@@ -76,3 +76,7 @@
         """Replace the call rules and the times of the next planned stop."""
         self.rules = rules
         self.calls.replace_rules(rules, drain_seconds)
+
+    def replace_service(self, service: str) -> None:
+        """Replace the service of this instance."""
+        self.identity = self.identity.with_service(service)
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -287,7 +287,7 @@
         )
 
     def reload(self) -> None:
-        """Apply the call rules and stop times of a changed settings file.
+        """Apply the rules, stop times and service of a changed settings file.
 
         Logs an invalid file and keeps the previous settings. A stop that has
         begun keeps its times.
@@ -305,11 +305,13 @@
             self._drain_seconds = integration.drain_seconds
             self._exit_flush_seconds = integration.exit_flush_seconds
         self._peers.replace_link_rate(integration.rules.link_bytes_per_second)
+        self._replace_service(integration)
         self._loop.deliver(
             events.SettingsReloaded(
                 now=boot_clock(),
                 rules=integration.rules,
                 drain_seconds=integration.drain_seconds,
+                service=integration.service,
             )
         )
         write_log(effects.LogLevel.INFO, RELOADED, {})
@@ -340,6 +342,14 @@
             partial(write_log, effects.LogLevel.INFO, STOPPED, fields),
         )
 
+    def _replace_service(self, integration: PlatformIntegration) -> None:
+        """Name the service of changed settings to upstreams and to peers."""
+        self._callers.dialect.replace_service(
+            integration.dialects.callers.service
+        )
+        self._identity = self._identity.with_service(integration.service)
+        self._peers.replace_identity(self._identity)
+
     def _try(self, task: str, run: Callable[[], object]) -> None:
         run_guarded(run, task=task, observer=self._observer)
 
--- a/briartack/error_texts.py
+++ b/briartack/error_texts.py
@@ -396,6 +396,10 @@
         'upstream-limit': ErrorText(
             'The upstream states a limit, or states it no longer.', ''
         ),
+        'service-changed': ErrorText(
+            'The settings name another service for this instance.',
+            'Check the settings if the instance was not reassigned.',
+        ),
         'upstream-identity': ErrorText(
             'The identity of the upstream, or its listing, has changed.',
             'Look for its record if the list does not hold it for long.',
--- a/briartack/integration.py
+++ b/briartack/integration.py
@@ -82,15 +82,17 @@
         wrong = OptionError(f'--boot (BRIARTACK_BOOT): {error}')
         raise ExceptionGroup('invalid settings file', [wrong]) from None
     drain_seconds = min(options.drain_seconds, settings.drain_seconds)
+    # The file may change while the daemon runs, the option can't.
+    service = settings.service or strip_team(options.service)
     return PlatformIntegration(
-        dialects=create_platform_dialects(options, settings),
+        dialects=create_platform_dialects(options, settings, service),
         rules=_limit_linger(settings.rules, drain_seconds),
         store_rules=settings.store_rules,
         drain_seconds=drain_seconds,
         exit_flush_seconds=settings.exit_flush_seconds,
         memory_mb=settings.memory_mb or options.memory_mb,
         max_descriptors=settings.max_descriptors,
-        service=qualify_service(strip_team(options.service)),
+        service=qualify_service(service),
         region=encode_name(options.region),
         settings_content=content,
     )
--- a/briartack/peer_connections.py
+++ b/briartack/peer_connections.py
@@ -58,7 +58,7 @@
     """Manage the streams to peers, with at most one in use for each peer."""
 
     __slots__ = (
-        '_identity',
+        'identity',
         '_deliver',
         '_clock',
         '_observer',
@@ -81,7 +81,7 @@
         observer: Observer,
         link_bytes_per_second: float | None,
     ) -> None:
-        self._identity = identity
+        self.identity = identity
         self._deliver = deliver
         self._clock = clock
         self._observer = observer
@@ -139,7 +139,7 @@
         self._report_disconnected(peer, reason)
 
     def _encode_hello(self) -> bytes:
-        identity = self._identity
+        identity = self.identity
         return encode(
             Hello(
                 protocol_version=PROTOCOL_VERSION,
@@ -248,7 +248,7 @@
         expected: InstanceId | None,
         hello_timeout: gevent.Timeout,
     ) -> None:
-        own = self._identity.instance
+        own = self.identity.instance
         for message in stream.read_messages():
             if stream.hello is None:
                 hello_timeout.close()
@@ -295,7 +295,7 @@
         # A dialler sent its hello, which has the same size, before it knew the
         # region of the peer, so the hellos of both sides are counted here.
         stream.traffic.count_hellos(
-            is_remote=hello.region != self._identity.region,
+            is_remote=hello.region != self.identity.region,
             sent_bytes=len(own_hello),
             received_bytes=stream.last_frame_bytes,
         )
@@ -319,7 +319,7 @@
         current: PeerStream,
         new: PeerStream,
     ) -> None:
-        is_lower = self._identity.instance < peer
+        is_lower = self.identity.instance < peer
         kept, redundant = (
             (new, current) if new.is_outgoing == is_lower else (current, new)
         )
--- a/briartack/peers.py
+++ b/briartack/peers.py
@@ -167,6 +167,10 @@
         """Replace the rate of the link for peers that connect from now on."""
         self._connections.link_bytes_per_second = bytes_per_second
 
+    def replace_identity(self, identity: Identity) -> None:
+        """Replace the identity that the hellos of new streams state."""
+        self._connections.identity = identity
+
     def send_answer(self, effect: SendAnswer) -> None:
         """Queue an answer and its body.
 
--- a/briartack/platform/connect.py
+++ b/briartack/platform/connect.py
@@ -3,7 +3,6 @@
 from briartack.dialects import Dialects
 from briartack.options import Options
 from briartack.platform.callers import PlatformCallerDialect
-from briartack.platform.names import strip_team
 from briartack.platform.registry import RegistrationDecoder
 from briartack.platform.settings import ProcessSettings
 from briartack.platform.store import PlatformStoreDialect
@@ -11,15 +10,18 @@
 
 
 def create_platform_dialects(
-    options: Options, settings: ProcessSettings
+    options: Options, settings: ProcessSettings, service: str
 ) -> Dialects:
-    """Create the platform's dialects for one daemon."""
+    """Create the platform's dialects for the daemon of a service.
+
+    The service has the platform's name.
+    """
     registry = RegistrationDecoder(
         regions=settings.regions,
         peer_port=options.peer_address[1],
     )
     return Dialects(
-        callers=PlatformCallerDialect(service=strip_team(options.service)),
+        callers=PlatformCallerDialect(service=service),
         upstream=PlatformUpstreamDialect(),
         store=PlatformStoreDialect(registry=registry),
     )
--- a/briartack/platform/settings.py
+++ b/briartack/platform/settings.py
@@ -16,6 +16,7 @@
 
 _ZONE_PREFIX: Final = 'zones.'
 _BOUNDS_FIELD: Final = 'bounds'
+_SERVICE_FIELD: Final = 'service'
 _LIMITS_PREFIX: Final = 'limits.'
 _BYTES_PER_MEGABIT: Final = 125_000
 # The platform charges for bytes between zones and regions. A queue of a quarter
@@ -98,6 +99,7 @@
     store_rules: StoreRules
     memory_mb: float | None  # None if the platform states no limit
     max_descriptors: int | None
+    service: str  # empty if the file states none
 
 
 def decode_settings(text: str, probe_seconds: float) -> ProcessSettings:
@@ -126,6 +128,7 @@
         exit_flush_seconds=max(0, exit_flush_seconds),
         memory_mb=limits.memory_mb,
         max_descriptors=limits.max_fds,
+        service=fields.get(_SERVICE_FIELD, ''),
         rules=CallRules(
             probe_seconds=probe_seconds,
             requires_identity=True,
--- a/briartack/test/test_foreign_upstream.py
+++ b/briartack/test/test_foreign_upstream.py
@@ -103,14 +103,16 @@
     )
 
 
-def send(state: State, now: float, attempt: str) -> Effects:
+def send(
+    state: State, now: float, attempt: str, service: str = 'a/s'
+) -> Effects:
     """Let daemon `b` send an attempt."""
     message = messages.Attempt(
         attempt_id=AttemptId(attempt),
         owner_incarnation=Incarnation('a1'),
         owner_clock=now,
         remaining_ms=5000,
-        service='a/s',
+        service=service,
         method='POST',
         target='/',
         headers=(),
