--- a/briartack/core/calls/local_upstream.py
+++ b/briartack/core/calls/local_upstream.py
@@ -217,8 +217,8 @@
     def fill(self, now: float) -> AdmissionResult:
         """Start queued attempts in the free slots; refuse overdue ones.
 
-        Nothing starts while the identity of the upstream is not verified: the
-        attempts were checked for the upstream before.
+        Nothing starts while the upstream is not verified: the attempts were
+        admitted for an earlier one.
         """
         if not self._admission.queued or not self.health.may_start:
             return NOTHING_ADMITTED
--- a/briartack/core/calls/service_change.py
+++ b/briartack/core/calls/service_change.py
@@ -9,10 +9,10 @@
 def on_service_changed(
     state: CallsState, context: CallContext, now: float
 ) -> Effects:
-    """Refuse the attempts that wait, which are for the service before.
+    """Refuse the attempts that wait, because they are for the previous service.
 
-    The tick verifies the upstream by the new service, and the probe tells
-    whether it is another one.
+    The tick verifies the upstream for the new service, and the probe finds out
+    whether the upstream was replaced too.
     """
     waiting = state.owner.expire_all(now, reasons.WRONG_SERVICE)
     state.owner.upstream.health.request_probe()
--- a/briartack/core/calls/upstream_health.py
+++ b/briartack/core/calls/upstream_health.py
@@ -35,7 +35,7 @@
 
     @property
     def is_verified(self) -> bool:
-        """Return whether the list has the present identity in the service."""
+        """Return whether the instance list has the identity in this service."""
         return bool(self._identity) and (
             self._identity == self._verified_identity
         )
@@ -79,9 +79,9 @@
         self._identity = identity or self._identity
 
     def verify(self, *, is_own_service: bool) -> None:
-        """Record whether the list has the present identity in the service.
+        """Record whether the instance list has the identity in this service.
 
-        The next identity is not verified until this is called again.
+        It says nothing of a later identity.
         """
         self._verified_identity = self._identity if is_own_service else ''
 
--- a/briartack/core/explanation.py
+++ b/briartack/core/explanation.py
@@ -112,6 +112,8 @@
     if state.membership.is_leaving(member.instance):
         return 'leaving'
     is_own = member.instance == state.identity.instance
+    if is_own and not state.calls.owner.upstream.health.may_start:
+        return 'the list does not have its upstream in this service'
     has_stream = state.calls.endpoints.get(member.instance) is not None
     if (is_own or has_stream) and not choice.is_available(member):
         return 'not available now'
--- a/briartack/test/test_load_status.py
+++ b/briartack/test/test_load_status.py
@@ -256,3 +256,22 @@
         self.assertIn('the less loaded of two', explained['outcome'])
         for endpoint in explained['endpoints']:
             self.assertIsNone(endpoint['expected'])
+
+    @params(
+        (False, 'the list does not have its upstream in this service'),
+        (True, ''),
+    )
+    def test_upstream_that_is_not_verified_is_named(
+        self, is_verified: bool, excluded: str
+    ) -> None:
+        """Guard against an upstream that is excluded without its reason."""
+        state = make_fleet().states['m0']
+        state.replace_rules(CallRules(requires_identity=True), 1)
+        health = state.calls.owner.upstream.health
+        health.update_identity('i-1')
+        health.verify(is_own_service=is_verified)
+        explained: Any = explain(state, 'GET', '/main/x', '')
+        found = [
+            one['excluded'] for one in explained['endpoints'] if one['is_own']
+        ]
+        self.assertEqual(found, [excluded])
