Let a worker of the stand-in register each of its starts

Cause: the stand-in's worker started again under a new identity that it never wrote to the store, which the platform's workers always do. Since such a worker gets no requests, so test_deadly_requests waited in vain for service. Change: a start after an end registers the worker. The test is unchanged.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -7,6 +7,7 @@
 import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any, Final, final
 
@@ -240,6 +241,7 @@
             link=link,
         )
         self.machines.append(machine)
+        worker.register = partial(self.register_worker, machine)
         self.register_worker(machine)
         daemon.start()
         return machine
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final, NoReturn, final
@@ -44,6 +44,7 @@
         'bodies_by_path',
         'deadly_path',
         'down_seconds',
+        'register',
         'counts',
         'received_requests',
         '_server',
@@ -62,6 +63,8 @@
         self.bodies_by_path: dict[str, bytes] = {}  # instead of an echo
         self.deadly_path = ''  # a request to it ends this worker
         self.down_seconds = 0.5  # until this worker starts again
+        # Lists this worker in the store, as each start does.
+        self.register: Callable[[], None] | None = None
         self.counts: Counter[str] = Counter()
         self.received_requests: list[tuple[str, str, dict[str, str]]] = []
         self._server = HttpServer(address=address, application=self.answer)
@@ -84,6 +87,8 @@
         gevent.sleep(self.down_seconds)
         self.restart(f'{self.identity}.{self.counts["ended"]}')
         self._server.start()
+        if self.register is not None:
+            self.register()
 
     def answer(self, request: Request) -> Response | BrokenResponse:
         """Answer a health probe or run a request."""
