Refuse waiting attempts in one place; replace the callers' dialect as a whole

All four call OwnerRunner.expire_where. - A reload makes new dialects, but the service was copied from the new callers' dialect into the old one, by two members that every dialect had to have. The dialect is replaced instead, and both members are gone. - daemon_pair has the probe and the attempt that three test modules wrote out; a field of FakeMembers that nothing set is gone. Assertions are as before.

--- a/briartack/callers.py
+++ b/briartack/callers.py
@@ -90,7 +90,7 @@
         connection_limits: ConnectionLimits,
     ) -> None:
         self._bodies = bodies
-        self.dialect: Final = dialect
+        self.dialect = dialect
         self._deliver = deliver
         self._clock = clock
         self.observer: Final = observer
--- a/briartack/core/calls/identity_watch.py
+++ b/briartack/core/calls/identity_watch.py
@@ -49,20 +49,15 @@
             return []
         listing = verify_identity(context, self._upstream)
         effects = self._report(listing, evidence)
-        if not self._upstream.health.may_start:
-            effects.extend(self._refuse_waiting(now))
-        return effects
-
-    def _refuse_waiting(self, now: float) -> Effects:
-        return [
-            effect
-            for record in self._runner
-            # A joined attempt awaits the outcome of one that is running.
-            if record.phase is not OwnedPhase.JOINED
-            for effect in self._runner.expire(
-                now, record, reasons.UPSTREAM_UNVERIFIED
-            )
-        ]
+        if self._upstream.health.may_start:
+            return effects
+        # A joined attempt awaits the outcome of one that is running.
+        refusals = self._runner.expire_where(
+            now,
+            reasons.UPSTREAM_UNVERIFIED,
+            lambda record: record.phase is not OwnedPhase.JOINED,
+        )
+        return [*effects, *refusals]
 
     def _report(self, listing: Listing, evidence: Evidence) -> Effects:
         identity = self._upstream.health.identity
--- a/briartack/core/calls/owner.py
+++ b/briartack/core/calls/owner.py
@@ -316,15 +316,14 @@
 
         Their senders can choose other owners.
         """
-        return [
-            effect
-            for record in self._runner
-            if record.phase is not OwnedPhase.JOINED
-            and is_stop_too_near(self._drain, now, record, self._upstream)
-            for effect in self._runner.expire(
-                now, record, reasons.STOP_TOO_NEAR
-            )
-        ]
+        return self._runner.expire_where(
+            now,
+            reasons.STOP_TOO_NEAR,
+            lambda record: (
+                record.phase is not OwnedPhase.JOINED
+                and is_stop_too_near(self._drain, now, record, self._upstream)
+            ),
+        )
 
     def tick(self, context: CallContext, now: float) -> Effects:
         """Expire overdue attempts, apply new limits and request due probes."""
@@ -336,22 +335,15 @@
 
     def expire_all(self, now: float, reason: Reason) -> Effects:
         """Refuse all attempts that have not started."""
-        return [
-            effect
-            for record in self._runner
-            for effect in self._runner.expire(now, record, reason)
-        ]
+        return self._runner.expire_where(now, reason, lambda _: True)
 
     def refuse_suspects(self, now: float) -> Effects:
         """Refuse the attempts that wait and whose request became a suspect."""
-        return [
-            effect
-            for record in self._runner
-            if self._crash_watch.is_refused(record.attempt, now)
-            for effect in self._runner.expire(
-                now, record, reasons.CRASH_SUSPECT
-            )
-        ]
+        return self._runner.expire_where(
+            now,
+            reasons.CRASH_SUSPECT,
+            lambda record: self._crash_watch.is_refused(record.attempt, now),
+        )
 
     def abort_all(self, now: float) -> Effects:
         """End all attempts; the outcome of running ones is unknown."""
--- a/briartack/core/calls/owner_runner.py
+++ b/briartack/core/calls/owner_runner.py
@@ -4,7 +4,7 @@
 to this module.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final, final
 
 from briartack.core.body_ids import answer_body_id
@@ -186,6 +186,20 @@
             self._upstream.withdraw(record.attempt.attempt_id)
         return self._answers.refuse(now, record, reason)
 
+    def expire_where(
+        self,
+        now: float,
+        reason: Reason,
+        applies_to: Callable[[OwnedAttempt], bool],
+    ) -> Effects:
+        """Refuse the attempts that have not started and meet a condition."""
+        return [
+            effect
+            for record in self
+            if applies_to(record)
+            for effect in self.expire(now, record, reason)
+        ]
+
     def abort(self, now: float, record: OwnedAttempt) -> Effects:
         """Abort a running attempt and answer that its outcome is unknown."""
         attempt_id = record.attempt.attempt_id
--- a/briartack/daemon.py
+++ b/briartack/daemon.py
@@ -344,9 +344,7 @@
 
     def _replace_service(self, integration: PlatformIntegration) -> None:
         """Name the service of changed settings to upstreams and to peers."""
-        self._callers.dialect.replace_service(
-            integration.dialects.callers.service
-        )
+        self._callers.dialect = integration.dialects.callers
         self._identity = self._identity.with_service(integration.service)
         self._peers.replace_identity(self._identity)
 
--- a/briartack/dialects.py
+++ b/briartack/dialects.py
@@ -36,16 +36,6 @@
 class CallerDialect(Protocol):
     """Decode the heads of callers' requests and encode responses."""
 
-    @property
-    def service(self) -> str:
-        """Return the service that forwarded requests name as their caller.
-
-        Empty if they name none.
-        """
-
-    def replace_service(self, service: str) -> None:
-        """Name another service in the requests that follow."""
-
     def decode_head(
         self,
         *,
--- a/briartack/native_dialects.py
+++ b/briartack/native_dialects.py
@@ -46,14 +46,6 @@
 
     __slots__ = ()
 
-    @property
-    def service(self) -> str:
-        """Return nothing: requests do not name the service of their caller."""
-        return ''
-
-    def replace_service(self, service: str) -> None:
-        """Change nothing: requests do not name the service of their caller."""
-
     def decode_head(
         self,
         *,
--- a/briartack/platform/callers.py
+++ b/briartack/platform/callers.py
@@ -58,15 +58,6 @@
         """
         self._caller_header = (CALLER_SERVICE, service)
 
-    @property
-    def service(self) -> str:
-        """Return the service that forwarded requests name as their caller."""
-        return self._caller_header[1]
-
-    def replace_service(self, service: str) -> None:
-        """Name another service in the requests that follow."""
-        self._caller_header = (CALLER_SERVICE, service)
-
     def decode_head(
         self,
         *,
--- a/briartack/test/call_path_bench.py
+++ b/briartack/test/call_path_bench.py
@@ -94,7 +94,6 @@
 
     members: tuple[Member, ...]
     leaving: frozenset[str] = frozenset()
-    upstreams: Mapping[str, Member] = field(default_factory=dict)
 
     @property
     def instance_count(self) -> int:
@@ -103,9 +102,8 @@
     def live_members(self) -> tuple[Member, ...]:
         return self.members
 
-    def find_upstream(self, record_id: str) -> Member | None:
-        """Return what the list says of an upstream, `None` if nothing."""
-        return self.upstreams.get(record_id)
+    def find_upstream(self, record_id: str) -> None:
+        """Find nothing: no upstream here is listed under an id of its own."""
 
     def is_upstream_leaving(self, record_id: str) -> bool:
         """Return false: no upstream here is listed under an id of its own."""
--- a/briartack/test/daemon_pair.py
+++ b/briartack/test/daemon_pair.py
@@ -5,10 +5,11 @@
 
 from briartack.core import events, messages
 from briartack.core.calls.call_rules import CallRules
+from briartack.core.effects import Effects
 from briartack.core.identity import Identity
 from briartack.core.reducer import reduce
 from briartack.core.state import State
-from briartack.core.units import Incarnation, InstanceId
+from briartack.core.units import AttemptId, Digest, Incarnation, InstanceId
 
 OWN: Final = InstanceId('a')
 PEER: Final = InstanceId('b')
@@ -42,3 +43,38 @@
         clock=now,
     )
     reduce(state, events.PeerConnected(now=now, peer=PEER, hello=hello))
+
+
+def probe(state: State, now: float, identity: str) -> Effects:
+    """Let a probe report a healthy upstream with an identity."""
+    return reduce(
+        state,
+        events.UpstreamProbed(
+            now=now,
+            is_healthy=True,
+            is_draining=False,
+            identity=identity,
+            reported_load=None,
+        ),
+    )
+
+
+def send(
+    state: State, now: float, attempt: str, service: str = 'a/s'
+) -> Effects:
+    """Let daemon `b` send an attempt."""
+    message = messages.Attempt(
+        attempt_id=AttemptId(attempt),
+        owner_incarnation=Incarnation('a1'),
+        owner_clock=now,
+        remaining_ms=900,
+        service=service,
+        method='GET',
+        target='/',
+        headers=(),
+        body_bytes=0,
+        body_digest=Digest(b''),
+        interactive=True,
+    )
+    received = events.PeerMessageReceived(now=now, peer=PEER, message=message)
+    return reduce(state, received)
--- a/briartack/test/test_changed_service.py
+++ b/briartack/test/test_changed_service.py
@@ -19,15 +19,14 @@
 from briartack.core.reducer import reduce
 from briartack.core.state import State
 from briartack.core.units import Revision
+from briartack.test.daemon_pair import probe, send
 from briartack.test.started_site import start_site
 from briartack.test.test_foreign_upstream import (
     OTHER_SERVICE,
     SUCCESSOR,
     list_dispatches,
     list_refusals,
-    probe,
     read_list,
-    send,
 )
 from briartack.test.test_leaving_upstream import make_daemon
 from briartack.test.test_platform_site import becomes_true
--- a/briartack/test/test_foreign_upstream.py
+++ b/briartack/test/test_foreign_upstream.py
@@ -11,7 +11,7 @@
 import msgspec
 from nose2.tools import params
 
-from briartack.core import events, messages
+from briartack.core import events
 from briartack.core.calls import reasons
 from briartack.core.effects import (
     Count,
@@ -26,11 +26,16 @@
 from briartack.core.status import describe
 from briartack.core.units import (
     AttemptId,
-    Digest,
-    Incarnation,
     Revision,
 )
-from briartack.test.daemon_pair import OWN, PEER, connect_peer, make_state
+from briartack.test.daemon_pair import (
+    OWN,
+    PEER,
+    connect_peer,
+    make_state,
+    probe,
+    send,
+)
 from briartack.test.test_leaving_upstream import (
     SUBTREE,
     make_daemon,
@@ -73,20 +78,6 @@
     reduce(state, events.Tick(now=now))
 
 
-def probe(state: State, now: float, identity: str) -> Effects:
-    """Let a probe report a healthy upstream with an identity."""
-    return reduce(
-        state,
-        events.UpstreamProbed(
-            now=now,
-            is_healthy=True,
-            is_draining=False,
-            identity=identity,
-            reported_load=None,
-        ),
-    )
-
-
 def refuse(state: State, now: float, attempt: str, identity: str) -> Effects:
     """Let the upstream refuse a request as it is another than expected."""
     return reduce(
@@ -103,27 +94,6 @@
     )
 
 
-def send(
-    state: State, now: float, attempt: str, service: str = 'a/s'
-) -> Effects:
-    """Let daemon `b` send an attempt."""
-    message = messages.Attempt(
-        attempt_id=AttemptId(attempt),
-        owner_incarnation=Incarnation('a1'),
-        owner_clock=now,
-        remaining_ms=5000,
-        service=service,
-        method='POST',
-        target='/',
-        headers=(),
-        body_bytes=0,
-        body_digest=Digest(b''),
-        interactive=True,
-    )
-    received = events.PeerMessageReceived(now=now, peer=PEER, message=message)
-    return reduce(state, received)
-
-
 def list_dispatches(effects: Effects) -> list[tuple[str, str]]:
     """Return each attempt that is sent, with the identity that it names."""
     return [
--- a/briartack/test/test_leaving_upstream.py
+++ b/briartack/test/test_leaving_upstream.py
@@ -26,7 +26,14 @@
     Revision,
 )
 from briartack.platform.upstream import PlatformUpstreamDialect
-from briartack.test.daemon_pair import OWN, PEER, connect_peer, make_state
+from briartack.test.daemon_pair import (
+    OWN,
+    PEER,
+    connect_peer,
+    make_state,
+    probe,
+    send,
+)
 from briartack.test.test_platform_calls import (
     DISPATCH,
     SEALED_HEADERS,
@@ -75,16 +82,7 @@
             now=1, prefix='', revision=Revision(3), entries=entries
         ),
     )
-    reduce(
-        state,
-        events.UpstreamProbed(
-            now=1,
-            is_healthy=True,
-            is_draining=False,
-            identity='i-a',
-            reported_load=None,
-        ),
-    )
+    probe(state, 1, 'i-a')
     connect_peer(state, 1)
     return state
 
@@ -108,23 +106,9 @@
 
 def send_attempt(state: State) -> list[str]:
     """Let daemon `b` send an attempt; return the reasons of refusals."""
-    attempt = messages.Attempt(
-        attempt_id=AttemptId('b.b1.1'),
-        owner_incarnation=Incarnation('a1'),
-        owner_clock=1.1,
-        remaining_ms=900,
-        service='a/s',
-        method='GET',
-        target='/',
-        headers=(),
-        body_bytes=0,
-        body_digest=Digest(b''),
-        interactive=True,
-    )
-    received = events.PeerMessageReceived(now=1.1, peer=PEER, message=attempt)
     return [
         effect.answer.reason
-        for effect in reduce(state, received)
+        for effect in send(state, 1.1, 'b.b1.1')
         if isinstance(effect, SendAnswer)
     ]
 
