Publish after a daemon has read the restored store, as the test means to

Cause: the test published as soon as the store had written the lost change again. If no daemon had read the new era by then, the version got a number that the copy had used, and was refused as outdated: the documented case of this dialect, which states no order of versions (OPERATIONS.md). Change: the test waits, within its bound, until a daemon has logged store-era.

--- a/briartack/test/test_processes.py
+++ b/briartack/test/test_processes.py
@@ -114,6 +114,14 @@
     ]
 
 
+def is_new_era_read(deployment: Deployment) -> bool:
+    """Return whether a daemon has logged that the store was restored."""
+    return any(
+        'store-era' in deployment.get_daemon_process(name).stderr.read_text()
+        for name in deployment.site.instance_sites
+    )
+
+
 def begin_outage(deployment: Deployment) -> None:
     """Let the store refuse connections, and wait until reads fail."""
     deployment.control_store('outage', mode='refuse')
@@ -184,6 +192,12 @@
                 lambda: store_revision(deployment) > copied,
                 'the lost change is written again',
             )
+            # Before that, a version whose number the copy had used is refused
+            # as outdated, because this dialect states no order of versions.
+            wait_until(
+                lambda: is_new_era_read(deployment),
+                'a daemon reads the restored store',
+            )
             revision = publish_change(deployment)
             self.assertLessEqual(revision, lost)
             deployment.wait_until_in_force(
